--- /dev/null
+++ b/passgate/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts as YAML files; interpreted by :mod:`passgate.statecharts`."""
--- /dev/null
+++ b/passgate/check/__init__.py
@@ -0,0 +1,1 @@
+"""Proof: model checking of the core protocol and history checking."""
--- /dev/null
+++ b/passgate/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of the interfaces to real protocols over HTTP."""
--- /dev/null
+++ b/passgate/clock.py
@@ -0,0 +1,31 @@
+"""Time source shared by daemons, the emulator and simulations.
+
+All code reads time from the running event loop, so the same code runs against
+the wall clock and, on a loop made by :func:`new_virtual_loop`, in virtual time.
+
+>>> loop = new_virtual_loop()
+>>> async def nap():
+...     await asyncio.sleep(3600)
+...     return monotonic_s()
+>>> round(loop.run_until_complete(nap()))
+3600
+>>> loop.close()
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+
+def monotonic_s() -> float:
+    """Return the running loop's time in seconds; monotonic, arbitrary origin."""
+    return asyncio.get_running_loop().time()
+
+
+def new_virtual_loop() -> asyncio.AbstractEventLoop:
+    """Return an event loop whose time jumps to the next timer (library: looptime)."""
+    import looptime
+
+    loop = looptime.new_event_loop(start=0.0)
+    loop.setup_looptime(start=0.0, noop_cycles=1, idle_step=None)
+    return loop
--- /dev/null
+++ b/passgate/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: scenarios, comparisons, sweeps, scale runs and reports."""
--- /dev/null
+++ b/passgate/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and dissemination between daemons."""
--- /dev/null
+++ b/passgate/records.py
@@ -0,0 +1,264 @@
+"""Records that passgate keeps on the platform's log, and their encoding.
+
+Every record is an envelope around one body.  ``writer`` names one process run
+and ``sequence`` grows by one per record of that writer on a stream, so that a
+repeated append changes nothing.  ``epoch`` fences records of replaced leaders.
+A body kind from a newer version decodes to :class:`UnknownBody` and is passed over.
+
+>>> record = Record(writer="a/1", sequence=1, epoch=0, body=ClaimReleased(key="k"))
+>>> decode_record(encode_record(record)) == record
+True
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from passgate.schema import FinishReason, Labels, VersionSpan
+
+# --- configuration stream ----------------------------------------------------------
+
+
+class ObjectPut(msgspec.Struct, frozen=True, kw_only=True, tag="object_put"):
+    """Create or replace a configuration object."""
+
+    object_kind: str
+    name: str
+    expected_revision: int | None
+    """Revision that the writer replaces; 0 means "must not exist"; None means any."""
+    labels: Labels
+    spec: msgspec.Raw
+    """JSON of the typed specification of ``object_kind``, see ``state.configuration``."""
+
+
+class ObjectDeleted(msgspec.Struct, frozen=True, kw_only=True, tag="object_deleted"):
+    """Delete a configuration object."""
+
+    object_kind: str
+    name: str
+    expected_revision: int | None
+
+
+# --- lease stream --------------------------------------------------------------------
+
+
+class LeaseTaken(msgspec.Struct, frozen=True, kw_only=True, tag="lease_taken"):
+    """Take a role; valid only when the envelope's epoch is the current one plus one."""
+
+    role: str
+    holder: str
+
+
+class LeaseReleased(msgspec.Struct, frozen=True, kw_only=True, tag="lease_released"):
+    """Give a role up; the envelope's epoch names the held epoch."""
+
+    role: str
+    holder: str
+
+
+# --- one stream per idempotency key ------------------------------------------------------
+
+
+class ClaimMade(msgspec.Struct, frozen=True, kw_only=True, tag="claim_made"):
+    """Claim the single run of a not-repeatable request."""
+
+    key: str
+    request_digest: str
+    """Digest of the request; a different digest under the same key is an error."""
+    holder: str
+
+
+class ClaimReleased(msgspec.Struct, frozen=True, kw_only=True, tag="claim_released"):
+    """The writer's claim never reached a back end; the next claim may run."""
+
+    key: str
+
+
+class ClaimCompleted(msgspec.Struct, frozen=True, kw_only=True, tag="claim_completed"):
+    """Outcome of the claimed run, replayed to repeated calls."""
+
+    key: str
+    status: int
+    content_type: str
+    body: str
+    """Base64 of the answer's bytes."""
+
+
+# --- one stream per lot -------------------------------------------------------------------
+
+
+class PromptSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """One prompt of a lot; ``prompt`` holds token identifiers."""
+
+    prompt: tuple[int, ...]
+    max_tokens: int
+    seed: int = 0
+
+
+class LotOpened(msgspec.Struct, frozen=True, kw_only=True, tag="lot_opened"):
+    """A trainer opened a lot."""
+
+    lot_id: str
+    caller: str
+    pool: str
+    model: str
+    priority_class: str
+    staleness_bound: int
+    """Most versions a sample may be behind the trainer's version at hand-over."""
+    trainer_version: int
+    deadline_unix_s: float | None
+    prompts: tuple[PromptSpec, ...]
+
+
+class KeeperTaken(msgspec.Struct, frozen=True, kw_only=True, tag="keeper_taken"):
+    """A daemon starts to produce a lot's samples; epoch must be current plus one."""
+
+    holder: str
+
+
+class SampleCommitted(msgspec.Struct, frozen=True, kw_only=True, tag="sample_committed"):
+    """One produced sample; the first valid commit of a slot's attempt wins."""
+
+    index: int
+    attempt: int
+    tokens: tuple[int, ...]
+    spans: tuple[VersionSpan, ...]
+    finish_reason: FinishReason
+    replica_id: str
+
+
+class SampleExpired(msgspec.Struct, frozen=True, kw_only=True, tag="sample_expired"):
+    """A committed, not handed-over sample went over the bound; the slot is open again."""
+
+    index: int
+    attempt: int
+    trainer_version: int
+
+
+class SamplesHandedOver(msgspec.Struct, frozen=True, kw_only=True, tag="samples_handed_over"):
+    """Samples are about to be given to the trainer; from here their bytes are fixed."""
+
+    indexes: tuple[int, ...]
+    trainer_version: int
+
+
+class SamplesAcknowledged(msgspec.Struct, frozen=True, kw_only=True, tag="samples_acknowledged"):
+    """The trainer confirmed that it has the samples."""
+
+    indexes: tuple[int, ...]
+
+
+class SamplesReplaced(msgspec.Struct, frozen=True, kw_only=True, tag="samples_replaced"):
+    """The trainer lacks handed-over samples that went stale; their slots open again."""
+
+    indexes: tuple[int, ...]
+
+
+class SampleFailed(msgspec.Struct, frozen=True, kw_only=True, tag="sample_failed"):
+    """A slot can not be produced (for example the deadline passed)."""
+
+    index: int
+    code: str
+
+
+class LotCancelled(msgspec.Struct, frozen=True, kw_only=True, tag="lot_cancelled"):
+    """The trainer cancelled the lot."""
+
+
+# --- snapshots and unknown kinds --------------------------------------------------------------
+
+
+class SnapshotTaken(msgspec.Struct, frozen=True, kw_only=True, tag="snapshot_taken"):
+    """Fold state after the record at ``offset``; stands on ``<stream>.snapshots``."""
+
+    offset: int
+    schema_version: int
+    state: msgspec.Raw
+
+
+class UnknownBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A body kind this version does not know; kept as raw JSON and passed over."""
+
+    kind: str
+    raw: bytes
+
+
+Body = (
+    ObjectPut
+    | ObjectDeleted
+    | LeaseTaken
+    | LeaseReleased
+    | ClaimMade
+    | ClaimReleased
+    | ClaimCompleted
+    | LotOpened
+    | KeeperTaken
+    | SampleCommitted
+    | SampleExpired
+    | SamplesHandedOver
+    | SamplesAcknowledged
+    | SamplesReplaced
+    | SampleFailed
+    | LotCancelled
+    | SnapshotTaken
+)
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True):
+    """Envelope of every record on the log."""
+
+    writer: str
+    sequence: int
+    epoch: int
+    body: Body | UnknownBody
+
+
+class _RawRecord(msgspec.Struct, kw_only=True):
+    writer: str
+    sequence: int
+    epoch: int
+    body: msgspec.Raw
+
+
+class _BodyKind(msgspec.Struct):
+    type: str = ""
+
+
+_encoder = msgspec.json.Encoder()
+_raw_decoder = msgspec.json.Decoder(_RawRecord)
+_body_decoder = msgspec.json.Decoder(Body)
+_kind_decoder = msgspec.json.Decoder(_BodyKind)
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the JSON form of a record."""
+    if isinstance(record.body, UnknownBody):
+        body = msgspec.Raw(record.body.raw)
+    else:
+        body = msgspec.Raw(_encoder.encode(record.body))
+    raw = _RawRecord(writer=record.writer, sequence=record.sequence, epoch=record.epoch, body=body)
+    return _encoder.encode(raw)
+
+
+def decode_record(payload: bytes) -> Record | None:
+    """Return the record, or None when the envelope itself is not readable.
+
+    An unreadable envelope is skipped by every reader alike, so it can not make
+    two folds differ.
+    """
+    try:
+        raw = _raw_decoder.decode(payload)
+    except msgspec.MsgspecError:
+        return None
+    return Record(writer=raw.writer, sequence=raw.sequence, epoch=raw.epoch, body=_decode_body(raw.body))
+
+
+def _decode_body(raw: msgspec.Raw) -> Body | UnknownBody:
+    try:
+        return _body_decoder.decode(raw)
+    except msgspec.MsgspecError:
+        try:
+            kind = _kind_decoder.decode(raw).type
+        except msgspec.MsgspecError:
+            kind = ""
+        return UnknownBody(kind=kind, raw=bytes(raw))
--- /dev/null
+++ b/passgate/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Weight rollouts: plans, waves, fenced orders to engines."""
--- /dev/null
+++ b/passgate/server/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: HTTP interfaces for callers and operators, and its life cycle."""
