--- /dev/null
+++ b/tests/test_check_judges.py
@@ -0,0 +1,226 @@
+"""Each promise is broken on purpose in a clean history; its judge must name the rule."""
+
+from __future__ import annotations
+
+import io
+
+import msgspec
+import pytest
+
+from passgate.check import events as e
+from passgate.check.history import HistoryRecorder, read_history
+from passgate.check.judgement import judge_history
+from passgate.errors import ExecutionStatus
+from passgate.schema import FinishReason, VersionSpan
+
+
+def oracle(prompt, seed, position, version):
+    return hash((prompt, seed, position, version)) % 50_000
+
+
+def tokens_of(prompt, seed, spans):
+    return tuple(oracle(prompt, seed, p, s.version) for s in spans for p in range(s.start, s.end))
+
+
+SPANS = (VersionSpan(0, 2, 5), VersionSpan(2, 4, 6))
+REQUEST = e.GenerateInvoked(time_s=1.0, request_id="g1", daemon="a", prompt=(1, 2), max_tokens=4, seed=7)
+ANSWER = e.GenerateCompleted(
+    time_s=2.0,
+    request_id="g1",
+    answer_request_id="g1",
+    tokens=tokens_of((1, 2), 7, SPANS),
+    spans=SPANS,
+    finish_reason=FinishReason.LENGTH,
+)
+ORDER = e.AppInvoked(time_s=1.0, request_id="p1", daemon="a", expected_digest="d1", key="k", repeatable=False)
+REPEATED_ORDER = msgspec.structs.replace(ORDER, time_s=3.0, request_id="p2", daemon="b")
+ORDER_RUN = e.BackendRunStarted(time_s=1.1, request_id="p1", replica_id="app1")
+ORDERED = e.AppCompleted(time_s=1.5, request_id="p1", answer_digest="d1")
+LOT = e.LotSubmitted(
+    time_s=1.0,
+    lot_id="l",
+    trainer="t",
+    staleness_bound=1,
+    prompts=((1,), (2,)),
+    seeds=(0, 0),
+    max_tokens=(4, 4),
+)
+
+
+def sample(index, spans=SPANS):
+    return e.ReceivedSample(
+        sample_id=f"l/{index}",
+        index=index,
+        attempt=1,
+        tokens=tokens_of((index + 1,), 0, spans),
+        spans=spans,
+        finish_reason=FinishReason.LENGTH,
+    )
+
+
+def page(time_s, cursor, *samples, finished=False, version=6):
+    return e.PageReceived(
+        time_s=time_s,
+        lot_id="l",
+        cursor=cursor,
+        next_cursor=cursor + len(samples),
+        trainer_version=version,
+        samples=samples,
+        finished=finished,
+    )
+
+
+PAGE_0, PAGE_1 = page(3.0, 0, sample(0)), page(4.0, 1, sample(1), finished=True)
+REFUSED = e.RequestFailed(time_s=5.0, request_id="p2", error="overloaded", execution=ExecutionStatus.NOT_RUN)
+CHANGE = e.ConfigurationAccepted(time_s=1.0, name="Pool/x", expected_revision=0, revision=3, value="v3")
+
+
+def in_force(time_s, daemon, revision, value="v3", object_revision=3):
+    held = e.ConfigurationObject(name="Pool/x", revision=object_revision, value=value)
+    return e.ConfigurationInForce(time_s=time_s, daemon=daemon, revision=revision, objects=(held,))
+
+
+CLEAN = [
+    e.DaemonStarted(time_s=0.0, daemon="a"),
+    e.DaemonStarted(time_s=0.0, daemon="b"),
+    REQUEST,
+    ORDER,
+    LOT,
+    CHANGE,
+    in_force(1.2, "a", 3),
+    in_force(1.3, "b", 3),
+    ORDER_RUN,
+    ORDERED,
+    ANSWER,
+    PAGE_0,
+    REPEATED_ORDER,
+    page(3.5, 0, sample(0)),
+    PAGE_1,
+    REFUSED,
+    e.BackendLeaving(time_s=6.0, replica_id="e1"),
+    e.BackendRunStarted(time_s=7.0, request_id="g9", replica_id="e1"),
+    e.StopRequested(time_s=8.0, daemon="b"),
+    e.HistoryClosed(time_s=40.0),
+]
+
+
+def replaced(old, **changes):
+    return [msgspec.structs.replace(event, **changes) if event is old else event for event in CLEAN]
+
+
+def added(*extra):
+    return sorted([*CLEAN, *extra], key=lambda event: event.time_s)
+
+
+def without(*dropped):
+    return [event for event in CLEAN if event not in dropped]
+
+
+WRONG_SPANS = (VersionSpan(0, 3, 5), VersionSpan(3, 4, 6))
+PLANTED = {
+    "believed version": ("true_versions", "token_of_version", replaced(ANSWER, spans=WRONG_SPANS)),
+    "gap in spans": ("true_versions", "spans_cover_output", replaced(ANSWER, spans=SPANS[:1])),
+    "stale at hand-over": ("staleness", "bound", replaced(PAGE_0, trainer_version=7)),
+    "changed bytes": (
+        "exactly_once",
+        "same_bytes",
+        added(page(3.6, 0, sample(0, spans=(VersionSpan(0, 4, 6),)))),
+    ),
+    "came again later": ("exactly_once", "doubled", added(page(4.5, 2, sample(0)))),
+    "second id for a slot": (
+        "exactly_once",
+        "one_sample_per_slot",
+        added(page(4.5, 2, msgspec.structs.replace(sample(0), sample_id="l/0b"))),
+    ),
+    "lost, said finished": ("exactly_once", "lost", replaced(PAGE_1, samples=())),
+    "lost at rest": ("exactly_once", "lost", without(PAGE_1)),
+    "cut answer": ("whole_answer", "whole", replaced(ANSWER, tokens=ANSWER.tokens[:2], spans=SPANS[:1])),
+    "crossed answer": ("whole_answer", "own_answer", replaced(ANSWER, answer_request_id="g2")),
+    "tokens of another": (
+        "whole_answer",
+        "own_answer",
+        replaced(ANSWER, tokens=tokens_of((9, 9), 7, SPANS)),
+    ),
+    "crossed app answer": ("whole_answer", "own_answer", replaced(ORDERED, answer_digest="d2")),
+    "ran after not run": (
+        "not_run",
+        "refused_request_ran",
+        added(e.BackendRunStarted(time_s=6.0, request_id="p2", replica_id="app2")),
+    ),
+    "two runs of a key": (
+        "at_most_once",
+        "ran_twice",
+        added(e.BackendRunStarted(time_s=3.2, request_id="p2", replica_id="app2")),
+    ),
+    "two runs of one request": (
+        "at_most_once",
+        "ran_twice",
+        added(e.BackendRunStarted(time_s=3.2, request_id="p1", replica_id="app2")),
+    ),
+    "work after leaving": (
+        "leaving",
+        "new_work",
+        added(e.BackendRunStarted(time_s=11.5, request_id="g9", replica_id="e1")),
+    ),
+    "cut by a planned stop": (
+        "planned_stop",
+        "cut_off",
+        added(
+            e.GenerateInvoked(time_s=7.5, request_id="g3", daemon="b", prompt=(1,), max_tokens=1, seed=0),
+            e.RequestCutOff(time_s=9.0, request_id="g3"),
+        ),
+    ),
+    "reverted": ("configuration", "monotonic", added(in_force(9.0, "a", 2, "v1", 1))),
+    "differs": ("configuration", "same_everywhere", added(in_force(9.0, "a", 3, "other"))),
+    "accepted is lost": ("configuration", "accepted_stays", added(in_force(9.0, "a", 5, "v1", 1))),
+    "invented conflict": (
+        "configuration",
+        "true_conflict",
+        added(e.ConfigurationRefused(time_s=9.0, name="Pool/x", expected_revision=3, winning_revision=4)),
+    ),
+    "late": ("configuration", "in_force", added(e.DaemonStarted(time_s=2.0, daemon="c"))),
+}
+
+
+def test_clean_history_holds():
+    verdict = judge_history(CLEAN, oracle)
+    assert verdict.broken() == {}
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_planted_violation_is_found_with_a_short_excerpt(name):
+    promise, rule, history = PLANTED[name]
+    verdict = judge_history(history, oracle)
+    found = next(v for v in verdict.promises if v.promise == promise).shortest
+    assert found is not None
+    assert found.rule == rule
+    assert len(found.excerpt) <= 3
+    assert all(event in history for event in found.excerpt)
+
+
+def test_every_promise_has_planted_violations():
+    promises = {promise for promise, _, _ in PLANTED.values()}
+    assert promises == {verdict.promise for verdict in judge_history([], oracle).promises}
+
+
+def test_killed_daemon_may_cut_requests():
+    history = added(
+        e.GenerateInvoked(time_s=7.5, request_id="g3", daemon="b", prompt=(1,), max_tokens=1, seed=0),
+        e.DaemonKilled(time_s=8.5, daemon="b"),
+        e.RequestCutOff(time_s=9.0, request_id="g3"),
+    )
+    assert judge_history(history, oracle).holds()
+
+
+def test_history_survives_its_file():
+    file = io.BytesIO()
+    recorder = HistoryRecorder(file)
+    for event in CLEAN:
+        recorder.record(event)
+    assert read_history(file.getvalue().splitlines()) == CLEAN
+
+
+def test_unreadable_line_is_named():
+    with pytest.raises(e.HistoryFormatError) as caught:
+        read_history([b"", b'{"type":"nothing"}'])
+    assert caught.value.details["line"] == "2"
