--- a/passgate/errors.py
+++ b/passgate/errors.py
@@ -120,6 +120,13 @@
     http_status = 413
 
 
+class HeadersTooLarge(InvalidRequest):
+    """The header lines are too many or too long."""
+
+    code = "headers_too_large"
+    http_status = 431
+
+
 class BodyTimeout(InvalidRequest):
     """The caller sent its body too slowly."""
 
--- a/passgate/records.py
+++ b/passgate/records.py
@@ -165,6 +165,13 @@
     """The trainer cancelled the lot."""
 
 
+# --- any stream ---------------------------------------------------------------------------------
+
+
+class ProposalWithdrawn(msgspec.Struct, frozen=True, kw_only=True, tag="proposal_withdrawn"):
+    """Takes the sequence of a proposal given up while in doubt; of the two, the first on the log counts."""
+
+
 # --- snapshots and unknown kinds --------------------------------------------------------------
 
 
@@ -200,6 +207,7 @@
     | SamplesReplaced
     | SampleFailed
     | LotCancelled
+    | ProposalWithdrawn
     | SnapshotTaken
 )
 
--- /dev/null
+++ b/passgate/state/log_follower.py
@@ -0,0 +1,253 @@
+"""Follower of one log stream: applies its records and proposes new ones.
+
+A decision that holds for all daemons is a record on a stream.  A writer appends
+it and acts on what its own fold decides once it has passed the record, which is
+what every other reader decides too::
+
+    follower = LogFollower(log, "leases", LeaseFold(), writer="caruaru-1/7f3a", random=random)
+    follower.start()
+    decision = await follower.propose(LeaseTaken(role="pool/modelos", holder="caruaru-1/7f3a"), timeout_s=2.0)
+
+``writer`` must be used by one follower only: it names the process run, not the
+machine, and a process that follows a stream twice gives two names.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable, Sequence
+from random import Random
+
+import msgspec
+
+from passgate.errors import DeadlineExceeded, ExecutionStatus, LogError
+from passgate.interfaces import LogBatch, LogClient, LogEntry
+from passgate.records import Body, Record
+from passgate.state import snapshots
+from passgate.state.append_queue import AppendCounters, AppendQueue, Backoff
+from passgate.state.fold import Accepted, Decision, Fold, Rejected, StreamState
+
+__all__ = ["Accepted", "Decision", "Fold", "LogFollower", "Rejected"]
+
+READ_LIMIT_RECORDS = 256
+READ_WAIT_S = 10.0
+READ_TIMEOUT_S = 5.0
+"""How much longer than its own wait a read may take."""
+RETAINED_ENTRIES = 512
+"""Latest entries kept for peers that can not reach the log."""
+
+AppliedCallback = Callable[[int, Record, Decision], None]
+
+
+class FollowerCounters(msgspec.Struct):
+    """Counters of one follower since its start."""
+
+    applied: int = 0
+    read_failures: int = 0
+    gaps: int = 0
+    """Reads whose entries did not follow the last one applied."""
+    snapshots_taken: int = 0
+
+
+class LogFollower:
+    """Reads one stream for ever and appends to it; one per stream and service."""
+
+    def __init__(
+        self,
+        log: LogClient,
+        stream: str,
+        fold: Fold,
+        writer: str,
+        *,
+        use_snapshots: bool = False,
+        on_applied: AppliedCallback | None = None,
+        on_abandoned: Callable[[Record, Decision], None] | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self.stream = stream
+        self.counters = FollowerCounters()
+        self._log = log
+        self._state = StreamState(fold)
+        self._on_applied = on_applied
+        self._use_snapshots = use_snapshots
+        random = random or Random(writer)
+        self._backoff = Backoff(random)
+        self._queue = AppendQueue(log, stream, writer, random)
+        self._queue.on_abandoned = on_abandoned
+        self._retained: deque[LogEntry] = deque(maxlen=RETAINED_ENTRIES)
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._synchronised = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def next_offset(self) -> int:
+        """First offset not yet applied; never goes back."""
+        return self._state.next_offset
+
+    @property
+    def writer(self) -> str:
+        """Writer name in the envelopes of this follower's records."""
+        return self._queue.writer
+
+    @property
+    def synchronised(self) -> bool:
+        """Whether a read has reached the end of the stream as some log replica knew it."""
+        return self._synchronised.is_set()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no proposal of this follower is undecided."""
+        return self._queue.idle
+
+    @property
+    def append_counters(self) -> AppendCounters:
+        """Counters of the appends."""
+        return self._queue.counters
+
+    def start(self) -> None:
+        """Begin to read and append; the first read does not wait for records."""
+        self._spawn(self._run())
+
+    async def close(self) -> None:
+        """Stop; open proposals fail with what is known about them."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._queue.close()
+
+    async def propose(self, body: Body, *, epoch: int = 0, timeout_s: float) -> Decision:
+        """Append a record and return the fold's decision on it.
+
+        Raises:
+            DurabilityUnavailable: the record is certainly not on the log and never will be.
+            DurabilityUnknown: time ran out while that was in doubt.
+        """
+        return await self._queue.propose(body, epoch, timeout_s)
+
+    async def catch_up(self, offset: int, timeout_s: float) -> None:
+        """Wait until all records before ``offset`` are applied; raises DeadlineExceeded."""
+        if self.next_offset >= offset:
+            return
+        reached = asyncio.get_running_loop().create_future()
+        self._waiters.append((offset, reached))
+        await _within(reached, timeout_s, f"records of {self.stream} before {offset}")
+
+    async def synchronise(self, timeout_s: float) -> None:
+        """Wait until a read has reached the stream's end once; raises DeadlineExceeded."""
+        await _within(self._synchronised.wait(), timeout_s, f"the end of {self.stream}")
+
+    def entries_since(self, offset: int) -> tuple[LogEntry, ...]:
+        """Return the retained entries from ``offset``; empty when they do not reach back so far."""
+        if not self._retained or self._retained[0].offset > offset:
+            return ()
+        skipped = offset - self._retained[0].offset
+        return tuple(itertools.islice(self._retained, skipped, None))
+
+    def adopt(self, entries: Sequence[LogEntry]) -> int:
+        """Apply entries that follow the last applied one; return how many were applied.
+
+        Entries already applied are passed over.  At the first gap the rest is left out.
+        """
+        applied = 0
+        for entry in entries:
+            if entry.offset < self.next_offset:
+                continue
+            if entry.offset > self.next_offset:
+                self.counters.gaps += 1
+                break
+            self._apply(entry)
+            applied += 1
+        self._wake_waiters()
+        return applied
+
+    async def _run(self) -> None:
+        if self._use_snapshots:
+            await self._restore_snapshot()
+        self._spawn(self._queue.run())
+        while True:
+            await self._read_once()
+
+    async def _restore_snapshot(self) -> None:
+        """Start from the latest readable snapshot; without one, from the first record."""
+        while self.next_offset == 0:
+            try:
+                for snapshot in await snapshots.latest(self._log, self.stream):
+                    if self._state.restore(snapshot):
+                        break
+            except LogError:
+                self.counters.read_failures += 1
+                await asyncio.sleep(self._backoff.next_s())
+            else:
+                self._backoff.reset()
+                return
+
+    async def _read_once(self) -> None:
+        wait_s = READ_WAIT_S if self.synchronised else 0.0
+        try:
+            batch = await self._read(wait_s)
+        except LogError:
+            self.counters.read_failures += 1
+            await asyncio.sleep(self._backoff.next_s())
+            return
+        applied = self.adopt(batch.entries)
+        if batch.entries and applied == 0:
+            # A gap or only old entries: a replica that is behind; do not spin on it.
+            await asyncio.sleep(self._backoff.next_s())
+            return
+        self._backoff.reset()
+        if self.next_offset >= batch.end_offset:
+            self._synchronised.set()
+
+    async def _read(self, wait_s: float) -> LogBatch:
+        read = self._log.read(self.stream, self.next_offset, READ_LIMIT_RECORDS, wait_s)
+        try:
+            return await asyncio.wait_for(read, wait_s + READ_TIMEOUT_S)
+        except TimeoutError:
+            raise LogError("the read did not return") from None
+
+    def _apply(self, entry: LogEntry) -> None:
+        record, decision = self._state.apply(entry.offset, entry.payload)
+        self._retained.append(entry)
+        self.counters.applied += 1
+        if record is None:
+            return
+        is_own = record.writer == self.writer
+        if is_own:
+            self._queue.observe(record, decision)
+        if self._on_applied is not None:
+            self._on_applied(entry.offset, record, decision)
+        if is_own and self._use_snapshots and snapshots.is_due(entry.offset):
+            self._take_snapshot()
+
+    def _take_snapshot(self) -> None:
+        snapshot = self._state.snapshot()
+        if snapshot is None:
+            return
+        self.counters.snapshots_taken += 1
+        self._spawn(snapshots.write(self._log, self.stream, self.writer, snapshot, self._backoff))
+
+    def _wake_waiters(self) -> None:
+        still_waiting = []
+        for offset, reached in self._waiters:
+            if reached.done():
+                continue
+            if offset <= self.next_offset:
+                reached.set_result(None)
+            else:
+                still_waiting.append((offset, reached))
+        self._waiters = still_waiting
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _within(awaitable, timeout_s: float, what: str) -> None:
+    try:
+        await asyncio.wait_for(awaitable, timeout_s)
+    except TimeoutError:
+        raise DeadlineExceeded(f"{what} did not arrive", execution=ExecutionStatus.NOT_RUN) from None
