--- /dev/null
+++ b/passgate/clients/http_app.py
@@ -0,0 +1,67 @@
+"""AppClient over HTTP: forwards one call and proves that the answer is its own and whole."""
+
+from __future__ import annotations
+
+from passgate.clients import wire
+from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient, remaining_s
+from passgate.clients.replies import retry_after_s
+from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
+from passgate.schema import AppRequest, AppResponse
+
+BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+
+
+class HttpAppClient:
+    """Client of application services that echo ``X-Request-Id``."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def call(self, address: str, request: AppRequest) -> AppResponse:
+        """Forward one call; see :class:`passgate.interfaces.AppClient`.
+
+        Any status is an answer, except a refusal marked as not run.
+
+        Raises besides: DeadlineExceeded.
+        """
+        answer = await self._http.fetch(_call(address, request))
+        _check_own(answer, request.request_id)
+        if answer.headers.get(wire.EXECUTION_HEADER) == ExecutionStatus.NOT_RUN.value:
+            raise _refusal(answer)
+        return AppResponse(
+            request_id=request.request_id,
+            status=answer.status,
+            body=answer.body,
+            content_type=answer.headers.get("Content-Type", ""),
+            replica_id=answer.headers.get(wire.REPLICA_HEADER, ""),
+        )
+
+
+def _call(address: str, request: AppRequest) -> HttpCall:
+    timeout_s = remaining_s(request.deadline_s)
+    headers = {
+        "Content-Type": request.content_type,
+        wire.REQUEST_ID_HEADER: request.request_id,
+        wire.CALLER_HEADER: request.caller,
+        wire.PRIORITY_HEADER: request.priority_class,
+    }
+    if timeout_s is not None:
+        headers[wire.TIMEOUT_HEADER] = str(int(timeout_s * 1000))
+    has_body = bool(request.body) or request.method not in BODILESS_METHODS
+    return HttpCall(
+        method=request.method,
+        url=f"http://{address}{request.path}",
+        body=request.body if has_body else None,
+        headers=headers,
+        timeout_s=timeout_s,
+    )
+
+
+def _check_own(answer: HttpAnswer, request_id: str) -> None:
+    echoed = answer.headers.get(wire.REQUEST_ID_HEADER)
+    if echoed != request_id:
+        raise AnswerMismatch("answer belongs to another request", expected=request_id, got=echoed)
+
+
+def _refusal(answer: HttpAnswer) -> PassgateError:
+    return BackendRefused("service refused", retry_after_s=retry_after_s(answer), status=answer.status)
--- /dev/null
+++ b/passgate/clients/http_platform.py
@@ -0,0 +1,76 @@
+"""MachineList and WeightStore over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from urllib.parse import quote
+
+import msgspec
+
+from passgate.clients import wire
+from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient
+from passgate.clients.replies import decode_body
+from passgate.errors import PassgateError, PlatformError
+from passgate.schema import MachineInfo
+
+PLATFORM_TIMEOUT_S = 5.0
+
+
+class _PlatformClient:
+    """Sends calls to one platform service and maps every failure to PlatformError."""
+
+    def __init__(self, http: HttpClient, address: str, credential: str | None = None) -> None:
+        self._http = http
+        self._base = f"http://{address}/v1"
+        self._headers = wire.authorization(credential)
+
+    async def _send(self, method: str, path: str, body: bytes | None = None) -> HttpAnswer:
+        call = HttpCall(
+            method=method,
+            url=self._base + path,
+            body=body,
+            headers=self._headers,
+            repeatable=True,
+            timeout_s=PLATFORM_TIMEOUT_S,
+        )
+        try:
+            answer = await self._http.fetch(call)
+        except PassgateError as error:
+            raise PlatformError(str(error), execution=error.execution) from error
+        if answer.status != 200:
+            raise PlatformError("platform refused", status=answer.status, path=path)
+        return answer
+
+
+class HttpMachineList(_PlatformClient):
+    """The platform's machine list."""
+
+    async def machines(self) -> Sequence[MachineInfo]:
+        """Return the list; raises PlatformError when it can not be read."""
+        answer = await self._send("GET", "/machines")
+        return _decode(answer, wire.MachinesAnswer).machines
+
+    async def register(self, machine: MachineInfo) -> None:
+        """Put one machine on the list, or replace its entry; raises PlatformError."""
+        path = f"/machines/{quote(machine.machine_id, safe='')}"
+        await self._send("PUT", path, msgspec.json.encode(machine))
+
+    async def leave(self, machine_id: str) -> None:
+        """Mark one machine as leaving; raises PlatformError."""
+        await self._send("POST", f"/machines/{quote(machine_id, safe='')}/leaving", b"")
+
+
+class HttpWeightStore(_PlatformClient):
+    """The platform's weight store."""
+
+    async def size_bytes(self, model: str, version: int) -> int:
+        """Return the size of one version; raises PlatformError when absent."""
+        answer = await self._send("GET", f"/weights/{quote(model, safe='')}/{version}")
+        return _decode(answer, wire.WeightAnswer).size_bytes
+
+
+def _decode(answer: HttpAnswer, kind: type) -> object:
+    try:
+        return decode_body(answer, kind)
+    except PassgateError as error:
+        raise PlatformError(str(error)) from error
