--- a/passgate/check/events.py
+++ b/passgate/check/events.py
@@ -39,9 +39,12 @@
 
     request_id: str
     daemon: str
+    model: str
     prompt: tuple[int, ...]
     max_tokens: int
     seed: int
+    expected_length: int = 0
+    """Length of the whole output as the caller's stand-in knows it; 0 when unknown."""
     key: str = ""
     """Idempotency key; empty when the caller gave none."""
     repeatable: bool = True
@@ -111,15 +114,24 @@
 # --- trainers -------------------------------------------------------------------------------
 
 
+class LotPrompt(msgspec.Struct, frozen=True, kw_only=True):
+    """One slot of a lot as the trainer asked for it."""
+
+    prompt: tuple[int, ...]
+    max_tokens: int
+    seed: int
+    expected_length: int = 0
+    """Length of the whole output as the trainer's stand-in knows it; 0 when unknown."""
+
+
 class LotSubmitted(Event, tag="lot_submitted"):
     """A trainer's lot was accepted."""
 
     lot_id: str
     trainer: str
+    model: str
     staleness_bound: int
-    prompts: tuple[tuple[int, ...], ...]
-    seeds: tuple[int, ...]
-    max_tokens: tuple[int, ...]
+    prompts: tuple[LotPrompt, ...]
 
 
 class ReceivedSample(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/check/judgement.py
+++ b/passgate/check/judgement.py
@@ -1,6 +1,7 @@
 """All judges together: one verdict on a history.
 
->>> verdict = judge_history([], oracle=lambda prompt, seed, position, version: 0)
+>>> from passgate.check.output_oracle import emulated_token
+>>> verdict = judge_history([], oracle=emulated_token)
 >>> verdict.holds(), len(verdict.promises)
 (True, 9)
 """
--- a/passgate/check/judges_requests.py
+++ b/passgate/check/judges_requests.py
@@ -13,14 +13,12 @@
     BackendRunStarted,
     GenerateCompleted,
     GenerateInvoked,
-    LotSubmitted,
-    PageReceived,
     RequestFailed,
 )
 from passgate.check.history import Violation
-from passgate.check.judges_samples import TokenOracle
+from passgate.check.judges_samples import Output, TokenOracle, outputs
 from passgate.errors import ExecutionStatus
-from passgate.schema import FinishReason, VersionSpan
+from passgate.schema import FinishReason
 
 WHOLE_ANSWER = "whole_answer"
 NOT_RUN = "not_run"
@@ -36,23 +34,9 @@
 
 def judge_whole_answer(events: Sequence[AnyEvent], oracle: TokenOracle) -> list[Violation]:
     """Each answer is the whole answer to the request that the caller sent."""
-    generates: dict[str, GenerateInvoked] = {}
-    apps: dict[str, AppInvoked] = {}
-    lots: dict[str, LotSubmitted] = {}
-    faults: list[_Fault] = []
-    for event in events:
-        if isinstance(event, GenerateInvoked):
-            generates[event.request_id] = event
-        elif isinstance(event, AppInvoked):
-            apps[event.request_id] = event
-        elif isinstance(event, LotSubmitted):
-            lots[event.lot_id] = event
-        elif isinstance(event, GenerateCompleted):
-            faults += _generate_faults(generates.get(event.request_id), event, oracle)
-        elif isinstance(event, AppCompleted):
-            faults += _app_faults(apps.get(event.request_id), event)
-        elif isinstance(event, PageReceived) and event.lot_id in lots:
-            faults += _page_faults(lots[event.lot_id], event, oracle)
+    faults = [*_crossed_answers(events), *_app_faults(events)]
+    for output in outputs(events):
+        faults += _output_faults(output, oracle)
     return [
         Violation(
             promise=WHOLE_ANSWER,
@@ -64,59 +48,55 @@
     ]
 
 
-def _generate_faults(
-    asked: GenerateInvoked | None, answer: GenerateCompleted, oracle: TokenOracle
-) -> Iterator[_Fault]:
-    if asked is None:
-        yield _Fault("never_asked", f"{answer.request_id} was never sent", answer, answer)
-        return
-    if answer.answer_request_id != answer.request_id:
-        message = f"{answer.request_id} got the answer to {answer.answer_request_id}"
-        yield _Fault("own_answer", message, asked, answer)
-    elif not _is_whole(answer.tokens, answer.finish_reason, asked.max_tokens):
-        yield _Fault("whole", f"{answer.request_id} got a part only", asked, answer)
-    elif _is_foreign(asked.prompt, asked.seed, answer.tokens, answer.spans, oracle):
-        yield _Fault("own_answer", f"{answer.request_id} got tokens of another prompt", asked, answer)
-
-
-def _page_faults(lot: LotSubmitted, page: PageReceived, oracle: TokenOracle) -> Iterator[_Fault]:
-    for sample in page.samples:
-        if not 0 <= sample.index < len(lot.prompts):
+def _crossed_answers(events: Sequence[AnyEvent]) -> Iterator[_Fault]:
+    asked = {event.request_id: event for event in events if isinstance(event, GenerateInvoked)}
+    for answer in events:
+        if not isinstance(answer, GenerateCompleted):
             continue
-        if not _is_whole(sample.tokens, sample.finish_reason, lot.max_tokens[sample.index]):
-            yield _Fault("whole", f"{sample.sample_id} is a part only", lot, page)
-        prompt, seed = lot.prompts[sample.index], lot.seeds[sample.index]
-        if _is_foreign(prompt, seed, sample.tokens, sample.spans, oracle):
-            yield _Fault("own_answer", f"{sample.sample_id} holds tokens of another prompt", lot, page)
-
-
-def _is_whole(tokens: tuple[int, ...], reason: FinishReason, max_tokens: int) -> bool:
-    if reason is FinishReason.LENGTH:
-        return len(tokens) == max_tokens
-    return 0 < len(tokens) <= max_tokens
-
-
-def _is_foreign(
-    prompt: tuple[int, ...],
-    seed: int,
-    tokens: tuple[int, ...],
-    spans: tuple[VersionSpan, ...],
-    oracle: TokenOracle,
-) -> bool:
+        if answer.request_id not in asked:
+            yield _Fault("never_asked", f"{answer.request_id} was never sent", answer, answer)
+        elif answer.answer_request_id != answer.request_id:
+            message = f"{answer.request_id} got the answer to {answer.answer_request_id}"
+            yield _Fault("own_answer", message, asked[answer.request_id], answer)
+
+
+def _output_faults(output: Output, oracle: TokenOracle) -> Iterator[_Fault]:
+    if not _is_whole(output):
+        yield _Fault("whole", f"{output.label} is a part only", output.asked, output.received)
+    elif _is_foreign(output, oracle):
+        message = f"{output.label} holds tokens of another prompt"
+        yield _Fault("own_answer", message, output.asked, output.received)
+
+
+def _is_whole(output: Output) -> bool:
+    length = len(output.tokens)
+    if output.expected_length:
+        return length == output.expected_length
+    if output.finish_reason is FinishReason.LENGTH:
+        return length == output.max_tokens
+    return 0 < length <= output.max_tokens
+
+
+def _is_foreign(output: Output, oracle: TokenOracle) -> bool:
     """Return whether no token is the one that any named version yields for the prompt."""
-    versions = {span.version for span in spans}
-    return bool(tokens) and not any(
-        oracle(prompt, seed, position, version) == token
-        for position, token in enumerate(tokens)
+    versions = {span.version for span in output.spans}
+    return bool(output.tokens) and not any(
+        oracle(output.model, output.prompt, output.seed, position, version) == token
+        for position, token in enumerate(output.tokens)
         for version in versions
     )
 
 
-def _app_faults(asked: AppInvoked | None, answer: AppCompleted) -> Iterator[_Fault]:
-    if asked is None:
-        yield _Fault("never_asked", f"{answer.request_id} was never sent", answer, answer)
-    elif answer.answer_digest != asked.expected_digest:
-        yield _Fault("own_answer", f"{answer.request_id} got another answer", asked, answer)
+def _app_faults(events: Sequence[AnyEvent]) -> Iterator[_Fault]:
+    asked = {event.request_id: event for event in events if isinstance(event, AppInvoked)}
+    for answer in events:
+        if not isinstance(answer, AppCompleted):
+            continue
+        if answer.request_id not in asked:
+            yield _Fault("never_asked", f"{answer.request_id} was never sent", answer, answer)
+        elif answer.answer_digest != asked[answer.request_id].expected_digest:
+            message = f"{answer.request_id} got another answer"
+            yield _Fault("own_answer", message, asked[answer.request_id], answer)
 
 
 def judge_not_run(events: Sequence[AnyEvent]) -> list[Violation]:
--- a/passgate/check/judges_samples.py
+++ b/passgate/check/judges_samples.py
@@ -13,12 +13,13 @@
     GenerateInvoked,
     HistoryClosed,
     LotAbandoned,
+    LotPrompt,
     LotSubmitted,
     PageReceived,
     ReceivedSample,
 )
 from passgate.check.history import Violation
-from passgate.schema import VersionSpan
+from passgate.schema import FinishReason, VersionSpan
 
 TRUE_VERSIONS = "true_versions"
 STALENESS = "staleness"
@@ -28,27 +29,31 @@
 class TokenOracle(Protocol):
     """The deterministic output of the stand-in engines, the judge of version truth."""
 
-    def __call__(self, prompt: tuple[int, ...], seed: int, position: int, version: int) -> int:
+    def __call__(self, model: str, prompt: tuple[int, ...], seed: int, position: int, version: int) -> int:
         """Return the token that weights of ``version`` produce at ``position``."""
         ...
 
 
-class _Output(msgspec.Struct, frozen=True):
+class Output(msgspec.Struct, frozen=True):
     """One received output with the events that asked for and brought it."""
 
     label: str
-    asked: AnyEvent
-    received: AnyEvent
+    asked: GenerateInvoked | LotSubmitted
+    received: GenerateCompleted | PageReceived
+    model: str
     prompt: tuple[int, ...]
     seed: int
+    max_tokens: int
+    expected_length: int
     tokens: tuple[int, ...]
     spans: tuple[VersionSpan, ...]
+    finish_reason: FinishReason
 
 
 def judge_true_versions(events: Sequence[AnyEvent], oracle: TokenOracle) -> list[Violation]:
     """Each received token must be the one that its named version produces."""
     violations = []
-    for output in _outputs(events):
+    for output in outputs(events):
         rule, message = _version_fault(output, oracle)
         if rule:
             violations.append(
@@ -62,7 +67,7 @@
     return violations
 
 
-def _version_fault(output: _Output, oracle: TokenOracle) -> tuple[str, str]:
+def _version_fault(output: Output, oracle: TokenOracle) -> tuple[str, str]:
     position = 0
     for span in output.spans:
         if span.start != position or span.end <= span.start or span.version <= 0:
@@ -72,12 +77,13 @@
         return "spans_cover_output", f"spans end at {position} of {len(output.tokens)} tokens"
     for span in output.spans:
         for index in range(span.start, span.end):
-            if oracle(output.prompt, output.seed, index, span.version) != output.tokens[index]:
+            if oracle(output.model, output.prompt, output.seed, index, span.version) != output.tokens[index]:
                 return "token_of_version", f"token {index} was not produced by version {span.version}"
     return "", ""
 
 
-def _outputs(events: Sequence[AnyEvent]) -> Iterator[_Output]:
+def outputs(events: Sequence[AnyEvent]) -> Iterator[Output]:
+    """Yield every output that a caller or trainer received, with what it had asked for."""
     invoked: dict[str, GenerateInvoked] = {}
     lots: dict[str, LotSubmitted] = {}
     for event in events:
@@ -87,18 +93,34 @@
             lots[event.lot_id] = event
         elif isinstance(event, GenerateCompleted) and event.request_id in invoked:
             asked = invoked[event.request_id]
-            yield _Output(event.request_id, asked, event, asked.prompt, asked.seed, event.tokens, event.spans)
+            yield _output(event.request_id, asked, event, asked, event)
         elif isinstance(event, PageReceived) and event.lot_id in lots:
-            yield from _page_outputs(lots[event.lot_id], event)
-
-
-def _page_outputs(lot: LotSubmitted, page: PageReceived) -> Iterator[_Output]:
-    for sample in page.samples:
-        if not 0 <= sample.index < len(lot.prompts):
-            continue
-        prompt = lot.prompts[sample.index]
-        seed = lot.seeds[sample.index]
-        yield _Output(sample.sample_id, lot, page, prompt, seed, sample.tokens, sample.spans)
+            lot = lots[event.lot_id]
+            for sample in event.samples:
+                if 0 <= sample.index < len(lot.prompts):
+                    yield _output(sample.sample_id, lot, event, lot.prompts[sample.index], sample)
+
+
+def _output(
+    label: str,
+    asked: GenerateInvoked | LotSubmitted,
+    received: GenerateCompleted | PageReceived,
+    wanted: GenerateInvoked | LotPrompt,
+    got: GenerateCompleted | ReceivedSample,
+) -> Output:
+    return Output(
+        label=label,
+        asked=asked,
+        received=received,
+        model=asked.model,
+        prompt=wanted.prompt,
+        seed=wanted.seed,
+        max_tokens=wanted.max_tokens,
+        expected_length=wanted.expected_length,
+        tokens=got.tokens,
+        spans=got.spans,
+        finish_reason=got.finish_reason,
+    )
 
 
 def judge_staleness(events: Sequence[AnyEvent]) -> list[Violation]:
--- /dev/null
+++ b/passgate/check/specification/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocol, checked exhaustively by ``minicheck``."""
--- a/tests/test_check_judges.py
+++ b/tests/test_check_judges.py
@@ -14,16 +14,18 @@
 from passgate.schema import FinishReason, VersionSpan
 
 
-def oracle(prompt, seed, position, version):
-    return hash((prompt, seed, position, version)) % 50_000
+def oracle(model, prompt, seed, position, version):
+    return hash((model, prompt, seed, position, version)) % 50_000
 
 
 def tokens_of(prompt, seed, spans):
-    return tuple(oracle(prompt, seed, p, s.version) for s in spans for p in range(s.start, s.end))
+    return tuple(oracle("m", prompt, seed, p, s.version) for s in spans for p in range(s.start, s.end))
 
 
 SPANS = (VersionSpan(0, 2, 5), VersionSpan(2, 4, 6))
-REQUEST = e.GenerateInvoked(time_s=1.0, request_id="g1", daemon="a", prompt=(1, 2), max_tokens=4, seed=7)
+REQUEST = e.GenerateInvoked(
+    time_s=1.0, request_id="g1", daemon="a", model="m", prompt=(1, 2), max_tokens=4, seed=7
+)
 ANSWER = e.GenerateCompleted(
     time_s=2.0,
     request_id="g1",
@@ -41,9 +43,8 @@
     lot_id="l",
     trainer="t",
     staleness_bound=1,
-    prompts=((1,), (2,)),
-    seeds=(0, 0),
-    max_tokens=(4, 4),
+    model="m",
+    prompts=tuple(e.LotPrompt(prompt=(p,), max_tokens=4, seed=0) for p in (1, 2)),
 )
 
 
@@ -135,6 +136,7 @@
     "lost, said finished": ("exactly_once", "lost", replaced(PAGE_1, samples=())),
     "lost at rest": ("exactly_once", "lost", without(PAGE_1)),
     "cut answer": ("whole_answer", "whole", replaced(ANSWER, tokens=ANSWER.tokens[:2], spans=SPANS[:1])),
+    "shorter than the whole": ("whole_answer", "whole", replaced(REQUEST, expected_length=3)),
     "crossed answer": ("whole_answer", "own_answer", replaced(ANSWER, answer_request_id="g2")),
     "tokens of another": (
         "whole_answer",
@@ -166,7 +168,9 @@
         "planned_stop",
         "cut_off",
         added(
-            e.GenerateInvoked(time_s=7.5, request_id="g3", daemon="b", prompt=(1,), max_tokens=1, seed=0),
+            e.GenerateInvoked(
+                time_s=7.5, request_id="g3", daemon="b", model="m", prompt=(1,), max_tokens=1, seed=0
+            ),
             e.RequestCutOff(time_s=9.0, request_id="g3"),
         ),
     ),
@@ -205,7 +209,9 @@
 
 def test_killed_daemon_may_cut_requests():
     history = added(
-        e.GenerateInvoked(time_s=7.5, request_id="g3", daemon="b", prompt=(1,), max_tokens=1, seed=0),
+        e.GenerateInvoked(
+            time_s=7.5, request_id="g3", daemon="b", model="m", prompt=(1,), max_tokens=1, seed=0
+        ),
         e.DaemonKilled(time_s=8.5, daemon="b"),
         e.RequestCutOff(time_s=9.0, request_id="g3"),
     )
