--- /dev/null
+++ b/passgate/emulator/ledger.py
@@ -0,0 +1,58 @@
+"""What truly ran on the emulated back ends, for judging what callers were told.
+
+The ledger belongs to the emulator, not to passgate: a request that was refused
+as "not run" must have no run here, and a not-repeatable call at most one effect.
+
+>>> ledger = RunLedger()
+>>> ledger.record_run("r1", "linha-0", now_s=1.0)
+>>> ledger.runs("r1"), ledger.runs("r2")
+(1, 0)
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+
+
+class RunRecord(msgspec.Struct, frozen=True):
+    """One start of one request on one replica."""
+
+    request_id: str
+    replica_id: str
+    at_s: float
+
+
+class RunLedger:
+    """Counts starts per request and side effects per effect key."""
+
+    def __init__(self) -> None:
+        self.records: list[RunRecord] = []
+        self._runs: Counter[str] = Counter()
+        self._effects: Counter[str] = Counter()
+
+    def record_run(self, request_id: str, replica_id: str, now_s: float) -> None:
+        """Note that a replica began to execute a request."""
+        self.records.append(RunRecord(request_id, replica_id, now_s))
+        self._runs[request_id] += 1
+
+    def record_effect(self, effect_key: str) -> None:
+        """Note that a side effect happened once more."""
+        self._effects[effect_key] += 1
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request began to run anywhere."""
+        return self._runs[request_id]
+
+    def runs_with_prefix(self, prefix: str) -> int:
+        """Return how many starts carry an identifier that begins with ``prefix``."""
+        return sum(count for name, count in self._runs.items() if name.startswith(prefix))
+
+    def effects(self, effect_key: str) -> int:
+        """Return how often a side effect happened."""
+        return self._effects[effect_key]
+
+    def repeated_effects(self) -> list[str]:
+        """Return the keys of effects that happened more than once."""
+        return [key for key, count in self._effects.items() if count > 1]
