--- a/passgate/errors.py
+++ b/passgate/errors.py
@@ -198,6 +198,12 @@
     code = "no_replica_available"
 
 
+class NotReady(Refused):
+    """This daemon has just started and does not yet know the configuration in force."""
+
+    code = "not_ready"
+
+
 class Draining(Refused):
     """This daemon is stopping and takes no new work."""
 
--- /dev/null
+++ b/passgate/membership/swim.py
@@ -0,0 +1,480 @@
+"""Membership protocol as a pure state machine: messages and time in, messages out.
+
+SWIM (Das, Gupta and Motivala, 2002) with the changes of Lifeguard: probe, indirect
+probe, suspicion, refutation under a higher incarnation, news carried on other
+messages, and anti-entropy by table digests.  It serves liveness only: no promise of
+passgate depends on two daemons having the same view.
+
+>>> from random import Random
+>>> one = Swim(MemberInfo(member_id="a", address="h:1", zone="z"), MembershipConfig(), Random(1))
+>>> two = Swim(MemberInfo(member_id="b", address="h:2", zone="z"), MembershipConfig(), Random(2))
+>>> [joining] = two.join(["h:1"], now_s=0.0)
+>>> [reply] = one.receive("h:2", joining.message, now_s=0.0)
+>>> _ = two.receive("h:1", reply.message, now_s=0.0)
+>>> sorted(member.member_id for member in two.members())
+['a', 'b']
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+import msgspec
+
+from passgate.membership.config import MembershipConfig
+from passgate.membership.messages import (
+    Ack,
+    AliveNews,
+    DeadNews,
+    Gossip,
+    Join,
+    LeftNews,
+    MemberInfo,
+    MemberState,
+    Message,
+    Nack,
+    News,
+    Outgoing,
+    Ping,
+    PingRequest,
+    SuspectNews,
+    SyncBuckets,
+    SyncDigest,
+    SyncRows,
+)
+from passgate.membership.news_queue import NewsQueue
+from passgate.membership.probes import Prober
+from passgate.membership.suspicion import (
+    CONFIRMATIONS,
+    LocalHealth,
+    Suspicion,
+    minimum_suspicion_s,
+)
+from passgate.membership.table import MemberTable, alive_news
+from passgate.membership.targets import Targets
+
+_LIVING = (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+class SwimCounters(msgspec.Struct):
+    """Counts since the start, for metrics."""
+
+    suspicions: int = 0
+    """Suspicions that this daemon raised itself."""
+    refutations: int = 0
+    """Times this daemon had to contradict news about itself."""
+    deaths: int = 0
+    """Suspicions that ran out here."""
+    pauses: int = 0
+    """Times this process noticed that it had been paused."""
+    identity_conflicts: int = 0
+    """Another process announced itself under this daemon's id."""
+
+
+class Swim:
+    """One daemon's part of the membership protocol; does no I/O and reads no clock."""
+
+    def __init__(self, self_info: MemberInfo, config: MembershipConfig, random: Random) -> None:
+        self._config = config
+        self._random = random
+        self._id = self_info.member_id
+        self._table = MemberTable()
+        self._table.put(self_info, 0.0)
+        self._queue = NewsQueue(config.retransmit_multiplier)
+        self._queue.add(alive_news(self_info))
+        self._health = LocalHealth(config.health_maximum)
+        self._targets = Targets(
+            self._id,
+            self_info.zone,
+            self._table.all,
+            random,
+            config.own_zone_share,
+            config.contacts_per_zone,
+        )
+        self._prober = Prober(config, self._health, random)
+        self._suspicions: dict[str, Suspicion] = {}
+        self._changes: list[MemberInfo] = []
+        self._seeds: set[str] = set()
+        self._held: dict[str, int] = {}
+        self._held_rounds = 0
+        self._ahead: dict[str, dict[str, int]] = {}
+        self._expected_tick_s: float | None = None
+        self._next_probe_s = 0.0
+        self._next_gossip_s = 0.0
+        self._next_sync_s = 0.0
+        self._next_reconnect_s = 0.0
+        self._sync_period_s = config.sync_period_minimum_s
+        self._next_join_s = 0.0
+        self.counters = SwimCounters()
+
+    # --- views ------------------------------------------------------------------------
+
+    @property
+    def self_info(self) -> MemberInfo:
+        """Return this daemon's own entry."""
+        view = self._table.get(self._id)
+        assert view is not None, "the own entry is never reaped"
+        return view
+
+    @property
+    def health_multiplier(self) -> int:
+        """Return how much longer than usual this daemon waits before it accuses."""
+        return self._health.multiplier
+
+    def members(self) -> list[MemberInfo]:
+        """Return every known member, dead and departed ones included."""
+        return self._table.all()
+
+    def get(self, member_id: str) -> MemberInfo | None:
+        """Return the view of one member."""
+        return self._table.get(member_id)
+
+    def digest(self) -> int:
+        """Return the hash of the table of living members."""
+        return self._table.digest()
+
+    def take_changes(self) -> list[MemberInfo]:
+        """Return the views that changed since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def ahead(self, key: str) -> dict[str, int]:
+        """Return addresses of peers that hold a higher revision of ``key`` than this daemon."""
+        return dict(self._ahead.get(key, {}))
+
+    # --- what the daemon tells ------------------------------------------------------------
+
+    def set_metadata(self, key: str, value: str) -> None:
+        """Publish a small value with the own entry."""
+        view = self.self_info
+        if view.metadata.get(key) == value:
+            return
+        metadata = {**view.metadata, key: value}
+        self._announce(
+            msgspec.structs.replace(view, metadata=metadata, metadata_version=view.metadata_version + 1)
+        )
+
+    def set_held(self, key: str, revision: int) -> None:
+        """Tell peers that this daemon holds ``revision`` of ``key``; it never goes back."""
+        if revision <= self._held.get(key, -1):
+            return
+        self._held = {**self._held, key: revision}
+        self._held_rounds = self._queue.limit(len(self._table)) // self._config.gossip_fanout + 1
+        behind = self._ahead.get(key, {})
+        self._ahead[key] = {peer: value for peer, value in behind.items() if value > revision}
+
+    def join(self, addresses: Iterable[str], now_s: float) -> list[Outgoing]:
+        """Contact daemons at ``addresses``; asked again until one has answered."""
+        known = {view.address for view in self._table.all() if view.state in _LIVING}
+        fresh = [address for address in addresses if address not in known]
+        self._seeds.update(fresh)
+        self._next_join_s = now_s
+        return self._ask_seeds(now_s)
+
+    def leave(self, now_s: float) -> list[Outgoing]:
+        """Announce a planned leave; ticks go on spreading it until the daemon closes."""
+        view = self.self_info
+        if view.state is MemberState.LEFT:
+            return []
+        self._table.put(msgspec.structs.replace(view, state=MemberState.LEFT), now_s)
+        self._queue.add(LeftNews(self._id, view.incarnation))
+        return self._gossip(now_s)
+
+    # --- time ---------------------------------------------------------------------------------
+
+    def next_wakeup_s(self) -> float:
+        """Return when :meth:`tick` is due next."""
+        due = [self._next_probe_s, self._next_sync_s, self._next_reconnect_s]
+        if self._queue or self._held_rounds:
+            due.append(self._next_gossip_s)
+        if self._seeds:
+            due.append(self._next_join_s)
+        due.extend(suspicion.deadline_s() for suspicion in self._suspicions.values())
+        due.append(self._prober.next_deadline_s())
+        return min(due)
+
+    def tick(self, now_s: float) -> list[Outgoing]:
+        """Do all that is due at ``now_s``."""
+        self._notice_pause(now_s)
+        out: list[Outgoing] = []
+        out += self._finish_probes(now_s)
+        self._end_suspicions(now_s)
+        if now_s >= self._next_probe_s:
+            out += self._probe(now_s)
+        if now_s >= self._next_gossip_s and (self._queue or self._held_rounds):
+            out += self._gossip(now_s)
+        if now_s >= self._next_sync_s:
+            out += self._sync(now_s)
+        if now_s >= self._next_reconnect_s:
+            out += self._reconnect(now_s)
+        if self._seeds and now_s >= self._next_join_s:
+            out += self._ask_seeds(now_s)
+        self._expected_tick_s = self.next_wakeup_s()
+        return out
+
+    def _notice_pause(self, now_s: float) -> None:
+        """Shift deadlines by the length of a pause: answers may wait unread meanwhile."""
+        expected_s = self._expected_tick_s
+        if expected_s is None:
+            self._spread_timers(now_s)
+            return
+        late_s = now_s - expected_s
+        if late_s <= self._config.pause_threshold_s:
+            return
+        self.counters.pauses += 1
+        self._health.worse()
+        self._prober.shift(late_s)
+        for suspicion in self._suspicions.values():
+            suspicion.started_s += late_s
+
+    def _spread_timers(self, now_s: float) -> None:
+        config = self._config
+        self._next_probe_s = now_s + self._random.random() * config.probe_period_s
+        self._next_sync_s = now_s + self._random.random() * config.sync_period_minimum_s
+        self._next_reconnect_s = now_s + self._random.random() * config.reconnect_period_s
+
+    def _later(self, now_s: float, period_s: float) -> float:
+        return now_s + period_s * self._random.uniform(0.9, 1.1)
+
+    # --- failure detection ----------------------------------------------------------------------
+
+    def _probe(self, now_s: float) -> list[Outgoing]:
+        period_s = self._config.probe_period_s * self._health.multiplier
+        self._next_probe_s = self._later(now_s, period_s)
+        target = self._targets.next_probe()
+        if target is None:
+            return []
+        sequence = self._prober.start(target, now_s)
+        return [Outgoing(target.address, self._ping(sequence, target.member_id))]
+
+    def _ping(self, sequence: int, target_id: str) -> Ping:
+        # A suspect is told first of all that it is suspected, so that it can refute at once.
+        suspicion = self._suspicions.get(target_id)
+        news = self._take_news()
+        if suspicion is not None:
+            accusation = SuspectNews(target_id, suspicion.incarnation, self._id)
+            news = (accusation, *(item for item in news if item.member_id != target_id))
+        return Ping(sequence, target_id, news, self._held)
+
+    def _finish_probes(self, now_s: float) -> list[Outgoing]:
+        due = self._prober.take_due(now_s)
+        out = [Outgoing(address, Nack(sequence)) for address, sequence in due.nacks]
+        for probe in due.unanswered_directly:
+            for helper in self._targets.helpers(probe.target, self._config.indirect_probes):
+                probe.helpers += 1
+                request = PingRequest(
+                    probe.sequence,
+                    probe.target.member_id,
+                    probe.target.address,
+                    self._take_news(),
+                    self._held,
+                )
+                out.append(Outgoing(helper.address, request))
+        for probe in due.failed:
+            self._accuse(probe.target.member_id, now_s)
+        return out
+
+    def _accuse(self, member_id: str, now_s: float) -> None:
+        view = self._table.get(member_id)
+        if view is None or view.state not in _LIVING:
+            return
+        if view.state is MemberState.ALIVE:
+            self.counters.suspicions += 1
+        self._apply(SuspectNews(member_id, view.incarnation, self._id), now_s)
+
+    def _end_suspicions(self, now_s: float) -> None:
+        for suspicion in list(self._suspicions.values()):
+            if now_s < suspicion.deadline_s():
+                continue
+            self.counters.deaths += 1
+            self._apply(DeadNews(suspicion.member_id, suspicion.incarnation), now_s)
+
+    # --- receiving ----------------------------------------------------------------------------------
+
+    def receive(self, sender: str, message: Message, now_s: float) -> list[Outgoing]:
+        """Handle a message from the peer port at ``sender``."""
+        for news in getattr(message, "news", ()):
+            self._apply(news, now_s)
+        self._note_held(sender, getattr(message, "held", {}))
+        match message:
+            case Ping():
+                return self._answer_ping(sender, message)
+            case Ack():
+                origin = self._prober.answered(message.sequence)
+                return [] if origin is None else [self._pass_on(origin)]
+            case Nack():
+                self._prober.helper_answered(message.sequence)
+                return []
+            case PingRequest():
+                sequence = self._prober.start_relay(sender, message.sequence, now_s)
+                return [Outgoing(message.target_address, self._ping(sequence, message.target))]
+            case Join():
+                return [Outgoing(sender, self._whole_table())]
+            case SyncDigest() | SyncBuckets() | SyncRows():
+                return self._receive_sync(sender, message, now_s)
+            case _:
+                return []
+
+    def _answer_ping(self, sender: str, ping: Ping) -> list[Outgoing]:
+        if ping.target != self._id:
+            return []
+        return [Outgoing(sender, Ack(ping.sequence, self._take_news(), self._held))]
+
+    def _pass_on(self, origin: tuple[str, int]) -> Outgoing:
+        address, sequence = origin
+        return Outgoing(address, Ack(sequence, self._take_news(), self._held))
+
+    def _note_held(self, sender: str, held: dict[str, int]) -> None:
+        for key, revision in held.items():
+            if revision > self._held.get(key, -1):
+                self._ahead.setdefault(key, {})[sender] = revision
+
+    # --- news -----------------------------------------------------------------------------------------
+
+    def _apply(self, news: News, now_s: float, spread: bool = True) -> None:
+        if news.member_id == self._id:
+            self._hear_of_self(news)
+            return
+        changed = self._table.merge(news, now_s)
+        if changed is None:
+            self._hear_again(news)
+            return
+        self._changes.append(changed)
+        self._targets.invalidate()
+        self._suspicions.pop(news.member_id, None)
+        if isinstance(news, SuspectNews):
+            self._start_suspicion(news, now_s)
+        if changed.state not in _LIVING:
+            self._drop_ahead(changed.address)
+        if spread:
+            self._queue.add(news)
+
+    def _start_suspicion(self, news: SuspectNews, now_s: float) -> None:
+        members = len(self._targets.peers()) + 1
+        self._suspicions[news.member_id] = Suspicion(
+            member_id=news.member_id,
+            incarnation=news.incarnation,
+            accusers={news.accuser},
+            started_s=now_s,
+            minimum_s=minimum_suspicion_s(
+                self._config.suspicion_multiplier, self._config.probe_period_s, members
+            ),
+            confirmations=min(CONFIRMATIONS, members - 3),
+        )
+
+    def _hear_again(self, news: News) -> None:
+        """Count a further accuser; contradict news about a member that is buried here."""
+        if isinstance(news, SuspectNews):
+            suspicion = self._suspicions.get(news.member_id)
+            same = suspicion is not None and suspicion.incarnation == news.incarnation
+            if same and suspicion.confirm(news.accuser):
+                self._queue.add(news)
+        elif isinstance(news, AliveNews) and self._table.get(news.member_id) is None:
+            buried = self._table.tombstone(news.member_id)
+            if buried is not None:
+                self._queue.add(DeadNews(news.member_id, buried))
+
+    def _hear_of_self(self, news: News) -> None:
+        view = self.self_info
+        if view.state is MemberState.LEFT or news.incarnation < view.incarnation:
+            return
+        if isinstance(news, AliveNews):
+            if news.address != view.address:
+                self.counters.identity_conflicts += 1
+            if news.incarnation == view.incarnation:
+                return
+        else:
+            self.counters.refutations += 1
+        if isinstance(news, SuspectNews):
+            self._health.worse()
+        self._announce(msgspec.structs.replace(view, incarnation=news.incarnation + 1))
+
+    def _announce(self, view: MemberInfo) -> None:
+        self._table.put(view, 0.0)
+        if view.state in _LIVING:
+            self._queue.add(alive_news(view))
+
+    def _take_news(self) -> tuple[News, ...]:
+        return self._queue.take(len(self._table), self._config.news_bytes)
+
+    def _drop_ahead(self, address: str) -> None:
+        for peers in self._ahead.values():
+            peers.pop(address, None)
+
+    # --- dissemination and anti-entropy ----------------------------------------------------------------
+
+    def _gossip(self, now_s: float) -> list[Outgoing]:
+        self._next_gossip_s = now_s + self._config.gossip_period_s
+        self._held_rounds = max(0, self._held_rounds - 1)
+        out = []
+        for peer in self._targets.gossip(self._config.gossip_fanout):
+            out.append(Outgoing(peer.address, Gossip(self._take_news(), self._held)))
+        return out
+
+    def _sync(self, now_s: float) -> list[Outgoing]:
+        self._next_sync_s = self._later(now_s, self._sync_period_s)
+        self._sync_period_s = min(self._config.sync_period_s, self._sync_period_s * 2)
+        for member_id in self._table.reap(now_s, self._config.gone_retention_s):
+            self._queue.discard(member_id)
+        peer = self._targets.sync_peer()
+        return [] if peer is None else [self._greet(peer.address)]
+
+    def _reconnect(self, now_s: float) -> list[Outgoing]:
+        self._next_reconnect_s = self._later(now_s, self._config.reconnect_period_s)
+        dead = [view for view in self._table.all() if view.state is MemberState.DEAD]
+        return [self._greet(self._random.choice(dead).address)] if dead else []
+
+    def _greet(self, address: str) -> Outgoing:
+        return Outgoing(address, SyncDigest(self._table.digest(), self._held))
+
+    def _ask_seeds(self, now_s: float) -> list[Outgoing]:
+        self._next_join_s = self._later(now_s, self._config.join_retry_s)
+        self._seeds.discard(self.self_info.address)
+        seeds = sorted(self._seeds)
+        chosen = self._random.sample(seeds, min(self._config.join_fanout, len(seeds)))
+        joining = Join((alive_news(self.self_info),), self._held)
+        return [Outgoing(address, joining) for address in chosen]
+
+    def _whole_table(self) -> SyncRows:
+        alive, gone = self._table.rows(())
+        return SyncRows((), alive, gone, reply=False, held=self._held)
+
+    def _receive_sync(
+        self, sender: str, message: SyncDigest | SyncBuckets | SyncRows, now_s: float
+    ) -> list[Outgoing]:
+        if isinstance(message, SyncDigest):
+            if message.digest == self._table.digest():
+                return []
+            return [Outgoing(sender, SyncBuckets(self._table.bucket_digests()))]
+        self._sync_soon(now_s)
+        if isinstance(message, SyncBuckets):
+            return self._send_differing(sender, message.digests)
+        return self._receive_rows(sender, message, now_s)
+
+    def _sync_soon(self, now_s: float) -> None:
+        """Compare tables again soon: a difference seldom comes alone."""
+        self._sync_period_s = self._config.sync_period_minimum_s
+        self._next_sync_s = min(self._next_sync_s, now_s + self._sync_period_s)
+
+    def _send_differing(self, sender: str, digests: Sequence[int]) -> list[Outgoing]:
+        own = self._table.bucket_digests()
+        differing = tuple(
+            bucket for bucket, digest in enumerate(digests[: len(own)]) if digest != own[bucket]
+        )
+        if not differing:
+            return []
+        alive, gone = self._table.rows(differing)
+        return [Outgoing(sender, SyncRows(differing, alive, gone, reply=True, held=self._held))]
+
+    def _receive_rows(self, sender: str, rows: SyncRows, now_s: float) -> list[Outgoing]:
+        answer: list[Outgoing] = []
+        if rows.reply:
+            alive, gone = self._table.rows(rows.buckets)
+            answer = [Outgoing(sender, SyncRows(rows.buckets, alive, gone, reply=False, held=self._held))]
+        whole = not rows.buckets
+        for news in (*rows.alive, *rows.gone):
+            self._apply(news, now_s, spread=not whole)
+        if whole:
+            self._seeds.clear()
+        return answer
