Forbid libcurl's silent second send and its other defaults

Fix: libcurl's pre-request callback counts the sends and refuses the second (errno 42, outcome unknown); a not-repeatable call besides gets a connection of its own, so that no idle close can hit it. The same callback tells not_run from unknown exactly. Conclusion: at most once holds inside libcurl; kept connections stay in use for repeatable calls.

--- /dev/null
+++ b/passgate/clients/calls.py
@@ -0,0 +1,80 @@
+"""What an HTTP call is: its limits, how often it may be sent, its whole answer.
+
+>>> HttpCall(method="GET", url="http://127.0.0.1:1/load", headers={"Authorization": "Bearer s"})
+HttpCall(GET http://127.0.0.1:1/load)
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+from tornado.httputil import HTTPHeaders
+
+from passgate.clock import monotonic_s
+from passgate.errors import DeadlineExceeded, ExecutionStatus
+
+
+class HttpLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of one daemon's HTTP client."""
+
+    max_transfers: int = 8192
+    """Transfers at once; one more is refused as not run, never queued."""
+    connect_timeout_s: float = 2.0
+    max_body_bytes: int = 64 * 1024 * 1024
+    """Largest body of one buffered answer."""
+    max_buffered_bytes: int = 64 * 1024
+    """Unread bytes of one stream after which the transfer is paused."""
+    max_idle_connections: int = 256
+    max_connection_idle_s: int = 30
+    """An idle connection older than this is not used again."""
+
+
+class SendPolicy(enum.Enum):
+    """How often a request may be sent, and on which connections."""
+
+    REPEAT = "repeat"
+    """For reads: libcurl may send again when a kept connection turns out dead."""
+    ONCE = "once"
+    """Sent at most once, on a kept connection if there is one."""
+    ONCE_ON_FRESH_CONNECTION = "once_on_fresh_connection"
+    """Sent at most once on a connection of its own, so that no idle close can hit it."""
+
+
+class HttpCall(msgspec.Struct, frozen=True, kw_only=True):
+    """One request to be sent."""
+
+    method: str
+    url: str
+    body: bytes | None = None
+    headers: dict[str, str] = {}
+    send: SendPolicy = SendPolicy.ONCE_ON_FRESH_CONNECTION
+    timeout_s: float | None = None
+    """Time for the whole transfer; None means no limit."""
+
+    def __repr__(self) -> str:
+        """Leave out headers, which may hold a credential, and the body."""
+        return f"HttpCall({self.method} {self.url})"
+
+
+class HttpAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole, length-checked answer."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+def send_policy(repeatable: bool) -> SendPolicy:
+    """Return how a request for a back end is sent."""
+    return SendPolicy.ONCE if repeatable else SendPolicy.ONCE_ON_FRESH_CONNECTION
+
+
+def remaining_s(deadline_s: float | None) -> float | None:
+    """Return the time left until a loop time; raises DeadlineExceeded (not run) when it is over."""
+    if deadline_s is None:
+        return None
+    left_s = deadline_s - monotonic_s()
+    if left_s <= 0.0:
+        raise DeadlineExceeded("deadline is over", execution=ExecutionStatus.NOT_RUN)
+    return left_s
--- a/passgate/clients/http_app.py
+++ b/passgate/clients/http_app.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from passgate.clients import wire
-from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient, remaining_s
+from passgate.clients.calls import HttpAnswer, HttpCall, remaining_s, send_policy
+from passgate.clients.curl import HttpClient
 from passgate.clients.replies import retry_after_s
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
 from passgate.schema import AppRequest, AppResponse
@@ -47,12 +48,15 @@
     }
     if timeout_s is not None:
         headers[wire.TIMEOUT_HEADER] = str(int(timeout_s * 1000))
+    if not request.repeatable:
+        headers[wire.NOT_REPEATABLE_HEADER] = "true"
     has_body = bool(request.body) or request.method not in BODILESS_METHODS
     return HttpCall(
         method=request.method,
         url=f"http://{address}{request.path}",
         body=request.body if has_body else None,
         headers=headers,
+        send=send_policy(request.repeatable),
         timeout_s=timeout_s,
     )
 
--- a/passgate/clients/http_engine.py
+++ b/passgate/clients/http_engine.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from passgate.clients import wire
-from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient, Transfer, remaining_s
+from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy, remaining_s, send_policy
+from passgate.clients.curl import HttpClient
 from passgate.clients.replies import decode_body, decode_error, engine_failure, reported_failure, unreachable
+from passgate.clients.transfer import Transfer
 from passgate.errors import (
     AnswerMismatch,
     ExecutionStatus,
@@ -68,9 +70,7 @@
         """Ask an engine to stop working on a request; failures are ignored."""
         body = msgspec.json.encode(wire.CancelCall(request_id=request_id))
         try:
-            await self._http.fetch(
-                _post(address, "/v1/completions/cancel", body, CONTROL_TIMEOUT_S, repeatable=True)
-            )
+            await self._http.fetch(_post(address, "/v1/completions/cancel", body, CONTROL_TIMEOUT_S))
         except PassgateError:
             return
 
@@ -87,7 +87,7 @@
     async def order(self, address: str, order: EngineOrder) -> OrderResult:
         """Send a control order; raises OrderRefused or BackendUnreachable."""
         body = msgspec.json.encode(order)
-        answer = await self._http.fetch(_post(address, "/orders", body, ORDER_TIMEOUT_S, repeatable=False))
+        answer = await self._http.fetch(_post(address, "/orders", body, ORDER_TIMEOUT_S))
         if answer.status == 200:
             return decode_body(answer, OrderResult)
         error = decode_error(answer)
@@ -97,7 +97,7 @@
 
     async def _get(self, address: str, path: str) -> HttpAnswer:
         call = HttpCall(
-            method="GET", url=f"http://{address}{path}", repeatable=True, timeout_s=CONTROL_TIMEOUT_S
+            method="GET", url=f"http://{address}{path}", send=SendPolicy.REPEAT, timeout_s=CONTROL_TIMEOUT_S
         )
         answer = await self._http.fetch(call)
         if answer.status != 200:
@@ -243,17 +243,17 @@
             "Accept": wire.EVENT_STREAM_TYPE,
             wire.REQUEST_ID_HEADER: request.request_id,
         },
-        repeatable=False,
+        send=send_policy(request.repeatable),
         timeout_s=timeout_s,
     )
 
 
-def _post(address: str, path: str, body: bytes, timeout_s: float, *, repeatable: bool) -> HttpCall:
+def _post(address: str, path: str, body: bytes, timeout_s: float) -> HttpCall:
     return HttpCall(
         method="POST",
         url=f"http://{address}{path}",
         body=body,
         headers={"Content-Type": wire.JSON_TYPE},
-        repeatable=repeatable,
+        send=SendPolicy.ONCE,
         timeout_s=timeout_s,
     )
--- a/passgate/clients/http_log.py
+++ b/passgate/clients/http_log.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from passgate.clients import wire
-from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient
+from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy
+from passgate.clients.curl import HttpClient
 from passgate.clients.replies import decode_body, decode_error
 from passgate.errors import ExecutionStatus, LogAppendUnknown, LogError, LogUnavailable, PassgateError
 from passgate.interfaces import LogBatch
@@ -37,6 +38,7 @@
             url=self._url(stream),
             body=body,
             headers={"Content-Type": wire.JSON_TYPE, **self._headers},
+            send=SendPolicy.ONCE,
             timeout_s=timeout_s,
         )
         try:
@@ -51,7 +53,11 @@
         """Return up to ``limit`` records from ``offset``; raises LogUnavailable."""
         url = f"{self._url(stream)}?offset={offset}&limit={limit}&wait_s={wait_s:g}"
         call = HttpCall(
-            method="GET", url=url, headers=self._headers, repeatable=True, timeout_s=wait_s + READ_GRACE_S
+            method="GET",
+            url=url,
+            headers=self._headers,
+            send=SendPolicy.REPEAT,
+            timeout_s=wait_s + READ_GRACE_S,
         )
         try:
             answer = await self._http.fetch(call)
--- a/passgate/clients/http_platform.py
+++ b/passgate/clients/http_platform.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from passgate.clients import wire
-from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient
+from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy
+from passgate.clients.curl import HttpClient
 from passgate.clients.replies import decode_body
 from passgate.errors import PassgateError, PlatformError
 from passgate.schema import MachineInfo
@@ -30,7 +31,7 @@
             url=self._base + path,
             body=body,
             headers=self._headers,
-            repeatable=True,
+            send=SendPolicy.REPEAT,
             timeout_s=PLATFORM_TIMEOUT_S,
         )
         try:
--- a/passgate/clients/replies.py
+++ b/passgate/clients/replies.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from passgate.clients import wire
-from passgate.clients.curl import HttpAnswer
+from passgate.clients.calls import HttpAnswer
 from passgate.errors import (
     BackendRefused,
     BackendUnreachable,
--- /dev/null
+++ b/passgate/clients/transfer.py
@@ -0,0 +1,252 @@
+"""One HTTP request on the wire, driven by libcurl's callbacks.
+
+A :class:`Transfer` reads its body piece by piece with back-pressure, can be
+aborted while it runs, and knows whether libcurl ever came to send the request,
+which alone decides between ``not_run`` and ``unknown``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Protocol
+
+import pycurl
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPError, HTTPResponse
+from tornado.httputil import HTTPHeaders, HTTPInputError
+
+from passgate.clients.calls import HttpAnswer, HttpCall, HttpLimits, SendPolicy
+from passgate.errors import (
+    BackendUnreachable,
+    DeadlineExceeded,
+    ExecutionStatus,
+    IncompleteAnswer,
+    PassgateError,
+)
+
+SIGNALS_OFF = 1
+FINISH_UNREAD_S = 2.0
+"""Time that a server has to end a body after its end mark."""
+TCP_KEEPALIVE_IDLE_S = 10
+TCP_KEEPALIVE_INTERVAL_S = 5
+FIRST_FINAL_STATUS = 200
+REJECT_DATA = -1
+"""Returned from a callback; libcurl then fails the transfer."""
+STATUS_LINE_PREFIX = b"HTTP/"
+TRUNCATED_ERRNOS = frozenset({pycurl.E_PARTIAL_FILE, pycurl.E_BAD_CONTENT_ENCODING})
+"""The server ended a body before its declared end."""
+
+
+class HandleControl(Protocol):
+    """What a transfer asks of the client that runs it."""
+
+    def resume(self, handle: pycurl.Curl) -> None:
+        """Go on with a paused transfer."""
+        ...
+
+    def abort(self, handle: pycurl.Curl) -> None:
+        """End a transfer and close its connection."""
+        ...
+
+
+class Transfer:
+    """One running request.  Made by :meth:`HttpClient.start`.
+
+    Read the head with :meth:`head`, then pieces of the body with :meth:`read`
+    until it returns ``b""``.  Every failure is raised typed, with its
+    ``execution``.  Call :meth:`abort` when the rest is not wanted.
+    """
+
+    def __init__(self, client: HandleControl, limits: HttpLimits, call: HttpCall) -> None:
+        self.call = call
+        self.sends = 0
+        """Times that libcurl came to send the request."""
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.received_bytes = 0
+        self._client = client
+        self._limits = limits
+        self._handle: pycurl.Curl | None = None
+        self._pieces: collections.deque[bytes] = collections.deque()
+        self._buffered_bytes = 0
+        self._paused = False
+        self._head_done = False
+        self._ended = False
+        self._error: PassgateError | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    # --- reading -----------------------------------------------------------------
+
+    async def head(self) -> int:
+        """Wait for the answer's head; return its status."""
+        while not self._head_done and not self._ended:
+            await self._changed()
+        if not self._head_done:
+            raise self._failure()
+        return self.status
+
+    async def read(self) -> bytes:
+        """Return the bytes received since the last call; ``b""`` at the verified end."""
+        while not self._pieces and not self._ended:
+            await self._changed()
+        if self._pieces:
+            return self._take()
+        if self._error is not None:
+            raise self._error
+        return b""
+
+    async def read_all(self) -> HttpAnswer:
+        """Return the whole answer; raises IncompleteAnswer when its length is not proven."""
+        await self.head()
+        parts = []
+        size = 0
+        while piece := await self.read():
+            parts.append(piece)
+            size += len(piece)
+            if size > self._limits.max_body_bytes:
+                self.abort()
+                raise IncompleteAnswer(
+                    "answer is larger than the limit", limit_bytes=self._limits.max_body_bytes
+                )
+        self._check_length(size)
+        return HttpAnswer(status=self.status, headers=self.headers, body=b"".join(parts))
+
+    def abort(self) -> None:
+        """End the transfer now; its connection is closed.  Harmless after the end."""
+        if self._handle is not None and not self._ended:
+            self._client.abort(self._handle)
+
+    def finish_unread(self) -> None:
+        """Let the transfer end by itself, so that its connection is kept; abort it if it does not."""
+        if not self._ended:
+            asyncio.get_running_loop().call_later(FINISH_UNREAD_S, self.abort)
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more will arrive."""
+        return self._ended
+
+    def execution(self) -> ExecutionStatus:
+        """Return what is known of the request when the transfer failed."""
+        return ExecutionStatus.UNKNOWN if self.sends else ExecutionStatus.NOT_RUN
+
+    def _check_length(self, size: int) -> None:
+        declared = self.headers.get("Content-Length")
+        if declared is not None and declared != str(size):
+            raise IncompleteAnswer("answer's length differs from Content-Length", declared=declared, got=size)
+        chunked = self.headers.get("Transfer-Encoding", "").lower() == "chunked"
+        bodiless = self.status in (204, 304) or self.call.method == "HEAD"
+        if declared is None and not chunked and not bodiless:
+            raise IncompleteAnswer("answer declares no length")
+
+    def _take(self) -> bytes:
+        data = b"".join(self._pieces) if len(self._pieces) > 1 else self._pieces[0]
+        self._pieces.clear()
+        self._buffered_bytes = 0
+        if self._paused and self._handle is not None and not self._ended:
+            self._paused = False
+            self._client.resume(self._handle)
+        return data
+
+    async def _changed(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _failure(self) -> PassgateError:
+        return self._error or BackendUnreachable("no answer", execution=self.execution())
+
+    # --- called by libcurl ---------------------------------------------------------
+
+    def prepare(self, handle: pycurl.Curl) -> None:
+        """Set this transfer's options and callbacks on a handle."""
+        self._handle = handle
+        handle.setopt(pycurl.NOPROXY, "*")
+        handle.setopt(pycurl.NOSIGNAL, SIGNALS_OFF)
+        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        handle.setopt(pycurl.TCP_KEEPALIVE, 1)
+        handle.setopt(pycurl.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
+        handle.setopt(pycurl.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
+        handle.setopt(pycurl.MAXAGE_CONN, self._limits.max_connection_idle_s)
+        handle.setopt(pycurl.VERBOSE, 0)  # tornado's debug log would show credentials
+        if self.call.send is SendPolicy.ONCE_ON_FRESH_CONNECTION:
+            handle.setopt(pycurl.FRESH_CONNECT, 1)
+            handle.setopt(pycurl.FORBID_REUSE, 1)
+        handle.setopt(pycurl.PREREQFUNCTION, self._on_send)
+        handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        handle.setopt(pycurl.WRITEFUNCTION, self._on_data)
+
+    def _on_send(self, *addresses: object) -> int:
+        # libcurl comes here each time that it is about to send the request, also the second time.
+        if self.sends and self.call.send is not SendPolicy.REPEAT:
+            return pycurl.PREREQFUNC_ABORT
+        self.sends += 1
+        return pycurl.PREREQFUNC_OK
+
+    def _on_header(self, line: bytes) -> int:
+        try:
+            self._add_header(line)
+        except (HTTPInputError, ValueError) as error:
+            self._error = IncompleteAnswer(f"unreadable header: {error}")
+            return REJECT_DATA
+        return len(line)
+
+    def _add_header(self, line: bytes) -> None:
+        if line.startswith(STATUS_LINE_PREFIX):
+            self.status = int(line.split(None, 2)[1])
+            self.headers.clear()
+            return
+        text = line.decode("latin1").rstrip("\r\n")
+        if text:
+            self.headers.parse_line(text)
+            return
+        if self.status >= FIRST_FINAL_STATUS:
+            self._head_done = True
+            self._wake()
+
+    def _on_data(self, data: bytes) -> int:
+        if self._buffered_bytes >= self._limits.max_buffered_bytes:
+            self._paused = True
+            return pycurl.WRITEFUNC_PAUSE
+        self._pieces.append(data)
+        self._buffered_bytes += len(data)
+        self.received_bytes += len(data)
+        self._wake()
+        return len(data)
+
+    def on_end(self, response: HTTPResponse) -> None:
+        """Record the transfer's end; called by the client once."""
+        self._handle = None
+        self._ended = True
+        if _is_transfer_error(response.error) and self._error is None:
+            errno = getattr(response.error, "errno", None)
+            self._error = classify_failure(errno, self.sends > 0, str(response.error))
+        self._wake()
+
+
+def _is_transfer_error(error: BaseException | None) -> bool:
+    # Tornado also makes an error of a whole answer with a status such as 404.
+    is_status = isinstance(error, HTTPError) and not isinstance(error, CurlError)
+    return error is not None and not is_status
+
+
+def classify_failure(errno: int | None, sent: bool, message: str) -> PassgateError:
+    """Return the typed error of a failed transfer.
+
+    ``not_run`` is claimed only when libcurl never came to send the request:
+    refused, no route, name not resolved, connect timeout.
+    """
+    if not sent:
+        return BackendUnreachable(message, execution=ExecutionStatus.NOT_RUN, curl_errno=errno)
+    if errno in TRUNCATED_ERRNOS:
+        return IncompleteAnswer(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
+    if errno == pycurl.E_OPERATION_TIMEDOUT:
+        return DeadlineExceeded(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
+    return BackendUnreachable(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
--- a/passgate/clients/wire.py
+++ b/passgate/clients/wire.py
@@ -24,6 +24,7 @@
 REPLICA_HEADER = "X-Replica-Id"
 PRIORITY_HEADER = "X-Priority-Class"
 TIMEOUT_HEADER = "X-Timeout-Ms"
+NOT_REPEATABLE_HEADER = "X-Not-Repeatable"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE_MARK = b"[DONE]"
@@ -115,6 +116,12 @@
     machines: tuple[MachineInfo, ...]
 
 
+class MachineAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``POST /v1/machines/ID/leaving``."""
+
+    machine_id: str
+
+
 class WeightAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Answer of ``GET /v1/weights/MODEL/VERSION``."""
 
--- /dev/null
+++ b/passgate/emulator/log_server.py
@@ -0,0 +1,50 @@
+"""Serves the platform's log over HTTP, with long poll.
+
+The model is any :class:`passgate.interfaces.LogClient`.
+"""
+
+from __future__ import annotations
+
+from passgate.clients import wire
+from passgate.emulator.wire import StandInHandler, StandInServer
+from passgate.errors import LogAppendUnknown
+from passgate.interfaces import LogClient
+
+APPEND_TIMEOUT_S = 60.0
+MAX_WAIT_S = 60.0
+MAX_LIMIT = 10_000
+
+
+class LogServer(StandInServer):
+    """The log behind one port."""
+
+    def __init__(self, name: str, model: LogClient, credential: str | None = None) -> None:
+        super().__init__(name, credential)
+        self.model = model
+
+    def routes(self) -> list[tuple]:
+        """Return the log's route."""
+        return [(r"/v1/streams/([^/]+)/records", _RecordsHandler, {"server": self})]
+
+
+class _RecordsHandler(StandInHandler):
+    server: LogServer
+
+    async def post(self, stream: str) -> None:
+        call = self.body_as(wire.AppendCall)
+        try:
+            offset = await self.server.model.append(stream, call.payloads, APPEND_TIMEOUT_S)
+        except LogAppendUnknown:
+            self.drop_connection()
+            return
+        self.reply(wire.AppendAnswer(offset=offset))
+
+    async def get(self, stream: str) -> None:
+        await self.while_connected(self._read(stream))
+
+    async def _read(self, stream: str) -> None:
+        offset = int(self.get_query_argument("offset", "0"))
+        limit = min(int(self.get_query_argument("limit", "100")), MAX_LIMIT)
+        wait_s = min(float(self.get_query_argument("wait_s", "0")), MAX_WAIT_S)
+        batch = await self.server.model.read(stream, offset, limit, wait_s)
+        self.reply(wire.ReadAnswer(entries=batch.entries, end_offset=batch.end_offset))
--- a/passgate/emulator/wire.py
+++ b/passgate/emulator/wire.py
@@ -42,6 +42,8 @@
     """Close the connection of this many next requests before looking at them."""
     cut_streams: int = 0
     """Close the connection of this many next streams after their first event."""
+    cross_answers: int = 0
+    """Answer this many next requests under another request's identifier."""
 
 
 class ServerCounters(msgspec.Struct, kw_only=True):
@@ -138,6 +140,13 @@
         self._work: asyncio.Task[None] | None = None
         self._gone = False
 
+    def set_default_headers(self) -> None:
+        """Echo the request identifier on every answer, also on errors."""
+        self.set_header("Server", "passgate-stand-in")
+        request_id = self.request.headers.get(wire.REQUEST_ID_HEADER)
+        if request_id is not None:
+            self.set_header(wire.REQUEST_ID_HEADER, request_id)
+
     def on_connection_close(self) -> None:
         """Cancel the work of a client that went away."""
         self._gone = True
@@ -189,6 +198,13 @@
         self.server.faults.lose_answers -= 1
         return True
 
+    def takes_crossed_answer(self) -> bool:
+        """Return whether this answer is to carry another identifier, and count it."""
+        if self.server.faults.cross_answers <= 0:
+            return False
+        self.server.faults.cross_answers -= 1
+        return True
+
     def drop_connection(self) -> None:
         """Close the connection without any further byte."""
         self._finished = True
@@ -201,6 +217,7 @@
         if error.retry_after_s is not None:
             self.set_header("Retry-After", f"{error.retry_after_s:g}")
         self.set_header("Content-Type", wire.JSON_TYPE)
+        self.set_header(wire.EXECUTION_HEADER, error.execution.value)
         self.finish(msgspec.json.encode(wire.ErrorAnswer(error=error)))
 
     def write_error(self, status_code: int, **kwargs) -> None:
--- /dev/null
+++ b/tests/test_clients_curl.py
@@ -0,0 +1,333 @@
+"""Proofs about libcurl's traps, against a raw socket server that follows a script."""
+
+import asyncio
+import contextlib
+import logging
+import os
+
+import pycurl
+import pytest
+
+from passgate.clients.calls import HttpCall, HttpLimits, SendPolicy
+from passgate.clients.curl import HttpClient
+from passgate.errors import BackendUnreachable, DeadlineExceeded, ExecutionStatus, IncompleteAnswer
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class RawServer:
+    """Reads each request and hands it to `answer(connection, nth_on_connection, head, writer)`."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.heads = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        connection = self.connections
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            nth = 0
+            while not writer.is_closing():
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(content_length(head))
+                nth += 1
+                self.heads.append(head)
+                await self.answer(connection, nth, head, writer)
+        self.closed.set()
+        writer.close()
+
+
+def content_length(head):
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.split(b":")[1])
+    return 0
+
+
+@contextlib.asynccontextmanager
+async def raw_server(answer, limits=None):
+    raw = RawServer(answer)
+    server = await asyncio.start_server(raw.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    http = HttpClient(limits)
+    try:
+        yield raw, http, f"http://127.0.0.1:{port}/"
+    finally:
+        http.close()
+        server.close()
+
+
+async def reply_ok(connection, nth, head, writer):
+    writer.write(OK)
+
+
+async def close_second_on_first_connection(connection, nth, head, writer):
+    if connection == 1 and nth == 2:
+        writer.close()
+        return
+    writer.write(OK)
+
+
+def post(url, send, body=b"order"):
+    return HttpCall(method="POST", url=url, body=body, send=send)
+
+
+def test_libcurl_itself_sends_a_post_again_on_a_dead_kept_connection():
+    """The trap: without a policy against it, one call reaches the server twice."""
+
+    async def main():
+        async with raw_server(close_second_on_first_connection) as (raw, http, url):
+            await http.fetch(post(url, SendPolicy.REPEAT))
+            answer = await http.fetch(post(url, SendPolicy.REPEAT))
+            assert answer.status == 200
+            assert len(raw.heads) == 3  # two calls, three requests received
+
+    asyncio.run(main())
+
+
+def test_once_is_never_sent_again_and_its_outcome_is_unknown():
+    async def main():
+        async with raw_server(close_second_on_first_connection) as (raw, http, url):
+            await http.fetch(post(url, SendPolicy.ONCE))
+            with pytest.raises(BackendUnreachable) as caught:
+                await http.fetch(post(url, SendPolicy.ONCE))
+            assert caught.value.execution is ExecutionStatus.UNKNOWN
+            assert len(raw.heads) == 2
+            assert raw.connections == 1
+
+    asyncio.run(main())
+
+
+def test_once_on_fresh_connection_shares_no_connection():
+    async def main():
+        async with raw_server(reply_ok) as (raw, http, url):
+            await http.fetch(post(url, SendPolicy.ONCE))  # leaves a kept connection
+            await http.fetch(post(url, SendPolicy.ONCE_ON_FRESH_CONNECTION))
+            await http.fetch(post(url, SendPolicy.ONCE_ON_FRESH_CONNECTION))
+            assert raw.connections == 3
+            await http.fetch(post(url, SendPolicy.ONCE))
+            assert raw.connections == 3
+
+    asyncio.run(main())
+
+
+def test_fresh_connection_closed_without_answer_is_unknown_and_sent_once():
+    async def close(connection, nth, head, writer):
+        writer.close()
+
+    async def main():
+        async with raw_server(close) as (raw, http, url):
+            for send in SendPolicy:
+                with pytest.raises(BackendUnreachable) as caught:
+                    await http.fetch(post(url, send))
+                assert caught.value.execution is ExecutionStatus.UNKNOWN
+            assert len(raw.heads) == 3
+
+    asyncio.run(main())
+
+
+def test_refused_connection_is_not_run():
+    async def main():
+        async with raw_server(reply_ok) as (_, http, url):
+            pass
+        http = HttpClient()
+        with pytest.raises(BackendUnreachable) as caught:
+            await http.fetch(post(url, SendPolicy.ONCE))
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        http.close()
+
+    asyncio.run(main())
+
+
+def test_redirect_is_not_followed():
+    async def redirect(connection, nth, head, writer):
+        writer.write(b"HTTP/1.1 307 Moved\r\nLocation: /again\r\nContent-Length: 0\r\n\r\n")
+
+    async def main():
+        async with raw_server(redirect) as (raw, http, url):
+            answer = await http.fetch(post(url, SendPolicy.ONCE))
+            assert answer.status == 307
+            assert len(raw.heads) == 1
+
+    asyncio.run(main())
+
+
+def test_proxy_of_the_environment_is_ignored(monkeypatch):
+    monkeypatch.setitem(os.environ, "http_proxy", "http://127.0.0.1:1")
+
+    async def main():
+        async with raw_server(reply_ok) as (_, http, url):
+            assert (await http.fetch(post(url, SendPolicy.ONCE))).status == 200
+
+    asyncio.run(main())
+
+
+def test_forty_transfers_run_at_once():
+    async def main():
+        everyone = asyncio.Event()
+
+        async def answer_when_all_arrived(connection, nth, head, writer):
+            if len(raw.heads) == 40:
+                everyone.set()
+            await everyone.wait()
+            writer.write(OK)
+
+        async with raw_server(answer_when_all_arrived) as (raw, http, url):
+            calls = [http.fetch(post(url, SendPolicy.ONCE)) for _ in range(40)]
+            answers = await asyncio.wait_for(asyncio.gather(*calls), 10)
+            assert len(answers) == 40
+
+    asyncio.run(main())
+
+
+def test_transfer_over_the_limit_is_refused_as_not_run():
+    async def hold(connection, nth, head, writer):
+        await asyncio.Event().wait()
+
+    async def main():
+        async with raw_server(hold, HttpLimits(max_transfers=1)) as (_, http, url):
+            first = http.start(post(url, SendPolicy.ONCE))
+            with pytest.raises(BackendUnreachable) as caught:
+                http.start(post(url, SendPolicy.ONCE))
+            assert caught.value.execution is ExecutionStatus.NOT_RUN
+            first.abort()
+            http.start(post(url, SendPolicy.ONCE))
+
+    asyncio.run(main())
+
+
+class RecordingHandle(pycurl.Curl):
+    """Keeps the last value of each option."""
+
+    def __init__(self):
+        self.options = {}
+
+    def setopt(self, option, value):
+        self.options[option] = value
+        super().setopt(option, value)
+
+
+def test_no_total_timeout_is_set_unless_asked_for():
+    """Tornado's default of 20 s would cut long streams; the options on the handle are looked at."""
+
+    async def main():
+        async with raw_server(reply_ok) as (_, http, url):
+            handles = []
+            http._client._curl_create = lambda: handles.append(RecordingHandle()) or handles[-1]
+            await http.fetch(post(url, SendPolicy.ONCE))
+            assert handles[0].options[pycurl.TIMEOUT_MS] == 0  # libcurl's "none"
+            assert handles[0].options[pycurl.CONNECTTIMEOUT_MS] == 2000
+
+    asyncio.run(main())
+
+
+def test_asked_for_timeout_ends_a_silent_transfer_as_unknown():
+    async def hold(connection, nth, head, writer):
+        await asyncio.Event().wait()
+
+    async def main():
+        async with raw_server(hold) as (raw, http, url):
+            call = HttpCall(method="POST", url=url, body=b"x", timeout_s=0.05)
+            with pytest.raises(DeadlineExceeded) as caught:
+                await http.fetch(call)
+            assert caught.value.execution is ExecutionStatus.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_large_body_is_sent_without_expect():
+    async def main():
+        async with raw_server(reply_ok) as (raw, http, url):
+            await http.fetch(post(url, SendPolicy.ONCE, body=b"x" * 4_000_000))
+            assert b"expect" not in raw.heads[0].lower()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort",
+        b"HTTP/1.1 200 OK\r\n\r\nno length at all",
+    ],
+    ids=["short", "no-last-chunk", "short-chunk", "undeclared"],
+)
+def test_truncated_answer_is_never_whole(answer):
+    async def truncated(connection, nth, head, writer):
+        writer.write(answer)
+        writer.close()
+
+    async def main():
+        async with raw_server(truncated) as (_, http, url):
+            with pytest.raises((IncompleteAnswer, BackendUnreachable)) as caught:
+                await http.fetch(post(url, SendPolicy.ONCE))
+            assert caught.value.execution is not ExecutionStatus.NOT_RUN
+
+    asyncio.run(main())
+
+
+def test_abort_closes_the_connection_at_once():
+    async def hold(connection, nth, head, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx")
+
+    async def main():
+        async with raw_server(hold) as (raw, http, url):
+            transfer = http.start(post(url, SendPolicy.ONCE))
+            assert await transfer.read() == b"x"
+            transfer.abort()
+            await asyncio.wait_for(raw.closed.wait(), 5)
+            assert http.running == 0
+
+    asyncio.run(main())
+
+
+def test_slow_reader_pauses_the_sender():
+    """The server can not hand over more than the buffers hold until the reader reads."""
+    total = 32 * 1024 * 1024
+
+    async def flood(connection, nth, head, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % total)
+        for _ in range(total // 65536):
+            writer.write(b"x" * 65536)
+            await writer.drain()
+
+    async def main():
+        async with raw_server(flood, HttpLimits(max_body_bytes=total)) as (_, http, url):
+            paused = asyncio.Event()
+            transfer = http.start(post(url, SendPolicy.ONCE))
+            on_data = transfer._on_data
+
+            def watch(data):
+                taken = on_data(data)
+                if taken == pycurl.WRITEFUNC_PAUSE:
+                    paused.set()
+                return taken
+
+            transfer._handle.setopt(pycurl.WRITEFUNCTION, watch)
+            await asyncio.wait_for(paused.wait(), 10)
+            assert transfer._buffered_bytes < 2 * http.limits.max_buffered_bytes
+            size = 0
+            while piece := await transfer.read():
+                assert len(piece) < 2 * http.limits.max_buffered_bytes
+                size += len(piece)
+            assert size == total
+
+    asyncio.run(main())
+
+
+def test_credential_is_never_logged(caplog):
+    caplog.set_level(logging.DEBUG)
+
+    async def main():
+        async with raw_server(reply_ok) as (raw, http, url):
+            call = HttpCall(method="GET", url=url, headers={"Authorization": "Bearer secret"})
+            await http.fetch(call)
+            assert b"Bearer secret" in raw.heads[0]
+            assert "secret" not in repr(call)
+
+    asyncio.run(main())
+    assert "secret" not in caplog.text
