--- a/passgate/clients/http_platform.py
+++ b/passgate/clients/http_platform.py
@@ -1,4 +1,4 @@
-"""MachineList and WeightStore over HTTP."""
+"""MachineList and WeightStore over HTTP, and the calls that change them."""
 
 from __future__ import annotations
 
@@ -69,6 +69,11 @@
         answer = await self._send("GET", f"/weights/{quote(model, safe='')}/{version}")
         return _decode(answer, wire.WeightAnswer).size_bytes
 
+    async def publish(self, model: str, version: int, size_bytes: int) -> None:
+        """Put a version into the store, as its trainer does; raises PlatformError."""
+        body = msgspec.json.encode(wire.WeightAnswer(size_bytes=size_bytes))
+        await self._send("PUT", f"/weights/{quote(model, safe='')}/{version}", body)
+
 
 def _decode(answer: HttpAnswer, kind: type) -> object:
     try:
--- a/passgate/emulator/app_server.py
+++ b/passgate/emulator/app_server.py
@@ -39,7 +39,7 @@
     get = post = put = patch = delete = _serve_call
 
     async def _call(self, request: AppRequest) -> None:
-        self.server.count_run(request.request_id)
+        self.server.count_received(request.request_id)
         try:
             response = await self.server.model.call(self.server.model_address, request)
         except BackendUnreachable:
--- a/passgate/emulator/engine_server.py
+++ b/passgate/emulator/engine_server.py
@@ -51,7 +51,7 @@
         await self.while_connected(self._serve(request))
 
     async def _serve(self, request: GenerateRequest) -> None:
-        self.server.count_run(request.request_id)
+        self.server.count_received(request.request_id)
         chunks = self.server.model.generate(self.server.model_address, request)
         async with contextlib.aclosing(chunks):
             try:
--- a/passgate/emulator/platform_server.py
+++ b/passgate/emulator/platform_server.py
@@ -1,7 +1,7 @@
 """Serves the platform's machine list and weight store over HTTP.
 
-The models are any :class:`passgate.interfaces.MachineList` that can also be
-changed, and any :class:`passgate.interfaces.WeightStore`.
+The models are a :class:`passgate.interfaces.MachineList` and a
+:class:`passgate.interfaces.WeightStore` that can also be changed.
 """
 
 from __future__ import annotations
@@ -26,11 +26,23 @@
         ...
 
 
+class ChangeableWeightStore(WeightStore, Protocol):
+    """A weight store that trainers publish to."""
+
+    def publish(self, model: str, version: int, size_bytes: int) -> None:
+        """Put a version into the store."""
+        ...
+
+
 class PlatformServer(StandInServer):
     """Machine list and weight store behind one port."""
 
     def __init__(
-        self, name: str, machines: ChangeableMachineList, weights: WeightStore, credential: str | None = None
+        self,
+        name: str,
+        machines: ChangeableMachineList,
+        weights: ChangeableWeightStore,
+        credential: str | None = None,
     ) -> None:
         super().__init__(name, credential)
         self.machines = machines
@@ -73,3 +85,8 @@
     async def get(self, model: str, version: str) -> None:
         size_bytes = await self.server.weights.size_bytes(model, int(version))
         self.reply(wire.WeightAnswer(size_bytes=size_bytes))
+
+    async def put(self, model: str, version: str) -> None:
+        call = self.body_as(wire.WeightAnswer)
+        self.server.weights.publish(model, int(version), call.size_bytes)
+        self.reply(call)
--- a/passgate/emulator/wire.py
+++ b/passgate/emulator/wire.py
@@ -50,13 +50,11 @@
     """What one server did since it was made; survives crashes."""
 
     requests: int = 0
-    runs: dict[str, int] = {}
-    """Runs by request identifier."""
+    received: dict[str, int] = {}
+    """Requests for work by request identifier, refused ones too; more than one was sent again."""
     tokens: int = 0
-    cancelled: int = 0
-    """Streams whose client went away before their end."""
-    after_leaving: int = 0
-    """Runs started after the back end began to leave."""
+    gone: int = 0
+    """Requests whose client went away before their answer."""
 
 
 class _Listener(HTTPServer):
@@ -124,9 +122,10 @@
         self._listener.reset_connections()
         self._listener = None
 
-    def count_run(self, request_id: str) -> None:
-        """Note that a request starts to run."""
-        self.counters.runs[request_id] = self.counters.runs.get(request_id, 0) + 1
+    def count_received(self, request_id: str) -> None:
+        """Note that a request for work arrived."""
+        received = self.counters.received
+        received[request_id] = received.get(request_id, 0) + 1
 
 
 class StandInHandler(RequestHandler):
@@ -150,6 +149,7 @@
     def on_connection_close(self) -> None:
         """Cancel the work of a client that went away."""
         self._gone = True
+        self.server.counters.gone += 1
         if self._work is not None:
             self._work.cancel()
 
--- a/tests/test_clients_curl.py
+++ b/tests/test_clients_curl.py
@@ -107,6 +107,7 @@
             await http.fetch(post(url, SendPolicy.ONCE_ON_FRESH_CONNECTION))
             await http.fetch(post(url, SendPolicy.ONCE_ON_FRESH_CONNECTION))
             assert raw.connections == 3
+            await asyncio.wait_for(raw.closed.wait(), 5)  # its own connection is not kept
             await http.fetch(post(url, SendPolicy.ONCE))
             assert raw.connections == 3
 
--- a/tests/test_servers_engine.py
+++ b/tests/test_servers_engine.py
@@ -73,7 +73,7 @@
             assert [token for chunk in chunks for token in chunk.tokens] == [0, 1, 2, 3, 4, 5]
             assert {chunk.version for chunk in chunks} == {7}
             assert chunks[-1].finish_reason is FinishReason.LENGTH
-            assert server.counters.runs == {"r1": 1}
+            assert server.counters.received == {"r1": 1}
             assert (await client.load_report(address)).replica_id == "e1"
 
     asyncio.run(main())
