--- a/passgate/membership/agent.py
+++ b/passgate/membership/agent.py
@@ -70,6 +70,7 @@
         self._due_s = 0.0
         self._handlers: dict[str, Handler] = {}
         self._listeners: list[ChangeListener] = []
+        self._ahead_listeners: dict[str, list[Callable[[], None]]] = {}
         self._running = False
 
     # --- life --------------------------------------------------------------------------------
@@ -149,7 +150,15 @@
 
     def ahead(self, key: str) -> dict[str, int]:
         """Return addresses of peers that hold a higher revision of ``key`` than this daemon."""
-        return self._swim.ahead(key)
+        return self._swim.held.ahead(key)
+
+    def subscribe_ahead(self, key: str, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a peer tells a higher revision of ``key`` than held here."""
+        self._ahead_listeners.setdefault(key, []).append(listener)
+
+    def forget_ahead(self, key: str, address: str) -> None:
+        """Forget what the peer at ``address`` told of ``key`` until it tells it again."""
+        self._swim.held.forget(key, address)
 
     # --- calls -------------------------------------------------------------------------------------
 
@@ -196,6 +205,9 @@
         for change in self._swim.take_changes():
             for listener in self._listeners:
                 listener(change)
+        for key in self._swim.held.take_news():
+            for notify in self._ahead_listeners.get(key, ()):
+                notify()
         self._schedule()
 
     def _schedule(self) -> None:
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -17,12 +17,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable
 from random import Random
 
 import msgspec
 
+from passgate.membership.anti_entropy import AntiEntropy, SyncMessage
 from passgate.membership.config import MembershipConfig
+from passgate.membership.held_revisions import HeldRevisions
 from passgate.membership.messages import (
     Ack,
     AliveNews,
@@ -54,6 +57,8 @@
 from passgate.membership.table import MemberTable, alive_news
 from passgate.membership.targets import Targets
 
+REAP_PERIOD_S = 10.0
+
 _LIVING = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
@@ -93,18 +98,16 @@
             config.contacts_per_zone,
         )
         self._prober = Prober(config, self._health, random)
+        self._anti_entropy = AntiEntropy(self._table, self._targets, config, random)
         self._suspicions: dict[str, Suspicion] = {}
         self._changes: list[MemberInfo] = []
         self._seeds: set[str] = set()
-        self._held: dict[str, int] = {}
+        self._held = HeldRevisions()
         self._held_rounds = 0
-        self._ahead: dict[str, dict[str, int]] = {}
         self._expected_tick_s: float | None = None
         self._next_probe_s = 0.0
         self._next_gossip_s = 0.0
-        self._next_sync_s = 0.0
-        self._next_reconnect_s = 0.0
-        self._sync_period_s = config.sync_period_minimum_s
+        self._next_reap_s = 0.0
         self._next_join_s = 0.0
         self.counters = SwimCounters()
 
@@ -117,6 +120,11 @@
         assert view is not None, "the own entry is never reaped"
         return view
 
+    @property
+    def held(self) -> HeldRevisions:
+        """Return the revisions held here and by peers that are ahead."""
+        return self._held
+
     @property
     def health_multiplier(self) -> int:
         """Return how much longer than usual this daemon waits before it accuses."""
@@ -139,10 +147,6 @@
         changes, self._changes = self._changes, []
         return changes
 
-    def ahead(self, key: str) -> dict[str, int]:
-        """Return addresses of peers that hold a higher revision of ``key`` than this daemon."""
-        return dict(self._ahead.get(key, {}))
-
     # --- what the daemon tells ------------------------------------------------------------
 
     def set_metadata(self, key: str, value: str) -> None:
@@ -157,12 +161,9 @@
 
     def set_held(self, key: str, revision: int) -> None:
         """Tell peers that this daemon holds ``revision`` of ``key``; it never goes back."""
-        if revision <= self._held.get(key, -1):
-            return
-        self._held = {**self._held, key: revision}
-        self._held_rounds = self._queue.limit(len(self._table)) // self._config.gossip_fanout + 1
-        behind = self._ahead.get(key, {})
-        self._ahead[key] = {peer: value for peer, value in behind.items() if value > revision}
+        if self._held.set(key, revision):
+            transmissions = self._queue.limit(len(self._table))
+            self._held_rounds = math.ceil(transmissions / self._config.gossip_fanout)
 
     def join(self, addresses: Iterable[str], now_s: float) -> list[Outgoing]:
         """Contact daemons at ``addresses``; asked again until one has answered."""
@@ -185,7 +186,7 @@
 
     def next_wakeup_s(self) -> float:
         """Return when :meth:`tick` is due next."""
-        due = [self._next_probe_s, self._next_sync_s, self._next_reconnect_s]
+        due = [self._next_probe_s, self._next_reap_s, self._anti_entropy.next_due_s()]
         if self._queue or self._held_rounds:
             due.append(self._next_gossip_s)
         if self._seeds:
@@ -204,10 +205,9 @@
             out += self._probe(now_s)
         if now_s >= self._next_gossip_s and (self._queue or self._held_rounds):
             out += self._gossip(now_s)
-        if now_s >= self._next_sync_s:
-            out += self._sync(now_s)
-        if now_s >= self._next_reconnect_s:
-            out += self._reconnect(now_s)
+        if now_s >= self._next_reap_s:
+            self._reap(now_s)
+        out += self._anti_entropy.take_due(now_s, self._held.own)
         if self._seeds and now_s >= self._next_join_s:
             out += self._ask_seeds(now_s)
         self._expected_tick_s = self.next_wakeup_s()
@@ -229,10 +229,8 @@
             suspicion.started_s += late_s
 
     def _spread_timers(self, now_s: float) -> None:
-        config = self._config
-        self._next_probe_s = now_s + self._random.random() * config.probe_period_s
-        self._next_sync_s = now_s + self._random.random() * config.sync_period_minimum_s
-        self._next_reconnect_s = now_s + self._random.random() * config.reconnect_period_s
+        self._next_probe_s = now_s + self._random.random() * self._config.probe_period_s
+        self._anti_entropy.spread(now_s)
 
     def _later(self, now_s: float, period_s: float) -> float:
         return now_s + period_s * self._random.uniform(0.9, 1.1)
@@ -255,7 +253,7 @@
         if suspicion is not None:
             accusation = SuspectNews(target_id, suspicion.incarnation, self._id)
             news = (accusation, *(item for item in news if item.member_id != target_id))
-        return Ping(sequence, target_id, news, self._held)
+        return Ping(sequence, target_id, news, self._held.own)
 
     def _finish_probes(self, now_s: float) -> list[Outgoing]:
         due = self._prober.take_due(now_s)
@@ -268,7 +266,7 @@
                     probe.target.member_id,
                     probe.target.address,
                     self._take_news(),
-                    self._held,
+                    self._held.own,
                 )
                 out.append(Outgoing(helper.address, request))
         for probe in due.failed:
@@ -296,7 +294,7 @@
         """Handle a message from the peer port at ``sender``."""
         for news in getattr(message, "news", ()):
             self._apply(news, now_s)
-        self._note_held(sender, getattr(message, "held", {}))
+        self._held.note(sender, getattr(message, "held", {}))
         match message:
             case Ping():
                 return self._answer_ping(sender, message)
@@ -310,7 +308,7 @@
                 sequence = self._prober.start_relay(sender, message.sequence, now_s)
                 return [Outgoing(message.target_address, self._ping(sequence, message.target))]
             case Join():
-                return [Outgoing(sender, self._whole_table())]
+                return [Outgoing(sender, self._anti_entropy.whole_table(self._held.own))]
             case SyncDigest() | SyncBuckets() | SyncRows():
                 return self._receive_sync(sender, message, now_s)
             case _:
@@ -319,16 +317,11 @@
     def _answer_ping(self, sender: str, ping: Ping) -> list[Outgoing]:
         if ping.target != self._id:
             return []
-        return [Outgoing(sender, Ack(ping.sequence, self._take_news(), self._held))]
+        return [Outgoing(sender, Ack(ping.sequence, self._take_news(), self._held.own))]
 
     def _pass_on(self, origin: tuple[str, int]) -> Outgoing:
         address, sequence = origin
-        return Outgoing(address, Ack(sequence, self._take_news(), self._held))
-
-    def _note_held(self, sender: str, held: dict[str, int]) -> None:
-        for key, revision in held.items():
-            if revision > self._held.get(key, -1):
-                self._ahead.setdefault(key, {})[sender] = revision
+        return Outgoing(address, Ack(sequence, self._take_news(), self._held.own))
 
     # --- news -----------------------------------------------------------------------------------------
 
@@ -346,7 +339,7 @@
         if isinstance(news, SuspectNews):
             self._start_suspicion(news, now_s)
         if changed.state not in _LIVING:
-            self._drop_ahead(changed.address)
+            self._held.drop_peer(changed.address)
         if spread:
             self._queue.add(news)
 
@@ -398,83 +391,33 @@
     def _take_news(self) -> tuple[News, ...]:
         return self._queue.take(len(self._table), self._config.news_bytes)
 
-    def _drop_ahead(self, address: str) -> None:
-        for peers in self._ahead.values():
-            peers.pop(address, None)
-
-    # --- dissemination and anti-entropy ----------------------------------------------------------------
+    # --- dissemination -----------------------------------------------------------------------------------
 
     def _gossip(self, now_s: float) -> list[Outgoing]:
         self._next_gossip_s = now_s + self._config.gossip_period_s
         self._held_rounds = max(0, self._held_rounds - 1)
-        out = []
-        for peer in self._targets.gossip(self._config.gossip_fanout):
-            out.append(Outgoing(peer.address, Gossip(self._take_news(), self._held)))
-        return out
-
-    def _sync(self, now_s: float) -> list[Outgoing]:
-        self._next_sync_s = self._later(now_s, self._sync_period_s)
-        self._sync_period_s = min(self._config.sync_period_s, self._sync_period_s * 2)
-        for member_id in self._table.reap(now_s, self._config.gone_retention_s):
-            self._queue.discard(member_id)
-        peer = self._targets.sync_peer()
-        return [] if peer is None else [self._greet(peer.address)]
-
-    def _reconnect(self, now_s: float) -> list[Outgoing]:
-        self._next_reconnect_s = self._later(now_s, self._config.reconnect_period_s)
-        dead = [view for view in self._table.all() if view.state is MemberState.DEAD]
-        return [self._greet(self._random.choice(dead).address)] if dead else []
-
-    def _greet(self, address: str) -> Outgoing:
-        return Outgoing(address, SyncDigest(self._table.digest(), self._held))
+        peers = self._targets.gossip(self._config.gossip_fanout)
+        return [Outgoing(peer.address, Gossip(self._take_news(), self._held.own)) for peer in peers]
 
     def _ask_seeds(self, now_s: float) -> list[Outgoing]:
         self._next_join_s = self._later(now_s, self._config.join_retry_s)
         self._seeds.discard(self.self_info.address)
         seeds = sorted(self._seeds)
         chosen = self._random.sample(seeds, min(self._config.join_fanout, len(seeds)))
-        joining = Join((alive_news(self.self_info),), self._held)
+        joining = Join((alive_news(self.self_info),), self._held.own)
         return [Outgoing(address, joining) for address in chosen]
 
-    def _whole_table(self) -> SyncRows:
-        alive, gone = self._table.rows(())
-        return SyncRows((), alive, gone, reply=False, held=self._held)
-
-    def _receive_sync(
-        self, sender: str, message: SyncDigest | SyncBuckets | SyncRows, now_s: float
-    ) -> list[Outgoing]:
-        if isinstance(message, SyncDigest):
-            if message.digest == self._table.digest():
-                return []
-            return [Outgoing(sender, SyncBuckets(self._table.bucket_digests()))]
-        self._sync_soon(now_s)
-        if isinstance(message, SyncBuckets):
-            return self._send_differing(sender, message.digests)
-        return self._receive_rows(sender, message, now_s)
-
-    def _sync_soon(self, now_s: float) -> None:
-        """Compare tables again soon: a difference seldom comes alone."""
-        self._sync_period_s = self._config.sync_period_minimum_s
-        self._next_sync_s = min(self._next_sync_s, now_s + self._sync_period_s)
-
-    def _send_differing(self, sender: str, digests: Sequence[int]) -> list[Outgoing]:
-        own = self._table.bucket_digests()
-        differing = tuple(
-            bucket for bucket, digest in enumerate(digests[: len(own)]) if digest != own[bucket]
-        )
-        if not differing:
-            return []
-        alive, gone = self._table.rows(differing)
-        return [Outgoing(sender, SyncRows(differing, alive, gone, reply=True, held=self._held))]
-
-    def _receive_rows(self, sender: str, rows: SyncRows, now_s: float) -> list[Outgoing]:
-        answer: list[Outgoing] = []
-        if rows.reply:
-            alive, gone = self._table.rows(rows.buckets)
-            answer = [Outgoing(sender, SyncRows(rows.buckets, alive, gone, reply=False, held=self._held))]
-        whole = not rows.buckets
-        for news in (*rows.alive, *rows.gone):
-            self._apply(news, now_s, spread=not whole)
-        if whole:
+    def _receive_sync(self, sender: str, message: SyncMessage, now_s: float) -> list[Outgoing]:
+        answers, news = self._anti_entropy.receive(sender, message, now_s, self._held.own)
+        # A whole table answers a join; its rows are news to the joining daemon alone.
+        joining = isinstance(message, SyncRows) and not message.buckets
+        for item in news:
+            self._apply(item, now_s, spread=not joining)
+        if joining:
             self._seeds.clear()
-        return answer
+        return answers
+
+    def _reap(self, now_s: float) -> None:
+        self._next_reap_s = now_s + REAP_PERIOD_S
+        for member_id in self._table.reap(now_s, self._config.gone_retention_s):
+            self._queue.discard(member_id)
