--- a/passgate/clock.py
+++ b/passgate/clock.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 
 def monotonic_s() -> float:
@@ -22,6 +23,12 @@
     return asyncio.get_running_loop().time()
 
 
+def unix_s() -> float:
+    """Return wall-clock seconds that daemons can compare; on a virtual loop its own time."""
+    loop = asyncio.get_running_loop()
+    return loop.time() if hasattr(loop, "setup_looptime") else time.time()
+
+
 def new_virtual_loop() -> asyncio.AbstractEventLoop:
     """Return an event loop whose time jumps to the next timer (library: looptime)."""
     import looptime
--- a/passgate/records.py
+++ b/passgate/records.py
@@ -84,6 +84,14 @@
     """Base64 of the answer's bytes."""
 
 
+class ClaimUnresolved(msgspec.Struct, frozen=True, kw_only=True, tag="claim_unresolved"):
+    """The claimed run ended without a usable answer and may have run; it is never run again."""
+
+    key: str
+    code: str
+    """Code of the error that the first caller got."""
+
+
 # --- one stream per lot -------------------------------------------------------------------
 
 
@@ -116,6 +124,10 @@
     holder: str
 
 
+class KeeperReleased(msgspec.Struct, frozen=True, kw_only=True, tag="keeper_released"):
+    """The keeper stops as planned; another daemon may take over at once."""
+
+
 class SampleCommitted(msgspec.Struct, frozen=True, kw_only=True, tag="sample_committed"):
     """One produced sample; the first valid commit of a slot's attempt wins."""
 
@@ -152,6 +164,8 @@
     """The trainer lacks handed-over samples that went stale; their slots open again."""
 
     indexes: tuple[int, ...]
+    attempts: tuple[int, ...]
+    """Attempt of each index that is replaced; a later attempt is left alone."""
 
 
 class SampleFailed(msgspec.Struct, frozen=True, kw_only=True, tag="sample_failed"):
@@ -198,8 +212,10 @@
     | ClaimMade
     | ClaimReleased
     | ClaimCompleted
+    | ClaimUnresolved
     | LotOpened
     | KeeperTaken
+    | KeeperReleased
     | SampleCommitted
     | SampleExpired
     | SamplesHandedOver
--- a/passgate/state/append_queue.py
+++ b/passgate/state/append_queue.py
@@ -101,6 +101,8 @@
         self.counters = AppendCounters()
         self.on_abandoned: Callable[[Record, Decision], None] | None = None
         """Called when a proposal whose proposer gave up was accepted after all."""
+        self.on_appended: Callable[[], None] | None = None
+        """Called when the log has confirmed an append."""
         self._log = log
         self._stream = stream
         self._backoff = Backoff(random)
@@ -116,6 +118,11 @@
         """Whether no proposal is waiting or undecided."""
         return not self._waiting and not self._sent
 
+    @property
+    def unused(self) -> bool:
+        """Whether no record was ever handed to the log."""
+        return self._last_sequence == 0
+
     async def propose(self, body: Body, epoch: int, timeout_s: float) -> Decision:
         """Queue a record and wait for the fold's decision; see ``LogFollower.propose``."""
         if self._closed:
@@ -195,6 +202,7 @@
             if not append.done():
                 return True
             append.result()
+            self._confirm()
         except LogUnavailable:
             self.counters.refused += 1
             self._mark_absent(surely_absent)
@@ -206,6 +214,10 @@
             append.cancel()
         return True
 
+    def _confirm(self) -> None:
+        if self.on_appended is not None:
+            self.on_appended()
+
     async def _wait_for_answer(self, append: asyncio.Future[int], batch: list[Proposal]) -> None:
         """Wait for the log's answer, or until the fold has shown the whole batch."""
         deadline_s = asyncio.get_running_loop().time() + 2 * APPEND_TIMEOUT_S
--- a/passgate/state/configuration.py
+++ b/passgate/state/configuration.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from passgate.interfaces import LogClient, LogEntry
-from passgate.records import ObjectDeleted, ObjectPut, Record
+from passgate.records import ObjectDeleted, ObjectPut, Record, SnapshotTaken
 from passgate.schema import Labels
 from passgate.state.configuration_state import ConfigObject, ConfigurationState
 from passgate.state.fold import Accepted, Decision, Rejected
@@ -43,6 +43,8 @@
 ]
 
 STREAM = "config"
+RETAINED_ENTRIES = 512
+"""Latest entries kept for peers that can not reach the log."""
 Subscriber = Callable[[ConfigurationState], None]
 
 
@@ -58,9 +60,11 @@
             self.state,
             writer,
             use_snapshots=True,
+            retained_entries=RETAINED_ENTRIES,
             on_applied=self._applied,
             random=random,
         )
+        self.follower.on_restored = self._notify
 
     def start(self) -> None:
         """Begin to follow the configuration."""
@@ -139,10 +143,21 @@
         """Apply a peer's entries that follow ours without a gap; return how many."""
         return self.follower.adopt(entries)
 
+    def snapshot(self) -> SnapshotTaken | None:
+        """Return all that is in force here, for a peer that starts while the log is down."""
+        return self.follower.snapshot()
+
+    def adopt_snapshot(self, snapshot: SnapshotTaken) -> bool:
+        """Start from a peer's snapshot; return False when this daemon already has as much."""
+        return self.follower.restore(snapshot)
+
     def _applied(self, offset: int, record: Record, decision: Decision) -> None:
         if isinstance(decision, Accepted):
-            for subscriber in self._subscribers:
-                subscriber(self.state)
+            self._notify()
+
+    def _notify(self) -> None:
+        for subscriber in self._subscribers:
+            subscriber(self.state)
 
 
 def _revision(decision: Decision) -> int:
--- a/passgate/state/fold.py
+++ b/passgate/state/fold.py
@@ -116,7 +116,10 @@
         if isinstance(record.body, UnknownBody):
             self.unknown_records += 1
             return Rejected(offset, UnknownRecord("kind of a newer version", kind=record.body.kind))
-        return self.fold.apply(offset, record)
+        try:
+            return self.fold.apply(offset, record)
+        except Exception as error:  # Pure, so every reader fails alike; a bad record must not stop them.
+            return Rejected(offset, PassgateError("the record can not be applied", cause=repr(error)))
 
     def snapshot(self) -> SnapshotTaken | None:
         """Return the state after the last record, or None when it would be incomplete.
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -24,7 +24,7 @@
 
 from passgate.errors import DeadlineExceeded, ExecutionStatus, LogError
 from passgate.interfaces import LogBatch, LogClient, LogEntry
-from passgate.records import Body, Record
+from passgate.records import Body, Record, SnapshotTaken
 from passgate.state import snapshots
 from passgate.state.append_queue import AppendCounters, AppendQueue, Backoff
 from passgate.state.fold import Accepted, Decision, Fold, Rejected, StreamState
@@ -35,8 +35,8 @@
 READ_WAIT_S = 10.0
 READ_TIMEOUT_S = 5.0
 """How much longer than its own wait a read may take."""
-RETAINED_ENTRIES = 512
-"""Latest entries kept for peers that can not reach the log."""
+OWN_RECORD_WAIT_S = 0.5
+"""A waiting read is given up when it does not show our appended record for so long."""
 
 AppliedCallback = Callable[[int, Record, Decision], None]
 
@@ -62,6 +62,7 @@
         writer: str,
         *,
         use_snapshots: bool = False,
+        retained_entries: int = 0,
         on_applied: AppliedCallback | None = None,
         on_abandoned: Callable[[Record, Decision], None] | None = None,
         random: Random | None = None,
@@ -71,12 +72,16 @@
         self._log = log
         self._state = StreamState(fold)
         self._on_applied = on_applied
+        self.on_restored: Callable[[], None] | None = None
+        """Called when a snapshot has replaced the fold's state."""
         self._use_snapshots = use_snapshots
         random = random or Random(writer)
         self._backoff = Backoff(random)
         self._queue = AppendQueue(log, stream, writer, random)
         self._queue.on_abandoned = on_abandoned
-        self._retained: deque[LogEntry] = deque(maxlen=RETAINED_ENTRIES)
+        self._queue.on_appended = self._expect_own_records
+        self._read_again = asyncio.Event()
+        self._retained: deque[LogEntry] = deque(maxlen=retained_entries)
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._synchronised = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -163,6 +168,24 @@
         self._wake_waiters()
         return applied
 
+    def restore(self, snapshot: SnapshotTaken) -> bool:
+        """Adopt a snapshot that is newer than what is applied; return whether it was adopted.
+
+        Only before anything was proposed here: a snapshot hides the decisions
+        on the records that it stands for.
+        """
+        if not self._queue.unused or not self._state.restore(snapshot):
+            return False
+        self._retained.clear()
+        if self.on_restored is not None:
+            self.on_restored()
+        self._wake_waiters()
+        return True
+
+    def snapshot(self) -> SnapshotTaken | None:
+        """Return a snapshot of what is applied, for a peer that starts; None when not possible."""
+        return self._state.snapshot() if self.next_offset else None
+
     async def _run(self) -> None:
         if self._use_snapshots:
             await self._restore_snapshot()
@@ -175,7 +198,7 @@
         while self.next_offset == 0:
             try:
                 for snapshot in await snapshots.latest(self._log, self.stream):
-                    if self._state.restore(snapshot):
+                    if self.restore(snapshot):
                         break
             except LogError:
                 self.counters.read_failures += 1
@@ -186,12 +209,15 @@
 
     async def _read_once(self) -> None:
         wait_s = READ_WAIT_S if self.synchronised else 0.0
+        self._read_again.clear()
         try:
             batch = await self._read(wait_s)
-        except LogError:
+        except Exception:  # Whatever an adapter raises, the follower goes on.
             self.counters.read_failures += 1
             await asyncio.sleep(self._backoff.next_s())
             return
+        if batch is None:
+            return
         applied = self.adopt(batch.entries)
         if batch.entries and applied == 0:
             # A gap or only old entries: a replica that is behind; do not spin on it.
@@ -201,12 +227,30 @@
         if self.next_offset >= batch.end_offset:
             self._synchronised.set()
 
-    async def _read(self, wait_s: float) -> LogBatch:
+    async def _read(self, wait_s: float) -> LogBatch | None:
+        """Read once; None when the read was interrupted."""
         read = self._log.read(self.stream, self.next_offset, READ_LIMIT_RECORDS, wait_s)
+        reading = asyncio.ensure_future(read)
+        interrupted = asyncio.ensure_future(self._read_again.wait())
+        timeout_s = wait_s + READ_TIMEOUT_S
         try:
-            return await asyncio.wait_for(read, wait_s + READ_TIMEOUT_S)
-        except TimeoutError:
-            raise LogError("the read did not return") from None
+            await asyncio.wait({reading, interrupted}, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done():
+                return reading.result()
+            if interrupted.done():
+                return None
+            raise LogError("the read did not return")
+        finally:
+            reading.cancel()
+            interrupted.cancel()
+
+    def _expect_own_records(self) -> None:
+        """Read again when a record of ours that is surely on the log stays out of sight."""
+        asyncio.get_running_loop().call_later(OWN_RECORD_WAIT_S, self._interrupt_read)
+
+    def _interrupt_read(self) -> None:
+        if not self._queue.idle:
+            self._read_again.set()
 
     def _apply(self, entry: LogEntry) -> None:
         record, decision = self._state.apply(entry.offset, entry.payload)
