--- a/passgate/clients/http_engine.py
+++ b/passgate/clients/http_engine.py
@@ -60,6 +60,10 @@
             while not verifier.done:
                 for chunk in verifier.feed(await transfer.read()):
                     yield chunk
+        except PassgateError as error:
+            if verifier.started and error.execution is ExecutionStatus.UNKNOWN:
+                error.execution = ExecutionStatus.RAN
+            raise
         finally:
             if verifier.done:
                 transfer.finish_unread()
@@ -119,6 +123,11 @@
         self._events = wire.EventDecoder()
         self._last: GenerateChunk | None = None
 
+    @property
+    def started(self) -> bool:
+        """Whether a token of this request's output has arrived."""
+        return self._position > len(self._request.resume_tokens)
+
     def feed(self, data: bytes) -> list[GenerateChunk]:
         """Return the chunks completed by ``data``; ``b""`` means that the body ended.
 
@@ -193,7 +202,7 @@
     def _reported(self, event: wire.CompletionEvent) -> PassgateError:
         error = event.error
         assert error is not None
-        if error.execution is ExecutionStatus.NOT_RUN and self._position == len(self._request.resume_tokens):
+        if error.execution is ExecutionStatus.NOT_RUN and not self.started:
             return reported_failure(error)
         return self._incomplete(error.message, code=error.code)
 
--- /dev/null
+++ b/passgate/emulator/admin_client.py
@@ -0,0 +1,54 @@
+"""Client of the stand-ins' administration port."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+
+from passgate.clients import wire
+from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy
+from passgate.clients.curl import HttpClient
+from passgate.clients.replies import decode_body, decode_error
+from passgate.emulator.admin_messages import FaultCommand, FaultKind, StandInAddresses, StandInState
+from passgate.errors import PlatformError
+
+ADMIN_TIMEOUT_S = 10.0
+
+
+class StandInAdmin:
+    """Injects faults into running stand-ins and reads their counters."""
+
+    def __init__(self, http: HttpClient, address: str, credential: str | None = None) -> None:
+        self._http = http
+        self._base = f"http://{address}/admin"
+        self._headers = wire.authorization(credential)
+
+    async def addresses(self) -> StandInAddresses:
+        """Return where everything listens; raises PlatformError."""
+        return decode_body(await self._send("GET", "/addresses"), StandInAddresses)
+
+    async def state(self, prefix: str = "") -> StandInState:
+        """Return counters; request identifiers only with ``prefix``; raises PlatformError."""
+        return decode_body(await self._send("GET", f"/state?prefix={quote(prefix)}"), StandInState)
+
+    async def inject(self, kind: FaultKind, target: str = "", value: float = 1.0, argument: str = "") -> None:
+        """Inject one fault; raises PlatformError when the stand-ins refuse it."""
+        command = FaultCommand(kind=kind, target=target, value=value, argument=argument)
+        await self._send("POST", "/faults", msgspec.json.encode(command))
+
+    async def _send(self, method: str, path: str, body: bytes | None = None) -> HttpAnswer:
+        call = HttpCall(
+            method=method,
+            url=self._base + path,
+            body=body,
+            headers=self._headers,
+            send=SendPolicy.ONCE if body else SendPolicy.REPEAT,
+            timeout_s=ADMIN_TIMEOUT_S,
+        )
+        answer = await self._http.fetch(call)
+        if answer.status != 200:
+            error = decode_error(answer)
+            message = "stand-ins refused" if error is None else error.message
+            raise PlatformError(message, status=answer.status)
+        return answer
--- /dev/null
+++ b/tests/test_clients_http_engine.py
@@ -0,0 +1,120 @@
+"""The stream verifier: nothing unproven leaves it, however the bytes are cut."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passgate.clients import wire
+from passgate.clients.http_engine import StreamVerifier
+from passgate.errors import (
+    AnswerMismatch,
+    BackendRefused,
+    Draining,
+    IncompleteAnswer,
+    PassgateError,
+    VersionNotReported,
+)
+from passgate.schema import FinishReason, GenerateChunk, GenerateRequest
+
+DONE = wire.encode_event(wire.DONE_MARK)
+REQUEST = GenerateRequest(request_id="r1", caller="t", pool="p", model="m", prompt=(1,), max_tokens=8)
+
+
+def chunk(start, tokens, finish=None, version=3, request_id="r1"):
+    return GenerateChunk(
+        request_id=request_id, start=start, tokens=tuple(tokens), version=version, finish_reason=finish
+    )
+
+
+def whole_stream():
+    return [chunk(0, (5, 6)), chunk(2, (7,), version=4), chunk(3, (8,), FinishReason.STOP, version=4)]
+
+
+def encode(chunks):
+    total = sum(len(each.tokens) for each in chunks)
+    return b"".join(wire.encode_chunk(each, total if each.finish_reason else None) for each in chunks)
+
+
+def read_all(verifier, pieces):
+    chunks = []
+    for piece in pieces:
+        chunks += verifier.feed(piece)
+        if verifier.done:
+            return chunks
+    verifier.feed(b"")
+    raise AssertionError("an ended body was taken")
+
+
+@given(st.lists(st.integers(0, 400), max_size=12))
+def test_stream_cut_anywhere_into_pieces_gives_the_same_chunks(cuts):
+    data = b": keep-alive\r\n\r\n" + encode(whole_stream()) + DONE
+    edges = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+    pieces = [data[start:end] for start, end in zip(edges, edges[1:], strict=False)]
+    assert read_all(StreamVerifier(REQUEST), pieces) == whole_stream()
+
+
+@given(st.integers(1, 600))
+def test_truncated_stream_is_never_whole(length):
+    data = encode(whole_stream()) + DONE.rstrip()
+    verifier = StreamVerifier(REQUEST)
+    seen = verifier.feed(data[: min(length, len(data) - 1)])
+    assert not verifier.done
+    assert all(each.finish_reason is None for each in seen)
+    with pytest.raises(IncompleteAnswer):
+        verifier.feed(b"")
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_give_a_typed_error_or_nothing(data):
+    verifier = StreamVerifier(REQUEST)
+    try:
+        assert verifier.feed(data + b"\n\n") == []
+    except PassgateError:
+        return
+
+
+@pytest.mark.parametrize(
+    ("chunks", "error"),
+    [
+        ([chunk(0, (5,), request_id="other")], AnswerMismatch),
+        ([chunk(1, (5,))], IncompleteAnswer),
+        ([chunk(0, (5, 6)), chunk(1, (6,))], IncompleteAnswer),
+        ([chunk(0, (5,), version=None)], VersionNotReported),
+        ([chunk(0, range(9))], IncompleteAnswer),
+        ([chunk(0, (5,), FinishReason.STOP), chunk(1, (6,))], IncompleteAnswer),
+        ([chunk(0, (5,), FinishReason.STOP), chunk(1, (6,), FinishReason.STOP)], IncompleteAnswer),
+    ],
+    ids=["other", "gap", "overlap", "no-version", "too-many", "after-finish", "two-finishes"],
+)
+def test_bad_piece_is_refused(chunks, error):
+    with pytest.raises(error):
+        StreamVerifier(REQUEST).feed(b"".join(wire.encode_chunk(each) for each in chunks) + DONE)
+
+
+def test_end_mark_without_finish_reason_is_incomplete():
+    with pytest.raises(IncompleteAnswer):
+        StreamVerifier(REQUEST).feed(encode([chunk(0, (5,))]) + DONE)
+
+
+def test_wrong_reported_total_is_incomplete():
+    with pytest.raises(IncompleteAnswer):
+        StreamVerifier(REQUEST).feed(wire.encode_chunk(chunk(0, (5,), FinishReason.STOP), 2) + DONE)
+
+
+def test_engine_that_does_not_tell_positions_is_counted():
+    event = wire.CompletionEvent(
+        id="r1", choices=(wire.CompletionChoice(token_ids=(5, 6)),), weight_version=3
+    )
+    verifier = StreamVerifier(REQUEST)
+    data = wire.encode_event(msgspec.json.encode(event))
+    assert [each.start for each in verifier.feed(data * 2)] == [0, 2]
+
+
+def test_refusal_inside_the_stream_is_not_run_only_before_the_first_token():
+    refusal = wire.CompletionEvent(error=Draining().body())
+    data = wire.encode_event(msgspec.json.encode(refusal))
+    with pytest.raises(BackendRefused):
+        StreamVerifier(REQUEST).feed(data)
+    with pytest.raises(IncompleteAnswer):
+        StreamVerifier(REQUEST).feed(encode([chunk(0, (5,))]) + data)
