--- a/passgate/emulator/engine_batch.py
+++ b/passgate/emulator/engine_batch.py
@@ -162,13 +162,24 @@
     def _produce(self, sequence: Sequence, count: int) -> None:
         version = self._weights.active[sequence.request.model]
         assert version is not None
-        chunk = sequence.produce(count, version)
-        self._counters.decoded_tokens += len(chunk.tokens)
-        self._emit(ChunkProduced(chunk))
-        if chunk.finish_reason is not None:
+        self._counters.decoded_tokens += sequence.produce(count, version)
+        if sequence.remaining == 0:
             self._counters.finished += 1
             del self._by_id[sequence.request.request_id]
+            self._send(sequence, version)
             self._leave(sequence)
+        elif sequence.sent_pieces == 0 or sequence.unsent >= self._parameters.stream_interval_tokens:
+            self._send(sequence, version)
+
+    def _send(self, sequence: Sequence, version: int) -> None:
+        self._emit(ChunkProduced(sequence.take_chunk(version)))
+
+    def flush(self, model: str) -> None:
+        """Stream all unsent tokens of a model, before its version changes."""
+        version = self._weights.active[model]
+        for sequence in self.sequences_of(model):
+            if sequence.unsent and version is not None:
+                self._send(sequence, version)
 
     def _plan(self, now_s: float) -> Step:
         prefilling, decoding = self._divide()
@@ -197,7 +208,7 @@
         if prefilling:
             return 1
         shortest = min(sequence.remaining for sequence in decoding)
-        return min(shortest, self._parameters.stream_interval_steps)
+        return min(shortest, self._parameters.stream_interval_tokens)
 
     def _timed_step(
         self, now_s: float, count: int, prefilling: list[tuple[Sequence, int]], decoding: list[Sequence]
--- a/passgate/emulator/engine_control.py
+++ b/passgate/emulator/engine_control.py
@@ -171,6 +171,7 @@
         if self._take_swap_failure(SwapFailure.KEEPS_OLD):
             self._fail(order, RefusalReason.SWAP_FAILED, "the old version is still active")
         elif self._take_swap_failure(SwapFailure.LOSES_WEIGHTS):
+            self._batch.flush(order.model)
             self._weights.lose(order.model)
             self._batch.fail(self._batch.sequences_of(order.model), EndReason.WEIGHTS_LOST)
             self._batch.invalidate(order.model, now_s)
@@ -180,6 +181,7 @@
 
     def _use_staged(self, order: EngineOrder, now_s: float) -> None:
         self._batch.invalidate(order.model, now_s)
+        self._batch.flush(order.model)
         self._weights.activate(order.model, order.version)
         if self._parameters.recompute_kv_on_swap:
             for sequence in [item for item in self._batch.running if item.request.model == order.model]:
--- a/passgate/emulator/engine_sequence.py
+++ b/passgate/emulator/engine_sequence.py
@@ -18,11 +18,14 @@
     """State of one request in an engine, waiting or running."""
 
     __slots__ = (
+        "_key_version",
+        "_version_key",
         "arrival",
         "arrived_s",
         "cache_version",
         "cancelled",
         "computed",
+        "context",
         "digest",
         "finish_reason",
         "held_keys",
@@ -31,7 +34,10 @@
         "prefix_hashes",
         "priority",
         "private_blocks",
+        "remaining",
         "request",
+        "sent",
+        "sent_pieces",
         "started_s",
     )
 
@@ -55,6 +61,14 @@
             request.prompt, request.seed, request.max_tokens, lengths
         )
         self.output = list(request.resume_tokens)
+        self.sent = len(self.output)
+        self.sent_pieces = 0
+        self._key_version = 0
+        self._version_key = 0
+        self.context = len(request.prompt) + len(self.output)
+        """Tokens that must have KV entries before the next token can be decoded."""
+        self.remaining = max(0, self.length - len(self.output))
+        """Tokens still to be decoded."""
         self.prefix_hashes = block_hashes((*request.prompt, *request.resume_tokens), block_tokens)
         self.computed = 0
         """Tokens whose KV entries exist; below ``context`` while prefilling."""
@@ -68,16 +82,6 @@
         """Sort key: more urgent first, then earlier arrival."""
         return (self.priority, self.arrival)
 
-    @property
-    def context(self) -> int:
-        """Tokens that must have KV entries before the next token can be decoded."""
-        return len(self.request.prompt) + len(self.output)
-
-    @property
-    def remaining(self) -> int:
-        """Tokens still to be decoded."""
-        return max(0, self.length - len(self.output))
-
     @property
     def prefilling(self) -> bool:
         """Whether KV entries are still being computed."""
@@ -93,22 +97,42 @@
         model = self.request.model
         return [BlockKey(model, version, prefix_hash) for prefix_hash in self.prefix_hashes]
 
-    def produce(self, count: int, version: int) -> GenerateChunk:
-        """Decode up to ``count`` tokens under ``version`` and return them as one piece."""
+    def produce(self, count: int, version: int) -> int:
+        """Decode up to ``count`` tokens under ``version``; return how many."""
         start = len(self.output)
-        count = min(count, self.remaining)
-        key = output_key(self.request.model, self.digest, self.request.seed, version)
-        tokens = [output_token(key, position) for position in range(start, start + count)]
-        self.output.extend(tokens)
+        if count > self.remaining:
+            count = self.remaining
+        key = self._key(version)
+        self.output.extend([output_token(key, position) for position in range(start, start + count)])
+        self.remaining -= count
+        self.context += count
         self.computed = self.context
+        return count
+
+    @property
+    def unsent(self) -> int:
+        """Decoded tokens that have not been streamed yet."""
+        return len(self.output) - self.sent
+
+    def take_chunk(self, version: int) -> GenerateChunk:
+        """Return the unsent tokens as one piece; all of them were decoded under ``version``."""
+        start = self.sent
+        self.sent = len(self.output)
+        self.sent_pieces += 1
         return GenerateChunk(
             request_id=self.request.request_id,
             start=start,
-            tokens=tuple(tokens),
+            tokens=tuple(self.output[start:]),
             version=version,
             finish_reason=self._finish_reason(),
         )
 
+    def _key(self, version: int) -> int:
+        if self._key_version != version:
+            self._key_version = version
+            self._version_key = output_key(self.request.model, self.digest, self.request.seed, version)
+        return self._version_key
+
     def _finish_reason(self) -> FinishReason | None:
         return self.finish_reason if self.remaining == 0 else None
 
--- a/passgate/emulator/parameters.py
+++ b/passgate/emulator/parameters.py
@@ -43,8 +43,9 @@
     step_per_prefill_token_s: float = 6.0e-5
     prefill_chunk_tokens: int = 512
     """Most prompt tokens computed in one step, over all sequences."""
-    stream_interval_steps: int = 8
-    """Decode steps per streamed piece; arrivals still enter at the next single step."""
+    stream_interval_tokens: int = 8
+    """Tokens per streamed piece after the first one, and most decode steps computed at
+    once; arrivals still enter the batch at the next single step."""
     max_running: int = 48
     max_waiting: int = 512
     """Requests beyond it are refused before running."""
@@ -110,8 +111,6 @@
     concurrency: int = 4
     max_waiting: int = 32
     restart_s: float = 5.0
-    report_interval_s: float = 0.25
-    report_lag_s: float = 0.25
 
 
 class AppGroup(_Parameters, frozen=True, kw_only=True):
--- /dev/null
+++ b/passgate/emulator/world.py
@@ -0,0 +1,135 @@
+"""One emulated deployment: network, platform, engines and applications.
+
+Made inside a running loop, as its parts read the loop's time:
+
+>>> import asyncio
+>>> from passgate.clock import new_virtual_loop
+>>> from passgate.emulator.parameters import load_deployment
+>>> async def sizes():
+...     world = EmulatedWorld(load_deployment("olhar"), seed=1)
+...     machines = await world.machine_list.machines()
+...     world.close()
+...     return len(world.engines), len(world.apps), len(machines)
+>>> loop = new_virtual_loop()
+>>> loop.run_until_complete(sizes())
+(5, 3, 8)
+>>> loop.close()
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from passgate.clock import monotonic_s
+from passgate.emulator.app import EmulatedApp
+from passgate.emulator.app_model import AppModel
+from passgate.emulator.engine import EmulatedEngine
+from passgate.emulator.engine_model import EngineModel
+from passgate.emulator.ledger import RunLedger
+from passgate.emulator.log_model import MemoryLog, MemoryLogClient
+from passgate.emulator.machine_list import EmulatedMachineList
+from passgate.emulator.memory_clients import BackendRegistry, MemoryAppClient, MemoryEngineClient
+from passgate.emulator.network import Network
+from passgate.emulator.parameters import DeploymentParameters
+from passgate.emulator.weight_store import EmulatedWeightStore
+from passgate.schema import MachineInfo, MachineRole
+
+SERVICE_LABEL = "service"
+"""Label of back ends that names their group, for pool selectors."""
+ZONE_LABEL = "zone"
+
+
+class EmulatedWorld:
+    """Everything outside of passgate, built from a deployment's parameters and a seed."""
+
+    def __init__(self, parameters: DeploymentParameters, seed: int) -> None:
+        self.parameters = parameters
+        self.seed = seed
+        self.ledger = RunLedger()
+        self.network = Network(parameters.network, self.random("network"))
+        self.log = MemoryLog(parameters.log)
+        self.store = EmulatedWeightStore(parameters.store)
+        self.machine_list = EmulatedMachineList(parameters.machine_list)
+        self.registry = BackendRegistry()
+        self.engines: dict[str, EmulatedEngine] = {}
+        self.apps: dict[str, EmulatedApp] = {}
+        for model in parameters.engines.models:
+            self.store.publish(model.name, model.boot_version, model.weight_bytes)
+        for index in range(parameters.engines.replicas):
+            self._add_engine(index)
+        for index in range(parameters.apps.replicas):
+            self._add_app(index)
+
+    def random(self, name: str) -> Random:
+        """Return a random source of this seed for one named part."""
+        return Random(f"{self.seed}/{name}")
+
+    def engine_client(self, zone: str) -> MemoryEngineClient:
+        """Return the engine client of a daemon in ``zone``."""
+        return MemoryEngineClient(self.registry, self.network, zone)
+
+    def app_client(self, zone: str) -> MemoryAppClient:
+        """Return the application client of a daemon in ``zone``."""
+        return MemoryAppClient(self.registry, self.network, zone)
+
+    def log_client(self, zone: str, name: str = "") -> MemoryLogClient:
+        """Return the log client of a daemon in ``zone``; ``name`` separates random sources."""
+        return MemoryLogClient(self.log, self.network, zone, self.random(f"log/{zone}/{name}"))
+
+    def publish(self, model: str, version: int) -> None:
+        """Put new weights of a model into the store, as its trainer does."""
+        self.store.publish(model, version, self.parameters.model(model).weight_bytes)
+
+    def peer(self, address: str) -> EmulatedEngine | None:
+        """Return the engine at an address, as a source of weights."""
+        return self.registry.engines.get(address)
+
+    async def carry(self, source_zone: str, target_zone: str) -> None:
+        """Wait for the network; raises BackendUnreachable across a lasting cut."""
+        await self.network.deliver(source_zone, target_zone)
+
+    def close(self) -> None:
+        """Stop all timers and transfers."""
+        for engine in self.engines.values():
+            engine.close()
+        for app in self.apps.values():
+            app.close()
+
+    def _add_engine(self, index: int) -> None:
+        group = self.parameters.engines
+        machine = self._machine(MachineRole.ENGINE, group.name, index)
+        model = EngineModel(
+            machine.machine_id,
+            group.engine,
+            group.models,
+            self.random(machine.machine_id),
+            monotonic_s(),
+            self.ledger,
+        )
+        engine = EmulatedEngine(model, machine.address, machine.zone, self)
+        self.engines[machine.machine_id] = engine
+        self.registry.add_engine(engine)
+        self.machine_list.register(machine)
+
+    def _add_app(self, index: int) -> None:
+        group = self.parameters.apps
+        machine = self._machine(MachineRole.APP, group.name, index)
+        model = AppModel(
+            machine.machine_id, group.app, self.random(machine.machine_id), monotonic_s(), self.ledger
+        )
+        app = EmulatedApp(model, machine.address, machine.zone)
+        self.apps[machine.machine_id] = app
+        self.registry.add_app(app)
+        self.machine_list.register(machine)
+
+    def _machine(self, role: MachineRole, group: str, index: int) -> MachineInfo:
+        zones = self.parameters.zones
+        zone_index = index % len(zones)
+        network = 1 if role is MachineRole.ENGINE else 2
+        return MachineInfo(
+            machine_id=f"{group}-{index}",
+            role=role,
+            address=f"10.{zone_index}.{network}.{index + 1}:8000",
+            zone=zones[zone_index],
+            labels={SERVICE_LABEL: group, ZONE_LABEL: zones[zone_index]},
+        )
