Test the stand-ins with faults over real sockets

Cause: crash, restart, draining, lost answers, log outage, fenced orders and peer-to-peer weights were only tried in virtual time. Checked: pytest tests/test_servers_standins.py, 9 passed in 4.9 s, among them the command as a process (addresses on stdout and in the file, exit 0 on SIGTERM).

--- /dev/null
+++ b/tests/test_servers_standins.py
@@ -0,0 +1,280 @@
+"""A whole deployment's outside world over sockets, with faults from its administration port."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import subprocess
+import sys
+
+import msgspec
+import pytest
+
+from passgate.clients.curl import HttpClient
+from passgate.clients.http_app import HttpAppClient
+from passgate.clients.http_engine import HttpEngineClient
+from passgate.clients.http_log import HttpLogClient
+from passgate.clients.http_platform import HttpMachineList, HttpWeightStore
+from passgate.emulator.admin_client import StandInAdmin
+from passgate.emulator.admin_messages import FaultKind, StandInAddresses
+from passgate.emulator.parameters import load_deployment
+from passgate.emulator.standins_server import StandIns
+from passgate.errors import (
+    BackendRefused,
+    BackendUnreachable,
+    ExecutionStatus,
+    LogUnavailable,
+    OrderRefused,
+    PassgateError,
+    PlatformError,
+)
+from passgate.schema import (
+    AppRequest,
+    EngineOrder,
+    GenerateRequest,
+    MachineInfo,
+    MachineRole,
+    MachineState,
+    OrderKind,
+)
+
+WAIT_S = 10.0
+
+
+def fast_deployment():
+    """Olhar with short steps and small weights, so that nothing here takes long."""
+    olhar = load_deployment("olhar")
+    replace = msgspec.structs.replace
+    engine = replace(olhar.engines.engine, step_base_s=0.001, swap_pause_s=0.001, restart_s=0.01)
+    models = tuple(replace(model, weight_bytes=1_000) for model in olhar.engines.models)
+    return replace(
+        olhar,
+        engines=replace(olhar.engines, engine=engine, models=models),
+        apps=replace(olhar.apps, app=replace(olhar.apps.app, service_mean_s=0.001)),
+        machine_list=replace(olhar.machine_list, lag_s=0.0),
+        store=replace(olhar.store, first_byte_s=0.0),
+    )
+
+
+class Outside:
+    """Clients of all stand-ins."""
+
+    def __init__(self, standins, http, addresses):
+        self.standins = standins
+        self.addresses = addresses
+        self.engine = HttpEngineClient(http)
+        self.app = HttpAppClient(http)
+        self.log = HttpLogClient(http, addresses.logs["campina"])
+        self.machines = HttpMachineList(http, addresses.platform)
+        self.weights = HttpWeightStore(http, addresses.platform)
+        self.admin = StandInAdmin(http, addresses.admin)
+
+
+@contextlib.asynccontextmanager
+async def outside():
+    standins = StandIns(fast_deployment())
+    http = HttpClient()
+    try:
+        yield Outside(standins, http, await standins.start())
+    finally:
+        http.close()
+        standins.close()
+
+
+def generate_request(request_id="r1", max_tokens=40):
+    return GenerateRequest(
+        request_id=request_id,
+        caller="t",
+        pool="p",
+        model="defect-notes",
+        prompt=tuple(range(100)),
+        max_tokens=max_tokens,
+    )
+
+
+def app_request(request_id="a1"):
+    return AppRequest(
+        request_id=request_id,
+        caller="s",
+        pool="p",
+        method="POST",
+        path="/verdict",
+        body=b"{}",
+        repeatable=False,
+    )
+
+
+async def until(check):
+    """Ask again and again, over sockets, until the answer is true."""
+    async with asyncio.timeout(WAIT_S):
+        while not await check():
+            await asyncio.sleep(0)
+
+
+def test_every_service_answers():
+    async def main():
+        async with outside() as out:
+            chunks = [
+                c async for c in out.engine.generate(out.addresses.engines["modelos-0"], generate_request())
+            ]
+            assert chunks[-1].finish_reason is not None
+            assert {c.version for c in chunks} == {1}
+            assert (await out.app.call(out.addresses.apps["linha-1"], app_request())).status == 200
+            assert await out.log.append("config", [b"x"], WAIT_S) == 0
+            machines = {m.machine_id: m.address for m in await out.machines.machines()}
+            assert machines == {**out.addresses.engines, **out.addresses.apps}
+            assert await out.weights.size_bytes("defect-notes", 1) == 1_000
+            state = await out.admin.state()
+            assert state.runs == {"a1": 1, "r1": 1}
+            assert state.servers["modelos-0"].tokens == sum(len(c.tokens) for c in chunks)
+            assert state.log.records == 1
+
+    asyncio.run(main())
+
+
+def test_crashed_engine_resets_streams_refuses_connections_and_comes_back():
+    async def main():
+        async with outside() as out:
+            address = out.addresses.engines["modelos-0"]
+            stream = out.engine.generate(address, generate_request(max_tokens=2000))
+            await anext(stream)
+            await out.admin.inject(FaultKind.CRASH, "modelos-0", 0.05)
+            with pytest.raises(PassgateError) as caught:
+                async for _ in stream:
+                    pass
+            assert caught.value.execution is ExecutionStatus.RAN
+            with pytest.raises(BackendUnreachable) as caught:
+                await out.engine.load_report(address)
+            assert caught.value.execution is ExecutionStatus.NOT_RUN
+
+            async def is_back():
+                try:
+                    return (await out.engine.load_report(address)).replica_id == "modelos-0"
+                except BackendUnreachable:
+                    return False
+
+            await until(is_back)
+
+    asyncio.run(main())
+
+
+def test_draining_engine_and_app_refuse_as_not_run_and_did_not_run():
+    async def main():
+        async with outside() as out:
+            await out.admin.inject(FaultKind.DRAIN, "modelos-1")
+            await out.admin.inject(FaultKind.DRAIN, "linha-0")
+            with pytest.raises(BackendRefused):
+                await anext(out.engine.generate(out.addresses.engines["modelos-1"], generate_request()))
+            with pytest.raises(BackendRefused):
+                await out.app.call(out.addresses.apps["linha-0"], app_request())
+            assert (await out.admin.state()).runs == {}
+
+    asyncio.run(main())
+
+
+def test_lost_answer_of_an_app_ran_once():
+    async def main():
+        async with outside() as out:
+            await out.admin.inject(FaultKind.LOSE_ANSWERS, "linha-0", 1)
+            with pytest.raises(BackendUnreachable) as caught:
+                await out.app.call(out.addresses.apps["linha-0"], app_request())
+            assert caught.value.execution is ExecutionStatus.UNKNOWN
+            state = await out.admin.state("a")
+            assert state.runs == {"a1": 1}
+            assert state.servers["linha-0"].received == {"a1": 1}
+
+    asyncio.run(main())
+
+
+def test_log_outage_and_its_end():
+    async def main():
+        async with outside() as out:
+            await out.admin.inject(FaultKind.LOG_DOWN)
+            with pytest.raises(LogUnavailable):
+                await out.log.append("s", [b"x"], WAIT_S)
+            await out.admin.inject(FaultKind.LOG_DOWN, value=0)
+            assert await out.log.append("s", [b"x"], WAIT_S) == 0
+
+    asyncio.run(main())
+
+
+def test_machines_register_leave_and_are_replaced():
+    async def main():
+        async with outside() as out:
+            daemon = MachineInfo(
+                machine_id="d/1", role=MachineRole.DAEMON, address="127.0.0.1:9", zone="campina"
+            )
+            await out.machines.register(daemon)
+            await out.machines.leave("d/1")
+            await out.admin.inject(FaultKind.LEAVE, "modelos-2")
+            machines = {m.machine_id: m.state for m in await out.machines.machines()}
+            assert machines["d/1"] is machines["modelos-2"] is MachineState.LEAVING
+            assert machines["modelos-1"] is MachineState.LIVE
+
+    asyncio.run(main())
+
+
+def test_weights_are_published_staged_from_a_peer_and_activated():
+    async def main():
+        async with outside() as out:
+            await out.weights.publish("defect-notes", 2, 1_000)
+            first, second = out.addresses.engines["modelos-0"], out.addresses.engines["modelos-1"]
+
+            async def carry_out(address, number, kind, source=""):
+                order = EngineOrder(
+                    order_id=f"{address}/{number}",
+                    kind=kind,
+                    fence=5,
+                    model="defect-notes",
+                    version=2,
+                    source=source,
+                )
+
+                async def is_done():
+                    return (await out.engine.order(address, order)).done
+
+                await until(is_done)
+
+            await carry_out(first, 1, OrderKind.STAGE_VERSION, "store")
+            await carry_out(second, 1, OrderKind.STAGE_VERSION, first)
+            await carry_out(second, 2, OrderKind.ACTIVATE_VERSION)
+            chunks = [c async for c in out.engine.generate(second, generate_request())]
+            assert {c.version for c in chunks} == {2}
+            late = EngineOrder(order_id="late", kind=OrderKind.DRAIN, fence=4)
+            with pytest.raises(OrderRefused) as caught:
+                await out.engine.order(second, late)
+            assert caught.value.details["reason"] == "old_fence"
+
+    asyncio.run(main())
+
+
+def test_platform_outage_is_typed():
+    async def main():
+        async with outside() as out:
+            await out.admin.inject(FaultKind.MACHINE_LIST_DOWN)
+            await out.admin.inject(FaultKind.STORE_DOWN)
+            with pytest.raises(PlatformError):
+                await out.machines.machines()
+            with pytest.raises(PlatformError):
+                await out.weights.size_bytes("defect-notes", 1)
+            with pytest.raises(PlatformError):
+                await out.admin.inject(FaultKind.CRASH, "nobody")
+
+    asyncio.run(main())
+
+
+def test_command_writes_its_addresses_and_stops_on_sigterm(tmp_path):
+    path = tmp_path / "addresses.json"
+    command = [sys.executable, "-m", "passgate.emulator.standins_server", "--deployment", "huon"]
+    process = subprocess.Popen([*command, "--addresses-file", str(path)], stdout=subprocess.PIPE)
+    try:
+        line = process.stdout.readline()
+        addresses = msgspec.json.decode(line, type=StandInAddresses)
+        assert len(addresses.engines) == 6
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+        assert json.loads(path.read_text())["process_id"] == process.pid
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
