--- /dev/null
+++ b/passgate/emulator/arrivals.py
@@ -0,0 +1,280 @@
+"""Supervisors and franchisees: open arrivals with a daily shape and the season's surge.
+
+Arrivals form a Poisson process whose rate follows :func:`rate_per_s`, drawn by
+thinning.  A caller retries a failed attempt, not before the time that a refusal
+names, and always under the idempotency key of its first attempt.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import AsyncIterator, Callable
+from random import Random
+
+import msgspec
+import xxhash
+
+from passgate.check.events import (
+    AnyEvent,
+    AppCompleted,
+    AppInvoked,
+    GenerateCompleted,
+    GenerateInvoked,
+    RequestCutOff,
+    RequestFailed,
+)
+from passgate.clock import monotonic_s
+from passgate.emulator.app_model import expected_app_body
+from passgate.emulator.expected_output import Verdict, expected_length, verify
+from passgate.emulator.parameters import ArrivalParameters, ModelParameters
+from passgate.emulator.prompts import PromptSource
+from passgate.emulator.service import Service
+from passgate.emulator.tally import ArrivalTally
+from passgate.errors import ExecutionStatus, OutcomeUnknown, PassgateError
+from passgate.schema import AppRequest, GenerateRequest
+
+FIRST_BACKOFF_S = 0.1
+CALLER_SLACK_S = 0.5
+"""A caller waits this much longer than the deadline that it sent along."""
+
+
+class AppCallBody(msgspec.Struct, frozen=True, kw_only=True):
+    """JSON body of a call to an emulated application."""
+
+    order: str
+    """Unique for each call, the same in all of its attempts."""
+    items: int
+
+
+class _Call(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    arrived_s: float
+    repeatable: bool
+    prompt: tuple[int, ...] = ()
+    seed: int = 0
+    items: int = 0
+
+
+def rate_per_s(parameters: ArrivalParameters, at_s: float) -> float:
+    """Return the arrival rate at ``at_s`` seconds after the start.
+
+    >>> calls = ArrivalParameters(name="c", kind="app", rate_per_s=10.0, daily_amplitude=0.5,
+    ...                           day_s=400.0, surge_factor=3.0, surge_start_s=100.0, surge_end_s=200.0)
+    >>> rate_per_s(calls, 0.0), rate_per_s(calls, 100.0)
+    (10.0, 45.0)
+    """
+    shape = 1.0 + parameters.daily_amplitude * math.sin(2 * math.pi * at_s / parameters.day_s)
+    surging = parameters.surge_start_s <= at_s < parameters.surge_end_s
+    return parameters.rate_per_s * shape * (parameters.surge_factor if surging else 1.0)
+
+
+class ArrivalStream:
+    """One stream of interactive calls; :meth:`run` goes on until its time is over."""
+
+    def __init__(
+        self,
+        parameters: ArrivalParameters,
+        model: ModelParameters | None,
+        pool: str,
+        service: Service,
+        random: Random,
+        record: Callable[[AnyEvent], None] | None = None,
+    ) -> None:
+        self.parameters = parameters
+        self.tally = ArrivalTally(name=parameters.name)
+        self._model = model
+        self._pool = pool
+        self._service = service
+        self._random = random
+        self._record = record or _ignore
+        self._prompts = PromptSource(model, random) if model is not None else None
+        self._open: set[asyncio.Task[None]] = set()
+        self._defect: BaseException | None = None
+
+    async def run(self, duration_s: float, rest_s: float = 60.0) -> None:
+        """Let calls arrive for ``duration_s``, then wait up to ``rest_s`` for open ones."""
+        async for call in self._arrivals(duration_s):
+            task = asyncio.ensure_future(self._serve(call))
+            self._open.add(task)
+            task.add_done_callback(self._note_end)
+        if self._open:
+            await asyncio.wait(self._open, timeout=rest_s)
+        self.tally.pending = len(self._open)
+        for task in list(self._open):
+            task.cancel()
+        if self._defect is not None:
+            raise self._defect
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        self._open.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._defect = task.exception()
+
+    async def _arrivals(self, duration_s: float) -> AsyncIterator[_Call]:
+        started_s = monotonic_s()
+        parameters = self.parameters
+        highest = parameters.rate_per_s * (1 + parameters.daily_amplitude) * max(1.0, parameters.surge_factor)
+        at_s = self._random.expovariate(highest)
+        while at_s < duration_s:
+            await asyncio.sleep(max(0.0, started_s + at_s - monotonic_s()))
+            if self._random.random() * highest < rate_per_s(parameters, at_s):
+                yield self._new_call()
+            at_s += self._random.expovariate(highest)
+
+    def _new_call(self) -> _Call:
+        self.tally.arrived += 1
+        repeatable = self._random.random() >= self.parameters.not_repeatable_share
+        name = f"{self.parameters.name}-{self.tally.arrived}"
+        if self._prompts is None:
+            items = self._random.randint(1, 40)
+            return _Call(name=name, arrived_s=monotonic_s(), repeatable=repeatable, items=items)
+        return _Call(
+            name=name,
+            arrived_s=monotonic_s(),
+            repeatable=repeatable,
+            prompt=self._prompts.prompt(),
+            seed=self._prompts.seed(),
+        )
+
+    # --- one call ------------------------------------------------------------------------
+
+    async def _serve(self, call: _Call) -> None:
+        for attempt in range(self.parameters.attempts):
+            wait_s = await self._attempt(call, attempt)
+            if wait_s is None:
+                return
+            if attempt + 1 < self.parameters.attempts:
+                await asyncio.sleep(wait_s)
+        self.tally.given_up += 1
+
+    async def _attempt(self, call: _Call, attempt: int) -> float | None:
+        """Try once; return the time to wait before the next try, or None when there is an end."""
+        request_id = f"{call.name}-{attempt}"
+        self.tally.attempts += 1
+        backoff_s = FIRST_BACKOFF_S * 2**attempt * self._random.uniform(0.5, 1.0)
+        try:
+            async with asyncio.timeout(self.parameters.deadline_s + CALLER_SLACK_S):
+                right = await self._send(call, request_id)
+        except TimeoutError:
+            self.tally.unknown += 1
+            self.tally.note_error("caller_timeout")
+            self._record(RequestCutOff(time_s=monotonic_s(), request_id=request_id))
+            return backoff_s
+        except PassgateError as error:
+            return self._note_failure(request_id, error, backoff_s)
+        self._note_answer(call, right)
+        return None
+
+    async def _send(self, call: _Call, request_id: str) -> bool:
+        if self.parameters.kind == "app":
+            return await self._send_app(call, request_id)
+        return await self._send_generate(call, request_id)
+
+    async def _send_app(self, call: _Call, request_id: str) -> bool:
+        request = AppRequest(
+            request_id=request_id,
+            caller=self.parameters.name,
+            pool=self._pool,
+            method="POST",
+            path="/calls",
+            body=msgspec.json.encode(AppCallBody(order=call.name, items=call.items)),
+            priority_class=self.parameters.priority_class,
+            deadline_s=monotonic_s() + self.parameters.deadline_s,
+            repeatable=call.repeatable,
+        )
+        expected = expected_app_body(request)
+        invoked = AppInvoked(
+            time_s=monotonic_s(),
+            request_id=request_id,
+            daemon=self._service.daemon,
+            expected_digest=answer_digest(expected),
+            key=_key(call) or "",
+            repeatable=call.repeatable,
+        )
+        self._record(invoked)
+        response = await self._service.call_app(request, _key(call))
+        digest = answer_digest(response.body)
+        self._record(AppCompleted(time_s=monotonic_s(), request_id=request_id, answer_digest=digest))
+        return response.status == 200 and response.body == expected
+
+    async def _send_generate(self, call: _Call, request_id: str) -> bool:
+        assert self._model is not None
+        request = GenerateRequest(
+            request_id=request_id,
+            caller=self.parameters.name,
+            pool=self._pool,
+            model=self._model.name,
+            prompt=call.prompt,
+            max_tokens=self.parameters.max_tokens,
+            seed=call.seed,
+            priority_class=self.parameters.priority_class,
+            deadline_s=monotonic_s() + self.parameters.deadline_s,
+            repeatable=call.repeatable,
+        )
+        length, _ = expected_length(request.prompt, request.seed, request.max_tokens, self._model.lengths)
+        invoked = GenerateInvoked(
+            time_s=monotonic_s(),
+            request_id=request_id,
+            daemon=self._service.daemon,
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            seed=request.seed,
+            expected_length=length,
+            key=_key(call) or "",
+            repeatable=call.repeatable,
+        )
+        self._record(invoked)
+        result = await self._service.generate(request, _key(call))
+        completed = GenerateCompleted(
+            time_s=monotonic_s(),
+            request_id=request_id,
+            answer_request_id=result.request_id,
+            tokens=result.tokens,
+            spans=result.spans,
+            finish_reason=result.finish_reason,
+        )
+        self._record(completed)
+        return verify(request, result, self._model.lengths) is Verdict.RIGHT
+
+    # --- outcomes -----------------------------------------------------------------------------
+
+    def _note_answer(self, call: _Call, right: bool) -> None:
+        if not right:
+            self.tally.wrong += 1
+            return
+        latency_s = monotonic_s() - call.arrived_s
+        self.tally.answered += 1
+        self.tally.latencies_s.append(latency_s)
+        if latency_s > self.parameters.deadline_s:
+            self.tally.late += 1
+
+    def _note_failure(self, request_id: str, error: PassgateError, backoff_s: float) -> float | None:
+        self.tally.note_error(error.code)
+        failed = RequestFailed(
+            time_s=monotonic_s(), request_id=request_id, error=error.code, execution=error.execution
+        )
+        self._record(failed)
+        if error.execution is ExecutionStatus.NOT_RUN:
+            self.tally.refused += 1
+            self.tally.not_run_ids.append(request_id)
+        else:
+            self.tally.unknown += 1
+        if isinstance(error, OutcomeUnknown):
+            self.tally.outcome_lost += 1
+            return None
+        return backoff_s if error.retry_after_s is None else error.retry_after_s
+
+
+def answer_digest(body: bytes) -> str:
+    """Return the digest of an application's answer that histories hold."""
+    return xxhash.xxh64_hexdigest(body)
+
+
+def _key(call: _Call) -> str | None:
+    return None if call.repeatable else call.name
+
+
+def _ignore(event: AnyEvent) -> None:
+    pass
--- a/passgate/emulator/world.py
+++ b/passgate/emulator/world.py
@@ -42,10 +42,10 @@
 class EmulatedWorld:
     """Everything outside of passgate, built from a deployment's parameters and a seed."""
 
-    def __init__(self, parameters: DeploymentParameters, seed: int) -> None:
+    def __init__(self, parameters: DeploymentParameters, seed: int, ledger: RunLedger | None = None) -> None:
         self.parameters = parameters
         self.seed = seed
-        self.ledger = RunLedger()
+        self.ledger = ledger if ledger is not None else RunLedger()
         self.network = Network(parameters.network, self.random("network"))
         self.log = MemoryLog(parameters.log)
         self.store = EmulatedWeightStore(parameters.store)
