--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -26,6 +26,8 @@
 )
 
 SIGNALS_OFF = 1
+UPLOAD_BUFFER_BYTES = 16 * 1024
+"""Least that libcurl takes; its default of 64 KiB stays allocated for the life of a stream."""
 FINISH_UNREAD_S = 2.0
 """Time that a server has to end a body after its end mark."""
 TCP_KEEPALIVE_IDLE_S = 10
@@ -179,6 +181,7 @@
         if self.call.send is SendPolicy.ONCE_ON_FRESH_CONNECTION:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
             handle.setopt(pycurl.FORBID_REUSE, 1)
+        handle.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES)
         handle.setopt(pycurl.PREREQFUNCTION, self._on_send)
         handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
         handle.setopt(pycurl.WRITEFUNCTION, self._on_data)
