Run both example deployments with passgate demo

Cause: the whole path from callers over daemons to stand-ins had no run of its own. The demo starts stand-ins and one daemon per zone for each deployment, kills one daemon, stops another as planned, and judges by what callers were given and what back ends say they ran. Rollouts of each set of engines are wired to the daemon's leases; pools that share engines share one role, because engines remember one fence. Forwarded paths keep their escapes.

--- /dev/null
+++ b/passgate/demo_deployment.py
@@ -0,0 +1,240 @@
+"""Processes of one demonstrated deployment: stand-ins and one daemon per zone.
+
+The demonstration is a tool and may start processes; daemons never do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+from passgate.clients.calls import HttpCall, SendPolicy
+from passgate.clients.curl import HttpClient
+from passgate.emulator.admin_messages import StandInAddresses
+from passgate.emulator.parameters import DeploymentParameters
+from passgate.errors import PassgateError, PlatformError, RevisionConflict
+from passgate.operator_client import OperatorClient, rebuild_error
+from passgate.schema import MachineRole
+from passgate.server.wire import ApplyObject
+from passgate.settings import Settings, StopSettings
+from passgate.state.configuration import ModelVersionSpec, PoolSpec
+
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 60.0
+POLL_S = 0.05
+READY_CALL_TIMEOUT_S = 2.0
+STATUS_OK = 200
+SERVICE_LABEL = "service"
+STOP_NOTICE_S = 1.5
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses with ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((LOOPBACK, 0))
+        return [f"{LOOPBACK}:{item.getsockname()[1]}" for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def write_yaml(path: Path, value: Any) -> None:
+    """Write a typed value as YAML."""
+    path.write_text(yaml.safe_dump(msgspec.to_builtins(value), sort_keys=False), encoding="utf-8")
+
+
+class Process:
+    """One child process whose output goes to a file."""
+
+    def __init__(self, name: str, arguments: list[str], output: Path) -> None:
+        self.name = name
+        self._arguments = arguments
+        self._output = output
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process; its output is appended to the file."""
+        with self._output.open("ab") as stream:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, *self._arguments, stdout=stream, stderr=stream
+            )
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    def output(self) -> str:
+        """Return the last lines of the output, for error messages."""
+        return "\n".join(self._output.read_text(errors="replace").splitlines()[-5:])
+
+    async def kill(self) -> None:
+        """Kill the process without a word."""
+        assert self._process is not None
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        await self._process.wait()
+
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
+        """Ask the process to stop and return its exit code; None when it had to be killed."""
+        assert self._process is not None
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+            return None
+
+
+class DeploymentProcesses:
+    """Everything that runs for one deployment."""
+
+    def __init__(
+        self, parameters: DeploymentParameters, http: HttpClient, directory: Path, seed: int
+    ) -> None:
+        self.parameters = parameters
+        self._http = http
+        self._directory = directory / parameters.name
+        self._directory.mkdir()
+        self._seed = seed
+        self._stand_ins: Process | None = None
+        self.stand_ins: StandInAddresses | None = None
+        self.daemons: dict[str, Process] = {}
+        self.callers: dict[str, str] = {}
+        """Zone to the callers' address of its daemon."""
+        self.operators: dict[str, str] = {}
+
+    # --- start -------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start stand-ins and daemons, configure them, and wait until all are ready."""
+        await self._start_stand_ins()
+        self._prepare_daemons()
+        for daemon in self.daemons.values():
+            await daemon.start()
+        await asyncio.gather(*(self.wait_ready(zone) for zone in self.daemons))
+        await self._configure()
+
+    async def _start_stand_ins(self) -> None:
+        parameters_file = self._directory / "deployment.yaml"
+        write_yaml(parameters_file, self.parameters)
+        addresses_file = self._directory / "addresses.json"
+        arguments = ["-m", "passgate.emulator.standins_server", "--deployment", str(parameters_file)]
+        arguments += ["--addresses-file", str(addresses_file), "--seed", str(self._seed)]
+        self._stand_ins = Process("stand-ins", arguments, self._directory / "stand-ins.log")
+        await self._stand_ins.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not addresses_file.exists():
+                if not self._stand_ins.running:
+                    raise PlatformError(f"the stand-ins ended: {self._stand_ins.output()}")
+                await asyncio.sleep(POLL_S)
+        self.stand_ins = msgspec.json.decode(addresses_file.read_bytes(), type=StandInAddresses)
+
+    def _prepare_daemons(self) -> None:
+        zones = self.parameters.zones
+        peers = free_addresses(len(zones) * 3)
+        for index, zone in enumerate(zones):
+            caller, operator, peer = (peers[index + kind * len(zones)] for kind in range(3))
+            self.callers[zone], self.operators[zone] = caller, operator
+            settings = self._settings(zone, caller, operator, peer, tuple(peers[2 * len(zones) :]))
+            settings_file = self._directory / f"{zone}.yaml"
+            write_yaml(settings_file, settings)
+            arguments = ["-m", "passgate", "serve", "--settings", str(settings_file)]
+            self.daemons[zone] = Process(zone, arguments, self._directory / f"{zone}.log")
+
+    def _settings(self, zone: str, caller: str, operator: str, peer: str, seeds: tuple[str, ...]) -> Any:
+        assert self.stand_ins is not None
+        settings = Settings(
+            daemon_id=f"{zone}-1",
+            zone=zone,
+            log_address=self.stand_ins.logs[zone],
+            machine_list_address=self.stand_ins.platform,
+            weight_store_address=self.stand_ins.platform,
+            caller_address=caller,
+            operator_address=operator,
+            peer_address=peer,
+            seeds=tuple(seed for seed in seeds if seed != peer),
+            labels={"deployment": self.parameters.name},
+            stop=StopSettings(notice_s=STOP_NOTICE_S, leave_timeout_s=1.0, retry_after_s=0.2),
+        )
+        values = msgspec.structs.asdict(settings)
+        del values["credentials"]
+        return values
+
+    async def wait_ready(self, zone: str) -> None:
+        """Wait until the daemon of a zone is ready."""
+        url = f"http://{self.operators[zone]}/readyz"
+        call = HttpCall(method="GET", url=url, send=SendPolicy.REPEAT, timeout_s=READY_CALL_TIMEOUT_S)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                if not self.daemons[zone].running:
+                    raise PlatformError(f"daemon {zone} ended: {self.daemons[zone].output()}")
+                with contextlib.suppress(PassgateError):
+                    if (await self._http.fetch(call)).status == STATUS_OK:
+                        return
+                await asyncio.sleep(POLL_S)
+
+    async def _configure(self) -> None:
+        """Put pools and boot versions on the log through one daemon; all daemons take them up."""
+        client = OperatorClient(self._http, next(iter(self.operators.values())))
+        answer = await client.apply(configuration_objects(self.parameters))
+        for result in answer.results:
+            if result.error is not None:
+                error = rebuild_error(result.error)
+                if not isinstance(error, RevisionConflict):
+                    raise error
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                watch = await client.watch()
+                reached = [view for view in watch.daemons if view.reached and view.behind == 0]
+                if len(reached) == len(self.daemons):
+                    return
+                await asyncio.sleep(POLL_S)
+
+    # --- end ---------------------------------------------------------------------------
+
+    async def stop_all(self) -> None:
+        """End all processes, daemons at once."""
+        for daemon in self.daemons.values():
+            if daemon.running:
+                await daemon.kill()
+        if self._stand_ins is not None and self._stand_ins.running:
+            await self._stand_ins.stop(5.0)
+
+
+def pool_of_model(parameters: DeploymentParameters, model: str) -> str:
+    """Return the name of the pool that serves a model, or of the application pool for ``""``."""
+    return f"{parameters.engines.name}-{model}" if model else parameters.apps.name
+
+
+def configuration_objects(parameters: DeploymentParameters) -> tuple[ApplyObject, ...]:
+    """Return the pools and boot versions of a deployment."""
+    engines = f"{SERVICE_LABEL}={parameters.engines.name}"
+    apps = PoolSpec(selector=f"{SERVICE_LABEL}={parameters.apps.name}", role=MachineRole.APP)
+    objects = [_object("Pool", parameters.apps.name, {"for": "callers"}, apps)]
+    for model in parameters.engines.models:
+        pool = PoolSpec(selector=engines, role=MachineRole.ENGINE, model=model.name)
+        objects.append(_object("Pool", pool_of_model(parameters, model.name), {"model": model.name}, pool))
+        version = ModelVersionSpec(model=model.name, version=model.boot_version)
+        name = f"{model.name}-{model.boot_version}"
+        objects.append(_object("ModelVersion", name, {"model": model.name}, version))
+    return tuple(objects)
+
+
+def _object(kind: str, name: str, labels: dict[str, str], spec: Any) -> ApplyObject:
+    return ApplyObject(
+        kind=kind, name=name, labels=labels, spec=msgspec.Raw(msgspec.json.encode(spec)), expected_revision=0
+    )
--- a/passgate/emulator/admin_server.py
+++ b/passgate/emulator/admin_server.py
@@ -60,7 +60,7 @@
     log = world.log.counters
     return StandInState(
         runs={request_id: world.ledger.runs(request_id) for request_id in sorted(ids)},
-        repeated_effects=tuple(world.ledger.repeated_effects()),
+        repeated_effects=tuple(world.ledger.repeated_single_effects()),
         servers={name: _counters(server, prefix) for name, server in standins.servers.items()},
         log=LogTotals(
             appends=log.appends,
--- a/passgate/operator_client.py
+++ b/passgate/operator_client.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from passgate import errors
-from passgate.clients.curl import HttpAnswer, HttpCall, HttpClient
+from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy
+from passgate.clients.curl import HttpClient
 from passgate.errors import ErrorBody, PassgateError
 from passgate.server.wire import (
     ApplyAnswer,
@@ -87,7 +88,7 @@
             url=self._base + path,
             body=body,
             headers=headers,
-            repeatable=method == "GET",
+            send=SendPolicy.REPEAT if method == "GET" else SendPolicy.ONCE,
             timeout_s=CALL_TIMEOUT_S,
         )
         return await self._http.fetch(call)
--- a/passgate/server/apps.py
+++ b/passgate/server/apps.py
@@ -17,6 +17,8 @@
 from passgate.state.claims import ClaimOutcome
 
 DEFAULT_PRIORITY_CLASS = "interactive"
+SEGMENTS_BEFORE_PATH = 4
+"""``/v1/apps/{pool}/`` before the forwarded path."""
 SAFE_METHODS = frozenset(("GET", "HEAD"))
 EMPTY_STATUSES = frozenset((204, 304))
 
@@ -26,30 +28,30 @@
 
     async def get(self, pool: str, path: str) -> None:
         """Forward a read."""
-        await self._forward(pool, path)
+        await self._forward(pool)
 
     async def post(self, pool: str, path: str) -> None:
         """Forward a call."""
-        await self._forward(pool, path)
+        await self._forward(pool)
 
     async def put(self, pool: str, path: str) -> None:
         """Forward a call."""
-        await self._forward(pool, path)
+        await self._forward(pool)
 
     async def patch(self, pool: str, path: str) -> None:
         """Forward a call."""
-        await self._forward(pool, path)
+        await self._forward(pool)
 
     async def delete(self, pool: str, path: str) -> None:
         """Forward a call."""
-        await self._forward(pool, path)
+        await self._forward(pool)
 
-    async def _forward(self, pool_name: str, path: str) -> None:
+    async def _forward(self, pool_name: str) -> None:
         limits = self.context.settings.limits
         options = read_options(self.request.headers, self.caller, self.shown_request_id, limits)
         if options.claim_key is not None and self.request.method in SAFE_METHODS:
             raise InvalidRequest("a read is always repeatable", method=self.request.method)
-        request = self._app_request(pool_name, path, options)
+        request = self._app_request(pool_name, options)
         dispatcher = self.context.services.dispatcher
         if options.claim_key is None:
             response = await self.run_cancellable(dispatcher.call_app(request))
@@ -58,7 +60,7 @@
             return
         await self._answer_claimed(request, options.claim_key)
 
-    def _app_request(self, pool_name: str, path: str, options: CallOptions) -> AppRequest:
+    def _app_request(self, pool_name: str, options: CallOptions) -> AppRequest:
         state = self.context.services.configuration.state
         pool = choose_app_pool(state, pool_name, options.selector)
         check_priority_class(state, options.priority_class)
@@ -68,7 +70,7 @@
             caller=self.caller,
             pool=pool.name,
             method=self.request.method or "GET",
-            path=f"/{path}{query}",
+            path=f"/{self._raw_path()}{query}",
             body=bytes(self.body),
             content_type=self.request.headers.get("Content-Type", JSON_CONTENT_TYPE),
             priority_class=options.priority_class or DEFAULT_PRIORITY_CLASS,
@@ -76,6 +78,10 @@
             repeatable=options.repeatable,
         )
 
+    def _raw_path(self) -> str:
+        """Return the path after the pool as the caller wrote it, escapes included."""
+        return self.request.path.split("/", SEGMENTS_BEFORE_PATH)[SEGMENTS_BEFORE_PATH]
+
     async def _answer_claimed(self, request: AppRequest, claim_key: str) -> None:
         """Run under a claim; the call goes on when the caller leaves."""
         digest = request_digest(
--- a/passgate/server/base.py
+++ b/passgate/server/base.py
@@ -193,6 +193,7 @@
         """Set the headers that every answer carries."""
         self.set_header("Content-Type", content_type)
         self.set_header("X-Request-Id", self.shown_request_id)
+        self.set_header("X-Passgate-Request-Id", self.request_id)
         self.set_header("X-Passgate-Daemon", self.context.settings.daemon_id)
         if self.context.gate.leaving:
             self.set_header("Connection", "close")
--- a/passgate/server/daemon.py
+++ b/passgate/server/daemon.py
@@ -131,6 +131,7 @@
         await self._until_joined()
         await self._until_configured(self._exchange.newest_held())
         self.life.send("joined")
+        self.parts.rollouts.start()
         self.context.gate.starting = False
         self.metrics.ready.set(1)
         self._changed("daemon_ready", revision=self.parts.configuration.state.revision)
@@ -240,6 +241,7 @@
         return lots and requests and calls and claims
 
     async def _hand_over(self, timeout_s: float) -> None:
+        await self._succeeds(self.parts.rollouts.drain(timeout_s))
         await self._succeeds(self._bounded(self.parts.leases.release_all(), timeout_s))
         await self._succeeds(self.parts.membership.leave(timeout_s))
 
--- a/passgate/server/parts.py
+++ b/passgate/server/parts.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from passgate.clients.curl import HttpClient, HttpLimits
+from passgate.clients.calls import HttpLimits
+from passgate.clients.curl import HttpClient
 from passgate.clients.http_app import HttpAppClient
 from passgate.clients.http_engine import HttpEngineClient
 from passgate.clients.http_log import HttpLogClient
@@ -21,6 +22,7 @@
 from passgate.routing.dispatcher import Dispatcher
 from passgate.routing.policies import POLICIES
 from passgate.routing.replica_directory import ReplicaDirectory
+from passgate.server.rollouts import RolloutService
 from passgate.settings import Settings, parse_address
 from passgate.state.claims import ClaimService
 from passgate.state.configuration import ConfigurationService
@@ -54,6 +56,7 @@
     lots: LotService
     directory: ReplicaDirectory
     dispatcher: Dispatcher
+    rollouts: RolloutService
 
 
 def connect_outside(settings: Settings, http: HttpClient) -> Outside:
@@ -94,12 +97,13 @@
         POLICIES[settings.policy],
         Random(random.random()),
     )
+    leases = LeaseService(outside.log, run_id, lambda: live_members(membership), Random(random.random()))
     return Parts(
         run_id=run_id,
         outside=outside,
         membership=membership,
         configuration=configuration,
-        leases=LeaseService(outside.log, run_id, lambda: live_members(membership), Random(random.random())),
+        leases=leases,
         claims=ClaimService(outside.log, run_id, membership.is_alive, Random(random.random())),
         lots=LotService(
             outside.log,
@@ -111,6 +115,7 @@
         ),
         directory=directory,
         dispatcher=dispatcher,
+        rollouts=RolloutService(outside.engine, leases, configuration, directory, Random(random.random())),
     )
 
 
@@ -122,6 +127,7 @@
 
 async def close_parts(parts: Parts) -> None:
     """Stop all parts at once."""
+    await parts.rollouts.close()
     await parts.lots.close()
     await parts.claims.close()
     await parts.dispatcher.close()
--- a/passgate/server/routes.py
+++ b/passgate/server/routes.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgspec
-from tornado.web import Application
+from tornado.web import Application, RequestHandler
 
 from passgate.server import apps, completions, health, lots, models, operators, wire
 from passgate.server.base import ApiHandler
@@ -291,4 +291,9 @@
         handlers,
         default_handler_class=health.UnknownPathHandler,
         default_handler_args={"context": context, "route_name": "unknown"},
+        log_function=_log_nothing,
     )
+
+
+def _log_nothing(handler: RequestHandler) -> None:
+    """Requests are counted, not logged."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,8 @@
 import pytest
 
 from passgate import clock
-from passgate.clients.curl import HttpCall, HttpClient
+from passgate.clients.calls import HttpCall
+from passgate.clients.curl import HttpClient
 from passgate.errors import BackendRefused
 from passgate.schema import (
     AppResponse,
