Carry any caller name, tell stalls from deadlines, find vanished machines

Cause: a caller's name with a line break or outside of Latin-1 made the transfer fail inside tornado, with the header's text in the message; header values are now percent-encoded and such messages name only the kind. A stall limit per call (libcurl's low-speed time) is told as unreachable, a passed deadline as deadline exceeded. TCP keep-alive probes every 2 s, so a vanished machine is known after 28 s of silence instead of never. Checked: pytest tests/test_servers_*.py tests/test_clients_*.py passgate/clients, 79 passed.

--- a/passgate/clients/calls.py
+++ b/passgate/clients/calls.py
@@ -51,6 +51,8 @@
     send: SendPolicy = SendPolicy.ONCE_ON_FRESH_CONNECTION
     timeout_s: float | None = None
     """Time for the whole transfer; None means no limit."""
+    stall_timeout_s: int | None = None
+    """Whole seconds without a byte after which the transfer fails; None means no limit."""
 
     def __repr__(self) -> str:
         """Leave out headers, which may hold a credential, and the body."""
--- a/passgate/clients/http_app.py
+++ b/passgate/clients/http_app.py
@@ -42,9 +42,9 @@
     timeout_s = remaining_s(request.deadline_s)
     headers = {
         "Content-Type": request.content_type,
-        wire.REQUEST_ID_HEADER: request.request_id,
-        wire.CALLER_HEADER: request.caller,
-        wire.PRIORITY_HEADER: request.priority_class,
+        wire.REQUEST_ID_HEADER: wire.header_text(request.request_id),
+        wire.CALLER_HEADER: wire.header_text(request.caller),
+        wire.PRIORITY_HEADER: wire.header_text(request.priority_class),
     }
     if timeout_s is not None:
         headers[wire.TIMEOUT_HEADER] = str(int(timeout_s * 1000))
@@ -63,7 +63,7 @@
 
 def _check_own(answer: HttpAnswer, request_id: str) -> None:
     echoed = answer.headers.get(wire.REQUEST_ID_HEADER)
-    if echoed != request_id:
+    if echoed != wire.header_text(request_id):
         raise AnswerMismatch("answer belongs to another request", expected=request_id, got=echoed)
 
 
--- a/passgate/clients/http_engine.py
+++ b/passgate/clients/http_engine.py
@@ -43,15 +43,17 @@
 class HttpEngineClient:
     """Client of engines that speak the completions interface of :mod:`passgate.clients.wire`."""
 
-    def __init__(self, http: HttpClient) -> None:
+    def __init__(self, http: HttpClient, stall_timeout_s: int | None = None) -> None:
+        """``stall_timeout_s`` gives up a stream without a byte for so long; queued ones are silent too."""
         self._http = http
+        self._stall_timeout_s = stall_timeout_s
 
     async def generate(self, address: str, request: GenerateRequest) -> AsyncIterator[GenerateChunk]:
         """Stream one request's output; see :class:`passgate.interfaces.EngineClient`.
 
         Raises besides: VersionNotReported, DeadlineExceeded (after ``deadline_s``).
         """
-        transfer = self._http.start(_completion_call(address, request))
+        transfer = self._http.start(_completion_call(address, request, self._stall_timeout_s))
         verifier = StreamVerifier(request)
         try:
             if await transfer.head() != 200:
@@ -223,11 +225,11 @@
 
 def _check_echo(transfer: Transfer, request_id: str) -> None:
     echoed = transfer.headers.get(wire.REQUEST_ID_HEADER)
-    if echoed is not None and echoed != request_id:
+    if echoed is not None and echoed != wire.header_text(request_id):
         raise AnswerMismatch("answer belongs to another request", expected=request_id, got=echoed)
 
 
-def _completion_call(address: str, request: GenerateRequest) -> HttpCall:
+def _completion_call(address: str, request: GenerateRequest, stall_timeout_s: int | None) -> HttpCall:
     timeout_s = remaining_s(request.deadline_s)
     body = wire.CompletionCall(
         model=request.model,
@@ -250,10 +252,11 @@
         headers={
             "Content-Type": wire.JSON_TYPE,
             "Accept": wire.EVENT_STREAM_TYPE,
-            wire.REQUEST_ID_HEADER: request.request_id,
+            wire.REQUEST_ID_HEADER: wire.header_text(request.request_id),
         },
         send=send_policy(request.repeatable),
         timeout_s=timeout_s,
+        stall_timeout_s=stall_timeout_s,
     )
 
 
--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -31,7 +31,9 @@
 FINISH_UNREAD_S = 2.0
 """Time that a server has to end a body after its end mark."""
 TCP_KEEPALIVE_IDLE_S = 10
-TCP_KEEPALIVE_INTERVAL_S = 5
+TCP_KEEPALIVE_INTERVAL_S = 2
+"""With the kernel's nine probes, a machine that vanished is known after 28 s of silence."""
+STALLED_BYTES_PER_S = 1
 FIRST_FINAL_STATUS = 200
 REJECT_DATA = -1
 """Returned from a callback; libcurl then fails the transfer."""
@@ -178,6 +180,9 @@
         handle.setopt(pycurl.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
         handle.setopt(pycurl.MAXAGE_CONN, self._limits.max_connection_idle_s)
         handle.setopt(pycurl.VERBOSE, 0)  # tornado's debug log would show credentials
+        if self.call.stall_timeout_s is not None:
+            handle.setopt(pycurl.LOW_SPEED_LIMIT, STALLED_BYTES_PER_S)
+            handle.setopt(pycurl.LOW_SPEED_TIME, self.call.stall_timeout_s)
         if self.call.send is SendPolicy.ONCE_ON_FRESH_CONNECTION:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
             handle.setopt(pycurl.FORBID_REUSE, 1)
@@ -228,19 +233,24 @@
         """Record the transfer's end; called by the client once."""
         self._handle = None
         self._ended = True
-        if _is_transfer_error(response.error) and self._error is None:
-            errno = getattr(response.error, "errno", None)
-            self._error = classify_failure(errno, self.sends > 0, str(response.error))
+        if self._error is None:
+            self._error = self._failure_of(response)
         self._wake()
 
+    def _failure_of(self, response: HTTPResponse) -> PassgateError | None:
+        error = response.error
+        if isinstance(error, CurlError):
+            timeout_s = self.call.timeout_s
+            in_time = timeout_s is None or response.request_time < timeout_s
+            return classify_failure(error.errno, self.sends > 0, in_time, str(error))
+        if error is None or isinstance(error, HTTPError):
+            return None  # also a whole answer with a status such as 404 is an error to tornado
+        # The text may hold a header's value, so only the kind is told.
+        message = f"request can not be sent: {type(error).__name__}"
+        return BackendUnreachable(message, execution=ExecutionStatus.NOT_RUN)
 
-def _is_transfer_error(error: BaseException | None) -> bool:
-    # Tornado also makes an error of a whole answer with a status such as 404.
-    is_status = isinstance(error, HTTPError) and not isinstance(error, CurlError)
-    return error is not None and not is_status
 
-
-def classify_failure(errno: int | None, sent: bool, message: str) -> PassgateError:
+def classify_failure(errno: int, sent: bool, in_time: bool, message: str) -> PassgateError:
     """Return the typed error of a failed transfer.
 
     ``not_run`` is claimed only when libcurl never came to send the request:
@@ -250,6 +260,6 @@
         return BackendUnreachable(message, execution=ExecutionStatus.NOT_RUN, curl_errno=errno)
     if errno in TRUNCATED_ERRNOS:
         return IncompleteAnswer(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
-    if errno == pycurl.E_OPERATION_TIMEDOUT:
+    if errno == pycurl.E_OPERATION_TIMEDOUT and not in_time:
         return DeadlineExceeded(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
     return BackendUnreachable(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
--- a/passgate/clients/wire.py
+++ b/passgate/clients/wire.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote
+
 import msgspec
 
 from passgate.errors import ErrorBody
@@ -27,6 +29,7 @@
 NOT_REPEATABLE_HEADER = "X-Not-Repeatable"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
+PLAIN_HEADER_CHARACTERS = " !#$&'()*+,/:;=?@[]^`{|}~\""
 DONE_MARK = b"[DONE]"
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -175,6 +178,15 @@
         return bool(self._rest.strip())
 
 
+def header_text(value: str) -> str:
+    """Return a value as it stands in a header: percent-encoded where not plain ASCII.
+
+    >>> header_text("Damião"), header_text("linha/7")
+    ('Dami%C3%A3o', 'linha/7')
+    """
+    return quote(value, safe=PLAIN_HEADER_CHARACTERS)
+
+
 def authorization(credential: str | None) -> dict[str, str]:
     """Return the header that carries a bearer credential, or none."""
     return {} if credential is None else {"Authorization": f"Bearer {credential}"}
--- a/passgate/emulator/app_server.py
+++ b/passgate/emulator/app_server.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import unquote
+
 from passgate.clients import wire
 from passgate.clock import monotonic_s
 from passgate.emulator.wire import StandInHandler, StandInServer
@@ -62,14 +64,14 @@
         headers = self.request.headers
         timeout_ms = headers.get(wire.TIMEOUT_HEADER)
         return AppRequest(
-            request_id=headers.get(wire.REQUEST_ID_HEADER, ""),
-            caller=headers.get(wire.CALLER_HEADER, ""),
+            request_id=unquote(headers.get(wire.REQUEST_ID_HEADER, "")),
+            caller=unquote(headers.get(wire.CALLER_HEADER, "")),
             pool="",
             method=self.request.method or "",
             path=self.request.uri or "",
             body=self.request.body,
             content_type=headers.get("Content-Type", ""),
-            priority_class=headers.get(wire.PRIORITY_HEADER, "interactive"),
+            priority_class=unquote(headers.get(wire.PRIORITY_HEADER, "interactive")),
             deadline_s=None if timeout_ms is None else monotonic_s() + int(timeout_ms) / 1000,
             repeatable=wire.NOT_REPEATABLE_HEADER not in headers,
         )
--- a/passgate/emulator/engine_server.py
+++ b/passgate/emulator/engine_server.py
@@ -68,7 +68,6 @@
         self, request: GenerateRequest, first: GenerateChunk | None, chunks: AsyncIterator[GenerateChunk]
     ) -> None:
         self.set_header("Content-Type", wire.EVENT_STREAM_TYPE)
-        self.set_header(wire.REQUEST_ID_HEADER, request.request_id)
         total = len(request.resume_tokens)
         chunk = first
         while chunk is not None:
--- a/tests/test_clients_curl.py
+++ b/tests/test_clients_curl.py
@@ -10,6 +10,7 @@
 
 from passgate.clients.calls import HttpCall, HttpLimits, SendPolicy
 from passgate.clients.curl import HttpClient
+from passgate.clients.transfer import classify_failure
 from passgate.errors import BackendUnreachable, DeadlineExceeded, ExecutionStatus, IncompleteAnswer
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -238,6 +239,36 @@
     asyncio.run(main())
 
 
+def test_silent_transfer_with_a_stall_limit_is_unreachable_with_unknown_outcome():
+    options = {}
+
+    async def main():
+        async with raw_server(reply_ok) as (_, http, url):
+            handle = RecordingHandle()
+            http._client._curl_create = lambda: handle
+            await http.fetch(HttpCall(method="GET", url=url, stall_timeout_s=7))
+            options.update(handle.options)
+
+    asyncio.run(main())
+    assert (options[pycurl.LOW_SPEED_LIMIT], options[pycurl.LOW_SPEED_TIME]) == (1, 7)
+    error = classify_failure(pycurl.E_OPERATION_TIMEDOUT, True, True, "stalled")
+    assert isinstance(error, BackendUnreachable)
+    assert error.execution is ExecutionStatus.UNKNOWN
+
+
+@pytest.mark.parametrize("value", ["a\r\nX-Evil: 1", "\u0414"], ids=["line-break", "no-latin"])
+def test_header_that_can_not_be_sent_is_not_run_and_not_told(value):
+    async def main():
+        async with raw_server(reply_ok) as (raw, http, url):
+            with pytest.raises(BackendUnreachable) as caught:
+                await http.fetch(HttpCall(method="GET", url=url, headers={"X-Caller": value}))
+            assert caught.value.execution is ExecutionStatus.NOT_RUN
+            assert value not in str(caught.value)
+            assert raw.heads == []
+
+    asyncio.run(main())
+
+
 def test_large_body_is_sent_without_expect():
     async def main():
         async with raw_server(reply_ok) as (raw, http, url):
--- a/tests/test_clients_http_app.py
+++ b/tests/test_clients_http_app.py
@@ -77,6 +77,18 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("caller", ["Damião", "Žižka", "a\r\nX-Evil: 1", "50% off", ""])
+def test_any_caller_and_identifier_travels_as_it_is(caller):
+    async def main():
+        async with served_app() as (server, client, address):
+            response = await client.call(address, app_request(caller + "/1", caller=caller))
+            assert response.request_id == caller + "/1"
+            seen = server.model.calls[0]
+            assert (seen.request_id, seen.caller) == (caller + "/1", caller)
+
+    asyncio.run(main())
+
+
 def test_crossed_answer_is_a_mismatch():
     async def main():
         async with served_app() as (server, client, address):
