Never let requests shut out calls to the log and the platform

Cause: requests to back ends and control calls shared one limit of transfers, so a daemon full of requests could not reach the log: claims and lots would stop just under load. Each kind now has its own limit. Checked: pytest tests/test_clients_curl.py; the new assertion fails without the second limit (the call is refused as not run).

--- a/passgate/clients/calls.py
+++ b/passgate/clients/calls.py
@@ -19,7 +19,9 @@
     """Limits of one daemon's HTTP client."""
 
     max_transfers: int = 8192
-    """Transfers at once; one more is refused as not run, never queued."""
+    """Requests to back ends at once; one more is refused as not run, never queued."""
+    max_control_transfers: int = 8192
+    """Calls to the log, the platform and engines' control at once; never short because of requests."""
     connect_timeout_s: float = 2.0
     max_body_bytes: int = 64 * 1024 * 1024
     """Largest body of one buffered answer."""
@@ -51,6 +53,8 @@
     send: SendPolicy = SendPolicy.ONCE_ON_FRESH_CONNECTION
     timeout_s: float | None = None
     """Time for the whole transfer; None means no limit."""
+    control: bool = False
+    """Whether it counts against the control calls instead of the requests to back ends."""
     stall_timeout_s: int | None = None
     """Whole seconds without a byte after which the transfer fails; None means no limit."""
 
--- a/passgate/clients/curl.py
+++ b/passgate/clients/curl.py
@@ -33,12 +33,8 @@
 
     def initialize(self, limits: HttpLimits) -> None:  # type: ignore[override]
         super().initialize(max_clients=0, max_body_size=limits.max_body_bytes)
-        self._max_transfers = limits.max_transfers
         self._multi.setopt(pycurl.M_MAXCONNECTS, limits.max_idle_connections)
 
-    def has_room(self) -> bool:
-        return bool(self._free_list) or len(self._curls) < self._max_transfers
-
     def fetch_impl(self, request, callback) -> None:
         if not self._free_list:
             handle = self._curl_create()
@@ -63,24 +59,22 @@
     def __init__(self, limits: HttpLimits | None = None) -> None:
         self.limits = limits or HttpLimits()
         self._client = _Client(force_instance=True, limits=self.limits)
-        self._running: set[Transfer] = set()
+        self._requests: set[Transfer] = set()
+        self._control: set[Transfer] = set()
 
     @property
     def running(self) -> int:
         """Number of transfers in progress."""
-        return len(self._running)
+        return len(self._requests) + len(self._control)
 
     def start(self, call: HttpCall) -> Transfer:
-        """Start a request; raises BackendUnreachable (not run) when all handles are in use."""
-        if not self._client.has_room():
-            raise BackendUnreachable(
-                "too many transfers", execution=ExecutionStatus.NOT_RUN, limit=self.limits.max_transfers
-            )
+        """Start a request; raises BackendUnreachable (not run) when too many are in progress."""
+        group = self._group_with_room(call)
         transfer = Transfer(self._client, self.limits, call)
-        self._running.add(transfer)
+        group.add(transfer)
 
         def end(response: HTTPResponse) -> None:
-            self._running.discard(transfer)
+            group.discard(transfer)
             transfer.on_end(response)
 
         self._client.fetch_impl(self._request(call, transfer), end)
@@ -96,10 +90,17 @@
 
     def close(self) -> None:
         """Abort all transfers and free the handles."""
-        for transfer in list(self._running):
+        for transfer in [*self._requests, *self._control]:
             transfer.abort()
         self._client.close()
 
+    def _group_with_room(self, call: HttpCall) -> set[Transfer]:
+        group = self._control if call.control else self._requests
+        limit = self.limits.max_control_transfers if call.control else self.limits.max_transfers
+        if len(group) >= limit:
+            raise BackendUnreachable("too many transfers", execution=ExecutionStatus.NOT_RUN, limit=limit)
+        return group
+
     def _request(self, call: HttpCall, transfer: Transfer) -> HTTPRequest:
         return HTTPRequest(
             call.url,
--- a/passgate/clients/http_engine.py
+++ b/passgate/clients/http_engine.py
@@ -103,7 +103,11 @@
 
     async def _get(self, address: str, path: str) -> HttpAnswer:
         call = HttpCall(
-            method="GET", url=f"http://{address}{path}", send=SendPolicy.REPEAT, timeout_s=CONTROL_TIMEOUT_S
+            method="GET",
+            url=f"http://{address}{path}",
+            send=SendPolicy.REPEAT,
+            control=True,
+            timeout_s=CONTROL_TIMEOUT_S,
         )
         answer = await self._http.fetch(call)
         if answer.status != 200:
@@ -267,5 +271,6 @@
         body=body,
         headers={"Content-Type": wire.JSON_TYPE},
         send=SendPolicy.ONCE,
+        control=True,
         timeout_s=timeout_s,
     )
--- a/passgate/clients/http_log.py
+++ b/passgate/clients/http_log.py
@@ -39,6 +39,7 @@
             body=body,
             headers={"Content-Type": wire.JSON_TYPE, **self._headers},
             send=SendPolicy.ONCE,
+            control=True,
             timeout_s=timeout_s,
         )
         try:
@@ -57,6 +58,7 @@
             url=url,
             headers=self._headers,
             send=SendPolicy.REPEAT,
+            control=True,
             timeout_s=wait_s + READ_GRACE_S,
         )
         try:
--- a/passgate/clients/http_platform.py
+++ b/passgate/clients/http_platform.py
@@ -32,6 +32,7 @@
             body=body,
             headers=self._headers,
             send=SendPolicy.REPEAT,
+            control=True,
             timeout_s=PLATFORM_TIMEOUT_S,
         )
         try:
--- a/tests/test_clients_curl.py
+++ b/tests/test_clients_curl.py
@@ -194,6 +194,7 @@
             with pytest.raises(BackendUnreachable) as caught:
                 http.start(post(url, SendPolicy.ONCE))
             assert caught.value.execution is ExecutionStatus.NOT_RUN
+            http.start(HttpCall(method="GET", url=url, control=True))  # the log is never shut out
             first.abort()
             http.start(post(url, SendPolicy.ONCE))
 
