Hold memory and socket clients to the same tests

Cause: interfaces.py asks that every implementation passes the same tests. Whole answers, a crash and the way back, refusals and a log outage now run against the in-memory clients and over sockets.

--- a/tests/test_servers_standins.py
+++ b/tests/test_servers_standins.py
@@ -16,7 +16,8 @@
 from passgate.clients.http_log import HttpLogClient
 from passgate.clients.http_platform import HttpMachineList, HttpWeightStore
 from passgate.emulator.admin_client import StandInAdmin
-from passgate.emulator.admin_messages import FaultKind, StandInAddresses
+from passgate.emulator.admin_messages import FaultCommand, FaultKind, StandInAddresses
+from passgate.emulator.admin_server import inject, read_state
 from passgate.emulator.parameters import load_deployment
 from passgate.emulator.standins_server import StandIns
 from passgate.errors import (
@@ -56,12 +57,12 @@
     )
 
 
-class Outside:
-    """Clients of all stand-ins."""
+class HttpOutside:
+    """Clients of all stand-ins over sockets."""
 
     def __init__(self, standins, http, addresses):
-        self.standins = standins
-        self.addresses = addresses
+        self.engines = addresses.engines
+        self.apps = addresses.apps
         self.engine = HttpEngineClient(http)
         self.app = HttpAppClient(http)
         self.log = HttpLogClient(http, addresses.logs["campina"])
@@ -70,17 +71,43 @@
         self.admin = StandInAdmin(http, addresses.admin)
 
 
+class MemoryOutside:
+    """Clients of the same world without sockets, under the same names."""
+
+    def __init__(self, standins):
+        world = standins.world
+        self.engines = {name: engine.address for name, engine in world.engines.items()}
+        self.apps = {name: app.address for name, app in world.apps.items()}
+        self.engine = world.engine_client("campina")
+        self.app = world.app_client("campina")
+        self.log = world.log_client("campina")
+        self.machines = world.machine_list
+        self.weights = world.store
+        self.admin = self
+        self._standins = standins
+
+    async def inject(self, kind, target="", value=1.0):
+        inject(self._standins, FaultCommand(kind=kind, target=target, value=value))
+
+    async def state(self, prefix=""):
+        return read_state(self._standins, prefix)
+
+
 @contextlib.asynccontextmanager
-async def outside():
+async def outside(kind="http"):
     standins = StandIns(fast_deployment())
     http = HttpClient()
     try:
-        yield Outside(standins, http, await standins.start())
+        addresses = await standins.start()
+        yield HttpOutside(standins, http, addresses) if kind == "http" else MemoryOutside(standins)
     finally:
         http.close()
         standins.close()
 
 
+both = pytest.mark.parametrize("kind", ["http", "memory"])
+
+
 def generate_request(request_id="r1", max_tokens=40):
     return GenerateRequest(
         request_id=request_id,
@@ -111,31 +138,45 @@
             await asyncio.sleep(0)
 
 
-def test_every_service_answers():
+@both
+def test_every_service_answers(kind):
     async def main():
-        async with outside() as out:
-            chunks = [
-                c async for c in out.engine.generate(out.addresses.engines["modelos-0"], generate_request())
-            ]
+        async with outside(kind) as out:
+            chunks = [c async for c in out.engine.generate(out.engines["modelos-0"], generate_request())]
             assert chunks[-1].finish_reason is not None
             assert {c.version for c in chunks} == {1}
-            assert (await out.app.call(out.addresses.apps["linha-1"], app_request())).status == 200
+            lengths = [len(c.tokens) for c in chunks]
+            assert [c.start for c in chunks] == [sum(lengths[:index]) for index in range(len(chunks))]
+            response = await out.app.call(out.apps["linha-1"], app_request())
+            assert (response.request_id, response.status) == ("a1", 200)
             assert await out.log.append("config", [b"x"], WAIT_S) == 0
-            machines = {m.machine_id: m.address for m in await out.machines.machines()}
-            assert machines == {**out.addresses.engines, **out.addresses.apps}
+            assert (await out.log.read("config", 0, 9, WAIT_S)).entries[0].payload == b"x"
+            assert {*out.engines, *out.apps} == {m.machine_id for m in await out.machines.machines()}
             assert await out.weights.size_bytes("defect-notes", 1) == 1_000
             state = await out.admin.state()
             assert state.runs == {"a1": 1, "r1": 1}
-            assert state.servers["modelos-0"].tokens == sum(len(c.tokens) for c in chunks)
             assert state.log.records == 1
 
     asyncio.run(main())
 
 
-def test_crashed_engine_resets_streams_refuses_connections_and_comes_back():
+def test_machine_list_tells_the_real_addresses_and_the_server_counts_tokens():
     async def main():
         async with outside() as out:
-            address = out.addresses.engines["modelos-0"]
+            machines = {m.machine_id: m.address for m in await out.machines.machines()}
+            assert machines == {**out.engines, **out.apps}
+            chunks = [c async for c in out.engine.generate(out.engines["modelos-0"], generate_request())]
+            state = await out.admin.state()
+            assert state.servers["modelos-0"].tokens == sum(len(c.tokens) for c in chunks)
+
+    asyncio.run(main())
+
+
+@both
+def test_crashed_engine_resets_streams_refuses_connections_and_comes_back(kind):
+    async def main():
+        async with outside(kind) as out:
+            address = out.engines["modelos-0"]
             stream = out.engine.generate(address, generate_request(max_tokens=2000))
             await anext(stream)
             await out.admin.inject(FaultKind.CRASH, "modelos-0", 0.05)
@@ -158,15 +199,16 @@
     asyncio.run(main())
 
 
-def test_draining_engine_and_app_refuse_as_not_run_and_did_not_run():
+@both
+def test_draining_engine_and_app_refuse_as_not_run_and_did_not_run(kind):
     async def main():
-        async with outside() as out:
+        async with outside(kind) as out:
             await out.admin.inject(FaultKind.DRAIN, "modelos-1")
             await out.admin.inject(FaultKind.DRAIN, "linha-0")
             with pytest.raises(BackendRefused):
-                await anext(out.engine.generate(out.addresses.engines["modelos-1"], generate_request()))
+                await anext(out.engine.generate(out.engines["modelos-1"], generate_request()))
             with pytest.raises(BackendRefused):
-                await out.app.call(out.addresses.apps["linha-0"], app_request())
+                await out.app.call(out.apps["linha-0"], app_request())
             assert (await out.admin.state()).runs == {}
 
     asyncio.run(main())
@@ -177,7 +219,7 @@
         async with outside() as out:
             await out.admin.inject(FaultKind.LOSE_ANSWERS, "linha-0", 1)
             with pytest.raises(BackendUnreachable) as caught:
-                await out.app.call(out.addresses.apps["linha-0"], app_request())
+                await out.app.call(out.apps["linha-0"], app_request())
             assert caught.value.execution is ExecutionStatus.UNKNOWN
             state = await out.admin.state("a")
             assert state.runs == {"a1": 1}
@@ -186,9 +228,10 @@
     asyncio.run(main())
 
 
-def test_log_outage_and_its_end():
+@both
+def test_log_outage_and_its_end(kind):
     async def main():
-        async with outside() as out:
+        async with outside(kind) as out:
             await out.admin.inject(FaultKind.LOG_DOWN)
             with pytest.raises(LogUnavailable):
                 await out.log.append("s", [b"x"], WAIT_S)
@@ -218,7 +261,7 @@
     async def main():
         async with outside() as out:
             await out.weights.publish("defect-notes", 2, 1_000)
-            first, second = out.addresses.engines["modelos-0"], out.addresses.engines["modelos-1"]
+            first, second = out.engines["modelos-0"], out.engines["modelos-1"]
 
             async def carry_out(address, number, kind, source=""):
                 order = EngineOrder(
