--- /dev/null
+++ b/passgate/emulator/queueing_check.py
@@ -0,0 +1,237 @@
+"""Compares the emulator with queueing theory where a closed form exists.
+
+Run ``python -m passgate.emulator.queueing_check``; it prints, for each case, the
+simulated value, the theory's value, the relative error and the relative standard
+error of the simulation (batch means), so that an error can be told from noise.
+
+>>> round(erlang_c(servers=1, load=0.5), 3), round(erlang_c(servers=4, load=2.8), 3)
+(0.5, 0.429)
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections.abc import Iterator
+from random import Random
+
+import fire
+import msgspec
+
+from passgate.emulator.app_model import AppModel
+from passgate.emulator.engine_events import ChunkProduced
+from passgate.emulator.engine_model import EngineModel
+from passgate.emulator.expected_output import LengthDistribution
+from passgate.emulator.parameters import AppParameters, EngineParameters, ModelParameters
+from passgate.schema import AppRequest, GenerateRequest
+
+BATCHES = 20
+_ENGINE_OUTPUT_TOKENS = 20
+_PROMPT_TOKENS = 12
+
+
+class QueueingResult(msgspec.Struct, frozen=True, kw_only=True):
+    """One comparison."""
+
+    case: str
+    measure: str
+    simulated: float
+    theory: float
+    standard_error: float
+    """Relative standard error of the simulated value; 0 for an identity."""
+
+    @property
+    def error(self) -> float:
+        """Relative error against the theory."""
+        return self.simulated / self.theory - 1.0
+
+
+def erlang_c(servers: int, load: float) -> float:
+    """Return the probability that an arrival waits; ``load`` in Erlang is below ``servers``."""
+    terms = [load**k / math.factorial(k) for k in range(servers)]
+    last = load**servers / math.factorial(servers) * servers / (servers - load)
+    return last / (sum(terms) + last)
+
+
+def application_wait(servers: int, utilisation: float, calls: int, seed: int) -> QueueingResult:
+    """Compare the mean wait of exponential calls to one replica with M/M/c."""
+    service_s = 0.08
+    parameters = AppParameters(
+        service_mean_s=service_s, exponential=True, concurrency=servers, max_waiting=10**9
+    )
+    app = AppModel("app", parameters, Random(f"{seed}/service"), now_s=0.0)
+    rate = utilisation * servers / service_s
+    waits: list[float] = []
+    for at_s in _poisson(rate, calls, seed):
+        before = app.counters.wait_s, app.counters.started
+        app.submit(_call(), at_s)
+        app.advance(at_s)
+        _note_waits(waits, app, before)
+    while (due_s := app.next_event_s()) is not None:
+        before = app.counters.wait_s, app.counters.started
+        app.advance(due_s)
+        _note_waits(waits, app, before)
+    theory_s = erlang_c(servers, utilisation * servers) * service_s / (servers * (1 - utilisation))
+    return _result(f"M/M/{servers} at {utilisation:.2f}", "mean wait, s", waits, theory_s)
+
+
+def engine_wait(utilisation: float, calls: int, seed: int) -> QueueingResult:
+    """Compare the mean wait at an engine that runs one equal request at a time with M/D/1."""
+    engine = _single_engine(max_running=1)
+    service_s = _service_s(engine.parameters)
+    sojourns = _run_engine(engine, utilisation / service_s, calls, seed).sojourns_s
+    waits = [sojourn_s - service_s for sojourn_s in sojourns]
+    theory_s = utilisation * service_s / (2 * (1 - utilisation))
+    return _result(f"engine as M/D/1 at {utilisation:.2f}", "mean wait, s", waits, theory_s)
+
+
+def engine_recursion(utilisation: float, calls: int, seed: int) -> QueueingResult:
+    """Compare the same engine, arrival by arrival, with Lindley's recursion for one server."""
+    engine = _single_engine(max_running=1)
+    service_s = _service_s(engine.parameters)
+    rate = utilisation / service_s
+    simulated = statistics.fmean(_run_engine(engine, rate, calls, seed).sojourns_s)
+    wait_s = 0.0
+    free_s = 0.0
+    for at_s in _poisson(rate, calls, seed):
+        wait_s += max(0.0, free_s - at_s)
+        free_s = max(free_s, at_s) + service_s
+    return QueueingResult(
+        case=f"engine, Lindley at {utilisation:.2f}",
+        measure="mean sojourn, s",
+        simulated=simulated,
+        theory=wait_s / calls + service_s,
+        standard_error=0.0,
+    )
+
+
+def engine_little(calls: int, seed: int) -> QueueingResult:
+    """Compare the time average of requests in a batching engine with arrival rate times sojourn."""
+    engine = _single_engine(max_running=16)
+    run = _run_engine(engine, 16.0, calls, seed)
+    in_system = run.area_s / run.duration_s
+    theory = len(run.sojourns_s) / run.duration_s * statistics.fmean(run.sojourns_s)
+    return QueueingResult(
+        case="engine, Little's law",
+        measure="mean requests in system",
+        simulated=in_system,
+        theory=theory,
+        standard_error=0.0,
+    )
+
+
+def all_results(calls: int = 100_000, seed: int = 1) -> list[QueueingResult]:
+    """Run every comparison."""
+    return [
+        application_wait(1, 0.5, calls, seed),
+        application_wait(1, 0.8, calls, seed),
+        application_wait(4, 0.7, calls, seed),
+        application_wait(4, 0.9, calls, seed),
+        engine_wait(0.5, calls // 4, seed),
+        engine_wait(0.8, calls // 4, seed),
+        engine_recursion(0.8, calls // 20, seed),
+        engine_little(calls // 50, seed),
+    ]
+
+
+class _EngineRun(msgspec.Struct):
+    sojourns_s: list[float]
+    area_s: float = 0.0
+    duration_s: float = 0.0
+
+
+def _run_engine(engine: EngineModel, rate: float, calls: int, seed: int) -> _EngineRun:
+    arrivals: dict[str, float] = {}
+    run = _EngineRun(sojourns_s=[])
+    for number, at_s in enumerate(_poisson(rate, calls, seed)):
+        _advance_to(engine, at_s, arrivals, run)
+        request = _request(number, seed)
+        arrivals[request.request_id] = at_s
+        engine.submit(request, at_s)
+    _advance_to(engine, math.inf, arrivals, run)
+    return run
+
+
+def _advance_to(engine: EngineModel, at_s: float, arrivals: dict[str, float], run: _EngineRun) -> None:
+    while (due_s := engine.next_event_s()) is not None and due_s <= at_s:
+        _add_area(engine, due_s, run)
+        for event in engine.advance(due_s):
+            if isinstance(event, ChunkProduced) and event.chunk.finish_reason is not None:
+                run.sojourns_s.append(due_s - arrivals[event.chunk.request_id])
+    if at_s < math.inf:
+        _add_area(engine, at_s, run)
+
+
+def _add_area(engine: EngineModel, at_s: float, run: _EngineRun) -> None:
+    in_system = len(engine.batch.running) + len(engine.batch.waiting)
+    run.area_s += in_system * (at_s - run.duration_s)
+    run.duration_s = at_s
+
+
+def _note_waits(waits: list[float], app: AppModel, before: tuple[float, int]) -> None:
+    started = app.counters.started - before[1]
+    if started:
+        waits.extend([(app.counters.wait_s - before[0]) / started] * started)
+
+
+def _single_engine(max_running: int) -> EngineModel:
+    parameters = EngineParameters(
+        max_running=max_running, max_waiting=10**9, step_per_kv_token_s=0.0, cache_events_kept=1
+    )
+    lengths = LengthDistribution(median_tokens=_ENGINE_OUTPUT_TOKENS, sigma=0.0)
+    model = ModelParameters(name="m", lengths=lengths)
+    return EngineModel("engine", parameters, [model], Random(1), now_s=0.0)
+
+
+def _service_s(parameters: EngineParameters) -> float:
+    prefill_s = parameters.step_base_s + _PROMPT_TOKENS * parameters.step_per_prefill_token_s
+    decode_s = parameters.step_base_s + parameters.step_per_sequence_s
+    return prefill_s + (_ENGINE_OUTPUT_TOKENS - 1) * decode_s
+
+
+def _request(number: int, seed: int) -> GenerateRequest:
+    return GenerateRequest(
+        request_id=f"r{number}",
+        caller="check",
+        pool="check",
+        model="m",
+        prompt=(number, *range(1, _PROMPT_TOKENS)),
+        max_tokens=10 * _ENGINE_OUTPUT_TOKENS,
+        seed=seed,
+    )
+
+
+def _call() -> AppRequest:
+    return AppRequest(request_id="r", caller="check", pool="check", method="POST", path="/", body=b"")
+
+
+def _poisson(rate: float, count: int, seed: int) -> Iterator[float]:
+    random = Random(f"{seed}/arrivals")
+    at_s = 0.0
+    for _ in range(count):
+        at_s += random.expovariate(rate)
+        yield at_s
+
+
+def _result(case: str, measure: str, values: list[float], theory: float) -> QueueingResult:
+    size = len(values) // BATCHES
+    means = [statistics.fmean(values[index * size : (index + 1) * size]) for index in range(BATCHES)]
+    simulated = statistics.fmean(values)
+    standard_error = statistics.stdev(means) / math.sqrt(BATCHES) / simulated
+    return QueueingResult(
+        case=case, measure=measure, simulated=simulated, theory=theory, standard_error=standard_error
+    )
+
+
+def main(calls: int = 100_000, seed: int = 1) -> None:
+    """Print every comparison as one line."""
+    print(f"{'case':<26} {'measure':<24} {'simulated':>10} {'theory':>10} {'error':>8} {'std.err':>8}")
+    for result in all_results(calls, seed):
+        print(
+            f"{result.case:<26} {result.measure:<24} {result.simulated:>10.5f} {result.theory:>10.5f}"
+            f" {result.error:>+8.2%} {result.standard_error:>8.2%}"
+        )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
