--- a/passgate/emulator/arrivals.py
+++ b/passgate/emulator/arrivals.py
@@ -89,17 +89,17 @@
         self._random = random
         self._record = record or _ignore
         self._prompts = PromptSource(model, random) if model is not None else None
-        self._open: set[asyncio.Task[None]] = set()
+        self._open: dict[asyncio.Task[None], None] = {}
         self._defect: BaseException | None = None
 
     async def run(self, duration_s: float, rest_s: float = 60.0) -> None:
         """Let calls arrive for ``duration_s``, then wait up to ``rest_s`` for open ones."""
         async for call in self._arrivals(duration_s):
             task = asyncio.ensure_future(self._serve(call))
-            self._open.add(task)
+            self._open[task] = None
             task.add_done_callback(self._note_end)
         if self._open:
-            await asyncio.wait(self._open, timeout=rest_s)
+            await asyncio.wait(list(self._open), timeout=rest_s)
         self.tally.pending = len(self._open)
         for task in list(self._open):
             task.cancel()
@@ -107,7 +107,7 @@
             raise self._defect
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
-        self._open.discard(task)
+        del self._open[task]
         if not task.cancelled() and task.exception() is not None:
             self._defect = task.exception()
 
--- a/passgate/emulator/log_model.py
+++ b/passgate/emulator/log_model.py
@@ -72,7 +72,7 @@
         self.counters = LogCounters()
         self.records_by_stream: Counter[str] = Counter()
         self._streams: dict[str, list[_Stored]] = {}
-        self._waiters: dict[str, set[asyncio.Future[None]]] = {}
+        self._waiters: dict[str, dict[asyncio.Future[None], None]] = {}
 
     def append_now(self, stream: str, payloads: Sequence[bytes], now_s: float) -> int:
         """Append records and return the offset of the first."""
@@ -113,12 +113,12 @@
     async def wait_for_append(self, stream: str, timeout_s: float) -> None:
         """Return at the stream's next append or after ``timeout_s``."""
         waiter = asyncio.get_running_loop().create_future()
-        waiters = self._waiters.setdefault(stream, set())
-        waiters.add(waiter)
+        waiters = self._waiters.setdefault(stream, {})
+        waiters[waiter] = None
         try:
             await asyncio.wait({waiter}, timeout=timeout_s)
         finally:
-            waiters.discard(waiter)
+            del waiters[waiter]
 
 
 class MemoryLogClient:
--- a/passgate/emulator/network.py
+++ b/passgate/emulator/network.py
@@ -39,7 +39,7 @@
         self._random = random
         self._cuts: set[frozenset[str]] = set()
         self._isolated: set[str] = set()
-        self._waiters: set[asyncio.Future[None]] = set()
+        self._waiters: dict[asyncio.Future[None], None] = {}
 
     # --- state ---------------------------------------------------------------------
 
@@ -114,11 +114,11 @@
 
     async def _changed(self, timeout_s: float) -> None:
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.add(waiter)
+        self._waiters[waiter] = None
         try:
             await asyncio.wait({waiter}, timeout=timeout_s)
         finally:
-            self._waiters.discard(waiter)
+            del self._waiters[waiter]
 
     def _wake(self) -> None:
         for waiter in self._waiters:
