--- a/passgate/emulator/trainer.py
+++ b/passgate/emulator/trainer.py
@@ -156,7 +156,7 @@
         if behind > self.parameters.staleness_bound:
             self.tally.over_staleness += 1
         spec = lot.request.prompts[sample.index]
-        request = _as_generate(lot.request, spec)
+        request = as_generate(lot.request, spec)
         verdict = verify_output(
             request, sample.tokens, sample.spans, sample.finish_reason, self._model.lengths
         )
@@ -258,7 +258,8 @@
     )
 
 
-def _as_generate(lot: LotRequest, spec: PromptSpec) -> GenerateRequest:
+def as_generate(lot: LotRequest, spec: PromptSpec) -> GenerateRequest:
+    """Return the request whose output a slot of a lot must hold."""
     return GenerateRequest(
         request_id="",
         caller=lot.caller,
