--- /dev/null
+++ b/passgate/rollout/sources.py
@@ -0,0 +1,106 @@
+"""Choice of where a replica fetches weights: the store or an engine that has them.
+
+Engines that hold a version pass it on, so that the store sends few copies: the
+copies form a distribution tree.  A zone's first copy comes from the store while
+it has a free stream, otherwise from another zone; all later ones stay in the zone.
+
+>>> table = SourceTable(DistributionSettings(store_streams=1, max_store_copies=1))
+>>> table.choose("a"), table.begin("store", "a"), table.choose("a")
+('store', None, None)
+>>> table.end("store", "a"); table.add_holder("10.0.0.1:80", "a")
+>>> table.choose("a"), table.choose("b")
+('10.0.0.1:80', '10.0.0.1:80')
+"""
+
+from __future__ import annotations
+
+from passgate.rollout.types import STORE_SOURCE, DistributionSettings
+
+
+class SourceTable:
+    """Holders of one version of one model, with their uploads in progress."""
+
+    def __init__(self, settings: DistributionSettings) -> None:
+        self.store_copies = 0
+        """Fetches from the store so far, retries included."""
+        self._settings = settings
+        self._zone_of: dict[str, str] = {}
+        self._holders: dict[str, int] = {}
+        self._uploads: dict[str, int] = {}
+        self._free: dict[str, dict[str, None]] = {}
+        self._store_uploads = 0
+        self._fetching: dict[str, int] = {}
+
+    def add_holder(self, address: str, zone: str) -> None:
+        """Let an engine that holds the version serve as a source."""
+        if address not in self._zone_of:
+            self._zone_of[address] = zone
+            self._holders[zone] = self._holders.get(zone, 0) + 1
+            self._update(address)
+
+    def remove_holder(self, address: str) -> None:
+        """Forget an engine as a source; uploads in progress may still end."""
+        zone = self._zone_of.pop(address, None)
+        if zone is not None:
+            self._holders[zone] -= 1
+            self._free[zone].pop(address, None)
+
+    def has_any(self, zone: str) -> bool:
+        """Return whether a zone has a holder or a fetch in progress."""
+        return bool(self._fetching.get(zone)) or bool(self._holders.get(zone))
+
+    def begin(self, source: str, zone: str) -> None:
+        """Note that a replica in ``zone`` starts to fetch from ``source``."""
+        self._fetching[zone] = self._fetching.get(zone, 0) + 1
+        if source == STORE_SOURCE:
+            self._store_uploads += 1
+            self.store_copies += 1
+            return
+        self._uploads[source] = self._uploads.get(source, 0) + 1
+        self._update(source)
+
+    def end(self, source: str, zone: str) -> None:
+        """Note that a fetch from ``source`` into ``zone`` ended, well or not."""
+        self._fetching[zone] -= 1
+        if source == STORE_SOURCE:
+            self._store_uploads -= 1
+            return
+        self._uploads[source] -= 1
+        self._update(source)
+
+    def choose(self, zone: str, avoid_engines: bool = False) -> str | None:
+        """Return a free source for a replica in ``zone``, None when it must wait.
+
+        ``avoid_engines`` asks for the store, after engines failed as sources.
+        """
+        if avoid_engines:
+            return STORE_SOURCE if self._store_free() else None
+        own = next(iter(self._free.get(zone, ())), None)
+        if own is not None:
+            return own
+        if self._store_free() and self.store_copies < self._settings.max_store_copies:
+            return STORE_SOURCE
+        if self.has_any(zone):
+            return None
+        return self._any_free() or (STORE_SOURCE if self._must_use_store() else None)
+
+    def _store_free(self) -> bool:
+        return self._store_uploads < self._settings.store_streams
+
+    def _must_use_store(self) -> bool:
+        """No engine holds or fetches the version, so only the store can start over."""
+        return self._store_free() and not self._zone_of and not any(self._fetching.values())
+
+    def _any_free(self) -> str | None:
+        lists = [addresses for addresses in self._free.values() if addresses]
+        return next(iter(max(lists, key=len))) if lists else None
+
+    def _update(self, address: str) -> None:
+        zone = self._zone_of.get(address)
+        if zone is None:
+            return
+        free = self._free.setdefault(zone, {})
+        if self._uploads.get(address, 0) < self._settings.fan_out:
+            free.setdefault(address)
+        else:
+            free.pop(address, None)
