--- a/passgate/routing/policies.py
+++ b/passgate/routing/policies.py
@@ -30,11 +30,73 @@
     """All knobs of routing; the defaults are the current policy."""
 
     name: str = "current"
+
+    # --- replica choice ---------------------------------------------------------
     scheduler: SchedulerKind = SchedulerKind.PROJECTED_FINISH
+    subset_size: int = 16
+    """Most replicas of a pool that one daemon uses and asks for load reports."""
+    subset_local_share: float = 0.5
+    """Share of the subset taken from the daemon's own zone when it has enough replicas."""
+    choices: int = 0
+    """Replicas compared per decision, drawn at random from the subset; 0 compares all."""
+    zone_cost_s: float = 0.002
+    """Added to the projected finish on a replica of another zone."""
+    prefill_tokens_per_s: float = 16_000.0
+    """Assumed prefill rate of a replica."""
+    prefix_affinity: bool = True
+    cache_events: bool = False
+    """Whether engines' cache events are read besides the own routing history."""
+    prefix_index_entries: int = 32_768
+    model_mix_step_s: float = 0.0
+    """Assumed extra seconds per step when a replica serves one more model at the same time."""
+
+    # --- concurrency -------------------------------------------------------------
+    initial_concurrency: int = 32
+    """Requests on a replica whose load was never reported."""
+    kv_watermark: float = 0.85
+    """Share of a replica's KV memory that batch classes may commit."""
+    kv_watermark_interactive: float = 0.95
+    waiting_slack: int = 2
+    """Batch requests that may wait inside an engine beyond its running ones."""
+    interactive_slack: int = 8
+    app_concurrency: int = 16
+    """Calls in flight per application replica and daemon."""
+
+    # --- queues and admission ------------------------------------------------------
     queue: QueueKind = QueueKind.FAIR
-    hedge: bool = True
-    max_attempts: int = 4
+    batch_floor: float = 0.1
+    """Share of the tokens that batch classes keep while interactive ones are queued."""
+    prefill_weight: float = 0.1
+    """Fair queueing charges a prompt token this share of a generated one."""
+    max_queued: int = 16_384
+    """Requests queued per pool over all classes."""
+    reject_by_projection: bool = True
+    """Whether a request is refused at once when its projected wait is too long."""
+    minimum_retry_after_s: float = 0.25
+
+    # --- attempts -------------------------------------------------------------------
+    max_attempts: int = 5
     """Attempts per request, hedges included."""
+    retry_ratio: float = 0.2
+    """Retries allowed per finished request."""
+    retry_burst: float = 64.0
+    """Retries that can be saved up; a crashed replica fails a whole batch at once."""
+    resume: bool = True
+    hedge: bool = True
+    hedge_scan_s: float = 0.5
+    hedge_share: float = 0.1
+    """Most hedges at once, as a share of the requests in flight (at least one)."""
+    hedge_gain: float = 2.0
+    """A hedge is started when it is projected to finish this many times sooner."""
+    stall_s: float = 3.0
+    """A stream without a piece for this long is re-issued elsewhere."""
+
+    # --- control traffic --------------------------------------------------------------
+    report_interval_s: float = 0.5
+    report_lag_s: float = 0.35
+    """Assumed mean age of a load report when it is read."""
+    reports_per_s: float = 8.0
+    """Most load reports read per second by one daemon, whatever the number of replicas."""
 
 
 POLICIES: dict[str, RoutingPolicy] = {
--- a/passgate/routing/replica_directory.py
+++ b/passgate/routing/replica_directory.py
@@ -36,6 +36,8 @@
 """A list that lacks more than this share of the present machines proves no absence."""
 OWN_WORD_HOLD_S = 5.0
 """Reports read sooner than this after a refusal may be older than the refusal."""
+REFUSAL_EXPIRES_S = 30.0
+"""A refusal by a replica whose reports are never read is believed this long."""
 SELECTOR_CACHE_SIZE = 256
 
 _CAUTION = {MachineState.LIVE: 0, MachineState.LEAVING: 1, MachineState.GONE: 2}
@@ -103,6 +105,7 @@
         for machine in listed:
             self._apply_machine(machine, now_s)
         self._apply_absences({machine.machine_id for machine in listed}, now_s)
+        self._expire_refusals(now_s)
         self._forget(now_s)
 
     def mark_leaving(self, replica_id: str, reason: str) -> None:
@@ -137,6 +140,10 @@
         """Return one replica's merged view, also when it is gone."""
         return self._infos.get(replica_id)
 
+    def known_ids(self) -> set[str]:
+        """Return the identifiers of all replicas that are not gone."""
+        return {name for name, info in self._infos.items() if info.state is not MachineState.GONE}
+
     def replicas(self, pool: PoolLike) -> list[ReplicaInfo]:
         """Return the pool's live and leaving replicas, ordered by identifier.
 
@@ -178,6 +185,13 @@
                 entry.gone_since_s = now_s
                 self._refresh(entry.machine.machine_id)
 
+    def _expire_refusals(self, now_s: float) -> None:
+        for replica_id, entry in self._entries.items():
+            unread = entry.last_sequence == 0
+            if entry.own_leaving and unread and now_s - entry.refused_at_s >= REFUSAL_EXPIRES_S:
+                entry.own_leaving = False
+                self._refresh(replica_id)
+
     def _forget(self, now_s: float) -> None:
         for replica_id, entry in list(self._entries.items()):
             if entry.gone_since_s is not None and now_s - entry.gone_since_s >= FORGET_S:
--- a/tests/test_routing_dispatcher.py
+++ b/tests/test_routing_dispatcher.py
@@ -28,26 +28,28 @@
     MachineRole,
     VersionSpan,
 )
+from passgate.state.specs import DEFAULT_PRIORITY_CLASSES, PoolSpec
 
 
 class Pool(msgspec.Struct):
-    spec: object
-
-
-class PoolSpec(msgspec.Struct):
-    selector: str
-    role: MachineRole
+    spec: PoolSpec
 
 
 class FakeConfiguration:
     pools = {
-        "llm": Pool(PoolSpec("kind=llm", MachineRole.ENGINE)),
-        "app": Pool(PoolSpec("kind=app", MachineRole.APP)),
+        "llm": Pool(PoolSpec(selector="kind=llm", role=MachineRole.ENGINE, model="m")),
+        "app": Pool(PoolSpec(selector="kind=app", role=MachineRole.APP)),
     }
 
     def get(self, kind, name):
         return self.pools.get(name) if kind == "Pool" else None
 
+    def objects(self, kind):
+        return list(self.pools.values())
+
+    def priority_class(self, name):
+        return DEFAULT_PRIORITY_CLASSES[name]
+
 
 def request(**changes):
     values = {
@@ -84,6 +86,8 @@
                     raise step
                 if isinstance(step, (int, float)):
                     await asyncio.sleep(step)
+                elif step.request_id == "r1":
+                    yield msgspec.structs.replace(step, request_id=request.request_id)
                 else:
                     yield step
         finally:
@@ -245,6 +249,6 @@
 
 
 def test_missing_version_is_typed_when_no_attempt_is_left():
-    engine = ScriptedEngine(*[[piece(0, [7], version=None)]] * 4)
+    engine = ScriptedEngine(*[[piece(0, [7], version=None)]] * RoutingPolicy().max_attempts)
     with pytest.raises(VersionNotReported):
         generate(engine)
