--- a/passgate/rollout/manager.py
+++ b/passgate/rollout/manager.py
@@ -36,6 +36,8 @@
 """A leading manager reads replicas and targets again after this time, also without news."""
 REFUSED_RELEASE_S = 3.0
 """An epoch that an engine refused, and that the log still calls ours, is given up after this."""
+SHORTEST_SLEEP_S = 0.001
+"""A shorter sleep may fall below the loop's resolution, and then time would stand still."""
 FAILED_STEP_S = 1.0
 """Pause after a step that failed in an unforeseen way."""
 CONCURRENT_REPORTS = 64
@@ -301,7 +303,7 @@
     async def _sleep(self, duration_s: float) -> None:
         """Wait for news or until the time has passed; news of one loop turn are taken together."""
         try:
-            await asyncio.wait_for(self._wake.wait(), max(duration_s, 0.0))
+            await asyncio.wait_for(self._wake.wait(), max(duration_s, SHORTEST_SLEEP_S))
         except TimeoutError:
             return
         await asyncio.sleep(0)
