--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -13,7 +13,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import importlib
+import resource
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -73,11 +75,19 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, ask)
 
+    raise_file_limit()
     whole = asyncio.run(run_daemon(loaded, logger, on_stop_signal))
     if not whole:
         raise SystemExit(EXIT_FAILED)
 
 
+def raise_file_limit() -> None:
+    """Let this process open as many files as its hard limit allows: each stream needs a socket."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with contextlib.suppress(ValueError, OSError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def find_command(name: str) -> Any:
     """Return the function or group of a command; raises SettingsError."""
     command = COMMANDS.get(name)
@@ -123,6 +133,13 @@
     return f"{error.code}: {message}{shown}"
 
 
+def _help_for_fire(words: list[str]) -> list[str]:
+    """Move a help flag to where fire takes it for itself, also when the command takes any flag."""
+    if not {"-h", "--help"} & set(words):
+        return words
+    return [word for word in words if word not in ("-h", "--help", "--")] + ["--", "--help"]
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run one command; every failure is one typed line on standard error."""
     words = list(sys.argv[1:] if arguments is None else arguments)
@@ -136,7 +153,7 @@
         raise SystemExit(0)
     try:
         component = find_command(words[0])
-        fire.Fire(component, command=words[1:], name=f"passgate {words[0]}")
+        fire.Fire(component, command=_help_for_fire(words[1:]), name=f"passgate {words[0]}")
     except PassgateError as error:
         print(f"passgate: {error_line(error)}", file=sys.stderr)
         raise SystemExit(exit_code(error)) from None
--- a/passgate/server/base.py
+++ b/passgate/server/base.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hmac
+import math
 import re
 from collections.abc import Awaitable
 from types import TracebackType
@@ -211,7 +212,7 @@
             return
         self.clear()
         if error.retry_after_s is not None:
-            self.set_header("Retry-After", str(max(1, round(error.retry_after_s + 0.499))))
+            self.set_header("Retry-After", str(max(1, math.ceil(error.retry_after_s))))
         self.set_header("X-Passgate-Error", error.code)
         self.answer_json(ErrorAnswer(error.body(), self.shown_request_id), error.http_status)
 
--- a/passgate/server/completions.py
+++ b/passgate/server/completions.py
@@ -67,6 +67,7 @@
     def read_body(self) -> tuple[CompletionFields, tuple[int, ...], int]:
         """Return the typed body, its prompt tokens and the most tokens to produce."""
         body = self.decode_body(CompletionRequest)
+        self.check_prompt_length(len(body.prompt))
         prompt = encode_text(body.prompt) if isinstance(body.prompt, str) else tuple(body.prompt)
         return body, prompt, DEFAULT_MAX_TOKENS if body.max_tokens is None else body.max_tokens
 
@@ -102,14 +103,17 @@
             raise InvalidRequest(
                 f"max_tokens must be from 1 to {limits.max_output_tokens}", field="max_tokens"
             )
-        if not 1 <= len(prompt) <= limits.max_prompt_tokens:
-            raise InvalidRequest(
-                f"the prompt must have 1 to {limits.max_prompt_tokens} tokens", field="prompt"
-            )
+        self.check_prompt_length(len(prompt))
         check_tokens(prompt, "prompt")
         if not -SEED_LIMIT <= (fields.seed or 0) < SEED_LIMIT:
             raise InvalidRequest("seed must fit 64 bits", field="seed")
 
+    def check_prompt_length(self, length: int) -> None:
+        """Check a prompt's length in tokens or, before it is mapped to at least as many, characters."""
+        limit = self.context.settings.limits.max_prompt_tokens
+        if not 1 <= length <= limit:
+            raise InvalidRequest(f"the prompt must have 1 to {limit} tokens", field="prompt")
+
     async def _generate(
         self, request: GenerateRequest, on_chunk: Callable[[GenerateChunk], None] | None = None
     ) -> GenerateResult:
@@ -215,7 +219,6 @@
     def read_body(self) -> tuple[CompletionFields, tuple[int, ...], int]:
         """Return the typed body, its prompt tokens and the most tokens to produce."""
         body = self.decode_body(ChatCompletionRequest)
-        if not body.messages:
-            raise InvalidRequest("at least one message is needed", field="messages")
+        self.check_prompt_length(sum(len(message.role) + len(message.content) for message in body.messages))
         wanted = body.max_completion_tokens if body.max_completion_tokens is not None else body.max_tokens
         return body, encode_chat(body.messages), DEFAULT_MAX_TOKENS if wanted is None else wanted
--- a/passgate/server/daemon.py
+++ b/passgate/server/daemon.py
@@ -68,6 +68,7 @@
         self._servers: list[HTTPServer] = []
         self._tasks: list[asyncio.Task[Any]] = []
         self._stop: asyncio.Task[bool] | None = None
+        self._catching_up: asyncio.Task[None] | None = None
         self.caller_address = ""
         self.operator_address = ""
 
@@ -98,7 +99,7 @@
         parts.membership.start()
         parts.membership.join(self.settings.seeds)
         parts.dispatcher.start()
-        self._run(self._catch_up())
+        self._catching_up = asyncio.ensure_future(self._catch_up())
         self._run(self._exchange.run())
         self._run(self._follow_machine_list())
         self._run(self._watch_log())
@@ -212,6 +213,7 @@
 
     async def _planned_stop(self) -> bool:
         stop = self.settings.stop
+        await self._cancel([self._catching_up] if self._catching_up else [])
         self.life.send("stop")
         self.metrics.ready.set(0)
         self.context.gate.leaving = True
@@ -258,9 +260,7 @@
 
     async def close(self) -> None:
         """Stop at once: close ports, background work and parts."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._cancel([*self._tasks, *([self._catching_up] if self._catching_up else [])])
         for server in self._servers:
             server.stop()
         for server in self._servers:
@@ -269,6 +269,11 @@
         if self._http is not None:
             self._http.close()
 
+    async def _cancel(self, tasks: list[asyncio.Task[Any]]) -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _changed(self, change: str, level: int = logging.INFO, **fields: object) -> None:
         log_change(self._logger, change, level, run=self.parts.run_id, life=self.life.state, **fields)
 
--- a/passgate/server/parts.py
+++ b/passgate/server/parts.py
@@ -62,11 +62,12 @@
 def connect_outside(settings: Settings, http: HttpClient) -> Outside:
     """Return adapters over sockets; binds the peer port."""
     host, port = parse_address(settings.peer_address)
-    store = HttpWeightStore(http, settings.weight_store_address) if settings.weight_store_address else None
+    credential = settings.credentials.platform.reveal() or None
+    store_address = settings.weight_store_address
     return Outside(
-        log=HttpLogClient(http, settings.log_address),
-        machine_list=HttpMachineList(http, settings.machine_list_address),
-        weight_store=store,
+        log=HttpLogClient(http, settings.log_address, credential),
+        machine_list=HttpMachineList(http, settings.machine_list_address, credential),
+        weight_store=HttpWeightStore(http, store_address, credential) if store_address else None,
         engine=HttpEngineClient(http),
         app=HttpAppClient(http),
         transport=TcpPeerTransport(host, port, credential=settings.credentials.peers.reveal()),
--- a/passgate/settings.py
+++ b/passgate/settings.py
@@ -33,6 +33,9 @@
 LABEL_KEY_PATTERN = r"^[A-Za-z0-9]([A-Za-z0-9._/-]{0,61}[A-Za-z0-9])?$"
 LABEL_VALUE_PATTERN = r"^([A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?)?$"
 
+FLAGS = "flags"
+"""Source of settings given on the command line."""
+
 ADDRESS_FORM = "IP:port with a numeric IP and a port from 0 to 65535, for example 127.0.0.1:8100"
 
 
@@ -68,6 +71,8 @@
     """Needed on the operators' port, except for ``/healthz`` and ``/readyz``."""
     peers: Credential = Credential("")
     """Needed between daemons; the same on all of them."""
+    platform: Credential = Credential("")
+    """Sent to the log, the machine list and the weight store."""
     callers: dict[str, Credential] = {}
     """Caller name to its credential; when given, the credential names the caller."""
 
@@ -191,7 +196,7 @@
         SettingsError: details name ``file``, ``key`` and ``expected``.
     """
     if not str(path):
-        return parse_settings("", overrides, source="flags")
+        return parse_settings("", overrides, source=FLAGS)
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -229,7 +234,9 @@
     for key, value in (overrides or {}).items():
         _set_override(document, key, str(value))
     if overrides:
-        settings = _convert(document, "flags over " + source, strict=False, partial=False)
+        settings = _convert(
+            document, source if source == FLAGS else f"{FLAGS} over {source}", strict=False, partial=False
+        )
     assert settings is not None
     _check(settings, source)
     return settings
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -149,16 +149,20 @@
         self.http = HttpClient()
         self.log_clients = {}
 
+    def client_of(self, name):
+        """Return a daemon's access to the log, for faults; also before the daemon is started."""
+        from passgate.state.memory_log import MemoryLogClient
+
+        return self.log_clients.setdefault(name, MemoryLogClient(self.log))
+
     async def start(self, name="d1", wait=True, **settings):
         from passgate.server.daemon import Daemon
         from passgate.server.parts import Outside
         from passgate.settings import Settings, StopSettings
-        from passgate.state.memory_log import MemoryLogClient
 
         settings.setdefault("stop", StopSettings(notice_s=0.0, leave_timeout_s=0.0))
-        self.log_clients.setdefault(name, MemoryLogClient(self.log))
         outside = Outside(
-            log=self.log_clients[name],
+            log=self.client_of(name),
             machine_list=self.machines,
             weight_store=None,
             engine=self.engine,
--- a/tests/test_server_operators.py
+++ b/tests/test_server_operators.py
@@ -99,10 +99,7 @@
     async def scenario(cluster):
         first = await cluster.start("d1")
         await cluster.configure(first)
-        from passgate.state.memory_log import MemoryLogClient
-
-        cluster.log_clients["d2"] = MemoryLogClient(cluster.log)
-        cluster.log_clients["d2"].down = True
+        cluster.client_of("d2").down = True
         second = await cluster.start("d2", wait=False)
         assert (await cluster.call(second.operator_address, "GET", "/readyz")).status == 503
         assert (await cluster.call(second.operator_address, "GET", "/healthz")).status == 200
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -99,3 +99,38 @@
     assert not gate.idle()
     stream.sending = False
     assert gate.idle()
+
+
+def test_a_stop_while_starting_ends_at_once(run_cluster):
+    async def scenario(cluster):
+        cluster.client_of("d1").down = True
+        daemon = await cluster.start("d1", wait=False)
+        assert await daemon.stop() is True
+        assert daemon.life.state == "stopped"
+
+    run_cluster(scenario)
+
+
+def test_kept_lots_are_handed_over_and_finished_elsewhere(run_cluster):
+    async def scenario(cluster):
+        first = await cluster.start("d1")
+        await cluster.configure(first)
+        second = await cluster.start("d2")
+        cluster.engine.hold = asyncio.Event()
+        prompts = [{"prompt": [index], "max_tokens": 4} for index in range(4)]
+        lot = {"lot_id": "l1", "model": "m", "staleness_bound": 1, "trainer_version": 3, "prompts": prompts}
+        assert (await cluster.post(first, "/v1/lots", lot)).status == 201
+        await cluster.until(lambda: cluster.engine.requests)
+        stopping = asyncio.ensure_future(first.stop())
+        await cluster.until(lambda: first.life.state == "finishing")
+        cluster.engine.hold.set()
+        assert await stopping is True
+        page = await cluster.get(second, "/v1/lots/l1/samples?wait_s=5&limit=4")
+        samples = page.json["samples"]
+        while len(samples) < 4:
+            path = f"/v1/lots/l1/samples?wait_s=5&limit=4&cursor={page.json['next_cursor']}"
+            page = await cluster.get(second, path)
+            samples += page.json["samples"]
+        assert sorted(sample["index"] for sample in samples) == [0, 1, 2, 3]
+
+    run_cluster(scenario)
