--- /dev/null
+++ b/passgate/check/cli.py
@@ -0,0 +1,127 @@
+"""Command line of the checkers: ``passgate check model`` and ``passgate check history FILE``.
+
+Each command prints a table, or JSON lines with ``--json``, and raises
+:class:`~passgate.errors.VerificationFailed`, which ends the program with exit
+code 1, when a property or promise fails.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+import msgspec
+
+from passgate.check.history import Violation, read_history
+from passgate.check.judgement import HistoryVerdict, judge_history
+from passgate.check.output_oracle import emulated_token
+from passgate.errors import NotFound, VerificationFailed
+
+
+class HistoryBroken(VerificationFailed):
+    """A history breaks a promise; details name ``promise`` and ``rule``."""
+
+    code = "history_broken"
+
+
+class ModelBroken(VerificationFailed):
+    """A specification breaks a property, or a mutant was not caught."""
+
+    code = "model_broken"
+
+
+class HistoryFileMissing(NotFound):
+    """The history file can not be read; details name ``file``."""
+
+    code = "history_file_missing"
+
+
+class CheckCommands:
+    """Model checking of the core protocol and history checking of runs."""
+
+    def model(self, specification: str = "", mutants: bool = False, json: bool = False) -> None:
+        """Check the specifications exhaustively; with --mutants, that each seeded mistake is caught.
+
+        Args:
+            specification: name of one specification; all when empty.
+            mutants: check the seeded mistakes instead of the specifications.
+            json: print one JSON line per check.
+        """
+        from passgate.check.specification.catalogue import select
+        from passgate.check.specification.kernel import check
+
+        failed = []
+        for chosen in select(specification):
+            if mutants:
+                failed += _check_mutants(chosen, json)
+                continue
+            result = check(chosen)
+            _show(json, result, _model_line(result))
+            for broken in result.properties:
+                if not broken.holds:
+                    failed.append(f"{chosen.name}.{broken.name}")
+                    print(f"  {broken.name}: {' -> '.join(broken.trace)}")
+        if failed:
+            raise ModelBroken(f"{len(failed)} failed: {', '.join(failed)}")
+
+    def history(self, file: str, json: bool = False) -> None:
+        """Judge a recorded history against every promise.
+
+        Args:
+            file: JSON lines of events, as written by a recorder.
+            json: print the verdict as one JSON line.
+        """
+        try:
+            with pathlib.Path(file).open("rb") as lines:
+                events = read_history(lines)
+        except OSError as error:
+            raise HistoryFileMissing(str(error), file=file) from error
+        verdict = judge_history(events, emulated_token)
+        _show(json, verdict, _history_table(verdict))
+        found = verdict.shortest()
+        if found is not None:
+            if not json:
+                print(_excerpt(found))
+            raise HistoryBroken(found.message, promise=found.promise, rule=found.rule)
+
+
+def _check_mutants(specification, json: bool) -> list[str]:
+    from passgate.check.specification.kernel import check_mutant
+
+    missed = []
+    for mutant in specification.mutants:
+        try:
+            result = check_mutant(specification, mutant)
+        except VerificationFailed as error:
+            missed.append(f"{specification.name}.{mutant.name}")
+            print(error, file=sys.stderr)
+            continue
+        trace = " -> ".join(result.properties[0].trace)
+        name = f"{specification.name}.{mutant.name}"
+        _show(json, result, f"{name:45} caught by {mutant.caught_by:22} {trace}")
+    return missed
+
+
+def _show(as_json: bool, value: msgspec.Struct, text: str) -> None:
+    print(msgspec.json.encode(value).decode() if as_json else text)
+
+
+def _model_line(result) -> str:
+    holding = sum(verdict.holds for verdict in result.properties)
+    return (
+        f"{result.specification:15} {result.states:7} states  depth {result.depth:3}  "
+        f"{result.seconds:7.2f} s  {holding}/{len(result.properties)} properties hold"
+    )
+
+
+def _history_table(verdict: HistoryVerdict) -> str:
+    lines = [f"{verdict.events} events"]
+    for promise in verdict.promises:
+        outcome = f"{promise.violations} violations" if promise.violations else "holds"
+        lines.append(f"{promise.promise:15} {outcome}")
+    return "\n".join(lines)
+
+
+def _excerpt(violation: Violation) -> str:
+    events = [msgspec.json.encode(event).decode() for event in violation.excerpt]
+    return "\n".join([f"{violation.promise}.{violation.rule}: {violation.message}", *events])
--- /dev/null
+++ b/passgate/check/specification/catalogue.py
@@ -0,0 +1,28 @@
+"""All specifications, by name.
+
+>>> sorted(SPECIFICATIONS)
+['claims', 'configuration', 'leases', 'lots', 'planned_stop']
+"""
+
+from __future__ import annotations
+
+from passgate.check.specification.claims import CLAIMS
+from passgate.check.specification.configuration import CONFIGURATION
+from passgate.check.specification.kernel import Specification
+from passgate.check.specification.leases import LEASES
+from passgate.check.specification.lots import LOTS
+from passgate.check.specification.planned_stop import PLANNED_STOP
+from passgate.errors import NotFound
+
+SPECIFICATIONS: dict[str, Specification] = {
+    specification.name: specification for specification in (PLANNED_STOP, LEASES, CLAIMS, CONFIGURATION, LOTS)
+}
+
+
+def select(name: str = "") -> list[Specification]:
+    """Return the named specification, or all of them; raises NotFound."""
+    if not name:
+        return list(SPECIFICATIONS.values())
+    if name not in SPECIFICATIONS:
+        raise NotFound(f"no specification {name!r}; known are {', '.join(SPECIFICATIONS)}", name=name)
+    return [SPECIFICATIONS[name]]
--- a/passgate/check/specification/kernel.py
+++ b/passgate/check/specification/kernel.py
@@ -18,17 +18,18 @@
 
 import msgspec
 from minicheck import Protocol, check_liveness, check_safety
+from minicheck._core import SearchIncomplete
 
 from passgate.errors import VerificationFailed
-from passgate.records import Record
 
-MAX_STATES = 190_000
+MAX_STATES = 150_000
 """Largest state space that a specification may have; the library refuses larger ones."""
 
 LIVENESS = "reaches_goal"
 """Name of the property that a goal state stays reachable from every state."""
 
-Step = tuple[str, tuple[Any, ...]]
+State = tuple[Any, ...]
+Step = tuple[str, State]
 """Label and next state, as the library takes them."""
 
 
@@ -88,44 +89,6 @@
         return [result.name for result in self.properties if not result.holds]
 
 
-class FoldView:
-    """The running code's fold after a prefix of the log, with all its decisions; read only."""
-
-    def __init__(self, fold: Any, decisions: tuple[Any, ...]) -> None:
-        self.fold = fold
-        self.decisions = decisions
-
-
-class SharedLog:
-    """Record numbers for states, and cached folds of log prefixes."""
-
-    def __init__(self, new_fold: Callable[[], Any]) -> None:
-        self._new_fold = new_fold
-        self._records: list[Record] = []
-        self._numbers: dict[Record, int] = {}
-        self._views: dict[tuple[int, ...], FoldView] = {}
-
-    def number(self, record: Record) -> int:
-        """Return the number that stands for a record in states."""
-        if record not in self._numbers:
-            self._numbers[record] = len(self._records)
-            self._records.append(record)
-        return self._numbers[record]
-
-    def record(self, number: int) -> Record:
-        """Return the record of a number."""
-        return self._records[number]
-
-    def view(self, prefix: tuple[int, ...]) -> FoldView:
-        """Return the fold over a prefix of the log, computed once per prefix."""
-        view = self._views.get(prefix)
-        if view is None:
-            fold = self._new_fold()
-            decisions = tuple(fold.apply(offset, self._records[n]) for offset, n in enumerate(prefix))
-            view = self._views[prefix] = FoldView(fold, decisions)
-        return view
-
-
 def check(specification: Specification, mutants: Iterable[str] = ()) -> CheckResult:
     """Explore every state of a specification and judge each of its properties.
 
@@ -133,73 +96,110 @@
         SearchTruncated: the state space is larger than :data:`MAX_STATES`.
     """
     names = frozenset(mutants)
-    model = specification.build(names)
+    model = _Explored(specification.build(names))
     started_s = time.perf_counter()
-    depths: dict[tuple[Any, ...], int] = {model.initial: 0}
-    report = check_safety(_measured(model, depths), max_states=MAX_STATES)
-    if not report["exhaustive"] and not names:
+    report = check_safety(model.protocol, max_states=MAX_STATES)
+    if not report["exhaustive"]:
         raise SearchTruncated(report["incomplete_reason"], specification=specification.name)
     results = [_result(name, found) for name, found in report["properties"].items()]
-    if model.goal is not None and report["exhaustive"]:
-        results.append(_result(LIVENESS, check_liveness(model)))
+    if model.protocol.goal is not None:
+        results.append(_result(LIVENESS, check_liveness(model.protocol)))
     return CheckResult(
         specification=specification.name,
         mutant=",".join(sorted(names)),
         states=report["reachable_states"],
-        depth=max(depths.values()),
-        exhaustive=report["exhaustive"],
+        depth=model.depth(),
+        exhaustive=True,
         seconds=round(time.perf_counter() - started_s, 3),
         properties=tuple(results),
     )
 
 
-def check_mutant(specification: Specification, mutant: Mutant) -> PropertyResult:
-    """Return the verdict on the property that must catch the mutant.
+def check_mutant(specification: Specification, mutant: Mutant) -> CheckResult:
+    """Return the verdict on the property that must catch the mutant, up to its first violation.
 
     Raises:
         VerificationFailed: the property holds in spite of the mistake.
     """
-    result = check(specification, [mutant.name])
-    caught = next((r for r in result.properties if r.name == mutant.caught_by and not r.holds), None)
-    if caught is None:
+    if mutant.caught_by == LIVENESS:
+        result = check(specification, [mutant.name])
+        found = [verdict for verdict in result.properties if verdict.name == LIVENESS]
+        result = msgspec.structs.replace(result, properties=tuple(found))
+    else:
+        result = _search_violation(specification, mutant)
+    if not result.failed():
         raise VerificationFailed(
             f"mutant {mutant.name} of {specification.name} is not caught by {mutant.caught_by}",
             specification=specification.name,
             mutant=mutant.name,
-            failed=result.failed(),
         )
-    return caught
-
-
-def _measured(model: Protocol, depths: dict[tuple[Any, ...], int]) -> Protocol:
-    """Return the model with a transition function that notes each state's depth."""
-    transitions = model.transitions
-
-    def noting(state: tuple[Any, ...]) -> list[Step]:
-        steps = list(transitions(state))
-        depth = depths[state] + 1
-        for _, following in steps:
-            depths.setdefault(following, depth)
-        return steps
-
-    return Protocol(
-        name=model.name,
-        candidate=model.candidate,
-        fields=model.fields,
-        initial=model.initial,
-        transitions=noting,
-        invariants=model.invariants,
-        goal=model.goal,
-        fair=model.fair,
-        assumption=model.assumption,
+    return result
+
+
+def _search_violation(specification: Specification, mutant: Mutant) -> CheckResult:
+    model = _Explored(specification.build(frozenset([mutant.name])), until_broken=mutant.caught_by)
+    started_s = time.perf_counter()
+    report = check_safety(model.protocol, max_states=MAX_STATES)
+    return CheckResult(
+        specification=specification.name,
+        mutant=mutant.name,
+        states=report["reachable_states"],
+        depth=model.depth(),
+        exhaustive=report["exhaustive"],
+        seconds=round(time.perf_counter() - started_s, 3),
+        properties=tuple(_result(name, found) for name, found in report["properties"].items()),
     )
 
 
+class _Explored:
+    """A model whose steps are computed once per state, and whose depth is measured."""
+
+    def __init__(self, model: Protocol, until_broken: str = "") -> None:
+        invariants = model.invariants
+        if until_broken:
+            invariants = {until_broken: self._stopping(model.invariants[until_broken])}
+        self.protocol = Protocol(
+            name=model.name,
+            candidate=model.candidate,
+            fields=model.fields,
+            initial=model.initial,
+            transitions=self._transitions,
+            invariants=invariants,
+            goal=model.goal,
+        )
+        self._model = model
+        self._steps: dict[State, list[Step]] = {}
+        self._depths: dict[State, int] = {model.initial: 0}
+        self._broken = False
+
+    def depth(self) -> int:
+        """Return the largest number of steps from the initial state to a state found."""
+        return max(self._depths.values())
+
+    def _transitions(self, state: State) -> list[Step]:
+        if self._broken:
+            raise SearchIncomplete("the violation that was looked for is found")
+        if state not in self._steps:
+            self._steps[state] = list(self._model.transitions(state))
+            depth = self._depths[state] + 1
+            for _, following in self._steps[state]:
+                self._depths.setdefault(following, depth)
+        return self._steps[state]
+
+    def _stopping(self, invariant: Callable[[dict[str, Any]], bool]) -> Callable[[dict[str, Any]], bool]:
+        def judged(state: dict[str, Any]) -> bool:
+            holds = invariant(state)
+            self._broken = self._broken or not holds
+            return holds
+
+        return judged
+
+
 def _result(name: str, found: dict[str, Any]) -> PropertyResult:
     trace = found.get("counterexample") or []
     return PropertyResult(
         name=name,
-        holds=found["holds"] is True,
+        holds=found["holds"] is not False,
         trace=tuple(step["label"] for step in trace if step["label"]),
         last_state=repr(trace[-1]["state"]) if trace else "",
     )
