--- a/tests/test_statecharts.py
+++ b/tests/test_statecharts.py
@@ -1,9 +1,12 @@
 """Every transition of every chart, and the table against sismic's interpreter."""
 
+from pathlib import Path
+
 import pytest
 from sismic.interpreter import Interpreter
 from sismic.io import import_from_yaml
 
+from passgate.charts.document import stale_pages, write
 from passgate.errors import ChartError, IllegalTransition
 from passgate.statecharts import Machine, chart_names, compile_chart, load_chart, read_statechart
 
@@ -123,3 +126,15 @@
     assert machine.within("holding") and not machine.finished
     assert machine.send("released") == "free"
     assert not machine.within("holding")
+
+
+def test_pages_with_pictures_match_the_files():
+    assert stale_pages(Path(__file__).parents[1] / "docs" / "charts") == []
+
+
+def test_a_changed_page_is_noticed(tmp_path):
+    write(str(tmp_path))
+    assert stale_pages(tmp_path) == []
+    (tmp_path / "lease.md").write_text("changed")
+    (tmp_path / "old.md").write_text("left behind")
+    assert stale_pages(tmp_path) == ["lease.md", "old.md"]
