Add scoring services, surge spans and replaced machines

Cause: trainers wait for scores, the season's surge is a time span, and machines come back under a new generation.

--- a/passgate/emulator/direct_service.py
+++ b/passgate/emulator/direct_service.py
@@ -57,11 +57,16 @@
 
 
 class DirectService:
-    """Implements ``service.Service`` for one caller; begins with the first daemon."""
+    """Implements ``service.Service`` for one group of callers; begins with the first daemon.
 
-    def __init__(self, daemons: Sequence[DirectDaemon], network: Network) -> None:
+    With ``spread`` every call goes to the next daemon in turn, as callers of
+    several places do; otherwise all calls go to one as long as it is up.
+    """
+
+    def __init__(self, daemons: Sequence[DirectDaemon], network: Network, *, spread: bool = False) -> None:
         self._daemons = list(daemons)
         self._network = network
+        self._spread = spread
 
     @property
     def daemon(self) -> str:
@@ -114,6 +119,8 @@
 
     async def _call(self, use: Callable[[DirectDaemon], Awaitable[Result]]) -> Result:
         daemon = self._next_daemon()
+        if self._spread:
+            self._rotate(daemon)
         await self._network.deliver(CLIENT_ZONE, daemon.zone)
         if daemon.killed.done():
             raise BackendUnreachable("connection refused", execution=ExecutionStatus.NOT_RUN)
@@ -143,8 +150,9 @@
         raise BackendUnreachable("no daemon is up", execution=ExecutionStatus.NOT_RUN)
 
     def _rotate(self, daemon: DirectDaemon) -> None:
-        self._daemons.remove(daemon)
-        self._daemons.append(daemon)
+        """Move a daemon to the end; a second call for the same one changes nothing."""
+        if self._daemons[0] is daemon:
+            self._daemons.append(self._daemons.pop(0))
 
 
 async def _call_app_once(daemon: DirectDaemon, request: AppRequest, key: str) -> AppResponse:
--- a/passgate/emulator/faults.py
+++ b/passgate/emulator/faults.py
@@ -65,10 +65,12 @@
 
 
 class MachineLeaves(Fault, frozen=True, tag="machine_leaves"):
-    """The platform says that a back end is leaving; it crashes for good after its notice."""
+    """The platform says that a back end is leaving; it goes after its notice, perhaps to be replaced."""
 
     replica: str
     notice_s: float = 30.0
+    return_after_s: float | None = None
+    """When a new process under the same name takes its place, after it went; None for never."""
 
 
 class LogOutage(Fault, frozen=True, tag="log_outage"):
@@ -246,11 +248,16 @@
         self._world.log.faults.down = self._log_outages > 0
 
     def _leave(self, fault: MachineLeaves) -> None:
+        self._world.machine_list.mark_leaving(fault.replica)
+        self._later(fault.notice_s, lambda: self._go(fault))
+
+    def _go(self, fault: MachineLeaves) -> None:
         world = self._world
-        world.machine_list.mark_leaving(fault.replica)
         backend = world.engines.get(fault.replica) or world.apps[fault.replica]
-        self._later(fault.notice_s, lambda: backend.crash(FOR_EVER_S))
-        self._later(fault.notice_s, lambda: world.machine_list.mark_gone(fault.replica))
+        backend.crash(FOR_EVER_S if fault.return_after_s is None else fault.return_after_s)
+        world.machine_list.mark_gone(fault.replica)
+        if fault.return_after_s is not None:
+            self._later(fault.return_after_s, lambda: world.machine_list.mark_live(fault.replica))
 
     def _cut_zone(self, fault: ZoneCut) -> None:
         others = [zone for zone in self._world.parameters.zones if zone != fault.zone]
--- a/passgate/emulator/parameters.py
+++ b/passgate/emulator/parameters.py
@@ -156,6 +156,15 @@
     lag_s: float = 2.0
 
 
+class ScoringParameters(_Parameters, frozen=True, kw_only=True):
+    """The service that scores one trainer's samples."""
+
+    mean_s: float = 0.05
+    variation: float = 0.5
+    """Coefficient of variation of the log-normal scoring time."""
+    workers: int = 16
+
+
 class TrainerParameters(_Parameters, frozen=True, kw_only=True):
     """A trainer in a closed loop: a step waits for its lot, trains, and publishes weights."""
 
@@ -172,6 +181,7 @@
     deadline_s: float = 360.0
     read_limit: int = 64
     read_wait_s: float = 5.0
+    scoring: ScoringParameters = ScoringParameters()
 
 
 class ArrivalParameters(_Parameters, frozen=True, kw_only=True):
@@ -212,6 +222,13 @@
     trainers: tuple[TrainerParameters, ...] = ()
     arrivals: tuple[ArrivalParameters, ...] = ()
 
+    def with_surge(self, start_s: float, end_s: float) -> DeploymentParameters:
+        """Return the same deployment with the season's surge of interactive calls in a time span."""
+        arrivals = [
+            msgspec.structs.replace(item, surge_start_s=start_s, surge_end_s=end_s) for item in self.arrivals
+        ]
+        return msgspec.structs.replace(self, arrivals=tuple(arrivals))
+
     def model(self, name: str) -> ModelParameters:
         """Return the parameters of one model; raises SettingsError when absent."""
         for model in self.engines.models:
--- a/passgate/emulator/tally.py
+++ b/passgate/emulator/tally.py
@@ -52,6 +52,8 @@
     version: int = 0
     idle_s: float = 0.0
     """Waited for a lot that was not whole."""
+    scoring_s: float = 0.0
+    """Waited for scores of a lot that was whole."""
     train_s: float = 0.0
     lot_times_s: list[float] = []
     """Opening to whole lot."""
@@ -75,7 +77,7 @@
 
     def idle_share(self) -> float:
         """Return the share of time spent waiting for lots."""
-        total_s = self.idle_s + self.train_s
+        total_s = self.idle_s + self.scoring_s + self.train_s
         return self.idle_s / total_s if total_s > 0 else 0.0
 
 
--- a/passgate/emulator/trainer.py
+++ b/passgate/emulator/trainer.py
@@ -14,6 +14,7 @@
 from passgate.emulator.expected_output import Verdict, expected_length, verify_output
 from passgate.emulator.parameters import ModelParameters, TrainerParameters
 from passgate.emulator.prompts import PromptSource
+from passgate.emulator.scoring import ScoringService
 from passgate.emulator.service import Service
 from passgate.emulator.tally import TrainerTally
 from passgate.errors import PassgateError
@@ -31,6 +32,8 @@
     opened_s: float
     asked_version: int = 0
     """Trainer's version when it last asked for a page."""
+    scored_s: float = 0.0
+    """When the last score of the samples so far is there."""
     received: dict[int, DeliveredSample] = {}
     failed: set[int] = set()
 
@@ -58,9 +61,10 @@
         self._random = random
         self._record = record or _ignore
         self._prompts = PromptSource(model, random)
+        self._scoring = ScoringService(parameters.scoring, random)
         self._opened = 0
         self._publishing: asyncio.Task[None] | None = None
-        self._collecting: deque[asyncio.Task[None]] = deque()
+        self._collecting: deque[asyncio.Task[float]] = deque()
 
     async def run(self, steps: int | None = None) -> None:
         """Train for a number of steps, or until cancelled."""
@@ -75,20 +79,27 @@
     async def _step(self) -> None:
         while len(self._collecting) <= self.parameters.lots_ahead:
             self._collecting.append(asyncio.ensure_future(self._whole_lot()))
-        await self._wait_idle(self._collecting[0])
+        scored_s = await self._wait_idle(self._collecting[0])
         self._collecting.popleft()
+        await self._wait_scores(scored_s)
         await self._train()
         self.tally.steps += 1
         if self.tally.steps % self.parameters.publish_every_steps == 0:
             self._publish()
 
-    async def _wait_idle(self, lot: asyncio.Task[None]) -> None:
+    async def _wait_idle(self, lot: asyncio.Task[float]) -> float:
         started_s = monotonic_s()
         try:
-            await lot
+            return await lot
         finally:
             self.tally.idle_s += monotonic_s() - started_s
 
+    async def _wait_scores(self, scored_s: float) -> None:
+        wait_s = scored_s - monotonic_s()
+        if wait_s > 0:
+            self.tally.scoring_s += wait_s
+            await asyncio.sleep(wait_s)
+
     async def _train(self) -> None:
         started_s = monotonic_s()
         try:
@@ -98,7 +109,8 @@
 
     # --- lots ------------------------------------------------------------------------
 
-    async def _whole_lot(self) -> None:
+    async def _whole_lot(self) -> float:
+        """Collect one lot and return when its last score is there."""
         lot = self._new_lot()
         await self._persist(lambda: self._service.open_lot(lot.request, lot.lot_id))
         self._record_opening(lot)
@@ -111,6 +123,7 @@
             if page.finished:
                 break
         self._close(lot)
+        return lot.scored_s
 
     def _new_lot(self) -> _Lot:
         parameters = self.parameters
@@ -148,6 +161,7 @@
                 continue
             lot.received[sample.index] = sample
             self.tally.delivered += 1
+            lot.scored_s = max(lot.scored_s, self._scoring.submit(monotonic_s()))
             self._judge(lot, sample)
 
     def _judge(self, lot: _Lot, sample: DeliveredSample) -> None:
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -419,6 +419,16 @@
     assert not up
 
 
+def test_replaced_machine_comes_back_under_a_new_generation():
+    async def scenario(world):
+        await asyncio.sleep(10.0)
+        listed = {machine.machine_id: machine for machine in await world.machine_list.machines()}
+        return listed[APP].state, listed[APP].generation, world.apps[APP].up
+
+    fault = MachineLeaves(0.0, APP, notice_s=2.0, return_after_s=3.0)
+    assert in_world(scenario, faults=[fault]) == (MachineState.LIVE, 1, True)
+
+
 def test_platform_can_be_down():
     async def scenario(world):
         world.machine_list.available = False
