--- a/passgate/membership/config.py
+++ b/passgate/membership/config.py
@@ -15,7 +15,7 @@
     indirect_probes: int = 3
     suspicion_multiplier: float = 3.0
     """Shortest suspicion, in probe periods times log10 of the members."""
-    retransmit_multiplier: float = 1.0
+    retransmit_multiplier: float = 3.0
     """Transmissions of one piece of news, times log2 of the members."""
     gossip_period_s: float = 0.25
     """While there is news, it is also sent on its own this often."""
