--- a/passgate/clock.py
+++ b/passgate/clock.py
@@ -16,6 +16,10 @@
 
 import asyncio
 import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+Result = TypeVar("Result")
 
 
 def monotonic_s() -> float:
@@ -36,3 +40,21 @@
     loop = looptime.new_event_loop(start=0.0)
     loop.setup_looptime(start=0.0, noop_cycles=1, idle_step=None)
     return loop
+
+
+def run_virtual(main: Coroutine[Any, Any, Result]) -> Result:
+    """Run ``main`` to its end on a virtual loop of its own, then cancel what it left behind.
+
+    >>> run_virtual(asyncio.sleep(3600, "rested"))
+    'rested'
+    """
+    loop = new_virtual_loop()
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        left = asyncio.all_tasks(loop)
+        for task in left:
+            task.cancel()
+        if left:
+            loop.run_until_complete(asyncio.wait(left))
+        loop.close()
--- a/passgate/state/append_queue.py
+++ b/passgate/state/append_queue.py
@@ -36,6 +36,7 @@
 BATCH_LIMIT_BYTES = 1_000_000
 BACKOFF_INITIAL_S = 0.05
 BACKOFF_CAP_S = 2.0
+SHORTEST_WAIT_S = 0.001
 
 
 class Backoff:
@@ -224,7 +225,7 @@
         while not append.done() and not all(proposal.settled for proposal in batch):
             settled = asyncio.ensure_future(self._batch_settled.wait())
             remaining_s = deadline_s - asyncio.get_running_loop().time()
-            if remaining_s <= 0:
+            if remaining_s < SHORTEST_WAIT_S:
                 raise DurabilityUnknown("the append did not return")
             await asyncio.wait({append, settled}, timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED)
             settled.cancel()
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -292,6 +292,7 @@
 
 async def _within(awaitable, timeout_s: float, what: str) -> None:
     try:
-        await asyncio.wait_for(awaitable, timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await awaitable
     except TimeoutError:
         raise DeadlineExceeded(f"{what} did not arrive", execution=ExecutionStatus.NOT_RUN) from None
--- a/passgate/state/lot_handle.py
+++ b/passgate/state/lot_handle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from random import Random
 
@@ -67,11 +68,10 @@
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Return at the next applied record, or after ``timeout_s``."""
-        changed = self._changed
-        try:
-            await asyncio.wait_for(changed.wait(), timeout_s)
-        except TimeoutError:
-            return
+        # Not asyncio.wait_for: in Python 3.11 it loses a cancellation that meets the event.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
 
     def touch(self) -> None:
         """Note that the lot is in use."""
--- a/passgate/state/lot_reader.py
+++ b/passgate/state/lot_reader.py
@@ -16,6 +16,8 @@
 from passgate.state.lot_types import DeliveredSample, SampleFailure, SamplesPage, sample_id
 
 HAND_OVER_TIMEOUT_S = 5.0
+SHORTEST_WAIT_S = 0.001
+"""Below it the loop's clock may not advance."""
 PAGE_LIMIT_TOKENS = 500_000
 """Encoding a page must not hold the loop up for long."""
 
@@ -33,7 +35,7 @@
     while True:
         page = await _page_now(handle, cursor, limit, trainer_version)
         remaining_s = deadline_s - monotonic_s()
-        if page.samples or page.withdrawn or page.failed or page.finished or remaining_s <= 0:
+        if page.samples or page.withdrawn or page.failed or page.finished or remaining_s < SHORTEST_WAIT_S:
             return page
         if page.next_cursor > cursor:
             cursor = page.next_cursor
--- a/passgate/state/lots.py
+++ b/passgate/state/lots.py
@@ -131,6 +131,8 @@
         """Record that the trainer has samples, so that their bytes can be dropped."""
         indexes = tuple(index_of(lot_id, identifier) for identifier in sample_ids)
         handle = await self._known(lot_id)
+        if not indexes:
+            return
         await handle.propose(SamplesAcknowledged(indexes=indexes), timeout_s=PROPOSE_TIMEOUT_S)
 
     async def replace(
--- a/passgate/state/memory_log.py
+++ b/passgate/state/memory_log.py
@@ -27,6 +27,8 @@
 from passgate.errors import LogAppendUnknown, LogUnavailable
 from passgate.interfaces import LogBatch, LogEntry
 
+SHORTEST_WAIT_S = 0.001
+
 
 class AppendFault(enum.Enum):
     """What goes wrong with one append."""
@@ -132,11 +134,12 @@
             grown = self.log.grown
             batch = self._batch(stream, offset, limit)
             remaining_s = deadline_s - asyncio.get_running_loop().time()
-            if batch.entries or remaining_s <= 0:
+            if batch.entries or remaining_s < SHORTEST_WAIT_S:
                 await asyncio.sleep(self.latency_s)
                 return batch
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(grown.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await grown.wait()
 
     def _batch(self, stream: str, offset: int, limit: int) -> LogBatch:
         records = self.log.streams.get(stream, [])
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from passgate.clock import new_virtual_loop
+from passgate.clock import run_virtual
 from passgate.errors import DeadlineExceeded, DurabilityUnavailable, DurabilityUnknown
 from passgate.interfaces import LogBatch
 from passgate.records import ClaimReleased, Record, SnapshotTaken, encode_record
@@ -48,19 +48,6 @@
         return await self.follower.propose(ClaimReleased(key=key), timeout_s=timeout_s)
 
 
-def run(test):
-    loop = new_virtual_loop()
-    try:
-        return loop.run_until_complete(test)
-    finally:
-        left = asyncio.all_tasks(loop)
-        for task in left:
-            task.cancel()
-        if left:
-            loop.run_until_complete(asyncio.wait(left))
-        loop.close()
-
-
 def payload(writer, sequence, key):
     return encode_record(Record(writer=writer, sequence=sequence, epoch=0, body=ClaimReleased(key=key)))
 
@@ -87,7 +74,7 @@
         assert reader.fold.keys == writer.fold.keys
         await asyncio.gather(writer.follower.close(), reader.follower.close())
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_concurrent_proposals_share_one_append():
@@ -98,7 +85,7 @@
         assert log.append_calls <= 2
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_proposal_in_an_outage_is_not_on_the_log_and_never_will_be():
@@ -117,7 +104,7 @@
         assert daemon.abandoned == []
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_abandoned_proposal_in_doubt_is_withdrawn_before_it_lands_late():
@@ -134,7 +121,7 @@
         assert daemon.abandoned == []
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_abandoned_proposal_that_landed_is_reported():
@@ -151,7 +138,7 @@
         assert daemon.abandoned == ["abandoned"]
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_cancelled_proposal_counts_as_abandoned():
@@ -168,7 +155,7 @@
         assert daemon.fold.keys == ["kept"]
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_record_overtaken_by_a_later_one_of_its_writer_is_sent_again():
@@ -183,7 +170,7 @@
         assert daemon.fold.keys == ["overtaking", "a"]
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_reader_behind_never_moves_the_fold_back():
@@ -201,7 +188,7 @@
         assert daemon.fold.keys == ["a", "b", "c", "d"]
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_read_with_a_gap_is_not_applied():
@@ -225,7 +212,7 @@
         assert daemon.fold.keys == ["1", "2", "3"]
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_adopted_entries_follow_without_a_gap():
@@ -246,7 +233,7 @@
             await cut_off.follower.catch_up(8, 1.0)
         await asyncio.gather(up.follower.close(), cut_off.follower.close())
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_unreadable_and_unknown_records_are_passed_over_alike():
@@ -260,7 +247,7 @@
         assert daemon.follower.entries_since(1)[0].payload == newer
         await daemon.follower.close()
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_start_from_a_snapshot_reads_only_what_follows(monkeypatch):
@@ -282,7 +269,7 @@
         assert "copy" not in late.fold.keys
         await asyncio.gather(first.follower.close(), late.follower.close())
 
-    run(scenario())
+    run_virtual(scenario())
 
 
 def test_daemon_that_passed_over_unknown_kinds_takes_no_snapshot():
@@ -342,4 +329,4 @@
         with pytest.raises(DurabilityUnavailable):
             await daemon.propose("after")
 
-    run(scenario())
+    run_virtual(scenario())
