--- a/passgate/state/claims.py
+++ b/passgate/state/claims.py
@@ -46,6 +46,8 @@
 IDLE_CHECK_S = 1.0
 """How often a finished attempt looks whether its records are decided."""
 
+SHORTEST_WAIT_S = 0.001
+
 Result = TypeVar("Result")
 
 
@@ -99,16 +101,16 @@
         try:
             if not await attempt.claim(timeout_s):
                 return attempt.earlier_outcome()
-            return await asyncio.shield(self._in_background(attempt.run(run)))
+            return await asyncio.shield(attempt.start(run))
         finally:
             self._in_background(attempt.finish())
 
     async def drain(self, timeout_s: float) -> bool:
         """Wait for running requests and their outcomes; return whether all are done."""
-        if not self._tasks:
-            return True
-        _, pending = await asyncio.wait(self._tasks, timeout=timeout_s)
-        return not pending
+        deadline_s = monotonic_s() + timeout_s
+        while self._tasks and (remaining_s := deadline_s - monotonic_s()) > SHORTEST_WAIT_S:
+            await asyncio.wait(self._tasks, timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED)
+        return not self._tasks
 
     async def close(self) -> None:
         """Stop at once; outcomes that are not on the log are lost."""
@@ -152,6 +154,7 @@
         self._request_digest = request_digest
         self._fold = ClaimFold()
         self._follower = service._follow(key, self._fold, self._accepted_late)
+        self._running: asyncio.Task[ClaimOutcome] | None = None
         self._recording: asyncio.Task[None] | None = None
 
     async def claim(self, timeout_s: float) -> bool:
@@ -183,7 +186,12 @@
             "another attempt is running", retry_after_s=RETRY_AFTER_S, holder=state.holder
         )
 
-    async def run(self, run: Run) -> ClaimOutcome:
+    def start(self, run: Run) -> asyncio.Task[ClaimOutcome]:
+        """Start the run, which does not depend on its caller."""
+        self._running = self._service._in_background(self._run(run))
+        return self._running
+
+    async def _run(self, run: Run) -> ClaimOutcome:
         """Run and record how it ended."""
         try:
             outcome = await run()
@@ -202,14 +210,18 @@
     async def finish(self) -> None:
         """Close the follower when nothing of this attempt is in doubt any more."""
         try:
-            if self._recording is not None:
-                await asyncio.wait({self._recording}, timeout=OUTCOME_TIMEOUT_S)
+            if self._running is not None:
+                await asyncio.wait({self._running})
             deadline_s = monotonic_s() + OUTCOME_TIMEOUT_S
-            while not self._follower.idle and monotonic_s() < deadline_s:
+            while self._in_doubt() and monotonic_s() < deadline_s:
                 await asyncio.sleep(IDLE_CHECK_S)
         finally:
             await self._follower.close()
 
+    def _in_doubt(self) -> bool:
+        is_recording = self._recording is not None and not self._recording.done()
+        return is_recording or not self._follower.idle
+
     async def _record(self, body: Body) -> None:
         """Offer the end of the run to the log; the caller does not wait for long."""
         self._recording = self._service._in_background(self._propose(body))
