Simulate three real daemons under generated faults and judge their histories

Cause: promises must hold for the running daemons, not only for the specification. The harness runs server.daemon.Daemon without its ports over the emulated world in virtual time: kills, planned stops, pauses, zone cuts, log outages, lost answers, crashes, racing operators. Ruled out: rebuilding the wiring of a daemon for tests, which would test another daemon.

--- /dev/null
+++ b/passgate/check/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Concurrent runs of the real daemons in virtual time, with faults, recorded and judged."""
--- /dev/null
+++ b/passgate/check/simulation/process.py
@@ -0,0 +1,265 @@
+"""One daemon process in virtual time: the real daemon behind a boundary that can freeze or end.
+
+A paused process neither sends nor receives; its own timers still fire, which is
+harsher than a stopped process, as it then acts on what it believed before.  A
+killed process never sends again, while what it had sent still takes effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Any, TypeVar
+
+from passgate.emulator.world import EmulatedWorld
+from passgate.interfaces import AppClient, EngineClient, LogBatch, LogClient, MachineList
+from passgate.membership.memory_transport import MemoryNetwork, MemoryTransport
+from passgate.schema import (
+    AppRequest,
+    AppResponse,
+    CacheEvent,
+    EngineOrder,
+    GenerateChunk,
+    GenerateRequest,
+    LoadReport,
+    MachineInfo,
+    OrderResult,
+)
+from passgate.server.daemon import Daemon
+from passgate.server.parts import Outside
+from passgate.settings import Settings, StopSettings
+
+NOTICE_S = 2.0
+DRAIN_TIMEOUT_S = 120.0
+
+Result = TypeVar("Result")
+
+
+class ProcessBoundary:
+    """Everything that goes in or out of a process waits here while it is paused."""
+
+    def __init__(self) -> None:
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def pause(self) -> None:
+        """Hold everything back."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let everything pass again."""
+        self._running.set()
+
+    async def crossing(self, work: Callable[[], Awaitable[Result]]) -> Result:
+        """Do ``work`` outside of the process; its answer too comes in only while it runs."""
+        await self._running.wait()
+        try:
+            return await work()
+        finally:
+            await self._running.wait()
+
+    async def wait(self) -> None:
+        """Wait until the process runs."""
+        await self._running.wait()
+
+
+class BoundLog:
+    """``interfaces.LogClient`` of one process."""
+
+    def __init__(self, inner: LogClient, boundary: ProcessBoundary) -> None:
+        self._inner = inner
+        self._boundary = boundary
+
+    async def append(self, stream: str, payloads: Sequence[bytes], timeout_s: float) -> int:
+        """Append records; see ``interfaces.LogClient``."""
+        return await self._boundary.crossing(lambda: self._inner.append(stream, payloads, timeout_s))
+
+    async def read(self, stream: str, offset: int, limit: int, wait_s: float) -> LogBatch:
+        """Read records; see ``interfaces.LogClient``."""
+        return await self._boundary.crossing(lambda: self._inner.read(stream, offset, limit, wait_s))
+
+
+class BoundEngine:
+    """``interfaces.EngineClient`` of one process."""
+
+    def __init__(self, inner: EngineClient, boundary: ProcessBoundary) -> None:
+        self._inner = inner
+        self._boundary = boundary
+
+    async def generate(self, address: str, request: GenerateRequest) -> AsyncIterator[GenerateChunk]:
+        """Stream the output of one request; see ``interfaces.EngineClient``."""
+        await self._boundary.wait()
+        stream = self._inner.generate(address, request)
+        try:
+            async for chunk in stream:
+                await self._boundary.wait()
+                yield chunk
+        finally:
+            await stream.aclose()
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Cancel a request."""
+        await self._boundary.crossing(lambda: self._inner.cancel(address, request_id))
+
+    async def load_report(self, address: str) -> LoadReport:
+        """Return the engine's latest report."""
+        return await self._boundary.crossing(lambda: self._inner.load_report(address))
+
+    async def cache_events(self, address: str, after_sequence: int) -> Sequence[CacheEvent]:
+        """Return later cache events."""
+        return await self._boundary.crossing(lambda: self._inner.cache_events(address, after_sequence))
+
+    async def order(self, address: str, order: EngineOrder) -> OrderResult:
+        """Send a control order."""
+        return await self._boundary.crossing(lambda: self._inner.order(address, order))
+
+
+class BoundApp:
+    """``interfaces.AppClient`` of one process."""
+
+    def __init__(self, inner: AppClient, boundary: ProcessBoundary) -> None:
+        self._inner = inner
+        self._boundary = boundary
+
+    async def call(self, address: str, request: AppRequest) -> AppResponse:
+        """Forward a call."""
+        return await self._boundary.crossing(lambda: self._inner.call(address, request))
+
+
+class BoundMachineList:
+    """``interfaces.MachineList`` of one process; ``on_read`` is told what each read shows."""
+
+    def __init__(
+        self,
+        inner: MachineList,
+        boundary: ProcessBoundary,
+        on_read: Callable[[Sequence[MachineInfo]], None],
+    ) -> None:
+        self._inner = inner
+        self._boundary = boundary
+        self._on_read = on_read
+
+    async def machines(self) -> Sequence[MachineInfo]:
+        """Return the list."""
+        machines = await self._boundary.crossing(self._inner.machines)
+        self._on_read(machines)
+        return machines
+
+
+class _PortlessDaemon(Daemon):
+    """The daemon without its HTTP ports: callers enter through :class:`SimulatedProcess`."""
+
+    def _listen(self, routes: Any, address: str) -> str:
+        return address
+
+
+class SimulatedProcess:
+    """One run of one daemon."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        run: int,
+        world: EmulatedWorld,
+        peers: MemoryNetwork,
+        seeds: tuple[str, ...],
+        on_read: Callable[[Sequence[MachineInfo]], None],
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.boundary = ProcessBoundary()
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        """Done when the process is gone: connections to it are reset."""
+        self.stopping = False
+        self._transport: MemoryTransport = peers.transport(peer_address(name), zone)
+        random = world.random(f"{name}/{run}")
+        self.daemon = _PortlessDaemon(
+            self._settings(seeds),
+            _silent_logger(),
+            random,
+            self._outside(world, run, on_read),
+        )
+
+    @property
+    def parts(self):
+        """Parts of the daemon."""
+        return self.daemon.parts
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the daemon serves."""
+        return not self.ended.done() and not self.daemon.context.gate.starting
+
+    def start(self) -> None:
+        """Start the daemon."""
+        self.daemon.start()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self.boundary.pause()
+        self._transport.pause()
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        self.boundary.resume()
+        if not self.ended.done():
+            self._transport.resume()
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        if self.ended.done():
+            return
+        self.ended.set_result(None)
+        await self._transport.close()
+        self.boundary.resume()
+        await self.daemon.close()
+
+    async def stop(self) -> bool:
+        """Stop as planned; return whether everything was finished or handed over."""
+        self.stopping = True
+        whole = await self.daemon.stop()
+        if not self.ended.done():
+            self.ended.set_result(None)
+        return whole
+
+    def _settings(self, seeds: tuple[str, ...]) -> Settings:
+        return Settings(
+            daemon_id=self.name,
+            zone=self.zone,
+            log_address="10.9.0.1:9000",
+            machine_list_address="10.9.0.1:9001",
+            seeds=seeds,
+            stop=StopSettings(notice_s=NOTICE_S, drain_timeout_s=DRAIN_TIMEOUT_S),
+        )
+
+    def _outside(
+        self, world: EmulatedWorld, run: int, on_read: Callable[[Sequence[MachineInfo]], None]
+    ) -> Outside:
+        log = world.log_client(self.zone, f"{self.name}/{run}")
+        return Outside(
+            log=BoundLog(log, self.boundary),
+            machine_list=BoundMachineList(world.machine_list, self.boundary, on_read),
+            weight_store=None,
+            engine=BoundEngine(world.engine_client(self.zone), self.boundary),
+            app=BoundApp(world.app_client(self.zone), self.boundary),
+            transport=self._transport,
+        )
+
+
+def peer_address(name: str) -> str:
+    """Return the peer address of a daemon.
+
+    >>> peer_address("b-1")
+    '10.1.0.1:7000'
+    """
+    zone, _, number = name.partition("-")
+    return f"10.{ord(zone) - ord('a')}.0.{number}:7000"
+
+
+def _silent_logger() -> logging.Logger:
+    logger = logging.getLogger("passgate.simulation")
+    logger.addHandler(logging.NullHandler())
+    logger.propagate = False
+    return logger
--- /dev/null
+++ b/passgate/check/simulation/run.py
@@ -0,0 +1,250 @@
+"""One simulated run: three real daemons, the emulated world, callers, operators and faults.
+
+>>> outcome = simulate(Schedule(seed=1), RunLimits(calls_s=3.0, trainer_steps=1))
+>>> outcome.verdict.holds(), outcome.unhandled
+(True, ())
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+import msgspec
+
+from passgate.check import events as history_events
+from passgate.check.events import AnyEvent
+from passgate.check.history import HistoryRecorder
+from passgate.check.judgement import HistoryVerdict, judge_history
+from passgate.check.output_oracle import emulated_token
+from passgate.check.simulation.faults import SimulatedFaults
+from passgate.check.simulation.operators import RacingOperator, in_force
+from passgate.check.simulation.parameters import small_deployment
+from passgate.check.simulation.process import SimulatedProcess, peer_address
+from passgate.check.simulation.schedule import DAEMONS, Schedule
+from passgate.check.simulation.service import ClientLink, SimulatedService
+from passgate.clock import monotonic_s, run_virtual
+from passgate.emulator.callers import Callers
+from passgate.emulator.ledger import RunLedger, RunRecord
+from passgate.emulator.world import SERVICE_LABEL, EmulatedWorld
+from passgate.membership.memory_transport import LinkDelays, MemoryNetwork
+from passgate.schema import MachineInfo, MachineRole, MachineState
+from passgate.state.configuration import ConfigurationService
+from passgate.state.specs import ModelVersionSpec, PoolSpec
+
+OPERATORS = 2
+SETUP_TIMEOUT_S = 5.0
+READY_POLL_S = 0.02
+READY_LIMIT_S = 30.0
+REST_S = 25.0
+"""Time after the last call in which everything must become whole."""
+RETRY_MARK = "~"
+"""Separates a caller's request identifier from the number of a further attempt on a back end."""
+
+
+class RunLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Size of a run; times in virtual seconds."""
+
+    calls_s: float = 40.0
+    """How long callers and operators work."""
+    trainer_steps: int = 5
+    settle_s: float = 240.0
+    """Longest wait for the trainers' last lots after that."""
+
+
+class RunOutcome(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of one run."""
+
+    schedule: Schedule
+    verdict: HistoryVerdict
+    unhandled: tuple[str, ...]
+    """Exceptions that nothing handled: each is a fault of the code."""
+    virtual_s: float
+    events: tuple[AnyEvent, ...]
+
+    def holds(self) -> bool:
+        """Return whether every promise held and nothing was left unhandled."""
+        return self.verdict.holds() and not self.unhandled
+
+    def faults_found(self) -> list[str]:
+        """Return the names of broken promises and unhandled exceptions."""
+        return [*self.verdict.broken(), *sorted(set(self.unhandled))]
+
+
+def simulate(schedule: Schedule, limits: RunLimits | None = None) -> RunOutcome:
+    """Run a schedule in virtual time and judge its history; the same schedule gives the same history."""
+    return run_virtual(SimulatedRun(schedule, limits or RunLimits()).run())
+
+
+class SimulatedRun:
+    """Builds, runs and records one schedule; use it inside a virtual loop."""
+
+    def __init__(self, schedule: Schedule, limits: RunLimits) -> None:
+        self.schedule = schedule
+        self.limits = limits
+        self.recorder = HistoryRecorder()
+        self.processes: dict[str, SimulatedProcess] = {}
+        self.link = ClientLink()
+        self.unhandled: list[str] = []
+        self._runs: dict[str, int] = dict.fromkeys(DAEMONS, 0)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._said_leaving: set[str] = set()
+
+    async def run(self) -> RunOutcome:
+        """Run to the end and judge."""
+        asyncio.get_running_loop().set_exception_handler(self._note_unhandled)
+        await self._build()
+        await self._work()
+        self.record(history_events.HistoryClosed(time_s=monotonic_s()))
+        await self._close()
+        events = self.recorder.events
+        return RunOutcome(
+            schedule=self.schedule,
+            verdict=judge_history(events, emulated_token),
+            unhandled=tuple(self.unhandled),
+            virtual_s=round(monotonic_s(), 3),
+            events=tuple(events),
+        )
+
+    def record(self, event: AnyEvent) -> None:
+        """Add an event to the history."""
+        self.recorder.record(event)
+
+    # --- building ---------------------------------------------------------------------
+
+    async def _build(self) -> None:
+        parameters = small_deployment()
+        self.world = EmulatedWorld(parameters, self.schedule.seed, RunLedger(self._note_run))
+        delays = LinkDelays(between_zones_s=parameters.network.between_zones_s)
+        self.peers = MemoryNetwork(self.world.random("peers"), delays)
+        await self._configure()
+        for name in DAEMONS:
+            machine = MachineInfo(
+                machine_id=name, role=MachineRole.DAEMON, address=peer_address(name), zone=name[0]
+            )
+            self.world.machine_list.register(machine)
+            self.start_daemon(name)
+        await self._until_ready()
+
+    async def _configure(self) -> None:
+        """Put the pools and the first weights, as operators did before the run."""
+        service = ConfigurationService(self.world.log_client("a", "setup"), "setup", Random(0))
+        service.start()
+        groups = self.world.parameters
+        model = groups.engines.models[0].name
+        engines = PoolSpec(
+            selector=f"{SERVICE_LABEL}={groups.engines.name}", role=MachineRole.ENGINE, model=model
+        )
+        apps = PoolSpec(selector=f"{SERVICE_LABEL}={groups.apps.name}", role=MachineRole.APP)
+        first = ModelVersionSpec(model=model, version=1)
+        await service.put("Pool", model, {}, engines, 0, SETUP_TIMEOUT_S)
+        await service.put("Pool", groups.apps.name, {}, apps, 0, SETUP_TIMEOUT_S)
+        await service.put("ModelVersion", f"{model}-1", {"model": model}, first, 0, SETUP_TIMEOUT_S)
+        await service.close()
+
+    def start_daemon(self, name: str) -> None:
+        """Start a new run of a daemon, which takes the place of the former one."""
+        self._runs[name] += 1
+        seeds = tuple(peer_address(other) for other in DAEMONS if other != name)
+        process = SimulatedProcess(
+            name, name[0], self._runs[name], self.world, self.peers, seeds, self._note_machines
+        )
+        self.processes[name] = process
+        process.start()
+        self.spawn(self._announce(process))
+
+    async def _announce(self, process: SimulatedProcess) -> None:
+        """Record a daemon's start and configuration once it serves."""
+        while not process.is_ready:
+            if process.ended.done() or process.stopping:
+                return
+            await asyncio.sleep(READY_POLL_S)
+        state = process.parts.configuration.state
+        self.record(history_events.DaemonStarted(time_s=monotonic_s(), daemon=process.name))
+        self.faults.note_started(process.name)
+        self.record(in_force(process.name, state))
+        process.parts.configuration.subscribe(lambda state: self._note_configuration(process))
+
+    async def _until_ready(self) -> None:
+        self.faults = SimulatedFaults(self)
+        deadline_s = monotonic_s() + READY_LIMIT_S
+        while not all(process.is_ready for process in self.processes.values()):
+            if monotonic_s() > deadline_s:
+                self.unhandled.append("daemons did not become ready")
+                return
+            await asyncio.sleep(READY_POLL_S)
+
+    # --- running ------------------------------------------------------------------------
+
+    async def _work(self) -> None:
+        seed = self.schedule.seed
+        callers = Callers(self.world.parameters, self._service_for, self.world.publish, seed, self.record)
+        steps = self.limits.trainer_steps
+        trainers = [asyncio.ensure_future(trainer.run(steps)) for trainer in callers.trainers]
+        operators = [
+            self.spawn(RacingOperator(name, self.processes, self.world.random(name), self.record).run())
+            for name in (f"operator-{number}" for number in range(OPERATORS))
+        ]
+        self.faults.start(self.schedule.faults)
+        await asyncio.gather(*(stream.run(self.limits.calls_s, REST_S) for stream in callers.streams))
+        for operator in operators:
+            operator.cancel()
+        await asyncio.wait(trainers, timeout=self.limits.settle_s)
+        await asyncio.sleep(REST_S)
+        for trainer in trainers:
+            trainer.cancel()
+        await asyncio.gather(*trainers, return_exceptions=True)
+
+    def _service_for(self, caller: str) -> SimulatedService:
+        random = self.world.random(f"service/{caller}")
+        return SimulatedService(self.processes, self.world.network, self.link, random, self.record)
+
+    async def _close(self) -> None:
+        self.faults.close()
+        for process in self.processes.values():
+            await process.kill()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.world.close()
+
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
+        """Run work beside the schedule until the end."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.unhandled.append(repr(task.exception()))
+
+    # --- what is seen from outside --------------------------------------------------------
+
+    def _note_run(self, record: RunRecord) -> None:
+        started = history_events.BackendRunStarted(
+            time_s=record.at_s,
+            request_id=record.request_id.split(RETRY_MARK)[0],
+            replica_id=record.replica_id,
+        )
+        self.record(started)
+
+    def _note_machines(self, machines: Sequence[MachineInfo]) -> None:
+        for machine in machines:
+            is_leaving = machine.state is not MachineState.LIVE
+            if is_leaving and machine.machine_id not in self._said_leaving:
+                self._said_leaving.add(machine.machine_id)
+                self.record(
+                    history_events.BackendLeaving(time_s=monotonic_s(), replica_id=machine.machine_id)
+                )
+
+    def _note_configuration(self, process: SimulatedProcess) -> None:
+        if not process.ended.done():
+            self.record(in_force(process.name, process.parts.configuration.state))
+
+    def _note_unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        self.unhandled.append(repr(error) if error is not None else str(context.get("message")))
--- /dev/null
+++ b/passgate/check/simulation/schedule.py
@@ -0,0 +1,177 @@
+"""Schedules: which faults happen when in one run; typed, generated from a seed, kept as JSON.
+
+>>> generate_schedule(7) == generate_schedule(7)
+True
+>>> decode_schedule(encode_schedule(generate_schedule(7))) == generate_schedule(7)
+True
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from passgate.emulator.engine_events import SwapFailure
+from passgate.emulator.faults import (
+    AnyFault,
+    AppCrash,
+    AppSlow,
+    ConnectionsLost,
+    EngineCrash,
+    EngineSlow,
+    EngineSwapFailure,
+    LogLosesAnswers,
+    LogOutage,
+    LogReaderBehind,
+    LogSlow,
+    MachineLeaves,
+    MachineListOutage,
+    StoreOutage,
+    ZoneCut,
+)
+
+ZONES = ("a", "b", "c")
+DAEMONS = ("a-1", "b-1", "c-1")
+ENGINES = ("engine-0", "engine-1", "engine-2", "engine-3")
+APPS = ("app-0", "app-1", "app-2")
+
+FAULTS_FROM_S = 4.0
+FAULTS_UNTIL_S = 30.0
+FAULTS_LIMIT = 4
+LONGEST_FAULT_S = 12.0
+
+
+class DaemonFault(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+    """Base of faults of passgate's own daemons."""
+
+    at_s: float
+    daemons: tuple[str, ...]
+
+
+class DaemonKill(DaemonFault, frozen=True, tag="daemon_kill"):
+    """Daemons end without warning and are replaced."""
+
+    restart_after_s: float
+
+
+class DaemonPause(DaemonFault, frozen=True, tag="daemon_pause"):
+    """Daemons stand still and then go on, believing what they believed."""
+
+    duration_s: float
+
+
+class DaemonStop(DaemonFault, frozen=True, tag="daemon_stop"):
+    """Daemons stop by plan and are replaced."""
+
+    restart_after_s: float
+
+
+class ClientAnswersLost(msgspec.Struct, frozen=True, tag="client_answers_lost", kw_only=True):
+    """Answers on their way to callers and trainers are lost with a probability."""
+
+    at_s: float
+    probability: float
+    duration_s: float
+
+
+AnyScheduledFault = DaemonKill | DaemonPause | DaemonStop | ClientAnswersLost | AnyFault
+
+
+class Schedule(msgspec.Struct, frozen=True, kw_only=True):
+    """One run: its seed and its faults."""
+
+    seed: int
+    faults: tuple[AnyScheduledFault, ...] = ()
+
+    def fault_names(self) -> list[str]:
+        """Return the kinds of the faults, sorted."""
+        return sorted({fault_name(fault) for fault in self.faults})
+
+
+def fault_name(fault: AnyScheduledFault) -> str:
+    """Return the kind of a fault, with the extent of a kill.
+
+    >>> fault_name(DaemonKill(at_s=5.0, daemons=("a-1",), restart_after_s=1.0))
+    'daemon_kill'
+    >>> fault_name(DaemonKill(at_s=5.0, daemons=DAEMONS, restart_after_s=1.0))
+    'daemon_kill_all'
+    """
+    name = str(fault.__struct_config__.tag)
+    is_whole = isinstance(fault, DaemonFault) and len(fault.daemons) == len(DAEMONS)
+    return f"{name}_all" if is_whole else name
+
+
+def encode_schedule(schedule: Schedule) -> bytes:
+    """Return a schedule as JSON."""
+    return msgspec.json.encode(schedule)
+
+
+def decode_schedule(text: bytes | str) -> Schedule:
+    """Return the schedule of a JSON text; raises ``msgspec.MsgspecError``."""
+    return msgspec.json.decode(text, type=Schedule)
+
+
+def generate_schedule(seed: int, only: str = "") -> Schedule:
+    """Return the schedule of a seed: one to four faults, or two of the one kind named.
+
+    Faults may overlap, and the same fault may come twice.
+    """
+    random = Random(f"schedule/{seed}")
+    if only:
+        makers = [FAULT_MAKERS[only]] * 2
+    else:
+        names = random.choices(sorted(FAULT_MAKERS), k=random.randint(1, FAULTS_LIMIT))
+        makers = [FAULT_MAKERS[name] for name in names]
+    faults = [make(random, _time_s(random)) for make in makers]
+    return Schedule(seed=seed, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
+
+
+def _time_s(random: Random) -> float:
+    return round(random.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S), 3)
+
+
+def _duration_s(random: Random) -> float:
+    return round(random.uniform(0.2, LONGEST_FAULT_S), 3)
+
+
+def _one(random: Random) -> tuple[str, ...]:
+    return (random.choice(DAEMONS),)
+
+
+def _restart_s(random: Random) -> float:
+    return round(random.uniform(0.1, 5.0), 3)
+
+
+Maker = Callable[[Random, float], AnyScheduledFault]
+
+FAULT_MAKERS: dict[str, Maker] = {
+    "daemon_kill": lambda r, at_s: DaemonKill(at_s=at_s, daemons=_one(r), restart_after_s=_restart_s(r)),
+    "daemon_kill_all": lambda r, at_s: DaemonKill(at_s=at_s, daemons=DAEMONS, restart_after_s=_restart_s(r)),
+    "daemon_pause": lambda r, at_s: DaemonPause(at_s=at_s, daemons=_one(r), duration_s=_duration_s(r)),
+    "daemon_stop": lambda r, at_s: DaemonStop(at_s=at_s, daemons=_one(r), restart_after_s=_restart_s(r)),
+    "client_answers_lost": lambda r, at_s: ClientAnswersLost(
+        at_s=at_s, probability=r.choice((0.2, 0.5)), duration_s=_duration_s(r)
+    ),
+    "engine_crash": lambda r, at_s: EngineCrash(at_s, r.choice(ENGINES), _restart_s(r)),
+    "engine_slow": lambda r, at_s: EngineSlow(at_s, r.choice(ENGINES), 20.0, _duration_s(r)),
+    "engine_swap_failure": lambda r, at_s: EngineSwapFailure(
+        at_s, r.choice(ENGINES), r.choice(list(SwapFailure)), r.randint(1, 3)
+    ),
+    "app_crash": lambda r, at_s: AppCrash(at_s, r.choice(APPS), _restart_s(r)),
+    "app_slow": lambda r, at_s: AppSlow(at_s, r.choice(APPS), 20.0, _duration_s(r)),
+    "machine_leaves": lambda r, at_s: MachineLeaves(at_s, r.choice((ENGINES[0], APPS[0])), 10.0),
+    "log_outage": lambda r, at_s: LogOutage(at_s, _duration_s(r), r.random() < 0.5),
+    "log_slow": lambda r, at_s: LogSlow(at_s, r.choice((0.5, 2.0, 6.0)), _duration_s(r)),
+    "log_loses_answers": lambda r, at_s: LogLosesAnswers(
+        at_s, r.choice((0.3, 0.9)), _duration_s(r), r.random() < 0.5
+    ),
+    "log_reader_behind": lambda r, at_s: LogReaderBehind(
+        at_s, r.choice(ZONES), r.choice((1.0, 5.0)), _duration_s(r)
+    ),
+    "zone_cut": lambda r, at_s: ZoneCut(at_s, r.choice(ZONES), _duration_s(r)),
+    "connections_lost": lambda r, at_s: ConnectionsLost(at_s, r.choice((0.05, 0.3)), _duration_s(r)),
+    "store_outage": lambda r, at_s: StoreOutage(at_s, _duration_s(r)),
+    "machine_list_outage": lambda r, at_s: MachineListOutage(at_s, _duration_s(r)),
+}
--- /dev/null
+++ b/passgate/check/simulation/service.py
@@ -0,0 +1,188 @@
+"""The simulated daemons as callers reach them, over the emulated network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import Any, TypeVar
+
+import msgspec
+
+from passgate.check.events import AnyEvent, RequestCutOff
+from passgate.check.simulation.process import SimulatedProcess
+from passgate.clock import monotonic_s
+from passgate.emulator.network import CLIENT_ZONE, Network
+from passgate.errors import BackendUnreachable, ExecutionStatus
+from passgate.schema import AppRequest, AppResponse, GenerateRequest, GenerateResult
+from passgate.server.options import request_digest
+from passgate.state.claims import ClaimOutcome
+from passgate.state.lot_types import LotRequest, SamplesPage
+from passgate.state.specs import ModelVersionSpec
+
+DURABILITY_TIMEOUT_S = 5.0
+OK_STATUS = 200
+
+Result = TypeVar("Result")
+
+
+class ClientLink(msgspec.Struct):
+    """Present state of the way back to callers."""
+
+    answer_loss: float = 0.0
+
+
+class SimulatedService:
+    """Implements ``emulator.service.Service``: each call goes to the next daemon in turn.
+
+    A daemon that is not ready, or said that it is leaving, is passed over while
+    another one is there, as a load balancer does.
+    """
+
+    def __init__(
+        self,
+        processes: dict[str, SimulatedProcess],
+        network: Network,
+        link: ClientLink,
+        random: Random,
+        record: Callable[[AnyEvent], None],
+    ) -> None:
+        self._processes = processes
+        self._network = network
+        self._link = link
+        self._random = random
+        self._record = record
+        self._turn = 0
+
+    @property
+    def daemon(self) -> str:
+        """Name of the daemon that the next call goes to."""
+        return self._next().name
+
+    # --- calls ------------------------------------------------------------------------
+
+    async def generate(self, request: GenerateRequest, idempotency_key: str | None = None) -> GenerateResult:
+        """Return a whole answer."""
+        if idempotency_key is None:
+            return await self._call(lambda p: p.parts.dispatcher.generate(request), request.request_id)
+        return await self._call(lambda p: _generate_once(p, request, idempotency_key), request.request_id)
+
+    async def call_app(self, request: AppRequest, idempotency_key: str | None = None) -> AppResponse:
+        """Forward a call to an application service."""
+        if idempotency_key is None:
+            return await self._call(lambda p: p.parts.dispatcher.call_app(request), request.request_id)
+        return await self._call(lambda p: _call_app_once(p, request, idempotency_key), request.request_id)
+
+    async def open_lot(self, request: LotRequest, lot_id: str) -> None:
+        """Open a lot."""
+        await self._call(lambda p: p.parts.lots.open(request, lot_id))
+
+    async def read_lot(
+        self, lot_id: str, cursor: int, limit: int, wait_s: float, trainer_version: int
+    ) -> SamplesPage:
+        """Read samples from a cursor on."""
+        return await self._call(lambda p: p.parts.lots.read(lot_id, cursor, limit, wait_s, trainer_version))
+
+    async def acknowledge(self, lot_id: str, sample_ids: Sequence[str]) -> None:
+        """Confirm that samples have arrived."""
+        await self._call(lambda p: p.parts.lots.acknowledge(lot_id, sample_ids))
+
+    async def replace(self, lot_id: str, sample_ids: Sequence[str], trainer_version: int) -> None:
+        """Have withdrawn samples produced again."""
+        await self._call(lambda p: p.parts.lots.replace(lot_id, sample_ids, trainer_version))
+
+    async def cancel_lot(self, lot_id: str) -> None:
+        """Give a lot up."""
+        await self._call(lambda p: p.parts.lots.cancel(lot_id))
+
+    async def publish_version(self, model: str, version: int) -> None:
+        """Announce weights that are in the weight store."""
+        await self._call(lambda p: _publish(p, model, version))
+
+    # --- connections --------------------------------------------------------------------
+
+    def _next(self) -> SimulatedProcess:
+        names = sorted(self._processes)
+        order = [self._processes[names[(self._turn + i) % len(names)]] for i in range(len(names))]
+        return next((p for p in order if p.is_ready and not p.stopping), order[0])
+
+    async def _call(
+        self, use: Callable[[SimulatedProcess], Awaitable[Result]], request_id: str = ""
+    ) -> Result:
+        process = self._next()
+        self._turn += 1
+        await self._network.deliver(CLIENT_ZONE, process.zone)
+        await self._either(process.boundary.wait(), process)
+        if process.ended.done():
+            raise BackendUnreachable("connection refused", execution=ExecutionStatus.NOT_RUN)
+        gate = process.daemon.context.gate
+        gate.enter()
+        work = asyncio.ensure_future(use(process))
+        try:
+            await self._either(work, process)
+        finally:
+            if not work.done():
+                work.cancel()
+            gate.leave(None)
+        await self._either(process.boundary.wait(), process)
+        if not work.done() or process.ended.done() and not process.stopping:
+            self._note_cut_off(request_id)
+            raise BackendUnreachable("connection reset", execution=ExecutionStatus.UNKNOWN)
+        if self._random.random() < self._link.answer_loss:
+            raise BackendUnreachable("answer lost", execution=ExecutionStatus.UNKNOWN)
+        await self._network.deliver(process.zone, CLIENT_ZONE)
+        return work.result()
+
+    async def _either(self, work: Awaitable[Any], process: SimulatedProcess) -> None:
+        """Wait for work or for the end of the process."""
+        task = asyncio.ensure_future(work)
+        try:
+            await asyncio.wait({task, process.ended}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            if not task.done():
+                task.cancel()
+
+    def _note_cut_off(self, request_id: str) -> None:
+        if request_id:
+            self._record(RequestCutOff(time_s=monotonic_s(), request_id=request_id))
+
+
+async def _call_app_once(process: SimulatedProcess, request: AppRequest, key: str) -> AppResponse:
+    async def run() -> ClaimOutcome:
+        response = await process.parts.dispatcher.call_app(request)
+        return ClaimOutcome(response.status, response.content_type, response.body)
+
+    digest = request_digest(request.pool.encode(), request.path.encode(), request.body)
+    outcome = await _claimed(process, f"{request.caller}/key/{key}", digest, run)
+    return AppResponse(
+        request_id=request.request_id,
+        status=outcome.status,
+        body=outcome.body,
+        content_type=outcome.content_type,
+    )
+
+
+async def _generate_once(process: SimulatedProcess, request: GenerateRequest, key: str) -> GenerateResult:
+    async def run() -> ClaimOutcome:
+        result = await process.parts.dispatcher.generate(request)
+        return ClaimOutcome(OK_STATUS, "application/json", msgspec.json.encode(result))
+
+    digest = request_digest(request.model.encode(), str((request.prompt, request.seed)).encode())
+    outcome = await _claimed(process, f"{request.caller}/key/{key}", digest, run)
+    result = msgspec.json.decode(outcome.body, type=GenerateResult)
+    return msgspec.structs.replace(result, request_id=request.request_id)
+
+
+async def _claimed(
+    process: SimulatedProcess, key: str, digest: str, run: Callable[[], Awaitable[ClaimOutcome]]
+) -> ClaimOutcome:
+    """Run under a claim; the work goes on when its caller leaves, as in the daemon's handlers."""
+    claims = process.parts.claims.run_once(key, digest, run, DURABILITY_TIMEOUT_S)
+    return await asyncio.shield(process.daemon.context.gate.detach(claims))
+
+
+async def _publish(process: SimulatedProcess, model: str, version: int) -> None:
+    spec = ModelVersionSpec(model=model, version=version)
+    await process.parts.configuration.put(
+        "ModelVersion", f"{model}-{version}", {"model": model}, spec, None, DURABILITY_TIMEOUT_S
+    )
