--- a/passgate/clients/http_engine.py
+++ b/passgate/clients/http_engine.py
@@ -14,20 +14,18 @@
 from passgate.clients import wire
 from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy, remaining_s, send_policy
 from passgate.clients.curl import HttpClient
-from passgate.clients.replies import decode_body, decode_error, engine_failure, reported_failure, unreachable
+from passgate.clients.replies import decode_body, decode_error, engine_failure, unreachable
+from passgate.clients.stream_verifier import StreamVerifier
 from passgate.clients.transfer import Transfer
 from passgate.errors import (
     AnswerMismatch,
     ExecutionStatus,
-    IncompleteAnswer,
     OrderRefused,
     PassgateError,
-    VersionNotReported,
 )
 from passgate.schema import (
     CacheEvent,
     EngineOrder,
-    FinishReason,
     GenerateChunk,
     GenerateRequest,
     LoadReport,
@@ -37,8 +35,6 @@
 CONTROL_TIMEOUT_S = 5.0
 ORDER_TIMEOUT_S = 30.0
 
-_event_decoder = msgspec.json.Decoder(wire.CompletionEvent)
-
 
 class HttpEngineClient:
     """Client of engines that speak the completions interface of :mod:`passgate.clients.wire`."""
@@ -115,118 +111,6 @@
         return answer
 
 
-class StreamVerifier:
-    """Turns the bytes of one stream into verified chunks; holds no I/O.
-
-    Invariant: the chunk with the finish reason leaves only after the end mark.
-    """
-
-    def __init__(self, request: GenerateRequest) -> None:
-        self.done = False
-        """The stream's end mark was seen after its finish reason."""
-        self._request = request
-        self._position = len(request.resume_tokens)
-        self._events = wire.EventDecoder()
-        self._last: GenerateChunk | None = None
-
-    @property
-    def started(self) -> bool:
-        """Whether a token of this request's output has arrived."""
-        return self._position > len(self._request.resume_tokens)
-
-    def feed(self, data: bytes) -> list[GenerateChunk]:
-        """Return the chunks completed by ``data``; ``b""`` means that the body ended.
-
-        Raises:
-            IncompleteAnswer, AnswerMismatch, VersionNotReported, BackendRefused.
-        """
-        if not data:
-            raise self._incomplete("stream ended without its end mark")
-        chunks = []
-        for event in self._split(data):
-            chunk = self._end() if event == wire.DONE_MARK else self._piece(event)
-            if chunk is not None:
-                chunks.append(chunk)
-        return chunks
-
-    def _split(self, data: bytes) -> list[bytes]:
-        try:
-            return self._events.feed(data)
-        except ValueError as error:
-            raise self._incomplete(str(error)) from error
-
-    def _end(self) -> GenerateChunk:
-        if self._last is None:
-            raise self._incomplete("end mark without a finish reason")
-        self.done = True
-        return self._last
-
-    def _piece(self, data: bytes) -> GenerateChunk | None:
-        if self._last is not None:
-            raise self._incomplete("output goes on after its finish reason")
-        event = self._decode(data)
-        if event.error is not None:
-            raise self._reported(event)
-        if event.id != self._request.request_id:
-            raise AnswerMismatch(
-                "piece belongs to another request", expected=self._request.request_id, got=event.id
-            )
-        choice = event.choices[0] if event.choices else wire.CompletionChoice()
-        self._check_position(event, choice)
-        chunk = GenerateChunk(
-            request_id=event.id,
-            start=self._position,
-            tokens=choice.token_ids,
-            version=event.weight_version,
-            finish_reason=_finish_reason(choice),
-        )
-        self._position += len(chunk.tokens)
-        self._check_total(event)
-        if chunk.finish_reason is None:
-            return chunk
-        self._last = chunk
-        return None
-
-    def _decode(self, data: bytes) -> wire.CompletionEvent:
-        try:
-            return _event_decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            raise self._incomplete(f"unreadable event: {error}") from error
-
-    def _check_position(self, event: wire.CompletionEvent, choice: wire.CompletionChoice) -> None:
-        if event.position is not None and event.position != self._position:
-            raise self._incomplete("piece is out of order", got=event.position)
-        if choice.token_ids and event.weight_version is None:
-            raise VersionNotReported("piece has no weight version", position=self._position)
-
-    def _check_total(self, event: wire.CompletionEvent) -> None:
-        if self._position > self._request.max_tokens:
-            raise self._incomplete("more tokens than asked for")
-        if event.usage is not None and event.usage.completion_tokens != self._position:
-            raise self._incomplete("token count differs", reported=event.usage.completion_tokens)
-
-    def _reported(self, event: wire.CompletionEvent) -> PassgateError:
-        error = event.error
-        assert error is not None
-        if error.execution is ExecutionStatus.NOT_RUN and not self.started:
-            return reported_failure(error)
-        return self._incomplete(error.message, code=error.code)
-
-    def _incomplete(self, message: str, **details: object) -> IncompleteAnswer:
-        return IncompleteAnswer(
-            message, request_id=self._request.request_id, position=self._position, **details
-        )
-
-
-def _finish_reason(choice: wire.CompletionChoice) -> FinishReason | None:
-    if choice.finish_reason is None:
-        return None
-    try:
-        return FinishReason(choice.finish_reason)
-    except ValueError as error:
-        raise IncompleteAnswer("output was not finished", finish_reason=choice.finish_reason) from error
-
-
 def _check_echo(transfer: Transfer, request_id: str) -> None:
     echoed = transfer.headers.get(wire.REQUEST_ID_HEADER)
     if echoed is not None and echoed != wire.header_text(request_id):
--- a/passgate/clients/wire.py
+++ b/passgate/clients/wire.py
@@ -75,7 +75,8 @@
     id: str = ""
     object: str = "text_completion"
     choices: tuple[CompletionChoice, ...] = ()
-    weight_version: int | None = None
+    weight_version: int | str | None = None
+    """Version that produced the piece, as a number or its decimal text."""
     position: int | None = None
     """Position of the piece's first token in the whole output, when the engine tells it."""
     usage: Usage | None = None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import inspect
 import logging
 import random
 
@@ -252,6 +253,16 @@
         self.http.close()
 
 
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem):
+    """Run a coroutine test on a real loop of its own."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = pyfuncitem._fixtureinfo.argnames
+    asyncio.run(pyfuncitem.obj(**{name: pyfuncitem.funcargs[name] for name in names}))
+    return True
+
+
 @pytest.fixture
 def run_cluster():
     """Run a scenario, a coroutine function of one cluster, on a real loop."""
--- a/tests/test_clients_http_app.py
+++ b/tests/test_clients_http_app.py
@@ -54,100 +54,75 @@
     return AppRequest(request_id=request_id, **{**fields, "body": b'{"photo": 1}', **changes})
 
 
-def test_call_arrives_as_sent_and_its_answer_comes_back():
-    async def main():
-        async with served_app() as (server, client, address):
-            response = await client.call(address, app_request(repeatable=False, priority_class="gold"))
-            assert (response.status, response.body, response.replica_id) == (200, b'{"photo": 1}', "linha-0")
-            seen = server.model.calls[0]
-            assert (seen.caller, seen.path, seen.priority_class) == ("supervisor", "/verdict?lot=7", "gold")
-            assert seen.repeatable is False
-
-    asyncio.run(main())
+async def test_call_arrives_as_sent_and_its_answer_comes_back():
+    async with served_app() as (server, client, address):
+        response = await client.call(address, app_request(repeatable=False, priority_class="gold"))
+        assert (response.status, response.body, response.replica_id) == (200, b'{"photo": 1}', "linha-0")
+        seen = server.model.calls[0]
+        assert (seen.caller, seen.path, seen.priority_class) == ("supervisor", "/verdict?lot=7", "gold")
+        assert seen.repeatable is False
 
 
 @pytest.mark.parametrize("method", ["GET", "POST", "PUT", "PATCH", "DELETE"])
-def test_methods_and_statuses_pass_through(method):
-    async def main():
-        async with served_app() as (_, client, address):
-            body = b"" if method in ("GET", "DELETE") else b"x"
-            response = await client.call(address, app_request(method=method, path="/missing", body=body))
-            assert (response.status, response.body) == (404, body)
-
-    asyncio.run(main())
+async def test_methods_and_statuses_pass_through(method):
+    async with served_app() as (_, client, address):
+        body = b"" if method in ("GET", "DELETE") else b"x"
+        response = await client.call(address, app_request(method=method, path="/missing", body=body))
+        assert (response.status, response.body) == (404, body)
 
 
 @pytest.mark.parametrize("caller", ["Damião", "Žižka", "a\r\nX-Evil: 1", "50% off", ""])
-def test_any_caller_and_identifier_travels_as_it_is(caller):
-    async def main():
-        async with served_app() as (server, client, address):
-            response = await client.call(address, app_request(caller + "/1", caller=caller))
-            assert response.request_id == caller + "/1"
-            seen = server.model.calls[0]
-            assert (seen.request_id, seen.caller) == (caller + "/1", caller)
-
-    asyncio.run(main())
-
+async def test_any_caller_and_identifier_travels_as_it_is(caller):
+    async with served_app() as (server, client, address):
+        response = await client.call(address, app_request(caller + "/1", caller=caller))
+        assert response.request_id == caller + "/1"
+        seen = server.model.calls[0]
+        assert (seen.request_id, seen.caller) == (caller + "/1", caller)
 
-def test_crossed_answer_is_a_mismatch():
-    async def main():
-        async with served_app() as (server, client, address):
-            server.faults.cross_answers = 1
-            with pytest.raises(AnswerMismatch):
-                await client.call(address, app_request())
 
-    asyncio.run(main())
+async def test_crossed_answer_is_a_mismatch():
+    async with served_app() as (server, client, address):
+        server.faults.cross_answers = 1
+        with pytest.raises(AnswerMismatch):
+            await client.call(address, app_request())
 
 
-def test_refusal_of_the_service_is_not_run():
-    async def main():
-        async with served_app() as (server, client, address):
-            server.model.refuse = True
-            with pytest.raises(BackendRefused) as caught:
-                await client.call(address, app_request())
-            assert caught.value.execution is ExecutionStatus.NOT_RUN
-            assert caught.value.retry_after_s == 2.0
+async def test_refusal_of_the_service_is_not_run():
+    async with served_app() as (server, client, address):
+        server.model.refuse = True
+        with pytest.raises(BackendRefused) as caught:
+            await client.call(address, app_request())
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        assert caught.value.retry_after_s == 2.0
 
-    asyncio.run(main())
 
+async def test_not_repeatable_call_dropped_on_the_way_reaches_the_service_once():
+    async with served_app() as (server, client, address):
+        await client.call(address, app_request("r0"))  # leaves a kept connection
+        server.faults.lose_answers = 1
+        with pytest.raises(BackendUnreachable) as caught:
+            await client.call(address, app_request("r1", repeatable=False))
+        assert caught.value.execution is ExecutionStatus.UNKNOWN
+        assert server.counters.received == {"r0": 1, "r1": 1}
 
-def test_not_repeatable_call_dropped_on_the_way_reaches_the_service_once():
-    async def main():
-        async with served_app() as (server, client, address):
-            await client.call(address, app_request("r0"))  # leaves a kept connection
-            server.faults.lose_answers = 1
-            with pytest.raises(BackendUnreachable) as caught:
-                await client.call(address, app_request("r1", repeatable=False))
-            assert caught.value.execution is ExecutionStatus.UNKNOWN
-            assert server.counters.received == {"r0": 1, "r1": 1}
 
-    asyncio.run(main())
-
-
-def test_answer_to_a_cancelled_call_is_dropped():
+async def test_answer_to_a_cancelled_call_is_dropped():
     """A late answer never reaches a later call, as its connection is gone."""
-
-    async def main():
-        async with served_app() as (server, client, address):
-            server.model.hold = asyncio.Event()
-            late = asyncio.create_task(client.call(address, app_request("late")))
-            while not server.model.calls:
-                await asyncio.sleep(0)
-            late.cancel()
-            await asyncio.gather(late, return_exceptions=True)
-            server.model.hold.set()
-            response = await client.call(address, app_request("next", body=b"own"))
-            assert (response.request_id, response.body) == ("next", b"own")
-
-    asyncio.run(main())
-
-
-def test_deadline_that_is_over_is_not_run():
-    async def main():
-        async with served_app() as (server, client, address):
-            with pytest.raises(DeadlineExceeded) as caught:
-                await client.call(address, app_request(deadline_s=monotonic_s() - 1.0))
-            assert caught.value.execution is ExecutionStatus.NOT_RUN
-            assert not server.model.calls
-
-    asyncio.run(main())
+    async with served_app() as (server, client, address):
+        server.model.hold = asyncio.Event()
+        late = asyncio.create_task(client.call(address, app_request("late")))
+        while not server.model.calls:
+            await asyncio.sleep(0)
+        late.cancel()
+        await asyncio.gather(late, return_exceptions=True)
+        server.model.hold.set()
+        response = await client.call(address, app_request("next", body=b"own"))
+        assert (response.request_id, response.body) == ("next", b"own")
+
+
+async def test_deadline_that_is_over_is_not_run():
+    async with served_app() as (server, client, address):
+        with pytest.raises(DeadlineExceeded) as caught:
+            await client.call(address, app_request(deadline_s=monotonic_s() - 1.0))
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        assert not server.model.calls
--- a/tests/test_clients_http_log.py
+++ b/tests/test_clients_http_log.py
@@ -28,90 +28,69 @@
         http.close()
 
 
-def test_records_come_back_in_order_with_their_offsets():
-    async def main():
-        async with served_log() as (_, _, client):
-            assert await client.append("claim.a/b%2F c", [b"\x00one", b"two"], TIMEOUT_S) == 0
-            assert await client.append("claim.a/b%2F c", [b"three"], TIMEOUT_S) == 2
-            batch = await client.read("claim.a/b%2F c", 1, 10, 0.0)
-            assert [(entry.offset, entry.payload) for entry in batch.entries] == [(1, b"two"), (2, b"three")]
-            assert batch.end_offset == 3
-            assert (await client.read("never-written", 0, 10, 0.0)).end_offset == 0
-
-    asyncio.run(main())
-
-
-def test_long_poll_answers_at_the_next_append():
-    async def main():
-        async with served_log() as (log, _, client):
-            reading = asyncio.create_task(client.read("s", 0, 10, 30.0))
-            while not log._waiters.get("s"):
-                await asyncio.sleep(0)
+async def test_records_come_back_in_order_with_their_offsets():
+    async with served_log() as (_, _, client):
+        assert await client.append("claim.a/b%2F c", [b"\x00one", b"two"], TIMEOUT_S) == 0
+        assert await client.append("claim.a/b%2F c", [b"three"], TIMEOUT_S) == 2
+        batch = await client.read("claim.a/b%2F c", 1, 10, 0.0)
+        assert [(entry.offset, entry.payload) for entry in batch.entries] == [(1, b"two"), (2, b"three")]
+        assert batch.end_offset == 3
+        assert (await client.read("never-written", 0, 10, 0.0)).end_offset == 0
+
+
+async def test_long_poll_answers_at_the_next_append():
+    async with served_log() as (log, _, client):
+        reading = asyncio.create_task(client.read("s", 0, 10, 30.0))
+        while not log._waiters.get("s"):
+            await asyncio.sleep(0)
+        await client.append("s", [b"x"], TIMEOUT_S)
+        batch = await asyncio.wait_for(reading, TIMEOUT_S)
+        assert batch.entries[0].payload == b"x"
+
+
+async def test_refused_connection_is_unavailable():
+    async with served_log() as (_, server, client):
+        server.crash()
+        with pytest.raises(LogUnavailable):
             await client.append("s", [b"x"], TIMEOUT_S)
-            batch = await asyncio.wait_for(reading, TIMEOUT_S)
-            assert batch.entries[0].payload == b"x"
-
-    asyncio.run(main())
-
-
-def test_refused_connection_is_unavailable():
-    async def main():
-        async with served_log() as (_, server, client):
-            server.crash()
-            with pytest.raises(LogUnavailable):
-                await client.append("s", [b"x"], TIMEOUT_S)
-            with pytest.raises(LogUnavailable):
-                await client.read("s", 0, 1, 0.0)
-
-    asyncio.run(main())
-
-
-def test_logs_own_refusal_is_unavailable():
-    async def main():
-        async with served_log() as (log, server, client):
-            log.faults.down = True
-            with pytest.raises(LogUnavailable):
-                await client.append("s", [b"x"], TIMEOUT_S)
-            log.faults.down = False
-            server.faults.unavailable = True
-            with pytest.raises(LogUnavailable):
-                await client.append("s", [b"x"], TIMEOUT_S)
+        with pytest.raises(LogUnavailable):
+            await client.read("s", 0, 1, 0.0)
 
-    asyncio.run(main())
 
-
-def test_append_whose_answer_is_lost_is_unknown_and_on_the_log_once():
-    async def main():
-        async with served_log() as (log, server, client):
-            await client.append("s", [b"first"], TIMEOUT_S)  # leaves a kept connection
-            server.faults.lose_answers = 1
-            with pytest.raises(LogAppendUnknown):
-                await client.append("s", [b"x"], TIMEOUT_S)
-            assert log.records_by_stream["s"] == 2
-
-    asyncio.run(main())
+async def test_logs_own_refusal_is_unavailable():
+    async with served_log() as (log, server, client):
+        log.faults.down = True
+        with pytest.raises(LogUnavailable):
+            await client.append("s", [b"x"], TIMEOUT_S)
+        log.faults.down = False
+        server.faults.unavailable = True
+        with pytest.raises(LogUnavailable):
+            await client.append("s", [b"x"], TIMEOUT_S)
 
 
-def test_append_dropped_unread_on_a_kept_connection_is_unknown_and_not_sent_again():
-    async def main():
-        async with served_log() as (log, server, client):
-            await client.append("s", [b"first"], TIMEOUT_S)
-            server.faults.drop_requests = 1
-            with pytest.raises(LogAppendUnknown):
-                await client.append("s", [b"x"], TIMEOUT_S)
-            assert server.counters.requests == 2
-            assert log.records_by_stream["s"] == 1
+async def test_append_whose_answer_is_lost_is_unknown_and_on_the_log_once():
+    async with served_log() as (log, server, client):
+        await client.append("s", [b"first"], TIMEOUT_S)  # leaves a kept connection
+        server.faults.lose_answers = 1
+        with pytest.raises(LogAppendUnknown):
+            await client.append("s", [b"x"], TIMEOUT_S)
+        assert log.records_by_stream["s"] == 2
 
-    asyncio.run(main())
 
+async def test_append_dropped_unread_on_a_kept_connection_is_unknown_and_not_sent_again():
+    async with served_log() as (log, server, client):
+        await client.append("s", [b"first"], TIMEOUT_S)
+        server.faults.drop_requests = 1
+        with pytest.raises(LogAppendUnknown):
+            await client.append("s", [b"x"], TIMEOUT_S)
+        assert server.counters.requests == 2
+        assert log.records_by_stream["s"] == 1
 
-def test_credential_is_required_when_configured():
-    async def main():
-        async with served_log("secret", "wrong") as (_, _, client):
-            with pytest.raises(LogUnavailable) as caught:
-                await client.append("s", [b"x"], TIMEOUT_S)
-            assert "wrong" not in str(caught.value)
-        async with served_log("secret", "secret") as (_, _, client):
-            assert await client.append("s", [b"x"], TIMEOUT_S) == 0
 
-    asyncio.run(main())
+async def test_credential_is_required_when_configured():
+    async with served_log("secret", "wrong") as (_, _, client):
+        with pytest.raises(LogUnavailable) as caught:
+            await client.append("s", [b"x"], TIMEOUT_S)
+        assert "wrong" not in str(caught.value)
+    async with served_log("secret", "secret") as (_, _, client):
+        assert await client.append("s", [b"x"], TIMEOUT_S) == 0
--- a/tests/test_clients_http_engine.py
+++ b/tests/test_clients_stream_verifier.py
@@ -4,14 +4,20 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
 
 from passgate.clients import wire
-from passgate.clients.http_engine import StreamVerifier
+from passgate.clients.calls import HttpAnswer
+from passgate.clients.replies import engine_failure
+from passgate.clients.stream_verifier import StreamVerifier
 from passgate.errors import (
     AnswerMismatch,
     BackendRefused,
     Draining,
+    ExecutionFailed,
+    ExecutionStatus,
     IncompleteAnswer,
+    Overloaded,
     PassgateError,
     VersionNotReported,
 )
@@ -27,6 +33,10 @@
     )
 
 
+def error_body(error):
+    return msgspec.json.encode(wire.ErrorAnswer(error=error.body()))
+
+
 def whole_stream():
     return [chunk(0, (5, 6)), chunk(2, (7,), version=4), chunk(3, (8,), FinishReason.STOP, version=4)]
 
@@ -102,6 +112,53 @@
         StreamVerifier(REQUEST).feed(wire.encode_chunk(chunk(0, (5,), FinishReason.STOP), 2) + DONE)
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "body", "error", "execution", "retry_after_s"),
+    [
+        (429, {"Retry-After": "7"}, b"busy", BackendRefused, ExecutionStatus.NOT_RUN, 7.0),
+        (429, {"Retry-After": "Wed, 02 Dec 2026"}, b"", BackendRefused, ExecutionStatus.NOT_RUN, None),
+        (503, {}, error_body(Overloaded(retry_after_s=2.5)), BackendRefused, ExecutionStatus.NOT_RUN, 2.5),
+        (503, {}, b"", ExecutionFailed, ExecutionStatus.UNKNOWN, None),
+        (500, {}, error_body(IncompleteAnswer()), ExecutionFailed, ExecutionStatus.UNKNOWN, None),
+        (500, {}, b'{"error": 1}', ExecutionFailed, ExecutionStatus.UNKNOWN, None),
+    ],
+)
+def test_refusal_is_not_run_only_by_the_engines_own_word(
+    status, headers, body, error, execution, retry_after_s
+):
+    failure = engine_failure(HttpAnswer(status=status, headers=HTTPHeaders(headers), body=body))
+    assert type(failure) is error
+    assert failure.execution is execution
+    assert failure.retry_after_s == retry_after_s
+
+
+def test_total_may_come_in_an_event_of_its_own_after_the_finish_reason():
+    last = wire.encode_chunk(chunk(0, (5,), FinishReason.STOP))
+    for total, is_whole in ((1, True), (2, False)):
+        event = wire.CompletionEvent(id="r1", usage=wire.Usage(completion_tokens=total))
+        data = last + wire.encode_event(msgspec.json.encode(event)) + DONE
+        verifier = StreamVerifier(REQUEST)
+        if is_whole:
+            assert len(verifier.feed(data)) == 1
+        else:
+            with pytest.raises(IncompleteAnswer):
+                verifier.feed(data)
+
+
+@pytest.mark.parametrize(
+    ("told", "version"), [("12", 12), (12, 12), ("default", None), ("", None), (0, None), (None, None)]
+)
+def test_version_may_be_told_as_decimal_text(told, version):
+    choice = wire.CompletionChoice(token_ids=(5,))
+    event = wire.CompletionEvent(id="cmpl-r1", choices=(choice,), weight_version=told)
+    data = wire.encode_event(msgspec.json.encode(event))
+    if version is None:
+        with pytest.raises(VersionNotReported):
+            StreamVerifier(REQUEST).feed(data)
+    else:
+        assert StreamVerifier(REQUEST).feed(data)[0].version == version
+
+
 def test_engine_that_does_not_tell_positions_is_counted():
     event = wire.CompletionEvent(
         id="r1", choices=(wire.CompletionChoice(token_ids=(5, 6)),), weight_version=3
--- a/tests/test_servers_standins.py
+++ b/tests/test_servers_standins.py
@@ -24,6 +24,7 @@
     BackendRefused,
     BackendUnreachable,
     ExecutionStatus,
+    IncompleteAnswer,
     LogUnavailable,
     OrderRefused,
     PassgateError,
@@ -61,6 +62,7 @@
     """Clients of all stand-ins over sockets."""
 
     def __init__(self, standins, http, addresses):
+        self.standins = standins
         self.engines = addresses.engines
         self.apps = addresses.apps
         self.engine = HttpEngineClient(http)
@@ -84,13 +86,13 @@
         self.machines = world.machine_list
         self.weights = world.store
         self.admin = self
-        self._standins = standins
+        self.standins = standins
 
     async def inject(self, kind, target="", value=1.0):
-        inject(self._standins, FaultCommand(kind=kind, target=target, value=value))
+        inject(self.standins, FaultCommand(kind=kind, target=target, value=value))
 
     async def state(self, prefix=""):
-        return read_state(self._standins, prefix)
+        return read_state(self.standins, prefix)
 
 
 @contextlib.asynccontextmanager
@@ -139,171 +141,184 @@
 
 
 @both
-def test_every_service_answers(kind):
-    async def main():
-        async with outside(kind) as out:
-            chunks = [c async for c in out.engine.generate(out.engines["modelos-0"], generate_request())]
-            assert chunks[-1].finish_reason is not None
-            assert {c.version for c in chunks} == {1}
-            lengths = [len(c.tokens) for c in chunks]
-            assert [c.start for c in chunks] == [sum(lengths[:index]) for index in range(len(chunks))]
-            response = await out.app.call(out.apps["linha-1"], app_request())
-            assert (response.request_id, response.status) == ("a1", 200)
-            assert await out.log.append("config", [b"x"], WAIT_S) == 0
-            assert (await out.log.read("config", 0, 9, WAIT_S)).entries[0].payload == b"x"
-            assert {*out.engines, *out.apps} == {m.machine_id for m in await out.machines.machines()}
-            assert await out.weights.size_bytes("defect-notes", 1) == 1_000
-            state = await out.admin.state()
-            assert state.runs == {"a1": 1, "r1": 1}
-            assert state.log.records == 1
-
-    asyncio.run(main())
-
-
-def test_machine_list_tells_the_real_addresses_and_the_server_counts_tokens():
-    async def main():
-        async with outside() as out:
-            machines = {m.machine_id: m.address for m in await out.machines.machines()}
-            assert machines == {**out.engines, **out.apps}
-            chunks = [c async for c in out.engine.generate(out.engines["modelos-0"], generate_request())]
-            state = await out.admin.state()
-            assert state.servers["modelos-0"].tokens == sum(len(c.tokens) for c in chunks)
-
-    asyncio.run(main())
+async def test_every_service_answers(kind):
+    async with outside(kind) as out:
+        chunks = [c async for c in out.engine.generate(out.engines["modelos-0"], generate_request())]
+        assert chunks[-1].finish_reason is not None
+        assert {c.version for c in chunks} == {1}
+        lengths = [len(c.tokens) for c in chunks]
+        assert [c.start for c in chunks] == [sum(lengths[:index]) for index in range(len(chunks))]
+        response = await out.app.call(out.apps["linha-1"], app_request())
+        assert (response.request_id, response.status) == ("a1", 200)
+        assert await out.log.append("config", [b"x"], WAIT_S) == 0
+        assert (await out.log.read("config", 0, 9, WAIT_S)).entries[0].payload == b"x"
+        assert {*out.engines, *out.apps} == {m.machine_id for m in await out.machines.machines()}
+        assert await out.weights.size_bytes("defect-notes", 1) == 1_000
+        state = await out.admin.state()
+        assert state.runs == {"a1": 1, "r1": 1}
+        assert state.log.records == 1
 
 
 @both
-def test_crashed_engine_resets_streams_refuses_connections_and_comes_back(kind):
-    async def main():
-        async with outside(kind) as out:
-            address = out.engines["modelos-0"]
-            stream = out.engine.generate(address, generate_request(max_tokens=2000))
-            await anext(stream)
-            await out.admin.inject(FaultKind.CRASH, "modelos-0", 0.05)
-            with pytest.raises(PassgateError) as caught:
-                async for _ in stream:
-                    pass
-            assert caught.value.execution is ExecutionStatus.RAN
-            with pytest.raises(BackendUnreachable) as caught:
-                await out.engine.load_report(address)
-            assert caught.value.execution is ExecutionStatus.NOT_RUN
-
-            async def is_back():
-                try:
-                    return (await out.engine.load_report(address)).replica_id == "modelos-0"
-                except BackendUnreachable:
-                    return False
-
-            await until(is_back)
-
-    asyncio.run(main())
+async def test_stream_resumed_on_another_engine_gives_the_same_output(kind):
+    async with outside(kind) as out:
+        first, second = out.engines["modelos-0"], out.engines["modelos-1"]
+        whole = [t async for c in out.engine.generate(first, generate_request()) for t in c.tokens]
+        request = msgspec.structs.replace(generate_request(), resume_tokens=tuple(whole[:7]))
+        chunks = [c async for c in out.engine.generate(second, request)]
+        assert chunks[0].start == 7
+        assert whole[:7] + [t for c in chunks for t in c.tokens] == whole
+
+
+async def test_machine_list_tells_the_real_addresses_and_the_server_counts_tokens():
+    async with outside() as out:
+        machines = {m.machine_id: m.address for m in await out.machines.machines()}
+        assert machines == {**out.engines, **out.apps}
+        chunks = [c async for c in out.engine.generate(out.engines["modelos-0"], generate_request())]
+        state = await out.admin.state()
+        assert state.servers["modelos-0"].tokens == sum(len(c.tokens) for c in chunks)
 
 
 @both
-def test_draining_engine_and_app_refuse_as_not_run_and_did_not_run(kind):
-    async def main():
-        async with outside(kind) as out:
-            await out.admin.inject(FaultKind.DRAIN, "modelos-1")
-            await out.admin.inject(FaultKind.DRAIN, "linha-0")
-            with pytest.raises(BackendRefused):
-                await anext(out.engine.generate(out.engines["modelos-1"], generate_request()))
-            with pytest.raises(BackendRefused):
-                await out.app.call(out.apps["linha-0"], app_request())
-            assert (await out.admin.state()).runs == {}
-
-    asyncio.run(main())
-
-
-def test_lost_answer_of_an_app_ran_once():
-    async def main():
-        async with outside() as out:
-            await out.admin.inject(FaultKind.LOSE_ANSWERS, "linha-0", 1)
-            with pytest.raises(BackendUnreachable) as caught:
-                await out.app.call(out.apps["linha-0"], app_request())
-            assert caught.value.execution is ExecutionStatus.UNKNOWN
-            state = await out.admin.state("a")
-            assert state.runs == {"a1": 1}
-            assert state.servers["linha-0"].received == {"a1": 1}
-
-    asyncio.run(main())
+async def test_crashed_engine_resets_streams_refuses_connections_and_comes_back(kind):
+    async with outside(kind) as out:
+        address = out.engines["modelos-0"]
+        stream = out.engine.generate(address, generate_request(max_tokens=2000))
+        await anext(stream)
+        await out.admin.inject(FaultKind.CRASH, "modelos-0", 0.05)
+        with pytest.raises(PassgateError) as caught:
+            async for _ in stream:
+                pass
+        assert caught.value.execution is ExecutionStatus.RAN
+        with pytest.raises(BackendUnreachable) as caught:
+            await out.engine.load_report(address)
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+
+        async def is_back():
+            try:
+                return (await out.engine.load_report(address)).replica_id == "modelos-0"
+            except BackendUnreachable:
+                return False
+
+        await until(is_back)
+
+
+async def test_cut_stream_and_lost_answer_never_look_whole():
+    async with outside() as out:
+        await out.admin.inject(FaultKind.CUT_STREAMS, "modelos-0")
+        seen = []
+        with pytest.raises((BackendUnreachable, IncompleteAnswer)) as caught:
+            async for chunk in out.engine.generate(out.engines["modelos-0"], generate_request("cut")):
+                seen.append(chunk)
+        assert [chunk.finish_reason for chunk in seen] == [None]
+        assert caught.value.execution is ExecutionStatus.RAN
+        await out.admin.inject(FaultKind.LOSE_ANSWERS, "modelos-0")
+        with pytest.raises(BackendUnreachable) as caught:
+            await anext(out.engine.generate(out.engines["modelos-0"], generate_request("lost")))
+        assert caught.value.execution is ExecutionStatus.UNKNOWN
+        state = await out.admin.state()
+        assert state.runs == state.servers["modelos-0"].received == {"cut": 1, "lost": 1}
 
 
 @both
-def test_log_outage_and_its_end(kind):
-    async def main():
-        async with outside(kind) as out:
-            await out.admin.inject(FaultKind.LOG_DOWN)
-            with pytest.raises(LogUnavailable):
-                await out.log.append("s", [b"x"], WAIT_S)
-            await out.admin.inject(FaultKind.LOG_DOWN, value=0)
-            assert await out.log.append("s", [b"x"], WAIT_S) == 0
-
-    asyncio.run(main())
-
-
-def test_machines_register_leave_and_are_replaced():
-    async def main():
-        async with outside() as out:
-            daemon = MachineInfo(
-                machine_id="d/1", role=MachineRole.DAEMON, address="127.0.0.1:9", zone="campina"
+async def test_closing_the_iterator_cancels_on_the_engine(kind):
+    async with outside(kind) as out:
+        stream = out.engine.generate(out.engines["modelos-0"], generate_request(max_tokens=2000))
+        await anext(stream)
+        await stream.aclose()
+        counters = out.standins.world.engines["modelos-0"].model.counters
+
+        async def is_cancelled():
+            return counters.cancelled == 1
+
+        await until(is_cancelled)
+
+
+@both
+async def test_draining_engine_and_app_refuse_as_not_run_and_did_not_run(kind):
+    async with outside(kind) as out:
+        await out.admin.inject(FaultKind.DRAIN, "modelos-1")
+        await out.admin.inject(FaultKind.DRAIN, "linha-0")
+        with pytest.raises(BackendRefused):
+            await anext(out.engine.generate(out.engines["modelos-1"], generate_request()))
+        with pytest.raises(BackendRefused):
+            await out.app.call(out.apps["linha-0"], app_request())
+        assert (await out.admin.state()).runs == {}
+
+
+async def test_lost_answer_of_an_app_ran_once():
+    async with outside() as out:
+        await out.admin.inject(FaultKind.LOSE_ANSWERS, "linha-0", 1)
+        with pytest.raises(BackendUnreachable) as caught:
+            await out.app.call(out.apps["linha-0"], app_request())
+        assert caught.value.execution is ExecutionStatus.UNKNOWN
+        state = await out.admin.state("a")
+        assert state.runs == {"a1": 1}
+        assert state.servers["linha-0"].received == {"a1": 1}
+
+
+@both
+async def test_log_outage_and_its_end(kind):
+    async with outside(kind) as out:
+        await out.admin.inject(FaultKind.LOG_DOWN)
+        with pytest.raises(LogUnavailable):
+            await out.log.append("s", [b"x"], WAIT_S)
+        await out.admin.inject(FaultKind.LOG_DOWN, value=0)
+        assert await out.log.append("s", [b"x"], WAIT_S) == 0
+
+
+async def test_machines_register_leave_and_are_replaced():
+    async with outside() as out:
+        daemon = MachineInfo(machine_id="d/1", role=MachineRole.DAEMON, address="127.0.0.1:9", zone="campina")
+        await out.machines.register(daemon)
+        await out.machines.leave("d/1")
+        await out.admin.inject(FaultKind.LEAVE, "modelos-2")
+        machines = {m.machine_id: m.state for m in await out.machines.machines()}
+        assert machines["d/1"] is machines["modelos-2"] is MachineState.LEAVING
+        assert machines["modelos-1"] is MachineState.LIVE
+
+
+async def test_weights_are_published_staged_from_a_peer_and_activated():
+    async with outside() as out:
+        await out.weights.publish("defect-notes", 2, 1_000)
+        first, second = out.engines["modelos-0"], out.engines["modelos-1"]
+
+        async def carry_out(address, number, kind, source=""):
+            order = EngineOrder(
+                order_id=f"{address}/{number}",
+                kind=kind,
+                fence=5,
+                model="defect-notes",
+                version=2,
+                source=source,
             )
-            await out.machines.register(daemon)
-            await out.machines.leave("d/1")
-            await out.admin.inject(FaultKind.LEAVE, "modelos-2")
-            machines = {m.machine_id: m.state for m in await out.machines.machines()}
-            assert machines["d/1"] is machines["modelos-2"] is MachineState.LEAVING
-            assert machines["modelos-1"] is MachineState.LIVE
-
-    asyncio.run(main())
-
-
-def test_weights_are_published_staged_from_a_peer_and_activated():
-    async def main():
-        async with outside() as out:
-            await out.weights.publish("defect-notes", 2, 1_000)
-            first, second = out.engines["modelos-0"], out.engines["modelos-1"]
-
-            async def carry_out(address, number, kind, source=""):
-                order = EngineOrder(
-                    order_id=f"{address}/{number}",
-                    kind=kind,
-                    fence=5,
-                    model="defect-notes",
-                    version=2,
-                    source=source,
-                )
-
-                async def is_done():
-                    return (await out.engine.order(address, order)).done
-
-                await until(is_done)
-
-            await carry_out(first, 1, OrderKind.STAGE_VERSION, "store")
-            await carry_out(second, 1, OrderKind.STAGE_VERSION, first)
-            await carry_out(second, 2, OrderKind.ACTIVATE_VERSION)
-            chunks = [c async for c in out.engine.generate(second, generate_request())]
-            assert {c.version for c in chunks} == {2}
-            late = EngineOrder(order_id="late", kind=OrderKind.DRAIN, fence=4)
-            with pytest.raises(OrderRefused) as caught:
-                await out.engine.order(second, late)
-            assert caught.value.details["reason"] == "old_fence"
-
-    asyncio.run(main())
-
-
-def test_platform_outage_is_typed():
-    async def main():
-        async with outside() as out:
-            await out.admin.inject(FaultKind.MACHINE_LIST_DOWN)
-            await out.admin.inject(FaultKind.STORE_DOWN)
-            with pytest.raises(PlatformError):
-                await out.machines.machines()
-            with pytest.raises(PlatformError):
-                await out.weights.size_bytes("defect-notes", 1)
-            with pytest.raises(PlatformError):
-                await out.admin.inject(FaultKind.CRASH, "nobody")
-
-    asyncio.run(main())
+
+            async def is_done():
+                return (await out.engine.order(address, order)).done
+
+            await until(is_done)
+
+        await carry_out(first, 1, OrderKind.STAGE_VERSION, "store")
+        await carry_out(second, 1, OrderKind.STAGE_VERSION, first)
+        await carry_out(second, 2, OrderKind.ACTIVATE_VERSION)
+        chunks = [c async for c in out.engine.generate(second, generate_request())]
+        assert {c.version for c in chunks} == {2}
+        late = EngineOrder(order_id="late", kind=OrderKind.DRAIN, fence=4)
+        with pytest.raises(OrderRefused) as caught:
+            await out.engine.order(second, late)
+        assert caught.value.details["reason"] == "old_fence"
+
+
+async def test_platform_outage_is_typed():
+    async with outside() as out:
+        await out.admin.inject(FaultKind.MACHINE_LIST_DOWN)
+        await out.admin.inject(FaultKind.STORE_DOWN)
+        with pytest.raises(PlatformError):
+            await out.machines.machines()
+        with pytest.raises(PlatformError):
+            await out.weights.size_bytes("defect-notes", 1)
+        with pytest.raises(PlatformError):
+            await out.admin.inject(FaultKind.CRASH, "nobody")
 
 
 def test_command_writes_its_addresses_and_stops_on_sigterm(tmp_path):
