Prefer one model per replica and test routing by its failures

Cause: engines that decode two models in one batch run two passes per step, and every replica got both. Replicas are now dealt out to the models that share them, softly.

--- a/passgate/routing/bench.py
+++ b/passgate/routing/bench.py
@@ -60,6 +60,8 @@
     lots: int = 0
     lot_mean_s: float = 0.0
     lot_p90_s: float = 0.0
+    lot_means_s: dict[str, float] = {}
+    """Per trainer."""
     idle_share: float = 0.0
     """Share of the trainers' time that is spent waiting for lots, mean over trainers."""
     interactive_p50_s: float = 0.0
@@ -110,6 +112,7 @@
         self._good = 0
         self._calls = 0
         self._lots: list[float] = []
+        self._trainer_lots: dict[str, list[float]] = {}
         self._idle: dict[str, float] = {}
         self._numbers = 0
 
@@ -152,6 +155,7 @@
             await asyncio.gather(*(self._sample(dispatcher, request) for request in requests))
             waited_s = monotonic_s() - began_s
             self._lots.append(waited_s)
+            self._trainer_lots.setdefault(trainer.name, []).append(waited_s)
             self._idle[trainer.name] += waited_s
             await asyncio.sleep(trainer.train_s)
 
@@ -257,6 +261,7 @@
         result = self.result
         result.lots = len(self._lots)
         result.lot_mean_s = statistics.fmean(self._lots) if self._lots else self.duration_s
+        result.lot_means_s = {name: statistics.fmean(lots) for name, lots in self._trainer_lots.items()}
         result.lot_p90_s = _quantile(self._lots, 0.9)
         result.idle_share = statistics.fmean(self._idle.values()) / self.duration_s if self._idle else 0.0
         result.interactive_p50_s = _quantile(self._latencies["generate"], 0.5)
@@ -399,9 +404,14 @@
 # --- command --------------------------------------------------------------------------------
 
 
-def run_once(deployment: str, policy: str, fault: str, seed: int, duration_s: float) -> BenchResult:
+def run_once(
+    deployment: str, policy: str, fault: str, seed: int, duration_s: float, apps: bool = True
+) -> BenchResult:
     """Run one policy in virtual time; the same arguments give the same result."""
     parameters = load_deployment(deployment)
+    if not apps:
+        kept = tuple(arrival for arrival in parameters.arrivals if arrival.kind != "app")
+        parameters = msgspec.structs.replace(parameters, arrivals=kept)
     if fault == "surge":
         arrivals = tuple(
             msgspec.structs.replace(arrival, rate_per_s=arrival.rate_per_s * arrival.surge_factor)
@@ -420,7 +430,7 @@
         loop.close()
 
 
-def _run_task(task: tuple[str, str, str, int, float]) -> BenchResult:
+def _run_task(task: tuple[str, str, str, int, float, bool]) -> BenchResult:
     return run_once(*task)
 
 
@@ -431,17 +441,19 @@
     seeds: int = 3,
     duration_s: float = 300.0,
     details: bool = False,
+    apps: bool = True,
+    processes: int = PROCESSES,
 ) -> None:
     """Print the measures of policies (comma-separated) for faults (comma-separated)."""
     names = policy if isinstance(policy, tuple) else policy.split(",")
     faults = fault if isinstance(fault, tuple) else fault.split(",")
     tasks = [
-        (deployment, name, fault_name, seed, duration_s)
+        (deployment, name, fault_name, seed, duration_s, apps)
         for fault_name in faults
         for name in names
         for seed in range(1, seeds + 1)
     ]
-    with ProcessPoolExecutor(PROCESSES) as executor:
+    with ProcessPoolExecutor(processes) as executor:
         results = list(executor.map(_run_task, tasks))
     if details:
         for result in results:
--- a/passgate/routing/context.py
+++ b/passgate/routing/context.py
@@ -52,6 +52,14 @@
         """Return the specifications of all pools."""
         return [found.spec for found in self._configuration.objects("Pool")]
 
+    def sharing_models(self, pool: PoolSpec) -> list[str]:
+        """Return the models of all pools with the same replicas."""
+        return [
+            other.model
+            for other in self.pools()
+            if (other.selector, other.role) == (pool.selector, pool.role)
+        ]
+
     def priority_class(self, name: str) -> PriorityClassSpec:
         """Return a priority class; raises NotFound."""
         return self._configuration.priority_class(name)
--- a/passgate/routing/dispatcher.py
+++ b/passgate/routing/dispatcher.py
@@ -63,7 +63,9 @@
         self.counters = RoutingCounters()
         self._context = RoutingContext(engine, app, configuration, policy, self.counters)
         owner = owner or f"{random.getrandbits(64):016x}"
-        self._scheduler = WorkScheduler(directory, self._context.pool, policy, zone, owner, random)
+        self._scheduler = WorkScheduler(
+            directory, self._context.pool, policy, zone, owner, random, self._context.sharing_models
+        )
         self._context.gate = Gate(self._scheduler)
         self._poller = LoadPoller(self._context)
         self._calls: dict[int, GenerateCall] = {}
--- a/passgate/routing/load_tracker.py
+++ b/passgate/routing/load_tracker.py
@@ -37,6 +37,7 @@
 
 class _Request(msgspec.Struct):
     prompt_left: int
+    prefill_left: int
     expected_left: int
     received: int
     kv_tokens: int
@@ -55,6 +56,7 @@
         "others_requests",
         "others_tokens",
         "own_kv_tokens",
+        "own_prefill_tokens",
         "own_requests",
         "own_tokens",
         "report_read_s",
@@ -63,6 +65,7 @@
         "requests",
         "running_limit",
         "token_s",
+        "token_s_requests",
         "versions",
     )
 
@@ -71,6 +74,8 @@
         self.own_tokens = 0
         self.own_kv_tokens = 0
         self.own_requests = 0
+        self.own_prefill_tokens = 0
+        """Uncached prompt tokens of own requests that have brought no output yet."""
         self.models: dict[str, int] = {}
         """Own requests in flight per model."""
         self.history: deque[tuple[float, int]] = deque()
@@ -87,6 +92,8 @@
         self.versions: dict[str, int] = {}
         self.token_s = 0.0
         """Smoothed time per output token of one stream; 0 while never observed."""
+        self.token_s_requests = 0.0
+        """Smoothed number of requests there when ``token_s`` was observed."""
 
     @property
     def outstanding_tokens(self) -> int:
@@ -116,7 +123,8 @@
 class LoadTracker:
     """Loads of all replicas that this daemon uses."""
 
-    def __init__(self, report_lag_s: float) -> None:
+    def __init__(self, report_lag_s: float, batch_slope: float = 0.0) -> None:
+        self._batch_slope = batch_slope
         self._report_lag_s = report_lag_s
         self._loads: dict[str, ReplicaLoad] = {}
         self._pool_token_s = ASSUMED_TOKEN_S
@@ -133,7 +141,8 @@
         load = self._loads.get(replica_id)
         if load is None or load.token_s <= 0.0:
             return self._pool_token_s
-        return load.token_s
+        grown = 1.0 + self._batch_slope * load.request_count
+        return load.token_s * grown / (1.0 + self._batch_slope * load.token_s_requests)
 
     def retain(self, replica_ids: set[str]) -> None:
         """Forget replicas that no longer exist and have nothing of ours in flight."""
@@ -144,17 +153,31 @@
     # --- own work -------------------------------------------------------------------
 
     def begin(
-        self, replica_id: str, key: int, prompt_tokens: int, expected_tokens: int, model: str, now_s: float
+        self,
+        replica_id: str,
+        key: int,
+        prompt_tokens: int,
+        expected_tokens: int,
+        model: str,
+        now_s: float,
+        cached_tokens: int = 0,
     ) -> None:
-        """A request is sent to a replica."""
+        """A request is sent to a replica that probably caches the first ``cached_tokens``."""
         load = self.load(replica_id)
         kv_tokens = prompt_tokens + expected_tokens
-        load.requests[key] = _Request(prompt_tokens, expected_tokens, 0, kv_tokens, model)
+        prefill = max(0, prompt_tokens - cached_tokens)
+        load.requests[key] = _Request(prompt_tokens, prefill, expected_tokens, 0, kv_tokens, model)
+        load.own_prefill_tokens += prefill
         load.own_tokens += kv_tokens
         load.own_kv_tokens += kv_tokens
         load.models[model] = load.models.get(model, 0) + 1
         self._count(load, 1, now_s)
 
+    def has_output(self, replica_id: str, key: int) -> bool:
+        """Whether a piece of the request has arrived already."""
+        request = self.load(replica_id).requests.get(key)
+        return request is not None and request.received > 0
+
     def progress(self, replica_id: str, key: int, tokens: int, now_s: float) -> None:
         """A piece of output arrived."""
         load = self.load(replica_id)
@@ -172,6 +195,8 @@
         load.own_tokens += left - request.expected_left - request.prompt_left
         request.expected_left = left
         request.prompt_left = 0
+        load.own_prefill_tokens -= request.prefill_left
+        request.prefill_left = 0
 
     def end(self, replica_id: str, key: int, now_s: float) -> None:
         """A request ended or was cancelled; unknown keys are ignored."""
@@ -181,6 +206,7 @@
             return
         load.own_tokens -= request.prompt_left + request.expected_left
         load.own_kv_tokens -= request.kv_tokens
+        load.own_prefill_tokens -= request.prefill_left
         load.models[request.model] -= 1
         if not load.models[request.model]:
             del load.models[request.model]
@@ -248,8 +274,10 @@
     def _smooth(self, load: ReplicaLoad, token_s: float) -> None:
         if load.token_s <= 0.0:
             load.token_s = token_s
+            load.token_s_requests = load.request_count
         else:
             load.token_s += STEP_SMOOTHING * (token_s - load.token_s)
+            load.token_s_requests += STEP_SMOOTHING * (load.request_count - load.token_s_requests)
         self._pool_token_s += STEP_SMOOTHING / 4.0 * (token_s - self._pool_token_s)
 
 
--- a/passgate/routing/policies.py
+++ b/passgate/routing/policies.py
@@ -43,12 +43,18 @@
     """Added to the projected finish on a replica of another zone."""
     prefill_tokens_per_s: float = 16_000.0
     """Assumed prefill rate of a replica."""
+    batch_slope: float = 0.005
+    """Assumed relative growth of the time per token with each request in the batch."""
     prefix_affinity: bool = True
     cache_events: bool = False
     """Whether engines' cache events are read besides the own routing history."""
     prefix_index_entries: int = 32_768
-    model_mix_step_s: float = 0.0
-    """Assumed extra seconds per step when a replica serves one more model at the same time."""
+    model_homes: bool = True
+    """Whether replicas that serve several models are each preferred by one of them."""
+    mix_factor: float = 0.8
+    """Assumed growth of the time per token when a second model joins a replica's batch."""
+    mix_tolerance: int = 3
+    """Requests of others on a replica that batch requests of a model not at home there may join."""
 
     # --- concurrency -------------------------------------------------------------
     initial_concurrency: int = 32
@@ -105,5 +111,6 @@
     "fewest_requests": RoutingPolicy(name="fewest_requests", scheduler=SchedulerKind.FEWEST_REQUESTS),
     "fifo": RoutingPolicy(name="fifo", queue=QueueKind.FIFO),
     "no_hedge": RoutingPolicy(name="no_hedge", hedge=False),
+    "no_homes": RoutingPolicy(name="no_homes", model_homes=False),
 }
 """Named policies; baselines stay here for good."""
--- a/passgate/routing/replica_pool.py
+++ b/passgate/routing/replica_pool.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
 
+import msgspec
+
+from passgate.routing.home_models import HomeModels
 from passgate.routing.load_tracker import LoadTracker, ReplicaLoad
 from passgate.routing.policies import RoutingPolicy
 from passgate.routing.prefix import BLOCK_TOKENS
@@ -28,6 +33,13 @@
     """The pool has no live replica."""
 
 
+class Choice(msgspec.Struct, frozen=True, eq=False):
+    """A replica and how many leading prompt tokens it probably caches."""
+
+    replica: ReplicaInfo
+    cached_tokens: int
+
+
 class ReplicaChooser:
     """Joins directory, health, load, prefix index and scheduler into one choice."""
 
@@ -40,8 +52,10 @@
         policy: RoutingPolicy,
         zone: str,
         owner: str,
-        random,
+        random: Random,
+        models: Callable[[PoolSpec], Sequence[str]],
     ) -> None:
+        """``models`` returns the models of all pools with the same replicas."""
         self._directory = directory
         self._tracker = tracker
         self._health = health
@@ -49,7 +63,9 @@
         self._policy = policy
         self._zone = zone
         self._owner = owner
+        self._models = models
         self._scheduler = new_scheduler(policy, random)
+        self.homes = HomeModels()
         self._subsets: dict[tuple[str, MachineRole], list[ReplicaInfo]] = {}
         self._directory_version = -1
 
@@ -63,11 +79,12 @@
         if chosen is None:
             chosen = self._choose_subset(pool)
             self._subsets[key] = chosen
+            self.homes.assign([replica.replica_id for replica in chosen], self._models(pool))
         return chosen
 
     def choose(
         self, item: WorkItem, pool: PoolSpec, now_s: float, excluded: frozenset[str] = frozenset()
-    ) -> ReplicaInfo | NoPlace:
+    ) -> Choice | NoPlace:
         """Return a replica with room for ``item``, or why there is none."""
         replicas = self.subset(pool)
         if not replicas:
@@ -82,12 +99,14 @@
             if replica.replica_id in usable
             and replica.replica_id not in excluded
             and self.has_room(replica.replica_id, item, pool)
+            and self._may_mix(replica.replica_id, item)
         }
         fresh = {name: replica for name, replica in roomy.items() if name not in item.avoid} or roomy
         if not fresh:
             return NoPlace.NO_ROOM
         views = self._views(fresh.values(), item)
-        return fresh[self._scheduler.choose(views, item).replica_id]
+        view = self._scheduler.choose(views, item)
+        return Choice(fresh[view.replica_id], view.cached_tokens)
 
     def has_room(self, replica_id: str, item: WorkItem, pool: PoolSpec) -> bool:
         """Whether a replica can take the request now, by batch size and KV memory."""
@@ -105,6 +124,15 @@
         names = [replica.replica_id for replica in self.subset(pool)]
         return {name: self._tracker.token_s(name) for name in self._health.usable(names, now_s)}
 
+    def _may_mix(self, replica_id: str, item: WorkItem) -> bool:
+        """Whether the request may join the replica's batch without slowing another model's."""
+        if item.interactive or not self._policy.model_homes or self.homes.is_home(replica_id, item.model):
+            return True
+        return self._foreign(self._tracker.load(replica_id), item) <= self._policy.mix_tolerance
+
+    def _foreign(self, load: ReplicaLoad, item: WorkItem) -> int:
+        return load.request_count - load.models.get(item.model, 0)
+
     def _batch_has_room(self, load: ReplicaLoad, item: WorkItem) -> bool:
         if not load.running_limit:
             return True
@@ -123,7 +151,7 @@
         version = self._tracker.load(replica.replica_id).versions.get(item.model)
         return version is None or version >= item.minimum_version
 
-    def _views(self, replicas, item: WorkItem) -> list[ReplicaView]:
+    def _views(self, replicas: Iterable[ReplicaInfo], item: WorkItem) -> list[ReplicaView]:
         cached: dict[str, int] = {}
         if self._policy.prefix_affinity and item.prefix:
             cached = self._prefixes.matches(item.prefix)
@@ -131,7 +159,6 @@
 
     def _view(self, replica: ReplicaInfo, item: WorkItem, cached_blocks: int) -> ReplicaView:
         load = self._tracker.load(replica.replica_id)
-        own_models = load.models
         return ReplicaView(
             replica_id=replica.replica_id,
             same_zone=replica.zone == self._zone,
@@ -142,8 +169,9 @@
             running_limit=load.running_limit,
             token_s=self._tracker.token_s(replica.replica_id),
             cached_tokens=cached_blocks * BLOCK_TOKENS,
-            other_models=len(own_models) - (item.model in own_models),
-            same_model_requests=own_models.get(item.model, 0),
+            prefill_tokens=load.own_prefill_tokens,
+            home=not self._policy.model_homes or self.homes.is_home(replica.replica_id, item.model),
+            foreign_requests=self._foreign(load, item),
         )
 
     def _choose_subset(self, pool: PoolSpec) -> list[ReplicaInfo]:
--- a/passgate/routing/replica_scheduler.py
+++ b/passgate/routing/replica_scheduler.py
@@ -36,9 +36,12 @@
     """Time per output token of one stream."""
     cached_tokens: int = 0
     """Leading prompt tokens believed to be cached there."""
-    other_models: int = 0
-    """Other models with work of ours in flight there."""
-    same_model_requests: int = 0
+    prefill_tokens: int = 0
+    """Uncached prompt tokens that wait there already."""
+    home: bool = True
+    """Whether the request's model is the one that is preferred there."""
+    foreign_requests: int = 0
+    """Requests there that are, or may be, for other models."""
 
 
 class ReplicaScheduler(Protocol):
@@ -94,8 +97,10 @@
     def projected_s(self, view: ReplicaView, item: WorkItem) -> float:
         """Return the projected time to finish ``item`` on a replica, in seconds."""
         policy = self._policy
-        prefill_tokens = max(0, item.prompt_tokens - view.cached_tokens)
-        token_s = view.token_s + policy.model_mix_step_s * view.other_models
+        prefill_tokens = view.prefill_tokens + max(0, item.prompt_tokens - view.cached_tokens)
+        token_s = view.token_s
+        if not view.home:
+            token_s *= 1.0 + policy.mix_factor * (2.0 if view.foreign_requests else 1.0)
         projected_s = prefill_tokens / policy.prefill_tokens_per_s
         projected_s += item.expected_tokens * token_s
         projected_s += self._wait_s(view, token_s)
--- a/passgate/routing/work_scheduler.py
+++ b/passgate/routing/work_scheduler.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import msgspec
@@ -27,7 +27,7 @@
 from passgate.routing.prefix_index import PrefixIndex
 from passgate.routing.replica_directory import ReplicaDirectory, ReplicaInfo
 from passgate.routing.replica_health import ReplicaHealth
-from passgate.routing.replica_pool import NoPlace, ReplicaChooser
+from passgate.routing.replica_pool import Choice, NoPlace, ReplicaChooser
 from passgate.routing.work import WorkItem
 from passgate.schema import GenerateChunk, LoadReport, MachineRole
 from passgate.state.specs import PoolSpec, PriorityClassSpec
@@ -38,6 +38,8 @@
 """Served requests that may stay among the expiries before these are cleaned."""
 
 PoolLookup = Callable[[str], PoolSpec]
+ModelLookup = Callable[[PoolSpec], Sequence[str]]
+"""Returns the models of all pools that share a pool's replicas."""
 
 
 class Placement(msgspec.Struct, frozen=True, eq=False):
@@ -65,17 +67,18 @@
         zone: str,
         owner: str,
         random: Random,
+        models: ModelLookup = lambda pool: (pool.model,),
     ) -> None:
         self.policy = policy
         self.directory = directory
-        self.tracker = LoadTracker(policy.report_lag_s)
+        self.tracker = LoadTracker(policy.report_lag_s, policy.batch_slope)
         self.health = ReplicaHealth()
         self.prefixes = PrefixIndex(policy.prefix_index_entries)
         self.lengths = OutputLengthEstimator()
         self.admission = AdmissionController(policy.reject_by_projection, policy.minimum_retry_after_s)
         self.queue = FairQueue(policy.batch_floor) if policy.queue is QueueKind.FAIR else FifoQueue()
         self.chooser = ReplicaChooser(
-            directory, self.tracker, self.health, self.prefixes, policy, zone, owner, random
+            directory, self.tracker, self.health, self.prefixes, policy, zone, owner, random, models
         )
         self._pool = pool
         self._expiries: list[tuple[float, int, WorkItem]] = []
@@ -133,11 +136,11 @@
 
     def place_directly(self, item: WorkItem, excluded: frozenset[str], now_s: float) -> ReplicaInfo | None:
         """Place a hedge on a replica that has room now; it is never queued."""
-        replica = self.chooser.choose(item, self._pool(item.pool), now_s, excluded)
-        if isinstance(replica, NoPlace):
+        choice = self.chooser.choose(item, self._pool(item.pool), now_s, excluded)
+        if isinstance(choice, NoPlace):
             return None
-        self._begin(item, replica, now_s)
-        return replica
+        self._begin(item, choice, now_s)
+        return choice.replica
 
     def expire(self, now_s: float) -> list[Expiry]:
         """Return the queued requests whose time is over, with their final answers."""
@@ -158,7 +161,9 @@
     # --- running work ---------------------------------------------------------------------
 
     def progress(self, item: WorkItem, replica_id: str, chunk: GenerateChunk, now_s: float) -> None:
-        """A verified piece arrived."""
+        """A verified piece arrived; the first one shows that the prompt is in the replica's cache."""
+        if self.policy.prefix_affinity and item.prefix and not self.tracker.has_output(replica_id, item.key):
+            self.prefixes.add(replica_id, item.prefix)
         self.tracker.progress(replica_id, item.key, len(chunk.tokens), now_s)
 
     def end(self, item: WorkItem, replica_id: str, tokens: int, now_s: float) -> None:
@@ -206,25 +211,31 @@
             except NoMatchingPool as error:
                 self.withdraw(item)
                 return Expiry(item, error)
-            replica = self.chooser.choose(item, pool, now_s)
-            if isinstance(replica, ReplicaInfo):
+            choice = self.chooser.choose(item, pool, now_s)
+            if isinstance(choice, Choice):
                 self.queue.take(item)
                 self._queued.discard(item.key)
-                self._begin(item, replica, now_s)
+                self._begin(item, choice, now_s)
                 self.admission.served(item, self.queued > 0, now_s)
-                return Placement(item, replica)
+                return Placement(item, choice.replica)
             self.admission.waiting(item, now_s)
-            if replica is not NoPlace.NOT_ELIGIBLE:
+            if choice is not NoPlace.NOT_ELIGIBLE:
                 blocked.add((item.pool, item.interactive))
                 blocked.add((item.pool, False))
         return None
 
-    def _begin(self, item: WorkItem, replica: ReplicaInfo, now_s: float) -> None:
-        name = replica.replica_id
+    def _begin(self, item: WorkItem, choice: Choice, now_s: float) -> None:
+        name = choice.replica.replica_id
         self.health.sent(name, now_s)
-        self.tracker.begin(name, item.key, item.prompt_tokens, item.expected_tokens, item.model, now_s)
-        if self.policy.prefix_affinity and item.prefix:
-            self.prefixes.add(name, item.prefix)
+        self.tracker.begin(
+            name,
+            item.key,
+            item.prompt_tokens,
+            item.expected_tokens,
+            item.model,
+            now_s,
+            choice.cached_tokens,
+        )
 
     def _refuse_unusable(self, item: WorkItem, pool: PoolSpec, now_s: float) -> None:
         """A person is not left waiting for replicas that are all set aside."""
--- a/tests/test_routing_dispatcher.py
+++ b/tests/test_routing_dispatcher.py
@@ -3,20 +3,25 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from passgate.clock import new_virtual_loop
 from passgate.errors import (
     BackendRefused,
     BackendUnreachable,
     DeadlineExceeded,
+    Draining,
     ExecutionStatus,
     IncompleteAnswer,
     PassgateError,
+    Refused,
     VersionNotReported,
 )
 from passgate.routing.dispatcher import Dispatcher
 from passgate.routing.policies import RoutingPolicy
 from passgate.routing.replica_directory import ReplicaDirectory
+from passgate.routing.resume import resumed_request
 from passgate.schema import (
     AppRequest,
     AppResponse,
@@ -252,3 +257,181 @@
     engine = ScriptedEngine(*[[piece(0, [7], version=None)]] * RoutingPolicy().max_attempts)
     with pytest.raises(VersionNotReported):
         generate(engine)
+
+
+def test_stalled_sample_is_reissued_and_the_loser_cancelled():
+    engine = ScriptedEngine([piece(0, [7, 8]), 100], [piece(2, [9], finish=FinishReason.STOP)])
+
+    async def main():
+        routed = dispatcher(engine, policy=RoutingPolicy())
+        routed.start()
+        result = await routed.generate(request())
+        counters = routed.counters
+        assert (counters.hedges_stalled, counters.hedges_won, routed.in_flight) == (1, 1, 0)
+        assert routed.scheduler.tracker.load("e0").own_requests == 0
+        await routed.close()
+        return result
+
+    assert run(main()).tokens == (7, 8, 9)
+    assert engine.closed == 2
+    assert engine.calls[1][1].request_id != engine.calls[0][1].request_id
+
+
+def test_not_repeatable_request_is_never_hedged():
+    engine = ScriptedEngine([piece(0, [7, 8]), 100, piece(2, [9], finish=FinishReason.STOP)])
+
+    async def main():
+        routed = dispatcher(engine, policy=RoutingPolicy())
+        routed.start()
+        result = await routed.generate(request(repeatable=False))
+        await routed.close()
+        return result
+
+    assert run(main()).attempts == 1
+
+
+def test_streamed_pieces_stay_contiguous_over_a_move():
+    engine = ScriptedEngine([piece(0, [7, 8]), 100], [piece(2, [9]), piece(3, [4], finish=FinishReason.STOP)])
+
+    async def main():
+        routed = dispatcher(engine, policy=RoutingPolicy())
+        routed.start()
+        chunks = []
+        result = await routed.generate(request(), chunks.append)
+        await routed.close()
+        return result, chunks
+
+    result, chunks = run(main())
+    assert [token for chunk in chunks for token in chunk.tokens] == list(result.tokens) == [7, 8, 9, 4]
+    assert [chunk.start for chunk in chunks] == [0, 2, 3]
+    assert {chunk.request_id for chunk in chunks} == {"r1"}
+
+
+def test_failing_reader_ends_the_call_without_a_retry():
+    engine = ScriptedEngine([piece(0, [7]), 1, *[piece(1, [8], finish=FinishReason.STOP)]])
+
+    async def main():
+        def broken(chunk):
+            raise ConnectionResetError
+
+        routed = dispatcher(engine)
+        with pytest.raises(ConnectionResetError):
+            await routed.generate(request(), broken)
+        return routed.in_flight
+
+    assert run(main()) == 0
+    assert len(engine.calls) == 1
+
+
+def test_tokens_older_than_the_minimum_version_are_not_resumed():
+    old = [VersionSpan(0, 2, 3)]
+    resumed = resumed_request(request(minimum_version=4), "r1~2", [7, 8], old)
+    assert resumed.resume_tokens == ()
+    engine = ScriptedEngine([piece(0, [5], version=3)], [piece(0, [7], version=4, finish=FinishReason.STOP)])
+    result = generate(engine, minimum_version=4)
+    assert result.tokens == (7,)
+    assert result.oldest_version() == 4
+
+
+def test_whole_output_without_finish_mark_is_finished_by_an_engine():
+    lost = BackendUnreachable(execution=ExecutionStatus.UNKNOWN)
+    engine = ScriptedEngine([piece(0, [1, 2, 3, 4, 5, 6]), lost], [piece(5, [6], finish=FinishReason.LENGTH)])
+    assert generate(engine).tokens == (1, 2, 3, 4, 5, 6)
+
+
+def test_cancelled_caller_frees_everything():
+    engine = ScriptedEngine([piece(0, [7]), 100])
+
+    async def main():
+        routed = dispatcher(engine, replicas=1, policy=RoutingPolicy(initial_concurrency=1))
+        running = asyncio.create_task(routed.generate(request()))
+        queued = asyncio.create_task(routed.generate(request(request_id="r2")))
+        await asyncio.sleep(1)
+        assert (routed.in_flight, routed.queued) == (2, 1)
+        for task in (queued, running):
+            task.cancel()
+        await asyncio.gather(running, queued, return_exceptions=True)
+        load = routed.scheduler.tracker.load("e0")
+        return routed.in_flight, routed.queued, load.own_requests, load.own_tokens
+
+    assert run(main()) == (0, 0, 0, 0)
+    assert engine.closed == 1
+
+
+def test_drain_refuses_new_and_finishes_what_runs():
+    engine = ScriptedEngine([piece(0, [7]), 20, piece(1, [8], finish=FinishReason.STOP)])
+
+    async def main():
+        routed = dispatcher(engine)
+        running = asyncio.create_task(routed.generate(request()))
+        await asyncio.sleep(1)
+        assert not await routed.drain(5.0)
+        with pytest.raises(Draining) as raised:
+            await routed.generate(request(request_id="r2"))
+        assert raised.value.execution is ExecutionStatus.NOT_RUN
+        assert await routed.drain(60.0)
+        return await running
+
+    assert run(main()).tokens == (7, 8)
+
+
+OUTCOMES = {
+    "refused": (lambda: [BackendRefused(reason="queue_full")], ExecutionStatus.NOT_RUN),
+    "no connection": (
+        lambda: [BackendUnreachable(execution=ExecutionStatus.NOT_RUN)],
+        ExecutionStatus.NOT_RUN,
+    ),
+    "lost": (lambda: [BackendUnreachable(execution=ExecutionStatus.UNKNOWN)], ExecutionStatus.UNKNOWN),
+    "silent": (lambda: [100], ExecutionStatus.UNKNOWN),
+    "no output": (list, ExecutionStatus.UNKNOWN),
+    "cut": (lambda: [piece(0, [7])], ExecutionStatus.RAN),
+    "no version": (lambda: [piece(0, [7], version=None)], ExecutionStatus.RAN),
+    "client bug": (lambda: [ValueError("x")], ExecutionStatus.UNKNOWN),
+}
+STRENGTH = [ExecutionStatus.NOT_RUN, ExecutionStatus.UNKNOWN, ExecutionStatus.RAN]
+
+
+@given(
+    st.lists(st.sampled_from(sorted(OUTCOMES)), min_size=1, max_size=6),
+    st.booleans(),
+    st.booleans(),
+    st.booleans(),
+)
+@settings(max_examples=150, deadline=None)
+def test_execution_status_is_true_over_all_attempts(names, repeatable, hedge, streamed):
+    """Whatever the attempts did, "not run" is said only when none may have run."""
+    rest = [piece(0, [7, 8, 9])]
+    engine = ScriptedEngine(*[OUTCOMES[name][0]() for name in names], *[rest] * 8)
+
+    async def main():
+        routed = dispatcher(
+            engine, policy=RoutingPolicy(hedge=hedge, max_attempts=len(names), retry_burst=99)
+        )
+        routed.start()
+        with pytest.raises(PassgateError) as raised:
+            await routed.generate(
+                request(repeatable=repeatable, deadline_s=50.0), (lambda chunk: None) if streamed else None
+            )
+        await routed.close()
+        return raised.value
+
+    error = run(main())
+    used = names[: len(engine.calls)]
+    truth = max((OUTCOMES[name][1] for name in used), key=STRENGTH.index)
+    assert error.execution is truth
+    assert isinstance(error, Refused) <= (truth is ExecutionStatus.NOT_RUN)
+    if not repeatable:
+        assert sum(OUTCOMES[name][1] is not ExecutionStatus.NOT_RUN for name in used) <= 1
+
+
+def test_refused_connections_are_not_tried_without_end():
+    engine = ScriptedEngine(*[[BackendUnreachable(execution=ExecutionStatus.NOT_RUN)]] * 100)
+
+    async def main():
+        routed = dispatcher(engine, policy=RoutingPolicy(retry_burst=10.0, retry_ratio=0.0))
+        calls = [routed.generate(request(request_id=f"r{n}", deadline_s=60.0)) for n in range(30)]
+        return await asyncio.gather(*calls, return_exceptions=True)
+
+    errors = run(main())
+    assert len(engine.calls) <= 40
+    assert all(error.execution is ExecutionStatus.NOT_RUN for error in errors)
--- /dev/null
+++ b/tests/test_routing_views.py
@@ -0,0 +1,188 @@
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passgate.routing.hedging import AttemptProgress, HedgePlanner, HedgeReason
+from passgate.routing.load_tracker import LoadTracker
+from passgate.routing.policies import RoutingPolicy, SchedulerKind
+from passgate.routing.prefix_index import PrefixIndex
+from passgate.routing.replica_health import MAX_EJECTION_S, ReplicaHealth
+from passgate.routing.replica_scheduler import ReplicaView, new_scheduler
+from passgate.routing.subset import ReplicaKey, choose_subset
+from passgate.routing.work import WorkItem
+from passgate.schema import CacheEvent, CacheEventKind
+
+
+def event(sequence, block, kind=CacheEventKind.STORED):
+    return CacheEvent(replica_id="e1", sequence=sequence, kind=kind, block_hash=block)
+
+
+def test_gap_in_cache_events_forgets_the_replica():
+    index = PrefixIndex(max_entries=100)
+    index.add("e2", [1])
+    index.apply("e1", [event(1, 1), event(2, 2)])
+    assert index.matches([1, 2]) == {"e1": 2, "e2": 1}
+    index.apply("e1", [event(2, 9), event(4, 3)])
+    assert index.matches([1, 2]) == {"e2": 1}
+    assert index.matches([3]) == {"e1": 1}
+    index.apply("e1", [event(5, 3, CacheEventKind.EVICTED)])
+    assert index.matches([3]) == {}
+
+
+def test_prefix_index_is_bounded_and_survives_many_forgotten_replicas():
+    index = PrefixIndex(max_entries=50)
+    index.add("steady", [-1])
+    for number in range(400):
+        index.add("steady", [-1])
+        index.add(f"e{number}", [-1, number])
+        index.forget(f"e{number}")
+    assert len(index) <= 50
+    assert index.matches([-1]) == {"steady": 1}
+    index.retain(set())
+    assert index.matches([-1]) == {}
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 60)), max_size=60), st.randoms())
+@settings(max_examples=60, deadline=None)
+def test_tracker_conserves_tokens_over_any_schedule(steps, random):
+    tracker = LoadTracker(report_lag_s=0.3, batch_slope=0.005)
+    live = {}
+    for key, (replica, tokens) in enumerate(steps):
+        name = f"e{replica}"
+        now_s = float(key)
+        tracker.begin(name, key, 10, tokens + 1, "m", now_s)
+        live[key] = name
+        other = random.choice(sorted(live))
+        tracker.progress(live[other], other, tokens, now_s)
+        if random.random() < 0.5:
+            tracker.end(live[other], other, now_s)
+            del live[other]
+    for key, name in live.items():
+        assert tracker.load(name).own_tokens > 0
+        tracker.end(name, key, 100.0)
+        tracker.end(name, key, 100.0)
+    for replica in range(4):
+        load = tracker.load(f"e{replica}")
+        assert (load.own_tokens, load.own_kv_tokens, load.own_requests, load.own_prefill_tokens) == (
+            0,
+            0,
+            0,
+            0,
+        )
+        assert not load.models
+
+
+def test_subsets_are_bounded_stable_and_spread():
+    replicas = [ReplicaKey(replica_id=f"e{number}", zone=f"z{number % 11}") for number in range(1100)]
+    uses = Counter()
+    moved = 0
+    for daemon in range(420):
+        owner, zone = f"d{daemon}", f"z{daemon % 11}"
+        chosen = choose_subset(owner, zone, replicas, 16, 0.5)
+        assert len(chosen) == 16
+        assert sum(replica.zone == zone for replica in chosen) >= 8
+        uses.update(replica.replica_id for replica in chosen)
+        later = choose_subset(owner, zone, replicas[1:], 16, 0.5)
+        moved += len({r.replica_id for r in chosen} - {r.replica_id for r in later})
+    assert moved == uses["e0"]
+    assert max(uses.values()) <= 4 * 420 * 16 / 1100
+
+
+def test_ejected_replica_is_probed_one_request_at_a_time():
+    health = ReplicaHealth()
+    names = ["e1", "e2", "e3"]
+    now_s = 0.0
+    for _ in range(20):
+        health.failed("e1", now_s, unreachable=True)
+        assert "e1" not in health.usable(names, now_s + 0.5)
+        now_s += MAX_EJECTION_S
+        assert "e1" in health.usable(names, now_s)
+        health.sent("e1", now_s)
+        assert "e1" not in health.usable(names, now_s)
+        now_s += 2.0
+    health.succeeded("e1")
+    assert health.usable(names, now_s) == names
+
+
+def test_failing_requests_never_eject_the_whole_pool():
+    health = ReplicaHealth()
+    for name in ("e1", "e2", "e3"):
+        for _ in range(5):
+            health.failed(name, 0.0)
+    assert health.usable(["e1", "e2", "e3"], 0.1) == ["e1", "e2", "e3"]
+
+
+def attempt(key, **changes):
+    values = {
+        "replica_id": "e1",
+        "last_piece_s": 10.0,
+        "received": 10,
+        "left": 200,
+        "token_s": 0.1,
+        "prompt_tokens": 100,
+    }
+    return AttemptProgress(key=key, **{**values, **changes})
+
+
+def test_hedges_are_bounded_and_take_the_longest_first():
+    planner = HedgePlanner(RoutingPolicy(hedge_share=0.1))
+    attempts = [attempt(key, left=100 + key) for key in range(30)]
+    token_s = {"e1": 0.1, "e2": 0.02}
+    orders = planner.plan(attempts, token_s, queued=False, now_s=10.1)
+    assert [order.key for order in orders] == [29, 28, 27]
+    assert planner.plan(attempts, token_s, queued=True, now_s=10.1) == []
+    assert planner.plan(attempts, token_s, queued=False, now_s=10.1, running_hedges=3) == []
+    stalled = planner.plan(attempts, token_s, queued=True, now_s=60.0)
+    assert {order.reason for order in stalled} == {HedgeReason.STALLED}
+
+
+@pytest.mark.parametrize("kind", list(SchedulerKind))
+def test_schedulers_spread_equal_work(kind):
+    scheduler = new_scheduler(RoutingPolicy(scheduler=kind), Random(1))
+    counts = Counter({f"e{number}": 0 for number in range(5)})
+    work = WorkItem(
+        key=1,
+        caller="a",
+        pool="p",
+        priority_class="training",
+        interactive=False,
+        prompt_tokens=100,
+        expected_tokens=200,
+        cost=1.0,
+        enqueued_s=0.0,
+    )
+    for _ in range(100):
+        views = [
+            ReplicaView(
+                replica_id=name,
+                request_count=count,
+                outstanding_tokens=300 * count,
+                token_s=0.02 * (1 + 0.005 * count),
+            )
+            for name, count in counts.items()
+        ]
+        counts[scheduler.choose(views, work).replica_id] += 1
+    assert set(counts.values()) == {20}
+
+
+def test_slow_replica_gets_less():
+    scheduler = new_scheduler(RoutingPolicy(), Random(1))
+    work = WorkItem(
+        key=1,
+        caller="a",
+        pool="p",
+        priority_class="training",
+        interactive=False,
+        prompt_tokens=100,
+        expected_tokens=200,
+        cost=1.0,
+        enqueued_s=0.0,
+    )
+    views = [
+        ReplicaView(replica_id="slow", request_count=1, token_s=0.08),
+        ReplicaView(replica_id="fast", request_count=30, token_s=0.024, outstanding_tokens=9000),
+    ]
+    assert scheduler.choose(views, work).replica_id == "fast"
