Give each zone its own way to the stand-ins, with delays and cuts

Each back end now has a port for each zone, which goes through the emulated network, and each zone a machine list with those addresses (zone_platforms); a connection that the emulated network refuses is answered as not run. Checked: pytest tests/test_servers_standins.py, 20 passed.

--- a/passgate/emulator/admin_messages.py
+++ b/passgate/emulator/admin_messages.py
@@ -26,6 +26,8 @@
     """Zone to the log as that zone reaches it."""
     engines: dict[str, str]
     apps: dict[str, str]
+    zone_platforms: dict[str, str] = {}
+    """Zone to a platform whose machine list leads through the emulated network of that zone."""
 
 
 class FaultKind(enum.Enum):
@@ -57,6 +59,8 @@
     """Close the next ``value`` streams of an engine after their first event."""
     CROSS_ANSWERS = "cross_answers"
     """Answer the next ``value`` requests under another request's identifier."""
+    ISOLATE = "isolate"
+    """Cut the zone ``target`` off from back ends and platform elsewhere; ``value`` 0 ends it."""
     LOG_DOWN = "log_down"
     """The log refuses everything; ``value`` 0 ends it."""
     LOG_SLOW = "log_slow"
--- a/passgate/emulator/admin_server.py
+++ b/passgate/emulator/admin_server.py
@@ -126,6 +126,14 @@
     engine.model.arm_swap_failure(failure, int(command.value))
 
 
+def _isolate(standins: StandIns, command: FaultCommand) -> None:
+    network = standins.world.network
+    if command.value:
+        network.isolate(command.target)
+    else:
+        network.rejoin(command.target)
+
+
 def _set_log_down(standins: StandIns, command: FaultCommand) -> None:
     standins.world.log.faults.down = bool(command.value)
 
@@ -163,6 +171,7 @@
 
 
 _WORLD_FAULTS = {
+    FaultKind.ISOLATE: _isolate,
     FaultKind.LOG_DOWN: _set_log_down,
     FaultKind.LOG_SLOW: _set_log_slow,
     FaultKind.LOG_LAG: _set_log_lag,
--- a/passgate/emulator/app_server.py
+++ b/passgate/emulator/app_server.py
@@ -44,8 +44,8 @@
         self.server.count_received(request.request_id)
         try:
             response = await self.server.model.call(self.server.model_address, request)
-        except BackendUnreachable:
-            self.drop_connection()
+        except BackendUnreachable as error:
+            self.send_unreachable(error)
             return
         if self.takes_lost_answer():
             self.drop_connection()
--- a/passgate/emulator/engine_server.py
+++ b/passgate/emulator/engine_server.py
@@ -56,8 +56,8 @@
         async with contextlib.aclosing(chunks):
             try:
                 first = await anext(chunks, None)
-            except BackendUnreachable:
-                self.drop_connection()
+            except BackendUnreachable as error:
+                self.send_unreachable(error)
                 return
             if self.takes_lost_answer():
                 self.drop_connection()
--- a/passgate/emulator/standins_server.py
+++ b/passgate/emulator/standins_server.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import signal
+from collections.abc import Sequence
 from pathlib import Path
 
 import fire
@@ -24,30 +25,41 @@
 from passgate.emulator.log_server import LogServer
 from passgate.emulator.network import SAME_PROCESS
 from passgate.emulator.parameters import DeploymentParameters, load_deployment
-from passgate.emulator.platform_server import PlatformServer
+from passgate.emulator.platform_server import ChangeableMachineList, PlatformServer
 from passgate.emulator.wire import StandInServer
 from passgate.emulator.world import EmulatedWorld
+from passgate.schema import MachineInfo
 
 RESTART_CHECK_S = 0.05
 LOG_PREFIX = "log/"
 
 
 class StandIns:
-    """Servers around one emulated world; made and used inside a running loop."""
+    """Servers around one emulated world; made and used inside a running loop.
+
+    Each back end has one port without emulated network and one for each zone,
+    with that zone's delays and cuts.  Ports of one back end share faults and counters.
+    """
 
     def __init__(
         self, parameters: DeploymentParameters, seed: int = 1, credential: str | None = None
     ) -> None:
         self.world = EmulatedWorld(parameters, seed)
         self.servers: dict[str, StandInServer] = {}
-        """All servers by name: machines by identifier, ``platform``, ``admin``, ``log/ZONE``."""
+        """Servers by name: machines by identifier, ``platform``, ``admin``, ``log/ZONE``."""
+        self._credential = credential
+        self._zone_servers: dict[str, dict[str, StandInServer]] = {}
+        self._zone_platforms: dict[str, PlatformServer] = {}
         self._restarts: set[asyncio.Task[None]] = set()
-        self._add_backends()
-        self._add_platform(credential)
+        self.servers.update(self._backends(SAME_PROCESS))
+        self.servers["platform"] = self._platform(self.world.machine_list)
+        self.servers["admin"] = AdminServer(self, credential)
+        for zone in parameters.zones:
+            self._add_zone(zone)
 
     async def start(self) -> StandInAddresses:
         """Listen on free ports and put the real addresses on the machine list."""
-        for server in self.servers.values():
+        for server in self._all_servers():
             server.start()
         await self._register_addresses()
         return self.addresses()
@@ -64,6 +76,7 @@
             logs={zone: servers[LOG_PREFIX + zone].address for zone in self.world.parameters.zones},
             engines={name: servers[name].address for name in self.world.engines},
             apps={name: servers[name].address for name in self.world.apps},
+            zone_platforms={zone: server.address for zone, server in self._zone_platforms.items()},
         )
 
     def backend(self, machine_id: str) -> EmulatedEngine | EmulatedApp:
@@ -79,8 +92,9 @@
             backend.model.control.draining = draining
 
     def crash(self, machine_id: str, restart_after_s: float) -> None:
-        """Crash an engine or app: connections are reset and the port closes until the restart."""
-        self.servers[machine_id].crash()
+        """Crash an engine or app: connections are reset and its ports close until the restart."""
+        for server in self._ports(machine_id):
+            server.crash()
         self.backend(machine_id).crash(restart_after_s)
         task = asyncio.get_running_loop().create_task(self._restart(machine_id, restart_after_s))
         self._restarts.add(task)
@@ -90,7 +104,7 @@
         """Close all ports and stop the emulation."""
         for task in self._restarts:
             task.cancel()
-        for server in self.servers.values():
+        for server in self._all_servers():
             server.crash()
         self.world.close()
 
@@ -98,33 +112,71 @@
         await asyncio.sleep(restart_after_s)
         while not self.backend(machine_id).up:
             await asyncio.sleep(RESTART_CHECK_S)
-        if not self.servers[machine_id].running:
-            self.servers[machine_id].start()
+        for server in self._ports(machine_id):
+            if not server.running:
+                server.start()
+
+    def _ports(self, machine_id: str) -> list[StandInServer]:
+        return [self.servers[machine_id], *(ports[machine_id] for ports in self._zone_servers.values())]
 
-    def _add_backends(self) -> None:
-        engine_client = self.world.engine_client(SAME_PROCESS)
-        app_client = self.world.app_client(SAME_PROCESS)
+    def _all_servers(self) -> list[StandInServer]:
+        zone_servers = [server for ports in self._zone_servers.values() for server in ports.values()]
+        return [*self.servers.values(), *zone_servers, *self._zone_platforms.values()]
+
+    def _backends(self, zone: str) -> dict[str, StandInServer]:
+        engine_client = self.world.engine_client(zone)
+        app_client = self.world.app_client(zone)
+        servers: dict[str, StandInServer] = {}
         for name, engine in self.world.engines.items():
-            self.servers[name] = EngineServer(name, engine_client, engine.address)
+            servers[name] = EngineServer(name, engine_client, engine.address)
         for name, app in self.world.apps.items():
-            self.servers[name] = AppServer(name, app_client, app.address)
-
-    def _add_platform(self, credential: str | None) -> None:
-        for zone in self.world.parameters.zones:
-            name = LOG_PREFIX + zone
-            self.servers[name] = LogServer(name, self.world.log_client(zone), credential)
-        self.servers["platform"] = PlatformServer(
-            "platform", self.world.machine_list, self.world.store, credential
-        )
-        self.servers["admin"] = AdminServer(self, credential)
+            servers[name] = AppServer(name, app_client, app.address)
+        return servers
+
+    def _platform(self, machines: ChangeableMachineList) -> PlatformServer:
+        return PlatformServer("platform", machines, self.world.store, self._credential)
+
+    def _add_zone(self, zone: str) -> None:
+        log_name = LOG_PREFIX + zone
+        self.servers[log_name] = LogServer(log_name, self.world.log_client(zone), self._credential)
+        ports = self._backends(zone)
+        for name, server in ports.items():
+            server.share(self.servers[name])
+        self._zone_servers[zone] = ports
+        self._zone_platforms[zone] = self._platform(ZoneMachineList(self.world.machine_list, ports))
+        self._zone_platforms[zone].share(self.servers["platform"])
 
     async def _register_addresses(self) -> None:
         for machine in await self.world.machine_list.machines():
             address = self.servers[machine.machine_id].address
             self.world.machine_list.register(msgspec.structs.replace(machine, address=address))
-            engine = self.world.engines.get(machine.machine_id)
-            if engine is not None:
-                self.world.registry.engines[address] = engine  # as a source of weights
+        for name, engine in self.world.engines.items():
+            for server in self._ports(name):
+                self.world.registry.engines[server.address] = engine  # as a source of weights
+
+
+class ZoneMachineList:
+    """The machine list with the addresses by which one zone reaches the back ends."""
+
+    def __init__(self, machines: ChangeableMachineList, ports: dict[str, StandInServer]) -> None:
+        self._machines = machines
+        self._ports = ports
+
+    async def machines(self) -> Sequence[MachineInfo]:
+        """Return the list; raises PlatformError when it is down."""
+        return [self._as_reached(machine) for machine in await self._machines.machines()]
+
+    def put(self, machine: MachineInfo) -> None:
+        """Add a machine or replace its entry."""
+        self._machines.put(machine)
+
+    def mark_leaving(self, machine_id: str) -> None:
+        """Mark a machine as leaving."""
+        self._machines.mark_leaving(machine_id)
+
+    def _as_reached(self, machine: MachineInfo) -> MachineInfo:
+        port = self._ports.get(machine.machine_id)
+        return machine if port is None else msgspec.structs.replace(machine, address=port.address)
 
 
 async def run_standins(
--- a/passgate/emulator/wire.py
+++ b/passgate/emulator/wire.py
@@ -19,7 +19,14 @@
 from tornado.web import Application, RequestHandler
 
 from passgate.clients import wire
-from passgate.errors import ErrorBody, ExecutionStatus, MalformedBody, PassgateError, Unauthorized
+from passgate.errors import (
+    BackendUnreachable,
+    ErrorBody,
+    ExecutionStatus,
+    MalformedBody,
+    PassgateError,
+    Unauthorized,
+)
 
 LOOPBACK = "127.0.0.1"
 ABORT_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -114,6 +121,11 @@
         """Whether the server listens."""
         return self._listener is not None
 
+    def share(self, other: StandInServer) -> None:
+        """Take the faults and counters of another port of the same service."""
+        self.faults = other.faults
+        self.counters = other.counters
+
     def crash(self) -> None:
         """Close the port and reset every connection at once."""
         if self._listener is None:
@@ -205,6 +217,13 @@
         self.server.faults.cross_answers -= 1
         return True
 
+    def send_unreachable(self, error: BackendUnreachable) -> None:
+        """Show the client what the emulated network does: nothing ran, or the connection broke."""
+        if error.execution is ExecutionStatus.NOT_RUN:
+            self.send_error_body(503, error.body())
+        else:
+            self.drop_connection()
+
     def drop_connection(self) -> None:
         """Close the connection without any further byte."""
         self._finished = True
--- a/tests/test_servers_standins.py
+++ b/tests/test_servers_standins.py
@@ -63,6 +63,8 @@
 
     def __init__(self, standins, http, addresses):
         self.standins = standins
+        self.http = http
+        self.zone_platforms = addresses.zone_platforms
         self.engines = addresses.engines
         self.apps = addresses.apps
         self.engine = HttpEngineClient(http)
@@ -267,6 +269,31 @@
         assert await out.log.append("s", [b"x"], WAIT_S) == 0
 
 
+async def test_zone_reaches_back_ends_through_its_own_network():
+    async with outside() as out:
+        platform = HttpMachineList(out.http, out.zone_platforms["campina"])
+        in_zone = {m.machine_id: m.address for m in await platform.machines()}
+        assert in_zone.keys() == {*out.engines, *out.apps}
+        assert not set(in_zone.values()) & {*out.engines.values(), *out.apps.values()}
+        await out.admin.inject(FaultKind.ISOLATE, "campina")
+        out.standins.world.network.parameters = msgspec.structs.replace(
+            out.standins.world.network.parameters, connect_timeout_s=0.01
+        )
+        other_zone, own_zone = in_zone["modelos-0"], in_zone["modelos-1"]
+        with pytest.raises(BackendRefused) as caught:
+            await anext(out.engine.generate(other_zone, generate_request("r0")))
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        with pytest.raises(LogUnavailable):
+            await out.log.append("s", [b"x"], WAIT_S)
+        assert [c async for c in out.engine.generate(own_zone, generate_request("r1"))]
+        await out.admin.inject(FaultKind.ISOLATE, "campina", 0)
+        assert [c async for c in out.engine.generate(other_zone, generate_request("r2"))]
+        assert (await out.admin.state()).runs == {"r1": 1, "r2": 1}
+        await out.admin.inject(FaultKind.CRASH, "modelos-0", 60)
+        with pytest.raises(BackendUnreachable):
+            await out.engine.load_report(other_zone)
+
+
 async def test_machines_register_leave_and_are_replaced():
     async with outside() as out:
         daemon = MachineInfo(machine_id="d/1", role=MachineRole.DAEMON, address="127.0.0.1:9", zone="campina")
