Keep the capacity floor over lost answers and returning replicas; plan rollouts

Cause: random clusters with failing, refused, unreachable and doubtful orders broke the floor in four ways: a doubt counted as over by an old report, a doubt that expired unnoticed, a replica back from a cut that kept its place although another had taken it, and stage failures that counted as swap failures. Each is mended; test_capacity_floors_hold_and_good_outcomes_lead_to_the_target finds them. Weights pass through engines that still fetch (cut-through), given up after three refusals. The plan runs the same reconciler against modelled times.

--- a/passgate/rollout/capacity.py
+++ b/passgate/rollout/capacity.py
@@ -23,8 +23,11 @@
 
 
 def allowed_out(healthy: int, out: int, floor: float) -> int:
-    """Return how many more replicas may be taken out of service now."""
-    return max(healthy - out - replicas_to_keep(healthy, floor), 0)
+    """Return how many more replicas may be taken out of service now.
+
+    Negative when lost replicas came back broken and more are out than the floor allows.
+    """
+    return healthy - out - replicas_to_keep(healthy, floor)
 
 
 class CapacityLedger:
--- a/passgate/rollout/manager.py
+++ b/passgate/rollout/manager.py
@@ -16,7 +16,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import PassgateError, SupersededEpoch
-from passgate.rollout.order_sender import OrderEngine, OrderSender, OrderTimes
+from passgate.rollout.order_sender import OrderEngine, OrderPacer, OrderSender, OrderTimes
 from passgate.rollout.reconciler import Reconciler
 from passgate.rollout.swap_modes import settings_for_mode, swap_mode
 from passgate.rollout.types import (
@@ -111,7 +111,8 @@
         self._source = source
         self._settings = settings_for_mode(settings)
         self._random = random
-        self._times = times
+        self._times = times or OrderTimes()
+        self._pacer = OrderPacer(self._times)
         self._on_progress = on_progress
         self._machine = Machine("rollout")
         self._wake = asyncio.Event()
@@ -206,7 +207,7 @@
         self.fence = epoch
         self._reconciler = Reconciler(self._settings, self._random)
         mode = swap_mode(self._settings.swap_mode)
-        self._sender = OrderSender(self._engine, self.role, epoch, mode, self._times)
+        self._sender = OrderSender(self._engine, self.role, epoch, mode, self._times, self._pacer)
         self._refresh_due_s = 0.0
         self._send("lease_granted")
 
--- a/passgate/rollout/model_rollout.py
+++ b/passgate/rollout/model_rollout.py
@@ -82,7 +82,7 @@
     def offer_source(self, track: SwapTrack) -> None:
         """Let a replica that holds the target's version pass it on."""
         if self.target.version and self.target.version in track.held and not track.broken:
-            self.sources.add_holder(track.view.address, track.view.zone)
+            self.sources.complete_holder(track.view.address, track.view.zone)
 
     def refresh(self, track: SwapTrack) -> None:
         """Tell the chart whether the target is met, and queue the next step."""
@@ -124,6 +124,10 @@
                 elif not avoid_engines:
                     break
 
+    def is_settled(self) -> bool:
+        """Return whether every replica runs the target."""
+        return all(track.machine.state == "current" for track in self.tracks.values())
+
     def progress(self) -> RolloutProgress:
         """Return counts over all tracked replicas."""
         states = Counter(_STATE_COUNTS.get(track.machine.state, "waiting") for track in self.tracks.values())
--- a/passgate/rollout/order_sender.py
+++ b/passgate/rollout/order_sender.py
@@ -33,8 +33,10 @@
 
     first_poll_s: float = 0.1
     """Wait before the first question, while no duration is known."""
-    poll_share: float = 0.1
-    """Later questions follow after this share of the mean duration."""
+    growth: float = 0.4
+    """Later questions then follow after this share of the time since the order."""
+    poll_share: float = 0.08
+    """With a known mean duration, questions follow after this share of it once it is over."""
     shortest_poll_s: float = 0.05
     timeout_s: float = 60.0
     """An order that takes longer counts as in doubt."""
@@ -65,7 +67,7 @@
         """Return the time until the next question about an order sent ``elapsed_s`` ago."""
         mean_s = self._mean_s.get(kind)
         if mean_s is None:
-            return self._times.first_poll_s
+            return max(self._times.first_poll_s, self._times.growth * elapsed_s)
         return max(mean_s - elapsed_s, mean_s * self._times.poll_share, self._times.shortest_poll_s)
 
 
@@ -73,7 +75,13 @@
     """Sends the orders of one holding of a role, all under its fence."""
 
     def __init__(
-        self, engine: OrderEngine, role: str, fence: int, mode: SwapMode, times: OrderTimes | None = None
+        self,
+        engine: OrderEngine,
+        role: str,
+        fence: int,
+        mode: SwapMode,
+        times: OrderTimes | None = None,
+        pacer: OrderPacer | None = None,
     ) -> None:
         self.messages = 0
         """Calls to engines so far, questions included."""
@@ -82,7 +90,7 @@
         self._fence = fence
         self._mode = mode
         self._times = times or OrderTimes()
-        self._pacer = OrderPacer(self._times)
+        self._pacer = pacer or OrderPacer(self._times)
 
     async def carry_out(
         self, planned: PlannedOrder, on_accepted: Callable[[PlannedOrder], None] | None = None
--- a/passgate/rollout/reconciler.py
+++ b/passgate/rollout/reconciler.py
@@ -64,6 +64,7 @@
         self._views: dict[str, ReplicaView] = {}
         self._models: dict[str, ModelRollout] = {}
         self._busy: dict[str, PlannedOrder] = {}
+        self._doubtful: dict[tuple[str, str], SwapTrack] = {}
         self._silences: Counter[str] = Counter()
         self._retries: list[tuple[float, str, str]] = []
         self._reports: list[tuple[float, str]] = []
@@ -132,6 +133,7 @@
     def next_orders(self, now_s: float) -> list[PlannedOrder]:
         """Return the orders to send now; each replica has at most one in flight."""
         self._pass_retries(now_s)
+        self._pass_doubts(now_s - self._settings.swap_doubt_s)
         orders: list[PlannedOrder] = []
         for rollout in self._models.values():
             self._order_service(rollout, orders)
@@ -147,6 +149,17 @@
         """Return a replica as last observed."""
         return self._views.get(replica_id)
 
+    def is_settled(self) -> bool:
+        """Return whether every replica runs its target."""
+        return all(rollout.is_settled() for rollout in self._models.values())
+
+    def assume_proved(self, replica_id: str) -> None:
+        """Count what a replica reported as proved under the fence; for plans, not for a holder."""
+        for rollout in self._models.values():
+            track = rollout.tracks[replica_id]
+            track.fenced = True
+            rollout.refresh(track)
+
     def progress(self) -> list[RolloutProgress]:
         """Return the counts of each model."""
         return [rollout.progress() for rollout in self._models.values()]
@@ -160,11 +173,10 @@
         """
         rollout = self._models.get(order.model)
         current = self._busy.get(order.replica_id) is order and rollout is not None
-        stages = order.kind is OrderKind.STAGE_VERSION and self._settings.distribution.cut_through
+        stages = order.kind is OrderKind.STAGE_VERSION
         if not current or not stages or order.version != rollout.target.version:
             return False
-        rollout.sources.add_holder(order.address, self._views[order.replica_id].zone)
-        return True
+        return rollout.sources.add_partial_holder(order.address, self._views[order.replica_id].zone)
 
     def finish(self, order: PlannedOrder, outcome: Outcome, now_s: float) -> None:
         """Take the outcome of an order returned by :meth:`next_orders`."""
@@ -220,6 +232,7 @@
         track.fenced = False
         if order.kind is not OrderKind.STAGE_VERSION:
             track.swap_doubt_s = now_s
+            self._doubtful[track.view.replica_id, track.model] = track
         track.machine.send("answer_lost")
         self._plan_report(track.view.replica_id, now_s + self._backoff_s(track.doubts))
 
@@ -234,7 +247,8 @@
             self._ledger.set_lost(order.replica_id, True)
             self._plan_report(order.replica_id, now_s + self._backoff_s(track.attempts))
         elif order.kind is OrderKind.STAGE_VERSION:
-            track.source_failures += order.source != STORE_SOURCE
+            counts = order.source != STORE_SOURCE and not rollout.sources.partial_failed(order.source)
+            track.source_failures += counts
             rollout.sources.remove_holder(track.view.address)
         elif order.kind is OrderKind.ACTIVATE_VERSION:
             self._failed_activation(rollout, track, order, outcome, now_s)
@@ -261,16 +275,23 @@
             return
         for track in rollout.serve_choices():
             replica_id = track.view.replica_id
-            if not self._is_free(replica_id) or not self._may_go_out(replica_id, track.view.zone):
+            if not self._is_free(replica_id) or not self._may_go_out(track):
                 continue
             self._ledger.set_out(replica_id, True)
             orders.append(self._begin(track, self._service_order(rollout.target, track)))
 
-    def _may_go_out(self, replica_id: str, zone: str) -> bool:
+    def _may_go_out(self, track: SwapTrack) -> bool:
+        """Return whether an order that interrupts service may go to the replica now.
+
+        One that is out already keeps its place, unless replicas that came back took
+        the floor's last room; one without any weights has no service to interrupt.
+        """
         ledger = self._ledger
-        if ledger.is_out(replica_id):
+        if not ledger.is_out(track.view.replica_id):
+            return ledger.allowed() > 0 and ledger.allowed_in(track.view.zone) > 0
+        if track.broken and track.active == 0:
             return True
-        return ledger.allowed() > 0 and ledger.allowed_in(zone) > 0
+        return ledger.allowed() >= 0 and ledger.allowed_in(track.view.zone) >= 0
 
     def _service_order(self, target: RolloutTarget, track: SwapTrack) -> PlannedOrder:
         kind = track.next_kind(target)
@@ -369,18 +390,10 @@
         track.broken = track.broken and version == 0
         if track.machine.state == "in_doubt":
             track.machine.send("retry_due")
-        if track.swap_doubt_s is not None and self._doubt_is_over(rollout, track, now_s):
-            track.swap_doubt_s = None
         self._ledger.set_out(track.view.replica_id, self._is_out(track.view.replica_id))
         rollout.offer_source(track)
         rollout.refresh(track)
 
-    def _doubt_is_over(self, rollout: ModelRollout, track: SwapTrack, now_s: float) -> bool:
-        """A report may be older than the swap in doubt, so only the wanted version or time ends it."""
-        assert track.swap_doubt_s is not None
-        took_effect = track.active == track.goal(rollout.target)
-        return took_effect or now_s - track.swap_doubt_s > self._settings.swap_doubt_s
-
     # --- time ----------------------------------------------------------------------------
 
     def _plan_report(self, replica_id: str, due_s: float) -> None:
@@ -401,6 +414,19 @@
                 track.machine.send("retry_due")
                 rollout.refresh(track)
 
+    def _pass_doubts(self, before_s: float) -> None:
+        """Count replicas as serving again whose swap in doubt has surely ended.
+
+        Only time or a definite answer ends a doubt: a report may be older than the swap.
+        """
+        for (replica_id, model), track in list(self._doubtful.items()):
+            if track.swap_doubt_s is not None and track.swap_doubt_s >= before_s:
+                continue
+            track.swap_doubt_s = None
+            del self._doubtful[replica_id, model]
+            if replica_id in self._views:
+                self._ledger.set_out(replica_id, self._is_out(replica_id))
+
     def _backoff_s(self, attempts: int) -> float:
         """Return exponential back-off with full half-width jitter."""
         settings = self._settings
--- a/passgate/rollout/sources.py
+++ b/passgate/rollout/sources.py
@@ -4,7 +4,7 @@
 copies form a distribution tree.  A zone's first copy comes from the store while
 it has a free stream, otherwise from another zone; all later ones stay in the zone.
 
->>> table = SourceTable(DistributionSettings(store_streams=1, max_store_copies=1))
+>>> table = SourceTable(DistributionSettings(store_streams=1, max_store_copies=1, fan_out=2))
 >>> table.choose("a"), table.begin("store", "a"), table.choose("a")
 ('store', None, None)
 >>> table.end("store", "a"); table.add_holder("10.0.0.1:80", "a")
@@ -24,6 +24,10 @@
         self.store_copies = 0
         """Fetches from the store so far, retries included."""
         self._settings = settings
+        self._cut_through = settings.cut_through
+        self._partial: set[str] = set()
+        """Holders that still fetch."""
+        self._partial_failures = 0
         self._zone_of: dict[str, str] = {}
         self._holders: dict[str, int] = {}
         self._uploads: dict[str, int] = {}
@@ -38,9 +42,34 @@
             self._holders[zone] = self._holders.get(zone, 0) + 1
             self._update(address)
 
+    def complete_holder(self, address: str, zone: str) -> None:
+        """Note that an engine now holds the whole version."""
+        self._partial.discard(address)
+        self.add_holder(address, zone)
+
+    def add_partial_holder(self, address: str, zone: str) -> bool:
+        """Let an engine that still fetches serve as a source; return whether that is done."""
+        if not self._cut_through:
+            return False
+        self._partial.add(address)
+        self.add_holder(address, zone)
+        return True
+
+    def partial_failed(self, address: str) -> bool:
+        """Return whether the source of a failed fetch held only a part, and learn from it."""
+        if address not in self._partial:
+            return False
+        self._partial_failures += 1
+        if self._partial_failures >= self._settings.cut_through_refusals:
+            self._cut_through = False
+            for partial in list(self._partial):
+                self.remove_holder(partial)
+        return True
+
     def remove_holder(self, address: str) -> None:
         """Forget an engine as a source; uploads in progress may still end."""
         zone = self._zone_of.pop(address, None)
+        self._partial.discard(address)
         if zone is not None:
             self._holders[zone] -= 1
             self._free[zone].pop(address, None)
--- a/passgate/rollout/swap_track.py
+++ b/passgate/rollout/swap_track.py
@@ -48,6 +48,8 @@
         """Version that was active before the last one."""
         self.attempts = 0
         """Failed attempts since the last success."""
+        self.swap_failures = 0
+        """Failed activations of the target since the last roll-back or success."""
         self.order_count = 0
         """Orders that ended, so that a new order never has the identifier of an old one."""
         self.doubts = 0
@@ -126,6 +128,7 @@
         self.active = version
         self.broken = False
         self.fallback = 0
+        self.swap_failures = 0
         self.confirmed_s = now_s
 
     def swap_failed(self, target: RolloutTarget, swap_attempts: int) -> None:
@@ -134,11 +137,12 @@
         A failed roll-back or a withdrawn former version leaves only the target.
         """
         self.broken = True
+        self.swap_failures += 1
         former = self.active or self.previous
         usable = former and former not in target.withdrawn and former != target.version
         if self.fallback or not usable:
             self.fallback = 0
             self.held.clear()
-        elif self.attempts >= swap_attempts:
+        elif self.swap_failures >= swap_attempts:
             self.fallback = former
             self.held.clear()
--- a/passgate/rollout/types.py
+++ b/passgate/rollout/types.py
@@ -47,10 +47,12 @@
 class DistributionSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How weights spread from the store over the engines."""
 
-    fan_out: int = 1
+    fan_out: int = 2
     """Most engines that fetch from one engine at the same time."""
-    cut_through: bool = False
-    """An engine passes on pieces while it still fetches; needs engines that can."""
+    cut_through: bool = True
+    """An engine passes on pieces while it still fetches; given up when engines refuse it."""
+    cut_through_refusals: int = 3
+    """Failed fetches from engines that still fetched, after which only whole copies are used."""
     store_streams: int = 1
     """Most fetches from the store at the same time."""
     max_store_copies: int = 1
