--- a/passgate/lab/measures.py
+++ b/passgate/lab/measures.py
@@ -46,7 +46,8 @@
     """Used share of all engines' KV memory, 0 to 1."""
     cache_hit_share: float
     """Share of prompt tokens served from prefix caches since the last reading."""
-    trainers_waiting: int
+    samples_delivered: int
+    """Since the start of the run."""
     newest_version: int
 
 
@@ -65,16 +66,22 @@
     """Versions a sample was behind its trainer at hand-over."""
     staleness_p99: float
     interactive: LatencySummary
-    queue_wait: LatencySummary
+    lot_time: LatencySummary
+    """Opening of a lot until it was whole."""
     samples_delivered: int
     samples_lost: int
     samples_doubled: int
     samples_over_staleness: int
     answers_wrong: int
-    refused_not_run: int
+    refused: int
+    """Attempts that ended with a typed refusal."""
+    given_up: int
+    """Interactive calls without an answer after their last attempt."""
+    late_share: float
+    """Share of interactive calls that were answered late or not at all, 0 to 1."""
     not_run_that_ran: int
     goodput_tokens_per_s: float
-    """Tokens of answers that were whole and inside their deadline, per second."""
+    """Tokens of samples and answers that reached their callers whole, per second."""
     violations: int
     series: tuple[SeriesPoint, ...] = ()
 
@@ -85,7 +92,8 @@
     "staleness_p99",
     "interactive_p50_ms",
     "interactive_p99_ms",
-    "refused_not_run",
+    "late_share",
+    "refused",
     "goodput_tokens_per_s",
 )
 """Measures that comparisons report as ratios."""
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,111 @@
+import msgspec
+import pytest
+
+from passgate.errors import SettingsError
+from passgate.lab.cli import LabCommands, PromiseBroken, _finish
+from passgate.lab.compare import compare_runs
+from passgate.lab.fault_sets import FAULT_SETS
+from passgate.lab.measures import LatencySummary, RunMeasures
+from passgate.lab.report import write_report
+from passgate.lab.scenario import find_policy, load_scenario, scenario_names, scenario_parameters
+from passgate.lab.virtual_run import run_scenario
+
+SHORT_S = 6.0
+
+
+def _measures(**changes) -> RunMeasures:
+    nothing = LatencySummary.of([])
+    base = RunMeasures(
+        scenario="s",
+        policy="current",
+        fault="calm",
+        seed=1,
+        duration_s=1.0,
+        trainer_idle_share=0.5,
+        steps_done=1,
+        staleness_mean=1.0,
+        staleness_p99=1.0,
+        interactive=nothing,
+        lot_time=nothing,
+        samples_delivered=1,
+        samples_lost=0,
+        samples_doubled=0,
+        samples_over_staleness=0,
+        answers_wrong=0,
+        refused=0,
+        given_up=0,
+        late_share=0.0,
+        not_run_that_ran=0,
+        goodput_tokens_per_s=10.0,
+        violations=0,
+    )
+    return msgspec.structs.replace(base, **changes)
+
+
+def test_same_seed_gives_the_same_measures_and_another_seed_does_not():
+    scenario = load_scenario("olhar")
+    first = run_scenario(scenario, "current", "calm", 1, SHORT_S)
+    again = run_scenario(scenario, "current", "calm", 1, SHORT_S)
+    other = run_scenario(scenario, "current", "calm", 2, SHORT_S)
+    assert msgspec.json.encode(first) == msgspec.json.encode(again)
+    assert msgspec.json.encode(first) != msgspec.json.encode(other)
+    assert first.interactive.count > 0
+    assert first.series[-1].samples_delivered > 0
+
+
+def test_faults_change_a_run_and_break_no_promise():
+    scenario = load_scenario("huon")
+    calm = run_scenario(scenario, "current", "calm", 1, SHORT_S)
+    mixed = run_scenario(scenario, "current", "mixed", 1, SHORT_S)
+    assert msgspec.structs.replace(mixed, fault="calm") != calm
+    assert mixed.violations == 0
+
+
+def test_surge_multiplies_arrivals_by_each_streams_factor():
+    calm = scenario_parameters(load_scenario("olhar")).arrivals
+    surge = scenario_parameters(load_scenario("olhar-surge")).arrivals
+    factors = [after.rate_per_s / before.rate_per_s for before, after in zip(calm, surge, strict=True)]
+    assert factors == [stream.surge_factor for stream in calm]
+
+
+def test_comparison_pairs_seeds_and_knows_which_way_is_better():
+    runs = [_measures(seed=seed, trainer_idle_share=0.4, goodput_tokens_per_s=5.0) for seed in (1, 2)]
+    runs += [_measures(seed=seed, policy="fifo") for seed in (1, 2)]
+    rows = {row.measure: row for row in compare_runs(runs, "current")}
+    assert rows["trainer_idle_share"].ratio == pytest.approx(0.8)
+    assert rows["trainer_idle_share"].verdict == "better"
+    assert rows["goodput_tokens_per_s"].verdict == "worse"
+    assert rows["late_share"].verdict == "even"
+
+
+def test_report_is_written(tmp_path):
+    runs = [run_scenario(load_scenario("olhar"), "current", "calm", 1, 6.0)]
+    path = write_report(runs, str(tmp_path / "plots" / "run.svg"))
+    assert path.read_text().lstrip().startswith("<?xml")
+
+
+def test_broken_promise_fails_the_command():
+    with pytest.raises(PromiseBroken) as raised:
+        _finish([_measures(violations=1)], json=True, report="")
+    assert raised.value.details["run"] == "s/current/calm/seed 1"
+
+
+@pytest.mark.parametrize(
+    "attempt",
+    [
+        lambda: load_scenario("nowhere"),
+        lambda: find_policy("guess"),
+        lambda: LabCommands().run("olhar", fault="meteor", duration_s=1.0, json=True),
+        lambda: LabCommands().sweep("olhar", parameter="colour"),
+    ],
+)
+def test_unknown_names_are_typed_errors(attempt):
+    with pytest.raises(SettingsError):
+        attempt()
+
+
+def test_every_committed_scenario_and_fault_set_is_usable():
+    for name in scenario_names():
+        parameters = scenario_parameters(load_scenario(name))
+        for make in FAULT_SETS.values():
+            make(parameters, ("a-1", "b-1", "c-1"), 100.0)
