--- a/passgate/routing/generate_call.py
+++ b/passgate/routing/generate_call.py
@@ -59,6 +59,7 @@
         self._class = context.priority_class(request.priority_class)
         self._events: asyncio.Queue[_Event] = asyncio.Queue()
         self._running: dict[Attempt, asyncio.Task[None]] = {}
+        self._stopping: set[asyncio.Task[None]] = set()
         self._hedges: set[Attempt] = set()
         self._avoid: set[str] = set()
         self._prefix = self._prefix_hashes()
@@ -149,6 +150,7 @@
                 scheduler.health.succeeded(replica_id)
             scheduler.progress(item, replica_id, chunk, monotonic_s())
             self._emit(attempt, chunk)
+            self._stop_overtaken(attempt)
 
         error: PassgateError | None = None
         try:
@@ -160,6 +162,15 @@
             self._context.gate.release(item, replica_id, attempt.received)
         self._events.put_nowait(_AttemptEnded(attempt, error))
 
+    def _stop_overtaken(self, hedge: Attempt) -> None:
+        """Cancel the attempt that a hedge has overtaken; it would only waste its replica's time."""
+        if hedge not in self._hedges:
+            return
+        for attempt in list(self._running):
+            if len(attempt.assembler.tokens) < len(hedge.assembler.tokens):
+                self._context.counters.hedges_won += 1
+                self._stop(attempt)
+
     async def _recover(self, attempt: Attempt, error: PassgateError) -> None:
         """Start the next attempt, unless another one runs; raises ``error`` when none may follow."""
         context = self._context
@@ -213,10 +224,11 @@
         if self._on_chunk is not None:
             await self._stop_attempts()
             self._keep_progress(attempt)
+            self._context.counters.hedges_won += 1
         self._tokens = list(self._tokens)
         self._spans = list(self._spans)
         self._count_hedge(order)
-        self._hedges.add(self._start(item, replica))
+        self._hedges = {self._start(item, replica)}
 
     def _count_hedge(self, order: HedgeOrder) -> None:
         if order.reason is HedgeReason.STALLED:
@@ -224,14 +236,20 @@
         else:
             self._context.counters.hedges_slow += 1
 
+    def _stop(self, attempt: Attempt) -> None:
+        """Cancel an attempt; from now on it counts as ended and brings no event."""
+        task = self._running.pop(attempt)
+        self._context.counters.wasted_tokens += attempt.received
+        task.cancel()
+        self._stopping.add(task)
+        task.add_done_callback(self._stopping.discard)
+
     async def _stop_attempts(self) -> None:
         """Cancel what is running; its places are free when this returns."""
-        tasks = list(self._running.values())
-        for attempt, task in list(self._running.items()):
-            self._context.counters.wasted_tokens += attempt.received
-            task.cancel()
-        if tasks:
-            await asyncio.gather(*tasks, return_exceptions=True)
+        for attempt in list(self._running):
+            self._stop(attempt)
+        if self._stopping:
+            await asyncio.gather(*self._stopping, return_exceptions=True)
 
     # --- output ---------------------------------------------------------------------------------
 
@@ -263,7 +281,6 @@
         )
         context.retry_budget.deposit()
         context.counters.generated_tokens += len(result.tokens)
-        context.counters.hedges_won += attempt in self._hedges
         return msgspec.structs.replace(result, request_id=self.request.request_id)
 
     # --- estimates ----------------------------------------------------------------------------------
--- a/passgate/routing/policies.py
+++ b/passgate/routing/policies.py
@@ -53,7 +53,7 @@
     """Whether replicas that serve several models are each preferred by one of them."""
     mix_factor: float = 0.8
     """Assumed growth of the time per token when a second model joins a replica's batch."""
-    mix_tolerance: int = 3
+    mix_tolerance: int = 0
     """Requests of others on a replica that batch requests of a model not at home there may join."""
 
     # --- concurrency -------------------------------------------------------------
--- a/passgate/routing/replica_directory.py
+++ b/passgate/routing/replica_directory.py
@@ -164,6 +164,9 @@
 
     def _apply_machine(self, machine: MachineInfo, now_s: float) -> None:
         entry = self._entries.get(machine.machine_id)
+        if entry is not None and entry.machine == machine and entry.gone_since_s is None:
+            entry.last_listed_s = now_s
+            return
         if entry is None or machine.generation > entry.machine.generation:
             entry = _Entry(machine=machine, listed_state=machine.state, last_listed_s=now_s)
             self._entries[machine.machine_id] = entry
