--- a/tests/test_emulator_engine_model.py
+++ b/tests/test_emulator_engine_model.py
@@ -279,6 +279,55 @@
     assert events
 
 
+def test_admission_leaves_the_watermark_and_spares_blocks_it_counts_on() -> None:
+    engine = make_engine(kv_blocks=10, kv_watermark=0.1)
+    engine.submit(request("cached", tokens=64, max_tokens=4), 0.0)
+    run(engine)
+    other = tuple(range(1000, 1064))
+    engine.submit(request("running", prompt=other, max_tokens=14, seed=9), 60.0)
+    engine.submit(request("waits", tokens=80, max_tokens=4), 60.0)
+    run(engine, 60.1)
+    assert [len(engine.batch.running), len(engine.batch.waiting)] == [1, 1]
+    check_conservation(engine)
+    run(engine)
+    assert engine.counters.finished == 3
+    assert engine.counters.cache_hit_tokens == 64
+
+
+def test_restarted_engine_has_an_empty_cache() -> None:
+    engine = make_engine()
+    engine.submit(request("a", tokens=64), 0.0)
+    run(engine)
+    engine.crash(10.0)
+    run(engine)
+    engine.submit(request("b", tokens=64), 60.0)
+    run(engine)
+    assert engine.counters.cache_hit_tokens == 0
+
+
+def test_prefix_computed_twice_at_once_is_kept_once() -> None:
+    engine = make_engine(cache_event_loss=0.0)
+    engine.submit(request("first", tokens=5), 0.0)
+    for name in ("b", "c"):
+        engine.submit(request(name, tokens=64, seed=8), 0.001)
+    run(engine)
+    check_conservation(engine)
+    assert engine.batch.cache.cached_blocks == len(engine.cache_events(0, 60.0)) == 4
+
+
+def test_swap_in_mid_prefill_stores_no_mixed_prefix() -> None:
+    engine = make_engine(cache_event_loss=0.0, prefill_chunk_tokens=64)
+    asked = request("r", tokens=640)
+    engine.submit(asked, 0.0)
+    events = run(engine, 0.1)
+    stage(engine, 2, 0.1)
+    activate(engine, 2, 0.1)
+    events += run(engine)
+    assert engine.cache_events(0, 60.0)[-1].kind is CacheEventKind.CLEARED
+    assert engine.batch.cache.cached_blocks == 0
+    assert_right(events, asked)
+
+
 # --- reports ------------------------------------------------------------------------------
 
 
@@ -286,7 +335,7 @@
     engine = make_engine(report_interval_s=0.25, report_lag_s=0.25, max_running=2)
     for name in ("a", "b", "c"):
         engine.submit(long_request(name), 1.0)
-    early = engine.load_report(1.1)
+    early = engine.load_report(1.3)
     late = engine.load_report(1.6)
     assert (early.running, early.waiting) == (0, 0)
     assert (late.running, late.waiting) == (2, 1)
@@ -391,6 +440,8 @@
     assert engine.counters.preempted == (1 if recompute else 0)
     assert engine.counters.cache_hit_tokens == (63 if recompute else 0)
     assert CacheEventKind.CLEARED in [event.kind for event in engine.cache_events(0, 60.0)]
+    assert engine.batch.cache.cached_blocks == len(engine.batch.cache.keys_of("m")) == 4
+    assert {key.version for key in engine.batch.cache.keys_of("m")} == {2}
     assert_right(events, running)
 
 
@@ -447,6 +498,7 @@
     activate(engine, 2, 0.0)
     run(engine)
     engine.submit(long_request("r"), 2.0)
+    run(engine, 2.2)
     engine.crash(2.2)
     assert StreamEnded("r", EndReason.CRASHED) in engine.advance(2.2)
     with pytest.raises(BackendRefused):
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -181,6 +181,31 @@
     assert in_world(scenario) == (1, 0)
 
 
+def test_closing_a_replaced_stream_leaves_the_new_one_alone():
+    async def scenario(world):
+        engine, request = world.engines[ENGINE], long_request()
+        old = world.engine_client("campina").generate(engine.address, request)
+        await anext(old)
+        answer = asyncio.ensure_future(collect(world, request))
+        await asyncio.sleep(0.1)
+        await old.aclose()
+        chunks, error = await answer
+        return answer_verdict(request, chunks), error
+
+    assert in_world(scenario) == (Verdict.RIGHT, None)
+
+
+def test_overlapping_cuts_end_with_the_last_one():
+    async def scenario(world):
+        await asyncio.sleep(2.5)
+        during = world.network.is_cut("campina", "caruaru")
+        await asyncio.sleep(2.0)
+        return during, world.network.is_cut("campina", "caruaru")
+
+    faults = [LinkCut(0.0, "campina", "caruaru", 2.0), ZoneCut(1.0, "caruaru", 3.0)]
+    assert in_world(scenario, faults=faults) == (True, False)
+
+
 def test_lost_weights_end_a_stream_without_its_mark():
     async def scenario(world):
         client, engine = world.engine_client("caruaru"), world.engines[ENGINE]
@@ -238,6 +263,21 @@
     assert hop_s < chain_s < 1.2 * hop_s
 
 
+def test_engine_that_is_still_fetching_sends_on_only_what_it_has():
+    async def scenario(world):
+        client, engines = world.engine_client("caruaru"), list(world.engines.values())
+        world.publish(MODEL.name, 2)
+        world.store.set_rate(0.5e9)
+        first = asyncio.ensure_future(ordered(client, engines[0], OrderKind.STAGE_VERSION, 2))
+        await asyncio.sleep(0.01)
+        second_s = await ordered(client, engines[1], OrderKind.STAGE_VERSION, 2, engines[0].address)
+        return await first, second_s, world.store.sent_bytes
+
+    first_s, second_s, sent = in_world(scenario)
+    assert first_s <= second_s < 1.1 * first_s
+    assert sent == MODEL.weight_bytes
+
+
 @pytest.mark.parametrize("source", ["store", "10.9.9.9:1", "modelos-1"])
 def test_failed_transfer_is_reported_by_the_repeated_order(source):
     async def scenario(world):
@@ -363,6 +403,15 @@
     assert in_world(scenario, faults=[fault]) == 0
 
 
+def test_append_that_meets_an_outage_under_way_is_unknown_and_absent():
+    async def scenario(world):
+        with pytest.raises(LogAppendUnknown):
+            await world.log_client("caruaru").append("s", [b"a"], 1.0)
+        return world.log.visible_end("s", 0.0, monotonic_s())
+
+    assert in_world(scenario, faults=[LogOutage(0.002, 5.0)]) == 0
+
+
 def test_outages_that_overlap_end_with_the_last_one():
     async def scenario(world):
         await asyncio.sleep(2.5)
