--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -16,7 +16,10 @@
     PassgateError,
     RequestInProgress,
 )
+from passgate.records import ClaimCompleted, ClaimMade, ClaimReleased, ClaimUnresolved, Record
+from passgate.state.claim_state import ClaimState, transition
 from passgate.state.claims import OUTCOME_TIMEOUT_S, ClaimOutcome, ClaimService, stream_of
+from passgate.state.fold import Accepted
 from passgate.state.memory_log import AppendFault, MemoryLog, MemoryLogClient
 
 OUTCOME = ClaimOutcome(200, "application/json", b'{"cartons": 1}\xff')
@@ -245,6 +248,30 @@
     run_virtual(scenario())
 
 
+def record(writer, body):
+    return Record(writer=writer, sequence=1, epoch=0, body=body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        ClaimReleased(key="key"),
+        ClaimUnresolved(key="key", code="x"),
+        ClaimCompleted(key="key", status=200, content_type="", body=""),
+    ],
+)
+def test_only_the_writer_of_a_claim_ends_it(body):
+    claim = ClaimMade(key="key", request_digest="digest", holder="d1")
+    state, _ = transition(ClaimState(), 0, record("d1/claim-1", claim))
+    for writer in ("d1/claim-2", "d2/claim-1"):
+        assert transition(state, 1, record(writer, body))[0] == state
+    ended, decision = transition(state, 1, record("d1/claim-1", body))
+    assert isinstance(decision, Accepted)
+    assert transition(ended, 2, record("d1/claim-1", body))[0] == ended
+    other = ClaimMade(key="key", request_digest="other", holder="d2")
+    assert isinstance(transition(ended, 2, record("d2/claim-1", other))[1].error, KeyReused)
+
+
 def test_finished_attempts_leave_no_reader_behind():
     async def scenario():
         world = World()
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -310,6 +310,9 @@
         assert [(sample.index, sample.attempt) for sample in page.samples] == [(1, 1)]
         assert await first.replace("lot", ["lot/1"]) == ()
         assert len(world.requests) == 3
+        again = await first.read("lot", 0, 1 + again.next_cursor, 0.0)
+        assert [(sample.index, sample.attempt) for sample in again.samples] == [(1, 1)]
+        assert again.withdrawn == ("lot/0",)
 
     run_virtual(scenario())
 
