--- a/passgate/operator_commands.py
+++ b/passgate/operator_commands.py
@@ -85,7 +85,8 @@
     )
 
 
-def _run(operator: str, credential_file: str, work: Callable[[OperatorClient], Awaitable[T]]) -> T:
+def run_with_client(operator: str, credential_file: str, work: Callable[[OperatorClient], Awaitable[T]]) -> T:
+    """Run ``work`` with a client of the daemon that flags and environment name; raises SettingsError."""
     address = str(operator or os.environ.get(OPERATOR_VARIABLE, ""))
     parse_address(address, "flags", "operator")
     credential = Credential(os.environ.get(CREDENTIAL_VARIABLE, ""))
@@ -116,7 +117,7 @@
         credential_file: file with the operators' credential.
     """
     objects = read_objects(file)
-    answer = _run(operator, credential_file, lambda client: client.apply(objects))
+    answer = run_with_client(operator, credential_file, lambda client: client.apply(objects))
     for result in answer.results:
         if result.error is not None:
             raise rebuild_error(result.error)
@@ -148,7 +149,7 @@
         item = await client.get_object(kind, name)
         return ConfigList(revision=item.revision, objects=(item,))
 
-    found = _run(operator, credential_file, fetch)
+    found = run_with_client(operator, credential_file, fetch)
     if json:
         print(msgspec.json.encode(found).decode())
         return
@@ -178,7 +179,7 @@
                 found.append(None)
         return found
 
-    current = _run(operator, credential_file, fetch)
+    current = run_with_client(operator, credential_file, fetch)
     different = False
     for item, view in zip(objects, current, strict=True):
         before = _lines(view.kind, view.labels, bytes(view.spec)) if view else []
@@ -210,7 +211,9 @@
         operator: IP:port of any daemon's operators' port.
         credential_file: file with the operators' credential.
     """
-    answer = _run(operator, credential_file, lambda client: client.delete(kind, name, expected_revision))
+    answer = run_with_client(
+        operator, credential_file, lambda client: client.delete(kind, name, expected_revision)
+    )
     print(f"{answer.kind}/{answer.name} deleted at revision {answer.revision}")
 
 
@@ -231,7 +234,7 @@
         credential_file: file with the operators' credential.
     """
     while True:
-        answer = _run(operator, credential_file, lambda client: client.watch())
+        answer = run_with_client(operator, credential_file, lambda client: client.watch())
         print(msgspec.json.encode(answer).decode()) if json else Console().print(_watch_table(answer))
         if once:
             return
--- a/passgate/rollout/hollow_fleet.py
+++ b/passgate/rollout/hollow_fleet.py
@@ -38,7 +38,7 @@
     engine: EngineParameters = EngineParameters()
     one_way_s: float = 0.0005
     connect_timeout_s: float = 1.0
-    cut_through: bool = False
+    cut_through: bool = True
     """An engine passes pieces on while it still fetches."""
 
 
--- a/passgate/rollout/model_rollout.py
+++ b/passgate/rollout/model_rollout.py
@@ -80,9 +80,11 @@
             track.machine.send("retry_due")
 
     def offer_source(self, track: SwapTrack) -> None:
-        """Let a replica that holds the target's version pass it on."""
+        """Let a replica pass the target's version on, exactly while it holds it."""
         if self.target.version and self.target.version in track.held and not track.broken:
             self.sources.complete_holder(track.view.address, track.view.zone)
+        elif track.order is None:
+            self.sources.remove_holder(track.view.address)
 
     def refresh(self, track: SwapTrack) -> None:
         """Tell the chart whether the target is met, and queue the next step."""
@@ -118,7 +120,7 @@
                 if not is_free(track.view.replica_id):
                     continue
                 avoid_engines = track.fallback > 0 or track.source_failures >= self._source_attempts
-                source = self.sources.choose(zone, avoid_engines)
+                source = self.sources.choose(track.view.address, zone, avoid_engines)
                 if source is not None:
                     yield track, source
                 elif not avoid_engines:
--- a/passgate/rollout/reconciler.py
+++ b/passgate/rollout/reconciler.py
@@ -191,7 +191,7 @@
         track.order = None
         track.order_count += outcome is not Outcome.IN_DOUBT
         if track.order_sources is not None:
-            track.order_sources.end(order.source, track.view.zone)
+            track.order_sources.end(order.source, order.address, track.view.zone)
             track.order_sources = None
         if outcome is Outcome.DONE:
             self._done(rollout, track, order, now_s)
@@ -247,15 +247,20 @@
             self._ledger.set_lost(order.replica_id, True)
             self._plan_report(order.replica_id, now_s + self._backoff_s(track.attempts))
         elif order.kind is OrderKind.STAGE_VERSION:
-            counts = order.source != STORE_SOURCE and not rollout.sources.partial_failed(order.source)
-            track.source_failures += counts
-            rollout.sources.remove_holder(track.view.address)
+            self._failed_stage(rollout, track, order)
         elif order.kind is OrderKind.ACTIVATE_VERSION:
             self._failed_activation(rollout, track, order, outcome, now_s)
         if outcome is not Outcome.UNREACHABLE:
             self._ledger.set_out(order.replica_id, self._is_out(order.replica_id))
         self._plan_retry(track, now_s + self._backoff_s(track.attempts))
 
+    def _failed_stage(self, rollout: ModelRollout, track: SwapTrack, order: PlannedOrder) -> None:
+        rollout.sources.remove_holder(track.view.address)
+        if track.order_from_partial:
+            rollout.sources.partial_failed()
+        elif order.source != STORE_SOURCE:
+            track.source_failures += 1
+
     def _failed_activation(
         self, rollout: ModelRollout, track: SwapTrack, order: PlannedOrder, outcome: Outcome, now_s: float
     ) -> None:
@@ -315,8 +320,9 @@
 
     def _order_stages(self, rollout: ModelRollout, orders: list[PlannedOrder]) -> None:
         for track, source in rollout.stage_choices(self._is_free):
-            rollout.sources.begin(source, track.view.zone)
+            rollout.sources.begin(source, track.view.address, track.view.zone)
             track.order_sources = rollout.sources
+            track.order_from_partial = rollout.sources.is_partial(source)
             order = PlannedOrder(
                 replica_id=track.view.replica_id,
                 address=track.view.address,
@@ -369,7 +375,7 @@
         for rollout in self._models.values():
             track = rollout.remove(replica_id)
             if track.order is not None and track.order_sources is not None:
-                track.order_sources.end(track.order.source, track.view.zone)
+                track.order_sources.end(track.order.source, track.view.address, track.view.zone)
 
     def _update_load(self, view: ReplicaView, outstanding_tokens: int) -> None:
         updated = msgspec.structs.replace(view, outstanding_tokens=outstanding_tokens)
--- a/passgate/rollout/sources.py
+++ b/passgate/rollout/sources.py
@@ -1,14 +1,15 @@
 """Choice of where a replica fetches weights: the store or an engine that has them.
 
 Engines that hold a version pass it on, so that the store sends few copies: the
-copies form a distribution tree.  A zone's first copy comes from the store while
-it has a free stream, otherwise from another zone; all later ones stay in the zone.
+copies form a distribution tree.  The first copy comes from the store; a zone takes
+its first and few more copies from other zones and all later ones from its own.
 
 >>> table = SourceTable(DistributionSettings(store_streams=1, max_store_copies=1, fan_out=2))
->>> table.choose("a"), table.begin("store", "a"), table.choose("a")
-('store', None, None)
->>> table.end("store", "a"); table.add_holder("10.0.0.1:80", "a")
->>> table.choose("a"), table.choose("b")
+>>> table.choose("10.0.0.1:80", "a"), table.begin("store", "10.0.0.1:80", "a")
+('store', None)
+>>> table.choose("10.0.0.2:80", "a")
+>>> table.end("store", "10.0.0.1:80", "a"); table.add_holder("10.0.0.1:80", "a")
+>>> table.choose("10.0.0.2:80", "a"), table.choose("10.0.0.3:80", "b")
 ('10.0.0.1:80', '10.0.0.1:80')
 """
 
@@ -30,9 +31,12 @@
         self._partial_failures = 0
         self._zone_of: dict[str, str] = {}
         self._holders: dict[str, int] = {}
+        self._parents: dict[str, str] = {}
+        """Engines that fetch, with their sources."""
         self._uploads: dict[str, int] = {}
         self._free: dict[str, dict[str, None]] = {}
         self._store_uploads = 0
+        self._crossings: dict[str, int] = {}
         self._fetching: dict[str, int] = {}
 
     def add_holder(self, address: str, zone: str) -> None:
@@ -55,16 +59,17 @@
         self.add_holder(address, zone)
         return True
 
-    def partial_failed(self, address: str) -> bool:
-        """Return whether the source of a failed fetch held only a part, and learn from it."""
-        if address not in self._partial:
-            return False
+    def is_partial(self, address: str) -> bool:
+        """Return whether a source still fetches itself."""
+        return address in self._partial
+
+    def partial_failed(self) -> None:
+        """Note that a fetch from an engine that still fetched failed; after some, stop using such."""
         self._partial_failures += 1
         if self._partial_failures >= self._settings.cut_through_refusals:
             self._cut_through = False
             for partial in list(self._partial):
                 self.remove_holder(partial)
-        return True
 
     def remove_holder(self, address: str) -> None:
         """Forget an engine as a source; uploads in progress may still end."""
@@ -78,18 +83,22 @@
         """Return whether a zone has a holder or a fetch in progress."""
         return bool(self._fetching.get(zone)) or bool(self._holders.get(zone))
 
-    def begin(self, source: str, zone: str) -> None:
-        """Note that a replica in ``zone`` starts to fetch from ``source``."""
+    def begin(self, source: str, address: str, zone: str) -> None:
+        """Note that the engine at ``address`` in ``zone`` starts to fetch from ``source``."""
+        self._parents[address] = source
         self._fetching[zone] = self._fetching.get(zone, 0) + 1
         if source == STORE_SOURCE:
             self._store_uploads += 1
             self.store_copies += 1
             return
+        if self._zone_of.get(source) != zone:
+            self._crossings[zone] = self._crossings.get(zone, 0) + 1
         self._uploads[source] = self._uploads.get(source, 0) + 1
         self._update(source)
 
-    def end(self, source: str, zone: str) -> None:
-        """Note that a fetch from ``source`` into ``zone`` ended, well or not."""
+    def end(self, source: str, address: str, zone: str) -> None:
+        """Note that a fetch begun before ended, well or not."""
+        self._parents.pop(address, None)
         self._fetching[zone] -= 1
         if source == STORE_SOURCE:
             self._store_uploads -= 1
@@ -97,21 +106,38 @@
         self._uploads[source] -= 1
         self._update(source)
 
-    def choose(self, zone: str, avoid_engines: bool = False) -> str | None:
-        """Return a free source for a replica in ``zone``, None when it must wait.
+    def choose(self, address: str, zone: str, avoid_engines: bool = False) -> str | None:
+        """Return a free source for the engine at ``address``, None when it must wait.
 
         ``avoid_engines`` asks for the store, after engines failed as sources.
         """
         if avoid_engines:
             return STORE_SOURCE if self._store_free() else None
-        own = next(iter(self._free.get(zone, ())), None)
+        own = self._first_free(address, zone)
         if own is not None:
             return own
         if self._store_free() and self.store_copies < self._settings.max_store_copies:
             return STORE_SOURCE
-        if self.has_any(zone):
+        if self._must_use_store():
+            return STORE_SOURCE
+        if self.has_any(zone) and self._crossings.get(zone, 0) >= self._settings.max_crossings:
             return None
-        return self._any_free() or (STORE_SOURCE if self._must_use_store() else None)
+        zones = sorted(self._free, key=lambda other: -len(self._free[other]))
+        found = (self._first_free(address, other) for other in zones)
+        return next((source for source in found if source is not None), None)
+
+    def _first_free(self, address: str, zone: str) -> str | None:
+        free = self._free.get(zone, ())
+        return next((source for source in free if not self._depends_on(source, address)), None)
+
+    def _depends_on(self, source: str, address: str) -> bool:
+        """Return whether a source waits, perhaps through others, for pieces from ``address``.
+
+        Without this check two engines could wait for each other's pieces for ever.
+        """
+        while source != address and source in self._parents:
+            source = self._parents[source]
+        return source == address
 
     def _store_free(self) -> bool:
         return self._store_uploads < self._settings.store_streams
@@ -120,10 +146,6 @@
         """No engine holds or fetches the version, so only the store can start over."""
         return self._store_free() and not self._zone_of and not any(self._fetching.values())
 
-    def _any_free(self) -> str | None:
-        lists = [addresses for addresses in self._free.values() if addresses]
-        return next(iter(max(lists, key=len))) if lists else None
-
     def _update(self, address: str) -> None:
         zone = self._zone_of.get(address)
         if zone is None:
--- a/passgate/rollout/swap_track.py
+++ b/passgate/rollout/swap_track.py
@@ -61,6 +61,8 @@
         """When an order under the present fence last proved ``active``."""
         self.order: PlannedOrder | None = None
         """The order in flight."""
+        self.order_from_partial = False
+        """The stage in flight fetches from an engine that still fetches itself."""
         self.order_sources: SourceTable | None = None
         """Where the stage in flight is counted; the target may change meanwhile."""
 
--- a/passgate/rollout/types.py
+++ b/passgate/rollout/types.py
@@ -53,6 +53,8 @@
     """An engine passes on pieces while it still fetches; given up when engines refuse it."""
     cut_through_refusals: int = 3
     """Failed fetches from engines that still fetched, after which only whole copies are used."""
+    max_crossings: int = 2
+    """Most fetches of one version into one zone from other zones."""
     store_streams: int = 1
     """Most fetches from the store at the same time."""
     max_store_copies: int = 1
--- a/tests/test_rollout_manager.py
+++ b/tests/test_rollout_manager.py
@@ -8,6 +8,7 @@
 from passgate.emulator.engine_events import SwapFailure
 from passgate.emulator.parameters import StoreParameters
 from passgate.errors import OrderRefused
+from passgate.rollout.hollow_fleet import HollowSettings
 from passgate.rollout.hollow_run import ROLE, HollowRun, make_views
 from passgate.rollout.types import RolloutSettings
 from passgate.schema import EngineOrder, OrderKind
@@ -212,6 +213,16 @@
     simulate(scenario)
 
 
+def test_engines_that_pass_on_only_whole_copies_are_learned_about():
+    async def scenario(run):
+        run.publish(2)
+        await run.until_settled(LIMIT_S)
+        assert run.fleet.count_on(2) == 12
+        assert run.store.fetches <= 2
+
+    simulate(scenario, hollow=HollowSettings(cut_through=False))
+
+
 def test_slow_store_is_asked_for_few_copies():
     async def scenario(run):
         run.publish(2)
--- a/tests/test_rollout_reconciler.py
+++ b/tests/test_rollout_reconciler.py
@@ -8,6 +8,7 @@
 
 from passgate.rollout.capacity import replicas_to_keep
 from passgate.rollout.reconciler import Reconciler
+from passgate.rollout.sources import SourceTable
 from passgate.rollout.types import (
     STORE_SOURCE,
     DistributionSettings,
@@ -118,6 +119,7 @@
         for order in reconciler.next_orders(now_s):
             assert order.replica_id not in {other.replica_id for other in in_flight}
             in_flight.append(order)
+            assert order.source != order.address
             if order.kind in SERVICE_KINDS and order.replica_id not in engines.out_in():
                 for zone, share in ((None, floor), (engines.zone[order.replica_id], zone_floor)):
                     healthy = len(engines.healthy_in(zone))
@@ -246,6 +248,19 @@
     assert versions == {2}
 
 
+def test_engines_never_wait_for_each_others_pieces():
+    table = SourceTable(DistributionSettings(fan_out=2))
+    table.begin(STORE_SOURCE, "a", "z")
+    table.add_partial_holder("a", "z")
+    table.begin("a", "b", "z")
+    table.add_partial_holder("b", "z")
+    table.end(STORE_SOURCE, "a", "z")
+    table.remove_holder("a")
+    assert table.choose("a", "z") is None, "b still waits for pieces of a"
+    table.end("a", "b", "z")
+    assert table.choose("a", "z") == "b"
+
+
 @pytest.mark.parametrize(("healthy", "floor", "keep"), [(1, 1.0, 0), (2, 1.0, 1), (8, 0.75, 6), (5, 0.0, 0)])
 def test_floor_always_leaves_room_for_one(healthy, floor, keep):
     assert replicas_to_keep(healthy, floor) == keep
