--- a/tests/test_emulator_callers.py
+++ b/tests/test_emulator_callers.py
@@ -1,154 +1,143 @@
-"""Emulated callers against the dispatcher, claims and lots, and against planted faults of an answer."""
+"""Emulated callers against an honest service, and against planted mistakes in answers."""
 
 import asyncio
+import itertools
 
 import msgspec
 import pytest
 
-from passgate.clock import monotonic_s, new_virtual_loop
+from passgate.check.history import HistoryRecorder
+from passgate.check.judgement import judge_history
+from passgate.check.output_oracle import emulated_token
+from passgate.clock import monotonic_s, run_virtual
 from passgate.emulator.arrivals import ArrivalStream
 from passgate.emulator.callers import Callers
-from passgate.emulator.direct_service import DirectDaemon, DirectService
 from passgate.emulator.expected_output import expected_length, expected_tokens
 from passgate.emulator.parameters import ArrivalParameters, load_deployment
 from passgate.emulator.trainer import Trainer, as_generate
 from passgate.emulator.world import EmulatedWorld
 from passgate.errors import Overloaded
-from passgate.routing.dispatcher import Dispatcher
-from passgate.routing.policies import POLICIES
-from passgate.routing.replica_directory import ReplicaDirectory
-from passgate.schema import AppResponse, EngineOrder, FinishReason, MachineRole, OrderKind, VersionSpan
-from passgate.state.claims import ClaimService
-from passgate.state.configuration import ConfigurationService
+from passgate.schema import (
+    AppResponse,
+    EngineOrder,
+    FinishReason,
+    GenerateResult,
+    OrderKind,
+    VersionSpan,
+)
 from passgate.state.lot_types import DeliveredSample, SampleFailure, SamplesPage, sample_id
-from passgate.state.lots import LotService
-from passgate.state.specs import PoolSpec, PriorityClassSpec
 
-DURATION_S = 40.0
+HUON = load_deployment("huon")
+MODEL = HUON.engines.models[0]
 
 
-def small(name: str):
-    parameters = load_deployment(name)
-    trainers = [
-        msgspec.structs.replace(
-            trainer,
-            prompts_per_step=4,
-            samples_per_prompt=2,
-            max_tokens=400,
-            train_s=4.0,
-            publish_every_steps=1,
+class HonestService:
+    """Serves callers straight from the emulated back ends, without faults and without passgate."""
+
+    daemon = "honest"
+
+    def __init__(self, world):
+        self._world = world
+        self._engines = itertools.cycle(world.engines.values())
+        self._apps = itertools.cycle(world.apps.values())
+        self._lots = {}
+
+    async def generate(self, request, idempotency_key=None):
+        chunks = self._world.engine_client("").generate(next(self._engines).address, request)
+        tokens, spans, finish = [], [], None
+        async for chunk in chunks:
+            spans.append(VersionSpan(chunk.start, chunk.start + len(chunk.tokens), chunk.version))
+            tokens += chunk.tokens
+            finish = chunk.finish_reason
+        return GenerateResult(
+            request_id=request.request_id,
+            tokens=tuple(tokens),
+            spans=tuple(spans),
+            finish_reason=finish,
+            replica_id="e",
         )
-        for trainer in parameters.trainers
+
+    async def call_app(self, request, idempotency_key=None):
+        return await self._world.app_client("").call(next(self._apps).address, request)
+
+    async def open_lot(self, request, lot_id):
+        produced = asyncio.Queue()
+        for index, spec in enumerate(request.prompts):
+            asked = msgspec.structs.replace(as_generate(request, spec), request_id=f"{lot_id}/{index}")
+            asyncio.ensure_future(self.generate(asked)).add_done_callback(produced.put_nowait)
+        self._lots[lot_id] = (len(request.prompts), produced)
+
+    async def read_lot(self, lot_id, cursor, limit, wait_s, trainer_version):
+        count, produced = self._lots[lot_id]
+        result = (await produced.get()).result()
+        sample = DeliveredSample(
+            sample_id=result.request_id,
+            index=int(result.request_id.split("/")[1]),
+            attempt=1,
+            tokens=result.tokens,
+            spans=result.spans,
+            finish_reason=result.finish_reason,
+            replica_id=result.replica_id,
+        )
+        return SamplesPage(samples=(sample,), next_cursor=cursor + 1, finished=cursor + 1 == count)
+
+    async def acknowledge(self, lot_id, sample_ids):
+        pass
+
+    async def publish_version(self, model, version):
+        client = self._world.engine_client("")
+        for engine in self._world.engines.values():
+            for kind in (OrderKind.STAGE_VERSION, OrderKind.ACTIVATE_VERSION):
+                order = EngineOrder(
+                    order_id=f"{kind}/{model}/{version}", kind=kind, fence=1, model=model, version=version
+                )
+                while not (await client.order(engine.address, order)).done:
+                    await asyncio.sleep(0.05)
+
+
+def small(name: str, lots_ahead: int):
+    parameters = load_deployment(name)
+    changes = {"prompts_per_step": 4, "samples_per_prompt": 2, "max_tokens": 400, "train_s": 4.0}
+    changes |= {"publish_every_steps": 1, "lots_ahead": lots_ahead, "staleness_bound": 9}
+    trainers = [msgspec.structs.replace(trainer, **changes) for trainer in parameters.trainers]
+    arrivals = [
+        msgspec.structs.replace(item, rate_per_s=2.0, not_repeatable_share=0.0)
+        for item in parameters.arrivals
     ]
-    arrivals = [msgspec.structs.replace(item, rate_per_s=1.0) for item in parameters.arrivals]
     return msgspec.structs.replace(parameters, trainers=tuple(trainers), arrivals=tuple(arrivals))
 
 
-def in_virtual_time(coroutine):
-    loop = new_virtual_loop()
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
-async def start_daemon(world: EmulatedWorld, zone: str) -> DirectDaemon:
-    log = world.log_client(zone)
-    configuration = ConfigurationService(log, f"{zone}/config", world.random(f"config/{zone}"))
-    configuration.start()
-    directory = ReplicaDirectory()
-    directory.apply_machines(await world.machine_list.machines(), monotonic_s())
-    dispatcher = Dispatcher(
-        world.engine_client(zone),
-        world.app_client(zone),
-        directory,
-        configuration.state,
-        zone,
-        POLICIES["current"],
-        world.random(f"dispatcher/{zone}"),
-    )
-    dispatcher.start()
-    claims = ClaimService(log, zone, lambda member: True, world.random(f"claims/{zone}"))
-    newest = configuration.state.newest_version
-    lots = LotService(
-        log, dispatcher.generate, newest, zone, lambda member: True, world.random(f"lots/{zone}")
-    )
-    return DirectDaemon(zone, zone, dispatcher, claims, lots, configuration)
-
-
-async def configure(daemon: DirectDaemon, world: EmulatedWorld) -> None:
-    put = daemon.configuration.put
-    engines, apps = world.parameters.engines, world.parameters.apps
-    for model in engines.models:
-        spec = PoolSpec(selector=f"service={engines.name}", role=MachineRole.ENGINE, model=model.name)
-        await put("Pool", model.name, {}, spec, 0, 5.0)
-    spec = PoolSpec(selector=f"service={apps.name}", role=MachineRole.APP)
-    await put("Pool", apps.name, {}, spec, 0, 5.0)
-    for name, interactive in (("interactive", True), ("training", False)):
-        await put("PriorityClass", name, {}, PriorityClassSpec(interactive=interactive), 0, 5.0)
-
-
-async def roll_out(world: EmulatedWorld, model: str, version: int) -> None:
-    client = world.engine_client("")
-    for engine in world.engines.values():
-        for kind in (OrderKind.STAGE_VERSION, OrderKind.ACTIVATE_VERSION):
-            name = f"{kind.value}/{model}/{version}"
-            order = EngineOrder(
-                order_id=name, kind=kind, fence=1, model=model, version=version, source="store"
-            )
-            while not (await client.order(engine.address, order)).done:
-                await asyncio.sleep(0.05)
-
-
-async def run_deployment(name: str, seed: int, duration_s: float = DURATION_S):
-    world = EmulatedWorld(small(name), seed)
-    daemons = [await start_daemon(world, zone) for zone in world.parameters.zones]
-    await configure(daemons[0], world)
-    await asyncio.sleep(1.0)
-    rollouts = []
-
-    def store_weights(model: str, version: int) -> None:
-        world.publish(model, version)
-        rollouts.append(asyncio.ensure_future(roll_out(world, model, version)))
-
-    history = []
-    callers = Callers(
-        world.parameters,
-        lambda caller: DirectService(daemons, world.network, spread=True),
-        store_weights,
-        seed,
-        history.append,
-    )
+async def run_deployment(name: str, seed: int, lots_ahead: int = 0, duration_s: float = 60.0):
+    world = EmulatedWorld(small(name, lots_ahead), seed)
+    service, history = HonestService(world), HistoryRecorder()
+    callers = Callers(world.parameters, lambda caller: service, world.publish, seed, history.record)
     tally = await callers.run(duration_s)
-    await asyncio.gather(*rollouts)
-    for daemon in daemons:
-        await daemon.lots.close()
-        await daemon.dispatcher.close()
-        await daemon.configuration.close()
-        await daemon.claims.close()
     world.close()
-    return tally, tally.violations(world.ledger), history
+    return tally, tally.violations(world.ledger), history.events
 
 
-@pytest.mark.parametrize("name", ["olhar", "huon"])
-def test_callers_of_a_deployment_are_served_and_find_no_violation(name):
-    tally, violations, history = in_virtual_time(run_deployment(name, 1))
+@pytest.mark.parametrize(("name", "lots_ahead"), [("olhar", 0), ("huon", 0), ("huon", 1)])
+def test_callers_find_no_violation_with_an_honest_service(name, lots_ahead):
+    tally, violations, history = run_virtual(run_deployment(name, 1, lots_ahead))
     assert violations == 0
+    assert judge_history(history, emulated_token).holds()
     for trainer in tally.trainers:
-        assert trainer.steps >= 2
+        assert trainer.steps >= 3
         assert trainer.delivered >= 8 * trainer.steps
         assert sum(trainer.staleness.values()) == trainer.delivered
+        assert max(trainer.staleness) <= 1 or lots_ahead
         assert 0 < trainer.idle_share() < 1
+        busy_s = trainer.idle_s + trainer.scoring_s + trainer.train_s
+        assert busy_s == pytest.approx(60.0, abs=0.1)
     for arrivals in tally.arrivals:
         assert arrivals.arrived == arrivals.answered + arrivals.given_up + arrivals.pending
-        assert arrivals.answered > 0
-        assert min(arrivals.latencies_s) >= 2 * 0.003
-    assert len(history) > 100
+        assert arrivals.answered > 80
+        assert min(arrivals.latencies_s) > 0
 
 
 def test_same_seed_gives_the_same_history():
-    first = in_virtual_time(run_deployment("huon", 3, 8.0))
-    assert in_virtual_time(run_deployment("huon", 3, 8.0)) == first
+    first = run_virtual(run_deployment("huon", 3, duration_s=10.0))
+    assert run_virtual(run_deployment("huon", 3, duration_s=10.0)) == first
 
 
 # --- callers notice what is wrong -------------------------------------------------------------
@@ -193,10 +182,6 @@
     )
 
 
-HUON = load_deployment("huon")
-MODEL = HUON.engines.models[0]
-
-
 def whole_page(stub, change=lambda samples: samples, **fields) -> SamplesPage:
     samples = change([true_sample(stub, index, version=5) for index in range(4)])
     return SamplesPage(samples=tuple(samples), next_cursor=4, finished=True, **fields)
@@ -248,7 +233,7 @@
         world.close()
         return trainer.tally
 
-    return in_virtual_time(run())
+    return run_virtual(run())
 
 
 class RefusingStub:
@@ -277,7 +262,7 @@
         world.close()
         return stream.tally, stream.tally.not_run_that_ran(world.ledger)
 
-    return in_virtual_time(run())
+    return run_virtual(run())
 
 
 def test_impatient_caller_comes_back_when_told_and_sees_a_wrong_answer():
