--- a/passgate/lab/control_cluster.py
+++ b/passgate/lab/control_cluster.py
@@ -37,6 +37,8 @@
 POLL_S = 0.05
 """Resolution of measured times."""
 
+START_TIMEOUT_S = 60.0
+
 SEEDS = 5
 """Daemons that a starting one is told of."""
 
@@ -106,6 +108,14 @@
         for daemon in self.daemons:
             daemon.start(self._some(addresses))
 
+    async def start_settled(self) -> None:
+        """Start all daemons with a common view, as in a cluster that has run for long."""
+        members = [daemon.agent.self_info for daemon in self.daemons]
+        for daemon in self.daemons:
+            daemon.start(())
+            daemon.agent.learn(members)
+        await self.until_agreed(START_TIMEOUT_S)
+
     async def close(self) -> None:
         """Stop all daemons."""
         await asyncio.gather(*(daemon.kill() for daemon in self.daemons))
--- a/passgate/membership/agent.py
+++ b/passgate/membership/agent.py
@@ -86,6 +86,11 @@
         self._send_all(self._swim.join(addresses, monotonic_s()))
         self._schedule()
 
+    def learn(self, members: Iterable[MemberInfo]) -> None:
+        """Take over members that another source, such as a peer's list, says are alive."""
+        self._swim.learn(members, monotonic_s())
+        self._after_step()
+
     async def leave(self, timeout_s: float) -> None:
         """Announce a planned leave and spread the news; the agent goes on answering."""
         self._send_all(self._swim.leave(monotonic_s()))
--- a/passgate/membership/config.py
+++ b/passgate/membership/config.py
@@ -33,7 +33,7 @@
     reconnect_period_s: float = 10.0
     """One dead member is greeted this often, so that parted clusters find each other."""
     join_retry_s: float = 2.0
-    join_fanout: int = 3
+    join_fanout: int = 2
     """Seeds asked at once."""
     gone_retention_s: float = 1800.0
     """Dead and departed members stay in the table for this long."""
--- a/passgate/membership/configuration_sync.py
+++ b/passgate/membership/configuration_sync.py
@@ -28,6 +28,7 @@
 from passgate.interfaces import LogEntry
 from passgate.membership.agent import MembershipAgent
 from passgate.membership.messages import MemberInfo, MemberState
+from passgate.records import SnapshotTaken
 
 HELD_KEY = "configuration"
 RECORDS_METHOD = "configuration.records"
@@ -71,11 +72,11 @@
         """Apply entries that follow without a gap; return how many."""
         ...
 
-    def snapshot(self) -> bytes | None:
+    def snapshot(self) -> SnapshotTaken | None:
         """Return the whole state for a peer; None when this daemon can not give one."""
         ...
 
-    def adopt_snapshot(self, snapshot: bytes) -> bool:
+    def adopt_snapshot(self, snapshot: SnapshotTaken) -> bool:
         """Replace an older state; False when it is not newer or not readable."""
         ...
 
@@ -223,7 +224,8 @@
         return msgspec.json.encode(RecordsPage(tuple(chosen)))
 
     async def _answer_snapshot(self, payload: bytes) -> bytes:
-        return self._source.snapshot() or b""
+        snapshot = self._source.snapshot()
+        return b"" if snapshot is None else msgspec.json.encode(snapshot)
 
     async def _answer_revision(self, payload: bytes) -> bytes:
         return msgspec.json.encode(RevisionReport(self._next_offset))
@@ -281,9 +283,11 @@
 
     async def _pull_snapshot(self, address: str) -> bool:
         before = self._next_offset
-        snapshot = await self._agent.call_address(address, SNAPSHOT_METHOD, b"", CALL_TIMEOUT_S)
+        answer = await self._agent.call_address(address, SNAPSHOT_METHOD, b"", CALL_TIMEOUT_S)
+        if not answer:
+            return False
         # The log may have brought more meanwhile; an older snapshot is then refused.
-        if not snapshot or not self._source.adopt_snapshot(snapshot):
-            return self._next_offset > before
-        self.counters.snapshots_adopted += 1
-        return True
+        snapshot = msgspec.json.decode(answer, type=SnapshotTaken)
+        if self._source.adopt_snapshot(snapshot):
+            self.counters.snapshots_adopted += 1
+        return self._next_offset > before
--- a/passgate/membership/news_queue.py
+++ b/passgate/membership/news_queue.py
@@ -21,6 +21,14 @@
 """Smaller clusters send as often as one of this size: a starting one does not know its size."""
 
 
+CROWDED_ENTRIES = 64
+"""With more news than this each is sent less often; after a cold start or a merge
+anti-entropy is the cheaper way."""
+
+
+CROWDED_MULTIPLIER = 0.5
+
+
 class _Entry(msgspec.Struct):
     news: News
     size_bytes: int
@@ -53,7 +61,14 @@
 
     def limit(self, members: int) -> int:
         """Return how often one piece of news is sent in a cluster of ``members``."""
-        return max(1, math.ceil(self._multiplier * math.log2(max(members, MEMBERS_MINIMUM) + 1)))
+        multiplier = CROWDED_MULTIPLIER if len(self._entries) > CROWDED_ENTRIES else self._multiplier
+        return max(1, math.ceil(multiplier * math.log2(max(members, MEMBERS_MINIMUM) + 1)))
+
+    def heard(self, news: News) -> None:
+        """Count news that a peer told us too: what many know needs fewer transmissions."""
+        entry = self._entries.get(news.member_id)
+        if entry is not None and entry.news == news:
+            entry.sent += 1
 
     def take(self, members: int, maximum_bytes: int) -> tuple[News, ...]:
         """Return the least-sent news that fit into ``maximum_bytes`` and count them as sent."""
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -18,6 +18,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from random import Random
 
@@ -59,6 +60,9 @@
 
 REAP_PERIOD_S = 10.0
 
+DOUBTFUL_SUSPECTS = 2
+"""Suspects in one zone from which on its other members are probed more often."""
+
 _LIVING = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
@@ -173,6 +177,11 @@
         self._next_join_s = now_s
         return self._ask_seeds(now_s)
 
+    def learn(self, members: Iterable[MemberInfo], now_s: float) -> None:
+        """Take over members from a list, without spreading them."""
+        for member in members:
+            self._apply(alive_news(member), now_s, spread=False)
+
     def leave(self, now_s: float) -> list[Outgoing]:
         """Announce a planned leave; ticks go on spreading it until the daemon closes."""
         view = self.self_info
@@ -240,12 +249,20 @@
     def _probe(self, now_s: float) -> list[Outgoing]:
         period_s = self._config.probe_period_s * self._health.multiplier
         self._next_probe_s = self._later(now_s, period_s)
-        target = self._targets.next_probe()
+        target = self._targets.next_probe(self._doubtful_zones())
         if target is None:
             return []
         sequence = self._prober.start(target, now_s)
         return [Outgoing(target.address, self._ping(sequence, target.member_id))]
 
+    def _doubtful_zones(self) -> frozenset[str]:
+        """Return the zones with several suspects at once."""
+        if len(self._suspicions) < DOUBTFUL_SUSPECTS:
+            return frozenset()
+        suspects = [self._table.get(member_id) for member_id in self._suspicions]
+        counts = Counter(view.zone for view in suspects if view is not None)
+        return frozenset(zone for zone, count in counts.items() if count >= DOUBTFUL_SUSPECTS)
+
     def _ping(self, sequence: int, target_id: str) -> Ping:
         # A suspect is told first of all that it is suspected, so that it can refute at once.
         suspicion = self._suspicions.get(target_id)
@@ -358,6 +375,7 @@
 
     def _hear_again(self, news: News) -> None:
         """Count a further accuser; contradict news about a member that is buried here."""
+        self._queue.heard(news)
         if isinstance(news, SuspectNews):
             suspicion = self._suspicions.get(news.member_id)
             same = suspicion is not None and suspicion.incarnation == news.incarnation
--- a/passgate/membership/table.py
+++ b/passgate/membership/table.py
@@ -42,6 +42,7 @@
         self._gone_since_s: dict[str, float] = {}
         self._tombstones: OrderedDict[str, int] = OrderedDict()
         self._bucket_digests = [0] * BUCKETS
+        self._digest: int | None = None
         self._bucket_ids: list[set[str]] = [set() for _ in range(BUCKETS)]
 
     def __len__(self) -> int:
@@ -110,10 +111,10 @@
 
     def digest(self) -> int:
         """Return the hash of the whole table."""
-        whole = xxhash.xxh32()
-        for part in self._bucket_digests:
-            whole.update(part.to_bytes(4, "big"))
-        return whole.intdigest()
+        if self._digest is None:
+            parts = b"".join(part.to_bytes(4, "big") for part in self._bucket_digests)
+            self._digest = xxhash.xxh32_intdigest(parts)
+        return self._digest
 
     def bucket_digests(self) -> tuple[int, ...]:
         """Return the hash of each bucket."""
@@ -133,6 +134,7 @@
         return tuple(alive), tuple(gone)
 
     def _forget_digest(self, member_id: str) -> None:
+        self._digest = None
         view = self._members.get(member_id)
         if view is not None:
             self._bucket_digests[bucket_of(member_id)] ^= _digest(view)
--- a/passgate/membership/targets.py
+++ b/passgate/membership/targets.py
@@ -19,6 +19,10 @@
 _LIVING = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
+DOUBTFUL_SHARE = 0.5
+"""Share of probes that goes to zones with several suspects."""
+
+
 class Targets:
     """Chooses among the living members other than this daemon."""
 
@@ -53,9 +57,17 @@
         self._refresh()
         return self._own + self._others
 
-    def next_probe(self) -> MemberInfo | None:
-        """Return the next member to probe: each ring is walked in shuffled rounds."""
+    def next_probe(self, doubtful: frozenset[str] = frozenset()) -> MemberInfo | None:
+        """Return the next member to probe: each ring is walked in shuffled rounds.
+
+        Half of the probes go to contacts in ``doubtful`` zones, if there are any, so that
+        the loss of a whole zone is not found member by member.
+        """
         self._refresh()
+        if doubtful and self._random.random() < DOUBTFUL_SHARE:
+            contacts = [member for member in self._contacts if _may_be_lost(member, doubtful)]
+            if contacts:
+                return self._random.choice(contacts)
         use_own = bool(self._own) and (not self._contacts or self._random.random() < self._own_zone_share)
         if use_own:
             return self._from_ring(self._own_ring, self._own)
@@ -132,3 +144,7 @@
 
     def _affinity(self, member: MemberInfo) -> int:
         return xxhash.xxh32_intdigest(f"{self._self_id}|{member.member_id}".encode())
+
+
+def _may_be_lost(member: MemberInfo, doubtful: frozenset[str]) -> bool:
+    return member.zone in doubtful and member.state is MemberState.ALIVE
--- /dev/null
+++ b/tests/test_membership_schedules.py
@@ -0,0 +1,190 @@
+"""Schedules of failures over small clusters in virtual time."""
+
+import asyncio
+from random import Random
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passgate.clock import new_virtual_loop
+from passgate.membership.agent import MembershipAgent
+from passgate.membership.memory_transport import MemoryNetwork
+from passgate.membership.messages import MemberInfo, MemberState
+
+DAEMONS = 4
+CONVERGE_S = 90
+
+
+class Kill(msgspec.Struct):
+    index: int
+
+
+class Restart(msgspec.Struct):
+    index: int
+
+
+class Leave(msgspec.Struct):
+    index: int
+
+
+class Pause(msgspec.Struct):
+    index: int
+    seconds: int
+
+
+class Cut(msgspec.Struct):
+    side: frozenset[int]
+    seconds: int
+
+
+class Publish(msgspec.Struct):
+    index: int
+
+
+INDEX = st.integers(0, DAEMONS - 1)
+STEP = st.one_of(
+    st.builds(Kill, INDEX),
+    st.builds(Restart, INDEX),
+    st.builds(Leave, INDEX),
+    st.builds(Pause, INDEX, st.sampled_from([2, 20])),
+    st.builds(Cut, st.frozensets(INDEX, min_size=1, max_size=DAEMONS - 1), st.sampled_from([3, 30])),
+    st.builds(Publish, INDEX),
+)
+
+
+class Cluster:
+    def __init__(self, seed: int, loss: float):
+        self.seed = seed
+        self.network = MemoryNetwork(Random(seed))
+        self.network.loss = loss
+        self.agents: list[MembershipAgent | None] = [None] * DAEMONS
+        self.transports = [None] * DAEMONS
+        self.running: set[int] = set()
+        self.runs = 0
+        self.published = 0
+        self.seen: dict[tuple[int, str], tuple[int, int]] = {}
+        for index in range(DAEMONS):
+            self.start(index)
+
+    def address(self, index: int) -> str:
+        return f"10.0.0.{index}:1"
+
+    def start(self, index: int) -> None:
+        self.runs += 1
+        transport = self.network.transport(self.address(index), f"zone-{index % 2}")
+        own = MemberInfo(member_id=f"d{index}", address=transport.address, zone=transport.zone)
+        random = Random(f"{self.seed}/{self.runs}")
+        agent = MembershipAgent(own, transport, random, call_later=transport.call_later)
+        agent.start()
+        agent.join([self.address(other) for other in range(DAEMONS) if other != index])
+        self.agents[index], self.transports[index] = agent, transport
+        self.running.add(index)
+        self.seen = {key: order for key, order in self.seen.items() if key[0] != index}
+
+    async def stop(self, index: int) -> None:
+        self.running.discard(index)
+        await self.agents[index].close()
+
+    async def apply(self, step) -> None:
+        match step:
+            case Kill(index):
+                await self.stop(index)
+            case Restart(index):
+                await self.stop(index)
+                self.start(index)
+            case Leave(index) if index in self.running:
+                await self.agents[index].leave(1.0)
+                await self.stop(index)
+            case Pause(index, seconds):
+                self.transports[index].pause()
+                await self.let_pass(seconds)
+                self.transports[index].resume()
+            case Cut(side, seconds):
+                sides = {self.address(index) for index in side}
+                self.network.cut(lambda address, _zone: address in sides)
+                await self.let_pass(seconds)
+                self.network.heal()
+            case Publish(index):
+                self.published += 1
+                self.agents[index].set_metadata("value", str(self.published))
+
+    async def let_pass(self, seconds: float) -> None:
+        for _ in range(int(seconds * 2)):
+            await asyncio.sleep(0.5)
+            self.check_views_move_forward()
+
+    def check_views_move_forward(self) -> None:
+        for index in self.running:
+            for view in self.agents[index].members():
+                key = (index, view.member_id)
+                assert view.order() >= self.seen.get(key, (0, 0)), "a view went back"
+                self.seen[key] = view.order()
+
+    def check_agreement(self) -> None:
+        expected = {f"d{index}" for index in self.running}
+        for index in self.running:
+            agent = self.agents[index]
+            assert {view.member_id for view in agent.members() if agent.is_alive(view.member_id)} == expected
+            for other in self.running:
+                own = self.agents[other].self_info
+                view = agent.get(own.member_id)
+                assert (view.incarnation, view.metadata) == (own.incarnation, own.metadata)
+                assert view.state is MemberState.ALIVE
+
+
+def in_virtual_time(coroutine) -> None:
+    loop = new_virtual_loop()
+    try:
+        loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+async def run_schedule(seed: int, loss: float, steps) -> None:
+    cluster = Cluster(seed, loss)
+    await cluster.let_pass(5)
+    for step in steps:
+        await cluster.apply(step)
+        await cluster.let_pass(2)
+    cluster.network.loss = 0.0
+    await cluster.let_pass(CONVERGE_S)
+    cluster.check_agreement()
+    for index in list(cluster.running):
+        await cluster.stop(index)
+
+
+@settings(max_examples=12, deadline=None, derandomize=True, database=None)
+@given(st.integers(0, 1000), st.sampled_from([0.0, 0.05]), st.lists(STEP, min_size=1, max_size=5))
+def test_any_schedule_ends_in_agreement_and_no_view_goes_back(seed, loss, steps):
+    in_virtual_time(run_schedule(seed, loss, steps))
+
+
+def test_cut_cluster_merges_and_the_newest_published_value_wins():
+    async def scenario():
+        cluster = Cluster(seed=3, loss=0.0)
+        await cluster.let_pass(5)
+        await cluster.apply(Publish(0))
+        await cluster.let_pass(5)
+        cluster.network.cut(lambda address, _zone: address == cluster.address(0))
+        await cluster.let_pass(40)
+        assert not cluster.agents[1].is_alive("d0")
+        cluster.agents[0].set_metadata("value", "newest")
+        cluster.network.heal()
+        await cluster.let_pass(60)
+        cluster.check_agreement()
+        assert cluster.agents[1].get("d0").metadata == {"value": "newest"}
+
+    in_virtual_time(scenario())
+
+
+def test_member_paused_for_two_seconds_is_never_declared_dead():
+    async def scenario():
+        cluster = Cluster(seed=4, loss=0.02)
+        await cluster.let_pass(5)
+        for turn in range(8):
+            await cluster.apply(Pause(turn % DAEMONS, 2))
+            await cluster.let_pass(3)
+        assert sum(agent.counters.deaths for agent in cluster.agents) == 0
+
+    in_virtual_time(scenario())
