Cut off callers that never read, and know the configuration before serving

Cause: read through again for what can hold a daemon up or let it serve too early. A caller that stops reading kept its answer, and a planned stop, open without end: pieces now have limits.write_timeout_s, unsent bytes of whole answers too. Background work that met an unforeseen failure ended silently: it is logged and goes on. A port in use ended in a trace: now one typed line. Checked: the tests for the reader and for the lagging replica fail without their fixes.

--- a/passgate/server/base.py
+++ b/passgate/server/base.py
@@ -164,6 +164,11 @@
             self.work.cancel()
         self._leave(status="disconnected")
 
+    def cut_off(self) -> None:
+        """Close the connection of a caller that does not read its answer."""
+        self.caller_left = True
+        self.request.connection.stream.close()
+
     def on_finish(self) -> None:
         """Count the answer and leave the gate."""
         self._leave(status=str(self.get_status()))
--- a/passgate/server/completions.py
+++ b/passgate/server/completions.py
@@ -209,9 +209,12 @@
             self.set_header("Cache-Control", "no-store")
         self.write(data)
         try:
-            await self.flush()
+            async with asyncio.timeout(self.context.settings.limits.write_timeout_s):
+                await self.flush()
         except StreamClosedError:
             self.caller_left = True
+        except TimeoutError:
+            self.cut_off()
 
 
 def _event(value: msgspec.Struct) -> bytes:
--- a/passgate/server/context.py
+++ b/passgate/server/context.py
@@ -51,7 +51,9 @@
         self.metrics = metrics
         self.logger = logger
         self.random = random
-        self.gate = RequestGate(settings.limits.max_in_flight, settings.stop.retry_after_s)
+        self.gate = RequestGate(
+            settings.limits.max_in_flight, settings.stop.retry_after_s, settings.limits.write_timeout_s
+        )
 
     def new_request_id(self) -> str:
         """Return an identifier that no other request has, whatever a caller sends."""
--- a/passgate/server/daemon.py
+++ b/passgate/server/daemon.py
@@ -13,7 +13,7 @@
 from tornado.netutil import bind_sockets
 
 from passgate import clock
-from passgate.errors import DeadlineExceeded, PassgateError, PlatformError
+from passgate.errors import DeadlineExceeded, PassgateError, PlatformError, SettingsError
 from passgate.logging_setup import log_change
 from passgate.metrics import DaemonMetrics
 from passgate.schema import MachineRole
@@ -38,6 +38,7 @@
 """Read failures in a row after which the log counts as lost."""
 HEADER_HARD_LIMIT_FACTOR = 4
 """Headers over this many times the limit are cut off without an answer."""
+FAILED_WORK_PAUSE_S = 1.0
 SOCKET_BACKLOG = 1024
 
 
@@ -57,6 +58,7 @@
         self.metrics = DaemonMetrics()
         self.life = Machine("daemon")
         self._logger = logger
+        self._random = Random(random.random())
         self._exchange = ConfigExchange(
             self.parts.membership, self.parts.configuration, Random(random.random())
         )
@@ -99,16 +101,21 @@
         parts.membership.join(self.settings.seeds)
         parts.dispatcher.start()
         self._catching_up = asyncio.ensure_future(self._catch_up())
-        self._run(self._exchange.run())
-        self._run(self._follow_machine_list())
-        self._run(self._watch_log())
-        self._run(self._measure_loop_lag())
+        self._run(self._exchange.run)
+        self._run(self._follow_machine_list)
+        self._run(self._watch_log)
+        self._run(self._measure_loop_lag)
         self._changed("daemon_started", callers=self.caller_address, operators=self.operator_address)
 
     def _listen(self, routes: tuple[Route, ...], address: str) -> str:
         limits = self.settings.limits
         host, port = parse_address(address)
-        sockets = bind_sockets(port, host, backlog=SOCKET_BACKLOG)
+        try:
+            sockets = bind_sockets(port, host, backlog=SOCKET_BACKLOG)
+        except OSError as error:
+            raise SettingsError(
+                f"can not listen on {address}: {error.strerror}", key=address, expected="a free address"
+            ) from error
         server = HTTPServer(
             make_application(routes, self.context),
             max_header_size=limits.max_header_bytes * HEADER_HARD_LIMIT_FACTOR,
@@ -120,21 +127,37 @@
         shown = f"[{host}]" if ":" in host else host
         return f"{shown}:{sockets[0].getsockname()[1]}"
 
-    def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.ensure_future(work))
+    def _run(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run background work for ever: a failure that has no type is logged and the work goes on."""
+        self._tasks.append(asyncio.ensure_future(self._run_for_ever(work)))
+
+    async def _run_for_ever(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                await work()
+            except Exception as error:  # Whatever it is, the daemon goes on serving.
+                self._changed(
+                    "background_work_failed", logging.ERROR, work=work.__qualname__, failure=repr(error)
+                )
+                await asyncio.sleep(FAILED_WORK_PAUSE_S)
 
     async def _catch_up(self) -> None:
         """Become ready once the configuration in force is known, also to the peers heard of."""
         await self._until_configured(0)
         self.life.send("caught_up")
         await self._until_joined()
-        await self._until_configured(self._exchange.newest_held())
+        await self._until_configured(await self._newest_revision())
         self.life.send("joined")
         self.parts.rollouts.start()
         self.context.gate.starting = False
         self.metrics.ready.set(1)
         self._changed("daemon_ready", revision=self.parts.configuration.state.revision)
 
+    async def _newest_revision(self) -> int:
+        """Ask peers too: the log may have been read from a replica that lags behind it."""
+        asked = await self.context.services.cluster_status.newest_revision(self._random)
+        return max(asked, self._exchange.newest_held())
+
     async def _until_configured(self, minimum_offset: int) -> None:
         configuration = self.parts.configuration
         while not configuration.ready_at(minimum_offset):
--- a/passgate/server/gate.py
+++ b/passgate/server/gate.py
@@ -1,6 +1,6 @@
 """Count of the work inside a daemon, and the point at which new work is refused.
 
->>> gate = RequestGate(max_in_flight=1, retry_after_s=1.0)
+>>> gate = RequestGate(max_in_flight=1, retry_after_s=1.0, write_timeout_s=60.0)
 >>> gate.enter()
 >>> gate.enter()
 Traceback (most recent call last):
@@ -31,6 +31,10 @@
         """Return whether the stream is closed."""
         ...
 
+    def close(self) -> None:
+        """Close the stream; unsent bytes are lost."""
+        ...
+
 
 class RequestGate:
     """Admits requests, and knows when nothing is in flight any more.
@@ -39,11 +43,13 @@
     after its caller left counts until it ends.
     """
 
-    def __init__(self, max_in_flight: int, retry_after_s: float) -> None:
+    def __init__(self, max_in_flight: int, retry_after_s: float, write_timeout_s: float) -> None:
         self._max_in_flight = max_in_flight
         self._retry_after_s = retry_after_s
         self._entered = 0
-        self._flushing: set[WriteStream] = set()
+        self._write_timeout_s = write_timeout_s
+        self._flushing: dict[WriteStream, float] = {}
+        """Streams with unsent bytes of finished answers, and when they are cut off."""
         self._detached: set[asyncio.Task[Any]] = set()
         self.leaving = False
         """Answers ask callers to open their next connection elsewhere."""
@@ -77,7 +83,7 @@
         """End one admitted request, whose last bytes may still wait in ``stream``."""
         self._entered -= 1
         if stream is not None and not stream.closed() and stream.writing():
-            self._flushing.add(stream)
+            self._flushing[stream] = clock.monotonic_s() + self._write_timeout_s
 
     def detach(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run work that is not cancelled when its caller leaves."""
@@ -93,7 +99,12 @@
 
     def idle(self) -> bool:
         """Return whether no request, detached work or unsent byte is left."""
-        self._flushing = {stream for stream in self._flushing if not stream.closed() and stream.writing()}
+        now_s = clock.monotonic_s()
+        for stream, cut_off_s in list(self._flushing.items()):
+            if now_s >= cut_off_s and not stream.closed() and stream.writing():
+                stream.close()
+            if stream.closed() or not stream.writing():
+                del self._flushing[stream]
         return self.in_flight == 0 and not self._flushing
 
     async def wait_idle(self, timeout_s: float) -> bool:
--- a/passgate/server/parts.py
+++ b/passgate/server/parts.py
@@ -61,7 +61,6 @@
 
 def connect_outside(settings: Settings, http: HttpClient) -> Outside:
     """Return adapters over sockets; binds the peer port."""
-    host, port = parse_address(settings.peer_address)
     credential = settings.credentials.platform.reveal() or None
     store_address = settings.weight_store_address
     return Outside(
@@ -70,10 +69,19 @@
         weight_store=HttpWeightStore(http, store_address, credential) if store_address else None,
         engine=HttpEngineClient(http),
         app=HttpAppClient(http),
-        transport=TcpPeerTransport(host, port, credential=settings.credentials.peers.reveal()),
+        transport=_peer_transport(settings),
     )
 
 
+def _peer_transport(settings: Settings) -> TcpPeerTransport:
+    host, port = parse_address(settings.peer_address)
+    try:
+        return TcpPeerTransport(host, port, credential=settings.credentials.peers.reveal())
+    except OSError as error:
+        problem = f"can not listen on {settings.peer_address}: {error.strerror}"
+        raise SettingsError(problem, key="peer_address", expected="a free address") from error
+
+
 def make_http_client(settings: Settings) -> HttpClient:
     """Return the HTTP client of a daemon, with as many transfers as it may hold requests."""
     return HttpClient(HttpLimits(max_transfers=settings.limits.max_in_flight))
--- a/passgate/settings.py
+++ b/passgate/settings.py
@@ -88,6 +88,8 @@
     """Most header lines; more are answered 431."""
     body_timeout_s: float = 30.0
     """Longest time for the whole body to arrive; then 408."""
+    write_timeout_s: float = 60.0
+    """A caller that reads nothing for this long while its answer waits is cut off."""
     idle_connection_timeout_s: float = 300.0
     """An idle kept-alive connection is closed after this time."""
     max_in_flight: int = 10_000
--- a/tests/test_server_callers.py
+++ b/tests/test_server_callers.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 import msgspec
 from hypothesis import HealthCheck, given, settings
@@ -10,6 +11,8 @@
 
 COMPLETIONS = "/v1/completions"
 BODY = {"model": "m", "prompt": "hello", "max_tokens": 6}
+LONG_TOKENS = 1_500_000
+"""Output that no socket buffer holds."""
 KEY = {"Idempotency-Key": "order-17"}
 
 
@@ -294,3 +297,38 @@
         assert daemon.context.gate.idle()
 
     run_cluster(scenario)
+
+
+def test_a_caller_that_never_reads_is_cut_off(run_cluster):
+    async def scenario(cluster):
+        daemon = await cluster.start(limits=LimitSettings(write_timeout_s=0.3, max_output_tokens=LONG_TOKENS))
+        await cluster.configure(daemon)
+        host, port = daemon.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        body = msgspec.json.encode({**BODY, "max_tokens": LONG_TOKENS, "stream": True, "prompt": [1]})
+        head = f"POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        writer.write(head.encode() + body)
+        await cluster.until(lambda: cluster.engine.requests)
+        writer.transport.pause_reading()
+        await cluster.until(daemon.context.gate.idle)
+        writer.close()
+
+    run_cluster(scenario)
+
+
+def test_floods_past_the_hard_limit_and_other_protocols_end_their_connection_only(run_cluster):
+    async def scenario(cluster):
+        daemon = await cluster.start()
+        await cluster.configure(daemon)
+        flood = b"GET /healthz HTTP/1.1\r\nHost: x\r\n" + b"X-Flood: " + b"x" * 200_000 + b"\r\n\r\n"
+        others = (b"\x16\x03\x01\x02\x00", b"HELO there\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n")
+        for data in (flood, *others):
+            answer = await cluster.raw(daemon.caller_address, data, eof=True)
+            assert b" 200 " not in answer
+        length = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n"
+        assert b" 200 " not in await cluster.raw(daemon.caller_address, length, eof=True)
+        assert (await cluster.post(daemon, COMPLETIONS, BODY)).status == 200
+        await cluster.until(daemon.context.gate.idle)
+
+    run_cluster(scenario)
--- a/tests/test_server_operators.py
+++ b/tests/test_server_operators.py
@@ -1,10 +1,12 @@
 import json
 
+from passgate.schema import MachineInfo, MachineRole
 from passgate.settings import Credential, CredentialSettings, LimitSettings
 
 SPEC = {"selector": "kind=engine", "role": "engine", "model": "m"}
 POOL = "/v1/config/Pool/modelos"
 SECRET = "operators-secret"
+APP_2 = MachineInfo(machine_id="a2", role=MachineRole.APP, address="127.0.0.1:3", zone="z")
 
 
 def test_objects_are_put_listed_by_selector_and_deleted(run_cluster):
@@ -139,3 +141,29 @@
         assert 'code="malformed_body",execution="not_run"' in metrics
 
     run_cluster(scenario)
+
+
+def test_a_new_daemon_that_reads_a_lagging_log_replica_asks_its_peers(run_cluster):
+    async def scenario(cluster):
+        first = await cluster.start("d1")
+        await cluster.configure(first)
+        cluster.client_of("d2").hidden_records = 1
+        seen = []
+        second = await cluster.start("d2", wait=False)
+        second.parts.configuration.subscribe(lambda state: seen.append(second.context.ready()))
+        await cluster.until(second.context.ready)
+        assert second.parts.configuration.state.revision == first.parts.configuration.state.revision
+        assert not any(seen), "no revision may come into force after the daemon said that it is ready"
+
+    run_cluster(scenario)
+
+
+def test_failing_background_work_is_logged_and_goes_on(run_cluster, caplog):
+    async def scenario(cluster):
+        daemon = await cluster.start()
+        machines, cluster.machines.listed = cluster.machines.listed, None
+        await cluster.until(lambda: "background_work_failed" in caplog.messages)
+        cluster.machines.listed = [*machines, APP_2]
+        await cluster.until(lambda: daemon.parts.directory.get("a2") is not None)
+
+    run_cluster(scenario)
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -82,16 +82,24 @@
 class _Stream:
     def __init__(self):
         self.sending = True
+        self.is_closed = False
 
     def writing(self):
         return self.sending
 
     def closed(self):
-        return False
+        return self.is_closed
 
+    def close(self):
+        self.is_closed = True
 
-def test_unsent_bytes_of_a_finished_answer_keep_the_daemon_up():
-    gate = RequestGate(max_in_flight=10, retry_after_s=1.0)
+
+def test_unsent_bytes_of_a_finished_answer_keep_the_daemon_up_for_a_bounded_time():
+    asyncio.run(_leave_with_unsent_bytes())
+
+
+async def _leave_with_unsent_bytes():
+    gate = RequestGate(max_in_flight=10, retry_after_s=1.0, write_timeout_s=0.05)
     stream = _Stream()
     gate.enter()
     gate.leave(stream)
@@ -99,6 +107,11 @@
     assert not gate.idle()
     stream.sending = False
     assert gate.idle()
+    never_read = _Stream()
+    gate.enter()
+    gate.leave(never_read)
+    assert await gate.wait_idle(5.0)
+    assert never_read.is_closed
 
 
 def test_a_stop_while_starting_ends_at_once(run_cluster):
