Let daemons refuse host names, whose resolving starts threads

Cause: a daemon has one thread; libcurl resolves names on threads of its own (trial: 1 thread before a call to a name, 3 after; none for IP numbers and localhost). HttpLimits(resolve_names=False) refuses other names as not run; the default allows them for tools. Checked: pytest tests/test_clients_*.py passgate/clients, 85 passed. Conclusion: daemons have still to set it.

--- a/passgate/clients/calls.py
+++ b/passgate/clients/calls.py
@@ -22,6 +22,8 @@
     """Requests to back ends at once; one more is refused as not run, never queued."""
     max_control_transfers: int = 8192
     """Calls to the log, the platform and engines' control at once; never short because of requests."""
+    resolve_names: bool = True
+    """Whether hosts may be names; libcurl starts threads to resolve them, so daemons say no."""
     connect_timeout_s: float = 2.0
     max_body_bytes: int = 64 * 1024 * 1024
     """Largest body of one buffered answer."""
--- a/passgate/clients/curl.py
+++ b/passgate/clients/curl.py
@@ -11,6 +11,9 @@
 from __future__ import annotations
 
 import contextlib
+import functools
+import ipaddress
+from urllib.parse import urlsplit
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -28,6 +31,8 @@
 """Least total timeout; libcurl would round a smaller one to "none"."""
 MAX_TIMEOUT_S = 24 * 3600.0
 """Most total timeout; beyond 64 bits of milliseconds the option can not be set."""
+LOCALHOST = "localhost"
+MAX_CACHED_HOSTS = 4096
 USER_AGENT = "passgate"
 
 
@@ -56,6 +61,20 @@
         self._finish(handle, pycurl.E_ABORTED_BY_CALLBACK, "aborted by its reader")
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_HOSTS)
+def _is_number(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return host == LOCALHOST
+    return True
+
+
+def needs_no_resolver(url: str) -> bool:
+    """Return whether the URL's host is an IP number, or ``localhost``, which libcurl knows itself."""
+    return _is_number(urlsplit(url).hostname or "")
+
+
 class HttpClient:
     """Starts transfers on the running loop; share one among all adapters of a daemon."""
 
@@ -73,6 +92,10 @@
 
     def start(self, call: HttpCall) -> Transfer:
         """Start a request; raises BackendUnreachable (not run) when too many are in progress."""
+        if not self.limits.resolve_names and not needs_no_resolver(call.url):
+            raise BackendUnreachable(
+                "host is not an IP number", execution=ExecutionStatus.NOT_RUN, url=call.url
+            )
         group = self._group_with_room(call)
         transfer = Transfer(self._client, self._connections, self.limits, call)
         group.add(transfer)
--- a/tests/test_clients_curl.py
+++ b/tests/test_clients_curl.py
@@ -360,3 +360,21 @@
         assert b"Bearer secret" in raw.heads[0]
         assert "secret" not in repr(call)
     assert "secret" not in caplog.text
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "localhost"])
+async def test_no_thread_is_started_for_an_address_of_numbers(host):
+    """libcurl resolves other names on a thread of its own."""
+    seen = []
+
+    async def count_threads(connection, nth, head, writer):
+        seen.append(len(os.listdir("/proc/self/task")))
+        writer.write(OK)
+
+    async with raw_server(count_threads, HttpLimits(resolve_names=False)) as (_, http, url):
+        before = len(os.listdir("/proc/self/task"))
+        await http.fetch(post(url.replace("127.0.0.1", host), SendPolicy.ONCE))
+        assert seen == [before]
+        with pytest.raises(BackendUnreachable) as caught:
+            http.start(post(url.replace("127.0.0.1", "engine.invalid"), SendPolicy.ONCE))
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
