Keep idle connections also while many streams are open

Cause: libcurl's limit of kept connections counts those in use, so beyond 256 open streams each call to the log or an engine's control opened a new connection. The new test fails on the code before.

--- a/passgate/clients/curl.py
+++ b/passgate/clients/curl.py
@@ -41,7 +41,10 @@
 
     def initialize(self, limits: HttpLimits) -> None:  # type: ignore[override]
         super().initialize(max_clients=0, max_body_size=limits.max_body_bytes)
-        self._multi.setopt(pycurl.M_MAXCONNECTS, limits.max_idle_connections)
+
+    def keep_connections(self, count: int) -> None:
+        # libcurl counts connections in use too, and closes idle ones beyond the limit.
+        self._multi.setopt(pycurl.M_MAXCONNECTS, count)
 
     def fetch_impl(self, request, callback) -> None:
         if not self._free_list:
@@ -99,6 +102,7 @@
         group = self._group_with_room(call)
         transfer = Transfer(self._client, self._connections, self.limits, call)
         group.add(transfer)
+        self._client.keep_connections(self.running + self.limits.max_idle_connections)
 
         def end(response: HTTPResponse) -> None:
             if transfer.take_restart():
--- a/tests/test_clients_curl.py
+++ b/tests/test_clients_curl.py
@@ -113,6 +113,20 @@
         assert raw.connections == 3
 
 
+async def test_open_streams_do_not_use_up_the_kept_connections():
+    """libcurl's limit of kept connections counts those in use, too."""
+
+    async def hold_reads(connection, nth, head, writer):
+        writer.write(OK[:-1] if head.startswith(b"GET") else OK)
+
+    async with raw_server(hold_reads, HttpLimits(max_idle_connections=4)) as (raw, http, url):
+        for _ in range(8):
+            await http.start(HttpCall(method="GET", url=url)).read()
+        for _ in range(5):
+            await http.fetch(post(url, SendPolicy.ONCE))
+        assert raw.connections == 8 + 1
+
+
 async def test_kept_connection_that_the_server_closed_while_idle_is_not_used():
     """An orderly idle close is seen before the request is sent, so nothing is unknown."""
 
