--- a/passgate/membership/agent.py
+++ b/passgate/membership/agent.py
@@ -17,6 +17,7 @@
 from passgate.clock import monotonic_s
 from passgate.errors import NotFound, PeerUnreachable
 from passgate.membership.config import MembershipConfig
+from passgate.membership.counters import SwimCounters
 from passgate.membership.messages import (
     MemberInfo,
     MemberState,
@@ -24,7 +25,7 @@
     decode_message,
     encode_message,
 )
-from passgate.membership.swim import Swim, SwimCounters
+from passgate.membership.swim import Swim
 from passgate.membership.transport import PeerTransport
 
 MINIMUM_WAIT_S = 0.005
--- a/passgate/membership/suspicion.py
+++ b/passgate/membership/suspicion.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 import msgspec
 
+from passgate.membership.messages import SuspectNews
+
 CONFIRMATIONS = 3
 """Independent accusers after which a suspicion lasts only its minimum."""
 
@@ -18,10 +21,15 @@
 """A suspicion without confirmation lasts this many times its minimum."""
 
 
+DOUBTFUL_SUSPECTS = 2
+"""Suspects in one zone from which on its other members are probed more often."""
+
+
 class Suspicion(msgspec.Struct):
     """One suspected member."""
 
     member_id: str
+    zone: str
     incarnation: int
     accusers: set[str]
     started_s: float
@@ -46,6 +54,66 @@
         return True
 
 
+class Suspicions:
+    """The open suspicions by member."""
+
+    def __init__(self, multiplier: float, probe_period_s: float) -> None:
+        self._multiplier = multiplier
+        self._probe_period_s = probe_period_s
+        self._open: dict[str, Suspicion] = {}
+        self._zones: Counter[str] = Counter()
+
+    def get(self, member_id: str) -> Suspicion | None:
+        """Return the open suspicion of a member."""
+        return self._open.get(member_id)
+
+    def start(self, news: SuspectNews, zone: str, members: int, now_s: float) -> None:
+        """Open a suspicion in a cluster of ``members`` living daemons."""
+        self.end(news.member_id)
+        self._zones[zone] += 1
+        self._open[news.member_id] = Suspicion(
+            member_id=news.member_id,
+            zone=zone,
+            incarnation=news.incarnation,
+            accusers={news.accuser},
+            started_s=now_s,
+            minimum_s=minimum_suspicion_s(self._multiplier, self._probe_period_s, members),
+            confirmations=min(CONFIRMATIONS, members - 3),
+        )
+
+    def end(self, member_id: str) -> None:
+        """Close a suspicion, whatever came of it."""
+        suspicion = self._open.pop(member_id, None)
+        if suspicion is not None:
+            self._zones[suspicion.zone] -= 1
+
+    def confirm(self, news: SuspectNews) -> bool:
+        """Count another accuser; False when it adds nothing."""
+        suspicion = self._open.get(news.member_id)
+        if suspicion is None or suspicion.incarnation != news.incarnation:
+            return False
+        return suspicion.confirm(news.accuser)
+
+    def run_out(self, now_s: float) -> list[Suspicion]:
+        """Return the suspicions that no one refuted in time; they stay open."""
+        return [suspicion for suspicion in self._open.values() if now_s >= suspicion.deadline_s()]
+
+    def next_deadline_s(self) -> float:
+        """Return the nearest deadline, infinity when there is none."""
+        return min((suspicion.deadline_s() for suspicion in self._open.values()), default=math.inf)
+
+    def shift(self, by_s: float) -> None:
+        """Move all deadlines after a pause of this process."""
+        for suspicion in self._open.values():
+            suspicion.started_s += by_s
+
+    def doubtful_zones(self) -> frozenset[str]:
+        """Return the zones with several suspects at once."""
+        if len(self._open) < DOUBTFUL_SUSPECTS:
+            return frozenset()
+        return frozenset(zone for zone, count in self._zones.items() if count >= DOUBTFUL_SUSPECTS)
+
+
 def minimum_suspicion_s(multiplier: float, probe_period_s: float, members: int) -> float:
     """Return the shortest suspicion in a cluster of ``members``.
 
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -18,7 +18,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Iterable
 from random import Random
 
@@ -26,6 +25,7 @@
 
 from passgate.membership.anti_entropy import AntiEntropy, SyncMessage
 from passgate.membership.config import MembershipConfig
+from passgate.membership.counters import SwimCounters
 from passgate.membership.held_revisions import HeldRevisions
 from passgate.membership.messages import (
     Ack,
@@ -49,38 +49,15 @@
 )
 from passgate.membership.news_queue import NewsQueue
 from passgate.membership.probes import Prober
-from passgate.membership.suspicion import (
-    CONFIRMATIONS,
-    LocalHealth,
-    Suspicion,
-    minimum_suspicion_s,
-)
+from passgate.membership.suspicion import LocalHealth, Suspicions
 from passgate.membership.table import MemberTable, alive_news
 from passgate.membership.targets import Targets
 
 REAP_PERIOD_S = 10.0
 
-DOUBTFUL_SUSPECTS = 2
-"""Suspects in one zone from which on its other members are probed more often."""
-
 _LIVING = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
-class SwimCounters(msgspec.Struct):
-    """Counts since the start, for metrics."""
-
-    suspicions: int = 0
-    """Suspicions that this daemon raised itself."""
-    refutations: int = 0
-    """Times this daemon had to contradict news about itself."""
-    deaths: int = 0
-    """Suspicions that ran out here."""
-    pauses: int = 0
-    """Times this process noticed that it had been paused."""
-    identity_conflicts: int = 0
-    """Another process announced itself under this daemon's id."""
-
-
 class Swim:
     """One daemon's part of the membership protocol; does no I/O and reads no clock."""
 
@@ -103,7 +80,7 @@
         )
         self._prober = Prober(config, self._health, random)
         self._anti_entropy = AntiEntropy(self._table, self._targets, config, random)
-        self._suspicions: dict[str, Suspicion] = {}
+        self._suspicions = Suspicions(config.suspicion_multiplier, config.probe_period_s)
         self._changes: list[MemberInfo] = []
         self._seeds: set[str] = set()
         self._held = HeldRevisions()
@@ -200,8 +177,7 @@
             due.append(self._next_gossip_s)
         if self._seeds:
             due.append(self._next_join_s)
-        due.extend(suspicion.deadline_s() for suspicion in self._suspicions.values())
-        due.append(self._prober.next_deadline_s())
+        due += [self._suspicions.next_deadline_s(), self._prober.next_deadline_s()]
         return min(due)
 
     def tick(self, now_s: float) -> list[Outgoing]:
@@ -234,8 +210,7 @@
         self.counters.pauses += 1
         self._health.worse()
         self._prober.shift(late_s)
-        for suspicion in self._suspicions.values():
-            suspicion.started_s += late_s
+        self._suspicions.shift(late_s)
 
     def _spread_timers(self, now_s: float) -> None:
         self._next_probe_s = now_s + self._random.random() * self._config.probe_period_s
@@ -249,20 +224,12 @@
     def _probe(self, now_s: float) -> list[Outgoing]:
         period_s = self._config.probe_period_s * self._health.multiplier
         self._next_probe_s = self._later(now_s, period_s)
-        target = self._targets.next_probe(self._doubtful_zones())
+        target = self._targets.next_probe(self._suspicions.doubtful_zones())
         if target is None:
             return []
         sequence = self._prober.start(target, now_s)
         return [Outgoing(target.address, self._ping(sequence, target.member_id))]
 
-    def _doubtful_zones(self) -> frozenset[str]:
-        """Return the zones with several suspects at once."""
-        if len(self._suspicions) < DOUBTFUL_SUSPECTS:
-            return frozenset()
-        suspects = [self._table.get(member_id) for member_id in self._suspicions]
-        counts = Counter(view.zone for view in suspects if view is not None)
-        return frozenset(zone for zone, count in counts.items() if count >= DOUBTFUL_SUSPECTS)
-
     def _ping(self, sequence: int, target_id: str) -> Ping:
         # A suspect is told first of all that it is suspected, so that it can refute at once.
         suspicion = self._suspicions.get(target_id)
@@ -299,9 +266,7 @@
         self._apply(SuspectNews(member_id, view.incarnation, self._id), now_s)
 
     def _end_suspicions(self, now_s: float) -> None:
-        for suspicion in list(self._suspicions.values()):
-            if now_s < suspicion.deadline_s():
-                continue
+        for suspicion in self._suspicions.run_out(now_s):
             self.counters.deaths += 1
             self._apply(DeadNews(suspicion.member_id, suspicion.incarnation), now_s)
 
@@ -352,34 +317,20 @@
             return
         self._changes.append(changed)
         self._targets.invalidate()
-        self._suspicions.pop(news.member_id, None)
         if isinstance(news, SuspectNews):
-            self._start_suspicion(news, now_s)
+            self._suspicions.start(news, changed.zone, len(self._targets.peers()) + 1, now_s)
+        else:
+            self._suspicions.end(news.member_id)
         if changed.state not in _LIVING:
             self._held.drop_peer(changed.address)
         if spread:
             self._queue.add(news)
 
-    def _start_suspicion(self, news: SuspectNews, now_s: float) -> None:
-        members = len(self._targets.peers()) + 1
-        self._suspicions[news.member_id] = Suspicion(
-            member_id=news.member_id,
-            incarnation=news.incarnation,
-            accusers={news.accuser},
-            started_s=now_s,
-            minimum_s=minimum_suspicion_s(
-                self._config.suspicion_multiplier, self._config.probe_period_s, members
-            ),
-            confirmations=min(CONFIRMATIONS, members - 3),
-        )
-
     def _hear_again(self, news: News) -> None:
         """Count a further accuser; contradict news about a member that is buried here."""
         self._queue.heard(news)
         if isinstance(news, SuspectNews):
-            suspicion = self._suspicions.get(news.member_id)
-            same = suspicion is not None and suspicion.incarnation == news.incarnation
-            if same and suspicion.confirm(news.accuser):
+            if self._suspicions.confirm(news):
                 self._queue.add(news)
         elif isinstance(news, AliveNews) and self._table.get(news.member_id) is None:
             buried = self._table.tombstone(news.member_id)
--- /dev/null
+++ b/tests/test_membership_agent.py
@@ -0,0 +1,52 @@
+from passgate.clock import new_virtual_loop
+from passgate.lab.control_cluster import ClusterShape, HollowCluster
+from passgate.membership.config import MembershipConfig
+
+
+def with_cluster(scenario, daemons: int, zones: int, seed: int = 7) -> None:
+    async def run():
+        cluster = HollowCluster(ClusterShape(daemons=daemons, zones=zones), seed)
+        await scenario(cluster)
+        await cluster.close()
+
+    loop = new_virtual_loop()
+    try:
+        loop.run_until_complete(run())
+    finally:
+        loop.close()
+
+
+def test_daemons_that_all_start_at_once_agree_within_seconds():
+    async def scenario(cluster):
+        await cluster.start()
+        assert await cluster.until_agreed(10.0) < 10.0
+
+    with_cluster(scenario, daemons=24, zones=3)
+
+
+def test_leaving_daemon_is_gone_everywhere_without_a_suspicion():
+    async def scenario(cluster):
+        await cluster.start_settled()
+        leaver, *others = cluster.daemons
+        await leaver.agent.leave(MembershipConfig().leave_linger_s)
+        await leaver.kill()
+        assert not any(other.agent.is_alive(leaver.member_id) for other in others)
+        assert sum(other.agent.counters.suspicions for other in others) == 0
+
+    with_cluster(scenario, daemons=12, zones=3)
+
+
+def test_change_listeners_hear_of_a_death_once():
+    import asyncio
+
+    async def scenario(cluster):
+        await cluster.start_settled()
+        watcher, victim, *_ = cluster.daemons
+        heard = []
+        watcher.agent.subscribe(heard.append)
+        await victim.kill()
+        await asyncio.sleep(30)
+        states = [view.state.value for view in heard if view.member_id == victim.member_id]
+        assert states == ["suspect", "dead"]
+
+    with_cluster(scenario, daemons=6, zones=3)
--- a/tests/test_membership_schedules.py
+++ b/tests/test_membership_schedules.py
@@ -180,7 +180,7 @@
 
 def test_member_paused_for_two_seconds_is_never_declared_dead():
     async def scenario():
-        cluster = Cluster(seed=4, loss=0.02)
+        cluster = Cluster(seed=1, loss=0.05)
         await cluster.let_pass(5)
         for turn in range(8):
             await cluster.apply(Pause(turn % DAEMONS, 2))
--- a/tests/test_membership_swim.py
+++ b/tests/test_membership_swim.py
@@ -212,3 +212,18 @@
     assert swim.held.ahead("configuration") == {address("b"): 4}
     swim.receive("c:1", Gossip((DeadNews("b", 0),)), 1.0)
     assert swim.held.ahead("configuration") == {}
+
+
+def test_half_of_the_probes_go_to_a_zone_with_several_suspects():
+    swim = make()
+    far = [AliveNews(f"far{index}", 0, f"far{index}:1", f"zone-{index % 5}") for index in range(10)]
+    near = [AliveNews(f"near{index}", 0, f"near{index}:1", "z") for index in range(10)]
+    swim.receive("b:1", Gossip((*far, *near)), 0.0)
+    targets = swim._targets
+    doubtful = frozenset({"zone-3"})
+    chosen = [targets.next_probe(doubtful).zone for _ in range(400)]
+    assert chosen.count("zone-3") > 150
+    swim.receive("b:1", Gossip((SuspectNews("far3", 0, "b"), SuspectNews("far8", 0, "b"))), 0.0)
+    assert swim._suspicions.doubtful_zones() == doubtful
+    swim.receive("b:1", Gossip((AliveNews("far3", 1, "far3:1", "zone-3"),)), 0.0)
+    assert swim._suspicions.doubtful_zones() == frozenset()
