Work capacity out from measured slopes

Cause: the page has to follow from committed measurements and not from memory. Ruled out: figures typed into the page, as nothing would keep them true.

--- /dev/null
+++ b/passgate/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity at the size aimed at, worked out from measured slopes; see docs/CAPACITY.md."""
