--- a/passgate/records.py
+++ b/passgate/records.py
@@ -12,10 +12,18 @@
 
 from __future__ import annotations
 
+import sys
+from array import array
+from collections.abc import Sequence
+
 import msgspec
 
 from passgate.schema import FinishReason, Labels, VersionSpan
 
+_TOKEN_CODE = "I"
+TOKEN_BYTES = 4
+"""Size of one packed token."""
+
 # --- configuration stream ----------------------------------------------------------
 
 
@@ -103,6 +111,39 @@
     seed: int = 0
 
 
+class PackedPrompt(msgspec.Struct, frozen=True, kw_only=True):
+    """A prompt with its tokens packed, see :func:`pack_tokens`; base64 on the log."""
+
+    tokens: bytes
+    max_tokens: int
+    seed: int = 0
+
+
+def pack_tokens(tokens: Sequence[int]) -> bytes:
+    """Return token identifiers as little-endian 32-bit integers.
+
+    Packed tokens take a ninth of the memory of a tuple and decode faster.
+
+    Raises:
+        OverflowError: an identifier does not fit.
+
+    >>> unpack_tokens(pack_tokens([1, 70_000]))
+    (1, 70000)
+    """
+    packed = array(_TOKEN_CODE, tokens)
+    if sys.byteorder == "big":
+        packed.byteswap()
+    return packed.tobytes()
+
+
+def unpack_tokens(packed: bytes) -> tuple[int, ...]:
+    """Return the token identifiers of :func:`pack_tokens`; raises ValueError on a wrong length."""
+    tokens = array(_TOKEN_CODE, packed)
+    if sys.byteorder == "big":
+        tokens.byteswap()
+    return tuple(tokens)
+
+
 class LotOpened(msgspec.Struct, frozen=True, kw_only=True, tag="lot_opened"):
     """A trainer opened a lot."""
 
@@ -115,7 +156,9 @@
     """Most versions a sample may be behind the trainer's version at hand-over."""
     trainer_version: int
     deadline_unix_s: float | None
-    prompts: tuple[PromptSpec, ...]
+    prompts: tuple[PromptSpec, ...] = ()
+    """Prompts with plain tokens; empty when they are packed."""
+    packed_prompts: tuple[PackedPrompt, ...] = ()
 
 
 class KeeperTaken(msgspec.Struct, frozen=True, kw_only=True, tag="keeper_taken"):
@@ -133,7 +176,9 @@
 
     index: int
     attempt: int
-    tokens: tuple[int, ...]
+    tokens: tuple[int, ...] = ()
+    """Plain tokens; empty when they are packed."""
+    packed_tokens: bytes = b""
     spans: tuple[VersionSpan, ...]
     finish_reason: FinishReason
     replica_id: str
--- a/passgate/state/append_queue.py
+++ b/passgate/state/append_queue.py
@@ -36,7 +36,6 @@
 BATCH_LIMIT_BYTES = 1_000_000
 BACKOFF_INITIAL_S = 0.05
 BACKOFF_CAP_S = 2.0
-SHORTEST_WAIT_S = 0.001
 
 
 class Backoff:
@@ -111,7 +110,10 @@
         self._sent: dict[int, Proposal] = {}
         self._last_sequence = 0
         self._wake = asyncio.Event()
-        self._batch_settled = asyncio.Event()
+        self._awaited: set[int] = set()
+        """Sequences of the batch in flight that the fold has not decided on."""
+        self._all_settled: asyncio.Future[None] | None = None
+        """Done when the fold has decided on the whole batch in flight."""
         self._closed = False
 
     @property
@@ -157,7 +159,7 @@
             return
         proposal.settle()
         self._answer(proposal, record, decision)
-        self._batch_settled.set()
+        self._note_settled(record.sequence)
 
     def close(self) -> None:
         """Answer all proposals that are still open."""
@@ -196,7 +198,6 @@
             proposal.maybe_appended = True
         self.counters.appends += 1
         payloads = [self._payload(proposal) for proposal in batch]
-        self._batch_settled.clear()
         append = asyncio.ensure_future(self._log.append(self._stream, payloads, APPEND_TIMEOUT_S))
         try:
             await self._wait_for_answer(append, batch)
@@ -221,15 +222,17 @@
 
     async def _wait_for_answer(self, append: asyncio.Future[int], batch: list[Proposal]) -> None:
         """Wait for the log's answer, or until the fold has shown the whole batch."""
-        deadline_s = asyncio.get_running_loop().time() + 2 * APPEND_TIMEOUT_S
-        while not append.done() and not all(proposal.settled for proposal in batch):
-            settled = asyncio.ensure_future(self._batch_settled.wait())
-            remaining_s = deadline_s - asyncio.get_running_loop().time()
-            if remaining_s < SHORTEST_WAIT_S:
-                raise DurabilityUnknown("the append did not return")
-            await asyncio.wait({append, settled}, timeout=remaining_s, return_when=asyncio.FIRST_COMPLETED)
-            settled.cancel()
-            self._batch_settled.clear()
+        self._awaited = {proposal.sequence for proposal in batch}
+        self._all_settled = asyncio.get_running_loop().create_future()
+        waited_for = {append, self._all_settled}
+        await asyncio.wait(waited_for, timeout=2 * APPEND_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED)
+        if not append.done() and not self._all_settled.done():
+            raise DurabilityUnknown("the append did not return")
+
+    def _note_settled(self, sequence: int) -> None:
+        self._awaited.discard(sequence)
+        if not self._awaited and self._all_settled is not None and not self._all_settled.done():
+            self._all_settled.set_result(None)
 
     def _mark_absent(self, proposals: list[Proposal]) -> None:
         for proposal in proposals:
@@ -249,7 +252,7 @@
             self._replace_timer(successor)
             self._waiting.appendleft(successor)
             self._wake.set()
-        self._batch_settled.set()
+        self._note_settled(proposal.sequence)
 
     def _replace_timer(self, proposal: Proposal) -> None:
         previous = proposal.timer
--- a/passgate/state/configuration_state.py
+++ b/passgate/state/configuration_state.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 import msgspec
 
 from passgate.errors import MalformedBody, NoMatchingPool, NotFound, RevisionConflict, UnknownRecord
@@ -19,7 +17,6 @@
 from passgate.state.specs import (
     DEFAULT_PRIORITY_CLASSES,
     SPEC_TYPES,
-    ModelVersionSpec,
     PoolSpec,
     PriorityClassSpec,
     Spec,
@@ -105,6 +102,8 @@
         """Offset + 1 of the last accepted record."""
         self._stored: dict[tuple[str, str], StoredObject] = {}
         self._objects: dict[str, dict[str, ConfigObject]] = {kind: {} for kind in SPEC_TYPES}
+        self._usable_versions: dict[str, dict[str, int]] = {}
+        """By model: names of objects to versions that are not withdrawn."""
         self._newest_versions: dict[str, int] = {}
 
     # --- queries ---------------------------------------------------------------------
@@ -173,6 +172,7 @@
         snapshot = msgspec.json.decode(state, type=_Snapshot)
         self._stored = {}
         self._objects = {kind: {} for kind in SPEC_TYPES}
+        self._usable_versions = {}
         self._newest_versions = {}
         for stored in snapshot.objects:
             self._replace((stored.kind, stored.name), stored)
@@ -189,17 +189,23 @@
             if kind in self._objects:
                 self._objects[kind][name] = _typed(stored)
         if kind == "ModelVersion":
-            self._refresh_newest(previous, self.get(kind, name))
-
-    def _refresh_newest(self, *changed: ConfigObject | None) -> None:
-        for model in {entry.spec.model for entry in changed if entry is not None}:
-            self._newest_versions[model] = max(self._usable_versions(model), default=0)
-
-    def _usable_versions(self, model: str) -> Iterator[int]:
-        for entry in self._objects["ModelVersion"].values():
-            assert isinstance(entry.spec, ModelVersionSpec)
-            if entry.spec.model == model and not entry.spec.withdrawn:
-                yield entry.spec.version
+            self._replace_version(previous, self.get(kind, name))
+
+    def _replace_version(self, previous: ConfigObject | None, current: ConfigObject | None) -> None:
+        """Keep the newest version of each model without looking at all versions at each change."""
+        if previous is not None:
+            self._drop_version(previous.spec.model, previous.name)
+        if current is None or current.spec.withdrawn:
+            return
+        spec = current.spec
+        self._usable_versions.setdefault(spec.model, {})[current.name] = spec.version
+        self._newest_versions[spec.model] = max(spec.version, self.newest_version(spec.model))
+
+    def _drop_version(self, model: str, name: str) -> None:
+        usable = self._usable_versions.get(model, {})
+        dropped = usable.pop(name, None)
+        if dropped is not None and dropped == self.newest_version(model):
+            self._newest_versions[model] = max(usable.values(), default=0)
 
 
 class _Snapshot(msgspec.Struct):
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -80,7 +80,8 @@
         self._queue = AppendQueue(log, stream, writer, random)
         self._queue.on_abandoned = on_abandoned
         self._queue.on_appended = self._expect_own_records
-        self._read_again = asyncio.Event()
+        self._interrupted: asyncio.Future[None] | None = None
+        """Ends the read under way when done."""
         self._retained: deque[LogEntry] = deque(maxlen=retained_entries)
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._synchronised = asyncio.Event()
@@ -209,7 +210,6 @@
 
     async def _read_once(self) -> None:
         wait_s = READ_WAIT_S if self.synchronised else 0.0
-        self._read_again.clear()
         try:
             batch = await self._read(wait_s)
         except Exception:  # Whatever an adapter raises, the follower goes on.
@@ -231,7 +231,7 @@
         """Read once; None when the read was interrupted."""
         read = self._log.read(self.stream, self.next_offset, READ_LIMIT_RECORDS, wait_s)
         reading = asyncio.ensure_future(read)
-        interrupted = asyncio.ensure_future(self._read_again.wait())
+        self._interrupted = interrupted = asyncio.get_running_loop().create_future()
         timeout_s = wait_s + READ_TIMEOUT_S
         try:
             await asyncio.wait({reading, interrupted}, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
@@ -249,8 +249,9 @@
         asyncio.get_running_loop().call_later(OWN_RECORD_WAIT_S, self._interrupt_read)
 
     def _interrupt_read(self) -> None:
-        if not self._queue.idle:
-            self._read_again.set()
+        waiting = self._interrupted is not None and not self._interrupted.done()
+        if waiting and not self._queue.idle:
+            self._interrupted.set_result(None)
 
     def _apply(self, entry: LogEntry) -> None:
         record, decision = self._state.apply(entry.offset, entry.payload)
--- a/passgate/state/lot_keeper.py
+++ b/passgate/state/lot_keeper.py
@@ -22,7 +22,14 @@
     NotFound,
     PassgateError,
 )
-from passgate.records import KeeperReleased, SampleCommitted, SampleExpired, SampleFailed
+from passgate.records import (
+    KeeperReleased,
+    SampleCommitted,
+    SampleExpired,
+    SampleFailed,
+    pack_tokens,
+    unpack_tokens,
+)
 from passgate.schema import GenerateRequest, GenerateResult
 from passgate.state.lot_handle import LotHandle
 from passgate.state.lot_state import SlotStatus
@@ -57,6 +64,8 @@
         """Heap of slots to produce, by urgency; entries may be out of date."""
         self._reopenings_seen = -1
         self._stopping = False
+        self.faults = 0
+        """Answers of the producer that could not be used and were no typed failure."""
         self._loop_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -118,7 +127,7 @@
 
     def _urgency(self, index: int) -> tuple[int, int, int]:
         """Order slots: those opened again first, then the longest answers."""
-        prompts = self._handle.opened.prompts
+        prompts = self._handle.opened.packed_prompts
         return (-self._handle.fold.slots[index].attempt, -prompts[index].max_tokens, index)
 
     def _start(self, index: int) -> None:
@@ -138,23 +147,26 @@
         """Produce and commit one slot, or record that it can not be produced."""
         attempt = self._handle.fold.slots[index].attempt
         try:
-            result = await self._produce(index, attempt)
+            commitment = await self._produce(index, attempt)
         except PassgateError as error:
             await self._commit(SampleFailed(index=index, code=error.code))
             return
         finally:
             self._producing.discard(index)
-        body = SampleCommitted(
+        await self._commit(commitment)
+
+    def _commitment(self, index: int, attempt: int, result: GenerateResult) -> SampleCommitted:
+        """Return the record that commits ``result``; raises OverflowError on odd tokens."""
+        return SampleCommitted(
             index=index,
             attempt=attempt,
-            tokens=result.tokens,
+            packed_tokens=pack_tokens(result.tokens),
             spans=result.spans,
             finish_reason=result.finish_reason,
             replica_id=result.replica_id,
         )
-        await self._commit(body)
 
-    async def _produce(self, index: int, attempt: int) -> GenerateResult:
+    async def _produce(self, index: int, attempt: int) -> SampleCommitted:
         """Return a sample within the bound; raises the error that ends the slot."""
         backoff_s = RETRY_INITIAL_S
         for tries in itertools.count(1):
@@ -162,13 +174,14 @@
             retry_after_s = None
             try:
                 result = await self._producer(self._request(index, attempt, tries))
+                if result.spans and not self._is_stale(result):
+                    return self._commitment(index, attempt, result)
             except PassgateError as error:
                 if isinstance(error, InvalidRequest) and not isinstance(error, NotFound):
                     raise
                 retry_after_s = error.retry_after_s
-            else:
-                if result.spans and not self._is_stale(result):
-                    return result
+            except Exception:  # A fault of the producer or of its answer must not end the lot.
+                self.faults += 1
             await self._pause(retry_after_s or backoff_s * self._random.uniform(0.5, 1.0))
             backoff_s = min(backoff_s * 2, RETRY_CAP_S)
         raise AssertionError("unreachable")
@@ -182,14 +195,14 @@
 
     def _request(self, index: int, attempt: int, tries: int) -> GenerateRequest:
         opened = self._handle.opened
-        prompt = opened.prompts[index]
+        prompt = opened.packed_prompts[index]
         identifier = sample_id(self._handle.lot_id, index)
         return GenerateRequest(
             request_id=f"{identifier}/{attempt}/{self.epoch}/{tries}",
             caller=opened.caller,
             pool=opened.pool,
             model=opened.model,
-            prompt=prompt.prompt,
+            prompt=unpack_tokens(prompt.tokens),
             max_tokens=prompt.max_tokens,
             seed=prompt.seed,
             priority_class=opened.priority_class,
--- a/passgate/state/lot_state.py
+++ b/passgate/state/lot_state.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import enum
-from array import array
 from collections.abc import Sequence
 
 import msgspec
@@ -25,10 +24,12 @@
     VersionNotReported,
 )
 from passgate.records import (
+    TOKEN_BYTES,
     KeeperReleased,
     KeeperTaken,
     LotCancelled,
     LotOpened,
+    PackedPrompt,
     Record,
     SampleCommitted,
     SampleExpired,
@@ -36,12 +37,12 @@
     SamplesAcknowledged,
     SamplesHandedOver,
     SamplesReplaced,
+    pack_tokens,
+    unpack_tokens,
 )
 from passgate.schema import FinishReason, VersionSpan
 from passgate.state.fold import Accepted, Decision, Rejected
 
-_TOKEN_CODE = "I"
-
 
 class SlotStatus(enum.Enum):
     """State of one slot."""
@@ -64,12 +65,12 @@
     @property
     def tokens(self) -> tuple[int, ...]:
         """Return the token identifiers."""
-        return tuple(array(_TOKEN_CODE, self.packed_tokens))
+        return unpack_tokens(self.packed_tokens)
 
     @property
     def length(self) -> int:
         """Return the number of tokens."""
-        return len(self.packed_tokens) // array(_TOKEN_CODE).itemsize
+        return len(self.packed_tokens) // TOKEN_BYTES
 
     @property
     def oldest_version(self) -> int:
@@ -99,6 +100,7 @@
     """What a lot is, apart from its slots; immutable."""
 
     opened: LotOpened | None = None
+    """As the first record said, with packed prompts."""
     epoch: int = 0
     keeper: str = ""
     """Process run that produces the samples; empty when nobody does."""
@@ -150,15 +152,39 @@
 
 
 def _open(header: LotHeader, offset: int, body: LotOpened) -> tuple[LotChange, Decision]:
+    try:
+        body = _packed(body)
+    except (OverflowError, ValueError):
+        return LotChange(header), Rejected(
+            offset, MalformedBody("tokens are 32-bit integers", field="prompts")
+        )
     if header.opened is None:
         opened = msgspec.structs.replace(header, opened=body, trainer_version=body.trainer_version)
-        slots = tuple((index, SlotState()) for index in range(len(body.prompts)))
+        slots = tuple((index, SlotState()) for index in range(len(body.packed_prompts)))
         return LotChange(opened, slots), Accepted(offset)
     if _is_same_lot(header.opened, body):
         return LotChange(header), Accepted(offset)
     return LotChange(header), Rejected(offset, KeyReused("the lot identifier names another lot"))
 
 
+def _checked(packed_tokens: bytes) -> bytes:
+    if len(packed_tokens) % TOKEN_BYTES:
+        raise ValueError("packed tokens are cut off")
+    return packed_tokens
+
+
+def _packed(body: LotOpened) -> LotOpened:
+    if not body.prompts:
+        for prompt in body.packed_prompts:
+            _checked(prompt.tokens)
+        return body
+    packed = tuple(
+        PackedPrompt(tokens=pack_tokens(spec.prompt), max_tokens=spec.max_tokens, seed=spec.seed)
+        for spec in body.prompts
+    )
+    return msgspec.structs.replace(body, prompts=(), packed_prompts=packed)
+
+
 def _is_same_lot(first: LotOpened, second: LotOpened) -> bool:
     """Compare two openings; a repeated call computes another deadline and newer versions."""
     second = msgspec.structs.replace(
@@ -213,8 +239,8 @@
     if not body.spans:
         return LotChange(header), Rejected(offset, VersionNotReported("no version made the sample"))
     try:
-        packed_tokens = array(_TOKEN_CODE, body.tokens).tobytes()
-    except OverflowError:
+        packed_tokens = _checked(body.packed_tokens or pack_tokens(body.tokens))
+    except (OverflowError, ValueError):
         return LotChange(header), Rejected(
             offset, MalformedBody("tokens are 32-bit integers", field="tokens")
         )
--- a/passgate/state/lots.py
+++ b/passgate/state/lots.py
@@ -27,7 +27,16 @@
     NotFound,
 )
 from passgate.interfaces import LogClient
-from passgate.records import KeeperTaken, LotCancelled, LotOpened, SamplesAcknowledged, SamplesReplaced
+from passgate.records import (
+    KeeperTaken,
+    LotCancelled,
+    LotOpened,
+    PackedPrompt,
+    PromptSpec,
+    SamplesAcknowledged,
+    SamplesReplaced,
+    pack_tokens,
+)
 from passgate.state.fold import Accepted, Rejected
 from passgate.state.lot_handle import LotHandle
 from passgate.state.lot_keeper import LotKeeper, Producer
@@ -187,7 +196,7 @@
             staleness_bound=request.staleness_bound,
             trainer_version=max(request.trainer_version, newest),
             deadline_unix_s=deadline_unix_s,
-            prompts=request.prompts,
+            packed_prompts=tuple(_pack(prompt) for prompt in request.prompts),
         )
 
     def _handle(self, lot_id: str) -> LotHandle:
@@ -268,6 +277,14 @@
     return slot.status is SlotStatus.HANDED_OVER and handle.fold.header.is_stale(slot.sample, version)
 
 
+def _pack(prompt: PromptSpec) -> PackedPrompt:
+    try:
+        tokens = pack_tokens(prompt.prompt)
+    except OverflowError:
+        raise MalformedBody("token identifiers are 32-bit integers", field="prompts.prompt") from None
+    return PackedPrompt(tokens=tokens, max_tokens=prompt.max_tokens, seed=prompt.seed)
+
+
 def _check(request: LotRequest) -> None:
     if not 0 < len(request.prompts) <= LOT_LIMIT_PROMPTS:
         raise MalformedBody(f"a lot has 1 to {LOT_LIMIT_PROMPTS} prompts", field="prompts")
--- a/tests/test_lot_state.py
+++ b/tests/test_lot_state.py
@@ -160,7 +160,8 @@
 def test_commit_without_versions_or_with_odd_tokens_is_rejected():
     taken = apply(opened(), (1, KeeperTaken(holder="d1")))
     good = committed(0, 0, 5, 1)
-    for bad in (msgspec.structs.replace(good, spans=()), msgspec.structs.replace(good, tokens=(-1, 2**40))):
+    odd = ({"spans": ()}, {"tokens": (-1,)}, {"tokens": (2**40,)}, {"packed_tokens": b"123"})
+    for bad in (msgspec.structs.replace(good, **changes) for changes in odd):
         assert apply(taken, (1, bad)) == taken
 
 
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -389,12 +389,14 @@
         world.failures = {f"lot/0/0/1/{tries}": Overloaded("full", retry_after_s=3.0) for tries in range(9)}
         world.failures["lot/1/0/1/1"] = InvalidRequest("bad prompt")
         world.failures["lot/2/0/1/1"] = Overloaded("full", retry_after_s=3.0)
+        world.failures["lot/2/0/1/2"] = ValueError("a bug")
         await daemon.open(request(3, deadline_s=20.0), "lot")
         trainer = Trainer(world)
         await trainer.read_all(daemon)
         assert trainer.failed == {0: "deadline_exceeded", 1: "invalid_request"}
         assert sorted(trainer.samples) == ["lot/2"]
         assert monotonic_s() < 22.0
+        assert len(world.requests) < 20
 
     run_virtual(scenario())
 
