Await a sent call that may run once beyond its deadline and keep its answer

Now its caller is answered at the deadline as before, the call goes on for limits.outcome_grace_s, and the next question under the same key gets the answer. Queueing still ends at the deadline. Ruled out: a longer deadline for the queue, which would accept calls that come too late.

--- a/passgate/routing/app_call.py
+++ b/passgate/routing/app_call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from passgate.clock import monotonic_s
 from passgate.errors import AnswerMismatch, BackendUnreachable, ExecutionStatus, PassgateError
 from passgate.routing.attempt_failure import Verdict, judge_failure
@@ -25,6 +27,12 @@
         self._class = context.priority_class(request.priority_class)
         self._avoid: set[str] = set()
 
+    @property
+    def last_answer_s(self) -> float | None:
+        """Loop time until which an answer of a call that was sent is awaited."""
+        deadline_s = self._request.deadline_s
+        return None if deadline_s is None else deadline_s + self._request.outcome_grace_s
+
     async def run(self) -> AppResponse:
         """Return the whole answer.
 
@@ -46,7 +54,8 @@
         number = self._ledger.open_attempt()
         self._context.counters.attempts += 1
         try:
-            response = await self._context.app.call(replica.address, self._request)
+            sent = msgspec.structs.replace(self._request, deadline_s=self.last_answer_s)
+            response = await self._context.app.call(replica.address, sent)
         except PassgateError as error:
             self._ledger.settle(number, error.execution)
             raise
--- a/passgate/routing/dispatcher.py
+++ b/passgate/routing/dispatcher.py
@@ -143,7 +143,7 @@
     async def _call_app(self, request: AppRequest, ledger: ExecutionLedger) -> AppResponse:
         request = msgspec.structs.replace(request, deadline_s=self._deadline_s(request))
         call = AppCall(self._context, request, ledger)
-        async with asyncio.timeout_at(request.deadline_s):
+        async with asyncio.timeout_at(call.last_answer_s):
             return await call.run()
 
     def _deadline_s(self, request: GenerateRequest | AppRequest) -> float:
--- a/passgate/schema.py
+++ b/passgate/schema.py
@@ -133,6 +133,11 @@
     content_type: str = "application/json"
     priority_class: str = "interactive"
     deadline_s: float | None = None
+    outcome_grace_s: float = 0.0
+    """How long after the deadline the answer of a call that was sent is still awaited.
+
+    For calls that may run only once: their answer is kept for the caller's next question.
+    """
     repeatable: bool = True
 
 
--- a/passgate/server/apps.py
+++ b/passgate/server/apps.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from passgate.errors import InvalidRequest
+from passgate.errors import DeadlineExceeded, InvalidRequest
 from passgate.schema import AppRequest, AppResponse
 from passgate.server.base import JSON_CONTENT_TYPE, CallerHandler
 from passgate.server.options import (
@@ -19,6 +19,8 @@
 DEFAULT_PRIORITY_CLASS = "interactive"
 SEGMENTS_BEFORE_PATH = 4
 """``/v1/apps/{pool}/`` before the forwarded path."""
+ASK_AGAIN_S = 1.0
+"""When a caller may ask for the outcome of a call that outlasted its deadline."""
 SAFE_METHODS = frozenset(("GET", "HEAD"))
 EMPTY_STATUSES = frozenset((204, 304))
 
@@ -75,6 +77,7 @@
             content_type=self.request.headers.get("Content-Type", JSON_CONTENT_TYPE),
             priority_class=options.priority_class or DEFAULT_PRIORITY_CLASS,
             deadline_s=options.deadline_s,
+            outcome_grace_s=0.0 if options.repeatable else self.context.settings.limits.outcome_grace_s,
             repeatable=options.repeatable,
         )
 
@@ -83,7 +86,7 @@
         return self.request.path.split("/", SEGMENTS_BEFORE_PATH)[SEGMENTS_BEFORE_PATH]
 
     async def _answer_claimed(self, request: AppRequest, claim_key: str) -> None:
-        """Run under a claim; the call goes on when the caller leaves."""
+        """Run under a claim; the call goes on when the caller leaves or its deadline passes."""
         digest = request_digest(
             request.pool.encode(), request.method.encode(), request.path.encode(), request.body
         )
@@ -96,7 +99,14 @@
 
         timeout_s = self.context.settings.limits.durability_timeout_s
         claimed = self.context.services.claims.run_once(claim_key, digest, run, timeout_s)
-        outcome = await asyncio.shield(self.context.gate.detach(claimed))
+        task = self.context.gate.detach(claimed)
+        try:
+            async with asyncio.timeout_at(request.deadline_s):
+                outcome = await asyncio.shield(task)
+        except TimeoutError:
+            raise DeadlineExceeded(
+                "the call goes on: ask again under the same key", retry_after_s=ASK_AGAIN_S
+            ) from None
         self._answer(outcome.status, outcome.content_type, outcome.body)
 
     def _answer(self, status: int, content_type: str, body: bytes) -> None:
--- a/passgate/settings.py
+++ b/passgate/settings.py
@@ -108,6 +108,9 @@
     """Deadline of a request that names none."""
     max_deadline_s: float = 86_400.0
     """Longest deadline a request may name."""
+    outcome_grace_s: float = 30.0
+    """How long after its deadline a call that may run only once, and was sent, is still awaited,
+    so that the caller's next question under the same key finds the answer."""
     durability_timeout_s: float = 5.0
     """Longest wait for the log before a needed record counts as not made durable."""
 
--- a/tests/test_server_callers.py
+++ b/tests/test_server_callers.py
@@ -332,3 +332,26 @@
         await cluster.until(daemon.context.gate.idle)
 
     run_cluster(scenario)
+
+
+def test_the_answer_of_a_claimed_call_that_outlasts_its_deadline_is_kept(run_cluster):
+    async def scenario(cluster):
+        daemon = await cluster.start()
+        await cluster.configure(daemon)
+        cluster.app.hold = asyncio.Event()
+        path, hasty = "/v1/apps/linha/v", {**KEY, "X-Passgate-Deadline-Ms": "150"}
+        late = await cluster.post(daemon, path, b"photo", hasty)
+        assert (late.status, late.error["code"], late.error["execution"]) == (
+            504,
+            "deadline_exceeded",
+            "unknown",
+        )
+        running = await cluster.post(daemon, path, b"photo", hasty)
+        assert (running.status, running.error["code"]) == (409, "request_in_progress")
+        cluster.app.hold.set()
+        await cluster.until(daemon.context.gate.idle)
+        kept = await cluster.post(daemon, path, b"photo", hasty)
+        assert (kept.status, kept.body) == (207, b"verdict of photo")
+        assert len(cluster.app.requests) == 1
+
+    run_cluster(scenario)
