--- a/passgate/rollout/reconciler.py
+++ b/passgate/rollout/reconciler.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from random import Random
@@ -25,7 +24,9 @@
 import msgspec
 
 from passgate.rollout.capacity import CapacityLedger
+from passgate.rollout.due_times import DueTimes
 from passgate.rollout.model_rollout import ModelRollout
+from passgate.rollout.planned_orders import service_order, stage_order
 from passgate.rollout.swap_track import SwapTrack
 from passgate.rollout.types import (
     STORE_SOURCE,
@@ -66,9 +67,8 @@
         self._busy: dict[str, PlannedOrder] = {}
         self._doubtful: dict[tuple[str, str], SwapTrack] = {}
         self._silences: Counter[str] = Counter()
-        self._retries: list[tuple[float, str, str]] = []
-        self._reports: list[tuple[float, str]] = []
-        self._report_due_s: dict[str, float] = {}
+        self._retries: DueTimes[tuple[str, str]] = DueTimes()
+        self._reports: DueTimes[str] = DueTimes()
 
     # --- what is known ---------------------------------------------------------------
 
@@ -108,27 +108,21 @@
         self._ledger.set_out(replica_id, self._is_out(replica_id))
         for model, rollout in self._models.items():
             self._observe_version(rollout, rollout.tracks[replica_id], versions.get(model, 0), now_s)
-        if replica_id not in self._report_due_s:
-            self._plan_report(replica_id, now_s + self._settings.verify_interval_s)
+        if replica_id not in self._reports:
+            self._reports.plan(replica_id, now_s + self._settings.verify_interval_s)
 
     def observe_silence(self, replica_id: str, now_s: float) -> None:
         """Note that the replica's report could not be read."""
         if replica_id in self._views:
             self._silences[replica_id] += 1
             self._ledger.set_lost(replica_id, True)
-            self._plan_report(replica_id, now_s + self._backoff_s(self._silences[replica_id]))
+            self._reports.plan(replica_id, now_s + self._backoff_s(self._silences[replica_id]))
 
     # --- what to do --------------------------------------------------------------------
 
     def due_reports(self, now_s: float) -> list[str]:
         """Return the replicas whose report is to be read now; each is returned once."""
-        due = []
-        while self._reports and self._reports[0][0] <= now_s:
-            due_s, replica_id = heapq.heappop(self._reports)
-            if self._report_due_s.get(replica_id) == due_s:
-                del self._report_due_s[replica_id]
-                due.append(replica_id)
-        return due
+        return self._reports.take(now_s)
 
     def next_orders(self, now_s: float) -> list[PlannedOrder]:
         """Return the orders to send now; each replica has at most one in flight."""
@@ -142,8 +136,8 @@
 
     def next_wakeup_s(self) -> float | None:
         """Return when something becomes due without any news, None for never."""
-        times = [heap[0][0] for heap in (self._retries, self._reports) if heap]
-        return min(times, default=None)
+        times = [self._retries.next_s(), self._reports.next_s()]
+        return min((time_s for time_s in times if time_s is not None), default=None)
 
     def view(self, replica_id: str) -> ReplicaView | None:
         """Return a replica as last observed."""
@@ -219,7 +213,7 @@
         self._ledger.set_out(order.replica_id, self._is_out(order.replica_id))
         if order.roll_back:
             track.machine.send("rolled_back")
-            self._plan_retry(track, now_s + self._backoff_s(track.attempts))
+            self._retries.plan(track.key, now_s + self._backoff_s(track.attempts))
             return
         if order.kind is not OrderKind.STAGE_VERSION:
             track.attempts = 0
@@ -232,9 +226,9 @@
         track.fenced = False
         if order.kind is not OrderKind.STAGE_VERSION:
             track.swap_doubt_s = now_s
-            self._doubtful[track.view.replica_id, track.model] = track
+            self._doubtful[track.key] = track
         track.machine.send("answer_lost")
-        self._plan_report(track.view.replica_id, now_s + self._backoff_s(track.doubts))
+        self._reports.plan(track.view.replica_id, now_s + self._backoff_s(track.doubts))
 
     def _failed(
         self, rollout: ModelRollout, track: SwapTrack, order: PlannedOrder, outcome: Outcome, now_s: float
@@ -245,14 +239,14 @@
             track.swap_doubt_s = None
         if outcome is Outcome.UNREACHABLE:
             self._ledger.set_lost(order.replica_id, True)
-            self._plan_report(order.replica_id, now_s + self._backoff_s(track.attempts))
+            self._reports.plan(order.replica_id, now_s + self._backoff_s(track.attempts))
         elif order.kind is OrderKind.STAGE_VERSION:
             self._failed_stage(rollout, track, order)
         elif order.kind is OrderKind.ACTIVATE_VERSION:
             self._failed_activation(rollout, track, order, outcome, now_s)
         if outcome is not Outcome.UNREACHABLE:
             self._ledger.set_out(order.replica_id, self._is_out(order.replica_id))
-        self._plan_retry(track, now_s + self._backoff_s(track.attempts))
+        self._retries.plan(track.key, now_s + self._backoff_s(track.attempts))
 
     def _failed_stage(self, rollout: ModelRollout, track: SwapTrack, order: PlannedOrder) -> None:
         rollout.sources.remove_holder(track.view.address)
@@ -268,7 +262,7 @@
             track.held.discard(order.version)
         else:
             track.swap_failed(rollout.target, self._settings.swap_attempts)
-            self._plan_report(order.replica_id, now_s + self._settings.report_lag_s)
+            self._reports.plan(order.replica_id, now_s + self._settings.report_lag_s)
         if order.version not in track.held:
             rollout.sources.remove_holder(track.view.address)
 
@@ -283,7 +277,7 @@
             if not self._is_free(replica_id) or not self._may_go_out(track):
                 continue
             self._ledger.set_out(replica_id, True)
-            orders.append(self._begin(track, self._service_order(rollout.target, track)))
+            orders.append(self._begin(track, service_order(track, rollout.target)))
 
     def _may_go_out(self, track: SwapTrack) -> bool:
         """Return whether an order that interrupts service may go to the replica now.
@@ -298,41 +292,12 @@
             return True
         return ledger.allowed() >= 0 and ledger.allowed_in(track.view.zone) >= 0
 
-    def _service_order(self, target: RolloutTarget, track: SwapTrack) -> PlannedOrder:
-        kind = track.next_kind(target)
-        assert kind is not None and kind is not OrderKind.STAGE_VERSION
-        activates = kind is OrderKind.ACTIVATE_VERSION
-        arguments = {
-            OrderKind.LOAD_ADAPTER: track.missing_adapter(target),
-            OrderKind.SET_ROLE: target.engine_role,
-        }
-        return PlannedOrder(
-            replica_id=track.view.replica_id,
-            address=track.view.address,
-            kind=kind,
-            model=track.model,
-            version=track.goal(target) if activates else 0,
-            argument=arguments.get(kind, ""),
-            attempt=track.order_count,
-            roll_back=track.fallback > 0,
-            confirms=activates and track.active == track.goal(target),
-        )
-
     def _order_stages(self, rollout: ModelRollout, orders: list[PlannedOrder]) -> None:
         for track, source in rollout.stage_choices(self._is_free):
             rollout.sources.begin(source, track.view.address, track.view.zone)
             track.order_sources = rollout.sources
             track.order_from_partial = rollout.sources.is_partial(source)
-            order = PlannedOrder(
-                replica_id=track.view.replica_id,
-                address=track.view.address,
-                kind=OrderKind.STAGE_VERSION,
-                model=track.model,
-                version=track.goal(rollout.target),
-                source=source,
-                attempt=track.order_count,
-            )
-            orders.append(self._begin(track, order))
+            orders.append(self._begin(track, stage_order(track, rollout.target, source)))
             rollout.refresh(track)
 
     def _begin(self, track: SwapTrack, order: PlannedOrder) -> PlannedOrder:
@@ -358,19 +323,19 @@
         self._models[model] = rollout
         for view in self._views.values():
             rollout.add(view)
-            self._plan_report(view.replica_id, now_s)
+            self._reports.plan(view.replica_id, now_s)
 
     def _add_replica(self, view: ReplicaView, now_s: float) -> None:
         self._views[view.replica_id] = view
         self._ledger.add(view)
         for rollout in self._models.values():
             rollout.add(view)
-        self._plan_report(view.replica_id, now_s)
+        self._reports.plan(view.replica_id, now_s)
 
     def _remove_replica(self, replica_id: str) -> None:
         del self._views[replica_id]
         self._busy.pop(replica_id, None)
-        self._report_due_s.pop(replica_id, None)
+        self._reports.cancel(replica_id)
         self._ledger.remove(replica_id)
         for rollout in self._models.values():
             track = rollout.remove(replica_id)
@@ -388,7 +353,7 @@
             return
         believable_s = track.confirmed_s + self._settings.report_lag_s
         if now_s < believable_s:
-            self._plan_report(track.view.replica_id, believable_s)
+            self._reports.plan(track.view.replica_id, believable_s)
             return
         if version != track.active:
             rollout.sources.remove_holder(track.view.address)
@@ -402,18 +367,8 @@
 
     # --- time ----------------------------------------------------------------------------
 
-    def _plan_report(self, replica_id: str, due_s: float) -> None:
-        earlier = self._report_due_s.get(replica_id)
-        if earlier is None or due_s < earlier:
-            self._report_due_s[replica_id] = due_s
-            heapq.heappush(self._reports, (due_s, replica_id))
-
-    def _plan_retry(self, track: SwapTrack, due_s: float) -> None:
-        heapq.heappush(self._retries, (due_s, track.view.replica_id, track.model))
-
     def _pass_retries(self, now_s: float) -> None:
-        while self._retries and self._retries[0][0] <= now_s:
-            _, replica_id, model = heapq.heappop(self._retries)
+        for replica_id, model in self._retries.take(now_s):
             rollout = self._models.get(model)
             track = rollout.tracks.get(replica_id) if rollout else None
             if rollout is not None and track is not None and track.machine.state == "backing_off":
--- a/passgate/rollout/swap_track.py
+++ b/passgate/rollout/swap_track.py
@@ -85,6 +85,11 @@
         if self.machine.can(event):
             self.machine.send(event)
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Replica and model."""
+        return self.view.replica_id, self.model
+
     @property
     def out_of_service(self) -> bool:
         """Whether the replica may be serving nothing because of its swap."""
