Plan the replicas and daemons that a load needs

Cause: operators asked what a load takes before it comes. Ruled out: scaling the present rate, which ignores batch size, KV memory and prefix caching.

--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -51,7 +51,7 @@
     "overhead": Command("passgate.overhead", "overhead", "measure the path through one daemon"),
     "lab": Command("passgate.lab.cli", "LabCommands", "experiments in the emulator"),
     "check": Command("passgate.check.cli", "CheckCommands", "model and history checks"),
-    "plan": Command("passgate.rollout.cli", "PlanCommands", "plans shown before they are carried out"),
+    "plan": Command("passgate.plan_commands", "PlanCommands", "plans shown before they are carried out"),
     "replay": Command("passgate.lab.cli", "replay", "run a recorded history or log again"),
 }
 
