--- a/passgate/capacity/plan_check.py
+++ b/passgate/capacity/plan_check.py
@@ -21,7 +21,7 @@
 from passgate.emulator.world import EmulatedWorld
 from passgate.schema import GenerateRequest
 
-WARM_UP_S = 60.0
+WARM_UP_S = 20.0
 MEASURED_S = 240.0
 SHARED_PROMPT_TOKENS = 256
 """A multiple of the cache's block, so that all of it is found in the cache."""
@@ -44,13 +44,14 @@
     """Planned over measured."""
 
 
-def check_point(median_tokens: float, seed: int = 1) -> PlanPoint:
+def check_point(median_tokens: float, seed: int = 1, measured_s: float = MEASURED_S) -> PlanPoint:
     """Measure one point in virtual time."""
-    return run_virtual(_Saturation(median_tokens, seed).measure())
+    return run_virtual(_Saturation(median_tokens, seed, measured_s).measure())
 
 
 class _Saturation:
-    def __init__(self, median_tokens: float, seed: int) -> None:
+    def __init__(self, median_tokens: float, seed: int, measured_s: float) -> None:
+        self._measured_s = measured_s
         self._median = median_tokens
         self._random = Random(seed)
         self._parameters = _one_engine(median_tokens)
@@ -67,7 +68,7 @@
         await asyncio.sleep(WARM_UP_S)
         self._tokens = 0
         started_s = monotonic_s()
-        await asyncio.sleep(MEASURED_S)
+        await asyncio.sleep(self._measured_s)
         rate = self._tokens / (monotonic_s() - started_s)
         for task in tasks:
             task.cancel()
