--- a/passgate/emulator/queueing_check.py
+++ b/passgate/emulator/queueing_check.py
@@ -120,6 +120,42 @@
     )
 
 
+def engine_full_batch(context_tokens: int = 500, output_tokens: int = 400) -> QueueingResult:
+    """Compare the decode rate of a full batch of equal sequences with the sum of its steps."""
+    parameters = EngineParameters()
+    lengths = LengthDistribution(median_tokens=output_tokens, sigma=0.0)
+    model = ModelParameters(name="m", lengths=lengths)
+    engine = EngineModel("engine", parameters, [model], Random(1), now_s=0.0)
+    prompt = tuple(range(context_tokens))
+    for number in range(parameters.max_running):
+        engine.submit(_request(number, number, prompt, 2 * output_tokens), 0.0)
+    while (due_s := engine.next_event_s()) is not None:
+        engine.advance(due_s)
+        finished_s = due_s
+    # The first sequence prefills, one step later the others take the cached prefix.
+    first_s = parameters.step_base_s + context_tokens * parameters.step_per_prefill_token_s
+    decode_s = finished_s - first_s
+    return QueueingResult(
+        case="engine, full batch",
+        measure="tokens/s",
+        simulated=(engine.counters.decoded_tokens - 1) / decode_s,
+        theory=_full_batch_rate(parameters, context_tokens, output_tokens),
+        standard_error=0.0,
+    )
+
+
+def _full_batch_rate(parameters: EngineParameters, context_tokens: int, output_tokens: int) -> float:
+    """Return sequences per mean step time, at the mean context of the run."""
+    sequences = parameters.max_running
+    mean_context = context_tokens + output_tokens / 2
+    step_s = (
+        parameters.step_base_s
+        + sequences * parameters.step_per_sequence_s
+        + sequences * mean_context * parameters.step_per_kv_token_s
+    )
+    return sequences / step_s
+
+
 def all_results(calls: int = 100_000, seed: int = 1) -> list[QueueingResult]:
     """Run every comparison."""
     return [
@@ -131,6 +167,7 @@
         engine_wait(0.8, calls // 4, seed),
         engine_recursion(0.8, calls // 20, seed),
         engine_little(calls // 50, seed),
+        engine_full_batch(),
     ]
 
 
@@ -189,14 +226,16 @@
     return prefill_s + (_ENGINE_OUTPUT_TOKENS - 1) * decode_s
 
 
-def _request(number: int, seed: int) -> GenerateRequest:
+def _request(
+    number: int, seed: int, prompt: tuple[int, ...] = (), max_tokens: int = 10 * _ENGINE_OUTPUT_TOKENS
+) -> GenerateRequest:
     return GenerateRequest(
         request_id=f"r{number}",
         caller="check",
         pool="check",
         model="m",
-        prompt=(number, *range(1, _PROMPT_TOKENS)),
-        max_tokens=10 * _ENGINE_OUTPUT_TOKENS,
+        prompt=prompt or (number, *range(1, _PROMPT_TOKENS)),
+        max_tokens=max_tokens,
         seed=seed,
     )
 
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -26,7 +26,13 @@
 )
 from passgate.emulator.network import PLATFORM_ZONE
 from passgate.emulator.parameters import AppParameters, load_deployment
-from passgate.emulator.queueing_check import application_wait, engine_little, engine_recursion, engine_wait
+from passgate.emulator.queueing_check import (
+    application_wait,
+    engine_full_batch,
+    engine_little,
+    engine_recursion,
+    engine_wait,
+)
 from passgate.emulator.world import EmulatedWorld
 from passgate.errors import (
     BackendRefused,
@@ -507,3 +513,4 @@
     assert abs(result.error) < 3 * result.standard_error < 0.4
     assert abs(engine_recursion(0.8, 1_000, 1).error) < 1e-9
     assert abs(engine_little(500, 1).error) < 1e-9
+    assert abs(engine_full_batch().error) < 0.01
