Leave a woken daemon time to read answers before it accuses

Cause: after a pause deadlines were shifted by its length, but when the timer that woke the process was a probe deadline itself, that deadline was due at once while the answer lay unread. Change: shift by the probe timeout more. The new test fails without it (PingRequest sent at wake-up) and passes with it.

--- a/passgate/lab/control_records.py
+++ b/passgate/lab/control_records.py
@@ -49,7 +49,8 @@
     cpu_share: float
     """Processor seconds per second and daemon; hollow ones include the simulation."""
     memory_mb: float
-    """Growth of the process per daemon; whole process for ``tcp``."""
+    """Growth of the process per daemon, 0 where it reused memory of an earlier run; whole process
+    for ``tcp``."""
     false_deaths: int
 
 
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -209,6 +209,8 @@
             return
         self.counters.pauses += 1
         self._health.worse()
+        # The timer that woke us may be a deadline itself; leave time to read what waits.
+        late_s += self._config.probe_timeout_s
         self._prober.shift(late_s)
         self._suspicions.shift(late_s)
 
--- a/tests/test_membership_swim.py
+++ b/tests/test_membership_swim.py
@@ -137,16 +137,21 @@
 def test_paused_daemon_accuses_nobody_when_it_wakes():
     swim = make()
     introduce(swim, "b", "c")
-    probes = messages(run_until(swim, 0.0, 1.0), Ping)
-    assert probes
-    # The process stops here and answers pile up unread; timers fire first when it goes on.
-    out = swim.tick(31.0)
-    assert not messages(out, PingRequest)
-    assert swim.counters.suspicions == 0
-    assert swim.counters.pauses == 1
-    for ping in messages(out, Ping) + probes:
-        swim.receive(address(ping.target), Ack(ping.sequence), 31.0)
-    run_until(swim, 31.0, 31.25)
+    now_s = 0.0
+    for _ in range(200):
+        sent = swim.tick(now_s)
+        pings = messages(sent, Ping)
+        if pings:
+            # The process stops here and the answer stays unread; timers fire first when it wakes,
+            # and the one that is due may be the very deadline of this probe.
+            now_s = swim.next_wakeup_s() + 30.0
+            woken = swim.tick(now_s)
+            assert not messages(woken, PingRequest)
+            pings += messages(woken, Ping)
+        for ping in pings:
+            swim.receive(address(ping.target), Ack(ping.sequence), now_s)
+        now_s = max(now_s + 0.01, swim.next_wakeup_s())
+    assert swim.counters.pauses > 10
     assert swim.counters.suspicions == 0
 
 
