Pause between takeovers of a lot, and leave silent trainers alone

Cause: two daemons that believe each other dead took a lot from each other at every read, so that samples of 20 s were never finished; and samples of a trainer that went away were produced again at each new version (40 productions for 2 samples over 20 versions). Takeovers from a keeper believed dead now wait 5 s, doubling to 600 s; stale samples are renewed ahead of a read only while the trainer acted in the last 120 s. Ruled out: a fixed pause, which samples longer than it never outlive.

--- a/passgate/state/lot_handle.py
+++ b/passgate/state/lot_handle.py
@@ -10,12 +10,21 @@
 from passgate.clock import monotonic_s
 from passgate.errors import NotFound
 from passgate.interfaces import LogClient
-from passgate.records import Body, LotOpened, Record
+from passgate.records import (
+    Body,
+    LotOpened,
+    Record,
+    SamplesAcknowledged,
+    SamplesHandedOver,
+    SamplesReplaced,
+)
 from passgate.state.fold import Decision
 from passgate.state.log_follower import LogFollower
 from passgate.state.lot_state import LotFold, SlotStatus
 from passgate.state.lot_types import LotInfo
 
+TRAINER_ACTIONS = (LotOpened, SamplesHandedOver, SamplesAcknowledged, SamplesReplaced)
+
 
 def stream_of(lot_id: str) -> str:
     """Return the stream of a lot."""
@@ -31,6 +40,9 @@
         self.lot_id = lot_id
         self.fold = LotFold()
         self.last_used_s = 0.0
+        """When this daemon was last asked for the lot."""
+        self.last_trainer_action_s = 0.0
+        """When the trainer last did something with the lot, through any daemon."""
         self._newest_version = newest_version
         self._changed = asyncio.Event()
         self.follower = LogFollower(
@@ -75,7 +87,7 @@
 
     def touch(self) -> None:
         """Note that the lot is in use."""
-        self.last_used_s = monotonic_s()
+        self.last_used_s = self.last_trainer_action_s = monotonic_s()
 
     def info(self) -> LotInfo:
         """Return the lot in numbers; raises NotFound."""
@@ -99,6 +111,8 @@
         )
 
     def _applied(self, offset: int, record: Record, decision: Decision) -> None:
+        if isinstance(record.body, TRAINER_ACTIONS):
+            self.last_trainer_action_s = monotonic_s()
         self.notify()
 
     def notify(self) -> None:
--- a/passgate/state/lot_keeper.py
+++ b/passgate/state/lot_keeper.py
@@ -44,6 +44,8 @@
 COMMIT_TIMEOUT_S = 60.0
 EXPIRE_TIMEOUT_S = 5.0
 RELEASE_TIMEOUT_S = 5.0
+TRAINER_GONE_S = 120.0
+"""Samples of a trainer silent for so long are not renewed at each new version."""
 RETRY_INITIAL_S = 0.1
 RETRY_CAP_S = 5.0
 STALENESS_CHECK_S = 1.0
@@ -234,6 +236,9 @@
             return
 
     async def _expire_stale(self) -> None:
+        """Have stale samples produced again before the trainer asks, unless it seems to be gone."""
+        if monotonic_s() - self._handle.last_trainer_action_s > TRAINER_GONE_S:
+            return
         version = self._handle.version()
         await expire(self._handle, self._handle.stale_committed(version), version, EXPIRE_TIMEOUT_S)
 
--- a/passgate/state/lots.py
+++ b/passgate/state/lots.py
@@ -67,10 +67,36 @@
 PAGE_LIMIT_SAMPLES = 1024
 LOT_LIMIT_PROMPTS = 65_536
 WAIT_LIMIT_S = 60.0
+TAKEOVER_PAUSE_INITIAL_S = 5.0
+TAKEOVER_PAUSE_CAP_S = 600.0
 IDLE_LOT_S = 120.0
 """A lot that is not kept here and was not asked for so long is no longer followed."""
 
 
+class TakeoverPause:
+    """Growing pauses between takeovers of one lot from keepers believed dead.
+
+    Two daemons that believe each other dead would otherwise take the lot from
+    each other at each call, and nothing long would ever be finished.
+
+    >>> pause = TakeoverPause()
+    >>> pause.may_take(0.0), pause.may_take(1.0), pause.may_take(5.0), pause.may_take(11.0)
+    (True, False, True, False)
+    """
+
+    def __init__(self) -> None:
+        self._pause_s = TAKEOVER_PAUSE_INITIAL_S
+        self._next_s = -math.inf
+
+    def may_take(self, now_s: float) -> bool:
+        """Return whether a takeover may be tried now, and count it."""
+        if now_s < self._next_s:
+            return False
+        self._next_s = now_s + self._pause_s
+        self._pause_s = min(self._pause_s * 2, TAKEOVER_PAUSE_CAP_S)
+        return True
+
+
 class LotService:
     """Opens, produces and serves lots for one process run.
 
@@ -95,6 +121,7 @@
         self._random = random
         self._handles: dict[str, LotHandle] = {}
         self._keepers: dict[str, LotKeeper] = {}
+        self._pauses: dict[str, TakeoverPause] = {}
         self._handle_count = 0
         self._draining = False
 
@@ -235,9 +262,16 @@
             return
         if header.keeper == self._daemon_id:
             self._keep(handle, header.epoch)
-        elif not header.keeper or not self._is_alive(header.keeper):
+        elif self._may_take(handle.lot_id, header.keeper):
             await self._take(handle, header.epoch + 1)
 
+    def _may_take(self, lot_id: str, keeper: str) -> bool:
+        if not keeper:
+            return True
+        if self._is_alive(keeper):
+            return False
+        return self._pauses.setdefault(lot_id, TakeoverPause()).may_take(monotonic_s())
+
     async def _take(self, handle: LotHandle, epoch: int) -> None:
         body = KeeperTaken(holder=self._daemon_id)
         try:
@@ -260,13 +294,14 @@
         now_s = monotonic_s()
         for lot_id, handle in list(self._handles.items()):
             keeper = self._keepers.get(lot_id)
-            is_kept = keeper is not None and keeper.running and not handle.fold.is_whole()
+            is_kept = keeper is not None and keeper.running and handle.fold.has_work_left()
             is_busy = is_kept or not handle.follower.idle
             if is_busy or now_s - handle.last_used_s < IDLE_LOT_S:
                 continue
             del self._handles[lot_id]
             if self._keepers.pop(lot_id, None) is not None:
                 await keeper.close()
+            self._pauses.pop(lot_id, None)
             await handle.close()
 
 
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -332,6 +332,36 @@
     run_virtual(scenario())
 
 
+def test_daemons_that_believe_each_other_dead_still_finish_the_lot():
+    async def scenario():
+        world = World()
+        world.production_s = 20.0
+        first, second = world.daemon("d1"), world.daemon("d2")
+        world.alive.clear()
+        await first.open(request(4), "lot")
+        trainer = Trainer(world)
+        await trainer.read_all(first, second)
+        assert sorted(trainer.samples) == whole(4)
+        assert (await first.info("lot")).epoch < 12
+
+    run_virtual(scenario())
+
+
+def test_samples_of_a_silent_trainer_are_not_renewed_for_ever():
+    async def scenario():
+        world = World()
+        daemon = world.daemon("d1")
+        await daemon.open(request(2), "lot")
+        for _ in range(20):
+            await asyncio.sleep(360)
+            world.version += 2
+        assert len(world.requests) == 2
+        await Trainer(world).read_all(daemon)
+        assert len(world.requests) == 4
+
+    run_virtual(scenario())
+
+
 def test_planned_stop_commits_what_is_under_way_and_another_takes_over():
     async def scenario():
         world = World()
