--- a/passgate/routing/app_call.py
+++ b/passgate/routing/app_call.py
@@ -53,6 +53,7 @@
     async def _attempt(self, replica: ReplicaInfo) -> AppResponse:
         number = self._ledger.open_attempt()
         self._context.counters.attempts += 1
+        began_s = monotonic_s()
         try:
             sent = msgspec.structs.replace(self._request, deadline_s=self.last_answer_s)
             response = await self._context.app.call(replica.address, sent)
@@ -61,6 +62,10 @@
             raise
         except Exception as error:
             raise BackendUnreachable(f"client failed: {type(error).__name__}") from error
+        finally:
+            # A call that is given up took at least this long.
+            calls = self._context.gate.scheduler.tracker.calls
+            calls.observe(replica.replica_id, monotonic_s() - began_s, monotonic_s())
         self._ledger.settle(number, ExecutionStatus.RAN)
         if response.request_id != self._request.request_id:
             raise AnswerMismatch(execution=ExecutionStatus.RAN, received=response.request_id)
--- a/passgate/routing/bench.py
+++ b/passgate/routing/bench.py
@@ -405,13 +405,15 @@
 
 
 def run_once(
-    deployment: str, policy: str, fault: str, seed: int, duration_s: float, apps: bool = True
+    deployment: str, policy: str, fault: str, seed: int, duration_s: float, only: str = "all"
 ) -> BenchResult:
     """Run one policy in virtual time; the same arguments give the same result."""
     parameters = load_deployment(deployment)
-    if not apps:
-        kept = tuple(arrival for arrival in parameters.arrivals if arrival.kind != "app")
-        parameters = msgspec.structs.replace(parameters, arrivals=kept)
+    if only != "all":
+        kind = "app" if only == "apps" else "generate"
+        kept = tuple(arrival for arrival in parameters.arrivals if arrival.kind == kind)
+        trainers = () if only == "apps" else parameters.trainers
+        parameters = msgspec.structs.replace(parameters, arrivals=kept, trainers=trainers)
     if fault == "surge":
         arrivals = tuple(
             msgspec.structs.replace(arrival, rate_per_s=arrival.rate_per_s * arrival.surge_factor)
@@ -430,7 +432,7 @@
         loop.close()
 
 
-def _run_task(task: tuple[str, str, str, int, float, bool]) -> BenchResult:
+def _run_task(task: tuple[str, str, str, int, float, str]) -> BenchResult:
     return run_once(*task)
 
 
@@ -441,14 +443,18 @@
     seeds: int = 3,
     duration_s: float = 300.0,
     details: bool = False,
-    apps: bool = True,
+    only: str = "all",
     processes: int = PROCESSES,
 ) -> None:
-    """Print the measures of policies (comma-separated) for faults (comma-separated)."""
+    """Print the measures of policies for faults (both comma-separated).
+
+    ``only`` may be ``apps`` or ``engines``: the two kinds of back end do not
+    touch each other, and half a run takes half the time.
+    """
     names = policy if isinstance(policy, tuple) else policy.split(",")
     faults = fault if isinstance(fault, tuple) else fault.split(",")
     tasks = [
-        (deployment, name, fault_name, seed, duration_s, apps)
+        (deployment, name, fault_name, seed, duration_s, only)
         for fault_name in faults
         for name in names
         for seed in range(1, seeds + 1)
--- a/passgate/routing/load_tracker.py
+++ b/passgate/routing/load_tracker.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from passgate.routing.call_latency import CallLatency
 from passgate.routing.output_length import OVERRUN_FACTOR
 from passgate.schema import LoadReport
 
@@ -124,6 +125,7 @@
     """Loads of all replicas that this daemon uses."""
 
     def __init__(self, report_lag_s: float, batch_slope: float = 0.0) -> None:
+        self.calls = CallLatency()
         self._batch_slope = batch_slope
         self._report_lag_s = report_lag_s
         self._loads: dict[str, ReplicaLoad] = {}
@@ -149,6 +151,7 @@
         for replica_id in self._loads.keys() - replica_ids:
             if not self._loads[replica_id].own_requests:
                 del self._loads[replica_id]
+        self.calls.retain(replica_ids)
 
     # --- own work -------------------------------------------------------------------
 
--- a/passgate/routing/policies.py
+++ b/passgate/routing/policies.py
@@ -90,9 +90,9 @@
     resume: bool = True
     hedge: bool = True
     hedge_scan_s: float = 0.5
-    hedge_share: float = 0.1
+    hedge_share: float = 0.3
     """Most hedges at once, as a share of the requests in flight (at least one)."""
-    hedge_gain: float = 2.0
+    hedge_gain: float = 1.4
     """A hedge is started when it is projected to finish this many times sooner."""
     stall_s: float = 3.0
     """A stream without a piece for this long is re-issued elsewhere."""
--- a/passgate/routing/replica_pool.py
+++ b/passgate/routing/replica_pool.py
@@ -64,7 +64,7 @@
         self._zone = zone
         self._owner = owner
         self._models = models
-        self._scheduler = new_scheduler(policy, random)
+        self._schedulers = {role: new_scheduler(policy, random, role) for role in MachineRole}
         self.homes = HomeModels()
         self._subsets: dict[tuple[str, MachineRole], list[ReplicaInfo]] = {}
         self._directory_version = -1
@@ -104,8 +104,8 @@
         fresh = {name: replica for name, replica in roomy.items() if name not in item.avoid} or roomy
         if not fresh:
             return NoPlace.NO_ROOM
-        views = self._views(fresh.values(), item)
-        view = self._scheduler.choose(views, item)
+        views = self._views(fresh.values(), item, now_s)
+        view = self._schedulers[pool.role].choose(views, item)
         return Choice(fresh[view.replica_id], view.cached_tokens)
 
     def has_room(self, replica_id: str, item: WorkItem, pool: PoolSpec) -> bool:
@@ -151,13 +151,13 @@
         version = self._tracker.load(replica.replica_id).versions.get(item.model)
         return version is None or version >= item.minimum_version
 
-    def _views(self, replicas: Iterable[ReplicaInfo], item: WorkItem) -> list[ReplicaView]:
+    def _views(self, replicas: Iterable[ReplicaInfo], item: WorkItem, now_s: float) -> list[ReplicaView]:
         cached: dict[str, int] = {}
         if self._policy.prefix_affinity and item.prefix:
             cached = self._prefixes.matches(item.prefix)
-        return [self._view(replica, item, cached.get(replica.replica_id, 0)) for replica in replicas]
+        return [self._view(replica, item, cached.get(replica.replica_id, 0), now_s) for replica in replicas]
 
-    def _view(self, replica: ReplicaInfo, item: WorkItem, cached_blocks: int) -> ReplicaView:
+    def _view(self, replica: ReplicaInfo, item: WorkItem, cached_blocks: int, now_s: float) -> ReplicaView:
         load = self._tracker.load(replica.replica_id)
         return ReplicaView(
             replica_id=replica.replica_id,
@@ -168,6 +168,7 @@
             kv_capacity_tokens=load.kv_capacity_tokens,
             running_limit=load.running_limit,
             token_s=self._tracker.token_s(replica.replica_id),
+            call_s=self._tracker.calls.latency_s(replica.replica_id, now_s),
             cached_tokens=cached_blocks * BLOCK_TOKENS,
             prefill_tokens=load.own_prefill_tokens,
             home=not self._policy.model_homes or self.homes.is_home(replica.replica_id, item.model),
--- a/passgate/routing/replica_scheduler.py
+++ b/passgate/routing/replica_scheduler.py
@@ -16,6 +16,7 @@
 
 from passgate.routing.policies import RoutingPolicy, SchedulerKind
 from passgate.routing.work import WorkItem
+from passgate.schema import MachineRole
 
 PREEMPTION_PENALTY_S = 5.0
 """Added in proportion to how far the request would push KV memory over its capacity."""
@@ -34,6 +35,8 @@
     """Largest batch of the engine as far as known; 0 when not known."""
     token_s: float = 0.03
     """Time per output token of one stream."""
+    call_s: float = 0.0
+    """Time per call of an application replica."""
     cached_tokens: int = 0
     """Leading prompt tokens believed to be cached there."""
     prefill_tokens: int = 0
@@ -124,10 +127,34 @@
         return views
 
 
-def new_scheduler(policy: RoutingPolicy, random: Random) -> ReplicaScheduler:
-    """Return the scheduler that a policy names."""
+class CallLatencyScheduler:
+    """For application calls: the replica with the least latency times calls in flight.
+
+    Latency is the replica's observed time per call; one more call there is
+    expected to wait for those of this daemon that are in flight.
+    """
+
+    def __init__(self, policy: RoutingPolicy, random: Random) -> None:
+        self._policy = policy
+        self._random = random
+
+    def choose(self, views: Sequence[ReplicaView], item: WorkItem) -> ReplicaView:
+        """Return the replica with the smallest product; ties are broken at random."""
+        return min(views, key=lambda view: (self._projected_s(view), self._random.random()))
+
+    def _projected_s(self, view: ReplicaView) -> float:
+        zone_s = 0.0 if view.same_zone else self._policy.zone_cost_s
+        return (view.call_s + zone_s) * (view.request_count + 1)
+
+
+def new_scheduler(
+    policy: RoutingPolicy, random: Random, role: MachineRole = MachineRole.ENGINE
+) -> ReplicaScheduler:
+    """Return the scheduler that a policy names, for one kind of back end."""
     if policy.scheduler is SchedulerKind.ROUND_ROBIN:
         return RoundRobinScheduler()
     if policy.scheduler is SchedulerKind.FEWEST_REQUESTS:
         return FewestRequestsScheduler(random)
+    if role is MachineRole.APP:
+        return CallLatencyScheduler(policy, random)
     return ProjectedFinishScheduler(policy, random)
--- a/tests/test_routing_views.py
+++ b/tests/test_routing_views.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from passgate.routing.call_latency import CallLatency
 from passgate.routing.hedging import AttemptProgress, HedgePlanner, HedgeReason
 from passgate.routing.load_tracker import LoadTracker
 from passgate.routing.policies import RoutingPolicy, SchedulerKind
@@ -13,7 +14,7 @@
 from passgate.routing.replica_scheduler import ReplicaView, new_scheduler
 from passgate.routing.subset import ReplicaKey, choose_subset
 from passgate.routing.work import WorkItem
-from passgate.schema import CacheEvent, CacheEventKind
+from passgate.schema import CacheEvent, CacheEventKind, MachineRole
 
 
 def event(sequence, block, kind=CacheEventKind.STORED):
@@ -186,3 +187,17 @@
         ReplicaView(replica_id="fast", request_count=30, token_s=0.024, outstanding_tokens=9000),
     ]
     assert scheduler.choose(views, work).replica_id == "fast"
+
+
+def test_slow_application_replica_gets_few_calls_and_is_tried_again():
+    calls = CallLatency()
+    scheduler = new_scheduler(RoutingPolicy(), Random(1), MachineRole.APP)
+    served = {"slow": 0.4, "fast": 0.08}
+    counts = Counter()
+    for number in range(200):
+        now_s = number * 0.5
+        views = [ReplicaView(replica_id=name, call_s=calls.latency_s(name, now_s)) for name in served]
+        name = scheduler.choose(views, None).replica_id
+        counts[name] += 1
+        calls.observe(name, served[name], now_s)
+    assert 0 < counts["slow"] < 60
