Add schedule campaigns, replay and mistakes seeded in the running code

Cause: a harness that finds nothing proves nothing, so each promise is broken on purpose in the running code and must be found; a late-reading trainer makes samples wait and go stale. A caller that gives up is recorded as RequestAbandoned, as it is no cut-off by a daemon. Ruled out: counting callers time-outs as cut connections, which blamed planned stops.

--- a/passgate/check/cli.py
+++ b/passgate/check/cli.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import pathlib
 import sys
+import time
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -17,6 +20,8 @@
 from passgate.check.output_oracle import emulated_token
 from passgate.errors import NotFound, VerificationFailed
 
+DEFAULT_PROCESSES = 4
+
 
 class HistoryBroken(VerificationFailed):
     """A history breaks a promise; details name ``promise`` and ``rule``."""
@@ -36,6 +41,12 @@
     code = "history_file_missing"
 
 
+class SchedulesBroken(VerificationFailed):
+    """Some simulated run broke a promise; each is printed with its seed."""
+
+    code = "schedules_broken"
+
+
 class CheckCommands:
     """Model checking of the core protocol and history checking of runs."""
 
@@ -84,6 +95,58 @@
                 print(_excerpt(found))
             raise HistoryBroken(found.message, promise=found.promise, rule=found.rule)
 
+    def schedules(
+        self,
+        seeds: int = 100,
+        first: int = 0,
+        only: str = "",
+        processes: int = DEFAULT_PROCESSES,
+        json: bool = False,
+        output: str = "",
+    ) -> None:
+        """Run simulated schedules with faults and judge each history.
+
+        Args:
+            seeds: number of schedules.
+            first: first seed.
+            only: one kind of fault, twice in each schedule; mixed when empty.
+            processes: runs at the same time.
+            json: print JSON lines instead of a table.
+            output: file to append the table's rows and totals to, as JSON lines.
+        """
+        from passgate.check.simulation import campaign
+
+        started_s = time.perf_counter()
+        numbers = range(first, first + seeds)
+        with _progress(seeds) as advance:
+            reports = campaign.run_campaign(numbers, only, processes, lambda report: _note(report, advance))
+        rows = campaign.fault_rows(reports)
+        summary = campaign.summarise(reports, first, only, time.perf_counter() - started_s)
+        lines = [msgspec.json.encode(entry).decode() for entry in [*rows, summary]]
+        print("\n".join(lines) if json else f"{campaign.markdown(rows)}\n\n{lines[-1]}")
+        if output:
+            with pathlib.Path(output).open("a") as file:
+                file.write("\n".join(lines) + "\n")
+        if summary.failed_seeds:
+            raise SchedulesBroken(f"{len(summary.failed_seeds)} of {summary.runs} runs failed")
+
+
+@contextlib.contextmanager
+def _progress(total: int) -> Iterator[Callable[[], None]]:
+    """Show a progress bar on the terminal; nothing when the output is not one."""
+    from rich.progress import Progress
+
+    with Progress(disable=not sys.stderr.isatty(), transient=True) as progress:
+        task = progress.add_task("schedules", total=total)
+        yield lambda: progress.advance(task)
+
+
+def _note(report, advance: Callable[[], None]) -> None:
+    advance()
+    if not report.holds():
+        found = ", ".join([report.message, *report.unhandled])
+        print(f"seed {report.schedule.seed} ({', '.join(report.schedule.fault_names())}): {found}")
+
 
 def _check_mutants(specification, json: bool) -> list[str]:
     from passgate.check.specification.kernel import check_mutant
--- a/passgate/check/events.py
+++ b/passgate/check/events.py
@@ -88,7 +88,13 @@
 
 
 class RequestCutOff(Event, tag="request_cut_off"):
-    """A caller's request ended without any answer."""
+    """The connection of a caller's request ended without any answer."""
+
+    request_id: str
+
+
+class RequestAbandoned(Event, tag="request_abandoned"):
+    """A caller's own patience ended before an answer."""
 
     request_id: str
 
@@ -267,6 +273,7 @@
     | AppCompleted
     | RequestFailed
     | RequestCutOff
+    | RequestAbandoned
     | BackendRunStarted
     | BackendLeaving
     | LotSubmitted
--- /dev/null
+++ b/passgate/check/simulation/campaign.py
@@ -0,0 +1,165 @@
+"""Campaigns: many schedules over several processes, summed up as a table of fault and promise."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from passgate.check.judgement import judges
+from passgate.check.output_oracle import emulated_token
+from passgate.check.simulation.run import RunOutcome, simulate
+from passgate.check.simulation.schedule import Schedule, fault_name, generate_schedule
+
+UNHANDLED = "unhandled"
+"""Column of exceptions that nothing handled."""
+NO_FAULT = "none"
+
+
+class RunReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of one run without its events."""
+
+    schedule: Schedule
+    broken: dict[str, int]
+    """Violations by promise."""
+    unhandled: tuple[str, ...]
+    message: str
+    """What the shortest violation says; empty when all promises hold."""
+    events: int
+    virtual_s: float
+    seconds: float
+
+    def holds(self) -> bool:
+        """Return whether every promise held and nothing was left unhandled."""
+        return not self.broken and not self.unhandled
+
+
+class FaultRow(msgspec.Struct, kw_only=True):
+    """Runs in which a kind of fault happened, with the violations found in them."""
+
+    fault: str
+    runs: int = 0
+    violations: dict[str, int]
+
+
+class CampaignSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """Totals of a campaign."""
+
+    first_seed: int
+    runs: int
+    only: str
+    failed_seeds: tuple[int, ...]
+    events: int
+    virtual_s: float
+    seconds: float
+    """Time on the wall clock."""
+
+
+def report_of(outcome: RunOutcome, seconds: float) -> RunReport:
+    """Return the report of a run."""
+    found = outcome.verdict.shortest()
+    return RunReport(
+        schedule=outcome.schedule,
+        broken=outcome.verdict.broken(),
+        unhandled=tuple(sorted(set(outcome.unhandled))),
+        message=f"{found.promise}.{found.rule}: {found.message}" if found else "",
+        events=len(outcome.events),
+        virtual_s=outcome.virtual_s,
+        seconds=round(seconds, 3),
+    )
+
+
+def run_seed(seed: int, only: str = "") -> RunReport:
+    """Run the schedule of one seed."""
+    started_s = time.perf_counter()
+    outcome = simulate(generate_schedule(seed, only))
+    return report_of(outcome, time.perf_counter() - started_s)
+
+
+def run_campaign(
+    seeds: Sequence[int],
+    only: str = "",
+    processes: int = 4,
+    on_report: Callable[[RunReport], None] | None = None,
+) -> list[RunReport]:
+    """Run all seeds, ``processes`` at a time; reports come in the order of the seeds."""
+    reports = []
+    for report in _run_all(seeds, only, processes):
+        reports.append(report)
+        if on_report is not None:
+            on_report(report)
+    return reports
+
+
+def _run_all(seeds: Sequence[int], only: str, processes: int) -> Iterator[RunReport]:
+    if processes <= 1:
+        yield from (run_seed(seed, only) for seed in seeds)
+        return
+    with ProcessPoolExecutor(processes) as pool:
+        yield from pool.map(run_seed, seeds, [only] * len(seeds), chunksize=4)
+
+
+def summarise(reports: Sequence[RunReport], first_seed: int, only: str, seconds: float) -> CampaignSummary:
+    """Return the totals of a campaign."""
+    return CampaignSummary(
+        first_seed=first_seed,
+        runs=len(reports),
+        only=only,
+        failed_seeds=tuple(report.schedule.seed for report in reports if not report.holds()),
+        events=sum(report.events for report in reports),
+        virtual_s=round(sum(report.virtual_s for report in reports), 1),
+        seconds=round(seconds, 1),
+    )
+
+
+def fault_rows(reports: Iterable[RunReport]) -> list[FaultRow]:
+    """Return one row for each kind of fault; a run counts in the row of each of its kinds."""
+    rows: dict[str, FaultRow] = {}
+    for report in reports:
+        for name in report.schedule.fault_names() or [NO_FAULT]:
+            row = rows.setdefault(name, FaultRow(fault=name, violations=dict.fromkeys(columns(), 0)))
+            row.runs += 1
+            for promise, count in report.broken.items():
+                row.violations[promise] += count
+            row.violations[UNHANDLED] += len(report.unhandled)
+    return [rows[name] for name in sorted(rows)]
+
+
+def columns() -> list[str]:
+    """Return the promises, and the column of unhandled exceptions."""
+    return [*judges(emulated_token), UNHANDLED]
+
+
+def markdown(rows: Sequence[FaultRow]) -> str:
+    """Return the table of fault and promise."""
+    names = columns()
+    lines = [
+        "| fault | runs | " + " | ".join(names) + " |",
+        "|---|---:|" + "---:|" * len(names),
+    ]
+    for row in rows:
+        counts = " | ".join(str(row.violations[name]) for name in names)
+        lines.append(f"| {row.fault} | {row.runs} | {counts} |")
+    return "\n".join(lines)
+
+
+def shrink(schedule: Schedule, fails: Callable[[Schedule], bool]) -> Schedule:
+    """Return a schedule with fewer faults that still fails: none of its faults can be left out."""
+    shrunk = True
+    while shrunk:
+        shrunk = False
+        for index in range(len(schedule.faults)):
+            faults = schedule.faults[:index] + schedule.faults[index + 1 :]
+            candidate = msgspec.structs.replace(schedule, faults=faults)
+            if fails(candidate):
+                schedule, shrunk = candidate, True
+                break
+    return schedule
+
+
+def fault_counts(reports: Iterable[RunReport]) -> Counter[str]:
+    """Return how many faults of each kind were injected."""
+    return Counter(fault_name(fault) for report in reports for fault in report.schedule.faults)
--- a/passgate/check/simulation/parameters.py
+++ b/passgate/check/simulation/parameters.py
@@ -38,6 +38,7 @@
         max_tokens=64,
         train_s=2.0,
         staleness_bound=1,
+        lots_ahead=2,
         read_limit=4,
         read_wait_s=2.0,
     )
--- /dev/null
+++ b/passgate/check/simulation/seeded_mistakes.py
@@ -0,0 +1,221 @@
+"""Seeded mistakes in the running code, to show that simulated runs would find them.
+
+Each mistake replaces one function of the running code for the time of a run; the
+named promise must then be broken in some of the first runs.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from passgate.check.simulation.run import RunLimits, simulate
+from passgate.check.simulation.schedule import APPS, AnyScheduledFault, Schedule, generate_schedule
+from passgate.emulator.faults import AppSlow, LogSlow
+from passgate.errors import ExecutionStatus, PassgateError
+from passgate.routing.execution import ExecutionLedger
+from passgate.routing.replica_directory import ReplicaDirectory
+from passgate.routing.stream_assembler import StreamAssembler
+from passgate.schema import MachineState
+from passgate.server.daemon import Daemon
+from passgate.state import claim_state, configuration_state
+from passgate.state.claim_state import ClaimState, ClaimStatus
+from passgate.state.configuration import ConfigurationService
+from passgate.state.fold import Accepted
+from passgate.state.lot_state import LotHeader
+from passgate.state.lots import LotService
+
+
+class SeededMistake(msgspec.Struct, frozen=True, kw_only=True):
+    """One mistake."""
+
+    name: str
+    mistake: str
+    promise: str
+    """Promise that some run must break."""
+    target: Any
+    attribute: str
+    replacement: Any
+    only: str = ""
+    """Kind of fault that brings it about."""
+    together_with: tuple[AnyScheduledFault, ...] = ()
+    """Further faults of each run."""
+
+
+class MistakeResult(msgspec.Struct, frozen=True, kw_only=True):
+    """When a mistake was found."""
+
+    name: str
+    promise: str
+    found: bool
+    runs: int
+    """Runs until the promise was broken, or all that were made."""
+    message: str = ""
+
+
+def _claim_always(state: ClaimState, offset: int, writer: str, body: Any) -> tuple[ClaimState, Accepted]:
+    return ClaimState(ClaimStatus.CLAIMED, body.request_digest, writer, body.holder), Accepted(offset)
+
+
+def _stamp_not_run(ledger: ExecutionLedger, error: PassgateError) -> PassgateError:
+    error.execution = ExecutionStatus.NOT_RUN
+    return error
+
+
+def _apply_first_list(directory: ReplicaDirectory, machines: Any, now_s: float) -> None:
+    live = [msgspec.structs.replace(machine, state=MachineState.LIVE) for machine in machines]
+    _apply_machines(directory, live, now_s)
+
+
+_apply_machines = ReplicaDirectory.apply_machines
+
+
+async def _idle_at_once(*arguments: Any) -> bool:
+    return True
+
+
+def _append_believed(assembler: StreamAssembler, start: int, end: int, version: int) -> None:
+    believed = assembler.spans[0].version if assembler.spans else version
+    _append_span(assembler, start, end, believed)
+
+
+_append_span = StreamAssembler._append_span
+
+
+def _put_without_expectation(current: Any, offset: int, record: Any) -> Any:
+    body = msgspec.structs.replace(record.body, expected_revision=None)
+    stored, decision = _transition(current, offset, msgspec.structs.replace(record, body=body))
+    is_put = stored is not None and current is not None
+    kept = msgspec.structs.replace(stored, revision=current.revision) if is_put else stored
+    return kept, decision
+
+
+_transition = configuration_state.transition
+
+
+async def _take_no_lot(service: LotService, handle: Any) -> None:
+    return None
+
+
+MISTAKES = (
+    SeededMistake(
+        name="staleness_unchecked",
+        mistake="no sample counts as stale",
+        promise="staleness",
+        target=LotHeader,
+        attribute="is_stale",
+        replacement=lambda header, sample, version: False,
+    ),
+    SeededMistake(
+        name="version_by_belief",
+        mistake="the first version of a stream is taken for all of it",
+        promise="true_versions",
+        target=StreamAssembler,
+        attribute="_append_span",
+        replacement=_append_believed,
+    ),
+    SeededMistake(
+        name="claim_always_granted",
+        mistake="a claim is granted although another one stands",
+        promise="at_most_once",
+        target=claim_state,
+        attribute="_claim",
+        replacement=_claim_always,
+        only="client_answers_lost",
+    ),
+    SeededMistake(
+        name="always_not_run",
+        mistake="every failure is reported as not run",
+        promise="not_run",
+        target=ExecutionLedger,
+        attribute="stamp",
+        replacement=_stamp_not_run,
+        only="connections_lost",
+    ),
+    SeededMistake(
+        name="leaving_ignored",
+        mistake="the machine list's word of leaving is passed over",
+        promise="leaving",
+        target=ReplicaDirectory,
+        attribute="apply_machines",
+        replacement=_apply_first_list,
+        only="machine_leaves",
+    ),
+    SeededMistake(
+        name="stop_without_waiting",
+        mistake="a planned stop does not wait for requests",
+        promise="planned_stop",
+        target=Daemon,
+        attribute="_finish_work",
+        replacement=_idle_at_once,
+        only="daemon_stop",
+        together_with=tuple(AppSlow(4.0, replica, 20.0, 30.0) for replica in APPS),
+    ),
+    SeededMistake(
+        name="serve_before_configured",
+        mistake="a restarted daemon serves before it has the configuration",
+        promise="configuration",
+        target=ConfigurationService,
+        attribute="ready_at",
+        replacement=lambda service, minimum_revision: True,
+        only="daemon_kill_all",
+        together_with=(LogSlow(4.0, 6.0, 40.0),),
+    ),
+    SeededMistake(
+        name="revision_not_advanced",
+        mistake="a change overwrites without regard to what its operator read",
+        promise="configuration",
+        target=configuration_state,
+        attribute="transition",
+        replacement=_put_without_expectation,
+    ),
+    SeededMistake(
+        name="no_takeover",
+        mistake="nobody takes a lot over when its keeper died",
+        promise="exactly_once",
+        target=LotService,
+        attribute="_ensure_keeper",
+        replacement=_take_no_lot,
+        only="daemon_kill_all",
+    ),
+)
+
+RELATED_PATCHES = {"stop_without_waiting": ((Daemon, "_hand_over"),)}
+"""Further functions that a mistake removes, so that no second safeguard hides it."""
+
+
+@contextlib.contextmanager
+def seeded(mistake: SeededMistake) -> Iterator[None]:
+    """Have a mistake in the running code while the context is open."""
+    with contextlib.ExitStack() as patches:
+        patches.enter_context(mock.patch.object(mistake.target, mistake.attribute, mistake.replacement))
+        for target, attribute in RELATED_PATCHES.get(mistake.name, ()):
+            patches.enter_context(mock.patch.object(target, attribute, _idle_at_once))
+        yield
+
+
+def _schedule(mistake: SeededMistake, seed: int) -> Schedule:
+    schedule = generate_schedule(seed, mistake.only)
+    return msgspec.structs.replace(schedule, faults=(*schedule.faults, *mistake.together_with))
+
+
+def find(mistake: SeededMistake, runs: int, limits: RunLimits | None = None) -> MistakeResult:
+    """Run schedules until the mistake breaks its promise."""
+    with seeded(mistake):
+        for seed in range(runs):
+            outcome = simulate(_schedule(mistake, seed), limits)
+            judged = {verdict.promise: verdict.shortest for verdict in outcome.verdict.promises}
+            violation = judged[mistake.promise]
+            if violation is not None:
+                return MistakeResult(
+                    name=mistake.name,
+                    promise=mistake.promise,
+                    found=True,
+                    runs=seed + 1,
+                    message=violation.message,
+                )
+    return MistakeResult(name=mistake.name, promise=mistake.promise, found=False, runs=runs)
--- a/passgate/check/simulation/service.py
+++ b/passgate/check/simulation/service.py
@@ -123,9 +123,10 @@
         finally:
             if not work.done():
                 work.cancel()
+            work.add_done_callback(_look_at)
             gate.leave(None)
         await self._either(process.boundary.wait(), process)
-        if not work.done() or process.ended.done() and not process.stopping:
+        if not work.done() or work.cancelled() or (process.ended.done() and not process.stopping):
             self._note_cut_off(request_id)
             raise BackendUnreachable("connection reset", execution=ExecutionStatus.UNKNOWN)
         if self._random.random() < self._link.answer_loss:
@@ -147,6 +148,12 @@
             self._record(RequestCutOff(time_s=monotonic_s(), request_id=request_id))
 
 
+def _look_at(work: asyncio.Future[Any]) -> None:
+    """Take note of an error that nobody waits for: its caller is gone."""
+    if not work.cancelled():
+        work.exception()
+
+
 async def _call_app_once(process: SimulatedProcess, request: AppRequest, key: str) -> AppResponse:
     async def run() -> ClaimOutcome:
         response = await process.parts.dispatcher.call_app(request)
--- /dev/null
+++ b/passgate/check/simulation/slow_trainer.py
@@ -0,0 +1,175 @@
+"""A trainer that reads late, reads again and repeats calls, while newer weights come out.
+
+Its samples wait committed or handed over until they go stale, so that hand-over,
+withdrawal and replacement are exercised; pages and answers are lost on the way as
+for any caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from passgate.check.events import AnyEvent, LotPrompt, LotSubmitted, PageReceived, ReceivedSample
+from passgate.clock import monotonic_s
+from passgate.emulator.expected_output import expected_length
+from passgate.emulator.parameters import ModelParameters
+from passgate.emulator.prompts import PromptSource
+from passgate.emulator.service import Service
+from passgate.errors import PassgateError
+from passgate.records import PromptSpec
+from passgate.state.lot_types import LotRequest, SamplesPage, index_of
+
+NAME = "slow-trainer"
+PROMPTS = 4
+MAX_TOKENS = 32
+STALENESS_BOUND = 1
+LONGEST_WAIT_S = 9.0
+READ_WAIT_S = 1.0
+READ_AGAIN_SHARE = 0.3
+REPEAT_SHARE = 0.3
+BACKOFF_S = 0.5
+
+
+class SlowTrainer:
+    """Collects one lot after the other until told to stop, and then the last one to its end."""
+
+    def __init__(
+        self,
+        service: Service,
+        model: ModelParameters,
+        version: Callable[[], int],
+        random: Random,
+        record: Callable[[AnyEvent], None],
+    ) -> None:
+        self._service = service
+        self._model = model
+        self._version = version
+        self._random = random
+        self._record = record
+        self._prompts = PromptSource(model, random)
+        self._repeats: set[asyncio.Task[None]] = set()
+        self.stopping = False
+        """No further lot is opened."""
+
+    async def run(self) -> None:
+        """Collect lots."""
+        number = 0
+        while not self.stopping:
+            number += 1
+            await self._collect(f"{NAME}-{number}")
+
+    async def _collect(self, lot_id: str) -> None:
+        request = self._request()
+        await self._persist(lambda: self._service.open_lot(request, lot_id))
+        self._record(self._submitted(lot_id, request))
+        received: set[int] = set()
+        cursor = 0
+        while True:
+            await asyncio.sleep(self._random.uniform(0.0, LONGEST_WAIT_S))
+            page = await self._read(lot_id, cursor)
+            received.update(sample.index for sample in page.samples)
+            if self._random.random() < READ_AGAIN_SHARE:
+                again = await self._read(lot_id, cursor)
+                received.update(sample.index for sample in again.samples)
+            await self._answer(lot_id, page, received)
+            if page.finished and not self._lacking(lot_id, page, received):
+                return
+            cursor = page.next_cursor
+
+    async def _read(self, lot_id: str, cursor: int) -> SamplesPage:
+        limit = self._random.randint(1, PROMPTS)
+
+        async def read() -> SamplesPage:
+            version = self._version()
+            page = await self._service.read_lot(lot_id, cursor, limit, READ_WAIT_S, version)
+            self._record(_received(lot_id, cursor, version, page))
+            return page
+
+        return await self._persist(read)
+
+    async def _answer(self, lot_id: str, page: SamplesPage, received: set[int]) -> None:
+        arrived = [sample.sample_id for sample in page.samples]
+        if arrived and self._random.random() < 1 - REPEAT_SHARE:
+            await self._persist(lambda: self._service.acknowledge(lot_id, arrived))
+        lacking = self._lacking(lot_id, page, received)
+        if not lacking:
+            return
+        await self._persist(lambda: self._service.replace(lot_id, lacking, self._version()))
+        if self._random.random() < REPEAT_SHARE:
+            # The network kept a copy of the call and delivers it late.
+            self._repeats.add(asyncio.ensure_future(self._repeat(lot_id, lacking)))
+
+    async def _repeat(self, lot_id: str, sample_ids: list[str]) -> None:
+        version = self._version()
+        await asyncio.sleep(self._random.uniform(0.0, LONGEST_WAIT_S))
+        try:
+            await self._service.replace(lot_id, sample_ids, version)
+        except PassgateError:
+            return
+
+    def _lacking(self, lot_id: str, page: SamplesPage, received: set[int]) -> list[str]:
+        return [name for name in page.withdrawn if index_of(lot_id, name) not in received]
+
+    async def _persist(self, call: Callable[[], Awaitable]):
+        while True:
+            try:
+                return await call()
+            except PassgateError as error:
+                await asyncio.sleep(error.retry_after_s or BACKOFF_S)
+
+    def _request(self) -> LotRequest:
+        prompts = tuple(
+            PromptSpec(prompt=self._prompts.prompt(), max_tokens=MAX_TOKENS, seed=self._prompts.seed())
+            for _ in range(PROMPTS)
+        )
+        return LotRequest(
+            caller=NAME,
+            pool=self._model.name,
+            model=self._model.name,
+            staleness_bound=STALENESS_BOUND,
+            trainer_version=self._version(),
+            prompts=prompts,
+        )
+
+    def _submitted(self, lot_id: str, request: LotRequest) -> LotSubmitted:
+        return LotSubmitted(
+            time_s=monotonic_s(),
+            lot_id=lot_id,
+            trainer=NAME,
+            model=request.model,
+            staleness_bound=request.staleness_bound,
+            prompts=tuple(self._wanted(spec) for spec in request.prompts),
+        )
+
+    def _wanted(self, spec: PromptSpec) -> LotPrompt:
+        length, _ = expected_length(spec.prompt, spec.seed, spec.max_tokens, self._model.lengths)
+        return LotPrompt(
+            prompt=spec.prompt, max_tokens=spec.max_tokens, seed=spec.seed, expected_length=length
+        )
+
+
+def _received(lot_id: str, cursor: int, version: int, page: SamplesPage) -> PageReceived:
+    samples = tuple(
+        ReceivedSample(
+            sample_id=sample.sample_id,
+            index=sample.index,
+            attempt=sample.attempt,
+            tokens=sample.tokens,
+            spans=sample.spans,
+            finish_reason=sample.finish_reason,
+        )
+        for sample in page.samples
+    )
+    return PageReceived(
+        time_s=monotonic_s(),
+        lot_id=lot_id,
+        cursor=cursor,
+        next_cursor=page.next_cursor,
+        trainer_version=version,
+        samples=samples,
+        finished=page.finished,
+        withdrawn=page.withdrawn,
+        failed=tuple(failure.index for failure in page.failed),
+    )
--- a/passgate/emulator/arrivals.py
+++ b/passgate/emulator/arrivals.py
@@ -21,7 +21,7 @@
     AppInvoked,
     GenerateCompleted,
     GenerateInvoked,
-    RequestCutOff,
+    RequestAbandoned,
     RequestFailed,
 )
 from passgate.clock import monotonic_s
@@ -159,7 +159,7 @@
         except TimeoutError:
             self.tally.unknown += 1
             self.tally.note_error("caller_timeout")
-            self._record(RequestCutOff(time_s=monotonic_s(), request_id=request_id))
+            self._record(RequestAbandoned(time_s=monotonic_s(), request_id=request_id))
             return backoff_s
         except PassgateError as error:
             return self._note_failure(request_id, error, backoff_s)
--- /dev/null
+++ b/tests/test_virtual_schedules.py
@@ -0,0 +1,83 @@
+"""Hypothesis generates concurrent schedules with faults for three real daemons in virtual time."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from passgate.check.replay import ReplayCommands, ReplayFailed
+from passgate.check.simulation import campaign, seeded_mistakes
+from passgate.check.simulation.run import RunLimits, simulate
+from passgate.check.simulation.schedule import (
+    FAULT_MAKERS,
+    LogOutage,
+    MachineListOutage,
+    Schedule,
+    generate_schedule,
+)
+
+SMALL = RunLimits(calls_s=12.0, trainer_steps=2, settle_s=120.0)
+MISTAKES = {mistake.name: mistake for mistake in seeded_mistakes.MISTAKES}
+
+
+@st.composite
+def faults(draw):
+    make = FAULT_MAKERS[draw(st.sampled_from(sorted(FAULT_MAKERS)))]
+    at_s = draw(st.floats(3.0, 10.0).map(lambda value: round(value, 2)))
+    return make(Random(draw(st.integers(0, 1000))), at_s)
+
+
+schedules = st.builds(
+    Schedule, seed=st.integers(0, 10_000), faults=st.lists(faults(), min_size=1, max_size=3).map(tuple)
+)
+
+
+@settings(max_examples=4, derandomize=True, deadline=None, suppress_health_check=list(HealthCheck))
+@given(schedules)
+def test_generated_schedules_keep_every_promise(schedule):
+    outcome = simulate(schedule, SMALL)
+    assert outcome.faults_found() == []
+
+
+def test_same_schedule_gives_the_same_history():
+    schedule = generate_schedule(5)
+    assert simulate(schedule, SMALL).events == simulate(schedule, SMALL).events
+
+
+@pytest.mark.parametrize("name", ["always_not_run", "version_by_belief", "revision_not_advanced"])
+def test_mistake_in_the_running_code_is_found(name):
+    result = seeded_mistakes.find(MISTAKES[name], runs=3)
+    assert result.found, result
+
+
+def test_shrinking_leaves_only_what_is_needed():
+    needed = LogOutage(9.0, 1.0)
+    schedule = Schedule(seed=1, faults=(MachineListOutage(3.0, 1.0), needed, MachineListOutage(5.0, 1.0)))
+    shrunk = campaign.shrink(schedule, lambda candidate: needed in candidate.faults)
+    assert shrunk.faults == (needed,)
+
+
+def test_rows_count_each_kind_of_a_run_once():
+    schedule = Schedule(seed=1, faults=(LogOutage(9.0, 1.0), LogOutage(5.0, 1.0)))
+    report = campaign.RunReport(
+        schedule=schedule,
+        broken={"staleness": 2},
+        unhandled=(),
+        message="",
+        events=1,
+        virtual_s=1.0,
+        seconds=1.0,
+    )
+    (row,) = campaign.fault_rows([report])
+    assert (row.fault, row.runs, row.violations["staleness"]) == ("log_outage", 1, 2)
+
+
+def test_replay_fails_with_the_excerpt_and_the_history_can_be_judged(tmp_path, capsys):
+    history = tmp_path / "run.jsonl"
+    with seeded_mistakes.seeded(MISTAKES["version_by_belief"]), pytest.raises(ReplayFailed):
+        ReplayCommands().schedule(seed=0, history=str(history))
+    assert '"type":"page_received"' in capsys.readouterr().out
+    assert history.stat().st_size > 0
