--- a/passgate/emulator/arrivals.py
+++ b/passgate/emulator/arrivals.py
@@ -27,7 +27,7 @@
 from passgate.clock import monotonic_s
 from passgate.emulator.app_model import expected_app_body
 from passgate.emulator.expected_output import Verdict, expected_length, verify
-from passgate.emulator.parameters import ArrivalParameters, ModelParameters
+from passgate.emulator.parameters import ArrivalParameters, CallKind, ModelParameters
 from passgate.emulator.prompts import PromptSource
 from passgate.emulator.service import Service
 from passgate.emulator.tally import ArrivalTally
@@ -59,7 +59,7 @@
 def rate_per_s(parameters: ArrivalParameters, at_s: float) -> float:
     """Return the arrival rate at ``at_s`` seconds after the start.
 
-    >>> calls = ArrivalParameters(name="c", kind="app", rate_per_s=10.0, daily_amplitude=0.5,
+    >>> calls = ArrivalParameters(name="c", kind=CallKind.APP, rate_per_s=10.0, daily_amplitude=0.5,
     ...                           day_s=400.0, surge_factor=3.0, surge_start_s=100.0, surge_end_s=200.0)
     >>> rate_per_s(calls, 0.0), rate_per_s(calls, 100.0)
     (10.0, 45.0)
@@ -167,7 +167,7 @@
         return None
 
     async def _send(self, call: _Call, request_id: str) -> bool:
-        if self.parameters.kind == "app":
+        if self.parameters.kind == CallKind.APP:
             return await self._send_app(call, request_id)
         return await self._send_generate(call, request_id)
 
--- a/passgate/emulator/memory_clients.py
+++ b/passgate/emulator/memory_clients.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Sequence
+from typing import TypeVar
 
 from passgate.emulator.app import EmulatedApp
 from passgate.emulator.engine import EmulatedEngine, EngineStream
@@ -26,6 +27,8 @@
     OrderResult,
 )
 
+Backend = TypeVar("Backend")
+
 _RESETS = (EndReason.CRASHED, EndReason.REPLACED)
 
 
@@ -176,7 +179,7 @@
         raise BackendUnreachable("connection refused", execution=ExecutionStatus.NOT_RUN)
 
 
-def _found(backend, address: str):
+def _found(backend: Backend | None, address: str) -> Backend:
     if backend is None:
         raise BackendUnreachable(f"nothing listens at {address}", execution=ExecutionStatus.NOT_RUN)
     return backend
--- a/passgate/emulator/parameters.py
+++ b/passgate/emulator/parameters.py
@@ -33,6 +33,15 @@
     """Orders for different models are fenced apart."""
 
 
+class CallKind(enum.StrEnum):
+    """What an interactive call asks for; equal to its plain name."""
+
+    APP = "app"
+    """A call of the application service."""
+    GENERATE = "generate"
+    """Output of a model."""
+
+
 class EngineParameters(_Parameters, frozen=True, kw_only=True):
     """One model engine; step times are assumptions until the users confirm them."""
 
@@ -189,8 +198,7 @@
 
     name: str
     """Identity of the callers, also the prefix of their requests."""
-    kind: str
-    """``app`` or ``generate``."""
+    kind: CallKind
     rate_per_s: float
     model: str = ""
     max_tokens: int = 96
--- a/passgate/emulator/trainer.py
+++ b/passgate/emulator/trainer.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import TypeVar
 
 import msgspec
 
@@ -22,6 +23,8 @@
 from passgate.schema import GenerateRequest
 from passgate.state.lot_types import DeliveredSample, LotRequest, SamplesPage, index_of
 
+Result = TypeVar("Result")
+
 FIRST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 5.0
 
@@ -210,7 +213,7 @@
 
     # --- persistence --------------------------------------------------------------------
 
-    async def _persist(self, call: Callable[[], Awaitable]):
+    async def _persist(self, call: Callable[[], Awaitable[Result]]) -> Result:
         """Repeat a call until it succeeds, as a trainer without its lot can do nothing else."""
         backoff_s = FIRST_BACKOFF_S
         while True:
--- a/tests/test_emulator_callers.py
+++ b/tests/test_emulator_callers.py
@@ -13,7 +13,7 @@
 from passgate.emulator.arrivals import ArrivalStream
 from passgate.emulator.callers import Callers
 from passgate.emulator.expected_output import expected_length, expected_tokens
-from passgate.emulator.parameters import ArrivalParameters, load_deployment
+from passgate.emulator.parameters import ArrivalParameters, CallKind, load_deployment
 from passgate.emulator.trainer import Trainer, as_generate
 from passgate.emulator.world import EmulatedWorld
 from passgate.errors import Overloaded
@@ -253,7 +253,9 @@
 
 
 def call_once(stub: RefusingStub):
-    parameters = ArrivalParameters(name="c", kind="app", rate_per_s=1.0, daily_amplitude=0.0, attempts=3)
+    parameters = ArrivalParameters(
+        name="c", kind=CallKind.APP, rate_per_s=1.0, daily_amplitude=0.0, attempts=3
+    )
 
     async def run():
         world = EmulatedWorld(HUON, 1)
