Let each zone have its own rollout manager, seeded along a chain of zones

Cause: one manager of 1,100 replicas sends all messages of a rollout from one daemon. Ruled out: announcing seeds by gossip, which adds its delay at each zone. A zone whose seed does not come asks the store after 2 s.

--- a/passgate/rollout/hollow_run.py
+++ b/passgate/rollout/hollow_run.py
@@ -53,6 +53,7 @@
                 run.settings,
                 Random(seed + 1),
                 times=run.times,
+                other_zones=run.other_zones_of(role),
             )
             for role in roles
         }
@@ -134,6 +135,14 @@
         """Return what the manager of a role sees."""
         return _Source(self, self._zone_of[role])
 
+    def other_zones_of(self, role: str) -> Callable[[], list[ReplicaView]] | None:
+        """Return what gives the replicas of the other zones, None with one role for all."""
+        zone = self._zone_of[role]
+        if not zone:
+            return None
+        others = [view for view in self.views if view.zone != zone]
+        return lambda: others
+
     def target(self) -> RolloutTarget:
         """Return the target of the hollow model."""
         usable = [version for version in self.published if version not in self.withdrawn]
--- a/passgate/rollout/manager.py
+++ b/passgate/rollout/manager.py
@@ -99,8 +99,14 @@
         random: Random,
         *,
         times: OrderTimes | None = None,
+        other_zones: Callable[[], Iterable[ReplicaView]] | None = None,
         on_progress: Callable[[list[RolloutProgress]], None] | None = None,
     ) -> None:
+        """Make a manager of ``role``; nothing runs before :meth:`start`.
+
+        ``other_zones`` gives the pool's replicas that other zones' managers lead, when
+        each zone has a role of its own.
+        """
         self.role = role
         self.fence = 0
         """Epoch under which this manager leads or led last."""
@@ -113,6 +119,7 @@
         self._random = random
         self._times = times or OrderTimes()
         self._pacer = OrderPacer(self._times)
+        self._other_zones = other_zones
         self._on_progress = on_progress
         self._machine = Machine("rollout")
         self._wake = asyncio.Event()
@@ -238,6 +245,8 @@
         now_s = monotonic_s()
         if now_s >= self._refresh_due_s:
             self._refresh_due_s = now_s + REFRESH_S
+            if self._other_zones is not None:
+                reconciler.observe_other_zones(self._other_zones())
             reconciler.observe_replicas(self._source.replicas(), now_s)
             reconciler.set_targets(self._source.targets(), now_s)
             self._follow_progress(reconciler.progress())
--- a/passgate/rollout/model_rollout.py
+++ b/passgate/rollout/model_rollout.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
+from passgate.rollout.seeds import SeedPlan, seed_plan
 from passgate.rollout.sources import SourceTable
 from passgate.rollout.swap_track import SwapTrack
 from passgate.rollout.types import DistributionSettings, ReplicaView, RolloutProgress, RolloutTarget
@@ -38,6 +39,8 @@
     def __init__(self, model: str, distribution: DistributionSettings, source_attempts: int = 2) -> None:
         self.target = RolloutTarget(model=model, version=0)
         self.tracks: dict[str, SwapTrack] = {}
+        self.other_zones: tuple[ReplicaView, ...] = ()
+        """Replicas of the pool that other zones' managers lead; empty with one manager for all."""
         self.sources = SourceTable(distribution)
         self._distribution = distribution
         self._source_attempts = source_attempts
@@ -65,15 +68,22 @@
         changed = target.version != self.target.version
         self.target = target
         if changed:
-            self.sources = SourceTable(self._distribution)
+            self.sources = SourceTable(self._distribution, self._seed())
         for track in self.tracks.values():
             if changed:
                 self._start_over(track)
             self.refresh(track)
 
+    def _seed(self) -> SeedPlan | None:
+        if not self.other_zones or not self.tracks:
+            return None
+        own = [track.view for track in self.tracks.values()]
+        return seed_plan(self.target.model, self.target.version, own[0].zone, [*own, *self.other_zones])
+
     def _start_over(self, track: SwapTrack) -> None:
         track.attempts = 0
         track.source_failures = 0
+        track.seed_failures = 0
         track.fallback = 0
         self.offer_source(track)
         if track.machine.state == "backing_off":
@@ -116,7 +126,7 @@
             return
         zones = [zone for zone, waiting in self._to_stage.items() if waiting]
         for zone in sorted(zones, key=self.sources.has_any):
-            for track in list(self._to_stage[zone].values()):
+            for track in self._in_order(zone):
                 if not is_free(track.view.replica_id):
                     continue
                 avoid_engines = track.fallback > 0 or track.source_failures >= self._source_attempts
@@ -126,6 +136,13 @@
                 elif not avoid_engines:
                     break
 
+    def _in_order(self, zone: str) -> list[SwapTrack]:
+        """Return the waiting replicas of a zone, the one that shall seed it first."""
+        waiting = self._to_stage[zone]
+        seed = self.sources.seed
+        first = waiting.get(seed.replica_id) if seed is not None and not self.sources.has_any(zone) else None
+        return list(waiting.values()) if first is None else [first]
+
     def is_settled(self) -> bool:
         """Return whether every replica runs the target."""
         return all(track.machine.state == "current" for track in self.tracks.values())
--- a/passgate/rollout/order_sender.py
+++ b/passgate/rollout/order_sender.py
@@ -63,8 +63,10 @@
         mean_s = self._mean_s.get(kind, duration_s)
         self._mean_s[kind] = mean_s + _DURATION_WEIGHT * (duration_s - mean_s)
 
-    def wait_s(self, kind: OrderKind, elapsed_s: float) -> float:
+    def wait_s(self, kind: OrderKind, elapsed_s: float, may_fail_early: bool = False) -> float:
         """Return the time until the next question about an order sent ``elapsed_s`` ago."""
+        if may_fail_early:
+            return max(self._times.shortest_poll_s, self._times.growth * elapsed_s)
         mean_s = self._mean_s.get(kind)
         if mean_s is None:
             return max(self._times.first_poll_s, self._times.growth * elapsed_s)
@@ -115,7 +117,7 @@
             if self._drains(planned):
                 return await self._drained(planned.address, order)
             accepted = None if on_accepted is None else lambda: on_accepted(planned)
-            await self._follow(planned.address, order, self._times.timeout_s, accepted)
+            await self._follow(planned.address, order, self._times.timeout_s, accepted, planned.foreign)
         except OrderRefused as error:
             return self._refused(error)
         except BackendUnreachable as error:
@@ -151,16 +153,18 @@
         order: EngineOrder,
         timeout_s: float,
         accepted: Callable[[], None] | None = None,
+        may_fail_early: bool = False,
     ) -> None:
         sent_s = monotonic_s()
         while not await self._is_done(address, order):
-            if accepted is not None:
+            if accepted is not None and not may_fail_early:
                 accepted()
                 accepted = None
+            may_fail_early = False
             elapsed_s = monotonic_s() - sent_s
             if elapsed_s > timeout_s:
                 raise TimeoutError(order.order_id)
-            await asyncio.sleep(self._pacer.wait_s(order.kind, elapsed_s))
+            await asyncio.sleep(self._pacer.wait_s(order.kind, elapsed_s, accepted is not None))
         self._pacer.observe(order.kind, monotonic_s() - sent_s)
 
     async def _is_done(self, address: str, order: EngineOrder) -> bool:
--- a/passgate/rollout/planned_orders.py
+++ b/passgate/rollout/planned_orders.py
@@ -2,11 +2,29 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from passgate.rollout.swap_track import SwapTrack
 from passgate.rollout.types import PlannedOrder, RolloutTarget
 from passgate.schema import OrderKind
 
 
+class OrderEvents(msgspec.Struct, frozen=True):
+    """Chart events at the start and the good end of an order."""
+
+    start: str
+    end: str
+
+
+ORDER_EVENTS = {
+    OrderKind.STAGE_VERSION: OrderEvents("stage", "staged"),
+    OrderKind.ACTIVATE_VERSION: OrderEvents("activate", "activated"),
+    OrderKind.LOAD_ADAPTER: OrderEvents("activate", "activated"),
+    OrderKind.SET_ROLE: OrderEvents("activate", "activated"),
+}
+"""Events of the chart ``replica_swap`` per kind of order."""
+
+
 def service_order(track: SwapTrack, target: RolloutTarget) -> PlannedOrder:
     """Return the order that may interrupt service: activation, adapter or role."""
     kind = track.next_kind(target)
@@ -29,7 +47,7 @@
     )
 
 
-def stage_order(track: SwapTrack, target: RolloutTarget, source: str) -> PlannedOrder:
+def stage_order(track: SwapTrack, target: RolloutTarget, source: str, foreign: bool = False) -> PlannedOrder:
     """Return the order to fetch weights from ``source`` into spare memory."""
     return PlannedOrder(
         replica_id=track.view.replica_id,
@@ -38,5 +56,6 @@
         model=track.model,
         version=track.goal(target),
         source=source,
+        foreign=foreign,
         attempt=track.order_count,
     )
--- a/passgate/rollout/reconciler.py
+++ b/passgate/rollout/reconciler.py
@@ -26,7 +26,7 @@
 from passgate.rollout.capacity import CapacityLedger
 from passgate.rollout.due_times import DueTimes
 from passgate.rollout.model_rollout import ModelRollout
-from passgate.rollout.planned_orders import service_order, stage_order
+from passgate.rollout.planned_orders import ORDER_EVENTS, service_order, stage_order
 from passgate.rollout.swap_track import SwapTrack
 from passgate.rollout.types import (
     STORE_SOURCE,
@@ -40,21 +40,6 @@
 from passgate.schema import OrderKind
 
 
-class _OrderEvents(msgspec.Struct, frozen=True):
-    """Chart events at the start and the good end of an order."""
-
-    start: str
-    end: str
-
-
-_EVENTS = {
-    OrderKind.STAGE_VERSION: _OrderEvents("stage", "staged"),
-    OrderKind.ACTIVATE_VERSION: _OrderEvents("activate", "activated"),
-    OrderKind.LOAD_ADAPTER: _OrderEvents("activate", "activated"),
-    OrderKind.SET_ROLE: _OrderEvents("activate", "activated"),
-}
-
-
 class Reconciler:
     """All replicas of one pool and the models they run."""
 
@@ -64,6 +49,7 @@
         self._ledger = CapacityLedger(settings.capacity_floor, settings.zone_capacity_floor)
         self._views: dict[str, ReplicaView] = {}
         self._models: dict[str, ModelRollout] = {}
+        self._other_zones: tuple[ReplicaView, ...] = ()
         self._busy: dict[str, PlannedOrder] = {}
         self._doubtful: dict[tuple[str, str], SwapTrack] = {}
         self._silences: Counter[str] = Counter()
@@ -83,6 +69,12 @@
             if self._models[model].target != target:
                 self._models[model].set_target(target)
 
+    def observe_other_zones(self, views: Iterable[ReplicaView]) -> None:
+        """Take the replicas that other zones' managers lead; they may seed this zone."""
+        self._other_zones = tuple(views)
+        for rollout in self._models.values():
+            rollout.other_zones = self._other_zones
+
     def observe_replicas(self, views: Iterable[ReplicaView], now_s: float) -> None:
         """Replace the set of replicas; a new generation or address starts unknown."""
         present = {view.replica_id: view for view in views}
@@ -218,7 +210,7 @@
         if order.kind is not OrderKind.STAGE_VERSION:
             track.attempts = 0
         track.source_failures = 0
-        track.machine.send(_EVENTS[order.kind].end)
+        track.machine.send(ORDER_EVENTS[order.kind].end)
 
     def _in_doubt(self, track: SwapTrack, order: PlannedOrder, now_s: float) -> None:
         """An order that may interrupt service keeps its replica out until a report is read."""
@@ -246,11 +238,16 @@
             self._failed_activation(rollout, track, order, outcome, now_s)
         if outcome is not Outcome.UNREACHABLE:
             self._ledger.set_out(order.replica_id, self._is_out(order.replica_id))
-        self._retries.plan(track.key, now_s + self._backoff_s(track.attempts))
+        delay_s = self._settings.seed_retry_s if order.foreign else self._backoff_s(track.attempts)
+        self._retries.plan(track.key, now_s + delay_s)
 
     def _failed_stage(self, rollout: ModelRollout, track: SwapTrack, order: PlannedOrder) -> None:
         rollout.sources.remove_holder(track.view.address)
-        if track.order_from_partial:
+        if order.foreign:
+            track.seed_failures += 1
+            if track.seed_failures * self._settings.seed_retry_s >= self._settings.seed_patience_s:
+                rollout.sources.use_store_for_seed()
+        elif track.order_from_partial:
             rollout.sources.partial_failed()
         elif order.source != STORE_SOURCE:
             track.source_failures += 1
@@ -297,13 +294,17 @@
             rollout.sources.begin(source, track.view.address, track.view.zone)
             track.order_sources = rollout.sources
             track.order_from_partial = rollout.sources.is_partial(source)
-            orders.append(self._begin(track, stage_order(track, rollout.target, source)))
+            orders.append(
+                self._begin(
+                    track, stage_order(track, rollout.target, source, rollout.sources.is_foreign(source))
+                )
+            )
             rollout.refresh(track)
 
     def _begin(self, track: SwapTrack, order: PlannedOrder) -> PlannedOrder:
         track.order = order
         self._busy[order.replica_id] = order
-        track.machine.send("roll_back" if order.roll_back else _EVENTS[order.kind].start)
+        track.machine.send("roll_back" if order.roll_back else ORDER_EVENTS[order.kind].start)
         return order
 
     def _is_free(self, replica_id: str) -> bool:
@@ -320,6 +321,7 @@
     def _add_model(self, model: str, now_s: float) -> None:
         settings = self._settings
         rollout = ModelRollout(model, settings.distribution, settings.source_attempts)
+        rollout.other_zones = self._other_zones
         self._models[model] = rollout
         for view in self._views.values():
             rollout.add(view)
--- a/passgate/rollout/sources.py
+++ b/passgate/rollout/sources.py
@@ -15,15 +15,20 @@
 
 from __future__ import annotations
 
+import msgspec
+
+from passgate.rollout.seeds import SeedPlan
 from passgate.rollout.types import STORE_SOURCE, DistributionSettings
 
 
 class SourceTable:
     """Holders of one version of one model, with their uploads in progress."""
 
-    def __init__(self, settings: DistributionSettings) -> None:
+    def __init__(self, settings: DistributionSettings, seed: SeedPlan | None = None) -> None:
         self.store_copies = 0
         """Fetches from the store so far, retries included."""
+        self.seed = seed
+        """How the zone gets its first copy, when other zones have managers of their own."""
         self._settings = settings
         self._cut_through = settings.cut_through
         self._partial: set[str] = set()
@@ -59,6 +64,15 @@
         self.add_holder(address, zone)
         return True
 
+    def use_store_for_seed(self) -> None:
+        """Give up waiting for another zone's seed."""
+        if self.seed is not None:
+            self.seed = msgspec.structs.replace(self.seed, source=STORE_SOURCE)
+
+    def is_foreign(self, source: str) -> bool:
+        """Return whether a source belongs to another zone's manager."""
+        return self.seed is not None and source == self.seed.source != STORE_SOURCE
+
     def is_partial(self, address: str) -> bool:
         """Return whether a source still fetches itself."""
         return address in self._partial
@@ -116,6 +130,8 @@
         own = self._first_free(address, zone)
         if own is not None:
             return own
+        if self.is_foreign(self._seed_source()):
+            return None if self.has_any(zone) else self._seed_source()
         if self._store_free() and self.store_copies < self._settings.max_store_copies:
             return STORE_SOURCE
         if self._must_use_store():
@@ -126,6 +142,9 @@
         found = (self._first_free(address, other) for other in zones)
         return next((source for source in found if source is not None), None)
 
+    def _seed_source(self) -> str:
+        return STORE_SOURCE if self.seed is None else self.seed.source
+
     def _first_free(self, address: str, zone: str) -> str | None:
         free = self._free.get(zone, ())
         return next((source for source in free if not self._depends_on(source, address)), None)
@@ -146,12 +165,17 @@
         """No engine holds or fetches the version, so only the store can start over."""
         return self._store_free() and not self._zone_of and not any(self._fetching.values())
 
+    def _reserved(self, address: str) -> int:
+        """Return the uploads kept free for the next zone's seed."""
+        reserves = self.seed is not None and self.seed.serves_next_zone and address == self.seed.address
+        return int(reserves and self._settings.fan_out > 1)
+
     def _update(self, address: str) -> None:
         zone = self._zone_of.get(address)
         if zone is None:
             return
         free = self._free.setdefault(zone, {})
-        if self._uploads.get(address, 0) < self._settings.fan_out:
+        if self._uploads.get(address, 0) + self._reserved(address) < self._settings.fan_out:
             free.setdefault(address)
         else:
             free.pop(address, None)
--- a/passgate/rollout/swap_track.py
+++ b/passgate/rollout/swap_track.py
@@ -61,6 +61,8 @@
         """When an order under the present fence last proved ``active``."""
         self.order: PlannedOrder | None = None
         """The order in flight."""
+        self.seed_failures = 0
+        """Failed fetches from another zone's seed."""
         self.order_from_partial = False
         """The stage in flight fetches from an engine that still fetches itself."""
         self.order_sources: SourceTable | None = None
--- a/passgate/rollout/types.py
+++ b/passgate/rollout/types.py
@@ -75,6 +75,9 @@
     """Start no activation before every healthy replica has staged; for baselines only."""
     retry_base_s: float = 0.25
     retry_max_s: float = 15.0
+    seed_retry_s: float = 0.1
+    seed_patience_s: float = 2.0
+    """Time to wait for another zone's seed before the store is asked."""
     swap_attempts: int = 2
     """Failed activations after which the previous version is put back."""
     keeps_previous: bool = False
@@ -101,6 +104,8 @@
     argument: str = ""
     attempt: int = 0
     roll_back: bool = False
+    foreign: bool = False
+    """Fetches from an engine of another zone's manager, which may not be ready yet."""
     confirms: bool = False
     """The engine reported this version already; the order proves it under the fence."""
 
--- a/tests/test_rollout_manager.py
+++ b/tests/test_rollout_manager.py
@@ -10,6 +10,7 @@
 from passgate.errors import OrderRefused
 from passgate.rollout.hollow_fleet import HollowSettings
 from passgate.rollout.hollow_run import ROLE, HollowRun, make_views
+from passgate.rollout.seeds import seed_chain
 from passgate.rollout.types import RolloutSettings
 from passgate.schema import EngineOrder, OrderKind
 
@@ -223,6 +224,30 @@
     simulate(scenario, hollow=HollowSettings(cut_through=False))
 
 
+def test_zone_managers_share_one_store_copy():
+    async def scenario(run):
+        assert len(run.leaders()) == 3
+        run.publish(2)
+        await run.until_settled(LIMIT_S)
+        assert run.fleet.count_on(2) == 24
+        assert run.store.fetches == 1
+
+    simulate(scenario, replicas=24, by_zone=True)
+
+
+def test_zone_whose_seed_does_not_come_asks_the_store():
+    async def scenario(run):
+        first = seed_chain("m", 2, run.views)[0]
+        run.fleet.cut_zones.add(first.zone)
+        run.publish(2)
+        await run.until_on(2, LIMIT_S, share=2 / 3)
+        assert run.store.fetches <= 2
+        run.fleet.cut_zones.clear()
+        await run.until_settled(LIMIT_S)
+
+    simulate(scenario, replicas=24, by_zone=True)
+
+
 def test_slow_store_is_asked_for_few_copies():
     async def scenario(run):
         run.publish(2)
