--- a/passgate/check/simulation/run.py
+++ b/passgate/check/simulation/run.py
@@ -30,7 +30,9 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.emulator.callers import Callers
 from passgate.emulator.ledger import RunLedger, RunRecord
+from passgate.emulator.trainer import Trainer
 from passgate.emulator.world import SERVICE_LABEL, EmulatedWorld
+from passgate.errors import PassgateError
 from passgate.membership.memory_transport import LinkDelays, MemoryNetwork
 from passgate.schema import MachineInfo, MachineRole, MachineState
 from passgate.state.configuration import ConfigurationService
@@ -184,7 +186,7 @@
         seed = self.schedule.seed
         callers = Callers(self.world.parameters, self._service_for, self.world.publish, seed, self.record)
         steps = self.limits.trainer_steps
-        trainers = [asyncio.ensure_future(trainer.run(steps)) for trainer in callers.trainers]
+        trainers = [asyncio.ensure_future(self._train(trainer, steps)) for trainer in callers.trainers]
         operators = [
             self.spawn(RacingOperator(name, self.processes, self.world.random(name), self.record).run())
             for name in (f"operator-{number}" for number in range(OPERATORS))
@@ -204,6 +206,18 @@
         await asyncio.gather(*trainers, return_exceptions=True)
         self._abandon_lots_ahead()
 
+    async def _train(self, trainer: Trainer, steps: int) -> None:
+        """Let a trainer do its steps, and see to it that its last weights are announced."""
+        await trainer.run(steps)
+        service = self._service_for(trainer.parameters.name)
+        while True:
+            try:
+                await service.publish_version(trainer.parameters.model, trainer.version)
+            except PassgateError as error:
+                await asyncio.sleep(error.retry_after_s or READY_POLL_S)
+            else:
+                return
+
     def _slow_trainer(self, callers: Callers) -> SlowTrainer:
         return SlowTrainer(
             self._service_for(slow_trainer.NAME),
