--- a/passgate/lab/control_records.py
+++ b/passgate/lab/control_records.py
@@ -15,7 +15,7 @@
 
     @classmethod
     def of(cls, times_s: list[float]) -> Percentiles:
-        """Return the nearest-rank percentiles of ``times_s``; zeros when there are none."""
+        """Return percentiles, the upper of the two nearest ranks; zeros without any times."""
         ranked = sorted(times_s)
         if not ranked:
             return cls(count=0, p50_s=0.0, p99_s=0.0, maximum_s=0.0)
@@ -49,8 +49,7 @@
     cpu_share: float
     """Processor seconds per second and daemon; hollow ones include the simulation."""
     memory_mb: float
-    """Growth of the process per daemon, 0 where it reused memory of an earlier run; whole process
-    for ``tcp``."""
+    """Growth of the process per daemon; whole process for ``tcp``."""
     false_deaths: int
 
 
--- a/passgate/lab/control_scale.py
+++ b/passgate/lab/control_scale.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import multiprocessing
 import sys
 import time
 from collections.abc import Coroutine, Iterator
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 import msgspec
@@ -78,12 +80,23 @@
     costs: list[ControlCost] = []
     for load in ("calm", "busy"):
         for size in sizes:
-            cost = _virtual(control_cost.measure_cost(size, seconds, load, seed))
+            cost = _in_fresh_process(size, seconds, load, seed)
             costs.append(cost)
             yield cost
         yield from control_cost.fit(costs, load)
 
 
+def _in_fresh_process(size: int, seconds: float, load: str, seed: int) -> ControlCost:
+    # Memory that an earlier measurement freed would hide the growth of this one.
+    spawn = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(max_workers=1, mp_context=spawn) as pool:
+        return pool.submit(_measure_cost, size, seconds, load, seed).result()
+
+
+def _measure_cost(size: int, seconds: float, load: str, seed: int) -> ControlCost:
+    return _virtual(control_cost.measure_cost(size, seconds, load, seed))
+
+
 def _virtual(measurement: Coroutine[None, None, Result]) -> Result:
     loop = new_virtual_loop()
     try:
