Configure rollouts per pool: adapters, engine role, floors, roles by zone

Cause: adapters and role changes must go the same path as weights, and large pools need one role per zone.

--- a/passgate/state/specs.py
+++ b/passgate/state/specs.py
@@ -20,9 +20,25 @@
 
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
 AtLeastOne = Annotated[int, Meta(ge=1)]
 
 
+class RolloutSpec(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How new weights, adapters and roles reach the engines of a pool."""
+
+    adapters: tuple[str, ...] = ()
+    """Adapters that each engine loads after its weights, in this order."""
+    engine_role: str = ""
+    """Role that each engine takes, such as ``prefill``; empty leaves it as it is."""
+    by_zone: bool = False
+    """One daemon per zone orders the zone's engines, instead of one for all."""
+    capacity_floor: Share = 0.75
+    """Share of the healthy engines that keep serving during a rollout."""
+    zone_capacity_floor: Share = 0.5
+    """The same within each zone."""
+
+
 class PoolSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A set of replicas that serve one model or one application service."""
 
@@ -37,6 +53,7 @@
     """Most requests of this pool that wait in one daemon."""
     default_deadline_s: Positive = 600.0
     """Deadline of requests that name none, seconds after arrival."""
+    rollout: RolloutSpec = RolloutSpec()
 
 
 class ModelVersionSpec(msgspec.Struct, frozen=True, kw_only=True):
