--- a/passgate/rollout/scale.py
+++ b/passgate/rollout/scale.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import cProfile
+import logging
 import pstats
 import sys
 import time
@@ -88,6 +89,7 @@
     store_copies: int
     store_bytes: int
     manager_cpu_s: float
+    """Processor time of the rollout code under the profiler; 0 for runs with a fault."""
     call_cpu_s: float
     """Messages times the measured cost of a real call."""
     core_share_of_leader: float
@@ -294,8 +296,9 @@
     """
     sizes = [replicas] if isinstance(replicas, int) else [int(size) for size in replicas]
     results = []
+    logging.disable(logging.INFO)
     for case in cases(sizes, **overrides):
-        results.append(simulate(case, with_profile=True))
+        results.append(simulate(case, with_profile=case.fault == "none"))
         print(msgspec.json.encode(results[-1]).decode(), flush=True)
     lines = [msgspec.json.encode(item).decode() for item in [*results, *slopes(results)]]
     if out:
