--- a/passgate/capacity/measured.py
+++ b/passgate/capacity/measured.py
@@ -21,6 +21,7 @@
 STATE_FILE = "state-cost.jsonl"
 CLIENT_FILE = "client-cost.jsonl"
 OVERHEAD_FILE = "overhead.jsonl"
+LOT_FILE = "lot-step.jsonl"
 
 
 class Line(msgspec.Struct, frozen=True):
@@ -61,6 +62,7 @@
     state: tuple[dict[str, Any], ...]
     client: tuple[dict[str, Any], ...]
     overhead: tuple[dict[str, Any], ...]
+    lots: tuple[dict[str, Any], ...]
 
     # --- control plane ------------------------------------------------------------
 
@@ -103,6 +105,13 @@
                 return row[field]
         raise SettingsError(f"no {measure} {matching}", file=STATE_FILE)
 
+    def lot_step(self, samples: int) -> dict[str, Any]:
+        """Return the measured cost of a lot of one size."""
+        for row in self.lots:
+            if row["samples"] == samples:
+                return row
+        raise SettingsError(f"no lot of {samples} samples", file=LOT_FILE)
+
     def client_value(self, name: str, field: str) -> float:
         """Return one figure of the HTTP clients."""
         for row in self.client:
@@ -120,6 +129,7 @@
         state=tuple(_rows(folder / STATE_FILE, dict)),
         client=tuple(_rows(folder / CLIENT_FILE, dict)),
         overhead=tuple(_rows(folder / OVERHEAD_FILE, dict)),
+        lots=tuple(_rows(folder / LOT_FILE, dict)),
     )
 
 
--- a/passgate/capacity/roles.py
+++ b/passgate/capacity/roles.py
@@ -51,7 +51,7 @@
         _load_reports(measured, target),
         _leases(measured, target),
         _rollout(measured, target),
-        _lot_keeper(measured, target, assumed),
+        _lot_keeper(measured, target),
         _claims(measured, target, assumed),
         _requests(measured, target, assumed),
     ]
@@ -170,26 +170,23 @@
     return max(results, key=lambda row: (row["case"]["replicas"], -row["seconds_to_all"]))
 
 
-def _lot_keeper(measured: Measured, target: TargetSize, assumed: Assumptions) -> RoleCost:
-    record = measured.record("sample_committed")
+def _lot_keeper(measured: Measured, target: TargetSize) -> RoleCost:
+    step = measured.lot_step(target.samples_per_step)
     rate = target.samples_per_lot_s()
-    tokens = assumed.sample_tokens
-    fold_us, size = record.fold_us.at(tokens), record.log_bytes.at(tokens)
-    slot_bytes = record.memory_bytes.at(tokens)
-    proposal_us = measured.state_value("proposal", "proposal_us", concurrent=16)
     return RoleCost(
-        role="lot keeper (one lot)",
+        role="lot keeper and reader (one lot)",
         kind=RoleKind.WORK,
-        state_bytes=slot_bytes * target.samples_per_step,
+        state_bytes=step["memory_bytes_per_slot"] * target.samples_per_step,
         messages_per_s=rate,
-        bytes_per_s=2 * rate * size,
-        core_share=rate * (fold_us + proposal_us) / _US_PER_S,
+        bytes_per_s=2 * rate * step["log_bytes_per_sample"],
+        core_share=rate * step["cpu_us_per_sample"] / _US_PER_S,
         worked=(
-            f"{rate:.1f} samples/s × ({fold_us:.0f} + {proposal_us:.0f}) µs; {size:.0f} B each, appended and "
-            f"read back; {slot_bytes:.0f} B a slot × {target.samples_per_step:,}; samples of {tokens} tokens"
+            f"{rate:.1f} samples/s × {step['cpu_us_per_sample']:.0f} µs; {step['log_bytes_per_sample']:.0f} B "
+            f"of log each, appended and read back; {step['memory_bytes_per_slot']:.0f} B a slot × "
+            f"{target.samples_per_step:,}; samples of {step['sample_tokens']} tokens"
         ),
         mechanism="one stream per lot, keeper under an epoch, first commit wins, hand-over before bytes",
-        command="python -m passgate.state.cost",
+        command="python -m passgate.capacity.lot_step",
     )
 
 
