Let peers tell of changes before the log in the pull test

Cause: without the wait for the log the test still passed, since the in-memory log was faster than news. Now it fails without LOG_GRACE_S (peers were asked) and passes with it.

--- a/tests/test_membership_configuration.py
+++ b/tests/test_membership_configuration.py
@@ -50,6 +50,9 @@
 
 def test_peers_are_not_asked_while_the_log_brings_changes():
     async def scenario(cluster):
+        # Peers tell of a change sooner than these daemons' log clients bring it.
+        for daemon in cluster.daemons[1:]:
+            daemon.log.latency_s = 0.3
         for number in range(5):
             await change(cluster.daemons[0], number)
             await asyncio.sleep(2.0)
