Send oversized news alone and refuse numbers out of range

Cause: metadata larger than news_bytes was never sent and kept the news queue busy for ever; a counter of 2**64 from a faulty peer would break the encoder at the first refutation. Gossip without news is no longer sent.

--- a/passgate/membership/messages.py
+++ b/passgate/membership/messages.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -28,6 +29,11 @@
 STATE_RANK = {MemberState.ALIVE: 0, MemberState.SUSPECT: 1, MemberState.DEAD: 2, MemberState.LEFT: 3}
 """At one incarnation the state with the higher rank wins a merge."""
 
+COUNTER_MAXIMUM = 2**53
+"""Larger numbers from a faulty peer are refused, since not every JSON library keeps them."""
+
+Counter = Annotated[int, msgspec.Meta(ge=0, le=COUNTER_MAXIMUM)]
+
 Metadata = dict[str, str]
 """Small values that a member publishes about itself."""
 
@@ -57,10 +63,10 @@
     """A member is alive under an incarnation; only the member itself starts this news."""
 
     member_id: str
-    incarnation: int
+    incarnation: Counter
     address: str
     zone: str
-    metadata_version: int = 0
+    metadata_version: Counter = 0
     metadata: Metadata = {}
 
 
@@ -68,7 +74,7 @@
     """``accuser`` got no answer from a member."""
 
     member_id: str
-    incarnation: int
+    incarnation: Counter
     accuser: str
 
 
@@ -76,19 +82,19 @@
     """A suspicion ran out without refutation."""
 
     member_id: str
-    incarnation: int
+    incarnation: Counter
 
 
 class LeftNews(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """A member announced that it leaves."""
 
     member_id: str
-    incarnation: int
+    incarnation: Counter
 
 
 News = AliveNews | SuspectNews | DeadNews | LeftNews
 
-Held = dict[str, int]
+Held = dict[str, Counter]
 """Named revisions that the sender itself holds, for example of the configuration."""
 
 # --- messages ---------------------------------------------------------------------------
--- a/passgate/membership/news_queue.py
+++ b/passgate/membership/news_queue.py
@@ -71,14 +71,17 @@
             entry.sent += 1
 
     def take(self, members: int, maximum_bytes: int) -> tuple[News, ...]:
-        """Return the least-sent news that fit into ``maximum_bytes`` and count them as sent."""
+        """Return the least-sent news that fit into ``maximum_bytes`` and count them as sent.
+
+        A single larger piece goes alone, so that none waits for ever.
+        """
         if not self._entries:
             return ()
         chosen: list[News] = []
         left_bytes = maximum_bytes
         limit = self.limit(members)
         for member_id, entry in sorted(self._entries.items(), key=_sent):
-            if entry.size_bytes > left_bytes:
+            if chosen and entry.size_bytes > left_bytes:
                 continue
             left_bytes -= entry.size_bytes
             chosen.append(entry.news)
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -366,9 +366,14 @@
 
     def _gossip(self, now_s: float) -> list[Outgoing]:
         self._next_gossip_s = now_s + self._config.gossip_period_s
+        telling_held = self._held_rounds > 0
         self._held_rounds = max(0, self._held_rounds - 1)
-        peers = self._targets.gossip(self._config.gossip_fanout)
-        return [Outgoing(peer.address, Gossip(self._take_news(), self._held.own)) for peer in peers]
+        out = []
+        for peer in self._targets.gossip(self._config.gossip_fanout):
+            news = self._take_news()
+            if news or telling_held:
+                out.append(Outgoing(peer.address, Gossip(news, self._held.own)))
+        return out
 
     def _ask_seeds(self, now_s: float) -> list[Outgoing]:
         self._next_join_s = self._later(now_s, self._config.join_retry_s)
--- a/tests/test_membership_swim.py
+++ b/tests/test_membership_swim.py
@@ -1,5 +1,6 @@
 from random import Random
 
+import msgspec
 import pytest
 
 from passgate.membership.config import MembershipConfig
@@ -16,6 +17,7 @@
     PingRequest,
     SuspectNews,
     SyncDigest,
+    decode_message,
 )
 from passgate.membership.swim import Swim
 
@@ -232,3 +234,21 @@
     assert swim._suspicions.doubtful_zones() == doubtful
     swim.receive("b:1", Gossip((AliveNews("far3", 1, "far3:1", "zone-3"),)), 0.0)
     assert swim._suspicions.doubtful_zones() == frozenset()
+
+
+def test_oversized_metadata_is_still_told_and_then_given_up():
+    swim = make(config=MembershipConfig(news_bytes=200))
+    introduce(swim, "b")
+    swim.set_metadata("note", "x" * 500)
+    out = run_until(swim, 0.0, 30.0)
+    told = [news for item in out for news in getattr(item.message, "news", ()) if news.member_id == "a"]
+    assert any(news.metadata for news in told)
+    assert len(told) <= 12
+
+
+def test_numbers_that_would_break_later_arithmetic_are_refused():
+    with pytest.raises(msgspec.MsgspecError):
+        decode_message(b'["g",[["d","b",%d]]]' % 2**64)
+    with pytest.raises(msgspec.MsgspecError):
+        decode_message(b'["g",[["d","b",-1]]]')
+    assert decode_message(b'["g",[["d","b",7]]]') == Gossip((DeadNews("b", 7),))
