--- a/passgate/capacity/roles.py
+++ b/passgate/capacity/roles.py
@@ -181,8 +181,9 @@
         bytes_per_s=2 * rate * step["log_bytes_per_sample"],
         core_share=rate * step["cpu_us_per_sample"] / _US_PER_S,
         worked=(
-            f"{rate:.1f} samples/s × {step['cpu_us_per_sample']:.0f} µs; {step['log_bytes_per_sample']:.0f} B "
-            f"of log each, appended and read back; {step['memory_bytes_per_slot']:.0f} B a slot × "
+            f"{rate:.1f} samples/s × {step['cpu_us_per_sample']:.0f} µs; "
+            f"{step['log_bytes_per_sample']:.0f} B of log each, appended and read back; "
+            f"{step['memory_bytes_per_slot']:.0f} B a slot × "
             f"{target.samples_per_step:,}; samples of {step['sample_tokens']} tokens"
         ),
         mechanism="one stream per lot, keeper under an epoch, first commit wins, hand-over before bytes",
