--- a/passgate/check/cli.py
+++ b/passgate/check/cli.py
@@ -47,6 +47,12 @@
     code = "schedules_broken"
 
 
+class MistakesMissed(VerificationFailed):
+    """Simulated runs did not find a mistake that was seeded on purpose."""
+
+    code = "mistakes_missed"
+
+
 class CheckCommands:
     """Model checking of the core protocol and history checking of runs."""
 
@@ -95,6 +101,22 @@
                 print(_excerpt(found))
             raise HistoryBroken(found.message, promise=found.promise, rule=found.rule)
 
+    def replay(
+        self, seed: int = 0, only: str = "", schedule: str = "", smallest: bool = False, history: str = ""
+    ) -> None:
+        """Run the simulated schedule of a seed or file again and judge it.
+
+        Args:
+            seed: seed of a campaign.
+            only: kind of fault that the campaign was limited to.
+            schedule: file with a schedule as JSON, instead of a seed.
+            smallest: leave out faults as long as the run still fails.
+            history: file to write the run's history to.
+        """
+        from passgate.check.replay import ReplayCommands
+
+        ReplayCommands().schedule(seed, only, schedule, smallest, history)
+
     def schedules(
         self,
         seeds: int = 100,
@@ -130,6 +152,37 @@
         if summary.failed_seeds:
             raise SchedulesBroken(f"{len(summary.failed_seeds)} of {summary.runs} runs failed")
 
+    def mistakes(self, runs: int = 20, json: bool = False) -> None:
+        """Show that simulated runs find each mistake seeded in the running code.
+
+        Args:
+            runs: most runs for one mistake.
+            json: print one JSON line per mistake.
+        """
+        from passgate.check.simulation import seeded_mistakes
+
+        missed = []
+        for mistake in seeded_mistakes.MISTAKES:
+            result = seeded_mistakes.find(mistake, runs)
+            line = f"{result.name:24} {result.promise:15} run {result.runs:3}  {result.message}"
+            _show(json, result, line)
+            if not result.found:
+                missed.append(result.name)
+        if missed:
+            raise MistakesMissed(f"not found in {runs} runs: {', '.join(missed)}")
+
+    def recovery(self, seeds: int = 3, json: bool = False) -> None:
+        """Measure the virtual time from each fault to normal service.
+
+        Args:
+            seeds: runs for each fault.
+            json: print one JSON line per fault and service.
+        """
+        from passgate.check.simulation import recovery
+
+        for result in recovery.measure(seeds):
+            _show(json, result, recovery.line(result))
+
 
 @contextlib.contextmanager
 def _progress(total: int) -> Iterator[Callable[[], None]]:
--- /dev/null
+++ b/passgate/check/simulation/recovery.py
@@ -0,0 +1,197 @@
+"""Virtual time from a fault to normal service, seen by steady probes.
+
+Probes of four services run side by side through all daemons: a call to an
+application, a generated answer, a lot of one sample and a configuration change.
+Service is normal again from the first probe after the fault since which none has
+failed or taken longer than its limit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+
+import msgspec
+
+from passgate.check.simulation.run import RunLimits, SimulatedRun
+from passgate.check.simulation.schedule import APPS, DAEMONS, ENGINES, AnyScheduledFault, DaemonKill, Schedule
+from passgate.check.simulation.service import SimulatedService
+from passgate.clock import monotonic_s, run_virtual
+from passgate.emulator.faults import AppCrash, EngineCrash, LogOutage, ZoneCut
+from passgate.errors import PassgateError
+from passgate.records import PromptSpec
+from passgate.schema import AppRequest, GenerateRequest
+from passgate.state.lot_types import LotRequest
+
+FAULT_AT_S = 10.0
+WATCHED_S = 60.0
+PROBE_PERIOD_S = 0.25
+RESTART_S = 2.0
+ENGINE_RESTART_S = 5.0
+OUTAGE_S = 10.0
+PROBE_DEADLINE_S = 20.0
+
+SLOWEST_NORMAL_S = {"app": 0.5, "generate": 1.5, "lot": 3.0, "configuration": 0.5}
+"""A probe that takes longer is not normal service."""
+
+SCENARIOS: dict[str, tuple[AnyScheduledFault, ...]] = {
+    "one daemon killed": (DaemonKill(at_s=FAULT_AT_S, daemons=DAEMONS[:1], restart_after_s=RESTART_S),),
+    "one zone lost": (
+        DaemonKill(at_s=FAULT_AT_S, daemons=DAEMONS[:1], restart_after_s=OUTAGE_S),
+        ZoneCut(FAULT_AT_S, "a", OUTAGE_S),
+        EngineCrash(FAULT_AT_S, ENGINES[0], OUTAGE_S),
+        EngineCrash(FAULT_AT_S, ENGINES[3], OUTAGE_S),
+        AppCrash(FAULT_AT_S, APPS[0], OUTAGE_S),
+    ),
+    "one zone cut off": (ZoneCut(FAULT_AT_S, "a", OUTAGE_S),),
+    "all daemons killed": (DaemonKill(at_s=FAULT_AT_S, daemons=DAEMONS, restart_after_s=RESTART_S),),
+    "one engine crashed": (EngineCrash(FAULT_AT_S, ENGINES[1], ENGINE_RESTART_S),),
+    "log down": (LogOutage(FAULT_AT_S, OUTAGE_S),),
+    "log down, hanging": (LogOutage(FAULT_AT_S, OUTAGE_S, True),),
+}
+
+
+class RecoveryResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Recovery of one service after one fault, over some seeds; seconds from the fault's begin."""
+
+    fault: str
+    service: str
+    fault_lasts_s: float
+    probes: int
+    abnormal: int
+    """Probes that failed or were slow after the fault."""
+    recovered_s: tuple[float, ...]
+    """One figure per seed; 0 when no probe was abnormal."""
+
+
+class _Probe(msgspec.Struct, frozen=True):
+    service: str
+    started_s: float
+    normal: bool
+
+
+def measure(seeds: int) -> Iterator[RecoveryResult]:
+    """Yield the results of every scenario and service."""
+    for name, faults in SCENARIOS.items():
+        runs = [
+            run_virtual(_RecoveryRun(Schedule(seed=seed, faults=faults)).probes()) for seed in range(seeds)
+        ]
+        for service in SLOWEST_NORMAL_S:
+            yield _result(name, faults, service, runs)
+
+
+def line(result: RecoveryResult) -> str:
+    """Return a result as one line of a table."""
+    times = " ".join(f"{seconds:6.2f}" for seconds in result.recovered_s)
+    return (
+        f"{result.fault:20} lasts {result.fault_lasts_s:4.1f} s  {result.service:14} "
+        f"recovered after {times} s  abnormal {result.abnormal}/{result.probes}"
+    )
+
+
+def _result(
+    name: str, faults: tuple[AnyScheduledFault, ...], service: str, runs: list[list[_Probe]]
+) -> RecoveryResult:
+    chosen = [[probe for probe in probes if probe.service == service] for probes in runs]
+    return RecoveryResult(
+        fault=name,
+        service=service,
+        fault_lasts_s=max(_lasts_s(fault) for fault in faults),
+        probes=sum(map(len, chosen)),
+        abnormal=sum(not probe.normal for probes in chosen for probe in probes),
+        recovered_s=tuple(_recovered_s(probes) for probes in chosen),
+    )
+
+
+def _lasts_s(fault: AnyScheduledFault) -> float:
+    return getattr(fault, "duration_s", None) or getattr(fault, "restart_after_s", 0.0)
+
+
+def _recovered_s(probes: list[_Probe]) -> float:
+    """Return the seconds from the fault to the first probe since which all are normal."""
+    abnormal = [probe.started_s for probe in probes if not probe.normal]
+    if not abnormal:
+        return 0.0
+    later = [probe.started_s for probe in probes if probe.started_s > max(abnormal)]
+    return round(min(later, default=WATCHED_S) - FAULT_AT_S, 2)
+
+
+class _RecoveryRun(SimulatedRun):
+    """A simulated run whose callers are probes."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        super().__init__(schedule, RunLimits())
+        self._probes: list[_Probe] = []
+        self._begin_s = 0.0
+
+    async def probes(self) -> list[_Probe]:
+        """Run to the end and return the probes that started after the fault."""
+        await self.run()
+        return [probe for probe in self._probes if probe.started_s >= FAULT_AT_S - PROBE_DEADLINE_S]
+
+    async def _work(self) -> None:
+        self._begin_s = monotonic_s()
+        service = self._service_for("probes")
+        model = self.world.parameters.engines.models[0]
+        self.faults.start(self.schedule.faults)
+        open_probes = []
+        number = 0
+        while monotonic_s() < self._begin_s + WATCHED_S:
+            number += 1
+            for name, call in _calls(service, model.name, number).items():
+                open_probes.append(asyncio.ensure_future(self._probe(name, call)))
+            await asyncio.sleep(PROBE_PERIOD_S)
+        await asyncio.gather(*open_probes)
+
+    async def _probe(self, name: str, call: Callable[[], Awaitable[object]]) -> None:
+        started_s = monotonic_s()
+        try:
+            async with asyncio.timeout(PROBE_DEADLINE_S):
+                await call()
+            failed = False
+        except (PassgateError, TimeoutError):
+            failed = True
+        is_normal = not failed and monotonic_s() - started_s <= SLOWEST_NORMAL_S[name]
+        self._probes.append(_Probe(name, started_s - self._begin_s, is_normal))
+
+
+def _calls(service: SimulatedService, model: str, number: int) -> dict[str, Callable[[], Awaitable[object]]]:
+    """Return one call for each service."""
+    app = AppRequest(
+        request_id=f"probe-{number}",
+        caller="probe",
+        pool="app",
+        method="POST",
+        path="/",
+        body=b"{}",
+        deadline_s=monotonic_s() + PROBE_DEADLINE_S,
+    )
+    generate = GenerateRequest(
+        request_id=f"probe-{number}",
+        caller="probe",
+        pool=model,
+        model=model,
+        prompt=(number,),
+        max_tokens=16,
+        priority_class="interactive",
+        deadline_s=monotonic_s() + PROBE_DEADLINE_S,
+    )
+    return {
+        "app": lambda: service.call_app(app),
+        "generate": lambda: service.generate(generate),
+        "lot": lambda: _collect(service, model, f"probe-{number}"),
+        "configuration": lambda: service.change_class("probe"),
+    }
+
+
+async def _collect(service: SimulatedService, model: str, lot_id: str) -> None:
+    prompts = (PromptSpec(prompt=(1, 2), max_tokens=8),)
+    request = LotRequest(caller="probe", pool=model, model=model, staleness_bound=1, prompts=prompts)
+    await service.open_lot(request, lot_id)
+    cursor = 0
+    while True:
+        page = await service.read_lot(lot_id, cursor, 1, PROBE_DEADLINE_S, 0)
+        cursor = page.next_cursor
+        if page.samples:
+            await service.acknowledge(lot_id, [page.samples[0].sample_id])
+            return
--- a/passgate/check/simulation/service.py
+++ b/passgate/check/simulation/service.py
@@ -18,7 +18,7 @@
 from passgate.server.options import request_digest
 from passgate.state.claims import ClaimOutcome
 from passgate.state.lot_types import LotRequest, SamplesPage
-from passgate.state.specs import ModelVersionSpec
+from passgate.state.specs import ModelVersionSpec, PriorityClassSpec
 
 DURABILITY_TIMEOUT_S = 5.0
 OK_STATUS = 200
@@ -99,6 +99,10 @@
         """Announce weights that are in the weight store."""
         await self._call(lambda p: _publish(p, model, version))
 
+    async def change_class(self, name: str) -> None:
+        """Put a priority class without a condition, as an operator's probe does."""
+        await self._call(lambda p: _put_class(p, name))
+
     # --- connections --------------------------------------------------------------------
 
     def _next(self) -> SimulatedProcess:
@@ -188,6 +192,11 @@
     return await asyncio.shield(process.daemon.context.gate.detach(claims))
 
 
+async def _put_class(process: SimulatedProcess, name: str) -> None:
+    spec = PriorityClassSpec()
+    await process.parts.configuration.put("PriorityClass", name, {}, spec, None, DURABILITY_TIMEOUT_S)
+
+
 async def _publish(process: SimulatedProcess, model: str, version: int) -> None:
     spec = ModelVersionSpec(model=model, version=version)
     await process.parts.configuration.put(
