Tell a member held as dead so when it pings

Cause: a daemon that woke after it was declared dead learnt it only by the next comparison of tables, up to 16 s later. Now the answer to its first ping says so and it refutes. The test fails without the change.

--- a/passgate/membership/probes.py
+++ b/passgate/membership/probes.py
@@ -28,9 +28,15 @@
     helper_answers: int = 0
 
 
+class Origin(msgspec.Struct, frozen=True):
+    """Who asked for a relayed probe, and under which sequence."""
+
+    address: str
+    sequence: int
+
+
 class _Relay(msgspec.Struct):
-    origin_address: str
-    origin_sequence: int
+    origin: Origin
     deadline_s: float
 
 
@@ -39,8 +45,8 @@
 
     unanswered_directly: list[Probe]
     failed: list[Probe]
-    nacks: list[tuple[str, int]]
-    """Address and sequence of requesters whose target did not answer us."""
+    nacks: list[Origin]
+    """Requesters whose target did not answer us."""
 
 
 class Prober:
@@ -70,16 +76,16 @@
         self._sequence += 1
         if len(self._relays) < MAXIMUM_RELAYS:
             deadline_s = now_s + self._config.probe_timeout_s
-            self._relays[self._sequence] = _Relay(origin_address, origin_sequence, deadline_s)
+            self._relays[self._sequence] = _Relay(Origin(origin_address, origin_sequence), deadline_s)
         return self._sequence
 
-    def answered(self, sequence: int) -> tuple[str, int] | None:
-        """Note an answer; return address and sequence of the requester when it was relayed."""
+    def answered(self, sequence: int) -> Origin | None:
+        """Note an answer; return the requester when the probe was relayed."""
         if self._probes.pop(sequence, None) is not None:
             self._health.better()
             return None
         relay = self._relays.pop(sequence, None)
-        return None if relay is None else (relay.origin_address, relay.origin_sequence)
+        return None if relay is None else relay.origin
 
     def helper_answered(self, sequence: int) -> None:
         """Note that a helper is healthy although the target did not answer it."""
@@ -110,7 +116,7 @@
         for sequence, relay in list(self._relays.items()):
             if now_s >= relay.deadline_s:
                 del self._relays[sequence]
-                due.nacks.append((relay.origin_address, relay.origin_sequence))
+                due.nacks.append(relay.origin)
         return due
 
     def _judge_self(self, probe: Probe) -> None:
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -243,7 +243,7 @@
 
     def _finish_probes(self, now_s: float) -> list[Outgoing]:
         due = self._prober.take_due(now_s)
-        out = [Outgoing(address, Nack(sequence)) for address, sequence in due.nacks]
+        out = [Outgoing(origin.address, Nack(origin.sequence)) for origin in due.nacks]
         for probe in due.unanswered_directly:
             for helper in self._targets.helpers(probe.target, self._config.indirect_probes):
                 probe.helpers += 1
@@ -284,7 +284,10 @@
                 return self._answer_ping(sender, message)
             case Ack():
                 origin = self._prober.answered(message.sequence)
-                return [] if origin is None else [self._pass_on(origin)]
+                if origin is None:
+                    return []
+                answer = Ack(origin.sequence, self._take_news(), self._held.own)
+                return [Outgoing(origin.address, answer)]
             case Nack():
                 self._prober.helper_answered(message.sequence)
                 return []
@@ -301,11 +304,9 @@
     def _answer_ping(self, sender: str, ping: Ping) -> list[Outgoing]:
         if ping.target != self._id:
             return []
-        return [Outgoing(sender, Ack(ping.sequence, self._take_news(), self._held.own))]
-
-    def _pass_on(self, origin: tuple[str, int]) -> Outgoing:
-        address, sequence = origin
-        return Outgoing(address, Ack(sequence, self._take_news(), self._held.own))
+        # Who counts as dead here and pings us learns it at once, and refutes.
+        news = (*self._table.dead_at(sender), *self._take_news())
+        return [Outgoing(sender, Ack(ping.sequence, news, self._held.own))]
 
     # --- news -----------------------------------------------------------------------------------------
 
--- a/passgate/membership/table.py
+++ b/passgate/membership/table.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self._members: dict[str, MemberInfo] = {}
         self._gone_since_s: dict[str, float] = {}
+        self._gone_at: dict[str, str] = {}
         self._tombstones: OrderedDict[str, int] = OrderedDict()
         self._bucket_digests = [0] * BUCKETS
         self._digest: int | None = None
@@ -88,8 +89,17 @@
         self._bucket_digests[bucket] ^= _digest(view)
         if view.state in _GONE:
             self._gone_since_s.setdefault(view.member_id, now_s)
+            self._gone_at[view.address] = view.member_id
         else:
             self._gone_since_s.pop(view.member_id, None)
+            self._gone_at.pop(view.address, None)
+
+    def dead_at(self, address: str) -> tuple[DeadNews, ...]:
+        """Return the news that the last member at ``address`` is dead, if it is."""
+        view = self._members.get(self._gone_at.get(address, ""))
+        if view is None or view.state is not MemberState.DEAD:
+            return ()
+        return (DeadNews(view.member_id, view.incarnation),)
 
     def reap(self, now_s: float, retention_s: float) -> list[str]:
         """Reduce members that have been gone for ``retention_s`` to tombstones."""
@@ -102,6 +112,8 @@
         self._forget_digest(member_id)
         view = self._members.pop(member_id)
         del self._gone_since_s[member_id]
+        if self._gone_at.get(view.address) == member_id:
+            del self._gone_at[view.address]
         self._bucket_ids[bucket_of(member_id)].discard(member_id)
         self._tombstones[member_id] = view.incarnation
         while len(self._tombstones) > TOMBSTONES_MAXIMUM:
--- a/tests/test_membership_swim.py
+++ b/tests/test_membership_swim.py
@@ -252,3 +252,17 @@
     with pytest.raises(msgspec.MsgspecError):
         decode_message(b'["g",[["d","b",-1]]]')
     assert decode_message(b'["g",[["d","b",7]]]') == Gossip((DeadNews("b", 7),))
+
+
+def test_member_held_as_dead_learns_it_from_the_answer_to_its_ping():
+    swim = make()
+    introduce(swim, "b")
+    swim.receive("c:1", Gossip((DeadNews("b", 0),)), 0.0)
+    run_until(swim, 0.0, 30.0)
+    woken = make("b")
+    [answer] = swim.receive(address("b"), Ping(1, "a"), 30.0)
+    woken.receive(address("a"), answer.message, 30.0)
+    assert woken.self_info.incarnation == 1
+    [answer] = swim.receive(address("b"), Ping(2, "a", (AliveNews("b", 1, address("b"), "z"),)), 31.0)
+    assert DeadNews("b", 0) not in answer.message.news
+    assert swim.get("b").state is MemberState.ALIVE
