Do not retry requests that an engine calls bad

Cause: a refusal with status 400, 405, 413 or 422 is about the request, but was taken as a busy replica: it was sent to up to five replicas and each was held off for half a second. Now it is the final answer at once. The test fails without the change.

--- a/passgate/routing/attempt_failure.py
+++ b/passgate/routing/attempt_failure.py
@@ -22,6 +22,10 @@
 """The same for one that has no usable weights."""
 FINAL_REFUSALS = frozenset({"too_long"})
 """Refusals that every replica of the pool would repeat."""
+FINAL_STATUSES = frozenset({"400", "405", "413", "422"})
+"""HTTP statuses of a refusal that is about the request and not about the replica."""
+FINAL_REPORTS = frozenset({"invalid_request", "malformed_body", "payload_too_large"})
+"""Error codes in a back end's own words, to the same effect."""
 LEAVING_REFUSALS = frozenset({"draining", "leaving", "stopping"})
 UNUSABLE_REFUSALS = frozenset({"model_not_loaded", "down"})
 
@@ -55,7 +59,7 @@
 
 def _judge_refusal(error: BackendRefused, replica_id: str, scheduler: WorkScheduler, now_s: float) -> Verdict:
     reason = error.details.get("reason", "")
-    if reason in FINAL_REFUSALS:
+    if reason in FINAL_REFUSALS or _is_about_request(error):
         return Verdict.FINAL
     if reason in LEAVING_REFUSALS:
         scheduler.directory.observe_refusal(replica_id, now_s)
@@ -64,3 +68,8 @@
     else:
         scheduler.health.hold_off(replica_id, now_s + (error.retry_after_s or BUSY_HOLD_OFF_S))
     return Verdict.RETRY
+
+
+def _is_about_request(error: BackendRefused) -> bool:
+    details = error.details
+    return details.get("status", "") in FINAL_STATUSES or details.get("reported", "") in FINAL_REPORTS
--- a/tests/test_routing_dispatcher.py
+++ b/tests/test_routing_dispatcher.py
@@ -371,6 +371,20 @@
     assert not isinstance(raised.value, Refused)
 
 
+def test_bad_request_is_refused_once_and_blames_no_replica():
+    engine = ScriptedEngine([BackendRefused(status=422)], WHOLE)
+
+    async def main():
+        routed = dispatcher(engine)
+        with pytest.raises(BackendRefused):
+            await routed.generate(request())
+        names = ["e0", "e1", "e2"]
+        assert routed.scheduler.health.usable(names, 0.0) == names
+
+    run(main())
+    assert len(engine.calls) == 1
+
+
 def test_streamed_output_is_not_started_again_after_a_crossed_piece():
     engine = ScriptedEngine([piece(0, [7]), piece(1, [5], request_id="other")], WHOLE)
 
