Bound the size of a lot and end pauses that have nothing to retry

Lots are bounded to 8,192 prompts and 4,194,304 prompt tokens, typed 413; the pause ends when the fold shows the batch. Conclusion: the new test of the pause fails without the change.

--- a/passgate/state/append_queue.py
+++ b/passgate/state/append_queue.py
@@ -193,7 +193,12 @@
                 return
             if self.on_append_failed is not None:
                 self.on_append_failed()
-            await asyncio.sleep(self._backoff.next_s())
+            await self._pause(self._backoff.next_s())
+
+    async def _pause(self, delay_s: float) -> None:
+        """Wait before the next attempt, but no longer than until the fold has shown the batch."""
+        assert self._all_settled is not None
+        await asyncio.wait({self._all_settled}, timeout=delay_s)
 
     async def _append(self, batch: list[Proposal]) -> bool:
         """Try once; return whether all of the batch is on the log."""
--- a/passgate/state/lots.py
+++ b/passgate/state/lots.py
@@ -25,6 +25,7 @@
     DurabilityUnknown,
     MalformedBody,
     NotFound,
+    PayloadTooLarge,
 )
 from passgate.interfaces import LogClient
 from passgate.records import (
@@ -65,7 +66,9 @@
 PROPOSE_TIMEOUT_S = 5.0
 SYNCHRONISE_TIMEOUT_S = 5.0
 PAGE_LIMIT_SAMPLES = 1024
-LOT_LIMIT_PROMPTS = 65_536
+LOT_LIMIT_PROMPTS = 8192
+LOT_LIMIT_PROMPT_TOKENS = 4_194_304
+"""A lot's prompts are one record; decoding it must not hold the loop up for long."""
 WAIT_LIMIT_S = 60.0
 TAKEOVER_PAUSE_INITIAL_S = 5.0
 TAKEOVER_PAUSE_CAP_S = 600.0
@@ -129,7 +132,7 @@
         """Open a lot, or return the one already open under ``lot_id``.
 
         Raises:
-            MalformedBody: the request is wrong; details name ``field``.
+            MalformedBody, PayloadTooLarge: the request is wrong; details name ``field``.
             KeyReused: ``lot_id`` names a lot that was asked for differently.
             Draining: this daemon is stopping.
             DurabilityUnavailable, DurabilityUnknown: the log did not take it; send it again.
@@ -321,8 +324,12 @@
 
 
 def _check(request: LotRequest) -> None:
-    if not 0 < len(request.prompts) <= LOT_LIMIT_PROMPTS:
-        raise MalformedBody(f"a lot has 1 to {LOT_LIMIT_PROMPTS} prompts", field="prompts")
+    if not request.prompts:
+        raise MalformedBody("a lot has at least one prompt", field="prompts")
+    if len(request.prompts) > LOT_LIMIT_PROMPTS:
+        raise PayloadTooLarge(f"a lot has at most {LOT_LIMIT_PROMPTS} prompts", field="prompts")
+    if sum(len(prompt.prompt) for prompt in request.prompts) > LOT_LIMIT_PROMPT_TOKENS:
+        raise PayloadTooLarge(f"a lot has at most {LOT_LIMIT_PROMPT_TOKENS} prompt tokens", field="prompts")
     if request.staleness_bound < 0:
         raise MalformedBody("the staleness bound is not negative", field="staleness_bound")
     if any(prompt.max_tokens < 1 for prompt in request.prompts):
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from passgate.clock import run_virtual
+from passgate.clock import monotonic_s, run_virtual
 from passgate.errors import DeadlineExceeded, DurabilityUnavailable, DurabilityUnknown
 from passgate.interfaces import LogBatch
 from passgate.records import ClaimReleased, Record, SnapshotTaken, encode_record
@@ -141,6 +141,19 @@
     run_virtual(scenario())
 
 
+def test_next_proposal_does_not_wait_for_retries_of_a_batch_that_landed():
+    async def scenario():
+        daemon = started(MemoryLog())
+        daemon.client.script(*[AppendFault.REFUSED] * 5, AppendFault.ANSWER_LOST)
+        await daemon.propose("a")
+        decided_s = monotonic_s()
+        await daemon.propose("b")
+        assert monotonic_s() - decided_s < 0.01
+        await daemon.follower.close()
+
+    run_virtual(scenario())
+
+
 def test_cancelled_proposal_counts_as_abandoned():
     async def scenario():
         log = MemoryLog()
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.errors import (
@@ -448,6 +449,27 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize(
+    ("wrong", "field"),
+    [
+        (request(0), "prompts"),
+        (request(1, staleness_bound=-1), "staleness_bound"),
+        (request(lots_module.LOT_LIMIT_PROMPTS + 1), "prompts"),
+        (replace(request(1), prompts=(PromptSpec(prompt=(-1,), max_tokens=1),)), "prompts.prompt"),
+        (replace(request(1), prompts=(PromptSpec(prompt=(1,), max_tokens=0),)), "prompts.max_tokens"),
+    ],
+)
+def test_wrong_lot_is_refused_before_anything_is_written(wrong, field):
+    async def scenario():
+        world = World()
+        with pytest.raises(InvalidRequest) as caught:
+            await world.daemon("d1").open(wrong, "lot")
+        assert caught.value.details["field"] == field
+        assert not world.log.streams
+
+    run_virtual(scenario())
+
+
 def test_cancelled_lot_ends_for_all():
     async def scenario():
         world = World()
