--- a/tests/test_server_openapi.py
+++ b/tests/test_server_openapi.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from passgate.metrics import DaemonMetrics
 from passgate.server.openapi import HEADER_TEXTS, render
 from passgate.server.routes import CALLER_ROUTES, HEALTH_ROUTES, OPERATOR_ROUTES
 
@@ -34,3 +35,9 @@
         assert f"`{route.path}`" in page, route.path
     for header in HEADER_TEXTS:
         assert f"`{header}`" in page
+
+
+def test_operators_page_names_every_metric():
+    page = (DOCS / "operators" / "running-a-daemon.md").read_text()
+    for family in DaemonMetrics().registry.collect():
+        assert family.name in page, family.name
