--- a/passgate/state/lots.py
+++ b/passgate/state/lots.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from passgate.clock import monotonic_s, unix_s
+from passgate.clock import monotonic_s
 from passgate.errors import (
     DeadlineExceeded,
     Draining,
@@ -25,22 +25,18 @@
     DurabilityUnknown,
     MalformedBody,
     NotFound,
-    PayloadTooLarge,
 )
 from passgate.interfaces import LogClient
 from passgate.records import (
     KeeperTaken,
     LotCancelled,
-    LotOpened,
-    PackedPrompt,
-    PromptSpec,
     SamplesAcknowledged,
     SamplesReplaced,
-    pack_tokens,
 )
 from passgate.state.fold import Accepted, Rejected
 from passgate.state.lot_handle import LotHandle
 from passgate.state.lot_keeper import LotKeeper, Producer
+from passgate.state.lot_opening import check_request, make_opening
 from passgate.state.lot_reader import read_page
 from passgate.state.lot_state import SlotStatus
 from passgate.state.lot_types import (
@@ -66,9 +62,6 @@
 PROPOSE_TIMEOUT_S = 5.0
 SYNCHRONISE_TIMEOUT_S = 5.0
 PAGE_LIMIT_SAMPLES = 1024
-LOT_LIMIT_PROMPTS = 8192
-LOT_LIMIT_PROMPT_TOKENS = 4_194_304
-"""A lot's prompts are one record; decoding it must not hold the loop up for long."""
 WAIT_LIMIT_S = 60.0
 TAKEOVER_PAUSE_INITIAL_S = 5.0
 TAKEOVER_PAUSE_CAP_S = 600.0
@@ -139,10 +132,11 @@
         """
         if self._draining:
             raise Draining("this daemon is stopping")
-        _check(request)
+        check_request(request)
         lot_id = lot_id or f"{self._random.getrandbits(64):016x}"
         handle = self._handle(lot_id)
-        opening = handle.propose(self._opening(request, lot_id), timeout_s=PROPOSE_TIMEOUT_S)
+        body = make_opening(request, lot_id, self._newest_version(request.model))
+        opening = handle.propose(body, timeout_s=PROPOSE_TIMEOUT_S)
         taking = self._take(handle, 1) if handle.fold.header.epoch == 0 else asyncio.sleep(0)
         decision, _ = await asyncio.gather(opening, taking)
         if isinstance(decision, Rejected):
@@ -214,21 +208,6 @@
         await asyncio.gather(*(keeper.close() for keeper in keepers))
         await asyncio.gather(*(handle.close() for handle in handles))
 
-    def _opening(self, request: LotRequest, lot_id: str) -> LotOpened:
-        newest = self._newest_version(request.model)
-        deadline_unix_s = None if request.deadline_s is None else unix_s() + request.deadline_s
-        return LotOpened(
-            lot_id=lot_id,
-            caller=request.caller,
-            pool=request.pool,
-            model=request.model,
-            priority_class=request.priority_class,
-            staleness_bound=request.staleness_bound,
-            trainer_version=max(request.trainer_version, newest),
-            deadline_unix_s=deadline_unix_s,
-            packed_prompts=tuple(_pack(prompt) for prompt in request.prompts),
-        )
-
     def _handle(self, lot_id: str) -> LotHandle:
         handle = self._handles.get(lot_id)
         if handle is None:
@@ -313,24 +292,3 @@
         raise NotFound("the lot has no such sample", index=index)
     slot = handle.fold.slots[index]
     return slot.status is SlotStatus.HANDED_OVER and handle.fold.header.is_stale(slot.sample, version)
-
-
-def _pack(prompt: PromptSpec) -> PackedPrompt:
-    try:
-        tokens = pack_tokens(prompt.prompt)
-    except OverflowError:
-        raise MalformedBody("token identifiers are 32-bit integers", field="prompts.prompt") from None
-    return PackedPrompt(tokens=tokens, max_tokens=prompt.max_tokens, seed=prompt.seed)
-
-
-def _check(request: LotRequest) -> None:
-    if not request.prompts:
-        raise MalformedBody("a lot has at least one prompt", field="prompts")
-    if len(request.prompts) > LOT_LIMIT_PROMPTS:
-        raise PayloadTooLarge(f"a lot has at most {LOT_LIMIT_PROMPTS} prompts", field="prompts")
-    if sum(len(prompt.prompt) for prompt in request.prompts) > LOT_LIMIT_PROMPT_TOKENS:
-        raise PayloadTooLarge(f"a lot has at most {LOT_LIMIT_PROMPT_TOKENS} prompt tokens", field="prompts")
-    if request.staleness_bound < 0:
-        raise MalformedBody("the staleness bound is not negative", field="staleness_bound")
-    if any(prompt.max_tokens < 1 for prompt in request.prompts):
-        raise MalformedBody("max_tokens is at least 1", field="prompts.max_tokens")
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -21,6 +21,7 @@
 from passgate.records import PromptSpec
 from passgate.schema import FinishReason, GenerateResult, VersionSpan
 from passgate.state import lots as lots_module
+from passgate.state.lot_opening import LOT_LIMIT_PROMPTS
 from passgate.state.lots import LotRequest, LotService
 from passgate.state.memory_log import AppendFault, MemoryLog, MemoryLogClient
 
@@ -454,7 +455,7 @@
     [
         (request(0), "prompts"),
         (request(1, staleness_bound=-1), "staleness_bound"),
-        (request(lots_module.LOT_LIMIT_PROMPTS + 1), "prompts"),
+        (request(LOT_LIMIT_PROMPTS + 1), "prompts"),
         (replace(request(1), prompts=(PromptSpec(prompt=(-1,), max_tokens=1),)), "prompts.prompt"),
         (replace(request(1), prompts=(PromptSpec(prompt=(1,), max_tokens=0),)), "prompts.max_tokens"),
     ],
