Keep work per message flat while many members are suspected

Cause: while regions are parted each message looked through all suspicions for the nearest deadline, and each new suspicion made the lists of peers anew. The deadline is now kept until something changes, peers are listed only when one is chosen, and rendezvous hashes are remembered. Behaviour is unchanged but for the suspicion time, which counts living members in the table.

--- a/passgate/lab/control_scale.py
+++ b/passgate/lab/control_scale.py
@@ -38,6 +38,7 @@
     out: str = "",
     parts: str | tuple[str, ...] = PARTS,
     seed: int = 1,
+    trials: int = 0,
 ) -> None:
     """Measure and write JSON lines.
 
@@ -47,26 +48,31 @@
         out: file that the lines are appended to; standard output when empty.
         parts: which of cost, failures, pauses, configuration, merge and sockets to run.
         seed: first seed of the random sources.
+        trials: failures and changes tried for each kind; 0 for the usual numbers.
     """
     counts = [int(size) for size in _items(sizes)]
-    for result in results(counts, seconds, [str(part) for part in _items(parts)], seed):
+    for result in results(counts, seconds, [str(part) for part in _items(parts)], seed, trials):
         _write(result, out)
 
 
-def results(sizes: list[int], seconds: float, parts: list[str], seed: int) -> Iterator[Result]:
+def results(
+    sizes: list[int], seconds: float, parts: list[str], seed: int, trials: int = 0
+) -> Iterator[Result]:
     """Yield the results one by one."""
     largest = max(sizes)
     if "cost" in parts:
         yield from _costs(sizes, seconds, seed)
     if "failures" in parts:
-        yield _virtual(control_faults.failure_known(largest, DAEMON_TRIALS, False, seed))
-        yield _virtual(control_faults.failure_known(largest, ZONE_TRIALS, True, seed))
+        yield _virtual(control_faults.failure_known(largest, trials or DAEMON_TRIALS, False, seed))
+        yield _virtual(control_faults.failure_known(largest, trials or ZONE_TRIALS, True, seed))
     if "pauses" in parts:
         for loss in LOSSES:
             yield _virtual(control_faults.false_positives(largest, PAUSED_S, loss, seed))
     if "configuration" in parts:
         for fault in CONFIGURATION_FAULTS:
-            trial = control_faults.configuration_in_force(largest, CONFIGURATION_TRIALS, fault, seed)
+            trial = control_faults.configuration_in_force(
+                largest, trials or CONFIGURATION_TRIALS, fault, seed
+            )
             yield _virtual(trial)
     if "merge" in parts:
         yield _virtual(control_faults.cold_start(largest, seed))
--- a/passgate/membership/suspicion.py
+++ b/passgate/membership/suspicion.py
@@ -62,6 +62,8 @@
         self._probe_period_s = probe_period_s
         self._open: dict[str, Suspicion] = {}
         self._zones: Counter[str] = Counter()
+        self._nearest_s: float | None = math.inf
+        """Nearest deadline; None when it must be looked for."""
 
     def get(self, member_id: str) -> Suspicion | None:
         """Return the open suspicion of a member."""
@@ -71,6 +73,7 @@
         """Open a suspicion in a cluster of ``members`` living daemons."""
         self.end(news.member_id)
         self._zones[zone] += 1
+        self._nearest_s = None
         self._open[news.member_id] = Suspicion(
             member_id=news.member_id,
             zone=zone,
@@ -86,24 +89,32 @@
         suspicion = self._open.pop(member_id, None)
         if suspicion is not None:
             self._zones[suspicion.zone] -= 1
+            self._nearest_s = None
 
     def confirm(self, news: SuspectNews) -> bool:
         """Count another accuser; False when it adds nothing."""
         suspicion = self._open.get(news.member_id)
         if suspicion is None or suspicion.incarnation != news.incarnation:
             return False
+        self._nearest_s = None
         return suspicion.confirm(news.accuser)
 
     def run_out(self, now_s: float) -> list[Suspicion]:
         """Return the suspicions that no one refuted in time; they stay open."""
+        if now_s < self.next_deadline_s():
+            return []
         return [suspicion for suspicion in self._open.values() if now_s >= suspicion.deadline_s()]
 
     def next_deadline_s(self) -> float:
         """Return the nearest deadline, infinity when there is none."""
-        return min((suspicion.deadline_s() for suspicion in self._open.values()), default=math.inf)
+        if self._nearest_s is None:
+            deadlines = [suspicion.deadline_s() for suspicion in self._open.values()]
+            self._nearest_s = min(deadlines, default=math.inf)
+        return self._nearest_s
 
     def shift(self, by_s: float) -> None:
         """Move all deadlines after a pause of this process."""
+        self._nearest_s = None
         for suspicion in self._open.values():
             suspicion.started_s += by_s
 
--- a/passgate/membership/swim.py
+++ b/passgate/membership/swim.py
@@ -321,7 +321,7 @@
         self._changes.append(changed)
         self._targets.invalidate()
         if isinstance(news, SuspectNews):
-            self._suspicions.start(news, changed.zone, len(self._targets.peers()) + 1, now_s)
+            self._suspicions.start(news, changed.zone, self._table.living, now_s)
         else:
             self._suspicions.end(news.member_id)
         if changed.state not in _LIVING:
--- a/passgate/membership/table.py
+++ b/passgate/membership/table.py
@@ -49,6 +49,11 @@
     def __len__(self) -> int:
         return len(self._members)
 
+    @property
+    def living(self) -> int:
+        """Number of members that are not gone, this daemon included."""
+        return len(self._members) - len(self._gone_since_s)
+
     def get(self, member_id: str) -> MemberInfo | None:
         """Return the present view of a member."""
         return self._members.get(member_id)
--- a/passgate/membership/targets.py
+++ b/passgate/membership/targets.py
@@ -23,6 +23,10 @@
 """Share of probes that goes to zones with several suspects."""
 
 
+AFFINITIES_MAXIMUM = 4096
+"""Remembered hashes; members come and go for as long as the daemon runs."""
+
+
 class Targets:
     """Chooses among the living members other than this daemon."""
 
@@ -46,6 +50,7 @@
         self._others: list[MemberInfo] = []
         self._own_ring: list[str] = []
         self._contact_ring: list[str] = []
+        self._affinities: dict[str, int] = {}
         self._stale = True
 
     def invalidate(self) -> None:
@@ -126,6 +131,8 @@
         if not self._stale:
             return
         self._stale = False
+        if len(self._affinities) > AFFINITIES_MAXIMUM:
+            self._affinities.clear()
         living = [
             member
             for member in self._members()
@@ -143,7 +150,11 @@
         ]
 
     def _affinity(self, member: MemberInfo) -> int:
-        return xxhash.xxh32_intdigest(f"{self._self_id}|{member.member_id}".encode())
+        affinity = self._affinities.get(member.member_id)
+        if affinity is None:
+            affinity = xxhash.xxh32_intdigest(f"{self._self_id}|{member.member_id}".encode())
+            self._affinities[member.member_id] = affinity
+        return affinity
 
 
 def _may_be_lost(member: MemberInfo, doubtful: frozenset[str]) -> bool:
