--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -19,6 +19,7 @@
 import signal
 import sys
 from collections.abc import Callable, Sequence
+from types import ModuleType
 from typing import Any
 
 import fire
@@ -52,7 +53,7 @@
     "lab": Command("passgate.lab.cli", "LabCommands", "experiments in the emulator"),
     "check": Command("passgate.check.cli", "CheckCommands", "model and history checks"),
     "plan": Command("passgate.plan_commands", "PlanCommands", "plans shown before they are carried out"),
-    "replay": Command("passgate.lab.cli", "replay", "run a recorded history or log again"),
+    "replay": Command("passgate.check.replay", "ReplayCommands.schedule", "run a simulated schedule again"),
 }
 
 
@@ -98,7 +99,7 @@
             f"no command is named {name!r}, expected one of: {known}", key=name, expected=known
         )
     try:
-        return getattr(importlib.import_module(command.module), command.attribute)
+        return _find_attribute(importlib.import_module(command.module), command.attribute)
     except (ModuleNotFoundError, AttributeError) as error:
         if isinstance(error, ModuleNotFoundError) and not (error.name or "").startswith("passgate"):
             problem = f"the command {name} needs the library {error.name}: install passgate[lab]"
@@ -107,6 +108,16 @@
         raise SettingsError(problem, key=name, expected="an installed command") from error
 
 
+def _find_attribute(module: ModuleType, path: str) -> Any:
+    """Return a function, or an instance of a group of commands, or one method of such an instance."""
+    found: Any = module
+    for name in path.split("."):
+        found = getattr(found, name)
+        if isinstance(found, type):
+            found = found()
+    return found
+
+
 def usage() -> str:
     """Return the list of commands."""
     lines = [f"  {name:<9} {command.summary}" for name, command in COMMANDS.items()]
--- a/passgate/demo.py
+++ b/passgate/demo.py
@@ -69,6 +69,8 @@
     answers_wrong: int
     interactive_p50_ms: float
     interactive_p99_ms: float
+    p99_ms_by_callers: dict[str, float]
+    """The same for each kind of caller; generated answers take longer than calls of applications."""
     trainer_idle_share: float
     staleness_p99: int
     refused_not_run: int
@@ -209,6 +211,10 @@
             answers_wrong=wrong,
             interactive_p50_ms=round(latencies.p50_ms, DIGITS),
             interactive_p99_ms=round(latencies.p99_ms, DIGITS),
+            p99_ms_by_callers={
+                stream.name: round(LatencySummary.of(stream.latencies_s).p99_ms, DIGITS)
+                for stream in arrivals
+            },
             trainer_idle_share=round(_mean([trainer.idle_share() for trainer in trainers]), DIGITS),
             staleness_p99=_staleness_p99(self.tally),
             refused_not_run=len(self._not_run_ids),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -178,3 +178,8 @@
     assert [item["name"] for item in json.loads(output)["objects"]] == ["linha"]
     code, output, _ = await _command("watch", "--once", "--json", **environment)
     assert [view["behind"] for view in json.loads(output)["daemons"]] == [0]
+
+
+@pytest.mark.parametrize("name", sorted(cli.COMMANDS))
+def test_every_command_is_part_of_this_build(name):
+    assert callable(cli.find_command(name)) or cli.find_command(name).__doc__
