--- a/passgate/routing/admission.py
+++ b/passgate/routing/admission.py
@@ -61,6 +61,9 @@
     def __len__(self) -> int:
         """Return the number of queued requests."""
 
+    def pool_count(self, pool: str) -> int:
+        """Return the number of queued requests of a pool."""
+
     def class_count(self, priority_class: str) -> int:
         """Return the number of queued requests of a class."""
 
@@ -76,6 +79,7 @@
 
     max_queued: int
     """Over all classes and pools."""
+    max_queued_pool: int
     max_queued_class: int
     max_queued_caller: int
     max_wait_s: float
@@ -129,6 +133,8 @@
     def _full(self, item: WorkItem, queue: QueueCounts, limits: QueueLimits) -> str:
         if len(queue) >= limits.max_queued:
             return "the queue"
+        if queue.pool_count(item.pool) >= limits.max_queued_pool:
+            return "the queue of the pool"
         if queue.class_count(item.priority_class) >= limits.max_queued_class:
             return "the queue of the class"
         if queue.caller_count(item.priority_class, item.pool, item.caller) >= limits.max_queued_caller:
--- a/passgate/routing/bench.py
+++ b/passgate/routing/bench.py
@@ -5,18 +5,14 @@
 membership, rollouts) is left out, so differences are the policy's alone.
 
     python -m passgate.routing.bench --deployment olhar --fault slow --policy current --seeds 3
-
->>> FAULTS["calm"].__name__
-'_no_fault'
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
 import statistics
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from concurrent.futures import ProcessPoolExecutor
 from random import Random
 
@@ -33,6 +29,7 @@
 from passgate.emulator.world import EmulatedWorld
 from passgate.errors import PassgateError, Refused
 from passgate.records import ObjectPut, Record
+from passgate.routing.bench_faults import FAULTS, Fault
 from passgate.routing.dispatcher import Dispatcher
 from passgate.routing.policies import POLICIES
 from passgate.routing.replica_directory import ReplicaDirectory
@@ -44,11 +41,8 @@
 RESEND_S = 0.5
 """A trainer asks again for a sample that failed, after this or what the refusal says."""
 TRAINING_CLASS = "training"
-HOG_CALLER = "hog"
 PROCESSES = 4
 
-Fault = Callable[["BenchRun"], Awaitable[None]]
-
 
 class BenchResult(msgspec.Struct, kw_only=True):
     """Measures of one run."""
@@ -310,97 +304,6 @@
     return state
 
 
-# --- faults -------------------------------------------------------------------------------
-
-
-async def _no_fault(run: BenchRun) -> None:
-    """Nothing fails."""
-
-
-async def _slow(run: BenchRun) -> None:
-    """One engine becomes four times slower for most of the run."""
-    await asyncio.sleep(run.duration_s * 0.2)
-    next(iter(run.world.engines.values())).set_slow_factor(4.0)
-
-
-async def _crash(run: BenchRun) -> None:
-    """Engines crash one after the other and restart."""
-    for engine in list(run.world.engines.values()) * 10:
-        await asyncio.sleep(25.0)
-        engine.crash()
-
-
-async def _slow_app(run: BenchRun) -> None:
-    """One application replica becomes five times slower."""
-    await asyncio.sleep(run.duration_s * 0.2)
-    next(iter(run.world.apps.values())).set_slow_factor(5.0)
-
-
-async def _crash_app(run: BenchRun) -> None:
-    """Application replicas crash one after the other and restart."""
-    for app in list(run.world.apps.values()) * 10:
-        await asyncio.sleep(20.0)
-        app.crash()
-
-
-async def _cut(run: BenchRun) -> None:
-    """One zone is cut off from the others several times."""
-    zone = run.parameters.zones[-1]
-    while True:
-        await asyncio.sleep(40.0)
-        run.world.network.isolate(zone)
-        await asyncio.sleep(15.0)
-        run.world.network.rejoin(zone)
-
-
-async def _hog(run: BenchRun) -> None:
-    """One interactive caller floods a model with long prompts and long outputs."""
-    random = Random(f"{run.result.seed}/hog")
-    model = run.parameters.engines.models[0].name
-    dispatcher = run.dispatchers[0]
-
-    async def flood() -> None:
-        request = GenerateRequest(
-            request_id=f"hog-{run.number()}",
-            caller=HOG_CALLER,
-            pool=model,
-            model=model,
-            prompt=tuple(random.randrange(50_000) for _ in range(3_000)),
-            max_tokens=1_000,
-            seed=random.getrandbits(31),
-            priority_class="interactive",
-            deadline_s=monotonic_s() + 60.0,
-        )
-        with contextlib.suppress(PassgateError):
-            await dispatcher.generate(request)
-
-    async with asyncio.TaskGroup() as group:
-        while True:
-            await asyncio.sleep(random.expovariate(4.0))
-            group.create_task(flood())
-
-
-async def _leave(run: BenchRun) -> None:
-    """One replica leaves, first by its own word only."""
-    await asyncio.sleep(run.duration_s * 0.3)
-    engine_id = next(iter(run.world.engines))
-    run.world.machine_list.mark_leaving(engine_id)
-
-
-FAULTS: dict[str, Fault] = {
-    "calm": _no_fault,
-    "surge": _no_fault,
-    "slow": _slow,
-    "crash": _crash,
-    "slow_app": _slow_app,
-    "crash_app": _crash_app,
-    "cut": _cut,
-    "hog": _hog,
-    "leave": _leave,
-}
-"""Faults by name; ``surge`` multiplies the arrivals by their season's factor."""
-
-
 # --- command --------------------------------------------------------------------------------
 
 
--- a/passgate/routing/fair_queue.py
+++ b/passgate/routing/fair_queue.py
@@ -92,6 +92,7 @@
         self._flows: dict[FlowKey, _Flow] = {}
         self._active: dict[str, dict[str, _Flow]] = {}
         self._costs: dict[str, float] = {}
+        self._pool_counts: dict[str, int] = {}
         self._idle: OrderedDict[FlowKey, None] = OrderedDict()
         self._ticket = 0
 
@@ -174,6 +175,10 @@
         self.count += change
         flow.queued_cost += change * item.cost
         self._costs[item.pool] = self._costs.get(item.pool, 0.0) + change * item.cost
+        self._pool_counts[item.pool] = self._pool_counts.get(item.pool, 0) + change
+
+    def pool_count(self, pool: str) -> int:
+        return self._pool_counts.get(pool, 0)
 
     def _schedule(self, flow: _Flow) -> None:
         pool = flow.key[0]
@@ -266,6 +271,10 @@
         queue = self._classes.get(priority_class)
         return queue.count if queue else 0
 
+    def pool_count(self, pool: str) -> int:
+        """Return the number of queued requests of a pool."""
+        return sum(queue.pool_count(pool) for queue in self._classes.values())
+
     def caller_count(self, priority_class: str, pool: str, caller: str) -> int:
         """Return the number of queued requests of a caller."""
         queue = self._classes.get(priority_class)
@@ -307,6 +316,7 @@
         self._class_counts: dict[str, int] = {}
         self._caller_counts: dict[tuple[str, str, str], int] = {}
         self._costs: dict[str, float] = {}
+        self._pool_counts: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._items)
@@ -343,6 +353,10 @@
         """Return the number of queued requests of a class."""
         return self._class_counts.get(priority_class, 0)
 
+    def pool_count(self, pool: str) -> int:
+        """Return the number of queued requests of a pool."""
+        return self._pool_counts.get(pool, 0)
+
     def caller_count(self, priority_class: str, pool: str, caller: str) -> int:
         """Return the number of queued requests of a caller."""
         return self._caller_counts.get((priority_class, pool, caller), 0)
@@ -355,6 +369,7 @@
         name = item.priority_class
         self._class_counts[name] = self._class_counts.get(name, 0) + change
         self._costs[item.pool] = self._costs.get(item.pool, 0.0) + change * item.cost
+        self._pool_counts[item.pool] = self._pool_counts.get(item.pool, 0) + change
         key = (name, item.pool, item.caller)
         self._caller_counts[key] = self._caller_counts.get(key, 0) + change
         if not self._caller_counts[key]:
--- a/passgate/routing/generate_call.py
+++ b/passgate/routing/generate_call.py
@@ -108,6 +108,7 @@
             left=remaining_tokens(self._expected_tokens(), tokens, self.request.max_tokens),
             token_s=tracker.token_s(replica_id),
             prompt_tokens=len(self.request.prompt),
+            interactive=self._class.interactive,
             started=attempt.first_piece_s is not None,
             replica_waiting=tracker.load(replica_id).reported_waiting > 0,
         )
--- a/passgate/routing/hedging.py
+++ b/passgate/routing/hedging.py
@@ -49,6 +49,7 @@
     token_s: float
     """Observed time per token of this stream."""
     prompt_tokens: int
+    interactive: bool = False
     started: bool = True
     """Whether a piece has arrived."""
     replica_waiting: bool = False
@@ -96,6 +97,8 @@
     def is_stalled(self, attempt: AttemptProgress, now_s: float) -> bool:
         """Whether an attempt has been without a piece for too long."""
         silent_s = now_s - attempt.last_piece_s
+        if attempt.interactive:
+            return silent_s > self._policy.stall_interactive_s
         if attempt.started:
             return silent_s > self._policy.stall_s
         return not attempt.replica_waiting and silent_s > self._policy.stall_s * FIRST_PIECE_FACTOR
--- a/passgate/routing/policies.py
+++ b/passgate/routing/policies.py
@@ -96,6 +96,8 @@
     """A hedge is started when it is projected to finish this many times sooner."""
     stall_s: float = 3.0
     """A stream without a piece for this long is re-issued elsewhere."""
+    stall_interactive_s: float = 1.0
+    """The same for interactive classes, also before the first piece."""
 
     # --- control traffic --------------------------------------------------------------
     report_interval_s: float = 0.5
--- a/passgate/routing/work_scheduler.py
+++ b/passgate/routing/work_scheduler.py
@@ -25,9 +25,9 @@
 from passgate.routing.output_length import OutputLengthEstimator
 from passgate.routing.policies import QueueKind, RoutingPolicy
 from passgate.routing.prefix_index import PrefixIndex
+from passgate.routing.replica_chooser import Choice, NoPlace, ReplicaChooser
 from passgate.routing.replica_directory import ReplicaDirectory, ReplicaInfo
 from passgate.routing.replica_health import ReplicaHealth
-from passgate.routing.replica_pool import Choice, NoPlace, ReplicaChooser
 from passgate.routing.work import WorkItem
 from passgate.schema import GenerateChunk, LoadReport, MachineRole
 from passgate.state.specs import PoolSpec, PriorityClassSpec
@@ -101,9 +101,8 @@
             raise NoReplicaAvailable(retry_after_s=NO_REPLICA_RETRY_S, pool=item.pool)
         self._refuse_unusable(item, pool, now_s)
         limits = QueueLimits(
-            max_queued=min(self.policy.max_queued, pool.maximum_queued)
-            if item.interactive
-            else self.policy.max_queued,
+            max_queued=self.policy.max_queued,
+            max_queued_pool=pool.maximum_queued,
             max_queued_class=spec.max_queued,
             max_queued_caller=spec.max_queued_per_caller,
             max_wait_s=spec.max_wait_s,
--- a/tests/test_routing_dispatcher.py
+++ b/tests/test_routing_dispatcher.py
@@ -128,6 +128,18 @@
         self.outcomes = list(outcomes)
         self.calls = 0
 
+    async def load_report(self, address):
+        return LoadReport(
+            replica_id="a" + address[-1],
+            sequence=1,
+            running=0,
+            waiting=0,
+            outstanding_tokens=0,
+            kv_used_tokens=0,
+            kv_capacity_tokens=0,
+            tokens_per_s=0.0,
+        )
+
     async def call(self, address, request):
         self.calls += 1
         outcome = self.outcomes.pop(0)
--- a/tests/test_routing_queues.py
+++ b/tests/test_routing_queues.py
@@ -90,17 +90,19 @@
 @pytest.mark.parametrize("queue", [FairQueue(0.1), FifoQueue()], ids=["fair", "fifo"])
 def test_bounds_per_class_and_caller(queue):
     controller = AdmissionController(True, 0.25)
-    limits = QueueLimits(max_queued=9, max_queued_class=8, max_queued_caller=5, max_wait_s=50.0)
+    limits = QueueLimits(
+        max_queued=10, max_queued_pool=9, max_queued_class=8, max_queued_caller=5, max_wait_s=50.0
+    )
     refusals = []
-    for key in range(30):
-        entry = item(key, "ab"[key % 2], interactive=key >= 20)
+    for key in range(40):
+        entry = item(key, "ab"[key % 2], interactive=key >= 20, pool="other" if key >= 30 else "p")
         try:
             controller.admit(entry, queue, limits, 0.0, 0.0)
         except Overloaded as error:
             refusals.append(error)
             continue
         queue.push(entry)
-    assert len(queue) == 9
+    assert (len(queue), queue.pool_count("p"), queue.pool_count("other")) == (10, 9, 1)
     assert all(error.execution is ExecutionStatus.NOT_RUN and error.retry_after_s > 0 for error in refusals)
 
 
