Let application services report their load

Cause: the application seam had no call for the load reports that the users' services publish, so routing knew of others' calls on a replica only by their effect on its own. AppClient.load_report reads GET /load; running, waiting and the replica's own leaving word are told, token and KV fields are 0. The emulated application reports every 0.25 s, 0.25 s late, and anew after a crash. A forwarded call to /load carries X-Request-Id and still reaches the service. Ruled out: a separate report type (the tracker and the directory would need two forms); the engines' body on the wire (seven fields that an application does not have). Checked: python -m pytest tests/test_servers_standins.py tests/test_clients_http_app.py tests/test_emulator_world.py tests/test_routing_dispatcher.py. Flaky, also without this change: test_servers_standins fails now and then under load with 'piece is out of order'. Conclusion: the seam is there in memory and over sockets; routing does not read it yet.

--- a/passgate/check/simulation/process.py
+++ b/passgate/check/simulation/process.py
@@ -126,6 +126,10 @@
         """Forward a call."""
         return await self._boundary.crossing(lambda: self._inner.call(address, request))
 
+    async def load_report(self, address: str) -> LoadReport:
+        """Return the replica's latest report."""
+        return await self._boundary.crossing(lambda: self._inner.load_report(address))
+
 
 class BoundMachineList:
     """``interfaces.MachineList`` of one process; ``on_read`` is told what each read shows."""
--- a/passgate/clients/calls.py
+++ b/passgate/clients/calls.py
@@ -14,6 +14,9 @@
 from passgate.clock import monotonic_s
 from passgate.errors import DeadlineExceeded, ExecutionStatus
 
+CONTROL_TIMEOUT_S = 5.0
+"""Time limit of short calls that control or observe a back end."""
+
 
 class HttpLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits of one daemon's HTTP client."""
@@ -78,6 +81,17 @@
     return SendPolicy.ONCE if repeatable else SendPolicy.ONCE_ON_FRESH_CONNECTION
 
 
+def control_read(address: str, path: str) -> HttpCall:
+    """Return the call that reads a back end's report at ``path``."""
+    return HttpCall(
+        method="GET",
+        url=f"http://{address}{path}",
+        send=SendPolicy.REPEAT,
+        control=True,
+        timeout_s=CONTROL_TIMEOUT_S,
+    )
+
+
 def remaining_s(deadline_s: float | None) -> float | None:
     """Return the time left until a loop time; raises DeadlineExceeded (not run) when it is over."""
     if deadline_s is None:
--- a/passgate/clients/http_app.py
+++ b/passgate/clients/http_app.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from passgate.clients import wire
-from passgate.clients.calls import HttpAnswer, HttpCall, remaining_s, send_policy
+from passgate.clients.calls import HttpAnswer, HttpCall, control_read, remaining_s, send_policy
 from passgate.clients.curl import HttpClient
-from passgate.clients.replies import retry_after_s
+from passgate.clients.replies import decode_body, retry_after_s, unreachable
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
-from passgate.schema import AppRequest, AppResponse
+from passgate.schema import AppRequest, AppResponse, LoadReport
 
+OK_STATUS = 200
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
 
@@ -37,6 +38,13 @@
             replica_id=answer.headers.get(wire.REPLICA_HEADER, ""),
         )
 
+    async def load_report(self, address: str) -> LoadReport:
+        """Return the replica's latest report; see :class:`passgate.interfaces.AppClient`."""
+        answer = await self._http.fetch(control_read(address, wire.LOAD_PATH))
+        if answer.status != OK_STATUS:
+            raise unreachable(answer)
+        return decode_body(answer, wire.AppLoadAnswer).report()
+
 
 def _call(address: str, request: AppRequest) -> HttpCall:
     timeout_s = remaining_s(request.deadline_s)
--- a/passgate/clients/http_engine.py
+++ b/passgate/clients/http_engine.py
@@ -12,7 +12,15 @@
 import msgspec
 
 from passgate.clients import wire
-from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy, remaining_s, send_policy
+from passgate.clients.calls import (
+    CONTROL_TIMEOUT_S,
+    HttpAnswer,
+    HttpCall,
+    SendPolicy,
+    control_read,
+    remaining_s,
+    send_policy,
+)
 from passgate.clients.curl import HttpClient
 from passgate.clients.replies import decode_body, decode_error, engine_failure, unreachable
 from passgate.clients.stream_verifier import StreamVerifier
@@ -32,7 +40,6 @@
     OrderResult,
 )
 
-CONTROL_TIMEOUT_S = 5.0
 ORDER_TIMEOUT_S = 30.0
 
 
@@ -78,7 +85,7 @@
 
     async def load_report(self, address: str) -> LoadReport:
         """Return the engine's latest report; raises BackendUnreachable."""
-        answer = await self._get(address, "/load")
+        answer = await self._get(address, wire.LOAD_PATH)
         return decode_body(answer, LoadReport)
 
     async def cache_events(self, address: str, after_sequence: int) -> Sequence[CacheEvent]:
@@ -98,14 +105,7 @@
         raise unreachable(answer)
 
     async def _get(self, address: str, path: str) -> HttpAnswer:
-        call = HttpCall(
-            method="GET",
-            url=f"http://{address}{path}",
-            send=SendPolicy.REPEAT,
-            control=True,
-            timeout_s=CONTROL_TIMEOUT_S,
-        )
-        answer = await self._http.fetch(call)
+        answer = await self._http.fetch(control_read(address, path))
         if answer.status != 200:
             raise unreachable(answer)
         return answer
--- a/passgate/clients/wire.py
+++ b/passgate/clients/wire.py
@@ -17,7 +17,7 @@
 
 from passgate.errors import ErrorBody
 from passgate.interfaces import LogEntry
-from passgate.schema import CacheEvent, GenerateChunk, MachineInfo
+from passgate.schema import CacheEvent, GenerateChunk, LoadReport, MachineInfo
 
 REQUEST_ID_HEADER = "X-Request-Id"
 EXECUTION_HEADER = "X-Execution-Status"
@@ -27,6 +27,8 @@
 PRIORITY_HEADER = "X-Priority-Class"
 TIMEOUT_HEADER = "X-Timeout-Ms"
 NOT_REPEATABLE_HEADER = "X-Not-Repeatable"
+LOAD_PATH = "/load"
+"""Where back ends answer their load report."""
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 PLAIN_HEADER_CHARACTERS = " !#$&'()*+,/:;=?@[]^`{|}~\""
@@ -95,6 +97,45 @@
     events: tuple[CacheEvent, ...] = ()
 
 
+class AppLoadAnswer(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Answer of an application service's ``GET /load``."""
+
+    replica_id: str
+    sequence: int
+    """Grows with each report of one process."""
+    running: int
+    """Calls being executed."""
+    waiting: int = 0
+    """Calls that the service queues itself."""
+    leaving: bool = False
+    """The replica takes no new calls."""
+
+    @classmethod
+    def of(cls, report: LoadReport) -> AppLoadAnswer:
+        """Return the answer that carries an application's report."""
+        return cls(
+            replica_id=report.replica_id,
+            sequence=report.sequence,
+            running=report.running,
+            waiting=report.waiting,
+            leaving=report.leaving,
+        )
+
+    def report(self) -> LoadReport:
+        """Return the report, without tokens or KV memory."""
+        return LoadReport(
+            replica_id=self.replica_id,
+            sequence=self.sequence,
+            running=self.running,
+            waiting=self.waiting,
+            outstanding_tokens=0,
+            kv_used_tokens=0,
+            kv_capacity_tokens=0,
+            tokens_per_s=0.0,
+            leaving=self.leaving,
+        )
+
+
 class AppendCall(msgspec.Struct, frozen=True, kw_only=True):
     """Body of ``POST /v1/streams/NAME/records``; payloads are Base64 in JSON."""
 
--- a/passgate/emulator/app.py
+++ b/passgate/emulator/app.py
@@ -6,7 +6,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.emulator.app_model import AppDone, AppEvent, AppModel
-from passgate.schema import AppRequest, AppResponse
+from passgate.schema import AppRequest, AppResponse, LoadReport
 
 
 class EmulatedApp:
@@ -41,9 +41,16 @@
         self._pump()
         return answer
 
+    def load_report(self) -> LoadReport:
+        """Return the newest readable load report."""
+        report = self.model.load_report(monotonic_s())
+        self._pump()
+        return report
+
     def set_draining(self, draining: bool) -> None:
-        """Refuse, or take again, new calls."""
-        self.model.draining = draining
+        """Refuse, or take again, new calls; later load reports tell it."""
+        self.model.set_draining(draining, monotonic_s())
+        self._pump()
 
     def set_slow_factor(self, factor: float) -> None:
         """Make the service times of later starts ``factor`` times as long as normal."""
--- a/passgate/emulator/app_model.py
+++ b/passgate/emulator/app_model.py
@@ -22,10 +22,11 @@
 import msgspec
 import xxhash
 
+from passgate.emulator.engine_reports import LoadReporter, LoadSnapshot
 from passgate.emulator.ledger import RunLedger
 from passgate.emulator.parameters import AppParameters
 from passgate.errors import BackendRefused
-from passgate.schema import AppRequest, AppResponse
+from passgate.schema import AppRequest, AppResponse, LoadReport
 
 OVERLOAD_RETRY_S = 0.5
 """``retry_after_s`` of a refusal because the queue is full."""
@@ -118,6 +119,7 @@
         self._waiting: deque[_Call] = deque()
         self._runs: list[_Run] = []
         self._outbox: list[AppEvent] = []
+        self._reporter = self._new_reporter(now_s)
 
     @property
     def running(self) -> int:
@@ -151,6 +153,16 @@
         self._start_waiting(now_s)
         return self._tickets
 
+    def set_draining(self, draining: bool, now_s: float) -> None:
+        """Refuse, or take again, new calls; later load reports tell it."""
+        self._catch_up(now_s)
+        self.draining = draining
+
+    def load_report(self, now_s: float) -> LoadReport:
+        """Return the newest report that is old enough to be readable."""
+        self._catch_up(now_s)
+        return self._reporter.read(now_s)
+
     def crash(self, now_s: float, restart_after_s: float | None = None) -> None:
         """Lose all calls; side effects of running ones have happened."""
         self._catch_up(now_s)
@@ -176,12 +188,15 @@
 
     def _catch_up(self, now_s: float) -> None:
         while (due_s := self.next_event_s()) is not None and due_s <= now_s:
+            self._reporter.catch_up(due_s, self._snapshot)
             if self._restart_s is not None and self._restart_s <= due_s:
                 self._restart_s = None
                 self.up = True
+                self._reporter = self._new_reporter(due_s)
             while self._runs and self._runs[0].end_s <= due_s:
                 self._finish(heapq.heappop(self._runs))
             self._start_waiting(due_s)
+        self._reporter.catch_up(now_s, self._snapshot)
         self._now_s = max(self._now_s, now_s)
 
     def _start_waiting(self, now_s: float) -> None:
@@ -207,6 +222,26 @@
         )
         self._outbox.append(AppDone(run.ticket, response))
 
+    def _new_reporter(self, start_s: float) -> LoadReporter:
+        parameters = self.parameters
+        reporter = LoadReporter(
+            self.replica_id, parameters.report_interval_s, parameters.report_lag_s, start_s
+        )
+        reporter.catch_up(start_s, self._snapshot)
+        return reporter
+
+    def _snapshot(self) -> LoadSnapshot:
+        return LoadSnapshot(
+            running=self.running,
+            waiting=self.waiting,
+            outstanding_tokens=0,
+            kv_used_tokens=0,
+            kv_capacity_tokens=0,
+            decoded_tokens=0,
+            versions={},
+            leaving=self.draining,
+        )
+
     def _service_s(self) -> float:
         mean_s = self.parameters.service_mean_s * self.slow_factor
         if self.parameters.exponential:
--- a/passgate/emulator/app_server.py
+++ b/passgate/emulator/app_server.py
@@ -1,5 +1,7 @@
 """Serves an application model over HTTP: any method and path, ``X-Request-Id`` echoed.
 
+``GET /load`` without that header is not a forwarded call and answers the load report.
+
 The model is any :class:`passgate.interfaces.AppClient`, addressed by ``model_address``.
 """
 
@@ -35,10 +37,18 @@
 class _CallHandler(StandInHandler):
     server: AppServer
 
+    async def get(self) -> None:
+        is_call = wire.REQUEST_ID_HEADER in self.request.headers
+        await (self._serve_call() if is_call or self.request.path != wire.LOAD_PATH else self._load())
+
     async def _serve_call(self) -> None:
         await self.while_connected(self._call(self._app_request()))
 
-    get = post = put = patch = delete = _serve_call
+    post = put = patch = delete = _serve_call
+
+    async def _load(self) -> None:
+        report = await self.server.model.load_report(self.server.model_address)
+        self.reply(wire.AppLoadAnswer.of(report))
 
     async def _call(self, request: AppRequest) -> None:
         self.server.count_received(request.request_id)
--- a/passgate/emulator/engine_server.py
+++ b/passgate/emulator/engine_server.py
@@ -35,7 +35,7 @@
         return [
             (r"/v1/completions", _CompletionHandler, arguments),
             (r"/v1/completions/cancel", _CancelHandler, arguments),
-            (r"/load", _LoadHandler, arguments),
+            (wire.LOAD_PATH, _LoadHandler, arguments),
             (r"/cache_events", _CacheEventsHandler, arguments),
             (r"/orders", _OrderHandler, arguments),
         ]
--- a/passgate/emulator/memory_clients.py
+++ b/passgate/emulator/memory_clients.py
@@ -171,6 +171,14 @@
             raise BackendUnreachable("connection reset", execution=ExecutionStatus.UNKNOWN)
         return response
 
+    async def load_report(self, address: str) -> LoadReport:
+        """Return the replica's latest report; raises BackendUnreachable."""
+        app = self._registry.app(address)
+        await _reach(self._network, self._zone, app)
+        report = app.load_report()
+        await self._network.deliver(app.zone, self._zone)
+        return report
+
 
 async def _reach(network: Network, zone: str, backend: EmulatedEngine | EmulatedApp) -> None:
     await network.connect(zone, backend.zone)
--- a/passgate/emulator/parameters.py
+++ b/passgate/emulator/parameters.py
@@ -120,6 +120,9 @@
     concurrency: int = 4
     max_waiting: int = 32
     restart_s: float = 5.0
+    report_interval_s: float = 0.25
+    report_lag_s: float = 0.25
+    """Age of the newest load report that can be read."""
 
 
 class AppGroup(_Parameters, frozen=True, kw_only=True):
--- a/passgate/interfaces.py
+++ b/passgate/interfaces.py
@@ -129,3 +129,15 @@
             BackendRefused, BackendUnreachable, IncompleteAnswer, AnswerMismatch.
         """
         ...
+
+    async def load_report(self, address: str) -> LoadReport:
+        """Return the replica's latest report, taken some time before it is read.
+
+        ``running`` and ``waiting`` count calls, ``leaving`` is the replica's own
+        word; token and KV fields are 0 and there are no versions.
+
+        Raises:
+            BackendUnreachable: nothing was read.
+            IncompleteAnswer: the answer is not a report.
+        """
+        ...
--- a/passgate/schema.py
+++ b/passgate/schema.py
@@ -152,13 +152,16 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
-    """An engine's own view of its load, taken some time before it is read."""
+    """A back end's own view of its load, taken some time before it is read.
+
+    Application services count calls; their token and KV fields are 0.
+    """
 
     replica_id: str
     sequence: int
-    """Grows with each report of one engine process."""
+    """Grows with each report of one process of the back end."""
     running: int
-    """Sequences in the batch."""
+    """Sequences in the batch, or calls being executed."""
     waiting: int
     outstanding_tokens: int
     """Prefill plus expected decode tokens not yet processed."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -102,6 +102,18 @@
         self.hold = None
         self.failure = None
 
+    async def load_report(self, address):
+        return LoadReport(
+            replica_id="a1",
+            sequence=int(clock.monotonic_s() * 1000),
+            running=0,
+            waiting=0,
+            outstanding_tokens=0,
+            kv_used_tokens=0,
+            kv_capacity_tokens=0,
+            tokens_per_s=0.0,
+        )
+
     async def call(self, address, request):
         self.requests.append(request)
         if self.failure is not None:
--- a/tests/test_clients_http_app.py
+++ b/tests/test_clients_http_app.py
@@ -14,7 +14,7 @@
     DeadlineExceeded,
     ExecutionStatus,
 )
-from passgate.schema import AppRequest, AppResponse
+from passgate.schema import AppRequest, AppResponse, LoadReport
 
 
 class EchoApp:
@@ -25,6 +25,19 @@
         self.hold = None
         self.refuse = False
 
+    async def load_report(self, address):
+        return LoadReport(
+            replica_id="linha-0",
+            sequence=7,
+            running=4,
+            waiting=2,
+            outstanding_tokens=0,
+            kv_used_tokens=0,
+            kv_capacity_tokens=0,
+            tokens_per_s=0.0,
+            leaving=True,
+        )
+
     async def call(self, address, request):
         self.calls.append(request)
         if self.refuse:
@@ -80,6 +93,26 @@
         assert (seen.request_id, seen.caller) == (caller + "/1", caller)
 
 
+async def test_load_report_is_read_and_a_call_to_its_path_is_still_forwarded():
+    async with served_app() as (server, client, address):
+        report = await client.load_report(address)
+        assert report == await server.model.load_report("a1")
+        response = await client.call(address, app_request(method="GET", path="/load", body=b""))
+        assert (response.request_id, response.body) == ("r1", b"")
+        assert [call.path for call in server.model.calls] == ["/load"]
+
+
+async def test_answer_that_is_not_a_report_is_typed():
+    async with served_app() as (server, client, address):
+        server.faults.unavailable = True
+        with pytest.raises(BackendUnreachable):
+            await client.load_report(address)
+        server.faults.unavailable = False
+        server.faults.lose_answers = 9  # a read may be sent again
+        with pytest.raises(BackendUnreachable):
+            await client.load_report(address)
+
+
 async def test_crossed_answer_is_a_mismatch():
     async with served_app() as (server, client, address):
         server.faults.cross_answers = 1
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -341,6 +341,26 @@
     assert in_world(scenario, faults=[AppCrash(0.005, APP)]) == (UNKNOWN, NOT_RUN, 0)
 
 
+def test_app_report_lags_tells_its_own_leaving_and_starts_anew_after_a_crash() -> None:
+    parameters = AppParameters(
+        concurrency=2, service_mean_s=50.0, service_variation=0.1, report_interval_s=0.25, report_lag_s=0.25
+    )
+    app = AppModel("a", parameters, Random(3), now_s=0.0)
+    for number in range(3):
+        app.submit(app_request(f"r{number}"), 1.0)
+    early, late = app.load_report(1.3), app.load_report(1.6)
+    assert (early.running, early.waiting) == (0, 0)
+    assert (late.running, late.waiting, late.leaving) == (2, 1, False)
+    assert late.sequence > early.sequence
+    app.set_draining(True, 2.0)
+    assert not app.load_report(2.1).leaving
+    assert app.load_report(2.6).leaving
+    app.crash(3.0, restart_after_s=1.0)
+    anew = app.load_report(4.5)
+    assert (anew.running, anew.waiting) == (0, 0)
+    assert anew.sequence < late.sequence
+
+
 def test_application_conserves_calls_and_never_waits_negatively():
     app = AppModel("a", AppParameters(concurrency=2, max_waiting=3), Random(3), now_s=0.0)
     random, at_s = Random(4), 0.0
--- a/tests/test_servers_standins.py
+++ b/tests/test_servers_standins.py
@@ -52,7 +52,10 @@
     return replace(
         olhar,
         engines=replace(olhar.engines, engine=engine, models=models),
-        apps=replace(olhar.apps, app=replace(olhar.apps.app, service_mean_s=0.001)),
+        apps=replace(
+            olhar.apps,
+            app=replace(olhar.apps.app, service_mean_s=0.001, report_interval_s=0.02, report_lag_s=0.02),
+        ),
         machine_list=replace(olhar.machine_list, lag_s=0.0),
         store=replace(olhar.store, first_byte_s=0.0),
     )
@@ -248,6 +251,52 @@
         assert (await out.admin.state()).runs == {}
 
 
+@both
+async def test_app_reports_its_load_and_its_own_leaving_word(kind):
+    async with outside(kind) as out:
+        address = out.apps["linha-0"]
+        model = out.standins.world.apps["linha-0"].model
+        model.parameters = msgspec.structs.replace(model.parameters, service_mean_s=60.0, max_waiting=9)
+        calls = [asyncio.create_task(out.app.call(address, app_request(f"a{i}"))) for i in range(6)]
+
+        async def is_seen():
+            report = await out.app.load_report(address)
+            assert (report.replica_id, report.outstanding_tokens, report.kv_capacity_tokens) == (
+                "linha-0",
+                0,
+                0,
+            )
+            return (report.running, report.waiting, report.leaving) == (4, 2, False)
+
+        async def is_leaving():
+            return (await out.app.load_report(address)).leaving
+
+        await until(is_seen)
+        await out.admin.inject(FaultKind.DRAIN, "linha-0")
+        await until(is_leaving)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+
+@both
+async def test_crashed_app_refuses_reports_and_comes_back(kind):
+    async with outside(kind) as out:
+        address = out.apps["linha-0"]
+        await out.admin.inject(FaultKind.CRASH, "linha-0", 0.05)
+        with pytest.raises(BackendUnreachable) as caught:
+            await out.app.load_report(address)
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+
+        async def is_back():
+            try:
+                return (await out.app.load_report(address)).replica_id == "linha-0"
+            except BackendUnreachable:
+                return False
+
+        await until(is_back)
+
+
 async def test_lost_answer_of_an_app_ran_once():
     async with outside() as out:
         await out.admin.inject(FaultKind.LOSE_ANSWERS, "linha-0", 1)
