--- a/passgate/state/append_queue.py
+++ b/passgate/state/append_queue.py
@@ -124,9 +124,9 @@
         return not self._waiting and not self._sent
 
     @property
-    def unused(self) -> bool:
-        """Whether no record was ever handed to the log."""
-        return self._last_sequence == 0
+    def has_records_in_doubt(self) -> bool:
+        """Whether an undecided record of this writer may be on the log."""
+        return any(proposal.maybe_appended for proposal in self._sent.values())
 
     async def propose(self, body: Body, epoch: int, timeout_s: float) -> Decision:
         """Queue a record and wait for the fold's decision; see ``LogFollower.propose``."""
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -183,10 +183,10 @@
     def restore(self, snapshot: SnapshotTaken) -> bool:
         """Adopt a snapshot that is newer than what is applied; return whether it was adopted.
 
-        Only before anything was proposed here: a snapshot hides the decisions
+        Refused while a record of ours is in doubt: a snapshot hides the decisions
         on the records that it stands for.
         """
-        if not self._queue.unused or not self._state.restore(snapshot):
+        if self._queue.has_records_in_doubt or not self._state.restore(snapshot):
             return False
         self._retained.clear()
         if self.on_restored is not None:
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -307,6 +307,26 @@
     assert state.next_offset == 4
 
 
+def test_snapshot_is_not_adopted_while_a_record_of_ours_is_in_doubt():
+    async def scenario():
+        log = MemoryLog()
+        other, starting = started(log, "d2"), started(log)
+        starting.client.reads_down = True
+        starting.client.script(*[AppendFault.REQUEST_LOST] * 3, AppendFault.ANSWER_LOST)
+        proposal = asyncio.ensure_future(starting.propose("a"))
+        await other.propose("b")
+        assert not starting.follower.restore(other.follower.snapshot())
+        await asyncio.sleep(5)
+        starting.client.reads_down = False
+        assert (await proposal).value == 2
+        starting.client.reads_down = True
+        await other.propose("c")
+        assert starting.follower.restore(other.follower.snapshot())
+        assert starting.fold.keys == ["b", "a", "c"]
+
+    run_virtual(scenario())
+
+
 def test_restored_state_still_knows_the_writers():
     state, restored = StreamState(ListFold()), StreamState(ListFold())
     state.apply(0, payload("d1", 1, "a"))
