Judge histories of separate daemons under faults: passgate check sockets

Cause: histories were recorded in virtual time only, so kills, freezes and operator races of separate processes were judged by the demo counters alone. The stand-ins now tell each start of a request with a digest of its work, so that a start whose caller never got an answer is still led back to it. Ruled out: counting the identifiers of answers alone, which misses the runs of requests cut off by a kill. A promise without an event that could show its breach is reported as not observed. Before: no run over sockets wrote a history.

--- a/passgate/check/cli.py
+++ b/passgate/check/cli.py
@@ -101,6 +101,27 @@
                 print(_excerpt(found))
             raise HistoryBroken(found.message, promise=found.promise, rule=found.rule)
 
+    def sockets(
+        self,
+        seed: int = 1,
+        seconds: float = 10.0,
+        faults: str | tuple[str, ...] = "",
+        history: str = "",
+        json: bool = False,
+    ) -> None:
+        """Run separate daemons on loopback under faults, and judge the recorded history.
+
+        Args:
+            seed: seed of the emulated outside systems, callers and operators.
+            seconds: least time in which callers work; faults may need longer.
+            faults: names of faults, parted by commas; all when empty, "none" for a calm run.
+            history: file to write the history to, for ``passgate check history FILE``.
+            json: print the report as one JSON line.
+        """
+        from passgate.check import socket_command
+
+        socket_command.run(seed, seconds, faults, history, json)
+
     def replay(
         self, seed: int = 0, only: str = "", schedule: str = "", smallest: bool = False, history: str = ""
     ) -> None:
--- a/passgate/emulator/admin_client.py
+++ b/passgate/emulator/admin_client.py
@@ -10,7 +10,14 @@
 from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
 from passgate.clients.replies import decode_body, decode_error
-from passgate.emulator.admin_messages import FaultCommand, FaultKind, StandInAddresses, StandInState
+from passgate.emulator.admin_messages import (
+    FaultCommand,
+    FaultKind,
+    SeenRun,
+    SeenRuns,
+    StandInAddresses,
+    StandInState,
+)
 from passgate.errors import PlatformError
 
 ADMIN_TIMEOUT_S = 10.0
@@ -32,6 +39,10 @@
         """Return counters; request identifiers only with ``prefix``; raises PlatformError."""
         return decode_body(await self._send("GET", f"/state?prefix={quote(prefix)}"), StandInState)
 
+    async def runs(self, after: int = 0) -> tuple[SeenRun, ...]:
+        """Return the starts of requests on back ends but the first ``after``; raises PlatformError."""
+        return decode_body(await self._send("GET", f"/runs?after={after}"), SeenRuns).runs
+
     async def inject(self, kind: FaultKind, target: str = "", value: float = 1.0, argument: str = "") -> None:
         """Inject one fault; raises PlatformError when the stand-ins refuse it."""
         command = FaultCommand(kind=kind, target=target, value=value, argument=argument)
--- a/passgate/emulator/admin_messages.py
+++ b/passgate/emulator/admin_messages.py
@@ -104,3 +104,21 @@
     servers: dict[str, ServerCounters]
     log: LogTotals
     store_bytes: int
+
+
+class SeenRun(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of one request on one back end."""
+
+    time_s: float
+    """Seconds on the machine's monotonic clock, which all its processes share."""
+    request_id: str
+    """Identifier that passgate gave to the back end."""
+    replica_id: str
+    work: str
+    """Digest of what was asked for: see ``emulator.run_feed``."""
+
+
+class SeenRuns(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of ``GET /admin/runs?after=N``: all starts but the first N."""
+
+    runs: tuple[SeenRun, ...]
--- a/passgate/emulator/admin_server.py
+++ b/passgate/emulator/admin_server.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from passgate.emulator.admin_messages import FaultCommand, FaultKind, LogTotals, StandInState
+from passgate.emulator.admin_messages import FaultCommand, FaultKind, LogTotals, SeenRuns, StandInState
 from passgate.emulator.app_server import AppServer
 from passgate.emulator.engine_events import SwapFailure
 from passgate.emulator.engine_server import EngineServer
@@ -28,6 +28,7 @@
         return [
             (r"/admin/addresses", _AddressesHandler, arguments),
             (r"/admin/state", _StateHandler, arguments),
+            (r"/admin/runs", _RunsHandler, arguments),
             (r"/admin/faults", _FaultsHandler, arguments),
         ]
 
@@ -46,6 +47,12 @@
         self.reply(read_state(self.server.standins, self.get_query_argument("prefix", "")))
 
 
+class _RunsHandler(_AdminHandler):
+    async def get(self) -> None:
+        after = int(self.get_query_argument("after", "0"))
+        self.reply(SeenRuns(runs=tuple(self.server.standins.runs.seen[after:])))
+
+
 class _FaultsHandler(_AdminHandler):
     async def post(self) -> None:
         command = self.body_as(FaultCommand)
--- a/passgate/emulator/app_model.py
+++ b/passgate/emulator/app_model.py
@@ -208,7 +208,7 @@
         self.counters.started += 1
         self.counters.wait_s += now_s - call.arrived_s
         self.counters.busy_s += service_s
-        self._ledger.record_run(call.request.request_id, self.replica_id, now_s)
+        self._ledger.record_run(call.request.request_id, self.replica_id, now_s, call.request)
         self._ledger.record_effect(call_digest(call.request), repeatable=call.request.repeatable)
         heapq.heappush(self._runs, _Run(now_s + service_s, call.ticket, call.request))
 
--- a/passgate/emulator/engine_batch.py
+++ b/passgate/emulator/engine_batch.py
@@ -247,7 +247,8 @@
         self._counters.started += 1
         if sequence.started_s is None:
             sequence.started_s = now_s
-            self._ledger.record_run(sequence.request.request_id, self._replica_id, now_s)
+            request = sequence.request
+            self._ledger.record_run(request.request_id, self._replica_id, now_s, request)
 
     def _allocate(self, sequence: Sequence, now_s: float) -> bool:
         version = self._weights.active[sequence.request.model]
--- a/passgate/emulator/ledger.py
+++ b/passgate/emulator/ledger.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from passgate.schema import AppRequest, GenerateRequest
+
 
 class RunRecord(msgspec.Struct, frozen=True):
     """One start of one request on one replica."""
@@ -35,8 +37,14 @@
         self._effects: Counter[str] = Counter()
         self._single_effects: set[str] = set()
 
-    def record_run(self, request_id: str, replica_id: str, now_s: float) -> None:
-        """Note that a replica began to execute a request."""
+    def record_run(
+        self,
+        request_id: str,
+        replica_id: str,
+        now_s: float,
+        request: GenerateRequest | AppRequest | None = None,
+    ) -> None:
+        """Note that a replica began to execute a request; subclasses may look at the request itself."""
         record = RunRecord(request_id, replica_id, now_s)
         self.records.append(record)
         if self._on_run is not None:
--- a/passgate/emulator/standins_server.py
+++ b/passgate/emulator/standins_server.py
@@ -26,6 +26,7 @@
 from passgate.emulator.network import SAME_PROCESS
 from passgate.emulator.parameters import DeploymentParameters, load_deployment
 from passgate.emulator.platform_server import ChangeableMachineList, PlatformServer
+from passgate.emulator.run_feed import RunFeed
 from passgate.emulator.wire import StandInServer
 from passgate.emulator.world import EmulatedWorld
 from passgate.schema import MachineInfo
@@ -44,7 +45,8 @@
     def __init__(
         self, parameters: DeploymentParameters, seed: int = 1, credential: str | None = None
     ) -> None:
-        self.world = EmulatedWorld(parameters, seed)
+        self.runs = RunFeed()
+        self.world = EmulatedWorld(parameters, seed, self.runs)
         self.servers: dict[str, StandInServer] = {}
         """Servers by name: machines by identifier, ``platform``, ``admin``, ``log/ZONE``."""
         self._credential = credential
--- /dev/null
+++ b/tests/test_check_socket_run.py
@@ -0,0 +1,224 @@
+import asyncio
+
+import pytest
+
+from passgate.check import judges_operations, judges_requests, judges_samples
+from passgate.check.events import (
+    AppInvoked,
+    BackendLeaving,
+    BackendRunStarted,
+    ConfigurationAccepted,
+    DaemonKilled,
+    DaemonStarted,
+    GenerateInvoked,
+    HistoryClosed,
+    LotAbandoned,
+    LotSubmitted,
+    PageReceived,
+    ReceivedSample,
+    RequestCutOff,
+    RequestFailed,
+    StopFinished,
+    StopRequested,
+)
+from passgate.check.history import read_history
+from passgate.check.simulation.run import RunLimits, simulate
+from passgate.check.simulation.schedule import DaemonKill, Schedule
+from passgate.check.socket_attribution import attribute_runs
+from passgate.check.socket_command import run
+from passgate.check.socket_faults import FaultNote
+from passgate.check.socket_observation import OBSERVERS, observations
+from passgate.check.socket_report import CALM, NOT_OBSERVED, find_violations, make_cells
+from passgate.check.socket_run import SocketScenario, run_sockets, unhandled_errors
+from passgate.emulator.admin_messages import SeenRun
+from passgate.emulator.run_feed import generate_work
+from passgate.errors import ExecutionStatus, NotFound
+from passgate.schema import FinishReason
+
+
+def app_call(request_id, time_s=1.0, daemon="a-1", key="", digest="d"):
+    return AppInvoked(
+        time_s=time_s,
+        request_id=request_id,
+        daemon=daemon,
+        expected_digest=digest,
+        key=key,
+        repeatable=not key,
+    )
+
+
+def refused(request_id, time_s=2.0):
+    execution = ExecutionStatus.NOT_RUN
+    return RequestFailed(time_s=time_s, request_id=request_id, error="overloaded", execution=execution)
+
+
+def started(request_id, time_s=1.5, replica_id="app-0"):
+    return BackendRunStarted(time_s=time_s, request_id=request_id, replica_id=replica_id)
+
+
+def seen(request_id, time_s=1.5, work="d"):
+    return SeenRun(time_s=time_s, request_id=request_id, replica_id="app-0", work=work)
+
+
+def lot(bound=1):
+    return LotSubmitted(time_s=1.0, lot_id="l-1", trainer="t", model="m", staleness_bound=bound, prompts=())
+
+
+def page(trainer_version=1, finished=False):
+    sample = ReceivedSample(
+        sample_id="l-1/0", index=0, attempt=1, tokens=(1,), spans=(), finish_reason=FinishReason.STOP
+    )
+    return PageReceived(
+        time_s=2.0,
+        lot_id="l-1",
+        cursor=0,
+        next_cursor=1,
+        trainer_version=trainer_version,
+        samples=(sample,),
+        finished=finished,
+    )
+
+
+# --- starts on back ends ------------------------------------------------------------
+
+
+def test_runs_of_an_answered_request_carry_its_identifier_over_attempts():
+    events = attribute_runs([seen("a-1-f"), seen("a-1-f~1")], [app_call("c-0")], {"a-1-f": "c-0"})
+    assert [event.request_id for event in events] == ["c-0", "c-0"]
+
+
+def test_two_runs_of_one_key_are_found_though_neither_was_answered():
+    calls = [app_call("c-0", 1.0, "a-1", "c"), app_call("c-1", 2.0, "b-1", "c")]
+    runs = attribute_runs([seen("a-1-f", 1.1), seen("b-1-e", 2.1)], calls, {})
+    assert [event.request_id for event in runs] == ["c-0", "c-1"]
+    assert len(judges_requests.judge_at_most_once([*calls, *runs])) == 1
+
+
+def test_a_run_is_not_led_back_to_an_answered_later_or_foreign_request():
+    calls = [
+        app_call("answered", 1.0),
+        app_call("later", 9.0),
+        app_call("elsewhere", 1.0, "b-1"),
+        app_call("other-work", 1.0, digest="e"),
+    ]
+    (event,) = attribute_runs([seen("a-1-f")], calls, {"a-1-e": "answered"})
+    assert event.request_id == "a-1-f"
+
+
+def test_a_refused_request_that_ran_breaks_not_run():
+    calls = [app_call("c-0"), refused("c-0")]
+    runs = attribute_runs([seen("a-1-f", 3.0)], calls, {"a-1-f": "c-0"})
+    assert find_violations([*calls, *runs])[judges_requests.NOT_RUN]
+
+
+def test_generated_output_is_led_back_by_its_prompt_and_seed():
+    asked = GenerateInvoked(
+        time_s=1.0, request_id="g-0", daemon="a-1", model="m", prompt=(1, 2), max_tokens=4, seed=7
+    )
+    (event,) = attribute_runs([seen("a-1-f", work=generate_work("m", (1, 2), 7))], [asked], {})
+    assert event.request_id == "g-0"
+
+
+# --- what was observed --------------------------------------------------------------
+
+
+def test_an_empty_history_observes_no_promise():
+    assert all(not times for times in observations([]).values())
+    assert set(OBSERVERS) == set(find_violations([]))
+
+
+@pytest.mark.parametrize(
+    ("promise", "lacking", "present"),
+    [
+        (judges_samples.STALENESS, [lot(), page(2)], [lot(), page(3)]),
+        (
+            judges_samples.EXACTLY_ONCE,
+            [lot(), page(), LotAbandoned(time_s=3.0, lot_id="l-1"), HistoryClosed(time_s=4.0)],
+            [lot(), page(), HistoryClosed(time_s=4.0)],
+        ),
+        (judges_samples.EXACTLY_ONCE, [lot(), page()], [lot(), page(finished=True)]),
+        (judges_requests.NOT_RUN, [refused("c-0")], [refused("c-0"), started("other")]),
+        (
+            judges_requests.AT_MOST_ONCE,
+            [app_call("c-0", key="c")],
+            [app_call("c-0", key="c"), started("c-0")],
+        ),
+        (
+            judges_operations.LEAVING,
+            [BackendLeaving(time_s=1.0, replica_id="app-0"), started("x", 5.9, "app-1")],
+            [BackendLeaving(time_s=1.0, replica_id="app-0"), started("x", 6.1, "app-1")],
+        ),
+        (
+            judges_operations.PLANNED_STOP,
+            [
+                app_call("c-0"),
+                StopRequested(time_s=1.1, daemon="b-1"),
+                RequestCutOff(time_s=1.2, request_id="c-0"),
+            ],
+            [
+                app_call("c-0"),
+                StopRequested(time_s=1.1, daemon="a-1"),
+                RequestCutOff(time_s=1.2, request_id="c-0"),
+            ],
+        ),
+        (
+            judges_operations.PLANNED_STOP,
+            [
+                app_call("c-0"),
+                StopRequested(time_s=1.1, daemon="a-1"),
+                StopFinished(time_s=1.2, daemon="a-1"),
+                refused("c-0"),
+            ],
+            [app_call("c-0"), StopRequested(time_s=1.1, daemon="a-1"), refused("c-0")],
+        ),
+    ],
+)
+def test_a_promise_is_observed_only_when_a_breach_would_show(promise, lacking, present):
+    assert observations(lacking)[promise] == ()
+    assert observations(present)[promise] != ()
+
+
+def test_an_accepted_change_that_nobody_reports_is_not_observed():
+    change = ConfigurationAccepted(time_s=1.0, name="Pool/p", expected_revision=0, revision=5, value="v")
+    assert observations([change])[judges_operations.CONFIGURATION] == ()
+
+
+def test_each_fault_is_judged_in_its_own_time_and_says_what_it_did_not_observe():
+    notes = [FaultNote(fault="daemon_kill", target="a-1", from_s=at_s, until_s=at_s) for at_s in (2.0, 4.0)]
+    first, second = app_call("c-0", 10.5, key="c"), app_call("c-1", 12.5, key="c")
+    events = [first, started("c-0", 10.6), second, started("c-1", 12.6)]
+    cells = make_cells(events, find_violations(events), notes, started_s=10.0)
+    assert [cells[name][judges_requests.AT_MOST_ONCE] for name in cells] == [
+        "held (1)",
+        "violated (1)",
+        NOT_OBSERVED,
+    ]
+    assert list(cells) == [CALM, "daemon_kill", "daemon_kill #2"]
+
+
+def test_unhandled_exceptions_are_found_in_the_logs(tmp_path):
+    (tmp_path / "a.log").write_text('{"level": "INFO"}\nTraceback (most recent call last):\n')
+    (tmp_path / "b.log").write_text('{"level": "INFO"}\n')
+    assert unhandled_errors(tmp_path) == ("a: Traceback (most recent call last):",)
+
+
+def test_an_unknown_fault_is_refused_before_anything_starts():
+    with pytest.raises(NotFound, match="no_such_fault"):
+        asyncio.run(run_sockets(SocketScenario(faults=("no_such_fault",))))
+
+
+# --- separate processes -------------------------------------------------------------
+
+
+def test_a_kill_gives_the_same_verdict_over_sockets_and_in_virtual_time(tmp_path, capsys):
+    file = tmp_path / "history"
+    run(seed=1, seconds=1.0, faults="daemon_kill", history=str(file), json=True)  # raises when broken
+    with file.open("rb") as lines:
+        events = read_history(lines)
+    kinds = {type(event) for event in events}
+    assert {DaemonKilled, DaemonStarted, BackendRunStarted, PageReceived, HistoryClosed} <= kinds
+    assert observations(events)[judges_requests.WHOLE_ANSWER]
+    over_sockets = {promise: len(found) for promise, found in find_violations(events).items()}
+    kill = DaemonKill(at_s=2.0, daemons=("c-1",), restart_after_s=0.5)
+    outcome = simulate(Schedule(seed=1, faults=(kill,)), RunLimits(calls_s=7.0, trainer_steps=1))
+    assert over_sockets == {entry.promise: entry.violations for entry in outcome.verdict.promises}
