--- a/passgate/demo.py
+++ b/passgate/demo.py
@@ -29,6 +29,7 @@
 from passgate.emulator.callers import Callers
 from passgate.emulator.parameters import DeploymentParameters, TrainerParameters, load_deployment
 from passgate.emulator.tally import Tally
+from passgate.errors import PassgateError
 from passgate.lab.measures import LatencySummary
 
 DEPLOYMENTS = ("olhar", "huon")
@@ -294,6 +295,8 @@
         try:
             async with asyncio.TaskGroup() as group:
                 results = [group.create_task(run.run()) for run in runs]
+        except* PassgateError as failed:
+            raise _first_failure(failed) from None
         finally:
             for watcher in watching:
                 watcher.cancel()
@@ -310,6 +313,15 @@
             elapsed_s += PROGRESS_S
 
 
+def _first_failure(failed: BaseExceptionGroup) -> PassgateError:
+    """Return the first typed error of a group."""
+    first = failed.exceptions[0]
+    if isinstance(first, BaseExceptionGroup):
+        return _first_failure(first)
+    assert isinstance(first, PassgateError)
+    return first
+
+
 def _table(results: list[DeploymentResult]) -> Table:
     table = Table("measure", *(result.deployment for result in results), title="passgate demo")
     for name in DeploymentResult.__struct_fields__[1:]:
--- a/passgate/demo_deployment.py
+++ b/passgate/demo_deployment.py
@@ -18,6 +18,7 @@
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
+from passgate.clock import monotonic_s
 from passgate.emulator.admin_messages import StandInAddresses
 from passgate.emulator.parameters import DeploymentParameters
 from passgate.errors import PassgateError, PlatformError, RevisionConflict
@@ -184,14 +185,16 @@
         """Wait until the daemon of a zone is ready."""
         url = f"http://{self.operators[zone]}/readyz"
         call = HttpCall(method="GET", url=url, send=SendPolicy.REPEAT, timeout_s=READY_CALL_TIMEOUT_S)
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while True:
-                if not self.daemons[zone].running:
-                    raise PlatformError(f"daemon {zone} ended: {self.daemons[zone].output()}")
-                with contextlib.suppress(PassgateError):
-                    if (await self._http.fetch(call)).status == STATUS_OK:
-                        return
-                await asyncio.sleep(POLL_S)
+        deadline_s = monotonic_s() + START_TIMEOUT_S
+        while True:
+            if not self.daemons[zone].running:
+                raise PlatformError(f"daemon {zone} ended: {self.daemons[zone].output()}")
+            if monotonic_s() > deadline_s:
+                raise PlatformError(f"daemon {zone} is not ready: {self.daemons[zone].output()}")
+            with contextlib.suppress(PassgateError):
+                if (await self._http.fetch(call)).status == STATUS_OK:
+                    return
+            await asyncio.sleep(POLL_S)
 
     async def _configure(self) -> None:
         """Put pools and boot versions on the log through one daemon; all daemons take them up."""
--- a/passgate/server/daemon.py
+++ b/passgate/server/daemon.py
@@ -27,8 +27,6 @@
 from passgate.statecharts import Machine
 
 MACHINE_LIST_PERIOD_S = 1.0
-CATCH_UP_ATTEMPT_S = 5.0
-JOIN_PERIOD_S = 2.0
 JOIN_WAIT_S = 3.0
 """Longest wait for a first peer before a daemon serves on its own."""
 POLL_S = 0.05
