--- a/tests/test_control_scale.py
+++ b/tests/test_control_scale.py
@@ -1,9 +1,11 @@
+from pathlib import Path
+
 import msgspec
 
 from passgate.clock import new_virtual_loop
 from passgate.lab import control_cost, control_faults
 from passgate.lab.control_records import ControlCost, Percentiles, Result
-from passgate.lab.control_report import BEGIN, END, report, with_tables
+from passgate.lab.control_report import BEGIN, END, read_results, report, with_tables
 
 
 def in_virtual_time(coroutine):
@@ -79,3 +81,18 @@
 
     line = control_cost.fit([cost(size) for size in (3, 30, 120)], "calm")[0]
     assert (line.measure, round(line.intercept), round(line.per_daemon)) == ("sent_bytes_per_s", 100, 2)
+
+
+def test_tables_of_the_page_are_those_of_the_measurements():
+    root = Path(__file__).parent.parent
+    results = read_results(str(root / "measurements" / "control-scale.jsonl"))
+    page = (root / "docs" / "design" / "membership.md").read_text(encoding="utf-8")
+    assert with_tables(page, results) == page
+
+
+def test_measured_cost_at_full_size_is_within_the_letter_s_limits():
+    root = Path(__file__).parent.parent
+    results = read_results(str(root / "measurements" / "control-scale.jsonl"))
+    full = [row for row in results if isinstance(row, ControlCost) and row.daemons == 420]
+    assert {row.load for row in full} == {"calm", "busy"}
+    assert all(row.wire_bytes_per_s < 5_000 and row.cpu_share < 0.011 for row in full)
