Confirm the configuration by a record before a daemon is ready

Cause: a daemon that starts without peers behind a slow replica of the log took the replica's end for the end and became ready with a configuration older than one already in force. It now waits for a record of its own; without an append for 5 s it goes by what it could read, but never while the log has told of records that it lacks. Ruled out: reading several times, which one slow replica answers alike.

--- a/passgate/state/configuration.py
+++ b/passgate/state/configuration.py
@@ -11,13 +11,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Sequence
 from random import Random
 
 import msgspec
 
+from passgate.clock import monotonic_s
+from passgate.errors import DeadlineExceeded, DurabilityUnavailable, DurabilityUnknown, ExecutionStatus
 from passgate.interfaces import LogClient, LogEntry
-from passgate.records import ObjectDeleted, ObjectPut, Record, SnapshotTaken
+from passgate.records import ObjectDeleted, ObjectPut, ProposalWithdrawn, Record, SnapshotTaken
 from passgate.schema import Labels
 from passgate.state.configuration_state import ConfigObject, ConfigurationState
 from passgate.state.fold import Accepted, Decision, Rejected
@@ -43,6 +46,10 @@
 ]
 
 STREAM = "config"
+READY_POLL_S = 0.01
+CONFIRM_ATTEMPT_S = 1.0
+CONFIRM_PATIENCE_S = 5.0
+"""After so long without an append to the log a starting daemon goes by what it could read."""
 RETAINED_ENTRIES = 512
 """Latest entries kept for peers that can not reach the log."""
 Subscriber = Callable[[ConfigurationState], None]
@@ -54,6 +61,7 @@
     def __init__(self, log: LogClient, writer: str, random: Random | None = None) -> None:
         self.state = ConfigurationState()
         self._subscribers: list[Subscriber] = []
+        self._confirming: asyncio.Task[None] | None = None
         self.follower = LogFollower(
             log,
             STREAM,
@@ -72,26 +80,46 @@
 
     async def close(self) -> None:
         """Stop following."""
+        if self._confirming is not None:
+            self._confirming.cancel()
         await self.follower.close()
 
     def ready_at(self, minimum_revision: int) -> bool:
         """Return whether this daemon may serve.
 
-        It may once it has read to the stream's end as the log told it, or was
-        brought up by a peer, and has all that a peer is known to have in force.
+        It may once a record of its own came back to it: then it has all that was
+        accepted before it started, which no replica of the log that lags behind can
+        show.  While the log takes no record, it may after a while with what it has
+        read or was given, if that is all that a peer is known to have in force.
         """
-        return self.follower.next_offset >= minimum_revision and (
-            self.follower.synchronised or self.follower.next_offset > 0
-        )
+        if self._confirming is None:
+            self._confirming = asyncio.ensure_future(self._confirm())
+        has_read = self.follower.synchronised or self.follower.next_offset > 0
+        return self.follower.next_offset >= minimum_revision and has_read and self._confirming.done()
 
     async def wait_ready(self, minimum_revision: int, timeout_s: float) -> None:
-        """Wait until the log was read to its end and ``minimum_revision`` is in force.
+        """Wait until :meth:`ready_at` holds.
 
         Raises:
             DeadlineExceeded: it did not get there in time.
         """
-        await self.follower.synchronise(timeout_s)
-        await self.follower.catch_up(minimum_revision, timeout_s)
+        deadline_s = monotonic_s() + timeout_s
+        while not self.ready_at(minimum_revision):
+            if monotonic_s() >= deadline_s:
+                raise DeadlineExceeded(
+                    "the configuration is not known yet", execution=ExecutionStatus.NOT_RUN
+                )
+            await asyncio.sleep(min(READY_POLL_S, timeout_s))
+
+    async def _confirm(self) -> None:
+        """Pass a record of our own, or run out of patience."""
+        deadline_s = monotonic_s() + CONFIRM_PATIENCE_S
+        while monotonic_s() < deadline_s or self.follower.is_behind:
+            try:
+                await self.follower.propose(ProposalWithdrawn(), timeout_s=CONFIRM_ATTEMPT_S)
+            except (DurabilityUnavailable, DurabilityUnknown):
+                continue
+            return
 
     async def put(
         self,
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -86,6 +86,8 @@
         self._queue.on_abandoned = on_abandoned
         self._queue.on_appended = self._appended
         self._queue.on_append_failed = self._want_reads
+        self._known_end = 0
+        """Largest end of the stream that the log has told."""
         self._reads_wanted = asyncio.Event()
         if not reads_on_demand:
             self._reads_wanted.set()
@@ -111,6 +113,11 @@
         """Whether a read has reached the end of the stream as some log replica knew it."""
         return self._synchronised.is_set()
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the log has told of records, read or appended, that are not applied yet."""
+        return self.next_offset < self._known_end
+
     @property
     def idle(self) -> bool:
         """Whether no proposal of this follower is undecided."""
@@ -230,6 +237,7 @@
             return
         if batch is None:
             return
+        self._known_end = max(self._known_end, batch.end_offset)
         applied = self.adopt(batch.entries)
         if batch.entries and applied == 0 and batch.entries[-1].offset + 1 != self.next_offset:
             # A gap or only old entries: a replica that is behind; do not spin on it.
@@ -268,6 +276,7 @@
 
         Of several payloads only the first one's offset is known for certain.
         """
+        self._known_end = max(self._known_end, first_offset + len(payloads))
         if len(payloads) == 1 and first_offset == self.next_offset:
             self.adopt([LogEntry(first_offset, payloads[0])])
             return
