Take small differences of speed as noise and stop the service clock of an empty queue

Cause: (1) the service rate went on counting time after the last queued request had expired, so a later burst was refused for a wait that did not exist; the new test fails without the fix. Speeds within 1.3 of the mean now count as equal, waiting counts only once a batch is full, and a full batch needs two reports. Earlier policies are kept by name.

--- a/passgate/routing/admission.py
+++ b/passgate/routing/admission.py
@@ -47,6 +47,10 @@
         if self._last_s is None:
             self._last_s = now_s
 
+    def idle(self) -> None:
+        """Nothing waits any more although nothing was served: busy time ends."""
+        self._last_s = None
+
     def tokens_per_s(self, now_s: float) -> float | None:
         """Return the rate, or None while it is not known."""
         if self._busy_s < MIN_OBSERVED_S:
@@ -101,6 +105,10 @@
         """A request of the pool stays queued."""
         self._rate(item.pool).waiting(now_s)
 
+    def idle(self, pool: str) -> None:
+        """The last queued request of a pool was withdrawn."""
+        self._rate(pool).idle()
+
     def projected_wait_s(self, item: WorkItem, queue: QueueCounts, now_s: float) -> float | None:
         """Return the projected wait of a new request, None while the rate is not known."""
         ahead = queue.cost_ahead(item)
--- a/passgate/routing/load_tracker.py
+++ b/passgate/routing/load_tracker.py
@@ -28,8 +28,12 @@
 HISTORY_STEP_S = 0.05
 """Own counts are remembered at most this often."""
 HISTORY_S = 3.0
-STEP_SMOOTHING = 0.2
-"""Weight of a new observation of the time per token."""
+STEP_SMOOTHING = 0.05
+"""Weight of a new observation in a replica's time per token."""
+MEAN_SMOOTHING = 0.01
+"""Weight of a new observation in the mean over all replicas."""
+SAME_SPEED_RATIO = 1.3
+"""Replicas whose time per token differs less from the mean of all count as equally fast."""
 REPORT_KEPT_S = 15.0
 """A report older than this says nothing about others' load any more."""
 ASSUMED_TOKEN_S = 0.03
@@ -68,6 +72,7 @@
         "token_s",
         "token_s_requests",
         "versions",
+        "waited_before",
     )
 
     def __init__(self) -> None:
@@ -90,6 +95,8 @@
         """Batch size at which the engine last let requests wait; 0 while never seen."""
         self.report_read_s = float("-inf")
         self.report_sequence = 0
+        self.waited_before = False
+        """Whether requests waited inside the engine in the previous report."""
         self.versions: dict[str, int] = {}
         self.token_s = 0.0
         """Smoothed time per output token of one stream; 0 while never observed."""
@@ -129,7 +136,7 @@
         self._batch_slope = batch_slope
         self._report_lag_s = report_lag_s
         self._loads: dict[str, ReplicaLoad] = {}
-        self._pool_token_s = ASSUMED_TOKEN_S
+        self._mean_token_s = ASSUMED_TOKEN_S
 
     def load(self, replica_id: str) -> ReplicaLoad:
         """Return the load of a replica, empty when nothing is known."""
@@ -141,10 +148,17 @@
     def token_s(self, replica_id: str) -> float:
         """Return the expected time per output token of one stream on a replica."""
         load = self._loads.get(replica_id)
-        if load is None or load.token_s <= 0.0:
-            return self._pool_token_s
-        grown = 1.0 + self._batch_slope * load.request_count
-        return load.token_s * grown / (1.0 + self._batch_slope * load.token_s_requests)
+        if load is None:
+            return self._mean_token_s
+        return self._alone_token_s(load) * (1.0 + self._batch_slope * load.request_count)
+
+    def _alone_token_s(self, load: ReplicaLoad) -> float:
+        """Return the time per token without other requests; small differences are noise."""
+        if load.token_s <= 0.0:
+            return self._mean_token_s
+        alone_s = load.token_s / (1.0 + self._batch_slope * load.token_s_requests)
+        ratio = alone_s / self._mean_token_s
+        return self._mean_token_s if 1.0 / SAME_SPEED_RATIO < ratio < SAME_SPEED_RATIO else alone_s
 
     def retain(self, replica_ids: set[str]) -> None:
         """Forget replicas that no longer exist and have nothing of ours in flight."""
@@ -244,10 +258,12 @@
                 load.reported_waiting = 0
 
     def _learn_limit(self, load: ReplicaLoad, report: LoadReport) -> None:
-        if report.waiting > 0 and report.running > 0:
+        """A batch is full when requests wait over two reports; one may show just arrived ones."""
+        if report.waiting > 0 and load.waited_before and report.running > 0:
             load.running_limit = report.running
         elif load.running_limit and report.running >= load.running_limit:
             load.running_limit = report.running + 1
+        load.waited_before = report.waiting > 0
 
     def _learn_others(self, load: ReplicaLoad, report: LoadReport, taken_s: float) -> None:
         total = report.running + report.waiting
@@ -281,7 +297,8 @@
         else:
             load.token_s += STEP_SMOOTHING * (token_s - load.token_s)
             load.token_s_requests += STEP_SMOOTHING * (load.request_count - load.token_s_requests)
-        self._pool_token_s += STEP_SMOOTHING / 4.0 * (token_s - self._pool_token_s)
+        alone_s = token_s / (1.0 + self._batch_slope * load.request_count)
+        self._mean_token_s += MEAN_SMOOTHING * (alone_s - self._mean_token_s)
 
 
 def _versions(report: LoadReport) -> dict[str, int]:
--- a/passgate/routing/policies.py
+++ b/passgate/routing/policies.py
@@ -114,5 +114,15 @@
     "fifo": RoutingPolicy(name="fifo", queue=QueueKind.FIFO),
     "no_hedge": RoutingPolicy(name="no_hedge", hedge=False),
     "no_homes": RoutingPolicy(name="no_homes", model_homes=False),
+    "no_resume": RoutingPolicy(name="no_resume", resume=False),
+    "no_affinity": RoutingPolicy(name="no_affinity", prefix_affinity=False),
+    "version_1": RoutingPolicy(
+        name="version_1",
+        model_homes=False,
+        batch_slope=0.0,
+        hedge_gain=2.0,
+        hedge_share=0.1,
+        stall_interactive_s=9.0,
+    ),
 }
-"""Named policies; baselines stay here for good."""
+"""Named policies; baselines and earlier versions of the current one stay here for good."""
--- a/passgate/routing/replica_chooser.py
+++ b/passgate/routing/replica_chooser.py
@@ -134,6 +134,8 @@
         return load.request_count - load.models.get(item.model, 0)
 
     def _batch_has_room(self, load: ReplicaLoad, item: WorkItem) -> bool:
+        if not item.interactive and load.reported_waiting > self._policy.waiting_slack:
+            return False
         if not load.running_limit:
             return True
         slack = self._policy.interactive_slack if item.interactive else self._policy.waiting_slack
--- a/passgate/routing/replica_scheduler.py
+++ b/passgate/routing/replica_scheduler.py
@@ -111,9 +111,12 @@
         return projected_s + self._memory_penalty_s(view, item)
 
     def _wait_s(self, view: ReplicaView, token_s: float) -> float:
-        """Time that the outstanding tokens take when shared by the whole batch."""
-        batch = max(view.running_limit, view.request_count, 1)
-        return view.outstanding_tokens * token_s / batch if view.running_limit else 0.0
+        """Time until a place in the batch is free: 0 while the batch is not full."""
+        excess = view.request_count + 1 - view.running_limit
+        if not view.running_limit or excess <= 0:
+            return 0.0
+        mean_left = view.outstanding_tokens / max(view.request_count, 1)
+        return mean_left * token_s * excess / view.running_limit
 
     def _memory_penalty_s(self, view: ReplicaView, item: WorkItem) -> float:
         if not view.kv_capacity_tokens:
--- a/passgate/routing/work_scheduler.py
+++ b/passgate/routing/work_scheduler.py
@@ -121,6 +121,8 @@
         if item.key in self._queued:
             self._queued.discard(item.key)
             self.queue.remove(item)
+            if not self.queue.pool_count(item.pool):
+                self.admission.idle(item.pool)
 
     def place(self, now_s: float) -> list[Placement | Expiry]:
         """Return all requests that can be sent now, and those whose pool was deleted."""
@@ -215,7 +217,7 @@
                 self.queue.take(item)
                 self._queued.discard(item.key)
                 self._begin(item, choice, now_s)
-                self.admission.served(item, self.queued > 0, now_s)
+                self.admission.served(item, self.queue.pool_count(item.pool) > 0, now_s)
                 return Placement(item, choice.replica)
             self.admission.waiting(item, now_s)
             if choice is not NoPlace.NOT_ELIGIBLE:
--- a/tests/test_routing_queues.py
+++ b/tests/test_routing_queues.py
@@ -152,6 +152,22 @@
     work.submit(item(98, interactive=True), PEOPLE, 10.0)
 
 
+def test_time_without_a_queue_does_not_count_as_slow_service():
+    work = scheduler()
+    fill(work, 12)
+    running = [0, 1]
+    for second in range(1, 11):
+        work.end(item(running.pop(0)), "e0", 100, float(second))
+        running += [placement.item.key for placement in work.place(float(second))]
+    work.submit(item(50, deadline_s=12.0), BATCH, 10.0)
+    work.place(10.0)
+    assert len(work.expire(12.0)) == 1
+    for key in (51, 52):
+        work.submit(item(key), PriorityClassSpec(max_wait_s=20.0), 3_600.0)
+        assert work.place(3_600.0) == []
+    assert work.queued == 2
+
+
 def test_expired_entries_get_their_final_answer_at_their_time():
     work = scheduler()
     fill(work, 2)
