Let faults of socket runs happen at once, under six times the calls

Ruled out: waiting for an open request before the stop, which would shape the load around the fault.

--- a/passgate/check/cli.py
+++ b/passgate/check/cli.py
@@ -106,6 +106,7 @@
         seed: int = 1,
         seconds: float = 10.0,
         faults: str | tuple[str, ...] = "",
+        load: float = 6.0,
         history: str = "",
         json: bool = False,
     ) -> None:
@@ -114,13 +115,17 @@
         Args:
             seed: seed of the emulated outside systems, callers and operators.
             seconds: least time in which callers work; faults may need longer.
-            faults: names of faults, parted by commas; all when empty, "none" for a calm run.
+            faults: names of faults, parted by commas; joined by + at once; all when empty,
+                "none" for a calm run.
+            load: interactive calls as a multiple of those of the run in virtual time.
             history: file to write the history to, for ``passgate check history FILE``.
             json: print the report as one JSON line.
         """
         from passgate.check import socket_command
 
-        socket_command.run(seed, seconds, faults, history, json)
+        names = socket_command.fault_names(faults)
+        scenario = socket_command.SocketScenario(seed=seed, seconds=seconds, faults=names, load=load)
+        socket_command.run(scenario, history, json)
 
     def replay(
         self, seed: int = 0, only: str = "", schedule: str = "", smallest: bool = False, history: str = ""
@@ -205,6 +210,18 @@
             _show(json, result, recovery.line(result))
 
 
+    def document(self, root: str = ".") -> None:
+        """Write the tables of the proof's page anew from the committed measurements.
+
+        Args:
+            root: directory of the repository.
+        """
+        from passgate.check import tables
+
+        page = tables.write_page(root)
+        (pathlib.Path(root) / tables.PAGE).write_text(page)
+
+
 @contextlib.contextmanager
 def _progress(total: int) -> Iterator[Callable[[], None]]:
     """Show a progress bar on the terminal; nothing when the output is not one."""
--- a/passgate/check/socket_command.py
+++ b/passgate/check/socket_command.py
@@ -35,9 +35,8 @@
     return names or tuple(FAULTS)
 
 
-def run(seed: int, seconds: float, faults: str | tuple[str, ...], history: str, json: bool) -> None:
+def run(scenario: SocketScenario, history: str, json: bool) -> None:
     """Run, write the history, print the verdict; raises SocketsBroken."""
-    scenario = SocketScenario(seed=seed, seconds=seconds, faults=fault_names(faults))
     report, events = asyncio.run(run_sockets(scenario))
     if history:
         lines = b"".join(encode_event(event) + b"\n" for event in events)
--- a/passgate/check/socket_faults.py
+++ b/passgate/check/socket_faults.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import os
 import signal
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -44,6 +46,8 @@
 CRASHED_FOR_S = 2.0
 AFTER_LEAVING_S = 7.0
 """Longer than the time in which a leaving back end may still get work."""
+TOGETHER = "+"
+"""Joins the names of faults that happen at once."""
 DEAD = "dead"
 LEFT = "left"
 ALIVE = "alive"
@@ -67,7 +71,7 @@
     until_s: float
     """When the tool saw its end."""
     figures: dict[str, float] = {}
-    """What was measured, named with its unit."""
+    """What was measured, by target and name with its unit."""
 
 
 class SocketFaults:
@@ -77,20 +81,44 @@
         self._run = run
         self.notes: list[FaultNote] = []
         self._turn = run.seed
+        self._deaf: Counter[str] = Counter()
+        """Number of faults that keep the daemon of each zone from hearing the log."""
 
     async def apply(self, fault: str) -> None:
-        """Carry out one fault from its begin to its end; raises FaultNotShown."""
+        """Carry out one fault, or several at once; raises FaultNotShown.
+
+        >>> parts_of("daemon_kill+log_outage")
+        ['daemon_kill', 'log_outage']
+        """
         from_s = monotonic_s()
-        target, figures = await FAULTS[fault](self)
+        outcomes = await asyncio.gather(*(FAULTS[part](self) for part in parts_of(fault)))
+        figures = {f"{target} {name}": value for target, values in outcomes for name, value in values.items()}
         note = FaultNote(
             fault=fault,
-            target=target,
+            target=", ".join(target for target, _ in outcomes),
             from_s=math.floor(MS_PER_S * (from_s - self._run.started_s)) / MS_PER_S,
             until_s=round(monotonic_s() - self._run.started_s, 3),
             figures={name: round(value, 3) for name, value in figures.items()},
         )
         self.notes.append(note)
 
+    def note_started(self, zone: str) -> None:
+        """Record that a daemon which has just started can not hear the log."""
+        if self._deaf[zone]:
+            self._run.record(DaemonCut(time_s=monotonic_s(), daemon=self._run.daemon(zone)))
+
+    def _deafen(self, zones: Iterable[str]) -> None:
+        for zone in zones:
+            self._deaf[zone] += 1
+            if self._deaf[zone] == 1:
+                self._run.record(DaemonCut(time_s=monotonic_s(), daemon=self._run.daemon(zone)))
+
+    def _hear(self, zones: Iterable[str]) -> None:
+        for zone in zones:
+            self._deaf[zone] -= 1
+            if self._deaf[zone] == 0 and zone in self._run.serving:
+                self._run.record(DaemonReconnected(time_s=monotonic_s(), daemon=self._run.daemon(zone)))
+
     # --- daemons -----------------------------------------------------------------------
 
     async def kill(self) -> Outcome:
@@ -122,8 +150,7 @@
         run, zone = self._run, self._next_zone()
         begin_s = monotonic_s()
         process_id = run.processes.daemons[zone].process_id
-        run.record(DaemonCut(time_s=begin_s, daemon=run.daemon(zone)))
-        run.serving.discard(zone)
+        self._deafen([zone])
         os.kill(process_id, signal.SIGSTOP)
         try:
             await self._until_seen("daemon_freeze", zone, DEAD, DEAD_LIMIT_S)
@@ -131,8 +158,7 @@
         finally:
             os.kill(process_id, signal.SIGCONT)
         resumed_s = monotonic_s()
-        run.record(DaemonReconnected(time_s=resumed_s, daemon=run.daemon(zone)))
-        run.serving.add(zone)
+        self._hear([zone])
         await self._until_seen("daemon_freeze", zone, ALIVE, BACK_LIMIT_S)
         figures = {"declared_dead_s": dead_s, "alive_again_s": monotonic_s() - resumed_s}
         return run.daemon(zone), figures
@@ -167,14 +193,11 @@
     async def log_outage(self) -> Outcome:
         """Let the log refuse everything for a while."""
         run = self._run
-        names = [run.daemon(zone) for zone in sorted(run.serving)]
-        for name in names:
-            run.record(DaemonCut(time_s=monotonic_s(), daemon=name))
+        self._deafen(run.parameters.zones)
         await run.admin.inject(FaultKind.LOG_DOWN)
         await asyncio.sleep(LOG_OUTAGE_S)
         await run.admin.inject(FaultKind.LOG_DOWN, value=0.0)
-        for name in names:
-            run.record(DaemonReconnected(time_s=monotonic_s(), daemon=name))
+        self._hear(run.parameters.zones)
         return "log", {}
 
     async def log_loses_answers(self) -> Outcome:
@@ -219,10 +242,8 @@
             clients = run.serving_clients()
             name = f"raced-{race}"
             racers = [run.operator(f"racer-{number}") for number in range(RACERS)]
-            attempts = [
-                racer.attempt(clients[number % len(clients)], name, 0) for number, racer in enumerate(racers)
-            ]
-            await asyncio.gather(*attempts)
+            pairs = zip(racers, itertools.cycle(clients), strict=False)
+            await asyncio.gather(*(racer.create(client, name) for racer, client in pairs))
         return "operators", {"races": RACES, "racers": RACERS}
 
 
@@ -252,6 +273,16 @@
 """About how long each fault takes, for the length of a run."""
 
 
+def parts_of(fault: str) -> list[str]:
+    """Return the faults that happen at once under one name."""
+    return fault.split(TOGETHER)
+
+
+def expected_s(fault: str) -> float:
+    """Return about how long a fault, or several at once, take."""
+    return max(EXPECTED_S[part] for part in parts_of(fault))
+
+
 async def _until(condition: Callable[[], Awaitable[bool]], limit_s: float, fault: str) -> None:
     deadline_s = monotonic_s() + limit_s
     while not await condition():
--- a/passgate/check/socket_operators.py
+++ b/passgate/check/socket_operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from random import Random
 
@@ -97,6 +98,12 @@
         except (PassgateError, TimeoutError):
             return  # without an outcome the change may be in force or not
 
+    async def create(self, client: OperatorClient, name: str) -> None:
+        """Create one object through one daemon, unless another operator was first."""
+        with contextlib.suppress(PassgateError, TimeoutError):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                await self.attempt(client, name, 0)
+
     async def revision(self, client: OperatorClient, name: str) -> int:
         """Return an object's revision on one daemon, 0 when there is none."""
         config = await client.list_objects(KIND)
--- a/passgate/check/socket_run.py
+++ b/passgate/check/socket_run.py
@@ -27,7 +27,7 @@
 from passgate.check.simulation.parameters import small_deployment
 from passgate.check.socket_attribution import attribute_runs
 from passgate.check.socket_client import RecordingClient
-from passgate.check.socket_faults import EXPECTED_S, FAULTS, SocketFaults
+from passgate.check.socket_faults import FAULTS, SocketFaults, expected_s, parts_of
 from passgate.check.socket_observation import observations
 from passgate.check.socket_operators import SocketOperator, watch_daemon
 from passgate.check.socket_report import SocketReport, find_violations, make_cells
@@ -67,16 +67,19 @@
     seconds: float = 10.0
     """Least time in which callers and operators work; faults may need longer."""
     faults: tuple[str, ...] = tuple(FAULTS)
+    """Names of faults, one after the other; joined by ``+``, at once."""
+    load: float = 6.0
+    """Interactive calls as a multiple of those of the run in virtual time."""
 
     def check(self) -> None:
         """Raise NotFound when a fault has no such name."""
-        for fault in self.faults:
+        for fault in (part for name in self.faults for part in parts_of(name)):
             if fault not in FAULTS:
                 raise NotFound(f"no fault is named {fault!r}", fault=fault, known=", ".join(FAULTS))
 
     def length_s(self) -> float:
         """Return how long callers work."""
-        faults_s = sum(EXPECTED_S[fault] + BETWEEN_FAULTS_S for fault in self.faults)
+        faults_s = sum(expected_s(fault) + BETWEEN_FAULTS_S for fault in self.faults)
         return max(self.seconds, BEFORE_FAULTS_S + faults_s)
 
 
@@ -97,12 +100,13 @@
     def __init__(self, scenario: SocketScenario, http: HttpClient, directory: Path) -> None:
         self.scenario = scenario
         self.seed = scenario.seed
-        self.parameters: DeploymentParameters = small_deployment()
+        self.parameters = _loaded(small_deployment(), scenario.load)
         self.processes = DeploymentProcesses(self.parameters, http, directory, scenario.seed)
         self.serving: set[str] = set()
         """Zones whose daemon takes operators' changes."""
         self.exit_codes: list[int | None] = []
         self.started_s = 0.0
+        self.faults = SocketFaults(self)
         self._http = http
         self._directory = directory
         self._recorder = HistoryRecorder()
@@ -119,10 +123,9 @@
             for zone in self.parameters.zones:
                 self._note_serving(zone)
             self.started_s = monotonic_s()
-            faults = SocketFaults(self)
-            callers = await self._work(faults)
+            callers = await self._work()
             events = await self._whole_history()
-            return self._judge(events, faults, callers), events
+            return self._judge(events, callers), events
         finally:
             for zone in list(self._watches):
                 self.end_watch(zone)
@@ -174,6 +177,7 @@
     def _note_serving(self, zone: str) -> None:
         name = self.daemon(zone)
         self.record(history_events.DaemonStarted(time_s=monotonic_s(), daemon=name))
+        self.faults.note_started(zone)
         self.serving.add(zone)
         watch = watch_daemon(name, self.operator_client(zone), self.record)
         self._watches[zone] = asyncio.ensure_future(watch)
@@ -185,7 +189,7 @@
 
     # --- work ----------------------------------------------------------------------------
 
-    async def _work(self, faults: SocketFaults) -> Callers:
+    async def _work(self) -> Callers:
         callers = Callers(
             self.parameters,
             self._client,
@@ -198,7 +202,7 @@
         steps = max(1, int(length_s / SECONDS_PER_STEP))
         trainers = [asyncio.ensure_future(trainer.run(steps)) for trainer in callers.trainers]
         operator = asyncio.ensure_future(self.operator("operator").run())
-        injecting = asyncio.ensure_future(self._inject(faults))
+        injecting = asyncio.ensure_future(self._inject())
         streams = [asyncio.ensure_future(stream.run(length_s, REST_S)) for stream in callers.streams]
         tasks = {*trainers, operator, injecting, *streams}
         try:
@@ -213,10 +217,10 @@
         self.record(history_events.HistoryClosed(time_s=monotonic_s()))
         return callers
 
-    async def _inject(self, faults: SocketFaults) -> None:
+    async def _inject(self) -> None:
         await asyncio.sleep(BEFORE_FAULTS_S)
         for fault in self.scenario.faults:
-            await faults.apply(fault)
+            await self.faults.apply(fault)
             await asyncio.sleep(BETWEEN_FAULTS_S)
 
     def _abandon_lots_ahead(self, steps: int) -> None:
@@ -257,7 +261,7 @@
         started = attribute_runs(runs, seen, self._answered)
         return sorted([*seen, *started], key=lambda event: event.time_s)
 
-    def _judge(self, events: list[AnyEvent], faults: SocketFaults, callers: Callers) -> SocketReport:
+    def _judge(self, events: list[AnyEvent], callers: Callers) -> SocketReport:
         found = find_violations(events)
         tally = callers.tally
         errors: Counter[str] = Counter()
@@ -267,10 +271,10 @@
             seed=self.seed,
             seconds=round(monotonic_s() - self.started_s, 1),
             events=len(events),
-            faults=tuple(faults.notes),
+            faults=tuple(self.faults.notes),
             observed={promise: len(times) for promise, times in observations(events).items()},
             violations={promise: len(broken) for promise, broken in found.items() if broken},
-            cells=make_cells(events, found, faults.notes, self.started_s),
+            cells=make_cells(events, found, self.faults.notes, self.started_s),
             exit_codes=tuple(self.exit_codes),
             unhandled=unhandled_errors(self._directory / self.parameters.name),
             in_force_max_s=longest_adoption_s(events),
@@ -281,6 +285,13 @@
         )
 
 
+def _loaded(parameters: DeploymentParameters, load: float) -> DeploymentParameters:
+    arrivals = [
+        msgspec.structs.replace(stream, rate_per_s=load * stream.rate_per_s) for stream in parameters.arrivals
+    ]
+    return msgspec.structs.replace(parameters, arrivals=tuple(arrivals))
+
+
 def longest_adoption_s(events: list[AnyEvent]) -> float | None:
     """Return the longest time from acceptance of a change until each daemon reported it.
 
--- a/tests/test_check_socket_run.py
+++ b/tests/test_check_socket_run.py
@@ -204,7 +204,7 @@
 
 def test_an_unknown_fault_is_refused_before_anything_starts():
     with pytest.raises(NotFound, match="no_such_fault"):
-        asyncio.run(run_sockets(SocketScenario(faults=("no_such_fault",))))
+        asyncio.run(run_sockets(SocketScenario(faults=("daemon_kill+no_such_fault",))))
 
 
 # --- separate processes -------------------------------------------------------------
@@ -212,7 +212,8 @@
 
 def test_a_kill_gives_the_same_verdict_over_sockets_and_in_virtual_time(tmp_path, capsys):
     file = tmp_path / "history"
-    run(seed=1, seconds=1.0, faults="daemon_kill", history=str(file), json=True)  # raises when broken
+    scenario = SocketScenario(seed=1, seconds=1.0, faults=("daemon_kill",))
+    run(scenario, history=str(file), json=True)  # raises when broken
     with file.open("rb") as lines:
         events = read_history(lines)
     kinds = {type(event) for event in events}
