Give separate daemons seeded mistakes, to show that socket runs find them

Cause: a run over sockets without violations says nothing unless a broken daemon would be seen. Ruled out: planting events in a recorded history, which tests the judges but not the recording. Before: no mistake had been tried over sockets but by hand.

--- a/passgate/check/cli.py
+++ b/passgate/check/cli.py
@@ -107,6 +107,7 @@
         seconds: float = 10.0,
         faults: str | tuple[str, ...] = "",
         load: float = 6.0,
+        mistake: str = "",
         history: str = "",
         json: bool = False,
     ) -> None:
@@ -118,13 +119,16 @@
             faults: names of faults, parted by commas; joined by + at once; all when empty,
                 "none" for a calm run.
             load: interactive calls as a multiple of those of the run in virtual time.
+            mistake: give the daemons a mistake of ``passgate check mistakes`` on purpose.
             history: file to write the history to, for ``passgate check history FILE``.
             json: print the report as one JSON line.
         """
         from passgate.check import socket_command
 
         names = socket_command.fault_names(faults)
-        scenario = socket_command.SocketScenario(seed=seed, seconds=seconds, faults=names, load=load)
+        scenario = socket_command.SocketScenario(
+            seed=seed, seconds=seconds, faults=names, load=load, mistake=mistake
+        )
         socket_command.run(scenario, history, json)
 
     def replay(
@@ -209,7 +213,6 @@
         for result in recovery.measure(seeds):
             _show(json, result, recovery.line(result))
 
-
     def document(self, root: str = ".") -> None:
         """Write the tables of the proof's page anew from the committed measurements.
 
--- a/passgate/check/socket_faults.py
+++ b/passgate/check/socket_faults.py
@@ -41,6 +41,8 @@
 RACES = 4
 RACERS = 6
 LOG_OUTAGE_S = 3.0
+LOG_SLOW_BY_S = 2.0
+LOG_SLOW_S = 6.0
 LOST_ANSWERS = 4
 LOST_ANSWERS_LIMIT_S = 10.0
 CRASHED_FOR_S = 2.0
@@ -200,6 +202,13 @@
         self._hear(run.parameters.zones)
         return "log", {}
 
+    async def log_slow(self) -> Outcome:
+        """Let the log take longer for a while."""
+        await self._run.admin.inject(FaultKind.LOG_SLOW, value=LOG_SLOW_BY_S)
+        await asyncio.sleep(LOG_SLOW_S)
+        await self._run.admin.inject(FaultKind.LOG_SLOW, value=0.0)
+        return "log", {"slower_s": LOG_SLOW_BY_S}
+
     async def log_loses_answers(self) -> Outcome:
         """Let appends take effect whose answers are lost, and wait until so many were made."""
         run = self._run
@@ -255,6 +264,7 @@
     "daemon_freeze": SocketFaults.freeze,
     "daemon_stop": SocketFaults.stop,
     "log_outage": SocketFaults.log_outage,
+    "log_slow": SocketFaults.log_slow,
     "log_loses_answers": SocketFaults.log_loses_answers,
     "engine_crash": SocketFaults.engine_crash,
     "machine_leaves": SocketFaults.machine_leaves,
@@ -265,6 +275,7 @@
     "daemon_freeze": 10.0,
     "daemon_stop": 6.0,
     "log_outage": 4.0,
+    "log_slow": 7.0,
     "log_loses_answers": 3.0,
     "engine_crash": 3.0,
     "machine_leaves": 8.0,
--- /dev/null
+++ b/passgate/check/socket_mistake.py
@@ -0,0 +1,52 @@
+"""Separate daemons that run with a mistake seeded on purpose, to show that socket runs find it.
+
+``python -m passgate.check.socket_mistake NAME serve --settings FILE`` is a daemon
+with the mistake ``NAME`` of :mod:`passgate.check.simulation.seeded_mistakes`.
+
+>>> select_mistake("leaving_ignored").promise
+'leaving'
+"""
+
+from __future__ import annotations
+
+import sys
+
+from passgate.check.simulation.seeded_mistakes import MISTAKES, SeededMistake, seeded
+from passgate.demo_deployment import DeploymentProcesses, Process
+from passgate.errors import NotFound
+
+MODULE = "passgate.check.socket_mistake"
+
+
+def select_mistake(name: str) -> SeededMistake:
+    """Return a mistake by its name; raises NotFound."""
+    for mistake in MISTAKES:
+        if mistake.name == name:
+            return mistake
+    known = ", ".join(mistake.name for mistake in MISTAKES)
+    raise NotFound(f"no mistake is named {name!r}", mistake=name, known=known)
+
+
+class MistakenProcesses(DeploymentProcesses):
+    """A deployment whose daemons all have one mistake."""
+
+    mistake = ""
+
+    def _prepare_daemons(self) -> None:
+        super()._prepare_daemons()
+        for zone in self.daemons:
+            settings = str(self._directory / f"{zone}.yaml")
+            arguments = ["-m", MODULE, self.mistake, "serve", "--settings", settings]
+            self.daemons[zone] = Process(zone, arguments, self._directory / f"{zone}.log")
+
+
+def main() -> None:
+    """Run the command line with the mistake that the first argument names."""
+    from passgate.cli import main as run_command
+
+    with seeded(select_mistake(sys.argv.pop(1))):
+        run_command()
+
+
+if __name__ == "__main__":
+    main()
--- a/passgate/check/socket_report.py
+++ b/passgate/check/socket_report.py
@@ -29,6 +29,8 @@
     """Result of one run over sockets."""
 
     seed: int
+    mistake: str
+    """Mistake that the daemons had on purpose; empty for the code as it is."""
     seconds: float
     """Time on the wall clock from the callers' begin to the end of the rest."""
     events: int
--- a/passgate/check/socket_run.py
+++ b/passgate/check/socket_run.py
@@ -28,6 +28,7 @@
 from passgate.check.socket_attribution import attribute_runs
 from passgate.check.socket_client import RecordingClient
 from passgate.check.socket_faults import FAULTS, SocketFaults, expected_s, parts_of
+from passgate.check.socket_mistake import MistakenProcesses, select_mistake
 from passgate.check.socket_observation import observations
 from passgate.check.socket_operators import SocketOperator, watch_daemon
 from passgate.check.socket_report import SocketReport, find_violations, make_cells
@@ -71,8 +72,13 @@
     load: float = 6.0
     """Interactive calls as a multiple of those of the run in virtual time."""
 
+    mistake: str = ""
+    """Name of a mistake that the daemons are given on purpose."""
+
     def check(self) -> None:
-        """Raise NotFound when a fault has no such name."""
+        """Raise NotFound when a fault or mistake has no such name."""
+        if self.mistake:
+            select_mistake(self.mistake)
         for fault in (part for name in self.faults for part in parts_of(name)):
             if fault not in FAULTS:
                 raise NotFound(f"no fault is named {fault!r}", fault=fault, known=", ".join(FAULTS))
@@ -101,7 +107,10 @@
         self.scenario = scenario
         self.seed = scenario.seed
         self.parameters = _loaded(small_deployment(), scenario.load)
-        self.processes = DeploymentProcesses(self.parameters, http, directory, scenario.seed)
+        kind = MistakenProcesses if scenario.mistake else DeploymentProcesses
+        self.processes = kind(self.parameters, http, directory, scenario.seed)
+        if isinstance(self.processes, MistakenProcesses):
+            self.processes.mistake = scenario.mistake
         self.serving: set[str] = set()
         """Zones whose daemon takes operators' changes."""
         self.exit_codes: list[int | None] = []
@@ -269,6 +278,7 @@
             errors.update(caller.errors)
         return SocketReport(
             seed=self.seed,
+            mistake=self.scenario.mistake,
             seconds=round(monotonic_s() - self.started_s, 1),
             events=len(events),
             faults=tuple(self.faults.notes),
--- a/tests/test_check_socket_run.py
+++ b/tests/test_check_socket_run.py
@@ -207,6 +207,11 @@
         asyncio.run(run_sockets(SocketScenario(faults=("daemon_kill+no_such_fault",))))
 
 
+def test_an_unknown_mistake_is_refused_before_anything_starts():
+    with pytest.raises(NotFound, match="no_such_mistake"):
+        asyncio.run(run_sockets(SocketScenario(mistake="no_such_mistake")))
+
+
 # --- separate processes -------------------------------------------------------------
 
 
