--- a/passgate/routing/bench.py
+++ b/passgate/routing/bench.py
@@ -226,14 +226,15 @@
 
     async def _timed(self, kind: str, deadline_s: float, call: Awaitable[object]) -> None:
         began_s = monotonic_s()
-        self._calls += 1
         try:
             await call
         except PassgateError as error:
+            self._calls += 1
             self.result.refused += isinstance(error, Refused)
             self.result.failed += not isinstance(error, Refused)
             self._latencies[kind].append(deadline_s)
             return
+        self._calls += 1
         self._good += 1
         self._latencies[kind].append(monotonic_s() - began_s)
 
