--- a/passgate/check/simulation/slow_trainer.py
+++ b/passgate/check/simulation/slow_trainer.py
@@ -42,12 +42,14 @@
         version: Callable[[], int],
         random: Random,
         record: Callable[[AnyEvent], None],
+        longest_wait_s: float = LONGEST_WAIT_S,
     ) -> None:
         self._service = service
         self._model = model
         self._version = version
         self._random = random
         self._record = record
+        self._longest_wait_s = longest_wait_s
         self._prompts = PromptSource(model, random)
         self._repeats: set[asyncio.Task[None]] = set()
         self.stopping = False
@@ -67,7 +69,7 @@
         received: set[int] = set()
         cursor = 0
         while True:
-            await asyncio.sleep(self._random.uniform(0.0, LONGEST_WAIT_S))
+            await asyncio.sleep(self._random.uniform(0.0, self._longest_wait_s))
             page = await self._read(lot_id, cursor)
             received.update(sample.index for sample in page.samples)
             if self._random.random() < READ_AGAIN_SHARE:
@@ -103,7 +105,7 @@
 
     async def _repeat(self, lot_id: str, sample_ids: list[str]) -> None:
         version = self._version()
-        await asyncio.sleep(self._random.uniform(0.0, LONGEST_WAIT_S))
+        await asyncio.sleep(self._random.uniform(0.0, self._longest_wait_s))
         try:
             await self._service.replace(lot_id, sample_ids, version)
         except PassgateError:
--- a/passgate/check/socket_run.py
+++ b/passgate/check/socket_run.py
@@ -24,7 +24,9 @@
 from passgate.check import events as history_events
 from passgate.check.events import AnyEvent, ConfigurationAccepted, ConfigurationInForce
 from passgate.check.history import HistoryRecorder
+from passgate.check.simulation import slow_trainer
 from passgate.check.simulation.parameters import small_deployment
+from passgate.check.simulation.slow_trainer import SlowTrainer
 from passgate.check.socket_attribution import attribute_runs
 from passgate.check.socket_client import RecordingClient
 from passgate.check.socket_faults import FAULTS, SocketFaults, expected_s, parts_of
@@ -46,6 +48,8 @@
 """Callers work this long before the first fault."""
 BETWEEN_FAULTS_S = 1.0
 SECONDS_PER_STEP = 4.0
+LONGEST_LATE_READ_S = 4.0
+"""Longest time between two reads of the late reader."""
 REST_S = 8.0
 """Open calls get this long after the last arrival."""
 SETTLE_LIMIT_S = 90.0
@@ -72,6 +76,8 @@
     load: float = 6.0
     """Interactive calls as a multiple of those of the run in virtual time."""
 
+    late_reader: bool = True
+    """Whether a second trainer reads late and twice; it makes the run some ten seconds longer."""
     mistake: str = ""
     """Name of a mistake that the daemons are given on purpose."""
 
@@ -210,6 +216,9 @@
         length_s = self.scenario.length_s()
         steps = max(1, int(length_s / SECONDS_PER_STEP))
         trainers = [asyncio.ensure_future(trainer.run(steps)) for trainer in callers.trainers]
+        late = self._late_reader(callers)
+        if self.scenario.late_reader:
+            trainers.append(asyncio.ensure_future(late.run()))
         operator = asyncio.ensure_future(self.operator("operator").run())
         injecting = asyncio.ensure_future(self._inject())
         streams = [asyncio.ensure_future(stream.run(length_s, REST_S)) for stream in callers.streams]
@@ -217,6 +226,7 @@
         try:
             await asyncio.gather(injecting, *streams)
             await _cancel({operator})
+            late.stopping = True
             done, _ = await asyncio.wait(trainers, timeout=SETTLE_LIMIT_S)
             for trainer in done:
                 trainer.result()
@@ -226,6 +236,16 @@
         self.record(history_events.HistoryClosed(time_s=monotonic_s()))
         return callers
 
+    def _late_reader(self, callers: Callers) -> SlowTrainer:
+        return SlowTrainer(
+            self._client(slow_trainer.NAME),
+            self.parameters.engines.models[0],
+            lambda: callers.trainers[0].version,
+            Random(f"{self.seed}/{slow_trainer.NAME}"),
+            self.record,
+            LONGEST_LATE_READ_S,
+        )
+
     async def _inject(self) -> None:
         await asyncio.sleep(BEFORE_FAULTS_S)
         for fault in self.scenario.faults:
@@ -235,7 +255,7 @@
     def _abandon_lots_ahead(self, steps: int) -> None:
         """Record that trainers opened lots ahead of the last step and do not want them any more."""
         for event in list(self._recorder.events):
-            if isinstance(event, history_events.LotSubmitted):
+            if isinstance(event, history_events.LotSubmitted) and event.trainer != slow_trainer.NAME:
                 number = int(event.lot_id.rpartition("-")[2])
                 if number > steps:
                     self.record(history_events.LotAbandoned(time_s=monotonic_s(), lot_id=event.lot_id))
--- a/passgate/demo_deployment.py
+++ b/passgate/demo_deployment.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import socket
 import sys
@@ -32,6 +33,8 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 60.0
 POLL_S = 0.05
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
 READY_CALL_TIMEOUT_S = 2.0
 STATUS_OK = 200
 SERVICE_LABEL = "service"
@@ -39,15 +42,20 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses with ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [f"{LOOPBACK}:{item.getsockname()[1]}" for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return loopback addresses with ports that are free now.
+
+    They lie below the ports that systems use for outgoing connections, so that a daemon
+    which is started again finds its port free.
+    """
+    with contextlib.ExitStack() as held:
+        ports: list[int] = []
+        while len(ports) < count:
+            port = random.randint(FIRST_PORT, LAST_PORT)
+            item = held.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                item.bind((LOOPBACK, port))
+                ports.append(port)
+        return [f"{LOOPBACK}:{port}" for port in ports]
 
 
 def write_yaml(path: Path, value: Any) -> None:
--- a/tests/test_check_socket_run.py
+++ b/tests/test_check_socket_run.py
@@ -30,6 +30,7 @@
 from passgate.check.socket_observation import OBSERVERS, observations
 from passgate.check.socket_report import CALM, NOT_OBSERVED, find_violations, make_cells
 from passgate.check.socket_run import SocketScenario, run_sockets, unhandled_errors
+from passgate.demo_deployment import free_addresses
 from passgate.emulator.admin_messages import SeenRun
 from passgate.emulator.run_feed import generate_work
 from passgate.errors import ExecutionStatus, NotFound
@@ -212,12 +213,18 @@
         asyncio.run(run_sockets(SocketScenario(mistake="no_such_mistake")))
 
 
+def test_daemons_get_ports_that_no_outgoing_connection_takes_while_they_are_down():
+    addresses = free_addresses(9)
+    assert len(set(addresses)) == 9
+    assert all(int(address.rpartition(":")[2]) < 32768 for address in addresses)
+
+
 # --- separate processes -------------------------------------------------------------
 
 
 def test_a_kill_gives_the_same_verdict_over_sockets_and_in_virtual_time(tmp_path, capsys):
     file = tmp_path / "history"
-    scenario = SocketScenario(seed=1, seconds=1.0, faults=("daemon_kill",))
+    scenario = SocketScenario(seed=1, seconds=1.0, faults=("daemon_kill",), late_reader=False)
     run(scenario, history=str(file), json=True)  # raises when broken
     with file.open("rb") as lines:
         events = read_history(lines)
