--- a/passgate/server/cluster_status.py
+++ b/passgate/server/cluster_status.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-from random import Random
 
 import msgspec
 
@@ -21,8 +20,6 @@
 METHOD = "daemon.status"
 CALL_TIMEOUT_S = 1.0
 CALLS_AT_ONCE = 64
-PEERS_ASKED = 5
-"""A starting daemon asks so many peers which revision is in force."""
 
 
 class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,19 +41,6 @@
     async def _answer(self, payload: bytes) -> bytes:
         return msgspec.json.encode(self._own_status())
 
-    async def newest_revision(self, random: Random, peers: int = PEERS_ASKED) -> int:
-        """Return the newest configuration revision in force here or on some living peers."""
-        own_id = self._membership.self_info.member_id
-        living = [
-            member
-            for member in self._membership.members()
-            if member.member_id != own_id and member.state is MemberState.ALIVE
-        ]
-        asked = random.sample(living, min(peers, len(living)))
-        limit = asyncio.Semaphore(CALLS_AT_ONCE)
-        views = await asyncio.gather(*(self._ask(member, limit) for member in asked))
-        return max([self._own_status().revision, *(view.revision for view in views)])
-
     async def collect(self) -> list[DaemonView]:
         """Return a view of every known daemon; those that do not answer are marked."""
         limit = asyncio.Semaphore(CALLS_AT_ONCE)
--- a/passgate/server/daemon.py
+++ b/passgate/server/daemon.py
@@ -15,10 +15,10 @@
 from passgate import clock
 from passgate.errors import DeadlineExceeded, PassgateError, PlatformError, SettingsError
 from passgate.logging_setup import log_change
+from passgate.membership.configuration_sync import ConfigurationSync
 from passgate.metrics import DaemonMetrics
 from passgate.schema import MachineRole
 from passgate.server.cluster_status import ClusterStatus, DaemonStatus
-from passgate.server.config_exchange import ConfigExchange
 from passgate.server.context import ServerContext, Services
 from passgate.server.parts import Outside, Parts, build_parts, close_parts, connect_outside, make_http_client
 from passgate.server.routes import CALLER_ROUTES, OPERATOR_ROUTES, Route, make_application
@@ -56,8 +56,7 @@
         self.metrics = DaemonMetrics()
         self.life = Machine("daemon")
         self._logger = logger
-        self._random = Random(random.random())
-        self._exchange = ConfigExchange(
+        self._sync = ConfigurationSync(
             self.parts.membership, self.parts.configuration, Random(random.random())
         )
         self.context = ServerContext(
@@ -97,9 +96,9 @@
         parts.leases.start()
         parts.membership.start()
         parts.membership.join(self.settings.seeds)
+        self._sync.start()
         parts.dispatcher.start()
         self._catching_up = asyncio.ensure_future(self._catch_up())
-        self._run(self._exchange.run)
         self._run(self._follow_machine_list)
         self._run(self._watch_log)
         self._run(self._measure_loop_lag)
@@ -144,18 +143,14 @@
         await self._until_configured(0)
         self.life.send("caught_up")
         await self._until_joined()
-        await self._until_configured(await self._newest_revision())
+        # Peers are asked too: the log may have been read from a replica that lags behind it.
+        await self._until_configured(await self._sync.highest_known())
         self.life.send("joined")
         self.parts.rollouts.start()
         self.context.gate.starting = False
         self.metrics.ready.set(1)
         self._changed("daemon_ready", revision=self.parts.configuration.state.revision)
 
-    async def _newest_revision(self) -> int:
-        """Ask peers too: the log may have been read from a replica that lags behind it."""
-        asked = await self.context.services.cluster_status.newest_revision(self._random)
-        return max(asked, self._exchange.newest_held())
-
     async def _until_configured(self, minimum_offset: int) -> None:
         configuration = self.parts.configuration
         while not configuration.ready_at(minimum_offset):
@@ -284,6 +279,7 @@
             server.stop()
         for server in self._servers:
             await server.close_all_connections()
+        await self._sync.close()
         await close_parts(self.parts)
         if self._http is not None:
             self._http.close()
