Keep the reason of an application's refusal

Cause: over sockets the client dropped the body of a refusal, so a draining application looked busy: it was held off for half a second and asked again and again, while in memory its refusal took it out of the pool at once. The test of draining back ends now asks both clients for the reason; over sockets it failed before (no reason among the details).

--- a/passgate/clients/http_app.py
+++ b/passgate/clients/http_app.py
@@ -5,7 +5,7 @@
 from passgate.clients import wire
 from passgate.clients.calls import HttpAnswer, HttpCall, control_read, remaining_s, send_policy
 from passgate.clients.curl import HttpClient
-from passgate.clients.replies import decode_body, retry_after_s, unreachable
+from passgate.clients.replies import decode_body, decode_error, retry_after_s, unreachable
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
 from passgate.schema import AppRequest, AppResponse, LoadReport
 
@@ -76,4 +76,7 @@
 
 
 def _refusal(answer: HttpAnswer) -> PassgateError:
-    return BackendRefused("service refused", retry_after_s=retry_after_s(answer), status=answer.status)
+    error = decode_error(answer)
+    details = {} if error is None else error.details
+    wait_s = retry_after_s(answer)
+    return BackendRefused("service refused", retry_after_s=wait_s, **{**details, "status": answer.status})
--- a/tests/test_servers_standins.py
+++ b/tests/test_servers_standins.py
@@ -246,8 +246,9 @@
         await out.admin.inject(FaultKind.DRAIN, "linha-0")
         with pytest.raises(BackendRefused):
             await anext(out.engine.generate(out.engines["modelos-1"], generate_request()))
-        with pytest.raises(BackendRefused):
+        with pytest.raises(BackendRefused) as caught:
             await out.app.call(out.apps["linha-0"], app_request())
+        assert caught.value.details["reason"] == "draining"
         assert (await out.admin.state()).runs == {}
 
 
