--- a/passgate/lab/measures.py
+++ b/passgate/lab/measures.py
@@ -83,6 +83,8 @@
     goodput_tokens_per_s: float
     """Tokens of samples and answers that reached their callers whole, per second."""
     violations: int
+    app_busy_shares: tuple[float, ...] = ()
+    """Service time begun on each application replica, over its workers' time; 0 to 1 and a little more."""
     series: tuple[SeriesPoint, ...] = ()
 
 
--- a/passgate/lab/virtual_run.py
+++ b/passgate/lab/virtual_run.py
@@ -231,9 +231,14 @@
             not_run_that_ran=not_run_that_ran,
             goodput_tokens_per_s=tokens / self.scenario.duration_s,
             violations=tally.violations(self.world.ledger),
+            app_busy_shares=self._app_busy_shares(),
             series=tuple(self._series),
         )
 
+    def _app_busy_shares(self) -> tuple[float, ...]:
+        workers_s = self.parameters.apps.app.concurrency * self.scenario.duration_s
+        return tuple(round(app.model.counters.busy_s / workers_s, 4) for app in self.world.apps.values())
+
 
 def _daemon_zones(parameters: DeploymentParameters) -> dict[str, str]:
     """Return daemon names, a letter per zone and a number, with their zones.
