--- a/passgate/clients/http_platform.py
+++ b/passgate/clients/http_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Sequence
 from http import HTTPStatus
 from urllib.parse import quote
@@ -16,6 +17,9 @@
 from passgate.schema import MachineInfo
 
 PLATFORM_TIMEOUT_S = 5.0
+LONGEST_ANSWER_BYTES = 64 * 2**20
+"""Most bytes of a decompressed answer."""
+_GZIP_WINDOW = 16 + zlib.MAX_WBITS
 
 
 class _PlatformClient:
@@ -24,7 +28,7 @@
     def __init__(self, http: HttpClient, address: str, credential: str | None = None) -> None:
         self._http = http
         self._base = f"http://{address}/v1"
-        self._headers = wire.authorization(credential)
+        self._headers = {**wire.authorization(credential), "Accept-Encoding": "gzip"}
 
     async def _send(
         self, method: str, path: str, body: bytes | None = None, *, known_tag: str = ""
@@ -34,7 +38,7 @@
             method=method,
             url=self._base + path,
             body=body,
-            headers={**self._headers, **({"If-None-Match": known_tag} if known_tag else {})},
+            headers=self._headers | ({"If-None-Match": known_tag} if known_tag else {}),
             send=SendPolicy.REPEAT,
             control=True,
             timeout_s=PLATFORM_TIMEOUT_S,
@@ -45,7 +49,7 @@
             raise PlatformError(str(error), execution=error.execution) from error
         if answer.status != HTTPStatus.OK and not (known_tag and answer.status == HTTPStatus.NOT_MODIFIED):
             raise PlatformError("platform refused", status=answer.status, path=path)
-        return answer
+        return _decompressed(answer)
 
 
 class HttpMachineList(_PlatformClient):
@@ -93,6 +97,20 @@
         await self._send("PUT", f"/weights/{quote(model, safe='')}/{version}", body)
 
 
+def _decompressed(answer: HttpAnswer) -> HttpAnswer:
+    """Undo the compression of a long answer; a list of machines shrinks to a fraction."""
+    if answer.headers.get("Content-Encoding", "") != "gzip":
+        return answer
+    unpacking = zlib.decompressobj(_GZIP_WINDOW)
+    try:
+        body = unpacking.decompress(answer.body, LONGEST_ANSWER_BYTES)
+    except zlib.error as error:
+        raise PlatformError(f"bad compression: {error}") from error
+    if not unpacking.eof:
+        raise PlatformError("answer is cut off or too long", limit_bytes=LONGEST_ANSWER_BYTES)
+    return msgspec.structs.replace(answer, body=body)
+
+
 def _decode(answer: HttpAnswer, kind: type) -> object:
     try:
         return decode_body(answer, kind)
--- a/passgate/emulator/platform_server.py
+++ b/passgate/emulator/platform_server.py
@@ -37,6 +37,8 @@
 class PlatformServer(StandInServer):
     """Machine list and weight store behind one port."""
 
+    compresses = True
+
     def __init__(
         self,
         name: str,
--- a/passgate/emulator/wire.py
+++ b/passgate/emulator/wire.py
@@ -90,6 +90,9 @@
 class StandInServer:
     """One HTTP server on loopback; port 0 takes a free one, kept over a crash."""
 
+    compresses = False
+    """Whether answers are compressed for clients that say they take gzip."""
+
     def __init__(self, name: str, credential: str | None = None) -> None:
         self.name = name
         self.faults = ServerFaults()
@@ -106,7 +109,9 @@
         """Listen and return ``host:port``; after a crash, on the same port again."""
         sockets = bind_sockets(self._port or port, LOOPBACK)
         self._port = sockets[0].getsockname()[1]
-        application = Application(self.routes(), log_function=lambda handler: None)
+        application = Application(
+            self.routes(), log_function=lambda handler: None, compress_response=self.compresses
+        )
         self._listener = _Listener(application, max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES)
         self._listener.add_sockets(sockets)
         return self.address
