Keep the port of a crashed stand-in from other processes

Cause: a test failed with address already in use: while a stand-in was crashed, another process on the machine took its port. Ruled out: trying again, which waits on a stranger. Fix: a socket bound without listening holds the port; connections are still refused. The new test fails without it.

--- a/passgate/capacity/machine_list_wire.py
+++ b/passgate/capacity/machine_list_wire.py
@@ -87,7 +87,7 @@
     http.close()
     server.close()
     await relay.close()
-    platform.crash()
+    platform.close()
     return MachineListWire(
         machines=machines,
         whole_bytes=whole,
--- a/passgate/emulator/standins_server.py
+++ b/passgate/emulator/standins_server.py
@@ -107,7 +107,7 @@
         for task in self._restarts:
             task.cancel()
         for server in self._all_servers():
-            server.crash()
+            server.close()
         self.world.close()
 
     async def _restart(self, machine_id: str, restart_after_s: float) -> None:
--- a/passgate/emulator/wire.py
+++ b/passgate/emulator/wire.py
@@ -99,6 +99,8 @@
         self.counters = ServerCounters()
         self.credential = credential
         self._port = 0
+        self._reservation: socket.socket | None = None
+        """Holds the port without listening, so that no other process takes it during a crash."""
         self._listener: _Listener | None = None
 
     def routes(self) -> list[tuple]:
@@ -107,8 +109,8 @@
 
     def start(self, port: int = 0) -> str:
         """Listen and return ``host:port``; after a crash, on the same port again."""
-        sockets = bind_sockets(self._port or port, LOOPBACK)
-        self._port = sockets[0].getsockname()[1]
+        self._reserve(port)
+        sockets = bind_sockets(self._port, LOOPBACK)
         application = Application(
             self.routes(), log_function=lambda handler: None, compress_response=self.compresses
         )
@@ -139,6 +141,21 @@
         self._listener.reset_connections()
         self._listener = None
 
+    def close(self) -> None:
+        """Crash for good and give the port up."""
+        self.crash()
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
+
+    def _reserve(self, port: int) -> None:
+        if self._reservation is not None:
+            return
+        self._reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind((LOOPBACK, self._port or port))
+        self._port = self._reservation.getsockname()[1]
+
     def count_received(self, request_id: str) -> None:
         """Note that a request for work arrived."""
         received = self.counters.received
--- a/tests/test_servers_standins.py
+++ b/tests/test_servers_standins.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+import socket
 import subprocess
 import sys
 
@@ -413,3 +414,11 @@
         process.kill()
         process.wait()
         process.stdout.close()
+
+
+async def test_nothing_else_can_take_the_port_of_a_crashed_server():
+    async with outside() as out:
+        await out.admin.inject(FaultKind.CRASH, "linha-0", 60.0)
+        port = int(out.apps["linha-0"].rpartition(":")[2])
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind(("127.0.0.1", port))
