Weigh the surplus of others' calls on an application replica

Cause: calls that reach a replica past this daemon showed only in the time of its own calls, that is once they queue. The tracker now keeps the mean of others' calls per application replica over its reports (own calls at the report's time taken off), and the choice adds what a replica has more than the least busy one, beyond one call.

--- a/passgate/routing/load_tracker.py
+++ b/passgate/routing/load_tracker.py
@@ -36,6 +36,8 @@
 """Replicas whose time per token differs less from the mean of all count as equally fast."""
 REPORT_KEPT_S = 15.0
 """A report older than this says nothing about others' load any more."""
+OTHERS_CALLS_SMOOTHING = 0.1
+"""Weight of a new report in the mean of others' calls on an application replica."""
 ASSUMED_TOKEN_S = 0.03
 """Time per output token of a stream while nothing has been observed anywhere."""
 
@@ -57,6 +59,7 @@
         "history",
         "kv_capacity_tokens",
         "models",
+        "others_calls",
         "others_kv_tokens",
         "others_requests",
         "others_tokens",
@@ -88,6 +91,8 @@
         self.others_tokens = 0
         self.others_kv_tokens = 0
         self.others_requests = 0
+        self.others_calls = 0.0
+        """Mean of others' calls on an application replica over its latest reports."""
         self.reported_waiting = 0
         self.kv_capacity_tokens = 0
         """0 while no report was read."""
@@ -246,6 +251,20 @@
         if report.running and report.tokens_per_s > 0.0 and not load.requests:
             self._smooth(load, report.running / report.tokens_per_s)
 
+    def apply_call_report(self, report: LoadReport, now_s: float) -> None:
+        """Take an application's report read at ``now_s``.
+
+        The calls that it counts are over by now; only the mean over many reports
+        tells of others' calls that last, such as those of callers past passgate.
+        """
+        load = self.load(report.replica_id)
+        if report.sequence == load.report_sequence:
+            return
+        load.report_sequence = report.sequence
+        load.report_read_s = now_s
+        others = report.running + report.waiting - load.own_count_at(now_s - self._report_lag_s)
+        load.others_calls += OTHERS_CALLS_SMOOTHING * (others - load.others_calls)
+
     def observe_version(self, replica_id: str, model: str, version: int) -> None:
         """A piece of output named the version that the replica uses now."""
         self.load(replica_id).versions[model] = version
@@ -256,6 +275,7 @@
             if now_s - load.report_read_s > REPORT_KEPT_S:
                 load.others_tokens = load.others_kv_tokens = load.others_requests = 0
                 load.reported_waiting = 0
+                load.others_calls = 0.0
 
     def _learn_limit(self, load: ReplicaLoad, report: LoadReport) -> None:
         """A batch is full when requests wait over two reports; one may show just arrived ones."""
--- a/passgate/routing/replica_chooser.py
+++ b/passgate/routing/replica_chooser.py
@@ -178,6 +178,7 @@
             kv_capacity_tokens=load.kv_capacity_tokens,
             running_limit=load.running_limit,
             token_s=self._tracker.token_s(replica.replica_id),
+            others_calls=max(0.0, load.others_calls),
             call_s=self._tracker.calls.latency_s(replica.replica_id, now_s),
             cached_tokens=cached_blocks * BLOCK_TOKENS,
             prefill_tokens=load.own_prefill_tokens,
--- a/passgate/routing/replica_scheduler.py
+++ b/passgate/routing/replica_scheduler.py
@@ -18,6 +18,8 @@
 from passgate.routing.work import WorkItem
 from passgate.schema import MachineRole
 
+OTHERS_CALLS_NOISE = 1.0
+"""A replica's surplus of others' calls counts only beyond this."""
 PREEMPTION_PENALTY_S = 5.0
 """Added in proportion to how far the request would push KV memory over its capacity."""
 
@@ -37,6 +39,8 @@
     """Time per output token of one stream."""
     call_s: float = 0.0
     """Time per call of an application replica."""
+    others_calls: float = 0.0
+    """Mean of others' calls on an application replica."""
     cached_tokens: int = 0
     """Leading prompt tokens believed to be cached there."""
     prefill_tokens: int = 0
@@ -134,7 +138,9 @@
     """For application calls: the replica with the least latency times calls in flight.
 
     Latency is the replica's observed time per call; one more call there is
-    expected to wait for those of this daemon that are in flight.
+    expected to wait for those of this daemon that are in flight.  Of others' calls
+    only what the replica has more than the least busy one counts, and only when
+    that is clear: they are known as a mean of old reports.
     """
 
     def __init__(self, policy: RoutingPolicy, random: Random) -> None:
@@ -143,11 +149,14 @@
 
     def choose(self, views: Sequence[ReplicaView], item: WorkItem) -> ReplicaView:
         """Return the replica with the smallest product; ties are broken at random."""
-        return min(views, key=lambda view: (self._projected_s(view), self._random.random()))
+        least_s = min(view.others_calls * view.call_s for view in views)
+        return min(views, key=lambda view: (self._projected_s(view, least_s), self._random.random()))
 
-    def _projected_s(self, view: ReplicaView) -> float:
+    def _projected_s(self, view: ReplicaView, least_s: float) -> float:
         zone_s = 0.0 if view.same_zone else self._policy.zone_cost_s
-        return (view.call_s + zone_s) * (view.request_count + 1)
+        own_s = (view.call_s + zone_s) * (view.request_count + 1)
+        surplus_s = (view.others_calls - OTHERS_CALLS_NOISE) * view.call_s - least_s
+        return own_s + max(0.0, surplus_s)
 
 
 def new_scheduler(
--- a/passgate/routing/work_scheduler.py
+++ b/passgate/routing/work_scheduler.py
@@ -174,15 +174,13 @@
         self.queue.settle(item, prompt_cost + tokens)
 
     def apply_report(self, report: LoadReport, now_s: float) -> None:
-        """Take a load report read at ``now_s``.
-
-        Calls that an application reports are over before the report is read:
-        counting them sends all daemons to the replica that was idle back then.
-        """
+        """Take a load report read at ``now_s``."""
         self.health.reached(report.replica_id)
         self.directory.observe_report(report, now_s)
         replica = self.directory.get(report.replica_id)
-        if replica is None or replica.role is not MachineRole.APP:
+        if replica is not None and replica.role is MachineRole.APP:
+            self.tracker.apply_call_report(report, now_s)
+        else:
             self.tracker.apply_report(report, now_s)
 
     def service_s(self, item: WorkItem, pool: PoolSpec) -> float:
--- a/tests/test_routing_app_reports.py
+++ b/tests/test_routing_app_reports.py
@@ -10,9 +10,11 @@
 from passgate.emulator.world import EmulatedWorld
 from passgate.errors import BackendUnreachable
 from passgate.routing.dispatcher import Dispatcher
+from passgate.routing.load_tracker import LoadTracker
 from passgate.routing.policies import RoutingPolicy
 from passgate.routing.replica_directory import ReplicaDirectory
-from passgate.schema import AppRequest, MachineRole
+from passgate.routing.replica_scheduler import OTHERS_CALLS_NOISE
+from passgate.schema import AppRequest, LoadReport, MachineRole
 from passgate.state.specs import DEFAULT_PRIORITY_CLASSES, PoolSpec
 
 FEW_SECONDS_S = 5.0
@@ -22,6 +24,23 @@
 }
 
 
+def app_request(request_id):
+    return AppRequest(request_id=request_id, caller="c", pool="linha", method="POST", path="/", body=b"")
+
+
+def report(replica_id, sequence, running, waiting):
+    return LoadReport(
+        replica_id=replica_id,
+        sequence=sequence,
+        running=running,
+        waiting=waiting,
+        outstanding_tokens=0,
+        kv_used_tokens=0,
+        kv_capacity_tokens=0,
+        tokens_per_s=0.0,
+    )
+
+
 class Found(msgspec.Struct):
     spec: PoolSpec
 
@@ -66,11 +85,7 @@
         answered = set()
         for _ in range(times):
             self.called += 1
-            response = await self.dispatcher.call_app(
-                AppRequest(
-                    request_id=f"r{self.called}", caller="c", pool="linha", method="POST", path="/", body=b""
-                )
-            )
+            response = await self.dispatcher.call_app(app_request(f"r{self.called}"))
             answered.add(response.replica_id)
         return answered
 
@@ -153,3 +168,38 @@
         return stage.dispatcher.counters.reports_read
 
     assert 140 <= on_stage(scenario) <= 20.0 * RoutingPolicy().reports_per_s + 1
+
+
+def test_calls_go_past_a_replica_that_is_busy_for_callers_outside():
+    async def scenario(stage):
+        apps = [stage.world.apps[f"linha-{index}"].model for index in range(3)]
+        for model in apps:
+            model.parameters = msgspec.structs.replace(model.parameters, service_mean_s=10_000.0)
+        for number in range(4):
+            stage.world.apps["linha-0"].submit(app_request(f"outside-{number}"))
+        await asyncio.sleep(60.0)
+        calls = [asyncio.create_task(stage.call(1)) for _ in range(8)]
+        await asyncio.sleep(1.0)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        return apps[0].running + apps[0].waiting
+
+    assert on_stage(scenario) <= 4 + 1
+
+
+def test_one_busy_moment_of_a_replica_moves_no_call():
+    tracker = LoadTracker(report_lag_s=0.0)
+    tracker.apply_call_report(report("linha-0", 1, running=4, waiting=0), 1.0)
+    assert tracker.load("linha-0").others_calls <= OTHERS_CALLS_NOISE
+    tracker.apply_call_report(report("linha-0", 1, running=4, waiting=0), 2.0)
+    assert tracker.load("linha-0").others_calls <= OTHERS_CALLS_NOISE
+
+
+def test_own_calls_are_not_counted_as_others():
+    tracker = LoadTracker(report_lag_s=0.0)
+    for key in range(3):
+        tracker.begin("linha-0", key, 0, 1, "", 0.0)
+    for sequence in range(1, 50):
+        tracker.apply_call_report(report("linha-0", sequence, running=3, waiting=0), float(sequence))
+    assert tracker.load("linha-0").others_calls == 0.0
