Record runs of separate daemons under faults in the proof

Cause: the proof had figures of virtual time only. Reports leave directories of tracebacks out. Not judged over sockets: cuts between zones, lost answers to callers, clocks that differ.

--- a/passgate/check/socket_run.py
+++ b/passgate/check/socket_run.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -56,6 +57,8 @@
 """Longest wait for the trainers' last lots after that."""
 STORE_CALL_TIMEOUT_S = 5.0
 DAEMON_NUMBER = 1
+DIRECTORIES = re.compile(r"/(?:[^/\s\"]+/)+(?=[^/\s\"]+\.py)")
+"""Directories of source files in tracebacks: reports are kept, and paths differ between machines."""
 UNHANDLED_MARKS = ("Traceback", '"level": "ERROR"', '"level": "CRITICAL"')
 
 
@@ -349,7 +352,7 @@
     for file in sorted(directory.glob("*.log")):
         for line in file.read_text(errors="replace").splitlines():
             if any(mark in line for mark in UNHANDLED_MARKS):
-                lines.add(f"{file.stem}: {line}")
+                lines.add(f"{file.stem}: {DIRECTORIES.sub('', line)}")
     return tuple(sorted(lines))
 
 
--- a/passgate/check/socket_tables.py
+++ b/passgate/check/socket_tables.py
@@ -16,6 +16,8 @@
 from passgate.check.socket_mistake import select_mistake
 from passgate.check.socket_report import CALM, NOT_OBSERVED, SocketReport, cell
 
+SET_BY_THE_FAULT = "slower_s"
+"""A figure that is an input, not a measurement."""
 MEASUREMENT = "socket-histories.jsonl"
 
 
@@ -70,7 +72,7 @@
         for note in report.faults:
             for label, value in note.figures.items():
                 name = label.rpartition(" ")[2]
-                if name.endswith("_s"):
+                if name.endswith("_s") and name != SET_BY_THE_FAULT:
                     figures.setdefault((note.fault, name), []).append(value)
         if report.in_force_max_s is not None:
             figures.setdefault(("whole run", "in_force_max_s"), []).append(report.in_force_max_s)
--- a/passgate/check/tables.py
+++ b/passgate/check/tables.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from passgate.check import socket_tables
 from passgate.check.simulation.campaign import CampaignSummary, FaultRow, markdown
 from passgate.check.simulation.recovery import RecoveryResult
 from passgate.check.simulation.seeded_mistakes import MISTAKES, MistakeResult
@@ -142,6 +143,9 @@
     "schedules": _schedules,
     "mistakes": _mistakes,
     "recovery": _recovery,
+    "sockets": socket_tables.faults_table,
+    "socket_figures": socket_tables.figures_table,
+    "socket_mistakes": socket_tables.mistakes_table,
 }
 
 
--- a/tests/test_check_socket_run.py
+++ b/tests/test_check_socket_run.py
@@ -198,9 +198,10 @@
 
 
 def test_unhandled_exceptions_are_found_in_the_logs(tmp_path):
-    (tmp_path / "a.log").write_text('{"level": "INFO"}\nTraceback (most recent call last):\n')
+    fault = 'Traceback: File "/home/me/lib/web.py", line 1'
+    (tmp_path / "a.log").write_text('{"level": "INFO"}\n' + fault)
     (tmp_path / "b.log").write_text('{"level": "INFO"}\n')
-    assert unhandled_errors(tmp_path) == ("a: Traceback (most recent call last):",)
+    assert unhandled_errors(tmp_path) == ('a: Traceback: File "web.py", line 1',)
 
 
 def test_an_unknown_fault_is_refused_before_anything_starts():
