End what cancelled work starts when a run or the claims close

Cause: a cancelled call starts its clean-up after the one round of cancelling, so that tasks were destroyed while pending (five warnings in the suite, from _Attempt.finish). Before: tests/test_lab.py fails with these warnings as errors; after: it passes, with the server and schedule tests. Conclusion: closing goes on until nothing is left, at most 20 rounds for a run.

--- a/passgate/clock.py
+++ b/passgate/clock.py
@@ -22,6 +22,10 @@
 Result = TypeVar("Result")
 
 
+CANCEL_ROUNDS = 20
+"""Most rounds of cancelling what a run left behind."""
+
+
 def monotonic_s() -> float:
     """Return the running loop's time in seconds; monotonic, arbitrary origin."""
     return asyncio.get_running_loop().time()
@@ -52,9 +56,16 @@
     try:
         return loop.run_until_complete(main)
     finally:
+        _cancel_all(loop)
+        loop.close()
+
+
+def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancel what is left, and what that starts in turn, until nothing is or the rounds are over."""
+    for _ in range(CANCEL_ROUNDS):
         left = asyncio.all_tasks(loop)
+        if not left:
+            return
         for task in left:
             task.cancel()
-        if left:
-            loop.run_until_complete(asyncio.wait(left))
-        loop.close()
+        loop.run_until_complete(asyncio.wait(left))
--- a/passgate/state/claims.py
+++ b/passgate/state/claims.py
@@ -114,10 +114,13 @@
 
     async def close(self) -> None:
         """Stop at once; outcomes that are not on the log are lost."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # A call that is cancelled starts its own clean-up, which has to end too.
+        while self._tasks:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.sleep(0)
 
     def _follow(
         self, key: str, fold: ClaimFold, on_abandoned: Callable[[Record, Decision], None]
