Split the exception tree by who fails

Cause: errors.py had grown to 419 lines with the failures of all parts. Ruled out: exceptions beside what raises them, as callers and several packages share most of them. Conclusion: passgate.errors stays the one place to import from.

--- /dev/null
+++ b/passgate/errors/__init__.py
@@ -0,0 +1,135 @@
+"""Exception tree of passgate: every failure has a type, never a bare string.
+
+Each error carries a stable machine-readable ``code``, the HTTP status it maps
+to, and an :class:`ExecutionStatus` that says whether the request ran on a back
+end.  The caller-facing HTTP layer renders errors with :meth:`PassgateError.body`.
+
+>>> Overloaded("queue is full", retry_after_s=2.5).body().execution
+<ExecutionStatus.NOT_RUN: 'not_run'>
+"""
+
+from __future__ import annotations
+
+from passgate.errors.base import (
+    ErrorBody,
+    ExecutionStatus,
+    PassgateError,
+)
+from passgate.errors.peers import (
+    PeerCallFailed,
+    PeerConnectionLost,
+    PeerCredentialRefused,
+    PeerError,
+    PeerMalformedFrame,
+    PeerTimeout,
+    PeerUnreachable,
+)
+from passgate.errors.platform import (
+    DuplicateRecord,
+    DurabilityUnknown,
+    LogAppendUnknown,
+    LogError,
+    LogGap,
+    LogUnavailable,
+    OrderRefused,
+    PlatformError,
+    SupersededEpoch,
+    UnknownRecord,
+)
+from passgate.errors.requests import (
+    AnswerMismatch,
+    BackendRefused,
+    BackendUnreachable,
+    BodyTimeout,
+    Cancelled,
+    DeadlineExceeded,
+    Draining,
+    DurabilityUnavailable,
+    ExecutionFailed,
+    HeadersTooLarge,
+    IncompleteAnswer,
+    InvalidRequest,
+    KeyReused,
+    MalformedBody,
+    NoMatchingPool,
+    NoReplicaAvailable,
+    NotFound,
+    NotReady,
+    OutcomeUnknown,
+    Overloaded,
+    PayloadTooLarge,
+    Refused,
+    RequestInProgress,
+    RevisionConflict,
+    SampleWithdrawn,
+    SelectorSyntaxError,
+    Unauthorized,
+    VersionNotReported,
+    VersionTooOld,
+)
+from passgate.errors.tools import (
+    ChartError,
+    IllegalTransition,
+    SettingsError,
+    VerificationFailed,
+)
+
+__all__ = [
+    "AnswerMismatch",
+    "BackendRefused",
+    "BackendUnreachable",
+    "BodyTimeout",
+    "Cancelled",
+    "ChartError",
+    "DeadlineExceeded",
+    "Draining",
+    "DuplicateRecord",
+    "DurabilityUnavailable",
+    "DurabilityUnknown",
+    "ErrorBody",
+    "ExecutionFailed",
+    "ExecutionStatus",
+    "HeadersTooLarge",
+    "IllegalTransition",
+    "IncompleteAnswer",
+    "InvalidRequest",
+    "KeyReused",
+    "LogAppendUnknown",
+    "LogError",
+    "LogGap",
+    "LogUnavailable",
+    "MalformedBody",
+    "NoMatchingPool",
+    "NoReplicaAvailable",
+    "NotFound",
+    "NotReady",
+    "OrderRefused",
+    "OutcomeUnknown",
+    "Overloaded",
+    "PassgateError",
+    "PayloadTooLarge",
+    "PeerCallFailed",
+    "PeerConnectionLost",
+    "PeerCredentialRefused",
+    "PeerError",
+    "PeerMalformedFrame",
+    "PeerTimeout",
+    "PeerUnreachable",
+    "PlatformError",
+    "Refused",
+    "RequestInProgress",
+    "RevisionConflict",
+    "SampleWithdrawn",
+    "SelectorSyntaxError",
+    "SettingsError",
+    "SupersededEpoch",
+    "Unauthorized",
+    "UnknownRecord",
+    "VerificationFailed",
+    "VersionNotReported",
+    "VersionTooOld",
+]
+
+for _name in __all__:
+    # Tracebacks, logs and pickles name the public place, not the module that happens to hold the class.
+    globals()[_name].__module__ = __name__
