--- a/passgate/lab/cli.py
+++ b/passgate/lab/cli.py
@@ -143,6 +143,12 @@
         control_scale.run(sizes=sizes, seconds=seconds)
         rollout_scale.run(replicas=_words(replicas))
 
+    def table(self, file: str) -> None:
+        """Print a file of comparison lines (compare --json) as a Markdown table of the best baselines."""
+        from passgate.lab.comparison_page import comparison_table, read_rows
+
+        print(comparison_table(read_rows(file)))
+
     def capacity(self, write: bool = False) -> None:
         """Print the tables of docs/CAPACITY.md from the committed measurements, or --write them."""
         from passgate.capacity.page import generated_part, write_page
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,3 +1,5 @@
+from pathlib import Path
+
 import msgspec
 import pytest
 
@@ -109,3 +111,18 @@
         parameters = scenario_parameters(load_scenario(name))
         for make in FAULT_SETS.values():
             make(parameters, ("a-1", "b-1", "c-1"), 100.0)
+
+
+def test_committed_comparison_gives_a_table_of_best_baselines(capsys):
+    committed = Path(__file__).parents[1] / "measurements" / "lab-compare.jsonl"
+    LabCommands().table(str(committed))
+    lines = capsys.readouterr().out.strip().splitlines()
+    assert len(lines) > 10
+    assert all(line.count("|") == lines[0].count("|") for line in lines)
+    page = Path(__file__).parents[1] / "docs" / "design" / "lab-results.md"
+    assert "\n".join(lines) in page.read_text(encoding="utf-8")
+
+
+def test_table_of_a_missing_file_is_a_typed_error():
+    with pytest.raises(SettingsError):
+        LabCommands().table("nowhere.jsonl")
