Set up simulated runs and lab runs by one piece of code

Cause: reading the whole change again, the lab had a second set-up of pools and first versions beside the simulated run's, and handed callers the mapping that is their default; three functions had no caller. Ruled out: merging what only looks alike (route tables, typed events, settings).

--- a/passgate/check/simulation/campaign.py
+++ b/passgate/check/simulation/campaign.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
 
@@ -12,7 +11,7 @@
 from passgate.check.judgement import judges
 from passgate.check.output_oracle import emulated_token
 from passgate.check.simulation.run import RunOutcome, simulate
-from passgate.check.simulation.schedule import Schedule, fault_name, generate_schedule
+from passgate.check.simulation.schedule import Schedule, generate_schedule
 
 UNHANDLED = "unhandled"
 """Column of exceptions that nothing handled."""
@@ -158,8 +157,3 @@
                 schedule, shrunk = candidate, True
                 break
     return schedule
-
-
-def fault_counts(reports: Iterable[RunReport]) -> Counter[str]:
-    """Return how many faults of each kind were injected."""
-    return Counter(fault_name(fault) for report in reports for fault in report.schedule.faults)
--- a/passgate/check/simulation/run.py
+++ b/passgate/check/simulation/run.py
@@ -134,18 +134,21 @@
 
     async def _configure(self) -> None:
         """Put the pools and the first weights, as operators did before the run."""
-        service = ConfigurationService(self.world.log_client("a", "setup"), "setup", Random(0))
+        parameters = self.world.parameters
+        engines, apps = parameters.engines, parameters.apps
+        log = self.world.log_client(parameters.zones[0], "setup")
+        service = ConfigurationService(log, "setup", Random(0))
         service.start()
-        groups = self.world.parameters
-        model = groups.engines.models[0].name
-        engines = PoolSpec(
-            selector=f"{SERVICE_LABEL}={groups.engines.name}", role=MachineRole.ENGINE, model=model
-        )
-        apps = PoolSpec(selector=f"{SERVICE_LABEL}={groups.apps.name}", role=MachineRole.APP)
-        first = ModelVersionSpec(model=model, version=1)
-        await service.put("Pool", model, {}, engines, 0, SETUP_TIMEOUT_S)
-        await service.put("Pool", groups.apps.name, {}, apps, 0, SETUP_TIMEOUT_S)
-        await service.put("ModelVersion", f"{model}-1", {"model": model}, first, 0, SETUP_TIMEOUT_S)
+        for model in engines.models:
+            pool = PoolSpec(
+                selector=f"{SERVICE_LABEL}={engines.name}", role=MachineRole.ENGINE, model=model.name
+            )
+            first = ModelVersionSpec(model=model.name, version=model.boot_version)
+            await service.put("Pool", model.name, {}, pool, 0, SETUP_TIMEOUT_S)
+            name = f"{model.name}-{model.boot_version}"
+            await service.put("ModelVersion", name, {"model": model.name}, first, 0, SETUP_TIMEOUT_S)
+        pool = PoolSpec(selector=f"{SERVICE_LABEL}={apps.name}", role=MachineRole.APP)
+        await service.put("Pool", apps.name, {}, pool, 0, SETUP_TIMEOUT_S)
         await service.close()
 
     def start_daemon(self, name: str) -> None:
--- a/passgate/emulator/ledger.py
+++ b/passgate/emulator/ledger.py
@@ -61,10 +61,6 @@
         """Return how often a request began to run anywhere."""
         return self._runs[request_id]
 
-    def runs_with_prefix(self, prefix: str) -> int:
-        """Return how many starts carry an identifier that begins with ``prefix``."""
-        return sum(count for name, count in self._runs.items() if name.startswith(prefix))
-
     def effects(self, effect_key: str) -> int:
         """Return how often a side effect happened."""
         return self._effects[effect_key]
--- a/passgate/lab/virtual_run.py
+++ b/passgate/lab/virtual_run.py
@@ -24,7 +24,7 @@
 from passgate.emulator.ledger import RunLedger
 from passgate.emulator.parameters import DeploymentParameters
 from passgate.emulator.tally import Tally
-from passgate.emulator.world import SERVICE_LABEL, EmulatedWorld
+from passgate.emulator.world import EmulatedWorld
 from passgate.errors import PassgateError
 from passgate.lab.fault_sets import find_faults
 from passgate.lab.measures import LatencySummary, RunMeasures, SeriesPoint
@@ -34,8 +34,6 @@
 from passgate.schema import MachineInfo, MachineRole
 from passgate.server.rollouts import RolloutService
 from passgate.settings import Settings
-from passgate.state.configuration import ConfigurationService
-from passgate.state.specs import ModelVersionSpec, PoolSpec
 
 __all__ = ["VirtualRun", "load_scenario", "run_scenario"]
 
@@ -104,9 +102,7 @@
         """Run to the end and return the measures."""
         await self._build()
         started_s = monotonic_s()
-        callers = Callers(
-            self.parameters, self._service_for, self.world.publish, self.schedule.seed, pool_of=self._pool_of
-        )
+        callers = Callers(self.parameters, self._service_for, self.world.publish, self.schedule.seed)
         sampler = self.spawn(self._sample_series(callers, started_s))
         self.faults.start(self.schedule.faults)
         tally = await callers.run(self.scenario.duration_s, DRAIN_S)
@@ -132,23 +128,6 @@
         self.faults = SimulatedFaults(self)
         await self._until_ready()
 
-    async def _configure(self) -> None:
-        zone = self.parameters.zones[0]
-        service = ConfigurationService(self.world.log_client(zone, "setup"), "setup", Random(0))
-        service.start()
-        engines, apps = self.parameters.engines, self.parameters.apps
-        for model in engines.models:
-            pool = PoolSpec(
-                selector=f"{SERVICE_LABEL}={engines.name}", role=MachineRole.ENGINE, model=model.name
-            )
-            first = ModelVersionSpec(model=model.name, version=model.boot_version)
-            await service.put("Pool", model.name, {}, pool, 0, SETUP_TIMEOUT_S)
-            name = f"{model.name}-{model.boot_version}"
-            await service.put("ModelVersion", name, {"model": model.name}, first, 0, SETUP_TIMEOUT_S)
-        pool = PoolSpec(selector=f"{SERVICE_LABEL}={apps.name}", role=MachineRole.APP)
-        await service.put("Pool", apps.name, {}, pool, 0, SETUP_TIMEOUT_S)
-        await service.close()
-
     def start_daemon(self, name: str) -> None:
         """Start a new run of a daemon."""
         self._runs[name] += 1
@@ -166,9 +145,6 @@
         self.processes[name] = process
         process.start()
 
-    def _pool_of(self, model: str) -> str:
-        return model or self.parameters.apps.name
-
     # --- measuring ---------------------------------------------------------------------
 
     async def _sample_series(self, callers: Callers, started_s: float) -> None:
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -26,7 +26,7 @@
 from passgate.interfaces import LogBatch, LogClient, LogEntry
 from passgate.records import Body, Record, SnapshotTaken
 from passgate.state import snapshots
-from passgate.state.append_queue import AppendCounters, AppendQueue, Backoff
+from passgate.state.append_queue import AppendQueue, Backoff
 from passgate.state.fold import Accepted, Decision, Fold, Rejected, StreamState
 
 __all__ = ["Accepted", "Decision", "Fold", "LogFollower", "Rejected"]
@@ -123,11 +123,6 @@
         """Whether no proposal of this follower is undecided."""
         return self._queue.idle
 
-    @property
-    def append_counters(self) -> AppendCounters:
-        """Counters of the appends."""
-        return self._queue.counters
-
     def start(self) -> None:
         """Begin to read and append; the first read does not wait for records."""
         self._spawn(self._run())
