--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -78,6 +78,13 @@
     dependency: str
 
 
+class RecordUnreadable(Event, tag="record_unreadable"):
+    """A record on the log could not be read and was passed over."""
+
+    offset: int
+    reason: str
+
+
 class ConfigurationInForce(Event, tag="configuration_in_force"):
     """A newer configuration is in force on this daemon."""
 
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import secrets
+import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -24,6 +25,7 @@
     DecisionLog,
     DependencyLost,
     DependencyRegained,
+    RecordUnreadable,
 )
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.forwarder import Forwarder
@@ -33,6 +35,7 @@
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
 from passgate.jobs.fold import JobFold, JobState
+from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
 from passgate.jobs.ownership import Ownership
 from passgate.jobs.records import WriterStopped, decode_batch
@@ -48,7 +51,9 @@
 FLUSH_S = 0.2
 NOTICE_S = 2.6
 """Time after SIGTERM within which the platform still sends new connections."""
-STOP_RESERVE_S = 0.8
+RELEASE_WAIT_S = 5.0
+"""Longest time after SIGTERM for which the log is waited for to hand over jobs."""
+STOP_RESERVE_S = 1.2
 """Part of the grace that is left for ending."""
 STOP_STEP_S = 0.05
 LOG_LOST_S = 2.5
@@ -129,7 +134,13 @@
     def _apply_jobs(self, page: LogPage) -> None:
         now_s = monotonic_s()
         for index, record in enumerate(page.records):
-            self._fold.apply(page.start + index, decode_batch(record), now_s)
+            try:
+                batch = decode_batch(record)
+            except (msgspec.DecodeError, zlib.error) as error:
+                # A newer daemon's record, for example; a daemon that ended here would never get past it.
+                self.decisions.write(RecordUnreadable(offset=page.start + index, reason=str(error)))
+                continue
+            self._fold.apply(page.start + index, batch, now_s)
 
     def _make_runner(self, job: JobState) -> JobRunner | None:
         table = self.config.table
@@ -137,7 +148,15 @@
         route = table.match(spec.host, spec.path) if table is not None else None
         if route is None:
             return None
-        return JobRunner(job, route, self._caller, self.replicas, self._names, self._journal, self.decisions)
+        tools = ItemTools(
+            route=route,
+            caller=self._caller,
+            replicas=self.replicas,
+            names=self._names,
+            decisions=self.decisions,
+            group_replica={},
+        )
+        return JobRunner(job, self._fold, self._journal, tools)
 
     # --- life --------------------------------------------------------------------
 
@@ -203,12 +222,14 @@
         self.decisions.write(DaemonStopping(in_flight=self._front.in_flight))
         self.ownership.stopping = True
         self._front.close_after_answers()
+        self.ownership.save_all()
         released = self._journal.put(WriterStopped())
         end_s = began_s + self.settings.stop_grace_s - STOP_RESERVE_S
         while monotonic_s() < end_s:
             await asyncio.sleep(STOP_STEP_S)
-            quiet = self._front.in_flight == 0 and self.ownership.running == 0 and released.done()
-            if quiet and monotonic_s() - began_s >= NOTICE_S:
+            waited_s = monotonic_s() - began_s
+            handed_over = released.done() or waited_s >= RELEASE_WAIT_S
+            if handed_over and self._front.in_flight == 0 and waited_s >= NOTICE_S:
                 break
         self._front.stop_listening()
         after_s = round(monotonic_s() - began_s, 3)
--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -8,9 +8,20 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from passgate.errors import IncompleteAnswer
 
 
+class KeptEvents(msgspec.Struct, kw_only=True):
+    """Events of an unfinished item as they stand on the log."""
+
+    run: str
+    data: list[str] = []
+    versions: list[int] = []
+    last_id: str = ""
+
+
 class EventStream:
     """Events received so far, over all attempts of an item."""
 
@@ -42,6 +53,16 @@
         """Return the data of all events, separated by line feeds."""
         return "\n".join(self._data)
 
+    def resume(self, kept: KeptEvents) -> None:
+        """Take over the events of an earlier run."""
+        self._data = list(kept.data)
+        self._versions = list(kept.versions)
+        self.last_id = kept.last_id
+
+    def events_after(self, count: int) -> tuple[tuple[str, ...], tuple[int, ...]]:
+        """Return data and versions of the events after the first ``count``."""
+        return tuple(self._data[count:]), tuple(self._versions[count:])
+
     def begin_attempt(self, version: int | None) -> None:
         """Start reading another attempt's stream; ``version`` is what its head names."""
         self._pending = b""
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -20,8 +20,10 @@
 
 import msgspec
 
+from passgate.jobs.event_stream import KeptEvents
 from passgate.jobs.records import (
     Batch,
+    ItemProgressed,
     ItemsDone,
     ItemSpec,
     JobClaimed,
@@ -102,6 +104,10 @@
         self.leader = ""
         self.leader_fence = NO_CLAIM
         """Offset of the last leader claim that counted; rises with each leader."""
+        self.kept: dict[str, KeptEvents] = {}
+        """Item to the events of its unfinished run."""
+        self.finished: dict[str, Result] = {}
+        """Item to its newest result, for later jobs that ask for it again."""
         self._pieces: dict[tuple[str, str], _Pieces] = {}
         self.changed_jobs: set[str] = set()
         """Jobs touched since the reader cleared this."""
@@ -120,6 +126,8 @@
                 self._claim(entry)
             case ItemsDone():
                 self._list(entry)
+            case ItemProgressed():
+                self._keep(writer, entry)
             case JobEnded():
                 self._end(entry)
             case LeaderClaimed():
@@ -162,9 +170,28 @@
         if job is None:
             return
         for result in entry.results:
-            job.list_result(result)
+            if job.list_result(result):
+                self.finished[result.item_id] = result
+                self.kept.pop(result.item_id, None)
         self.changed_jobs.add(job.job_id)
 
+    def _keep(self, writer: str, entry: ItemProgressed) -> None:
+        """Add events to the run they belong to; events of another run are ignored."""
+        job = self.jobs.get(entry.job_id)
+        if job is None or entry.item_id in job.listed:
+            return
+        kept = self.kept.get(entry.item_id)
+        if entry.after == 0 and not entry.parent and (kept is None or job.owner == writer):
+            kept = self.kept[entry.item_id] = KeptEvents(run=entry.run)
+        if kept is None or entry.after != len(kept.data):
+            return
+        if entry.run != kept.run and entry.parent != kept.run:
+            return
+        kept.run = entry.run
+        kept.data.extend(entry.data)
+        kept.versions.extend(entry.versions)
+        kept.last_id = entry.last_id
+
     def _end(self, entry: JobEnded) -> None:
         job = self.jobs.get(entry.job_id)
         if job is not None:
--- /dev/null
+++ b/passgate/jobs/item_run.py
@@ -0,0 +1,212 @@
+"""Runs one item of a job at replicas until its whole output is there.
+
+An interrupted item goes on at any replica after the last event received; an item
+whose events are older than the job allows starts anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, ItemFailed, ItemSent
+from passgate.errors import BackendRefused, ExecutionStatus, IncompleteAnswer, PassgateError, VersionTooOld
+from passgate.gateway.dialect import HeaderNames
+from passgate.gateway.replica_call import ReplicaCaller, ReplicaExchange, ReplicaRequest
+from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
+from passgate.gateway.routes import Route
+from passgate.jobs.checkpoint import ItemCheckpoint
+from passgate.jobs.event_stream import EventStream, KeptEvents
+from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
+
+ROOM_STEP_S = 0.03
+"""Pause between looks for a replica with room."""
+FIRST_EVENT_TIMEOUT_S = 2.5
+NEXT_EVENT_TIMEOUT_S = 1.2
+"""A stream silent for this long is given up and taken up elsewhere."""
+RETRY_PAUSE_S = 0.05
+ITEM_DEADLINE_S = 30.0
+"""Time for which a replica may work on one attempt."""
+FAILED, IMPOSSIBLE = 500, 422
+OK = 200
+
+
+class ItemTools(msgspec.Struct, frozen=True, kw_only=True):
+    """What all item runs of a job share."""
+
+    route: Route
+    caller: ReplicaCaller
+    replicas: ReplicaTable
+    names: HeaderNames
+    decisions: DecisionLog
+    group_replica: dict[str, str]
+    """Group to the replica that read its shared prompt last."""
+
+    def expected_tokens(self, item: ItemSpec) -> float:
+        """Return the caller's estimate of the output's length, or 0."""
+        told = item.headers.get(self.names.length_hint, "")
+        try:
+            return float(told)
+        except ValueError:
+            return 0.0
+
+
+class ItemRun:
+    """One item while it is run."""
+
+    def __init__(self, job: JobSpec, item: ItemSpec, tools: ItemTools, kept: KeptEvents | None) -> None:
+        self.item = item
+        self.began_s = monotonic_s()
+        self.attempts = 0
+        self._job = job
+        self._tools = tools
+        self._stream = EventStream(tools.names.weight_versions)
+        usable = kept if kept is not None and self._is_usable(kept) else None
+        if usable is not None:
+            self._stream.resume(usable)
+        self.checkpoint = ItemCheckpoint(job.job_id, item.id, self._stream, usable)
+        self._failures = 0
+        self._avoided = ""
+        self._state: ReplicaState | None = None
+
+    def _is_usable(self, kept: KeptEvents) -> bool:
+        if not kept.data or self._tools.route.single_version:
+            return False
+        return min(kept.versions) >= self._job.min_version
+
+    async def wait_for_replica(self) -> None:
+        """Wait until a replica has room for the item."""
+        while (state := self._choose()) is None:
+            await asyncio.sleep(ROOM_STEP_S)
+        self._state = state
+
+    def _choose(self) -> ReplicaState | None:
+        request = ChoiceRequest(
+            services=self._tools.route.services,
+            excluded=frozenset({self._avoided}) if self._avoided else frozenset(),
+            model=self._job.model,
+            min_version=self._job.min_version,
+            preferred=self._tools.group_replica.get(self.item.group, ""),
+            room_only=True,
+        )
+        state = self._tools.replicas.choose(request, monotonic_s())
+        if state is None:
+            self._avoided = ""
+        return state
+
+    async def result(self) -> Result:
+        """Run the item to its end, over as many attempts as it takes."""
+        while True:
+            assert self._state is not None
+            result = await self._attempt(self._state)
+            if result is not None:
+                return result
+            await asyncio.sleep(RETRY_PAUSE_S)
+            await self.wait_for_replica()
+
+    async def _attempt(self, state: ReplicaState) -> Result | None:
+        replica_id = state.info.replica_id
+        self.attempts += 1
+        self._tools.group_replica[self.item.group] = replica_id
+        self._tools.decisions.write(
+            ItemSent(
+                job_id=self._job.job_id,
+                item_id=self.item.id,
+                replica_id=replica_id,
+                attempt=self.attempts,
+                events_kept=self._stream.count,
+            )
+        )
+        try:
+            return await self._exchange(state)
+        except PassgateError as error:
+            self._note_failure(replica_id, error)
+            return None
+
+    def _note_failure(self, replica_id: str, error: PassgateError) -> None:
+        self._avoided = replica_id
+        group_replica = self._tools.group_replica
+        if isinstance(error, BackendRefused) and group_replica.get(self.item.group) == replica_id:
+            del group_replica[self.item.group]
+        self._tools.decisions.write(
+            ItemFailed(
+                job_id=self._job.job_id,
+                item_id=self.item.id,
+                replica_id=replica_id,
+                reason=f"{error.code}: {error}",
+                events_kept=self._stream.count,
+            )
+        )
+
+    async def _exchange(self, state: ReplicaState) -> Result | None:
+        exchange = self._tools.caller.open(state, self._request())
+        try:
+            async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
+                status = await exchange.head()
+            if status != OK:
+                return self._failed_run(status)
+            self._begin(exchange)
+            await self._read_events(exchange)
+        except TimeoutError as error:
+            exchange.too_slow()
+            raise IncompleteAnswer("the stream is silent") from error
+        finally:
+            exchange.close()
+        exchange.succeeded_stream()
+        return Result(
+            item_id=self.item.id,
+            state=ResultState.SUCCEEDED,
+            text=self._stream.text(),
+            versions=self._stream.versions,
+        )
+
+    def _request(self) -> ReplicaRequest:
+        headers = list(self.item.headers.items())
+        if self._stream.count:
+            headers.append((self._tools.names.last_event_id, self._stream.last_id))
+        return ReplicaRequest(
+            request_id=self.item.id,
+            method="POST",
+            path=self.item.path,
+            host=self._job.host,
+            headers=tuple(headers),
+            body=self.item.body,
+            deadline_s=monotonic_s() + ITEM_DEADLINE_S,
+        )
+
+    def _failed_run(self, status: int) -> Result | None:
+        dead = Result(item_id=self.item.id, state=ResultState.DEAD)
+        if status == IMPOSSIBLE:
+            return dead
+        if status == FAILED:
+            self._failures += 1
+            if self._failures >= self._tools.route.max_attempts:
+                return dead
+        raise IncompleteAnswer(f"replica answered {status}", execution=ExecutionStatus.RAN)
+
+    def _begin(self, exchange: ReplicaExchange) -> None:
+        told = exchange.headers.get(self._tools.names.weight_versions, "")
+        version = int(told) if told.isdigit() else None
+        if version is not None:
+            exchange.observe_version(self._job.model, version)
+            if version < self._job.min_version:
+                raise VersionTooOld("replica holds an older version", version=version)
+        self._stream.begin_attempt(version)
+
+    async def _read_events(self, exchange: ReplicaExchange) -> None:
+        timeout_s = FIRST_EVENT_TIMEOUT_S
+        while True:
+            async with asyncio.timeout(timeout_s):
+                data = await exchange.read()
+            if not data:
+                break
+            timeout_s = NEXT_EVENT_TIMEOUT_S
+            self._stream.feed(data)
+        if self._stream.mid_event or not exchange.proven_whole:
+            raise IncompleteAnswer("the stream broke off")
+        if any(version < self._job.min_version for version in self._stream.versions):
+            self._stream.restart()
+            self.checkpoint.restart()
+            raise VersionTooOld("an event was made by an older version")
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -15,7 +15,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import DurabilityUnknown, LogAppendUnknown, LogUnavailable
-from passgate.jobs.records import AnyEntry, Batch, ItemsDone, encode_batch
+from passgate.jobs.records import AnyEntry, Batch, ItemProgressed, ItemsDone, encode_batch
 from passgate.sharedlog.log import SharedLog
 
 logger = logging.getLogger("passgate.jobs")
@@ -132,6 +132,8 @@
     """Return about how many bytes an entry takes before compression."""
     if isinstance(entry, ItemsDone):
         return sum(len(result.text) + 100 for result in entry.results)
+    if isinstance(entry, ItemProgressed):
+        return sum(len(text) + 10 for text in entry.data) + 200
     return len(msgspec.json.encode(entry))
 
 
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -60,7 +60,7 @@
         self._freshness = freshness
         self._make_runner = make_runner
         self._decisions = decisions
-        self._runners: dict[str, asyncio.Task[None]] = {}
+        self._runners: dict[str, tuple[JobRunner, asyncio.Task[None]]] = {}
         self._claiming: set[str] = set()
         self._renewal: asyncio.Future[int] | None = None
         self._started_s = monotonic_s()
@@ -83,9 +83,14 @@
                 self.tick()
                 await asyncio.sleep(TICK_S)
         finally:
-            for task in self._runners.values():
+            for _, task in self._runners.values():
                 task.cancel()
 
+    def save_all(self) -> None:
+        """Record the events of all running items, before others take the jobs over."""
+        for runner, _ in self._runners.values():
+            runner.save()
+
     def tick(self) -> None:
         """Start, stop and claim as the fold says."""
         now_s = monotonic_s()
@@ -149,12 +154,13 @@
             return
         task = asyncio.get_running_loop().create_task(runner.run())
         task.add_done_callback(_log_failure)
-        self._runners[job.job_id] = task
+        self._runners[job.job_id] = (runner, task)
 
     def _stop_runners(self) -> None:
-        for job_id, task in list(self._runners.items()):
+        for job_id, (runner, task) in list(self._runners.items()):
             job = self._fold.jobs.get(job_id)
             if job is None or not job.open or job.owner != self.me:
+                runner.save()
                 task.cancel()
                 del self._runners[job_id]
             elif task.done() and task.exception() is not None:
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -86,6 +86,23 @@
     results: tuple[Result, ...]
 
 
+class ItemProgressed(Entry, tag="run"):
+    """Events of an unfinished item, so that another daemon or a later job can go on after them."""
+
+    job_id: str
+    item_id: str
+    run: str
+    """Names the run that made the events, over all its attempts."""
+    after: int
+    """Number of events before these."""
+    data: tuple[str, ...]
+    versions: tuple[int, ...]
+    last_id: str
+    """Identifier of the last of these events."""
+    parent: str = ""
+    """Run that this one goes on from, in its first record."""
+
+
 class JobEnded(Entry, tag="end"):
     """The caller wants no more of the job."""
 
@@ -117,7 +134,15 @@
 
 
 AnyEntry = (
-    JobPart | JobClaimed | ItemsDone | JobEnded | LeaderClaimed | LeaderReleased | WriterStopped | WriterAlive
+    JobPart
+    | JobClaimed
+    | ItemsDone
+    | ItemProgressed
+    | JobEnded
+    | LeaderClaimed
+    | LeaderReleased
+    | WriterStopped
+    | WriterAlive
 )
 
 
