Leave a replica that is much slower than another one with room

Change: the time of each event is observed per replica; every 4 events an item looks whether another replica with room is twice as fast and goes on there after its last event.

--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -152,6 +152,12 @@
     code = "incomplete_answer"
 
 
+class MovedElsewhere(ExecutionFailed):
+    """A stream was left because another replica goes on with it much faster."""
+
+    code = "moved_elsewhere"
+
+
 class AnswerMismatch(ExecutionFailed):
     """The answer belongs to another request."""
 
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -246,6 +246,10 @@
         """Count a stream that came whole; its length says nothing of the replica's speed."""
         self._replicas.health.succeeded(self.replica_id)
 
+    def observe_pace(self, event_s: float) -> None:
+        """Count the time that one event of the stream took."""
+        self._replicas.observe_latency(self.replica_id, event_s, monotonic_s())
+
     def observe_version(self, model: str, version: int) -> None:
         """Note the version of the weights that the replica has just named."""
         self._state.observed_versions[model] = version
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -22,7 +22,11 @@
 """Age after which what a replica told of its load counts no longer."""
 OTHER_ZONE_COST = 0.05
 """Added to the score of a replica in another zone, in shares of its slots."""
-LATENCY_FORGET_S = 8.0
+MAX_LATENCY_STEP = 6.0
+"""One observation counts for at most this many times the present latency."""
+MUCH_FASTER = 0.5
+"""Share of a replica's latency below which another one is much faster."""
+LATENCY_FORGET_S = 4.0
 """Time after which an old latency counts half."""
 
 
@@ -152,13 +156,22 @@
             score -= 0.15
         return score
 
+    def has_much_faster(self, replica_id: str, request: ChoiceRequest, now_s: float) -> bool:
+        """Whether a replica that fits a request is much faster than the one it is at."""
+        state = self._states.get(replica_id)
+        other = self.choose(request, now_s)
+        if state is None or other is None:
+            return False
+        return other.recent_latency_s(now_s) < MUCH_FASTER * state.recent_latency_s(now_s)
+
     def observe_latency(self, replica_id: str, latency_s: float, now_s: float) -> None:
         """Count how long a replica took for a request, or has already taken at least."""
         state = self._states.get(replica_id)
         if state is None:
             return
         current = state.recent_latency_s(now_s)
-        state.latency_s = current + SMOOTHING * (latency_s - current)
+        observed_s = min(latency_s, MAX_LATENCY_STEP * current)
+        state.latency_s = current + SMOOTHING * (observed_s - current)
         state.latency_at_s = now_s
 
     def observe_load(self, replica_id: str, occupied: int, now_s: float) -> None:
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -12,7 +12,14 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ItemFailed, ItemSent
-from passgate.errors import BackendRefused, ExecutionStatus, IncompleteAnswer, PassgateError, VersionTooOld
+from passgate.errors import (
+    BackendRefused,
+    ExecutionStatus,
+    IncompleteAnswer,
+    MovedElsewhere,
+    PassgateError,
+    VersionTooOld,
+)
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replica_call import ReplicaCaller, ReplicaExchange, ReplicaRequest
 from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
@@ -23,10 +30,12 @@
 
 ROOM_STEP_S = 0.03
 """Pause between looks for a replica with room."""
-FIRST_EVENT_TIMEOUT_S = 2.5
+FIRST_EVENT_TIMEOUT_S = 1.5
 NEXT_EVENT_TIMEOUT_S = 1.2
 """A stream silent for this long is given up and taken up elsewhere."""
-RETRY_PAUSE_S = 0.05
+MIN_EVENTS_HERE = 4
+"""Events between two looks for a much faster replica."""
+RETRY_PAUSE_S = 0.02
 ITEM_DEADLINE_S = 30.0
 """Time for which a replica may work on one attempt."""
 FAILED, IMPOSSIBLE = 500, 422
@@ -82,16 +91,18 @@
             await asyncio.sleep(ROOM_STEP_S)
         self._state = state
 
-    def _choose(self) -> ReplicaState | None:
-        request = ChoiceRequest(
+    def _wish(self, avoided: str) -> ChoiceRequest:
+        return ChoiceRequest(
             services=self._tools.route.services,
-            excluded=frozenset({self._avoided}) if self._avoided else frozenset(),
+            excluded=frozenset({avoided}) if avoided else frozenset(),
             model=self._job.model,
             min_version=self._job.min_version,
             preferred=self._tools.group_replica.get(self.item.group, ""),
             room_only=True,
         )
-        state = self._tools.replicas.choose(request, monotonic_s())
+
+    def _choose(self) -> ReplicaState | None:
+        state = self._tools.replicas.choose(self._wish(self._avoided), monotonic_s())
         if state is None:
             self._avoided = ""
         return state
@@ -162,6 +173,13 @@
             versions=self._stream.versions,
         )
 
+    def _check_pace(self, exchange: ReplicaExchange, events_here: int, now_s: float) -> None:
+        """Leave a replica that is much slower than another one with room."""
+        if events_here < MIN_EVENTS_HERE or events_here % MIN_EVENTS_HERE:
+            return
+        if self._tools.replicas.has_much_faster(exchange.replica_id, self._wish(exchange.replica_id), now_s):
+            raise MovedElsewhere("another replica is much faster")
+
     def _request(self) -> ReplicaRequest:
         headers = list(self.item.headers.items())
         if self._stream.count:
@@ -197,13 +215,21 @@
 
     async def _read_events(self, exchange: ReplicaExchange) -> None:
         timeout_s = FIRST_EVENT_TIMEOUT_S
+        event_at_s: float | None = None
+        first_count = self._stream.count
         while True:
             async with asyncio.timeout(timeout_s):
                 data = await exchange.read()
             if not data:
                 break
             timeout_s = NEXT_EVENT_TIMEOUT_S
+            before = self._stream.count
             self._stream.feed(data)
+            now_s = monotonic_s()
+            if event_at_s is not None and self._stream.count > before:
+                exchange.observe_pace((now_s - event_at_s) / (self._stream.count - before))
+            event_at_s = now_s
+            self._check_pace(exchange, self._stream.count - first_count, now_s)
         if self._stream.mid_event or not exchange.proven_whole:
             raise IncompleteAnswer("the stream broke off")
         if any(version < self._job.min_version for version in self._stream.versions):
