Let a stopping daemon own no new job, and find silent owners sooner

Change: a job accepted while stopping is unowned; renewals each 0.4 s, takeover after 1.5 s; running items are recorded each 0.3 s.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -221,6 +221,7 @@
         began_s = monotonic_s()
         self.decisions.write(DaemonStopping(in_flight=self._front.in_flight))
         self.ownership.stopping = True
+        self.jobs.stopping = True
         self._front.close_after_answers()
         self.ownership.save_all()
         released = self._journal.put(WriterStopped())
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -153,7 +153,7 @@
                 spec = decode_spec(data)
             except (zlib.error, msgspec.DecodeError):
                 return
-            self.jobs[spec.job_id] = JobState(spec, writer, now_s)
+            self.jobs[spec.job_id] = JobState(spec, "" if part.unowned else writer, now_s)
             self.changed_jobs.add(spec.job_id)
         while len(self._pieces) > MAX_PENDING_PARTS:
             del self._pieces[next(iter(self._pieces))]
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -23,9 +23,9 @@
 logger = logging.getLogger("passgate.jobs")
 
 TICK_S = 0.1
-RENEW_S = 0.7
+RENEW_S = 0.4
 """A daemon that owns or leads something appends at least this often."""
-TAKEOVER_S = 2.2
+TAKEOVER_S = 1.5
 """Silence of an owner after which its jobs are taken over."""
 TAKEOVER_SPREAD_S = 0.3
 """Random part of the wait, so that few daemons claim at once."""
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -69,6 +69,8 @@
     index: int
     count: int
     data: bytes
+    unowned: bool = False
+    """Whether the writer is about to stop, so that another daemon shall run the job."""
 
 
 class JobClaimed(Entry, tag="claim"):
@@ -178,11 +180,18 @@
     return _spec_decoder.decode(zlib.decompress(data))
 
 
-def split_spec(spec: JobSpec, nonce: str, piece_bytes: int) -> list[JobPart]:
+def split_spec(spec: JobSpec, nonce: str, piece_bytes: int, *, unowned: bool = False) -> list[JobPart]:
     """Return the entries that put a job on the log."""
     data = encode_spec(spec)
     pieces = [data[start : start + piece_bytes] for start in range(0, len(data), piece_bytes)]
     return [
-        JobPart(job_id=spec.job_id, nonce=nonce, index=index, count=len(pieces), data=piece)
+        JobPart(
+            job_id=spec.job_id,
+            nonce=nonce,
+            index=index,
+            count=len(pieces),
+            data=piece,
+            unowned=unowned,
+        )
         for index, piece in enumerate(pieces)
     ]
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -19,9 +19,9 @@
 
 logger = logging.getLogger("passgate.jobs")
 
-CHECKPOINT_S = 0.5
+CHECKPOINT_S = 0.3
 """Time between the records of a running item's events."""
-CHECKPOINT_AGE_S = 0.7
+CHECKPOINT_AGE_S = 0.4
 """Items that run for less than this are not recorded before their end."""
 
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -43,6 +43,8 @@
     """Submits, reads and ends jobs."""
 
     def __init__(self, fold: JobFold, journal: Journal, tail: RecordTail, decisions: DecisionLog) -> None:
+        self.stopping = False
+        """Whether this daemon is about to end and shall own no new job."""
         self._fold = fold
         self._journal = journal
         self._tail = tail
@@ -61,7 +63,7 @@
         began_s = monotonic_s()
         offset = -1
         if spec.job_id not in self._fold.jobs:
-            parts = split_spec(spec, secrets.token_hex(4), self._journal.piece_bytes)
+            parts = split_spec(spec, secrets.token_hex(4), self._journal.piece_bytes, unowned=self.stopping)
             try:
                 offset = await self._journal.append_job(parts, deadline_s)
             except PassgateError as error:
