Give a model's next job to the owner of its last; load only a model's share of replicas for each version

Change: (1) a job belongs to the owner of its model's last job when that was heard within 0.8 s; (2) replicas more than the allowed lag behind load, others only up to the model's share.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -141,6 +141,16 @@
                 self.decisions.write(RecordUnreadable(offset=page.start + index, reason=str(error)))
                 continue
             self._fold.apply(page.start + index, batch, now_s)
+        self._note_lags()
+
+    def _note_lags(self) -> None:
+        """Learn from new jobs how far behind the newest version their replicas may be."""
+        for job_id in self._fold.changed_jobs:
+            job = self._fold.jobs[job_id]
+            newest = self.wanted.versions.get(job.model, 0)
+            if self._fold.newest_job.get(job.model) == job_id and not job.results and newest:
+                self._loader.lag[job.model] = max(newest - job.min_version, 0)
+        self._fold.changed_jobs.clear()
 
     def _make_runner(self, job: JobState) -> JobRunner | None:
         table = self.config.table
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -6,7 +6,7 @@
 
 >>> fold = JobFold()
 >>> spec = JobSpec(job_id="j", host="h", path="/p/", items=(ItemSpec(id="i", path="/p/1"),))
->>> fold.apply(0, Batch(writer="d1.a", entries=tuple(split_spec(spec, "n", 1000))), now_s=0.0)
+>>> fold.apply(0, Batch(writer="d1.a", entries=tuple(split_spec(spec, "n", 1000, "d1.a"))), now_s=0.0)
 >>> job = fold.jobs["j"]
 >>> job.owner, job.total, fold.apply(1, Batch(writer="d1.a", entries=(JobEnded(job_id="j"),)), now_s=1.0)
 ('d1.a', 1, None)
@@ -56,6 +56,7 @@
         self.total = len(spec.items)
         self.item_ids = frozenset(item.id for item in spec.items)
         self.min_version = spec.min_version
+        self.model = spec.model
         self.results: list[Result] = []
         self.listed: dict[str, int] = {}
         """Item to its position."""
@@ -104,6 +105,8 @@
         self.leader = ""
         self.leader_fence = NO_CLAIM
         """Offset of the last leader claim that counted; rises with each leader."""
+        self.newest_job: dict[str, str] = {}
+        """Model to the newest job that asked for it."""
         self.kept: dict[str, KeptEvents] = {}
         """Item to the events of its unfinished run."""
         self.finished: dict[str, Result] = {}
@@ -153,7 +156,8 @@
                 spec = decode_spec(data)
             except (zlib.error, msgspec.DecodeError):
                 return
-            self.jobs[spec.job_id] = JobState(spec, "" if part.unowned else writer, now_s)
+            self.jobs[spec.job_id] = JobState(spec, part.owner, now_s)
+            self.newest_job[spec.model] = spec.job_id
             self.changed_jobs.add(spec.job_id)
         while len(self._pieces) > MAX_PENDING_PARTS:
             del self._pieces[next(iter(self._pieces))]
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -69,8 +69,8 @@
     index: int
     count: int
     data: bytes
-    unowned: bool = False
-    """Whether the writer is about to stop, so that another daemon shall run the job."""
+    owner: str = ""
+    """Writer that shall run the job; nobody yet when empty."""
 
 
 class JobClaimed(Entry, tag="claim"):
@@ -180,7 +180,7 @@
     return _spec_decoder.decode(zlib.decompress(data))
 
 
-def split_spec(spec: JobSpec, nonce: str, piece_bytes: int, *, unowned: bool = False) -> list[JobPart]:
+def split_spec(spec: JobSpec, nonce: str, piece_bytes: int, owner: str) -> list[JobPart]:
     """Return the entries that put a job on the log."""
     data = encode_spec(spec)
     pieces = [data[start : start + piece_bytes] for start in range(0, len(data), piece_bytes)]
@@ -191,7 +191,7 @@
             index=index,
             count=len(pieces),
             data=piece,
-            unowned=unowned,
+            owner=owner,
         )
         for index, piece in enumerate(pieces)
     ]
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -26,6 +26,8 @@
 MAX_PAGE_BYTES = 900_000
 CONFIRM_S = 0.5
 """Time for reading the log to its end before a job is said to be unknown."""
+OWNER_HEARD_S = 0.8
+"""An owner heard within this time is given the next job too."""
 STALE_S = 2.6
 """With a view of the log older than this, "nothing new" is not said."""
 RESULT_OVERHEAD_BYTES = 200
@@ -63,7 +65,7 @@
         began_s = monotonic_s()
         offset = -1
         if spec.job_id not in self._fold.jobs:
-            parts = split_spec(spec, secrets.token_hex(4), self._journal.piece_bytes, unowned=self.stopping)
+            parts = split_spec(spec, secrets.token_hex(4), self._journal.piece_bytes, self._owner_for(spec))
             try:
                 offset = await self._journal.append_job(parts, deadline_s)
             except PassgateError as error:
@@ -80,6 +82,18 @@
             )
         )
 
+    def _owner_for(self, spec: JobSpec) -> str:
+        """Return who shall run a job: the owner of the model's last job, if it was heard lately.
+
+        One owner knows what it has sent where, and its connections are open.
+        """
+        last = self._fold.jobs.get(self._fold.newest_job.get(spec.model, ""))
+        if last is not None and last.owner:
+            heard_s = self._fold.heard_s.get(last.owner, float("-inf"))
+            if monotonic_s() - heard_s < OWNER_HEARD_S:
+                return last.owner
+        return "" if self.stopping else self._journal.writer
+
     async def read(self, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
         job = await self._find(job_id)
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -61,6 +61,37 @@
         ...
 
 
+class LoadChoice(msgspec.Struct, frozen=True, kw_only=True):
+    """A load that is wanted."""
+
+    state: ReplicaState
+    model: str
+    needed: bool
+    """Whether the replica can serve no new job of the model without it."""
+
+
+def choose_loads(
+    model: str, version: int, lag: int, holders: list[ReplicaState], now_s: float
+) -> list[LoadChoice]:
+    """Return the loads of one model that are wanted.
+
+    Replicas more than ``lag`` versions behind must load.  Beyond these, enough load so
+    that the model's share of the replicas holds the newest version: all of them when
+    the model has them alone, half of them when two models share them.  So each named
+    version costs about one model's share of loads, and the others load with the next.
+    """
+    needed = [state for state in holders if state.version_of(model) < version - lag]
+    newest = [state for state in holders if state.version_of(model) >= version]
+    wanted = sum(1.0 / max(len(state.info.model_versions), 1) for state in holders)
+    spare = int(wanted) - len(newest) - len(needed)
+    others = [state for state in holders if version - lag <= state.version_of(model) < version]
+    others.sort(key=lambda state: (state.version_of(model), state.load(now_s)))
+    needed.sort(key=lambda state: (state.version_of(model), state.load(now_s)))
+    return [LoadChoice(state=state, model=model, needed=True) for state in needed] + [
+        LoadChoice(state=state, model=model, needed=False) for state in others[: max(spare, 0)]
+    ]
+
+
 class WantedVersions:
     """The newest version that was named for each model."""
 
@@ -78,6 +109,9 @@
 class Loader:
     """Loads what is wanted, while this daemon leads."""
 
+    lag: dict[str, int]
+    """Model to how many versions behind the newest its last job allowed."""
+
     def __init__(
         self,
         wanted: WantedVersions,
@@ -93,6 +127,7 @@
         self._control = control
         self._holder = holder
         self._decisions = decisions
+        self.lag = {}
         self._loading: dict[str, asyncio.Task[None]] = {}
         self._retry_at_s: dict[str, float] = {}
 
@@ -112,43 +147,43 @@
         if not self._leadership.may_order():
             return
         now_s = monotonic_s()
-        behind = [state for state in self._replicas.all() if self._is_behind(state, now_s)]
-        behind.sort(key=lambda state: state.load(now_s))
-        for state in behind:
-            if self._loads_in(state.info.service) >= LOADS_AT_ONCE:
+        for choice in self._choices(now_s):
+            state = choice.state
+            if self._loads_in(state.info.service) >= LOADS_AT_ONCE or state.info.replica_id in self._loading:
                 continue
-            task = asyncio.get_running_loop().create_task(self._load(state))
+            task = asyncio.get_running_loop().create_task(self._load(state, choice.model))
             self._loading[state.info.replica_id] = task
 
+    def _choices(self, now_s: float) -> list[LoadChoice]:
+        """Return the loads that are wanted now, the most urgent first."""
+        choices: list[LoadChoice] = []
+        for model, version in self._wanted.versions.items():
+            holders = [
+                state
+                for state in self._replicas.all()
+                if model in state.info.model_versions and not state.info.draining
+            ]
+            choices += choose_loads(model, version, self.lag.get(model, 0), holders, now_s)
+        choices.sort(key=lambda choice: not choice.needed)
+        return [choice for choice in choices if self._may_load(choice.state, now_s)]
+
     def _loads_in(self, service: str) -> int:
         states = (self._replicas.get(replica_id) for replica_id in self._loading)
         return sum(1 for state in states if state is not None and state.info.service == service)
 
-    def _is_behind(self, state: ReplicaState, now_s: float) -> bool:
-        replica_id = state.info.replica_id
-        if state.info.draining or replica_id in self._loading:
-            return False
-        if now_s < self._retry_at_s.get(replica_id, 0.0):
-            return False
-        return bool(self._missing(state))
-
-    def _missing(self, state: ReplicaState) -> list[str]:
-        return [
-            model
-            for model in state.info.model_versions
-            if state.version_of(model) < self._wanted.versions.get(model, 0)
-        ]
-
-    async def _load(self, state: ReplicaState) -> None:
+    def _may_load(self, state: ReplicaState, now_s: float) -> bool:
+        return now_s >= self._retry_at_s.get(state.info.replica_id, 0.0)
+
+    async def _load(self, state: ReplicaState, model: str) -> None:
         replica_id = state.info.replica_id
         try:
             report = await self._report(state)
-            models = [model for model in self._missing(state) if model in report.model_versions]
-            if report.busy or not models or not self._leadership.may_order():
+            missing = report.model_versions.get(model, 0) < self._wanted.versions[model]
+            if report.busy or not missing or not self._leadership.may_order():
                 self._retry_at_s[replica_id] = monotonic_s() + POLL_S
                 return
-            if await self._order(state, models[0], report):
-                await self._wait_until_loaded(state, models[0])
+            if await self._order(state, model, report):
+                await self._wait_until_loaded(state, model)
             else:
                 self._retry_at_s[replica_id] = monotonic_s() + RETRY_S
         except PassgateError:
