Let a claim of the lead count only if nothing was heard of the leader since

Change: a claim names the leader's last record that the claimer read and is void when the log holds a later one; a leader orders only for 1.8 s after it sent a batch which it has read back within its lead. Jobs are forgotten 30 s after the platform's time; items are given up 5 s after their route's time.

--- /dev/null
+++ b/passgate/emulator/shared_log.py
@@ -0,0 +1,178 @@
+"""Stand-in of the shared log in memory, with its faults, for tests in virtual time.
+
+Faults are fields that a test sets while the log is used: calls refused, calls that
+get no answer, appends done late, history dropped, a client cut off.
+
+>>> from passgate.clock import run_virtual
+>>> async def use():
+...     log = MemorySharedLog().client("d1")
+...     await log.append("t", 0, [b"a", b"b"])
+...     return (await log.read("t", 0, 1, wait_s=0.0)).records
+>>> run_virtual(use())
+(b'b',)
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.errors import LogAppendUnknown, LogUnavailable
+from passgate.sharedlog.log import AppendConflict, HistoryGone, KeyedRecord, KeyedSnapshot, LogPage
+
+ANSWER_S = 0.004
+ANSWER_TIMEOUT_S = 1.2
+SEPARATOR = b"\x00"
+
+
+class SharedLogFaults(msgspec.Struct, kw_only=True):
+    """What goes wrong at present."""
+
+    refusing: bool = False
+    """Calls are refused; nothing is done."""
+    silent: bool = False
+    """Calls get no answer and do nothing."""
+    lost_answers: float = 0.0
+    """Share of appends that are done and not answered."""
+    late_s: tuple[float, float] = (0.0, 0.0)
+    """When an append whose answer is lost is done, after it was sent."""
+    slow_s: float = 0.0
+    """Added to the time of each answer."""
+
+
+class _Partition:
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[bytes] = []
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, records: Sequence[bytes]) -> int:
+        offset = self.end
+        self.records.extend(records)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return offset
+
+    def drop_before(self, offset: int) -> None:
+        count = min(max(offset - self.first, 0), len(self.records))
+        del self.records[:count]
+        self.first += count
+
+
+class MemorySharedLog:
+    """The log itself; each daemon has a client of its own."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.faults = SharedLogFaults()
+        self.cut_off: set[str] = set()
+        """Clients whose calls get no answer."""
+        self.calls = 0
+        self.random = random.Random(seed)
+        self._partitions: dict[tuple[str, int], _Partition] = {}
+        self._keyed: dict[str, dict[str, bytes]] = {}
+
+    def client(self, name: str) -> MemorySharedLogClient:
+        """Return the client of one daemon."""
+        return MemorySharedLogClient(self, name)
+
+    def partition(self, topic: str, part: int) -> _Partition:
+        """Return a partition, made on its first use."""
+        return self._partitions.setdefault((topic, part), _Partition())
+
+    def put_keyed(self, topic: str, key: str, value: bytes) -> None:
+        """Write a key, as the operator and replicas do."""
+        newest = self._keyed.setdefault(topic, {})
+        newest[key] = value
+        if not value:
+            del newest[key]
+        self.partition(topic, 0).append([key.encode() + SEPARATOR + value])
+
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key."""
+        return dict(self._keyed.get(topic, {}))
+
+    def drop_history(self, topic: str) -> None:
+        """Forget all records so far; newest values of keys stay."""
+        partition = self.partition(topic, 0)
+        partition.drop_before(partition.end)
+
+
+class MemorySharedLogClient:
+    """:class:`passgate.sharedlog.log.SharedLog` on a log in memory."""
+
+    def __init__(self, log: MemorySharedLog, name: str) -> None:
+        self._log = log
+        self._name = name
+
+    async def append(self, topic: str, part: int, records: Sequence[bytes], *, at: int | None = None) -> int:
+        """Append all records or none; see :class:`SharedLog`."""
+        await self._reach(LogAppendUnknown)
+        faults = self._log.faults
+        if faults.lost_answers and self._log.random.random() < faults.lost_answers:
+            late_s = self._log.random.uniform(*faults.late_s)
+            asyncio.get_running_loop().call_later(late_s, self._do, topic, part, list(records), at)
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            raise LogAppendUnknown("no answer")
+        partition = self._log.partition(topic, part)
+        if at is not None and at != partition.end:
+            raise AppendConflict(partition.end)
+        offset = partition.append(records)
+        await self._answer(LogAppendUnknown)
+        return offset
+
+    def _do(self, topic: str, part: int, records: list[bytes], at: int | None) -> None:
+        partition = self._log.partition(topic, part)
+        if at is None or at == partition.end:
+            partition.append(records)
+
+    async def read(self, topic: str, part: int, start: int, *, wait_s: float) -> LogPage:
+        """Return records from an offset; see :class:`SharedLog`."""
+        await self._reach(LogUnavailable)
+        partition = self._log.partition(topic, part)
+        until_s = monotonic_s() + wait_s
+        while partition.end <= start and (left_s := until_s - monotonic_s()) > 0:
+            try:
+                await asyncio.wait_for(partition.changed.wait(), left_s)
+            except TimeoutError:
+                break
+        if start < partition.first:
+            raise HistoryGone(partition.first)
+        records = tuple(partition.records[start - partition.first :])
+        page = LogPage(start=start, end=partition.end, records=records)
+        await self._answer(LogUnavailable)
+        return page
+
+    async def newest(self, topic: str, part: int) -> KeyedSnapshot:
+        """Return the newest record of every key; see :class:`SharedLog`."""
+        await self._reach(LogUnavailable)
+        records = tuple(KeyedRecord(key=key, value=value) for key, value in self._log.newest(topic).items())
+        return KeyedSnapshot(records=records, next_offset=self._log.partition(topic, part).end)
+
+    def decode_keyed(self, record: bytes) -> KeyedRecord:
+        """Split a record of a keyed topic."""
+        key, _, value = record.partition(SEPARATOR)
+        return KeyedRecord(key=key.decode(), value=value)
+
+    async def _reach(self, failure: type[LogUnavailable] | type[LogAppendUnknown]) -> None:
+        self._log.calls += 1
+        await asyncio.sleep(ANSWER_S / 2 + self._log.faults.slow_s / 2)
+        if self._log.faults.refusing:
+            raise LogUnavailable("refused")
+        await self._silence(failure)
+
+    async def _answer(self, failure: type[LogUnavailable] | type[LogAppendUnknown]) -> None:
+        await asyncio.sleep(ANSWER_S / 2 + self._log.faults.slow_s / 2)
+        await self._silence(failure)
+
+    async def _silence(self, failure: type[LogUnavailable] | type[LogAppendUnknown]) -> None:
+        if self._log.faults.silent or self._name in self._log.cut_off:
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            raise failure("no answer")
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -141,6 +141,8 @@
                 self.decisions.write(RecordUnreadable(offset=page.start + index, reason=str(error)))
                 continue
             self._fold.apply(page.start + index, batch, now_s)
+            if batch.writer == self._journal.writer:
+                self._leadership.read_back(batch)
         self._note_lags()
 
     def _note_lags(self) -> None:
@@ -225,6 +227,7 @@
             elif lost and age_s < LOG_LOST_S:
                 lost = False
                 self.decisions.write(DependencyRegained(dependency="log"))
+            self._fold.prune(monotonic_s(), self.settings.job_retention_s)
             self.decisions.flush()
 
     async def _wind_down(self) -> None:
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -21,6 +21,8 @@
     """Time from SIGTERM to SIGKILL."""
     lease_s: float = 3.0
     """Orders of two holders must lie further apart than this."""
+    job_retention_s: float = 150.0
+    """Time for which a job that is not open stays readable."""
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
     max_connections: int = 8_000
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -4,6 +4,7 @@
 the same positions.  Decisions that several daemons race for are made here: the
 first claim of an epoch and the first result of an item count.
 
+>>> from passgate.jobs.records import split_spec
 >>> fold = JobFold()
 >>> spec = JobSpec(job_id="j", host="h", path="/p/", items=(ItemSpec(id="i", path="/p/1"),))
 >>> fold.apply(0, Batch(writer="d1.a", entries=tuple(split_spec(spec, "n", 1000, "d1.a"))), now_s=0.0)
@@ -37,7 +38,6 @@
     WriterStopped,
     decode_spec,
     encode_spec,
-    split_spec,
 )
 
 NO_CLAIM = -1
@@ -105,6 +105,8 @@
         self.leader = ""
         self.leader_fence = NO_CLAIM
         """Offset of the last leader claim that counted; rises with each leader."""
+        self.leader_heard = NO_CLAIM
+        """Offset of the leader's last record."""
         self.newest_job: dict[str, str] = {}
         """Model to the newest job that asked for it."""
         self.kept: dict[str, KeptEvents] = {}
@@ -118,6 +120,8 @@
     def apply(self, offset: int, batch: Batch, now_s: float) -> None:
         """Take the next record of the log."""
         self.heard_s[batch.writer] = now_s
+        if batch.writer == self.leader:
+            self.leader_heard = offset
         for entry in batch.entries:
             self._apply_entry(offset, batch.writer, entry, now_s)
 
@@ -142,6 +146,7 @@
             case WriterAlive(fence=fence) if fence > self.leader_fence:
                 self.leader = writer
                 self.leader_fence = fence
+                self.leader_heard = offset
 
     def _add_part(self, writer: str, part: JobPart, now_s: float) -> None:
         if part.job_id in self.jobs:
@@ -203,14 +208,29 @@
             self.changed_jobs.add(job.job_id)
 
     def _claim_lead(self, offset: int, entry: LeaderClaimed) -> None:
-        if entry.after == self.leader_fence:
+        silent = not self.leader or entry.seen == self.leader_heard
+        if entry.after == self.leader_fence and silent:
             self.leader = entry.holder
             self.leader_fence = offset
+            self.leader_heard = offset
 
     def _release_lead(self, holder: str) -> None:
         if self.leader == holder:
             self.leader = ""
 
+    def prune(self, now_s: float, retention_s: float) -> None:
+        """Forget jobs that were submitted longer ago than ``retention_s`` and are not open."""
+        for job in list(self.jobs.values()):
+            if now_s - job.folded_s > retention_s and not job.open:
+                self._forget(job)
+
+    def _forget(self, job: JobState) -> None:
+        del self.jobs[job.job_id]
+        self.changed_jobs.discard(job.job_id)
+        for item_id in job.item_ids:
+            self.kept.pop(item_id, None)
+            self.finished.pop(item_id, None)
+
     def _stop_writer(self, writer: str) -> None:
         self._release_lead(writer)
         self.heard_s.pop(writer, None)
@@ -218,6 +238,3 @@
             if job.owner == writer:
                 job.owner = ""
                 self.changed_jobs.add(job.job_id)
-
-
-__all__ = ["FIRST_EPOCH", "JobFold", "JobState", "split_spec"]
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -24,6 +24,8 @@
 """Time for which entries wait for others before they are appended together."""
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
+MAX_UNREAD = 1024
+"""Batches whose time of sending is kept until they are read back."""
 RAW_RECORD_SHARE = 0.7
 """Share of a record's limit that uncompressed entries may fill."""
 
@@ -44,6 +46,9 @@
         self._wakeup = asyncio.Event()
         self.appended_s = float("-inf")
         """When the last append that was acknowledged had been sent."""
+        self._sequence = 0
+        self._sent_s: dict[int, float] = {}
+        """When batches that were not read back yet were sent first."""
 
     @property
     def piece_bytes(self) -> int:
@@ -68,6 +73,17 @@
                 await self._append_until_done(self._queue[:count])
                 del self._queue[:count]
 
+    def _encode(self, entries: tuple[AnyEntry, ...]) -> bytes:
+        self._sequence += 1
+        self._sent_s[self._sequence] = monotonic_s()
+        if len(self._sent_s) > MAX_UNREAD:
+            del self._sent_s[next(iter(self._sent_s))]
+        return encode_batch(Batch(writer=self.writer, entries=entries, sequence=self._sequence))
+
+    def read_back(self, batch: Batch) -> float | None:
+        """Return when a batch of this writer, now read from the log, was sent first."""
+        return self._sent_s.pop(batch.sequence, None)
+
     def _count_that_fits(self) -> int:
         size = 0
         for count, (entry, _) in enumerate(self._queue):
@@ -77,7 +93,7 @@
         return len(self._queue)
 
     async def _append_until_done(self, queued: Sequence[tuple[AnyEntry, asyncio.Future[int]]]) -> None:
-        record = encode_batch(Batch(writer=self.writer, entries=tuple(entry for entry, _ in queued)))
+        record = self._encode(tuple(entry for entry, _ in queued))
         pause_s = FIRST_PAUSE_S
         while True:
             sent_s = monotonic_s()
@@ -101,7 +117,7 @@
             LogUnavailable: the job is not on the log and never will be.
             DurabilityUnknown: it may be there, now or later.
         """
-        records = [encode_batch(Batch(writer=self.writer, entries=(part,))) for part in parts]
+        records = [self._encode((part,)) for part in parts]
         in_doubt = False
         pause_s = FIRST_PAUSE_S
         while True:
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -112,10 +112,13 @@
 
 
 class LeaderClaimed(Entry, tag="lead"):
-    """``holder`` gives orders from now on, if ``after`` is the offset of the last claim that counted."""
+    """``holder`` gives orders from now on, if nothing was heard of the last leader since."""
 
     holder: str
     after: int
+    """Offset of the last claim that counted."""
+    seen: int = -1
+    """Offset of the last record of that leader which the claimer had read."""
 
 
 class LeaderReleased(Entry, tag="unlead"):
@@ -153,6 +156,8 @@
 
     writer: str
     entries: tuple[AnyEntry, ...]
+    sequence: int = 0
+    """Counts the writer's batches."""
 
 
 _encoder = msgspec.json.Encoder()
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -21,6 +21,8 @@
 
 CHECKPOINT_S = 0.3
 """Time between the records of a running item's events."""
+GIVE_UP_MARGIN_S = 5.0
+"""Items are given up this much later than the route allows; clocks of daemons differ."""
 CHECKPOINT_AGE_S = 0.4
 """Items that run for less than this are not recorded before their end."""
 
@@ -38,6 +40,17 @@
 
     async def run(self) -> None:
         """Run all items that have no result; return when nothing is left to do."""
+        try:
+            async with asyncio.timeout(self._time_left_s()):
+                await self._run_items()
+        except TimeoutError:
+            self._give_up()
+
+    def _time_left_s(self) -> float:
+        age_s = monotonic_s() - self._job.folded_s
+        return max(self._tools.route.item_time_to_live_s + GIVE_UP_MARGIN_S - age_s, 0.0)
+
+    async def _run_items(self) -> None:
         async with asyncio.TaskGroup() as tasks:
             checkpoints = tasks.create_task(self._checkpoint_often())
             async with asyncio.TaskGroup() as items:
@@ -45,6 +58,13 @@
                     await self._start(item, items)
             checkpoints.cancel()
 
+    def _give_up(self) -> None:
+        """List what has no result after the time that the route allows."""
+        for item in self._spec.items:
+            if item.id not in self._job.listed:
+                dead = Result(item_id=item.id, state=ResultState.DEAD)
+                self._list(dead, attempts=0, began_s=self._job.folded_s)
+
     def save(self) -> None:
         """Record the events of all running items now."""
         for run in self._running.values():
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -11,6 +11,9 @@
 from passgate.gateway.settings import GatewaySettings
 from passgate.platform import names
 
+RETENTION_MARGIN_S = 30.0
+"""A job stays readable for this much longer than the platform asks."""
+
 
 class _Listen(msgspec.Struct, frozen=True):
     front: str
@@ -20,6 +23,7 @@
 class _Bounds(msgspec.Struct, frozen=True):
     graceS: float = 8.0  # noqa: N815  (names of the platform)
     leaseMs: float = 3000.0  # noqa: N815
+    statusS: float = 120.0  # noqa: N815
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -60,6 +64,7 @@
         log_address=node.platform.address,
         stop_grace_s=node.bounds.graceS,
         lease_s=node.bounds.leaseMs / 1000,
+        job_retention_s=node.bounds.statusS + RETENTION_MARGIN_S,
         max_record_bytes=node.platform.record_bytes,
         max_append_bytes=node.platform.call_bytes,
         max_connections=node.limits.maxFds - 200,
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -1,9 +1,11 @@
 """The lease of the one daemon that gives orders to replicas.
 
-A claim on the log counts when it names the last claim that counted; its offset is
-the fence of all orders.  The leader renews by any batch it appends, gives no order
-unless such a batch was acknowledged lately, and others claim only after a longer
-silence, so that two leaders' orders lie apart.
+A claim on the log counts when it names the last claim that counted and the last
+record of that leader; its offset is the fence of all orders.  The leader renews by
+any batch it appends and gives orders only for a short time after it sent a batch
+that it has read back from the log while it still led.  Others claim only after a
+longer silence, and a renewal that reaches the log before a claim voids the claim.
+So two leaders' orders lie apart, whatever calls are lost, late or slow.
 """
 
 from __future__ import annotations
@@ -15,13 +17,13 @@
 from passgate.jobs.fold import JobFold
 from passgate.jobs.journal import Journal
 from passgate.jobs.ownership import Ownership, daemon_of
-from passgate.jobs.records import LeaderClaimed
+from passgate.jobs.records import Batch, LeaderClaimed
 
 TICK_S = 0.1
 TAKEOVER_MARGIN_S = 0.5
 """Silence beyond the lease after which others claim."""
 USABLE_SHARE = 0.6
-"""Share of the lease for which an acknowledged renewal allows orders."""
+"""Share of the lease for which a renewal on the log allows orders, from its sending."""
 CLAIM_PAUSE_S = 0.7
 
 
@@ -44,6 +46,8 @@
         self._lease_s = lease_s
         self._next_claim_s = 0.0
         self._led_fence: int | None = None
+        self._confirmed_s = float("-inf")
+        """When the last batch was sent that stands on the log within this daemon's lead."""
 
     @property
     def leads(self) -> bool:
@@ -57,8 +61,14 @@
 
     def may_order(self) -> bool:
         """Whether an order may be sent now."""
-        confirmed_s = monotonic_s() - self._journal.appended_s
-        return self.leads and confirmed_s < self._lease_s * USABLE_SHARE and not self._ownership.stopping
+        age_s = monotonic_s() - self._confirmed_s
+        return self.leads and age_s < self._lease_s * USABLE_SHARE and not self._ownership.stopping
+
+    def read_back(self, batch: Batch) -> None:
+        """Take a batch of this daemon that the fold has just applied."""
+        sent_s = self._journal.read_back(batch)
+        if sent_s is not None and self.leads:
+            self._confirmed_s = max(self._confirmed_s, sent_s)
 
     async def run(self) -> None:
         """Renew or claim until cancelled."""
@@ -74,7 +84,10 @@
             self._ownership.renew(now_s)
         elif not self._ownership.stopping and now_s >= self._next_claim_s and self._is_free(now_s):
             self._next_claim_s = now_s + CLAIM_PAUSE_S
-            self._journal.put(LeaderClaimed(holder=self._journal.writer, after=self._fold.leader_fence))
+            claim = LeaderClaimed(
+                holder=self._journal.writer, after=self._fold.leader_fence, seen=self._fold.leader_heard
+            )
+            self._journal.put(claim)
 
     def _is_free(self, now_s: float) -> bool:
         if not self._ownership.reads_log(now_s):
--- /dev/null
+++ b/tests/test_jobs_fold.py
@@ -0,0 +1,202 @@
+"""What the fold of the jobs' topic decides when several daemons write at once."""
+
+import pytest
+
+from passgate.jobs.fold import JobFold
+from passgate.jobs.records import (
+    Batch,
+    ItemProgressed,
+    ItemsDone,
+    ItemSpec,
+    JobClaimed,
+    JobEnded,
+    JobSpec,
+    LeaderClaimed,
+    LeaderReleased,
+    Result,
+    ResultState,
+    WriterAlive,
+    WriterStopped,
+    decode_batch,
+    encode_batch,
+    split_spec,
+)
+
+
+def spec(job_id="j", items=("a", "b"), **fields):
+    return JobSpec(
+        job_id=job_id,
+        host="h",
+        path="/p/",
+        items=tuple(ItemSpec(id=item, path=f"/p/{item}", body=item.encode()) for item in items),
+        **fields,
+    )
+
+
+def done(item, text="t", job_id="j", versions=(1,)):
+    result = Result(item_id=item, state=ResultState.SUCCEEDED, text=text, versions=versions)
+    return ItemsDone(job_id=job_id, results=(result,))
+
+
+class Log:
+    """Feeds a fold and counts offsets."""
+
+    def __init__(self):
+        self.fold = JobFold()
+        self.offset = 0
+
+    def add(self, writer, *entries, now_s=0.0):
+        batch = decode_batch(encode_batch(Batch(writer=writer, entries=entries)))
+        self.fold.apply(self.offset, batch, now_s)
+        self.offset += 1
+        return self.offset - 1
+
+
+@pytest.fixture
+def log():
+    log = Log()
+    log.add("d1.x", *split_spec(spec(), "n", 10_000, "d1.x"))
+    return log
+
+
+def test_a_second_submission_changes_nothing(log):
+    log.add("d1.x", done("a"))
+    log.add("d2.x", *split_spec(spec(items=("c",)), "m", 10_000, "d2.x"))
+    job = log.fold.jobs["j"]
+    assert (job.owner, job.total, len(job.results)) == ("d1.x", 2, 1)
+
+
+def test_a_job_in_pieces_exists_only_once_all_of_one_submission_are_there():
+    log = Log()
+    whole = split_spec(spec(), "n", 40, "d1.x")
+    other = split_spec(spec(), "m", 40, "d2.x")
+    assert len(whole) > 2
+    log.add("d1.x", *whole[:-1])
+    log.add("d2.x", other[-1])
+    assert not log.fold.jobs
+    log.add("d1.x", whole[-1])
+    assert log.fold.jobs["j"].spec() == spec()
+
+
+def test_the_first_result_of_an_item_keeps_its_position_and_bytes(log):
+    log.add("d1.x", done("b", "first"))
+    log.add("d2.x", done("b", "second"), done("a", "other"))
+    texts = [result.text for result in log.fold.jobs["j"].results]
+    assert texts == ["first", "other"]
+
+
+def test_a_result_of_an_item_of_another_job_is_not_listed(log):
+    log.add("d1.x", done("z"))
+    assert log.fold.jobs["j"].results == []
+
+
+def test_only_the_claim_with_the_next_epoch_counts(log):
+    log.add("d2.x", JobClaimed(job_id="j", owner="d2.x", epoch=2))
+    log.add("d3.x", JobClaimed(job_id="j", owner="d3.x", epoch=2))
+    assert log.fold.jobs["j"].owner == "d2.x"
+
+
+def test_a_planned_stop_frees_jobs_and_leadership(log):
+    log.add("d1.x", LeaderClaimed(holder="d1.x", after=-1))
+    log.add("d1.x", WriterStopped())
+    assert log.fold.jobs["j"].owner == ""
+    assert log.fold.leader == ""
+
+
+def test_an_ended_job_is_not_open_and_keeps_its_results(log):
+    log.add("d1.x", done("a"))
+    log.add("d2.x", JobEnded(job_id="j"))
+    job = log.fold.jobs["j"]
+    assert not job.open
+    assert [result.item_id for result in job.results] == ["a"]
+
+
+def test_racing_leader_claims_have_one_winner_and_a_rising_fence(log):
+    first = log.add("d1.x", LeaderClaimed(holder="d1.x", after=-1))
+    log.add("d2.x", LeaderClaimed(holder="d2.x", after=-1))
+    assert (log.fold.leader, log.fold.leader_fence) == ("d1.x", first)
+    log.add("d1.x", LeaderReleased(holder="d1.x"))
+    second = log.add("d2.x", LeaderClaimed(holder="d2.x", after=first))
+    assert (log.fold.leader, log.fold.leader_fence) == ("d2.x", second)
+    assert second > first
+
+
+def test_a_renewal_that_reaches_the_log_first_voids_a_claim(log):
+    first = log.add("d1.x", LeaderClaimed(holder="d1.x", after=-1))
+    log.add("d1.x", WriterAlive(fence=first))
+    log.add("d2.x", LeaderClaimed(holder="d2.x", after=first, seen=first))
+    assert log.fold.leader == "d1.x"
+
+
+def test_a_claim_that_arrives_late_does_not_take_the_lead(log):
+    first = log.add("d1.x", LeaderClaimed(holder="d1.x", after=-1))
+    second = log.add("d2.x", LeaderClaimed(holder="d2.x", after=first, seen=first))
+    log.add("d3.x", LeaderClaimed(holder="d3.x", after=first, seen=first))
+    assert (log.fold.leader, log.fold.leader_fence) == ("d2.x", second)
+
+
+def test_a_reader_whose_history_begins_later_learns_the_leader_from_renewals():
+    log = Log()
+    log.offset = 500
+    log.add("d1.x", WriterAlive(fence=120))
+    assert (log.fold.leader, log.fold.leader_fence) == ("d1.x", 120)
+    log.add("d2.x", LeaderClaimed(holder="d2.x", after=-1))
+    assert log.fold.leader == "d1.x"
+
+
+def progressed(run, after, data, parent="", item="a"):
+    return ItemProgressed(
+        job_id="j",
+        item_id=item,
+        run=run,
+        after=after,
+        data=data,
+        versions=(1,) * len(data),
+        last_id=str(after + len(data)),
+        parent=parent,
+    )
+
+
+def test_kept_events_grow_along_one_run(log):
+    log.add("d1.x", progressed("r1", 0, ("1", "2")))
+    log.add("d1.x", progressed("r1", 2, ("3",)))
+    kept = log.fold.kept["a"]
+    assert (kept.data, kept.last_id) == (["1", "2", "3"], "3")
+
+
+def test_kept_events_never_join_pieces_of_two_runs(log):
+    log.add("d1.x", progressed("r1", 0, ("1", "2")))
+    log.add("d2.x", progressed("r2", 2, ("x",), parent="r0"))
+    log.add("d2.x", progressed("r2", 2, ("y",)))
+    assert log.fold.kept["a"].data == ["1", "2"]
+
+
+def test_a_run_that_goes_on_after_the_kept_events_takes_over(log):
+    log.add("d1.x", progressed("r1", 0, ("1", "2")))
+    log.add("d2.x", progressed("r2", 2, ("3",), parent="r1"))
+    log.add("d1.x", progressed("r1", 2, ("late",)))
+    log.add("d2.x", progressed("r2", 3, ("4",)))
+    assert log.fold.kept["a"].data == ["1", "2", "3", "4"]
+
+
+def test_a_run_that_goes_on_after_events_that_have_grown_since_is_not_kept(log):
+    log.add("d1.x", progressed("r1", 0, ("1",)))
+    log.add("d1.x", progressed("r1", 1, ("2",)))
+    log.add("d2.x", progressed("r2", 1, ("other",), parent="r1"))
+    log.add("d2.x", progressed("r2", 2, ("other",)))
+    assert log.fold.kept["a"].data == ["1", "2"]
+
+
+def test_the_owner_may_begin_a_run_anew(log):
+    log.add("d1.x", progressed("r1", 0, ("1",)))
+    log.add("d1.x", progressed("r2", 0, ("a", "b")))
+    log.add("d2.x", progressed("r3", 0, ("z",)))
+    assert log.fold.kept["a"].data == ["a", "b"]
+
+
+def test_a_listed_item_keeps_no_events(log):
+    log.add("d1.x", progressed("r1", 0, ("1",)))
+    log.add("d1.x", done("a"))
+    log.add("d1.x", progressed("r1", 1, ("2",)))
+    assert "a" not in log.fold.kept
+    assert log.fold.finished["a"].text == "t"
