Test one daemon of the users' platform over sockets against stand-ins

Change: stand-ins of the log service (with refusals, throttling, silence, lost and late appends, dropped history) and of replicas; 24 tests of what a daemon promises: unchanged requests, configurations that never go back, refusals that hold, jobs taken once, lists and bodies, resumed streams, versions, orders, planned stop.

--- /dev/null
+++ b/tests/test_platform_daemon.py
@@ -0,0 +1,437 @@
+"""One daemon of the users' platform over real sockets, with stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import pytest
+
+from passgate.clients.calls import HttpCall, SendPolicy
+from passgate.errors import PassgateError
+from passgate.gateway.daemon import GatewayDaemon, LogTopics, make_http_client
+from passgate.platform import names
+from passgate.platform.beliefs import Beliefs
+from passgate.platform.front import Front, PlatformReplicaControl
+from passgate.platform.log_client import PlatformLog
+from passgate.platform.settings import parse_settings
+from tests import platform_stand_ins as stand_ins
+
+HOST = "h.example"
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class World:
+    """Stand-ins and one daemon, in one loop."""
+
+    def __init__(self):
+        self.log = stand_ins.LogService().start()
+        self.replicas = {}
+        self.http = make_http_client()
+        self.daemon = None
+        self.task = None
+
+    def replica(self, replica_id, service, **fields):
+        self.replicas[replica_id] = stand_ins.Replica(self.log, replica_id, service, **fields).start()
+        return self.replicas[replica_id]
+
+    def configure(self, version, *routes):
+        self.log.put("keyed.op", "config", stand_ins.config_document(version, list(routes), ["app", "llm"]))
+
+    async def start(self, *, ready=True):
+        text = stand_ins.settings_text("d1", self.log.address, free_address(), free_address())
+        self.daemon, self.task = start_daemon(text)
+        if ready:
+            await self.until(self.daemon.ready)
+
+    async def until(self, condition, timeout_s=8.0):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def call(self, method, path, body=None, request_id="r1", deadline_ms=2000, **headers):
+        call = HttpCall(
+            method=method,
+            url=f"http://{self.daemon.settings.front_address}{path}",
+            body=body,
+            headers={"Host": HOST, "X-Attempt-Id": request_id, "X-Deadline-Ms": str(deadline_ms)} | headers,
+            send=SendPolicy.ONCE,
+            timeout_s=10.0,
+        )
+        return await self.http.fetch(call)
+
+    async def submit(self, item_ids, request_id="job1", deadline_ms=2000, **fields):
+        body = stand_ins.job_body(item_ids, **fields)
+        return await self.call("POST", "/stream/j", body, request_id=request_id, deadline_ms=deadline_ms)
+
+    async def results(self, job_id, after=0, wait_ms=1000):
+        answer = await self.call("GET", f"/-/lots/{job_id}?afterRev={after}", **{"X-Wait-Ms": str(wait_ms)})
+        assert answer.status == 200
+        return json.loads(answer.body)
+
+    async def all_results(self, job_id, timeout_s=8.0):
+        rows = []
+        async with asyncio.timeout(timeout_s):
+            while True:
+                page = await self.results(job_id, len(rows))
+                rows += page["results"]
+                if len(rows) == page["total"]:
+                    return rows
+
+    async def close(self):
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(BaseException):
+                await self.task
+        self.http.close()
+        for replica in self.replicas.values():
+            await replica.stop()
+        await self.log.stop()
+
+
+def start_daemon(text):
+    settings = parse_settings(text)
+    http = make_http_client()
+    topics = LogTopics(operator=names.OPERATOR_TOPIC, replicas=names.REPLICAS_TOPIC, jobs=names.JOBS_TOPIC)
+    log = PlatformLog(http, settings.log_address)
+    daemon = GatewayDaemon(settings, names.HEADERS, topics, http, log, PlatformReplicaControl(http))
+    beliefs = Beliefs(daemon)
+    daemon.follow(topics.operator, 0.0, beliefs.take_operator, beliefs.take_operator)
+    daemon.follow(topics.replicas, 0.0, beliefs.replace_replicas, beliefs.update_replicas)
+    return daemon, asyncio.get_running_loop().create_task(daemon.run(Front(daemon).handle))
+
+
+def in_world(test):
+    """Run a coroutine test with a world."""
+
+    def run():
+        async def main():
+            world = World()
+            try:
+                await test(world)
+            finally:
+                await world.close()
+
+        asyncio.run(main())
+
+    run.__name__ = test.__name__
+    return run
+
+
+@in_world
+async def test_a_safe_request_reaches_a_replica_unchanged(world):
+    app = world.replica("i-1", "app")
+    world.configure(3, stand_ins.safe_route())
+    await world.start()
+    answer = await world.call("POST", "/call/x/%41?q=a//b&r=%20", b"\x00body", request_id="id7")
+    assert (answer.status, answer.body) == (200, b"answer of id7 \x00body")
+    assert answer.headers["X-Replica-Stamp"] == "i-1.id7"
+    (run,) = app.runs
+    assert (run.request_id, run.path, run.body) == ("id7", "/call/x/%41?q=a//b&r=%20", b"\x00body")
+    assert 0 < int(run.deadline_ms) <= 2000
+
+
+@in_world
+async def test_a_daemon_without_configuration_promises_that_nothing_ran(world):
+    await world.start(ready=False)
+    answer = await world.call("POST", "/call/x", b"")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert not world.daemon.ready()
+
+
+@in_world
+async def test_unknown_routes_are_not_found_and_new_ones_come_into_force(world):
+    world.replica("i-1", "app")
+    world.configure(3, stand_ins.safe_route())
+    await world.start()
+    assert (await world.call("GET", "/other/x")).status == 404
+    world.configure(5, stand_ins.safe_route(), stand_ins.safe_route(name="o", pathPrefix="/other/"))
+    await world.until(lambda: world.daemon.config.table.config.version == 5)
+    assert (await world.call("GET", "/other/x")).status == 200
+    world.configure(4, stand_ins.safe_route())
+    await asyncio.sleep(0.2)
+    assert (await world.call("GET", "/other/x")).status == 200
+
+
+@in_world
+async def test_a_configuration_survives_a_log_whose_history_is_dropped(world):
+    world.replica("i-1", "app")
+    world.configure(3, stand_ins.safe_route())
+    await world.start()
+    world.configure(4, stand_ins.safe_route(timeoutMs=1000))
+    await world.until(lambda: world.daemon.config.table.config.version == 4)
+    world.log.drop_history("keyed.op")
+    await asyncio.sleep(0.1)
+    assert world.daemon.config.table.config.version == 4
+
+
+@in_world
+async def test_a_safe_request_goes_to_a_second_replica_when_the_first_loses_its_answer(world):
+    first, second = world.replica("i-1", "app"), world.replica("i-2", "app")
+    first.faults.lost_answers = second.faults.lost_answers = 0.0
+    first.faults.wrong_id = True
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    for number in range(12):
+        answer = await world.call("POST", "/call/x", b"", request_id=f"r{number}")
+        assert answer.status == 200
+        assert answer.body == f"answer of r{number} ".encode()
+    runs = {}
+    for run in first.runs + second.runs:
+        runs[run.request_id] = runs.get(run.request_id, 0) + 1
+    assert max(runs.values()) <= 2
+
+
+@in_world
+async def test_a_silent_replica_costs_no_request(world):
+    world.replica("i-1", "app").faults.dark = True
+    world.replica("i-2", "app")
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    for number in range(6):
+        answer = await world.call("POST", "/call/x", b"", request_id=f"r{number}")
+        assert answer.status == 200
+
+
+@in_world
+async def test_an_unsafe_request_runs_once_when_its_answer_is_lost(world):
+    replicas = [world.replica(f"i-{number}", "app") for number in range(2)]
+    for replica in replicas:
+        replica.faults.lost_answers = 1.0
+    world.configure(1, stand_ins.safe_route(kind="unsafe"))
+    await world.start()
+    answer = await world.call("POST", "/call/x", b"")
+    assert answer.status == 502
+    assert sum(len(replica.runs) for replica in replicas) == 1
+
+
+@in_world
+async def test_an_unsafe_request_goes_on_when_a_replica_promised_not_to_run_it(world):
+    world.replica("i-1", "app").faults.refusing = True
+    world.replica("i-2", "app")
+    world.configure(1, stand_ins.safe_route(kind="unsafe"))
+    await world.start()
+    for number in range(6):
+        assert (await world.call("POST", "/call/x", b"", request_id=f"r{number}")).status == 200
+
+
+@in_world
+async def test_full_replicas_lead_to_a_refusal_at_once_with_the_time_to_come_back(world):
+    world.replica("i-1", "app").faults.refusing = True
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    answer = await world.call("POST", "/call/x", b"", deadline_ms=30_000)
+    assert answer.status == 503  # well before the 10 s after which this caller gives up
+    assert 0 < float(answer.headers["Retry-After"]) < 1
+
+
+@in_world
+async def test_the_time_limit_of_a_route_ends_a_request(world):
+    world.replica("i-1", "app", work_s=5.0)
+    world.configure(1, stand_ins.safe_route(timeoutMs=300, maxAttempts=1))
+    await world.start()
+    answer = await world.call("POST", "/call/x", b"", deadline_ms=8000)
+    assert answer.status == 504  # the replica would have answered after 5 s
+
+
+@in_world
+async def test_a_request_expects_its_replica_so_that_a_reused_address_never_runs_it(world):
+    app = world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    app.replica_id = "i-9"
+    answer = await world.call("POST", "/call/x", b"")
+    assert answer.status == 503
+    assert app.runs == []
+
+
+@in_world
+async def test_a_draining_replica_gets_no_new_request(world):
+    leaving, staying = world.replica("i-1", "app"), world.replica("i-2", "app")
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    leaving.draining = True
+    leaving.tell()
+    await world.until(lambda: world.daemon.replicas.get("i-1").info.draining)
+    for number in range(8):
+        assert (await world.call("POST", "/call/x", b"", request_id=f"r{number}")).status == 200
+    assert leaving.runs == []
+    assert len(staying.runs) == 8
+
+
+@in_world
+async def test_a_batch_job_is_taken_once_and_read_from_any_position(world):
+    world.replica("i-1", "llm", models={"m": 1}.items())
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    ids = [f"item{number}" for number in range(8)]
+    for _ in range(2):
+        answer = await world.call("POST", "/stream/j", stand_ins.job_body(ids), request_id="job1")
+        assert answer.status == 202
+    rows = await world.all_results("job1")
+    assert sorted(row["id"] for row in rows) == sorted(ids)
+    for row in rows:
+        assert row["state"] == "succeeded"
+        assert row["text"] == stand_ins.whole_text(row["id"])
+        assert row["versions"] == [1]
+    assert (await world.results("job1", 3))["results"] == rows[3:]
+    body = await world.call("GET", "/-/items/job1?id=item3")
+    assert (body.status, body.body) == (200, b"body item3")
+    assert (await world.call("DELETE", "/-/lots/job1")).status == 200
+    assert (await world.call("DELETE", "/-/lots/job1")).status == 200
+    assert (await world.results("job1"))["results"] == rows
+
+
+@in_world
+async def test_an_interrupted_stream_goes_on_after_its_last_event(world):
+    replicas = [world.replica(f"i-{number}", "llm", models={"m": 1}.items()) for number in range(2)]
+    for replica in replicas:
+        replica.faults.break_after = 2
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    ids = [f"item{number}" for number in range(4)]
+    await world.call("POST", "/stream/j", stand_ins.job_body(ids), request_id="job1")
+    rows = await world.all_results("job1")
+    assert all(row["text"] == stand_ins.whole_text(row["id"]) for row in rows)
+    runs = [run for replica in replicas for run in replica.runs]
+    assert any(run.last_event_id for run in runs)
+
+
+@in_world
+async def test_an_item_made_by_too_old_weights_is_not_listed(world):
+    old = world.replica("i-1", "llm", models={"m": 1}.items())
+    world.replica("i-2", "llm", models={"m": 3}.items())
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    # Discovery is ahead of the truth: the replica still makes events of version 1.
+    world.daemon.replicas.get("i-1").observed_versions["m"] = 3
+    ids = [f"item{number}" for number in range(6)]
+    await world.call("POST", "/stream/j", stand_ins.job_body(ids, min_version=3), request_id="job1")
+    rows = await world.all_results("job1")
+    assert all(row["versions"] == [3] for row in rows)
+    assert all(row["text"] == stand_ins.whole_text(row["id"]) for row in rows)
+    assert old.versions["m"] == 1
+
+
+@in_world
+async def test_an_item_that_fails_as_often_as_its_route_allows_is_dead(world):
+    world.replica("i-1", "llm", models={"m": 1}.items()).faults.failing = 500
+    world.configure(1, stand_ins.batch_route(maxAttempts=3))
+    await world.start()
+    await world.call("POST", "/stream/j", stand_ins.job_body(["item1"]), request_id="job1")
+    (row,) = await world.all_results("job1")
+    assert row["state"] == "dead"
+    assert len(world.replicas["i-1"].runs) == 3
+
+
+@in_world
+async def test_an_item_that_can_never_be_done_is_dead_at_once(world):
+    world.replica("i-1", "llm", models={"m": 1}.items()).faults.failing = 422
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    await world.call("POST", "/stream/j", stand_ins.job_body(["item1"]), request_id="job1")
+    (row,) = await world.all_results("job1")
+    assert row["state"] == "dead"
+    assert len(world.replicas["i-1"].runs) == 1
+
+
+@in_world
+async def test_a_job_that_the_log_surely_did_not_take_is_refused_and_never_runs(world):
+    replica = world.replica("i-1", "llm", models={"m": 1}.items())
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    world.log.faults.refusing = True
+    answer = await world.call(
+        "POST", "/stream/j", stand_ins.job_body(["item1"]), request_id="job1", deadline_ms=600
+    )
+    assert answer.status == 503
+    world.log.faults.refusing = False
+    await asyncio.sleep(0.5)
+    assert replica.runs == []
+    await world.until(lambda: world.daemon.jobs._tail.freshness.age_s(asyncio.get_running_loop().time()) < 1)
+    assert (await world.call("GET", "/-/lots/job1")).status == 404
+
+
+@in_world
+async def test_a_job_whose_append_is_in_doubt_promises_nothing(world):
+    world.replica("i-1", "llm", models={"m": 1}.items())
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    world.log.faults.lost_appends, world.log.faults.late_s = 1.0, 2.0
+    answer = await world.call(
+        "POST", "/stream/j", stand_ins.job_body(["item1"]), request_id="job1", deadline_ms=900
+    )
+    assert answer.status not in (202, 408, 421, 429, 503)
+    world.log.faults.lost_appends = 0.0
+    await world.until(lambda: "job1" in world.daemon.jobs._fold.jobs)
+    assert (await world.all_results("job1"))[0]["state"] == "succeeded"
+
+
+@in_world
+async def test_a_daemon_that_cannot_be_sure_does_not_say_that_a_job_is_unknown(world):
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    assert (await world.call("GET", "/-/lots/nojob")).status == 404
+    world.log.faults.refusing = True
+    assert (await world.call("GET", "/-/lots/nojob")).status == 503
+    assert (await world.call("GET", "/-/items/nojob?id=x")).status == 503
+
+
+@in_world
+async def test_bad_jobs_get_a_typed_refusal(world):
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    for body in (b"", b"{", b'{"requests":[]}', stand_ins.job_body(["same", "same"])):
+        answer = await world.call("POST", "/stream/j", body, request_id="bad")
+        assert answer.status == 400
+        assert json.loads(answer.body)["error"]["execution"] == "not_run"
+
+
+@in_world
+async def test_named_versions_are_loaded_with_a_fence_and_the_expected_count(world):
+    replicas = [world.replica(f"i-{number}", "llm", models={"m": 1}.items()) for number in range(3)]
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    for version in (2, 3):
+        world.log.put("keyed.op", "version/m", {"model": "m", "version": version})
+        await world.until(lambda wanted=version: all(replica.versions["m"] == wanted for replica in replicas))
+    for replica in replicas:
+        assert [order["expected"] for order in replica.orders] == list(range(len(replica.orders)))
+        assert len({order["fence"] for order in replica.orders}) == 1
+
+
+@in_world
+async def test_a_caller_that_leaves_ends_the_work_at_the_replica(world):
+    app = world.replica("i-1", "app", work_s=3.0)
+    world.configure(1, stand_ins.safe_route(maxAttempts=1, timeoutMs=5000))
+    await world.start()
+    call = asyncio.create_task(world.call("POST", "/call/x", b"", deadline_ms=5000))
+    await world.until(lambda: app.runs)
+    call.cancel()
+    await world.until(lambda: world.daemon._front.in_flight == 0, timeout_s=1.0)
+    await world.until(lambda: world.daemon.replicas.get("i-1").in_flight == 0, timeout_s=1.0)
+
+
+@in_world
+async def test_a_planned_stop_answers_what_it_has_taken(world):
+    world.replica("i-1", "app", work_s=0.5)
+    world.configure(1, stand_ins.safe_route(maxAttempts=1))
+    await world.start()
+    call = asyncio.create_task(world.call("POST", "/call/x", b""))
+    await world.until(lambda: world.daemon._front.in_flight == 1)
+    world.daemon.stop()
+    assert (await call).status == 200
+    assert not world.daemon.ready()
+    again = await world.call("POST", "/call/x", b"", request_id="r2")
+    assert (again.status, again.headers.get("Connection")) == (200, "close")
+    async with asyncio.timeout(8):
+        await world.task
+    world.task = None
+    with pytest.raises(PassgateError):
+        await world.call("POST", "/call/x", b"", request_id="r3")
