Forward streamed routes, tell replicas the priority, reload settings

Settings may change with or without SIGHUP. Change: whole events are passed on as they come; a resumable stream goes on at another replica within one answer; others end incomplete and run once. Items and streams carry the route's priority. The settings file is read again on SIGHUP and when it changes.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -26,6 +26,7 @@
     DependencyLost,
     DependencyRegained,
     RecordUnreadable,
+    SettingsReloaded,
 )
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.forwarder import Forwarder
@@ -34,6 +35,7 @@
 from passgate.gateway.replicas import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
+from passgate.gateway.stream_forwarder import StreamForwarder
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
@@ -93,6 +95,7 @@
         caller = ReplicaCaller(http, self.replicas, names)
         self._caller = caller
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions)
+        self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
         self._fold = JobFold()
         self._jobs_tail = RecordTail(log, TailSettings(topic=topics.jobs, gap_s=0.03), self._apply_jobs)
         self._journal = Journal(
@@ -182,6 +185,13 @@
         """Whether a planned stop has begun."""
         return self._stop.is_set()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Put changed settings in force; addresses that it listens on stay as they are."""
+        changed = settings != self.settings
+        self.settings = settings
+        self._leadership.lease_s = settings.lease_s
+        self.decisions.write(SettingsReloaded(changed=changed))
+
     def stop(self) -> None:
         """Begin a planned stop."""
         self._stop.set()
--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable
 from http.client import responses
@@ -24,11 +25,11 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import ExecutionStatus, NotReady, PassgateError
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest, error_answer
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_answer
 
 logger = logging.getLogger("passgate.gateway")
 
-Handler = Callable[[IncomingRequest], Awaitable[GatewayAnswer]]
+Handler = Callable[[IncomingRequest], Awaitable[GatewayAnswer | StreamAnswer]]
 
 BODILESS = frozenset({204, 304})
 BACKLOG = 512
@@ -95,7 +96,27 @@
         except Exception:
             logger.exception("handler_failed", extra={"path": request.path[:200]})
             answer = GatewayAnswer(status=502)
-        self._write(answer, request.method, connection)
+        if isinstance(answer, StreamAnswer):
+            await self._write_stream(answer, connection)
+        else:
+            self._write(answer, request.method, connection)
+
+    async def _write_stream(self, answer: StreamAnswer, connection: HTTPConnection) -> None:
+        headers = HTTPHeaders()
+        for name, value in answer.headers:
+            headers.add(name, value)
+        line = ResponseStartLine("HTTP/1.1", answer.status, responses.get(answer.status, "Unknown"))
+        try:
+            await connection.write_headers(line, headers)
+            async with contextlib.aclosing(answer.pieces) as pieces:
+                async for piece in pieces:
+                    await connection.write(piece)
+            connection.finish()
+        except StreamClosedError:
+            logger.debug("caller_left")
+        except PassgateError as error:
+            logger.info("stream_incomplete", extra={"error": str(error)})
+            connection.close()
 
     def _write(self, answer: GatewayAnswer, method: str, connection: HTTPConnection) -> None:
         headers = HTTPHeaders()
--- a/passgate/gateway/messages.py
+++ b/passgate/gateway/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncGenerator
+
 import msgspec
 
 from passgate.errors import ExecutionStatus, PassgateError
@@ -42,6 +44,14 @@
     body: bytes = b""
 
 
+class StreamAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """An answer whose body comes in pieces; a failing iterator ends it incomplete."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    pieces: AsyncGenerator[bytes, None]
+
+
 def json_answer(status: int, document: object, headers: tuple[tuple[str, str], ...] = ()) -> GatewayAnswer:
     """Return an answer with a JSON body."""
     typed = (("Content-Type", JSON_TYPE), *headers)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -158,6 +158,11 @@
             length_required=False,
         )
 
+    @property
+    def status(self) -> int:
+        """Status of the answer, once its head has come."""
+        return self._transfer.status
+
     @property
     def headers(self) -> HTTPHeaders:
         """Headers of the answer, once its head has come."""
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -192,6 +192,7 @@
             headers=tuple(headers),
             body=self.item.body,
             deadline_s=monotonic_s() + ITEM_DEADLINE_S,
+            priority=self._tools.route.priority,
         )
 
     def _failed_run(self, status: int) -> Result | None:
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -10,7 +10,7 @@
 from passgate.platform.beliefs import Beliefs
 from passgate.platform.front import Front, PlatformReplicaControl
 from passgate.platform.log_client import PlatformLog
-from passgate.platform.settings import read_settings, settings_path
+from passgate.platform.settings import SettingsWatcher, read_settings, settings_path
 
 OPERATOR_GAP_S = 0.05
 REPLICAS_GAP_S = 0.25
@@ -30,8 +30,11 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.stop)
     loop.add_signal_handler(signal.SIGINT, daemon.stop)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    watcher = SettingsWatcher(daemon, log, settings_path())
+    loop.add_signal_handler(signal.SIGHUP, watcher.read)
+    watching = loop.create_task(watcher.run())
     await daemon.run(Front(daemon).handle)
+    watching.cancel()
     http.close()
 
 
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -9,7 +9,7 @@
 from passgate.decisions import RequestRefused
 from passgate.errors import ExecutionStatus, InvalidRequest, NotFound, NotReady
 from passgate.gateway.daemon import GatewayDaemon
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest, json_answer
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, json_answer
 from passgate.gateway.routes import RouteKind
 from passgate.platform import documents, names
 from passgate.versions.loader import LoadOrder, ReplicaReport
@@ -28,7 +28,7 @@
     def __init__(self, daemon: GatewayDaemon) -> None:
         self._daemon = daemon
 
-    async def handle(self, request: IncomingRequest) -> GatewayAnswer:
+    async def handle(self, request: IncomingRequest) -> GatewayAnswer | StreamAnswer:
         """Answer a request; raises PassgateError."""
         path, _, query = request.path.partition("?")
         if path.startswith(names.JOB_PATH):
@@ -37,7 +37,7 @@
             return await self._item_call(path.removeprefix(names.ITEM_PATH), query)
         return await self._routed(request)
 
-    async def _routed(self, request: IncomingRequest) -> GatewayAnswer:
+    async def _routed(self, request: IncomingRequest) -> GatewayAnswer | StreamAnswer:
         table = self._daemon.config.table
         if table is None:
             raise NotReady("no configuration is known yet", execution=ExecutionStatus.NOT_RUN)
@@ -55,6 +55,8 @@
             raise NotFound("no such route", execution=ExecutionStatus.NOT_RUN)
         if route.kind is RouteKind.BATCH:
             return await self._submit(request)
+        if route.kind is RouteKind.STREAMING:
+            return await self._daemon.stream_forwarder.forward(request, route)
         return await self._daemon.forwarder.forward(request, route)
 
     async def _submit(self, request: IncomingRequest) -> GatewayAnswer:
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -72,6 +72,11 @@
 
     def __init__(self, http: HttpClient, address: str) -> None:
         self._http = http
+        self._base = ""
+        self.set_address(address)
+
+    def set_address(self, address: str) -> None:
+        """Use another address from the next call on."""
         self._base = f"http://{address}"
 
     async def append(self, topic: str, part: int, records: Sequence[bytes], *, at: int | None = None) -> int:
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import os
 
 import msgspec
 import yaml
 
 from passgate.errors import SettingsError
+from passgate.gateway.daemon import GatewayDaemon
 from passgate.gateway.settings import GatewaySettings
 from passgate.platform import names
+from passgate.platform.log_client import PlatformLog
+
+logger = logging.getLogger("passgate.platform")
+
+WATCH_S = 2.0
 
 RETENTION_MARGIN_S = 30.0
 """A job stays readable for this much longer than the platform asks."""
@@ -78,3 +86,39 @@
             return parse_settings(file.read())
     except OSError as error:
         raise SettingsError(f"settings file can not be read: {error}") from error
+
+
+class SettingsWatcher:
+    """Reads the settings file again when it was changed, with or without a signal."""
+
+    def __init__(self, daemon: GatewayDaemon, log: PlatformLog, path: str) -> None:
+        self._daemon = daemon
+        self._log = log
+        self._path = path
+        self._seen = self._mark()
+
+    async def run(self) -> None:
+        """Look at the file until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            mark = self._mark()
+            if mark != self._seen:
+                self.read()
+
+    def read(self) -> None:
+        """Read the file; a file that can not be read changes nothing."""
+        self._seen = self._mark()
+        try:
+            settings = read_settings(self._path)
+        except SettingsError as error:
+            logger.warning("settings_unreadable", extra={"error": str(error)})
+            return
+        self._log.set_address(settings.log_address)
+        self._daemon.reload(settings)
+
+    def _mark(self) -> tuple[int, int]:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -43,7 +43,7 @@
         self._journal = journal
         self._ownership = ownership
         self._decisions = decisions
-        self._lease_s = lease_s
+        self.lease_s = lease_s
         self._next_claim_s = 0.0
         self._led_fence: int | None = None
         self._confirmed_s = float("-inf")
@@ -62,7 +62,7 @@
     def may_order(self) -> bool:
         """Whether an order may be sent now."""
         age_s = monotonic_s() - self._confirmed_s
-        return self.leads and age_s < self._lease_s * USABLE_SHARE and not self._ownership.stopping
+        return self.leads and age_s < self.lease_s * USABLE_SHARE and not self._ownership.stopping
 
     def read_back(self, batch: Batch) -> None:
         """Take a batch of this daemon that the fold has just applied."""
@@ -95,7 +95,7 @@
         leader = self._fold.leader
         if not leader or daemon_of(leader) == daemon_of(self._journal.writer):
             return True
-        return self._ownership.silent_s(leader, now_s) > self._lease_s + TAKEOVER_MARGIN_S
+        return self._ownership.silent_s(leader, now_s) > self.lease_s + TAKEOVER_MARGIN_S
 
     def _note_change(self) -> None:
         fence = self.fence if self.leads else None
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import json
+import pathlib
 import socket
+import tempfile
 
 import pytest
 
@@ -14,7 +16,7 @@
 from passgate.platform.beliefs import Beliefs
 from passgate.platform.front import Front, PlatformReplicaControl
 from passgate.platform.log_client import PlatformLog
-from passgate.platform.settings import parse_settings
+from passgate.platform.settings import SettingsWatcher, parse_settings
 from tests import platform_stand_ins as stand_ins
 
 HOST = "h.example"
@@ -435,3 +437,71 @@
     world.task = None
     with pytest.raises(PassgateError):
         await world.call("POST", "/call/x", b"", request_id="r3")
+
+
+def stream_route(**fields):
+    return stand_ins.safe_route(name="chat", pathPrefix="/stream/", kind="streaming", service="llm") | fields
+
+
+@in_world
+async def test_a_stream_is_passed_on_whole(world):
+    world.replica("i-1", "llm", models={"m": 2}.items())
+    world.configure(1, stream_route(resumable=False))
+    await world.start()
+    answer = await world.call("POST", "/stream/x", b"", request_id="chat1", **{"X-Model": "m"})
+    assert answer.status == 200
+    assert answer.headers["X-Replica-Stamp"] == "i-1.chat1"
+    data = [line[6:] for line in answer.body.decode().split("\n") if line.startswith("data: ")]
+    assert "\n".join(data) == stand_ins.whole_text("chat1")
+
+
+@in_world
+async def test_a_resumable_stream_goes_on_at_another_replica_within_one_answer(world):
+    replicas = [world.replica(f"i-{number}", "llm", models={"m": 2}.items()) for number in range(3)]
+    for replica in replicas[:2]:
+        replica.faults.break_after = 2
+    world.configure(1, stream_route(resumable=True, maxAttempts=3))
+    await world.start()
+    answer = await world.call("POST", "/stream/x", b"", request_id="chat1", **{"X-Model": "m"})
+    data = [line[6:] for line in answer.body.decode().split("\n") if line.startswith("data: ")]
+    assert "\n".join(data) == stand_ins.whole_text("chat1")
+
+
+@in_world
+async def test_a_stream_that_may_run_once_ends_incomplete_when_it_breaks(world):
+    replicas = [world.replica(f"i-{number}", "llm", models={"m": 2}.items()) for number in range(2)]
+    for replica in replicas:
+        replica.faults.break_after = 2
+    world.configure(1, stream_route(resumable=False, maxAttempts=3))
+    await world.start()
+    with pytest.raises(PassgateError):
+        await world.call("POST", "/stream/x", b"", request_id="chat1", **{"X-Model": "m"})
+    assert sum(len(replica.runs) for replica in replicas) == 1
+
+
+@in_world
+async def test_a_stream_refused_by_all_replicas_is_refused(world):
+    world.replica("i-1", "llm", models={"m": 2}.items()).faults.refusing = True
+    world.configure(1, stream_route(resumable=False, maxAttempts=3))
+    await world.start()
+    assert (await world.call("POST", "/stream/x", b"", request_id="chat1")).status == 503
+
+
+@in_world
+async def test_a_changed_settings_file_is_put_in_force(world):
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder, "node.yaml")
+        settings = world.daemon.settings
+        addresses = (settings.front_address, settings.ready_address)
+        path.write_text(stand_ins.settings_text("d1", world.log.address, *addresses))
+        log = PlatformLog(world.http, "127.0.0.1:1")
+        watcher = SettingsWatcher(world.daemon, log, str(path))
+        path.write_text(stand_ins.settings_text("d1", world.log.address, *addresses, grace_s=5))
+        watcher.read()
+        assert world.daemon.settings.stop_grace_s == 5
+        assert (await log.newest("keyed.op", 0)).records
+        path.write_text("node: [")
+        watcher.read()
+        assert world.daemon.settings.stop_grace_s == 5
