--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -48,6 +48,7 @@
     "diff": Command("passgate.operator_commands", "diff", "compare a file with what is in force"),
     "delete": Command("passgate.operator_commands", "delete", "delete one object"),
     "watch": Command("passgate.operator_commands", "watch", "show which daemon has which revision"),
+    "explain": Command("passgate.explain", "run", "the life of one request, job or item from logs"),
     "demo": Command("passgate.demo", "demo", "run both example deployments on this machine"),
     "overhead": Command("passgate.overhead", "overhead", "measure the path through one daemon"),
     "lab": Command("passgate.lab.cli", "LabCommands", "experiments in the emulator"),
--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -38,6 +38,11 @@
         """Whether the event is of the usual course of things, and may be dropped first."""
         return False
 
+    @property
+    def name(self) -> str:
+        """Name of the event in a line."""
+        return str(self.__struct_config__.tag)
+
 
 class DaemonStarted(Event, tag="daemon_started"):
     """A daemon began to run."""
@@ -273,10 +278,14 @@
         *,
         write: Callable[[bytes], int] = _write_stdout,
         now: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
         lines_per_s: float = LINES_PER_S,
+        observe: Callable[[Event], None] | None = None,
     ) -> None:
         self._write = write
         self._now = now
+        self._wall = wall
+        self._observe = observe
         self._rate = lines_per_s
         self._tokens = BURST_LINES
         self._filled_s = now()
@@ -288,6 +297,8 @@
 
     def write(self, event: Event) -> None:
         """Note an event; it is written with the next flush."""
+        if self._observe is not None:
+            self._observe(event)
         if not self._take(event.ordinary):
             if event.ordinary:
                 self._dropped_ordinary += 1
@@ -297,7 +308,7 @@
         self._append(event)
 
     def _append(self, event: Event) -> None:
-        head = b'{"time":%.3f,"daemon":%s,' % (self._now(), self._daemon)
+        head = b'{"time":%.3f,"up":%.3f,"daemon":%s,' % (self._wall(), self._now(), self._daemon)
         self._buffer += head + self._encoder.encode(event)[1:] + b"\n"
 
     def _take(self, ordinary: bool) -> bool:
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -30,7 +30,8 @@
 )
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.forwarder import Forwarder
-from passgate.gateway.ingress import Handler, Ingress, readiness_handler
+from passgate.gateway.ingress import Handler, Ingress, probe_handler
+from passgate.gateway.metrics import GatewayMetrics
 from passgate.gateway.replica_call import ReplicaCaller
 from passgate.gateway.replicas import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
@@ -85,7 +86,8 @@
         self.http = http
         self.start_id = secrets.token_hex(4)
         writer = f"{settings.daemon_id}.{self.start_id}"
-        self.decisions = DecisionLog(settings.daemon_id)
+        self.metrics = GatewayMetrics()
+        self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         self.config = ConfigHolder()
         self.replicas = ReplicaTable(settings.zone)
         self.wanted = WantedVersions(self.decisions)
@@ -199,7 +201,7 @@
     async def run(self, handler: Handler) -> None:
         """Serve until a planned stop has ended."""
         self._front = Ingress(handler)
-        self._ready_server = Ingress(readiness_handler(self.ready))
+        self._ready_server = Ingress(probe_handler(self.ready, self._exposition))
         self._front.listen(self.settings.front_address)
         self._ready_server.listen(self.settings.ready_address)
         self.decisions.write(DaemonStarted(start_id=self.start_id, zone=self.settings.zone))
@@ -218,6 +220,13 @@
                 task.cancel()
         self.decisions.flush()
 
+    def _exposition(self) -> bytes:
+        self.metrics.log_age.set(self._jobs_tail.freshness.age_s(monotonic_s()))
+        self.metrics.in_flight.set(self._front.in_flight)
+        self.metrics.jobs_owned.set(self.ownership.running)
+        self.metrics.leads.set(self._leadership.leads)
+        return self.metrics.exposition()
+
     async def _run_when_caught_up(self) -> None:
         while not self._jobs_tail.caught_up or self.config.table is None:
             await asyncio.sleep(0.05)
--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -31,6 +31,8 @@
 
 Handler = Callable[[IncomingRequest], Awaitable[GatewayAnswer | StreamAnswer]]
 
+METRICS_PATH = "/metrics"
+METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
 BODILESS = frozenset({204, 304})
 BACKLOG = 512
 IDLE_TIMEOUT_MARGIN_S = 3.0
@@ -166,10 +168,12 @@
         self._parts.clear()
 
 
-def readiness_handler(ready: Callable[[], bool]) -> Handler:
-    """Return a handler that answers 200 while ``ready`` holds."""
+def probe_handler(ready: Callable[[], bool], exposition: Callable[[], bytes]) -> Handler:
+    """Return a handler that tells the metrics, and elsewhere answers 200 while ``ready`` holds."""
 
     async def handle(request: IncomingRequest) -> GatewayAnswer:
+        if request.path == METRICS_PATH:
+            return GatewayAnswer(status=200, headers=METRICS_HEADERS, body=exposition())
         if not ready():
             raise NotReady("not ready", execution=ExecutionStatus.NOT_RUN)
         return GatewayAnswer(status=200, body=b"ready")
--- /dev/null
+++ b/passgate/gateway/metrics.py
@@ -0,0 +1,99 @@
+"""Counters and histograms of one gateway daemon, fed by its decisions.
+
+Labels are event names, statuses and outcomes only, so their number does not grow
+with routes, callers or replicas.
+
+>>> metrics = GatewayMetrics()
+>>> metrics.observe(JobEnded(job_id="j", listed=1, total=1))
+>>> b'passgate_decisions_total{event="job_ended"} 1.0' in metrics.exposition()
+True
+"""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from passgate.decisions import (
+    ConfigurationInForce,
+    Event,
+    ForwardEnded,
+    ItemFailed,
+    ItemListed,
+    JobAccepted,
+    JobEnded,
+)
+
+REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
+ITEM_BUCKETS_S = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 40)
+
+__all__ = ["GatewayMetrics", "JobEnded"]
+
+
+class GatewayMetrics:
+    """Metrics of a daemon; their names stand in docs/OPERATIONS.md."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._decisions = Counter(
+            "passgate_decisions", "Decisions by name of the event.", ("event",), registry=self.registry
+        )
+        self._requests = Histogram(
+            "passgate_forward_seconds",
+            "Time from a request's arrival to its answer, by status.",
+            ("status",),
+            buckets=REQUEST_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._items = Histogram(
+            "passgate_item_seconds",
+            "Time from an item's start at this daemon to its result, by state.",
+            ("state",),
+            buckets=ITEM_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._item_failures = Counter(
+            "passgate_item_attempt_failures",
+            "Attempts of items that ended without the whole output, by code.",
+            ("code",),
+            registry=self.registry,
+        )
+        self._accepts = Histogram(
+            "passgate_job_accept_seconds",
+            "Time to put a batch job on the log.",
+            buckets=REQUEST_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._configuration = Gauge(
+            "passgate_configuration_version", "Configuration in force.", registry=self.registry
+        )
+        self.log_age = Gauge(
+            "passgate_log_age_seconds",
+            "Time since the jobs' topic was last known to be read to its end.",
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "passgate_in_flight_requests", "Requests that are being answered.", registry=self.registry
+        )
+        self.jobs_owned = Gauge(
+            "passgate_jobs_owned", "Jobs whose items this daemon runs.", registry=self.registry
+        )
+        self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
+
+    def observe(self, event: Event) -> None:
+        """Count an event."""
+        self._decisions.labels(event.name).inc()
+        match event:
+            case ForwardEnded(status=status, elapsed_ms=elapsed_ms):
+                self._requests.labels(str(status)).observe(elapsed_ms / 1000)
+            case ItemListed(state=state, elapsed_ms=elapsed_ms):
+                self._items.labels(state).observe(elapsed_ms / 1000)
+            case ItemFailed(reason=reason):
+                self._item_failures.labels(reason.partition(":")[0]).inc()
+            case JobAccepted(elapsed_ms=elapsed_ms):
+                self._accepts.observe(elapsed_ms / 1000)
+            case ConfigurationInForce(version=version):
+                self._configuration.set(version)
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,129 @@
+"""From the logs of a daemon to the cause of a failure, on real lines of three kinds of failure."""
+
+import asyncio
+import json
+
+import pytest
+
+from passgate.decisions import DecisionLog, ForwardEnded, ForwardSent, JobEnded
+from passgate.errors import InvalidRequest
+from passgate.explain import explain
+from tests import platform_stand_ins as stand_ins
+from tests.test_platform_daemon import World
+
+
+def lines_of(scenario):
+    """Return the decision lines that a daemon writes while a scenario is played."""
+    written = []
+
+    async def main():
+        world = World()
+        try:
+            world.configure(1, stand_ins.safe_route(timeoutMs=300, maxAttempts=1), stand_ins.batch_route())
+            await world.start()
+            world.daemon.decisions._write = lambda data: written.append(data) or len(data)
+            await scenario(world)
+            world.daemon.decisions.flush()
+        finally:
+            await world.close()
+
+    asyncio.run(main())
+    return b"".join(written).decode().splitlines()
+
+
+def test_a_refused_request_is_explained():
+    async def scenario(world):
+        await world.call("POST", "/call/x", b"", request_id="refused")
+
+    story = explain("refused", lines_of(scenario))
+    assert "503" in story.verdict
+    assert "nothing ran" in story.verdict
+
+
+def test_a_request_cut_at_its_time_limit_is_explained():
+    async def scenario(world):
+        world.replica("i-1", "app", work_s=5.0)
+        await world.until(lambda: world.daemon.replicas.get("i-1"))
+        await world.call("POST", "/call/x", b"", request_id="late")
+
+    story = explain("late", lines_of(scenario))
+    assert "504" in story.verdict
+    assert "no replica answered within the time limit; tried i-1" in story.verdict
+    assert "forward_sent" in story.lines[0]
+
+
+def test_an_item_that_came_late_is_explained():
+    async def scenario(world):
+        first = world.replica("i-1", "llm", models={"m": 1}.items())
+        first.faults.break_after = 2
+        await world.until(lambda: world.daemon.replicas.get("i-1"))
+        await world.submit(["item1"])
+        await world.until(lambda: first.runs)
+        await asyncio.sleep(0.2)
+        first.faults.break_after = -1
+        await world.all_results("job1")
+
+    lines = lines_of(scenario)
+    story = explain("item1", lines)
+    assert "incomplete_answer" in story.verdict or "backend_unreachable" in story.verdict
+    assert "succeeded" in story.verdict
+    assert "accepted 1 times" in explain("job1", lines).verdict
+
+
+def test_an_unknown_id_is_a_typed_error():
+    with pytest.raises(InvalidRequest):
+        explain("nobody", ["no json", '{"event":"x"}'])
+
+
+def test_lines_behind_another_tools_prefix_are_read():
+    text = '  30.5 front-1 {"time":1.0,"daemon":"d","event":"job_ended","job_id":"j","listed":1,"total":2}'
+    assert "ended with 1 of 2" in explain("j", [text]).verdict
+
+
+def sent(number):
+    return ForwardSent(request_id=f"r{number}", route="x", replica_id="e", attempt=1, in_flight=0)
+
+
+def failed(number):
+    return ForwardEnded(
+        request_id=f"f{number}", route="x", status=504, reason="r", replicas=("e",), elapsed_ms=1.0
+    )
+
+
+def test_the_budget_keeps_failures_before_ordinary_lines_and_says_what_was_dropped():
+    written = []
+    log = DecisionLog("d", write=lambda data: written.append(data) or len(data), now=lambda: 0.0)
+    for number in range(1000):
+        log.write(sent(number))
+    for number in range(50):
+        log.write(failed(number))
+    log.flush()
+    events = [json.loads(line) for line in b"".join(written).splitlines()]
+    kept = [event for event in events if event["event"] == "forward_ended"]
+    assert len(kept) == 50
+    dropped = next(event for event in events if event["event"] == "lines_dropped")
+    assert dropped["ordinary"] + len([e for e in events if e["event"] == "forward_sent"]) == 1000
+
+
+def test_a_reader_that_takes_nothing_stalls_nothing_and_memory_stays_bounded():
+    now = [0.0]
+    log = DecisionLog("d", write=lambda data: 0, now=lambda: now[0])
+    for second in range(60):
+        now[0] = float(second)
+        for number in range(200):
+            log.write(failed(number))
+        log.flush()
+    assert len(log._buffer) < 300 * 1024
+
+
+def test_lines_that_were_cut_by_the_reader_go_on_where_they_stopped():
+    written = bytearray()
+
+    def write(data):
+        written.extend(data[:7])
+        return min(len(data), 7)
+
+    log = DecisionLog("d", write=write, now=lambda: 0.0)
+    log.write(JobEnded(job_id="j", listed=1, total=1))
+    log.flush()
+    assert json.loads(bytes(written))["job_id"] == "j"
