--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import signal
+import sys
 
 from passgate.gateway.daemon import GatewayDaemon, LogTopics, make_http_client
 from passgate.platform import names
@@ -19,6 +22,8 @@
 
 async def serve() -> None:
     """Run one daemon until SIGTERM."""
+    with contextlib.suppress(OSError):
+        os.set_blocking(sys.stdout.fileno(), False)  # a reader that takes nothing must not stall the loop
     settings = read_settings(settings_path())
     http = make_http_client()
     topics = LogTopics(operator=names.OPERATOR_TOPIC, replicas=names.REPLICAS_TOPIC, jobs=names.JOBS_TOPIC)
