Slow down reads of the log when it throttles

Change: the pause between reads doubles at a refusal for the rate, up to 0.8 s, and shrinks by 3 % with each read that is served.

--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -17,12 +17,19 @@
 from passgate.clients.curl import HttpClient
 from passgate.errors import ExecutionStatus, LogAppendUnknown, LogUnavailable, PassgateError
 from passgate.platform import names
-from passgate.sharedlog.log import AppendConflict, HistoryGone, KeyedRecord, KeyedSnapshot, LogPage
+from passgate.sharedlog.log import (
+    AppendConflict,
+    HistoryGone,
+    KeyedRecord,
+    KeyedSnapshot,
+    LogPage,
+    LogThrottled,
+)
 
 CALL_TIMEOUT_S = 1.2
 """Time for one call's answer beyond the wait it asks for."""
 CONNECT_TIMEOUT_S = 0.7
-OK, CONFLICT, GONE, PRECONDITION_FAILED = 200, 409, 410, 412
+OK, GONE, PRECONDITION_FAILED, THROTTLED = 200, 410, 412, 429
 LENGTH = struct.Struct(">I")
 PAGE_HEAD = struct.Struct(">QQ")
 MAX_READ_KB = 1024
@@ -103,6 +110,8 @@
         answer = await self._read(f"{path}&waitMs={wait_ms}", wait_s + CALL_TIMEOUT_S)
         if answer.status == GONE:
             raise HistoryGone(msgspec.json.decode(answer.body, type=_End).first)
+        if answer.status == THROTTLED:
+            raise LogThrottled("too many reads")
         if answer.status != OK or len(answer.body) < PAGE_HEAD.size:
             raise LogUnavailable(f"read refused with {answer.status}", status=answer.status)
         end, _first = PAGE_HEAD.unpack_from(answer.body)
@@ -118,6 +127,8 @@
             answer = await self._read(
                 path + (f"&afterRev={quote(after, safe='')}" if after else ""), CALL_TIMEOUT_S
             )
+            if answer.status == THROTTLED:
+                raise LogThrottled("too many reads")
             if answer.status != OK:
                 raise LogUnavailable(f"read refused with {answer.status}", status=answer.status)
             page = msgspec.json.decode(answer.body, type=_NewestPage)
--- a/passgate/sharedlog/log.py
+++ b/passgate/sharedlog/log.py
@@ -15,7 +15,13 @@
 
 import msgspec
 
-from passgate.errors import ExecutionStatus, LogError
+from passgate.errors import ExecutionStatus, LogError, LogUnavailable
+
+
+class LogThrottled(LogUnavailable):
+    """The log refused a call because all daemons together make too many."""
+
+    code = "log_throttled"
 
 
 class HistoryGone(LogError):
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -19,7 +19,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import LogError
-from passgate.sharedlog.log import HistoryGone, KeyedRecord, LogPage, SharedLog
+from passgate.sharedlog.log import HistoryGone, KeyedRecord, LogPage, LogThrottled, SharedLog
 
 logger = logging.getLogger("passgate.sharedlog")
 
@@ -28,6 +28,10 @@
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.4
 """Pauses after failed reads; short, as configuration must be in force soon after a recovery."""
+SLOW_DOWN = 2.0
+SPEED_UP = 0.97
+MAX_GAP_S = 0.8
+"""Longest pause between reads while the log throttles; far below the time for configuration."""
 NEVER_S = float("-inf")
 BEHIND_S = 2.5
 """Without a confirmed read for this long, a follower counts as behind."""
@@ -43,6 +47,34 @@
     wait_s: float = POLL_WAIT_S
 
 
+class ReadPace:
+    """Pause between reads: grows when the log throttles, shrinks again while it does not.
+
+    All daemons share the log's rate of calls and none knows how many they are, so
+    each slows down at a refusal and speeds up slowly, as senders in a network do.
+
+    >>> pace = ReadPace(0.05)
+    >>> pace.throttled(); pace.throttled()
+    >>> pace.gap_s
+    0.2
+    >>> for _ in range(200): pace.succeeded()
+    >>> pace.gap_s
+    0.05
+    """
+
+    def __init__(self, least_s: float) -> None:
+        self._least_s = least_s
+        self.gap_s = least_s
+
+    def throttled(self) -> None:
+        """The log refused a call for its rate."""
+        self.gap_s = min(max(self.gap_s, FIRST_PAUSE_S) * SLOW_DOWN, MAX_GAP_S)
+
+    def succeeded(self) -> None:
+        """A call was served."""
+        self.gap_s = max(self._least_s, self.gap_s * SPEED_UP)
+
+
 class Freshness:
     """When a follower last knew that it had read everything."""
 
@@ -72,6 +104,7 @@
         self._apply = apply
         self._advanced = asyncio.Event()
         self._pause_s = FIRST_PAUSE_S
+        self._pace = ReadPace(settings.gap_s)
         self.next_offset = 0
         self.freshness = Freshness()
         self.caught_up = False
@@ -83,9 +116,13 @@
             try:
                 await self._read_once()
                 self._pause_s = FIRST_PAUSE_S
-                await asyncio.sleep(self._settings.gap_s)
+                self._pace.succeeded()
+                await asyncio.sleep(self._pace.gap_s)
             except HistoryGone as error:
                 self.next_offset = error.first
+            except LogThrottled:
+                self._pace.throttled()
+                await asyncio.sleep(self._pace.gap_s)
             except LogError as error:
                 logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
                 await asyncio.sleep(self._pause_s)
@@ -159,6 +196,7 @@
         self._update = update
         self._next_offset: int | None = None
         self._pause_s = FIRST_PAUSE_S
+        self._pace = ReadPace(settings.gap_s)
         self.freshness = Freshness()
 
     @property
@@ -176,9 +214,13 @@
                     reload = False
                 await self._read_once()
                 self._pause_s = FIRST_PAUSE_S
-                await asyncio.sleep(self._settings.gap_s)
+                self._pace.succeeded()
+                await asyncio.sleep(self._pace.gap_s)
             except HistoryGone:
                 reload = True
+            except LogThrottled:
+                self._pace.throttled()
+                await asyncio.sleep(self._pace.gap_s)
             except LogError as error:
                 logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
                 await asyncio.sleep(self._pause_s)
