Let a few daemons read a long list of replicas for all

Change: beyond 200 replicas, three relays read discovery and append only changes to a keyed topic that all follow; each entry names its offset in discovery, older news is ignored; missing relays are replaced by chance after 1.5 s. The soak's stand-ins now listen on the loop that runs them: that was the cause of its run that did not end.

--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -105,6 +105,13 @@
     state: str
 
 
+class RelayChanged(Event, tag="relay_changed"):
+    """This daemon begins or ends to read the list of replicas for others."""
+
+    relaying: bool
+    replicas: int
+
+
 class ForwardSent(Event, tag="forward_sent"):
     """A request was sent to a replica."""
 
--- a/passgate/emulator/shared_log.py
+++ b/passgate/emulator/shared_log.py
@@ -27,6 +27,7 @@
 ANSWER_S = 0.004
 ANSWER_TIMEOUT_S = 1.2
 SEPARATOR = b"\x00"
+KEYED_PREFIX = "keyed."
 
 
 class SharedLogFaults(msgspec.Struct, kw_only=True):
@@ -89,11 +90,18 @@
 
     def put_keyed(self, topic: str, key: str, value: bytes) -> None:
         """Write a key, as the operator and replicas do."""
-        newest = self._keyed.setdefault(topic, {})
-        newest[key] = value
-        if not value:
-            del newest[key]
-        self.partition(topic, 0).append([key.encode() + SEPARATOR + value])
+        self.add(topic, 0, [key.encode() + SEPARATOR + value])
+
+    def add(self, topic: str, part: int, records: Sequence[bytes]) -> int:
+        """Append records; those of a keyed topic also become the newest of their keys."""
+        if topic.startswith(KEYED_PREFIX):
+            newest = self._keyed.setdefault(topic, {})
+            for record in records:
+                key, _, value = record.partition(SEPARATOR)
+                newest[key.decode()] = value
+                if not value:
+                    del newest[key.decode()]
+        return self.partition(topic, part).append(records)
 
     def newest(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key."""
@@ -124,14 +132,14 @@
         partition = self._log.partition(topic, part)
         if at is not None and at != partition.end:
             raise AppendConflict(partition.end)
-        offset = partition.append(records)
+        offset = self._log.add(topic, part, records)
         await self._answer(LogAppendUnknown)
         return offset
 
     def _do(self, topic: str, part: int, records: list[bytes], at: int | None) -> None:
         partition = self._log.partition(topic, part)
         if at is None or at == partition.end:
-            partition.append(records)
+            self._log.add(topic, part, records)
 
     async def read(self, topic: str, part: int, start: int, *, wait_s: float) -> LogPage:
         """Return records from an offset; see :class:`SharedLog`."""
@@ -161,6 +169,10 @@
         key, _, value = record.partition(SEPARATOR)
         return KeyedRecord(key=key.decode(), value=value)
 
+    def encode_keyed(self, record: KeyedRecord) -> bytes:
+        """Return a record of a keyed topic."""
+        return record.key.encode() + SEPARATOR + record.value
+
     async def _reach(self, failure: type[LogUnavailable] | type[LogAppendUnknown]) -> None:
         self._log.calls += 1
         await asyncio.sleep(ANSWER_S / 2 + self._log.faults.slow_s / 2)
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -29,6 +29,7 @@
     SettingsReloaded,
 )
 from passgate.gateway.dialect import HeaderNames
+from passgate.gateway.discovery import Discovery, DiscoveryView, ReplicaDecoder
 from passgate.gateway.forwarder import Forwarder
 from passgate.gateway.ingress import Handler, Ingress, probe_handler
 from passgate.gateway.metrics import GatewayMetrics
@@ -67,6 +68,7 @@
 
     operator: str
     replicas: str
+    relayed_replicas: str
     jobs: str
 
 
@@ -81,6 +83,7 @@
         http: HttpClient,
         log: SharedLog,
         control: ReplicaControl,
+        decoder: ReplicaDecoder,
     ) -> None:
         self.settings = settings
         self.http = http
@@ -91,6 +94,15 @@
         self.config = ConfigHolder()
         self.replicas = ReplicaTable(settings.zone)
         self.wanted = WantedVersions(self.decisions)
+        self._discovery = Discovery(
+            log,
+            topics.replicas,
+            topics.relayed_replicas,
+            decoder,
+            DiscoveryView(self.replicas, self.decisions),
+            settings.daemon_id,
+            self.decisions,
+        )
         self._names = names
         self._topics = topics
         self._log = log
@@ -179,7 +191,7 @@
 
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        known = self.config.table is not None and all(tail.loaded for tail in self._keyed_tails)
+        known = self.config.table is not None and self._discovery.loaded
         return known and self._jobs_tail.caught_up and not self.stopping
 
     @property
@@ -208,6 +220,7 @@
         background = [
             self._journal.run(),
             self._jobs_tail.run(),
+            self._discovery.run(),
             *(tail.run() for tail in self._keyed_tails),
             self._run_when_caught_up(),
             self._watch_log(),
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -8,16 +8,31 @@
 import signal
 import sys
 
+from passgate.clients.curl import HttpClient
 from passgate.gateway.daemon import GatewayDaemon, LogTopics, make_http_client
+from passgate.gateway.settings import GatewaySettings
 from passgate.platform import names
-from passgate.platform.beliefs import Beliefs
+from passgate.platform.beliefs import Beliefs, PlatformReplicaDecoder
 from passgate.platform.front import Front, PlatformReplicaControl
 from passgate.platform.log_client import PlatformLog
 from passgate.platform.settings import SettingsWatcher, read_settings, settings_path
 
 OPERATOR_GAP_S = 0.05
-REPLICAS_GAP_S = 0.25
-"""Heartbeats come often; reading them in batches saves calls."""
+
+
+def make_daemon(settings: GatewaySettings, http: HttpClient, log: PlatformLog) -> GatewayDaemon:
+    """Return a daemon that follows the platform's topics."""
+    topics = LogTopics(
+        operator=names.OPERATOR_TOPIC,
+        replicas=names.REPLICAS_TOPIC,
+        relayed_replicas=names.RELAYED_REPLICAS_TOPIC,
+        jobs=names.JOBS_TOPIC,
+    )
+    control = PlatformReplicaControl(http)
+    daemon = GatewayDaemon(settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder())
+    beliefs = Beliefs(daemon)
+    daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.take_operator, beliefs.take_operator)
+    return daemon
 
 
 async def serve() -> None:
@@ -26,12 +41,8 @@
         os.set_blocking(sys.stdout.fileno(), False)  # a reader that takes nothing must not stall the loop
     settings = read_settings(settings_path())
     http = make_http_client()
-    topics = LogTopics(operator=names.OPERATOR_TOPIC, replicas=names.REPLICAS_TOPIC, jobs=names.JOBS_TOPIC)
     log = PlatformLog(http, settings.log_address)
-    daemon = GatewayDaemon(settings, names.HEADERS, topics, http, log, PlatformReplicaControl(http))
-    beliefs = Beliefs(daemon)
-    daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.take_operator, beliefs.take_operator)
-    daemon.follow(topics.replicas, REPLICAS_GAP_S, beliefs.replace_replicas, beliefs.update_replicas)
+    daemon = make_daemon(settings, http, log)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.stop)
     loop.add_signal_handler(signal.SIGINT, daemon.stop)
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -144,6 +144,11 @@
         size = record[0]
         return KeyedRecord(key=record[1 : 1 + size].decode(), value=record[1 + size :])
 
+    def encode_keyed(self, record: KeyedRecord) -> bytes:
+        """Return a raw record of a keyed topic."""
+        key = record.key.encode()
+        return bytes([len(key)]) + key + record.value
+
     async def _read(self, path: str, timeout_s: float) -> HttpAnswer:
         try:
             return await self._call("GET", path, None, timeout_s)
--- a/passgate/platform/names.py
+++ b/passgate/platform/names.py
@@ -34,6 +34,7 @@
 
 OPERATOR_TOPIC = "keyed.op"
 REPLICAS_TOPIC = "keyed.servers"
+RELAYED_REPLICAS_TOPIC = "keyed.passgate-replicas"
 JOBS_TOPIC = "passgate-jobs"
 
 CONFIGURATION_KEY = "config"
--- a/passgate/sharedlog/log.py
+++ b/passgate/sharedlog/log.py
@@ -102,3 +102,7 @@
     def decode_keyed(self, record: bytes) -> KeyedRecord:
         """Split a raw record of a keyed topic."""
         ...
+
+    def encode_keyed(self, record: KeyedRecord) -> bytes:
+        """Return the raw record of a keyed topic."""
+        ...
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -180,15 +180,19 @@
 
 
 class KeyedTail:
-    """Follows a keyed topic: the newest value of each key, then every change of it."""
+    """Follows a keyed topic: the newest value of each key, then every change of it.
+
+    ``replace`` gets all records and the offset at which changes begin, ``update``
+    the next records and the offset of the first.
+    """
 
     def __init__(
         self,
         log: SharedLog,
         settings: TailSettings,
         *,
-        replace: Callable[[tuple[KeyedRecord, ...]], None],
-        update: Callable[[tuple[KeyedRecord, ...]], None],
+        replace: Callable[[tuple[KeyedRecord, ...], int], None],
+        update: Callable[[tuple[KeyedRecord, ...], int], None],
     ) -> None:
         self._log = log
         self._settings = settings
@@ -229,7 +233,7 @@
     async def _load(self) -> None:
         began_s = monotonic_s()
         snapshot = await self._log.newest(self._settings.topic, self._settings.part)
-        self._replace(snapshot.records)
+        self._replace(snapshot.records, snapshot.next_offset)
         self._next_offset = snapshot.next_offset
         self.freshness.confirmed(began_s)
 
@@ -239,7 +243,7 @@
             self._settings.topic, self._settings.part, self._next_offset or 0, wait_s=self._settings.wait_s
         )
         if page.records and page.start == self._next_offset:
-            self._update(tuple(self._log.decode_keyed(record) for record in page.records))
+            self._update(tuple(self._log.decode_keyed(record) for record in page.records), page.start)
             self._next_offset = page.next_offset
         if page.next_offset >= page.end:
             self.freshness.confirmed(began_s if page.records else max(began_s, monotonic_s() - 0.1))
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -495,6 +495,13 @@
                 self.breach(f"fence {fence} was used by {sorted(names)}")
 
 
+async def play(seconds, seed, folder, log_file):
+    """Run a soak; the stand-ins listen on the loop that runs it."""
+    soak = Soak(seconds, seed, folder, log_file)
+    await soak.run()
+    return soak
+
+
 def main(seconds: int = 60, seed: int = 0) -> None:
     """Run the soak.
 
@@ -505,8 +512,7 @@
     seed = seed or int(time.time()) % 1_000_000
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     with tempfile.TemporaryDirectory() as folder, open("soak.log", "wb") as log_file:
-        soak = Soak(seconds, seed, folder, log_file)
-        asyncio.run(soak.run())
+        soak = asyncio.run(play(seconds, seed, folder, log_file))
     print(
         json.dumps(
             {"seed": seed, "counts": soak.counts, "jobs": len(soak.jobs), "broken": soak.broken}, indent=1
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -11,10 +11,9 @@
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.errors import PassgateError
-from passgate.gateway.daemon import GatewayDaemon, LogTopics, make_http_client
-from passgate.platform import names
-from passgate.platform.beliefs import Beliefs
-from passgate.platform.front import Front, PlatformReplicaControl
+from passgate.gateway.daemon import make_http_client
+from passgate.platform.__main__ import make_daemon
+from passgate.platform.front import Front
 from passgate.platform.log_client import PlatformLog
 from passgate.platform.settings import SettingsWatcher, parse_settings
 from tests import platform_stand_ins as stand_ins
@@ -99,12 +98,7 @@
 def start_daemon(text):
     settings = parse_settings(text)
     http = make_http_client()
-    topics = LogTopics(operator=names.OPERATOR_TOPIC, replicas=names.REPLICAS_TOPIC, jobs=names.JOBS_TOPIC)
-    log = PlatformLog(http, settings.log_address)
-    daemon = GatewayDaemon(settings, names.HEADERS, topics, http, log, PlatformReplicaControl(http))
-    beliefs = Beliefs(daemon)
-    daemon.follow(topics.operator, 0.0, beliefs.take_operator, beliefs.take_operator)
-    daemon.follow(topics.replicas, 0.0, beliefs.replace_replicas, beliefs.update_replicas)
+    daemon = make_daemon(settings, http, PlatformLog(http, settings.log_address))
     return daemon, asyncio.get_running_loop().create_task(daemon.run(Front(daemon).handle))
 
 
