--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format clean
+.PHONY: setup demo test soak lint format clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -26,5 +26,8 @@
 test: lint
 	$(BIN)/pytest -n 4
 
+soak: setup
+	$(BIN)/python -m tests.fault_soak --seconds $(or $(SECONDS),60) --seed $(or $(SEED),0)
+
 clean:
 	rm -rf $(VENV) build *.egg-info .pytest_cache .ruff_cache .hypothesis out
