--- a/passgate/check/specification/catalogue.py
+++ b/passgate/check/specification/catalogue.py
@@ -1,7 +1,7 @@
 """All specifications, by name.
 
 >>> sorted(SPECIFICATIONS)
-['claims', 'configuration', 'leases', 'lots', 'planned_stop']
+['claims', 'configuration', 'leadership', 'leases', 'lots', 'planned_stop']
 """
 
 from __future__ import annotations
@@ -9,13 +9,15 @@
 from passgate.check.specification.claims import CLAIMS
 from passgate.check.specification.configuration import CONFIGURATION
 from passgate.check.specification.kernel import Specification
+from passgate.check.specification.leadership import LEADERSHIP
 from passgate.check.specification.leases import LEASES
 from passgate.check.specification.lots import LOTS
 from passgate.check.specification.planned_stop import PLANNED_STOP
 from passgate.errors import NotFound
 
 SPECIFICATIONS: dict[str, Specification] = {
-    specification.name: specification for specification in (PLANNED_STOP, LEASES, CLAIMS, CONFIGURATION, LOTS)
+    specification.name: specification
+    for specification in (PLANNED_STOP, LEASES, LEADERSHIP, CLAIMS, CONFIGURATION, LOTS)
 }
 
 
