Do not slow down reads of the configuration when the log throttles

Change: a throttled read of the operator's topic is repeated after 50 ms; other reads speed up by 0.5 % instead of 3 % with each read served.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -145,7 +145,7 @@
 
     def follow(self, topic: str, gap_s: float, replace: Callable, update: Callable) -> None:
         """Follow a keyed topic with an adapter's translation."""
-        settings = TailSettings(topic=topic, gap_s=gap_s)
+        settings = TailSettings(topic=topic, gap_s=gap_s, urgent=True)
         self._keyed_tails.append(KeyedTail(self._log, settings, replace=replace, update=update))
 
     def _apply_jobs(self, page: LogPage) -> None:
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -29,7 +29,7 @@
 MAX_PAUSE_S = 0.4
 """Pauses after failed reads; short, as configuration must be in force soon after a recovery."""
 SLOW_DOWN = 2.0
-SPEED_UP = 0.97
+SPEED_UP = 0.995
 MAX_GAP_S = 0.8
 """Longest pause between reads while the log throttles; far below the time for configuration."""
 NEVER_S = float("-inf")
@@ -45,6 +45,8 @@
     gap_s: float = 0.0
     """Pause after each read, so that frequent small records arrive in batches."""
     wait_s: float = POLL_WAIT_S
+    urgent: bool = False
+    """Whether a throttled read is repeated soon; for topics that are read seldom and must be known at once."""
 
 
 class ReadPace:
@@ -57,7 +59,7 @@
     >>> pace.throttled(); pace.throttled()
     >>> pace.gap_s
     0.2
-    >>> for _ in range(200): pace.succeeded()
+    >>> for _ in range(300): pace.succeeded()
     >>> pace.gap_s
     0.05
     """
@@ -223,13 +225,18 @@
             except HistoryGone:
                 reload = True
             except LogThrottled:
-                self._pace.throttled()
-                await asyncio.sleep(self._pace.gap_s)
+                await asyncio.sleep(self._throttled_s())
             except LogError as error:
                 logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2.0, MAX_PAUSE_S)
 
+    def _throttled_s(self) -> float:
+        if self._settings.urgent:
+            return FIRST_PAUSE_S
+        self._pace.throttled()
+        return self._pace.gap_s
+
     async def _load(self) -> None:
         began_s = monotonic_s()
         snapshot = await self._log.newest(self._settings.topic, self._settings.part)
