--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -46,7 +46,7 @@
     """Pause after each read, so that frequent small records arrive in batches."""
     wait_s: float = POLL_WAIT_S
     urgent: bool = False
-    """Whether a throttled read is repeated soon; for topics that are read seldom and must be known at once."""
+    """Whether a throttled read is repeated soon; for what must be known at once."""
 
 
 class ReadPace:
