--- /dev/null
+++ b/passgate/gateway/forwarding.py
@@ -0,0 +1,126 @@
+"""What plain and streamed forwarding share: the state of one request, its sends, its end."""
+
+from __future__ import annotations
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, ForwardEnded, ForwardSent
+from passgate.errors import NoReplicaAvailable
+from passgate.errors.base import ExecutionStatus, PassgateError
+from passgate.gateway.dialect import HeaderNames
+from passgate.gateway.messages import IncomingRequest
+from passgate.gateway.replica_call import ReplicaCaller, ReplicaRequest
+from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
+from passgate.gateway.routes import Route, RouteKind, WeightedChoice
+
+RETRY_AFTER_S = 0.15
+"""When a refused caller is asked to come back."""
+
+
+class Forwarding(msgspec.Struct, kw_only=True):
+    """One request while it is forwarded."""
+
+    request: IncomingRequest
+    route: Route
+    service: str
+    request_id: str
+    limit_s: float
+    """Loop time at which the request is answered in any case."""
+    deadline_s: float
+    """Loop time at which the caller leaves."""
+    tried: list[str] = []
+    may_have_run: bool = False
+    last_event_id: str = ""
+    """Identifier of the last event that the caller has."""
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.kind is RouteKind.SAFE or self.route.resumable
+
+    @property
+    def attempts_left(self) -> bool:
+        """Whether it may be sent once more, to judge by the route's bound."""
+        return len(self.tried) < self.route.max_attempts
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether it may be sent to a further replica."""
+        return self.attempts_left and (self.repeatable or not self.may_have_run)
+
+
+class ForwarderBase:
+    """Begins, sends and ends forwarded requests."""
+
+    def __init__(
+        self, caller: ReplicaCaller, replicas: ReplicaTable, names: HeaderNames, decisions: DecisionLog
+    ) -> None:
+        self._caller = caller
+        self._replicas = replicas
+        self._names = names
+        self._decisions = decisions
+        self._weights = WeightedChoice()
+
+    def _begin(self, request: IncomingRequest, route: Route) -> Forwarding:
+        deadline_s = request.deadline_s(self._names.deadline_ms)
+        return Forwarding(
+            request=request,
+            route=route,
+            service=self._weights.pick(route),
+            request_id=request.header(self._names.request_id),
+            limit_s=min(deadline_s, request.arrived_s + route.timeout_s),
+            deadline_s=deadline_s,
+            last_event_id=request.header(self._names.last_event_id),
+        )
+
+    def _choose(self, forwarding: Forwarding) -> ReplicaState | None:
+        choice = ChoiceRequest(services=frozenset({forwarding.service}), excluded=frozenset(forwarding.tried))
+        return self._replicas.choose(choice, monotonic_s())
+
+    def _replica_request(self, forwarding: Forwarding) -> ReplicaRequest:
+        request = forwarding.request
+        resumed = self._names.last_event_id.lower()
+        headers = [pair for pair in request.headers if pair[0].lower() != resumed]
+        if forwarding.last_event_id:
+            headers.append((self._names.last_event_id, forwarding.last_event_id))
+        return ReplicaRequest(
+            request_id=forwarding.request_id,
+            method=request.method,
+            path=request.path,
+            host=request.host,
+            headers=tuple(headers),
+            body=request.body,
+            deadline_s=forwarding.deadline_s,
+            priority=forwarding.route.priority if forwarding.route.kind is RouteKind.STREAMING else None,
+            repeatable=forwarding.repeatable,
+        )
+
+    def _note_sent(self, forwarding: Forwarding, state: ReplicaState) -> None:
+        forwarding.tried.append(state.info.replica_id)
+        self._decisions.write(
+            ForwardSent(
+                request_id=forwarding.request_id,
+                route=forwarding.route.name,
+                replica_id=state.info.replica_id,
+                attempt=len(forwarding.tried),
+                in_flight=state.in_flight,
+            )
+        )
+
+    def _note_end(self, forwarding: Forwarding, status: int, reason: str) -> None:
+        self._decisions.write(
+            ForwardEnded(
+                request_id=forwarding.request_id,
+                route=forwarding.route.name,
+                status=status,
+                reason=reason,
+                replicas=tuple(forwarding.tried),
+                elapsed_ms=round((monotonic_s() - forwarding.request.arrived_s) * 1000, 1),
+            )
+        )
+
+
+def refusal(reason: str) -> PassgateError:
+    """Return the answer for a request that did not run."""
+    return NoReplicaAvailable(reason, execution=ExecutionStatus.NOT_RUN, retry_after_s=RETRY_AFTER_S)
--- a/passgate/gateway/messages.py
+++ b/passgate/gateway/messages.py
@@ -14,6 +14,8 @@
 
 JSON_TYPE = "application/json"
 RETRY_AFTER = "Retry-After"
+DEFAULT_DEADLINE_S = 30.0
+"""Time that a caller is taken to wait when it does not say."""
 RETRY_AFTER_S = 0.2
 """When to come back after a refusal that names no time of its own."""
 
@@ -35,6 +37,11 @@
         lowered = name.lower()
         return next((value for key, value in self.headers if key.lower() == lowered), default)
 
+    def deadline_s(self, name: str, default_s: float = DEFAULT_DEADLINE_S) -> float:
+        """Return the loop time until which the caller waits, by the header that tells milliseconds."""
+        told_ms = self.header(name)
+        return self.arrived_s + (int(told_ms) / 1000 if told_ms.isdigit() else default_s)
+
 
 class GatewayAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The whole answer to a caller."""
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -15,7 +15,7 @@
 from passgate.versions.loader import LoadOrder, ReplicaReport
 
 MAX_WAIT_S = 1.0
-DEFAULT_DEADLINE_MS = 4_000
+DEFAULT_DEADLINE_S = 4.0
 ANSWER_MARGIN_S = 0.1
 REPORT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 1.5
@@ -84,9 +84,7 @@
 
 
 def _deadline_s(request: IncomingRequest) -> float:
-    told_ms = request.header(names.HEADERS.deadline_ms)
-    deadline_ms = int(told_ms) if told_ms.isdigit() else DEFAULT_DEADLINE_MS
-    return request.arrived_s + deadline_ms / 1000 - ANSWER_MARGIN_S
+    return request.deadline_s(names.HEADERS.deadline_ms, DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
 
 
 class PlatformReplicaControl:
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -461,6 +461,22 @@
     assert "\n".join(data) == stand_ins.whole_text("chat1")
 
 
+@in_world
+async def test_a_resumable_stream_leaves_a_replica_that_is_much_slower(world):
+    slow, fast = (world.replica(f"i-{number}", "llm", models={"m": 2}.items()) for number in range(2))
+    slow.faults.slow = 30.0
+    world.configure(1, stream_route(resumable=True, maxAttempts=3))
+    await world.start()
+    for number in range(8):
+        answer = await world.call(
+            "POST", "/stream/x", b"", request_id=f"chat{number}", deadline_ms=9000, **{"X-Model": "m"}
+        )
+        data = [line[6:] for line in answer.body.decode().split("\n") if line.startswith("data: ")]
+        assert "\n".join(data) == stand_ins.whole_text(f"chat{number}")
+    assert any(not run.whole for run in slow.runs)
+    assert any(run.last_event_id for run in fast.runs)
+
+
 @in_world
 async def test_a_stream_that_may_run_once_ends_incomplete_when_it_breaks(world):
     replicas = [world.replica(f"i-{number}", "llm", models={"m": 2}.items()) for number in range(2)]
