Let the daemon on the platform live by its chart; compile charts ahead

Cause: the house style asks for state charts in files that the code interprets; the new daemon kept its states in flags. sismic's import would add to the priced memory. Change: charts are compiled to committed tables.json by passgate.charts.compiler; a test compares them with the files, another shows that machines need no sismic; GatewayDaemon sends the events of charts/daemon.yaml.

--- a/passgate/charts/document.py
+++ b/passgate/charts/document.py
@@ -17,8 +17,9 @@
 import fire
 from sismic.model import CompoundState, FinalState, Statechart
 
+from passgate.charts.compiler import read_statechart
 from passgate.errors import VerificationFailed
-from passgate.statecharts import chart_names, load_chart, read_statechart
+from passgate.statecharts import chart_names, load_chart
 
 DIRECTORY = Path("docs/charts")
 COMMAND = "python -m passgate.charts.document"
--- a/passgate/charts/measure.py
+++ b/passgate/charts/measure.py
@@ -19,7 +19,8 @@
 import msgspec
 from sismic.interpreter import Interpreter
 
-from passgate.statecharts import Machine, chart_names, load_chart, read_statechart
+from passgate.charts.compiler import compile_chart, read_statechart
+from passgate.statecharts import Machine, chart_names
 
 CHART = "request"
 WALK = ("admit", "dispatch", "chunk", "chunk", "chunk", "chunk", "complete")
@@ -108,12 +109,11 @@
 
 
 def load_milliseconds() -> float:
-    """Return the time to read and compile all charts, as at the start of a daemon."""
+    """Return the time to read and compile all charts, as when the tables are made."""
     read_statechart.cache_clear()
-    load_chart.cache_clear()
     begun = time.perf_counter()
     for name in chart_names():
-        load_chart(name)
+        compile_chart(read_statechart(name))
     return (time.perf_counter() - begun) * 1e3
 
 
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -47,11 +47,13 @@
 from passgate.jobs.service import JobService
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import KeyedTail, RecordTail, TailSettings
+from passgate.statecharts import Machine
 from passgate.versions.leadership import Leadership
 from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
 
 UNACKNOWLEDGED_TIMEOUT_S = 2.0
 MAX_BUFFERED_BYTES = 32 * 1024
+WATCH_S = 0.1
 FLUSH_S = 0.2
 NOTICE_S = 2.6
 """Time after SIGTERM within which the platform still sends new connections."""
@@ -131,8 +133,10 @@
         )
         self.jobs = JobService(self._fold, self._journal, self._jobs_tail, self.decisions)
         self._keyed_tails: list[KeyedTail] = []
+        self._flushed_s = 0.0
         self._stop = asyncio.Event()
-        self._stop_began_s = 0.0
+        self.life = Machine("daemon")
+        """Life of this daemon, by the chart of that name."""
 
     # --- beliefs -----------------------------------------------------------------
 
@@ -191,13 +195,16 @@
 
     def ready(self) -> bool:
         """Whether callers should be sent here."""
+        return self.life.within("serving")
+
+    def _knows_all(self) -> bool:
         known = self.config.table is not None and self._discovery.loaded
-        return known and self._jobs_tail.caught_up and not self.stopping
+        return known and self._jobs_tail.caught_up
 
     @property
     def stopping(self) -> bool:
         """Whether a planned stop has begun."""
-        return self._stop.is_set()
+        return self.life.within("stopping")
 
     def reload(self, settings: GatewaySettings) -> None:
         """Put changed settings in force; addresses that it listens on stay as they are."""
@@ -208,6 +215,8 @@
 
     def stop(self) -> None:
         """Begin a planned stop."""
+        if self.life.can("stop"):
+            self.life.send("stop")
         self._stop.set()
 
     async def run(self, handler: Handler) -> None:
@@ -249,22 +258,30 @@
             group.create_task(self._loader.run())
 
     async def _watch_log(self) -> None:
-        lost = False
         while True:
-            await asyncio.sleep(FLUSH_S)
-            age_s = self._jobs_tail.freshness.age_s(monotonic_s())
-            if not lost and LOG_LOST_S < age_s < float("inf"):
-                lost = True
-                self.decisions.write(DependencyLost(dependency="log", age_s=round(age_s, 3)))
-            elif lost and age_s < LOG_LOST_S:
-                lost = False
-                self.decisions.write(DependencyRegained(dependency="log"))
-            self._fold.prune(monotonic_s(), self.settings.job_retention_s)
-            self.decisions.flush()
+            await asyncio.sleep(WATCH_S)
+            if self.life.within("starting") and self._knows_all():
+                self.life.send("caught_up")
+                self.life.send("joined")
+            self._note_log_state(self._jobs_tail.freshness.age_s(monotonic_s()))
+            now_s = monotonic_s()
+            if now_s - self._flushed_s >= FLUSH_S:
+                self._flushed_s = now_s
+                self._fold.prune(now_s, self.settings.job_retention_s)
+                self.decisions.flush()
+
+    def _note_log_state(self, age_s: float) -> None:
+        if age_s >= LOG_LOST_S and self.life.can("log_lost"):
+            self.life.send("log_lost")
+            self.decisions.write(DependencyLost(dependency="log", age_s=round(age_s, 3)))
+        elif age_s < LOG_LOST_S and self.life.can("log_back"):
+            self.life.send("log_back")
+            self.decisions.write(DependencyRegained(dependency="log"))
 
     async def _wind_down(self) -> None:
         began_s = monotonic_s()
         self.decisions.write(DaemonStopping(in_flight=self._front.in_flight))
+        self.life.send("announced")
         self.ownership.stopping = True
         self.jobs.stopping = True
         self._front.close_after_answers()
@@ -277,12 +294,14 @@
             handed_over = released.done() or waited_s >= RELEASE_WAIT_S
             if handed_over and self._front.in_flight == 0 and waited_s >= NOTICE_S:
                 break
+        self.life.send("finished")
         self._front.stop_listening()
         after_s = round(monotonic_s() - began_s, 3)
         self.decisions.write(DaemonStopped(in_flight=self._front.in_flight, after_s=after_s))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STOP_RESERVE_S / 2):
                 await self._front.close()
+        self.life.send("handed_over")
 
 
 def make_http_client() -> HttpClient:
--- a/passgate/statecharts.py
+++ b/passgate/statecharts.py
@@ -1,9 +1,11 @@
 """State charts in files, interpreted by the code.
 
 The charts are sismic's YAML documents in ``passgate/charts``.  sismic reads and
-validates them; its own interpreter costs tens of microseconds per event, so the
-parsed chart is walked once into a transition table, and a test proves that table
-and interpreter agree on every state and event (see docs/design/statecharts.md).
+validates them; its own interpreter costs tens of microseconds per event and its
+import some megabytes, so :mod:`passgate.charts.compiler` walks the parsed charts into
+transition tables, which are committed as ``tables.json``.  Tests prove that the tables
+are those of the files and agree with sismic's interpreter on every state and event
+(see docs/design/statecharts.md).
 
 >>> machine = Machine("lease")
 >>> machine.state, machine.can("propose")
@@ -22,12 +24,12 @@
 from importlib import resources
 
 import msgspec
-from sismic.exceptions import StatechartError
-from sismic.io import import_from_yaml
-from sismic.model import BasicState, CompoundState, FinalState, Statechart, Transition
 
 from passgate.errors import ChartError, IllegalTransition
 
+TABLES_FILE = "tables.json"
+"""Compiled charts; made by ``python -m passgate.charts.compiler``."""
+
 TransitionTable = dict[str, dict[str, str]]
 """Leaf state to event to next leaf state."""
 
@@ -57,90 +59,17 @@
 
 
 @functools.cache
-def read_statechart(name: str) -> Statechart:
-    """Return sismic's model of a chart file; raises ChartError for a wrong or missing file."""
-    file = resources.files("passgate.charts").joinpath(f"{name}.yaml")
-    try:
-        return import_from_yaml(file.read_text(encoding="utf-8"))
-    except (OSError, StatechartError) as error:
-        raise ChartError(f"chart {name} can not be read: {error}", chart=name) from error
+def _tables() -> dict[str, Chart]:
+    file = resources.files("passgate.charts").joinpath(TABLES_FILE)
+    return msgspec.json.decode(file.read_bytes(), type=dict[str, Chart])
 
 
-@functools.cache
 def load_chart(name: str) -> Chart:
-    """Return a compiled chart; each file is read once per process.
-
-    Raises:
-        ChartError: the file is absent or uses features that have no place in a table.
-    """
-    return compile_chart(read_statechart(name))
-
-
-def compile_chart(statechart: Statechart) -> Chart:
-    """Compile sismic's model into a table.
-
-    Supported are nested states with an initial child, final states, and transitions
-    that name an event; the innermost enclosing state's transition wins, as in sismic.
-    Guards, actions, history, parallel and eventless transitions raise ChartError.
-    """
-    for name in statechart.states:
-        _check_state(statechart, name)
-    for transition in statechart.transitions:
-        _check_transition(statechart, transition)
-    leaves = [name for name in statechart.states if not statechart.children_for(name)]
-    return Chart(
-        name=statechart.name,
-        description=(statechart.description or "").strip(),
-        initial=_leaf_of(statechart, statechart.root),
-        table={leaf: _row_of(statechart, leaf) for leaf in leaves},
-        ancestors={leaf: frozenset([leaf, *statechart.ancestors_for(leaf)]) for leaf in leaves},
-        final_states=frozenset(leaf for leaf in leaves if isinstance(statechart.state_for(leaf), FinalState)),
-    )
-
-
-def _check_state(statechart: Statechart, name: str) -> None:
-    state = statechart.state_for(name)
-    if not isinstance(state, BasicState | CompoundState | FinalState):
-        raise ChartError(f"state {name} is neither plain, nested nor final", chart=statechart.name)
-    if getattr(state, "on_entry", None) or getattr(state, "on_exit", None):
-        raise ChartError(f"state {name} has an action", chart=statechart.name)
-    if isinstance(state, CompoundState) and not state.initial:
-        raise ChartError(f"state {name} names no initial state", chart=statechart.name)
-    if isinstance(state, FinalState) and statechart.parent_for(name) != statechart.root:
-        raise ChartError(f"final state {name} is not a child of the root", chart=statechart.name)
-
-
-def _check_transition(statechart: Statechart, transition: Transition) -> None:
-    if transition.event is None:
-        raise ChartError(f"a transition from {transition.source} has no event", chart=statechart.name)
-    if transition.guard or transition.action or transition.priority:
-        raise ChartError(
-            f"event {transition.event} of {transition.source} has a guard, action or priority",
-            chart=statechart.name,
-        )
-    same = [t for t in statechart.transitions_from(transition.source) if t.event == transition.event]
-    if len(same) > 1:
-        raise ChartError(
-            f"event {transition.event} of {transition.source} has two transitions", chart=statechart.name
-        )
-
-
-def _leaf_of(statechart: Statechart, name: str) -> str:
-    state = statechart.state_for(name)
-    while isinstance(state, CompoundState):
-        state = statechart.state_for(state.initial)
-    return state.name
-
-
-def _row_of(statechart: Statechart, leaf: str) -> dict[str, str]:
-    row: dict[str, str] = {}
-    if isinstance(statechart.state_for(leaf), FinalState):
-        return row
-    for source in [leaf, *statechart.ancestors_for(leaf)]:
-        for transition in statechart.transitions_from(source):
-            target = leaf if transition.internal else _leaf_of(statechart, transition.target)
-            row.setdefault(transition.event, target)
-    return row
+    """Return a compiled chart; raises ChartError for one that there is not."""
+    chart = _tables().get(name)
+    if chart is None:
+        raise ChartError(f"there is no chart {name}", chart=name)
+    return chart
 
 
 class Machine:
--- a/tests/test_statecharts.py
+++ b/tests/test_statecharts.py
@@ -1,14 +1,18 @@
 """Every transition of every chart, and the table against sismic's interpreter."""
 
+import subprocess
+import sys
+from importlib import resources
 from pathlib import Path
 
 import pytest
 from sismic.interpreter import Interpreter
 from sismic.io import import_from_yaml
 
+from passgate.charts.compiler import compile_chart, compiled_tables, read_statechart
 from passgate.charts.document import stale_pages, write
 from passgate.errors import ChartError, IllegalTransition
-from passgate.statecharts import Machine, chart_names, compile_chart, load_chart, read_statechart
+from passgate.statecharts import Machine, chart_names, load_chart
 
 CASES = [(name, state) for name in chart_names() for state in load_chart(name).table]
 
@@ -138,3 +142,13 @@
     (tmp_path / "lease.md").write_text("changed")
     (tmp_path / "old.md").write_text("left behind")
     assert stale_pages(tmp_path) == ["lease.md", "old.md"]
+
+
+def test_the_committed_tables_are_those_of_the_files():
+    committed = resources.files("passgate.charts").joinpath("tables.json").read_bytes()
+    assert committed == compiled_tables(), "run: python -m passgate.charts.compiler"
+
+
+def test_machines_need_no_sismic():
+    code = "import sys, passgate.statecharts as s; s.Machine('daemon'); sys.exit('sismic' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
