Give free slots to the items of the oldest job first

A chosen slot was not reserved until the item was sent, so two jobs could take the same one (found by the test). Change: items wait in a line by the age of their job, for each model; a chosen slot is reserved at once.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -45,6 +45,7 @@
 from passgate.jobs.records import WriterStopped, decode_batch
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
+from passgate.jobs.waiting import WaitingLine
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import KeyedTail, RecordTail, TailSettings
 from passgate.statecharts import Machine
@@ -113,6 +114,7 @@
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions)
         self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
         self._fold = JobFold()
+        self._waiting = WaitingLine()
         self._jobs_tail = RecordTail(log, TailSettings(topic=topics.jobs, gap_s=0.03), self._apply_jobs)
         self._journal = Journal(
             log,
@@ -187,6 +189,7 @@
             replicas=self.replicas,
             names=self._names,
             decisions=self.decisions,
+            waiting=self._waiting,
             group_replica={},
         )
         return JobRunner(job, self._fold, self._journal, tools)
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -27,6 +27,7 @@
 from passgate.jobs.checkpoint import ItemCheckpoint
 from passgate.jobs.event_stream import EventStream, KeptEvents
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
+from passgate.jobs.waiting import Rank, WaitingLine
 
 ROOM_STEP_S = 0.03
 """Pause between looks for a replica with room."""
@@ -50,6 +51,7 @@
     replicas: ReplicaTable
     names: HeaderNames
     decisions: DecisionLog
+    waiting: WaitingLine
     group_replica: dict[str, str]
     """Group to the replica that read its shared prompt last."""
 
@@ -65,8 +67,11 @@
 class ItemRun:
     """One item while it is run."""
 
-    def __init__(self, job: JobSpec, item: ItemSpec, tools: ItemTools, kept: KeptEvents | None) -> None:
+    def __init__(
+        self, job: JobSpec, item: ItemSpec, tools: ItemTools, kept: KeptEvents | None, rank: Rank
+    ) -> None:
         self.item = item
+        self._rank = rank
         self.began_s = monotonic_s()
         self.attempts = 0
         self._job = job
@@ -86,10 +91,21 @@
         return min(kept.versions) >= self._job.min_version
 
     async def wait_for_replica(self) -> None:
-        """Wait until a replica has room for the item."""
-        while (state := self._choose()) is None:
+        """Wait until a replica has room for the item, and reserve the room.
+
+        The item's rank must have a place in the line.
+        """
+        line, model = self._tools.waiting, self._job.model
+        while not line.is_first(model, self._rank) or (state := self._choose()) is None:
             await asyncio.sleep(ROOM_STEP_S)
         self._state = state
+        state.in_flight += 1
+
+    def release(self) -> None:
+        """Give back a reserved room that was not used."""
+        if self._state is not None:
+            self._state.in_flight -= 1
+            self._state = None
 
     def _wish(self, avoided: str) -> ChoiceRequest:
         return ChoiceRequest(
@@ -110,12 +126,16 @@
     async def result(self) -> Result:
         """Run the item to its end, over as many attempts as it takes."""
         while True:
-            assert self._state is not None
-            result = await self._attempt(self._state)
+            state = self._state
+            assert state is not None
+            self.release()  # the attempt counts itself from here on
+            result = await self._attempt(state)
             if result is not None:
                 return result
             await asyncio.sleep(RETRY_PAUSE_S)
-            await self.wait_for_replica()
+            self._rank = Rank(job_s=self._rank.job_s, fresh=False, number=id(self))
+            with self._tools.waiting.place(self._job.model, self._rank):
+                await self.wait_for_replica()
 
     async def _attempt(self, state: ReplicaState) -> Result | None:
         replica_id = state.info.replica_id
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -16,6 +16,7 @@
 from passgate.jobs.item_run import ItemRun, ItemTools
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState
+from passgate.jobs.waiting import Rank
 
 logger = logging.getLogger("passgate.jobs")
 
@@ -36,6 +37,7 @@
         self._journal = journal
         self._tools = tools
         self._spec: JobSpec = job.spec()
+        self._rank = Rank(job_s=job.folded_s, fresh=True, number=id(self))
         self._running: dict[str, ItemRun] = {}
 
     async def run(self) -> None:
@@ -54,8 +56,9 @@
         async with asyncio.TaskGroup() as tasks:
             checkpoints = tasks.create_task(self._checkpoint_often())
             async with asyncio.TaskGroup() as items:
-                for item in self._in_order():
-                    await self._start(item, items)
+                with self._tools.waiting.place(self._spec.model, self._rank):
+                    for item in self._in_order():
+                        await self._start(item, items)
             checkpoints.cancel()
 
     def _give_up(self) -> None:
@@ -75,21 +78,21 @@
     def _in_order(self) -> list[ItemSpec]:
         """Return the items without a result: those known from earlier jobs first, then the longest."""
         left = [item for item in self._spec.items if item.id not in self._job.listed]
-        return sorted(left, key=self._rank)
+        return sorted(left, key=self._order)
 
-    def _rank(self, item: ItemSpec) -> tuple[int, float]:
+    def _order(self, item: ItemSpec) -> tuple[bool, float]:
         known = item.id in self._fold.kept or item.id in self._fold.finished
-        return (0 if known else 1, -self._tools.expected_tokens(item))
+        return (not known, -self._tools.expected_tokens(item))
 
     async def _start(self, item: ItemSpec, items: asyncio.TaskGroup) -> None:
         earlier = self._fold.finished.get(item.id)
         if earlier is not None and self._fits(earlier):
             self._list(earlier, attempts=0, began_s=monotonic_s())
             return
-        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id))
+        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), self._rank)
         await run.wait_for_replica()
-        items.create_task(self._run_item(run))
-        await asyncio.sleep(0)  # the task sends at once, so that the next choice sees its load
+        task = items.create_task(self._run_item(run))
+        task.add_done_callback(lambda _: run.release())
 
     def _fits(self, result: Result) -> bool:
         if result.state is not ResultState.SUCCEEDED or not result.versions:
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -299,6 +299,18 @@
     assert any(run.last_event_id for run in runs)
 
 
+@in_world
+async def test_an_older_job_gets_free_slots_before_a_newer_one(world):
+    replica = world.replica("i-1", "llm", models={"m": 1}.items(), slots=1, event_s=0.02)
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    assert (await world.submit([f"old{number}" for number in range(4)], "job1")).status == 202
+    assert (await world.submit([f"new{number}" for number in range(4)], "job2")).status == 202
+    await world.all_results("job2", timeout_s=20.0)
+    order = [run.request_id[:3] for run in replica.runs]
+    assert order == ["old"] * 4 + ["new"] * 4
+
+
 @in_world
 async def test_an_item_made_by_too_old_weights_is_not_listed(world):
     old = world.replica("i-1", "llm", models={"m": 1}.items())
