--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -129,11 +129,7 @@
         after = ""
         while True:
             path = f"{names.NEWEST_PATH}?topic={quote(topic)}&part={part}"
-            answer = await self._read(
-                path + (f"&afterRev={quote(after, safe='')}" if after else ""), CALL_TIMEOUT_S
-            )
-            if answer.status == THROTTLED:
-                raise LogThrottled("too many reads")
+            answer = await self._read_page(path + (f"&afterRev={quote(after, safe='')}" if after else ""))
             if answer.status != OK:
                 raise LogUnavailable(f"read refused with {answer.status}", status=answer.status)
             page = msgspec.json.decode(answer.body, type=_NewestPage)
