Move a long output once to a somewhat faster replica

Change: an output that has reached 30 events moves once to a replica with room that takes at most 0.83 of the time per event.

--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -156,13 +156,15 @@
             score -= 0.15
         return score
 
-    def has_much_faster(self, replica_id: str, request: ChoiceRequest, now_s: float) -> bool:
-        """Whether a replica that fits a request is much faster than the one it is at."""
+    def has_faster(
+        self, replica_id: str, request: ChoiceRequest, now_s: float, share: float = MUCH_FASTER
+    ) -> bool:
+        """Whether a replica that fits takes at most ``share`` of the time of the one a request is at."""
         state = self._states.get(replica_id)
         other = self.choose(request, now_s)
         if state is None or other is None:
             return False
-        return other.recent_latency_s(now_s) < MUCH_FASTER * state.recent_latency_s(now_s)
+        return other.recent_latency_s(now_s) < share * state.recent_latency_s(now_s)
 
     def observe_latency(self, replica_id: str, latency_s: float, now_s: float) -> None:
         """Count how long a replica took for a request, or has already taken at least."""
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -140,7 +140,7 @@
         wish = ChoiceRequest(
             services=frozenset({stream.service}), excluded=frozenset(stream.tried), room_only=True
         )
-        return self._replicas.has_much_faster(exchange.replica_id, wish, monotonic_s())
+        return self._replicas.has_faster(exchange.replica_id, wish, monotonic_s())
 
     def _patience_s(self, stream: Forwarding) -> float:
         left_s = max(stream.limit_s - monotonic_s(), 0.0)
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -36,6 +36,10 @@
 """A stream silent for this long is given up and taken up elsewhere."""
 MIN_EVENTS_HERE = 4
 """Events between two looks for a much faster replica."""
+LONG_EVENTS = 30
+"""Outputs with this many events decide when a step is whole, and are likely to have many more."""
+LONG_SHARE = 0.83
+"""A long output moves once, to a replica that takes at most this share of the time."""
 RETRY_PAUSE_S = 0.02
 ITEM_DEADLINE_S = 30.0
 """Time for which a replica may work on one attempt."""
@@ -82,6 +86,7 @@
             self._stream.resume(usable)
         self.checkpoint = ItemCheckpoint(job.job_id, item.id, self._stream, usable)
         self._failures = 0
+        self._moved_as_long = False
         self._avoided = ""
         self._state: ReplicaState | None = None
 
@@ -197,8 +202,13 @@
         """Leave a replica that is much slower than another one with room."""
         if events_here < MIN_EVENTS_HERE or events_here % MIN_EVENTS_HERE:
             return
-        if self._tools.replicas.has_much_faster(exchange.replica_id, self._wish(exchange.replica_id), now_s):
+        wish = self._wish(exchange.replica_id)
+        if self._tools.replicas.has_faster(exchange.replica_id, wish, now_s):
             raise MovedElsewhere("another replica is much faster")
+        is_long = self._stream.count >= LONG_EVENTS and not self._moved_as_long
+        if is_long and self._tools.replicas.has_faster(exchange.replica_id, wish, now_s, LONG_SHARE):
+            self._moved_as_long = True
+            raise MovedElsewhere("another replica is faster for a long output")
 
     def _request(self) -> ReplicaRequest:
         headers = list(self.item.headers.items())
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -6,12 +6,14 @@
 import pathlib
 import socket
 import tempfile
+import unittest.mock
 
 import pytest
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.errors import PassgateError
 from passgate.gateway.daemon import make_http_client
+from passgate.jobs import item_run
 from passgate.platform.__main__ import make_daemon
 from passgate.platform.front import Front
 from passgate.platform.log_client import PlatformLog
@@ -545,3 +547,19 @@
     calls = world.log.calls
     assert len((await reading).records) == 1200
     assert world.log.calls - calls <= 4
+
+
+@in_world
+async def test_a_long_output_moves_once_to_a_replica_that_is_somewhat_faster(world):
+    slower = world.replica("i-1", "llm", models={"m": 1}.items(), event_s=0.09)
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    item_id = next(f"item{n}" for n in range(99) if stand_ins.event_count(f"item{n}") >= 13)
+    with unittest.mock.patch.object(item_run, "LONG_EVENTS", 4):
+        await world.submit([item_id])
+        await world.until(lambda: slower.runs)
+        faster = world.replica("i-2", "llm", models={"m": 1}.items(), event_s=0.06)
+        (row,) = await world.all_results("job1")
+    assert row["text"] == stand_ins.whole_text(item_id)
+    assert len(slower.runs) == 1
+    assert [run.whole for run in faster.runs] == [True]
