Begin no request once a planned stop closes its connections

Change: from the moment at which nothing is in flight, new requests are refused as not run; the stop waits 3.0 s instead of 2.6 s for the platform to send nobody any more.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -56,7 +56,7 @@
 MAX_BUFFERED_BYTES = 32 * 1024
 WATCH_S = 0.1
 FLUSH_S = 0.2
-NOTICE_S = 2.6
+NOTICE_S = 3.0
 """Time after SIGTERM within which the platform still sends new connections."""
 RELEASE_WAIT_S = 5.0
 """Longest time after SIGTERM for which the log is waited for to hand over jobs."""
@@ -297,8 +297,10 @@
             handed_over = released.done() or waited_s >= RELEASE_WAIT_S
             if handed_over and self._front.in_flight == 0 and waited_s >= NOTICE_S:
                 break
-        self.life.send("finished")
+        # From here on nothing is begun: what arrives while connections are closed is refused.
+        self._front.refuse_new()
         self._front.stop_listening()
+        self.life.send("finished")
         after_s = round(monotonic_s() - began_s, 3)
         self.decisions.write(DaemonStopped(in_flight=self._front.in_flight, after_s=after_s))
         with contextlib.suppress(TimeoutError):
--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -24,7 +24,7 @@
 from tornado.iostream import StreamClosedError
 
 from passgate.clock import monotonic_s
-from passgate.errors import ExecutionStatus, NotReady, PassgateError
+from passgate.errors import Draining, ExecutionStatus, NotReady, PassgateError
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_answer
 
 logger = logging.getLogger("passgate.gateway")
@@ -47,6 +47,7 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
+        self._refusing = False
         self._server = HTTPServer(self, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES)
 
     def listen(self, address: str) -> None:
@@ -69,6 +70,10 @@
         """Let each connection end with its next answer."""
         self._server.conn_params.no_keep_alive = True
 
+    def refuse_new(self) -> None:
+        """Answer every further request as not run, so that none is begun that would be cut off."""
+        self._refusing = True
+
     def stop_listening(self) -> None:
         """Take no further connections."""
         self._server.stop()
@@ -90,6 +95,8 @@
 
     async def _answer(self, request: IncomingRequest, connection: HTTPConnection) -> None:
         try:
+            if self._refusing:
+                raise Draining("the daemon ends", execution=ExecutionStatus.NOT_RUN)
             answer = await self._handler(request)
         except PassgateError as error:
             answer = error_answer(error)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -12,6 +12,7 @@
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.errors import PassgateError
+from passgate.gateway import daemon as daemon_module
 from passgate.gateway.daemon import make_http_client
 from passgate.jobs import item_run
 from passgate.platform.__main__ import make_daemon
@@ -563,3 +564,44 @@
     assert row["text"] == stand_ins.whole_text(item_id)
     assert len(slower.runs) == 1
     assert [run.whole for run in faster.runs] == [True]
+
+
+@in_world
+async def test_the_end_of_a_planned_stop_cuts_no_request_that_a_replica_has(world):
+    app = world.replica("i-1", "app", work_s=0.03)
+    world.configure(1, stand_ins.safe_route(maxAttempts=1))
+    await world.start()
+    statuses = {}
+
+    async def call_on(number):
+        for step in range(400):
+            request_id = f"r{number}-{step}"
+            try:
+                statuses[request_id] = (
+                    await world.call("POST", "/call/x", b"", request_id=request_id)
+                ).status
+            except PassgateError:
+                statuses[request_id] = None
+                if world.task.done():
+                    return
+
+    with unittest.mock.patch.object(daemon_module, "NOTICE_S", 0.3):
+        callers = [asyncio.create_task(call_on(number)) for number in range(8)]
+        await asyncio.sleep(0.2)
+        world.daemon.stop()
+        await asyncio.gather(*callers)
+        await world.task
+    world.task = None
+    cut = [run.request_id for run in app.runs if statuses[run.request_id] != 200]
+    assert cut == []
+    assert set(statuses.values()) <= {200, 503, None}
+
+
+@in_world
+async def test_a_request_that_arrives_at_the_very_end_is_refused_as_not_run(world):
+    app = world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route())
+    await world.start()
+    world.daemon._front.refuse_new()
+    answer = await world.call("POST", "/call/x", b"")
+    assert (answer.status, app.runs) == (503, [])
