Join the two followers of the log and remove what nothing calls

Cause: read again after the work: RecordTail and KeyedTail held the same loop of pauses, refusals and freshness (one ignored the setting 'urgent'); the runner saved events in two loops; ReplicaTable.replace_all and of_service and Freshness._was_behind had no caller. Change: a common follower with two hooks; JobRunner.save takes the least age; dead code removed.

--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
 
 import msgspec
 
@@ -109,22 +108,10 @@
         self._states.pop(replica_id, None)
         self.health.succeeded(replica_id)
 
-    def replace_all(self, infos: Iterable[ReplicaInfo]) -> None:
-        """Take a whole list from discovery."""
-        listed = {info.replica_id: info for info in infos}
-        for replica_id in self._states.keys() - listed.keys():
-            self.remove(replica_id)
-        for info in listed.values():
-            self.put(info)
-
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return a replica, or None."""
         return self._states.get(replica_id)
 
-    def of_service(self, service: str) -> list[ReplicaState]:
-        """Return the replicas of a service, draining ones too."""
-        return [state for state in self._states.values() if state.info.service == service]
-
     def all(self) -> list[ReplicaState]:
         """Return all replicas."""
         return list(self._states.values())
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -68,11 +68,11 @@
                 dead = Result(item_id=item.id, state=ResultState.DEAD)
                 self._list(dead, attempts=0, began_s=self._job.folded_s)
 
-    def save(self) -> None:
-        """Record the events of all running items now."""
+    def save(self, min_age_s: float = 0.0) -> None:
+        """Record the events of the items that run for at least ``min_age_s``."""
+        now_s = monotonic_s()
         for run in self._running.values():
-            entry = run.checkpoint.entry()
-            if entry is not None:
+            if now_s - run.began_s >= min_age_s and (entry := run.checkpoint.entry()) is not None:
                 self._journal.put(entry)
 
     def _in_order(self) -> list[ItemSpec]:
@@ -110,12 +110,7 @@
     async def _checkpoint_often(self) -> None:
         while True:
             await asyncio.sleep(CHECKPOINT_S)
-            now_s = monotonic_s()
-            for run in self._running.values():
-                if now_s - run.began_s >= CHECKPOINT_AGE_S:
-                    entry = run.checkpoint.entry()
-                    if entry is not None:
-                        self._journal.put(entry)
+            self.save(CHECKPOINT_AGE_S)
 
     def _list(self, result: Result, attempts: int, began_s: float) -> None:
         self._journal.put(ItemsDone(job_id=self._spec.job_id, results=(result,)))
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -35,6 +35,8 @@
 URGENT_PAUSE_S = 0.3
 """Pause after a throttled read of what must be known at once."""
 NEVER_S = float("-inf")
+EMPTY_PAGE_AGE_S = 0.1
+"""How old an empty page may be when it arrives."""
 BEHIND_S = 2.5
 """Without a confirmed read for this long, a follower counts as behind."""
 
@@ -84,7 +86,6 @@
 
     def __init__(self) -> None:
         self._confirmed_s = NEVER_S
-        self._was_behind = True
         self.recovered_s = NEVER_S
         """When reading began to work again after the last time of being behind."""
 
@@ -99,20 +100,15 @@
         return now_s - self._confirmed_s
 
 
-class RecordTail:
-    """Follows one partition from its first kept record; hands each page to ``apply`` in order."""
+class _Follower:
+    """Reads again and again; pauses after failures and refusals, and knows how fresh it is."""
 
-    def __init__(self, log: SharedLog, settings: TailSettings, apply: Callable[[LogPage], None]) -> None:
+    def __init__(self, log: SharedLog, settings: TailSettings) -> None:
         self._log = log
         self._settings = settings
-        self._apply = apply
-        self._advanced = asyncio.Event()
         self._pause_s = FIRST_PAUSE_S
         self._pace = ReadPace(settings.gap_s)
-        self.next_offset = 0
         self.freshness = Freshness()
-        self.caught_up = False
-        """Whether the end was reached once."""
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -123,26 +119,59 @@
                 self._pace.succeeded()
                 await asyncio.sleep(self._pace.gap_s)
             except HistoryGone as error:
-                self.next_offset = error.first
+                self._skip_lost_history(error.first)
             except LogThrottled:
-                self._pace.throttled()
-                await asyncio.sleep(self._pace.gap_s)
+                await asyncio.sleep(self._throttled_s())
             except LogError as error:
                 logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2.0, MAX_PAUSE_S)
 
+    async def _read_once(self) -> None:
+        raise NotImplementedError
+
+    def _skip_lost_history(self, first: int) -> None:
+        raise NotImplementedError
+
+    def _throttled_s(self) -> float:
+        if self._settings.urgent:
+            return URGENT_PAUSE_S
+        self._pace.throttled()
+        return self._pace.gap_s
+
+    async def _read(self, start: int, wait_s: float) -> LogPage:
+        return await self._log.read(self._settings.topic, self._settings.part, start, wait_s=wait_s)
+
+    def _confirm_end(self, page: LogPage, began_s: float) -> bool:
+        """Note whether a page reached the end of the partition; return whether it did."""
+        if page.next_offset < page.end:
+            return False
+        # An empty page was the truth when its wait ended, a page with records when it was made.
+        at_s = began_s if page.records else max(began_s, monotonic_s() - EMPTY_PAGE_AGE_S)
+        self.freshness.confirmed(at_s)
+        return True
+
+
+class RecordTail(_Follower):
+    """Follows one partition from its first kept record; hands each page to ``apply`` in order."""
+
+    def __init__(self, log: SharedLog, settings: TailSettings, apply: Callable[[LogPage], None]) -> None:
+        super().__init__(log, settings)
+        self._apply = apply
+        self._advanced = asyncio.Event()
+        self.next_offset = 0
+        self.caught_up = False
+        """Whether the end was reached once."""
+
     async def _read_once(self) -> None:
         began_s = monotonic_s()
-        wait_s = self._settings.wait_s if self.caught_up else 0.0
-        page = await self._log.read(
-            self._settings.topic, self._settings.part, self.next_offset, wait_s=wait_s
-        )
+        page = await self._read(self.next_offset, self._settings.wait_s if self.caught_up else 0.0)
         self._take(page)
-        if page.next_offset >= page.end:
+        if self._confirm_end(page, began_s):
             self.caught_up = True
-            # An empty page was the truth when its wait ended, a page with records when it was made.
-            self.freshness.confirmed(began_s if page.records else max(began_s, monotonic_s() - 0.1))
+
+    def _skip_lost_history(self, first: int) -> None:
+        self.next_offset = first
 
     def _take(self, page: LogPage) -> None:
         if page.records and page.start == self.next_offset:
@@ -170,11 +199,7 @@
         Asks the log anew, since a waiting long poll proves nothing.
         """
         try:
-            page = await self._log.read(
-                self._settings.topic, self._settings.part, self.next_offset, wait_s=0.0
-            )
-        except HistoryGone:
-            return False
+            page = await self._read(self.next_offset, 0.0)
         except LogError:
             return False
         self._take(page)
@@ -183,7 +208,7 @@
         return await self.wait_past(page.end - 1, timeout_s)
 
 
-class KeyedTail:
+class KeyedTail(_Follower):
     """Follows a keyed topic: the newest value of each key, then every change of it.
 
     ``replace`` gets all records and the offset at which changes begin, ``update``
@@ -198,46 +223,30 @@
         replace: Callable[[tuple[KeyedRecord, ...], int], None],
         update: Callable[[tuple[KeyedRecord, ...], int], None],
     ) -> None:
-        self._log = log
-        self._settings = settings
+        super().__init__(log, settings)
         self._replace = replace
         self._update = update
         self._next_offset: int | None = None
-        self._pause_s = FIRST_PAUSE_S
-        self._pace = ReadPace(settings.gap_s)
-        self.freshness = Freshness()
+        self._reload = True
 
     @property
     def loaded(self) -> bool:
         """Whether a snapshot was read."""
         return self._next_offset is not None
 
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        reload = True
-        while True:
-            try:
-                if reload:
-                    await self._load()
-                    reload = False
-                await self._read_once()
-                self._pause_s = FIRST_PAUSE_S
-                self._pace.succeeded()
-                await asyncio.sleep(self._pace.gap_s)
-            except HistoryGone:
-                reload = True
-            except LogThrottled:
-                await asyncio.sleep(self._throttled_s())
-            except LogError as error:
-                logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
-                await asyncio.sleep(self._pause_s)
-                self._pause_s = min(self._pause_s * 2.0, MAX_PAUSE_S)
+    async def _read_once(self) -> None:
+        if self._reload:
+            await self._load()
+            self._reload = False
+        began_s = monotonic_s()
+        page = await self._read(self._next_offset or 0, self._settings.wait_s)
+        if page.records and page.start == self._next_offset:
+            self._update(tuple(self._log.decode_keyed(record) for record in page.records), page.start)
+            self._next_offset = page.next_offset
+        self._confirm_end(page, began_s)
 
-    def _throttled_s(self) -> float:
-        if self._settings.urgent:
-            return URGENT_PAUSE_S
-        self._pace.throttled()
-        return self._pace.gap_s
+    def _skip_lost_history(self, first: int) -> None:
+        self._reload = True
 
     async def _load(self) -> None:
         began_s = monotonic_s()
@@ -245,14 +254,3 @@
         self._replace(snapshot.records, snapshot.next_offset)
         self._next_offset = snapshot.next_offset
         self.freshness.confirmed(began_s)
-
-    async def _read_once(self) -> None:
-        began_s = monotonic_s()
-        page = await self._log.read(
-            self._settings.topic, self._settings.part, self._next_offset or 0, wait_s=self._settings.wait_s
-        )
-        if page.records and page.start == self._next_offset:
-            self._update(tuple(self._log.decode_keyed(record) for record in page.records), page.start)
-            self._next_offset = page.next_offset
-        if page.next_offset >= page.end:
-            self.freshness.confirmed(began_s if page.records else max(began_s, monotonic_s() - 0.1))
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -109,9 +109,6 @@
 class Loader:
     """Loads what is wanted, while this daemon leads."""
 
-    lag: dict[str, int]
-    """Model to how many versions behind the newest its last job allowed."""
-
     def __init__(
         self,
         wanted: WantedVersions,
@@ -127,7 +124,8 @@
         self._control = control
         self._holder = holder
         self._decisions = decisions
-        self.lag = {}
+        self.lag: dict[str, int] = {}
+        """Model to how many versions behind the newest its last job allowed."""
         self._loading: dict[str, asyncio.Task[None]] = {}
         self._retry_at_s: dict[str, float] = {}
 
