Let models take turns at loading their weights

Cause: on the grown deployments (three trainers on 23 replicas) the leader loaded one model to its end before the next, two replicas at a time, and every replica behind the allowed lag had to load. Ruled out: slots (25 % in use), the log (jobs accepted in 20 ms), the owners' processors. Change: versions/load_plan.py plans loads as a pure decision. Models take turns by the share of their current replicas; each version is loaded by its model's share, two shares are current at a time where the trainer allows the version before; a larger job gets as many replicas as it has items. 0.4 of a service's replicas load at once, fewer when that makes loads longer. Test: tests/test_versions_load_plan.py; the old choice gave one model all places of a round.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -174,7 +174,7 @@
             job = self._fold.jobs[job_id]
             newest = self.wanted.versions.get(job.model, 0)
             if self._fold.newest_job.get(job.model) == job_id and not job.results and newest:
-                self._loader.lag[job.model] = max(newest - job.min_version, 0)
+                self._loader.note_job(job.model, max(newest - job.min_version, 0), job.total)
         self._fold.changed_jobs.clear()
 
     def _make_runner(self, job: JobState) -> JobRunner | None:
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -17,15 +17,14 @@
 from passgate.errors import PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.versions.leadership import Leadership
+from passgate.versions.load_plan import LoadChoice, LoadLimit, ModelNeed, plan_loads
 
 TICK_S = 0.05
-LOADS_AT_ONCE = 2
-"""Replicas of one service that load at the same time; more would make each slower."""
 LOAD_TIMEOUT_S = 6.0
 """Time after which an order that shows no effect is looked into again."""
 TAKEN = frozenset({200, 202})
 """Statuses of an order that is being carried out or already holds."""
-POLL_S = 0.25
+POLL_S = 0.1
 RETRY_S = 0.5
 
 
@@ -61,35 +60,20 @@
         ...
 
 
-class LoadChoice(msgspec.Struct, frozen=True, kw_only=True):
-    """A load that is wanted."""
+class NewestJob(msgspec.Struct, frozen=True, kw_only=True):
+    """What the newest job of a model tells of the weights it needs."""
+
+    lag: int = 0
+    """How many versions behind the newest it allows."""
+    items: int = 0
+
+
+class RunningLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """A load under way."""
 
-    state: ReplicaState
     model: str
-    needed: bool
-    """Whether the replica can serve no new job of the model without it."""
-
-
-def choose_loads(
-    model: str, version: int, lag: int, holders: list[ReplicaState], now_s: float
-) -> list[LoadChoice]:
-    """Return the loads of one model that are wanted.
-
-    Replicas more than ``lag`` versions behind must load.  Beyond these, enough load so
-    that the model's share of the replicas holds the newest version: all of them when
-    the model has them alone, half of them when two models share them.  So each named
-    version costs about one model's share of loads, and the others load with the next.
-    """
-    needed = [state for state in holders if state.version_of(model) < version - lag]
-    newest = [state for state in holders if state.version_of(model) >= version]
-    wanted = sum(1.0 / max(len(state.info.model_versions), 1) for state in holders)
-    spare = int(wanted) - len(newest) - len(needed)
-    others = [state for state in holders if version - lag <= state.version_of(model) < version]
-    others.sort(key=lambda state: (state.version_of(model), state.load(now_s)))
-    needed.sort(key=lambda state: (state.version_of(model), state.load(now_s)))
-    return [LoadChoice(state=state, model=model, needed=True) for state in needed] + [
-        LoadChoice(state=state, model=model, needed=False) for state in others[: max(spare, 0)]
-    ]
+    service: str
+    task: asyncio.Task[None]
 
 
 class WantedVersions:
@@ -124,9 +108,10 @@
         self._control = control
         self._holder = holder
         self._decisions = decisions
-        self.lag: dict[str, int] = {}
-        """Model to how many versions behind the newest its last job allowed."""
-        self._loading: dict[str, asyncio.Task[None]] = {}
+        self._jobs: dict[str, NewestJob] = {}
+        self._loading: dict[str, RunningLoad] = {}
+        """Replica to its load."""
+        self._limits: dict[str, LoadLimit] = {}
         self._retry_at_s: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -136,41 +121,53 @@
                 self.tick()
                 await asyncio.sleep(TICK_S)
         finally:
-            for task in self._loading.values():
-                task.cancel()
+            for load in self._loading.values():
+                load.task.cancel()
+
+    def note_job(self, model: str, lag: int, items: int) -> None:
+        """Learn from a model's newest job how old its weights may be and how many items run at once."""
+        self._jobs[model] = NewestJob(lag=lag, items=items)
 
     def tick(self) -> None:
         """Start loads where versions are missing and there is room for a load."""
-        self._loading = {key: task for key, task in self._loading.items() if not task.done()}
+        self._loading = {key: load for key, load in self._loading.items() if not load.task.done()}
         if not self._leadership.may_order():
             return
         now_s = monotonic_s()
         for choice in self._choices(now_s):
-            state = choice.state
-            if self._loads_in(state.info.service) >= LOADS_AT_ONCE or state.info.replica_id in self._loading:
-                continue
-            task = asyncio.get_running_loop().create_task(self._load(state, choice.model))
-            self._loading[state.info.replica_id] = task
+            service = choice.state.info.service
+            if self._loads_in(service) < self._limit(service).allowed(self._replicas_of(service)):
+                self._start(choice)
+
+    def _start(self, choice: LoadChoice) -> None:
+        task = asyncio.get_running_loop().create_task(self._load(choice.state, choice.model))
+        self._loading[choice.state.info.replica_id] = RunningLoad(
+            model=choice.model, service=choice.state.info.service, task=task
+        )
 
     def _choices(self, now_s: float) -> list[LoadChoice]:
         """Return the loads that are wanted now, the most urgent first."""
-        choices: list[LoadChoice] = []
-        for model, version in self._wanted.versions.items():
-            holders = [
-                state
-                for state in self._replicas.all()
-                if model in state.info.model_versions and not state.info.draining
-            ]
-            choices += choose_loads(model, version, self.lag.get(model, 0), holders, now_s)
-        choices.sort(key=lambda choice: not choice.needed)
-        return [choice for choice in choices if self._may_load(choice.state, now_s)]
+        needs = [
+            ModelNeed(model=model, version=version, lag=job.lag, items=job.items)
+            for model, version in self._wanted.versions.items()
+            for job in [self._jobs.get(model, NewestJob())]
+        ]
+        return plan_loads(
+            needs,
+            [state for state in self._replicas.all() if not state.info.draining],
+            loading={replica_id: load.model for replica_id, load in self._loading.items()},
+            waiting={replica_id for replica_id, at_s in self._retry_at_s.items() if now_s < at_s},
+            now_s=now_s,
+        )
+
+    def _limit(self, service: str) -> LoadLimit:
+        return self._limits.setdefault(service, LoadLimit())
 
     def _loads_in(self, service: str) -> int:
-        states = (self._replicas.get(replica_id) for replica_id in self._loading)
-        return sum(1 for state in states if state is not None and state.info.service == service)
+        return sum(1 for load in self._loading.values() if load.service == service)
 
-    def _may_load(self, state: ReplicaState, now_s: float) -> bool:
-        return now_s >= self._retry_at_s.get(state.info.replica_id, 0.0)
+    def _replicas_of(self, service: str) -> int:
+        return sum(1 for state in self._replicas.all() if state.info.service == service)
 
     async def _load(self, state: ReplicaState, model: str) -> None:
         replica_id = state.info.replica_id
@@ -221,9 +218,12 @@
             )
 
     async def _wait_until_loaded(self, state: ReplicaState, model: str) -> None:
-        until_s = monotonic_s() + LOAD_TIMEOUT_S
+        began_s = monotonic_s()
         target = self._wanted.versions[model]
-        while monotonic_s() < until_s and state.version_of(model) < target:
+        while monotonic_s() < began_s + LOAD_TIMEOUT_S:
             await asyncio.sleep(POLL_S)
             if self._replicas.get(state.info.replica_id) is not state:
                 return
+            if state.version_of(model) >= target:
+                self._limit(state.info.service).observe(monotonic_s() - began_s)
+                return
