--- a/passgate/check/simulation/process.py
+++ b/passgate/check/simulation/process.py
@@ -14,7 +14,7 @@
 
 from passgate.emulator.world import EmulatedWorld
 from passgate.interfaces import AppClient, EngineClient, LogBatch, LogClient, MachineList
-from passgate.membership.memory_transport import MemoryNetwork, MemoryTransport
+from passgate.peers.memory_transport import MemoryNetwork, MemoryTransport
 from passgate.schema import (
     AppRequest,
     AppResponse,
--- a/passgate/check/simulation/run.py
+++ b/passgate/check/simulation/run.py
@@ -33,7 +33,7 @@
 from passgate.emulator.trainer import Trainer
 from passgate.emulator.world import SERVICE_LABEL, EmulatedWorld
 from passgate.errors import PassgateError
-from passgate.membership.memory_transport import LinkDelays, MemoryNetwork
+from passgate.peers.memory_transport import LinkDelays, MemoryNetwork
 from passgate.schema import MachineInfo, MachineRole, MachineState
 from passgate.state.configuration import ConfigurationService
 from passgate.state.specs import ModelVersionSpec, PoolSpec
--- a/passgate/lab/control_cluster.py
+++ b/passgate/lab/control_cluster.py
@@ -29,8 +29,8 @@
 from passgate.membership.agent import MembershipAgent
 from passgate.membership.config import MembershipConfig
 from passgate.membership.configuration_sync import ConfigurationSync
-from passgate.membership.memory_transport import MemoryNetwork
 from passgate.membership.messages import MemberInfo
+from passgate.peers.memory_transport import MemoryNetwork
 from passgate.state.configuration import ConfigurationService
 from passgate.state.memory_log import MemoryLog, MemoryLogClient
 
--- a/passgate/lab/control_cost.py
+++ b/passgate/lab/control_cost.py
@@ -12,7 +12,7 @@
 from passgate.clock import monotonic_s
 from passgate.lab.control_cluster import ClusterShape, HollowCluster, HollowDaemon
 from passgate.lab.control_records import ControlCost, FittedSlope
-from passgate.membership.transport import TrafficCounters
+from passgate.peers.transport import TrafficCounters
 from passgate.schema import MachineRole
 from passgate.state.configuration import PoolSpec
 
--- a/passgate/lab/control_sockets.py
+++ b/passgate/lab/control_sockets.py
@@ -14,7 +14,7 @@
 from passgate.membership.agent import MembershipAgent
 from passgate.membership.configuration_sync import ConfigurationSync
 from passgate.membership.messages import MemberInfo
-from passgate.membership.peer_transport import TcpPeerTransport
+from passgate.peers.peer_transport import TcpPeerTransport
 from passgate.state.configuration import ConfigurationService
 from passgate.state.memory_log import MemoryLog, MemoryLogClient
 
--- a/passgate/lab/virtual_run.py
+++ b/passgate/lab/virtual_run.py
@@ -29,7 +29,7 @@
 from passgate.lab.fault_sets import find_faults
 from passgate.lab.measures import LatencySummary, RunMeasures, SeriesPoint
 from passgate.lab.scenario import PolicyChoice, Scenario, find_policy, load_scenario, scenario_parameters
-from passgate.membership.memory_transport import LinkDelays, MemoryNetwork
+from passgate.peers.memory_transport import LinkDelays, MemoryNetwork
 from passgate.rollout.types import RolloutSettings
 from passgate.schema import MachineInfo, MachineRole
 from passgate.server.rollouts import RolloutService
--- a/passgate/membership/agent.py
+++ b/passgate/membership/agent.py
@@ -26,7 +26,7 @@
     encode_message,
 )
 from passgate.membership.swim import Swim
-from passgate.membership.transport import PeerTransport
+from passgate.peers.transport import PeerTransport
 
 MINIMUM_WAIT_S = 0.005
 """Shortest wait between two ticks, so that a due time in the past can not spin."""
--- a/passgate/membership/calls.py
+++ b/passgate/peers/calls.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from passgate.errors import PassgateError, PeerCallFailed, PeerError, PeerTimeout
-from passgate.membership.frames import (
+from passgate.peers.frames import (
     MAXIMUM_PAYLOAD_BYTES,
     CallFailure,
     CallReply,
     CallRequest,
 )
-from passgate.membership.transport import CallHandler
+from passgate.peers.transport import CallHandler
 
 
 class OpenCall(msgspec.Struct):
--- a/passgate/membership/memory_transport.py
+++ b/passgate/peers/memory_transport.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from passgate.errors import PeerConnectionLost
-from passgate.membership.calls import CallTable, answer_call, check_payload
-from passgate.membership.frames import (
+from passgate.peers.calls import CallTable, answer_call, check_payload
+from passgate.peers.frames import (
     PROTOCOL_VERSION,
     CallFailure,
     CallReply,
@@ -26,7 +26,7 @@
     OneWay,
     encode_frame,
 )
-from passgate.membership.transport import CallHandler, MessageHandler, TrafficCounters
+from passgate.peers.transport import CallHandler, MessageHandler, TrafficCounters
 
 CONNECTIONS_MAXIMUM = 128
 """Connections that a hollow peer is taken to keep open, as the TCP transport does."""
--- a/passgate/membership/peer_connection.py
+++ b/passgate/peers/peer_connection.py
@@ -20,7 +20,7 @@
     PeerMalformedFrame,
     PeerUnreachable,
 )
-from passgate.membership.frames import (
+from passgate.peers.frames import (
     PROTOCOL_VERSION,
     Frame,
     FrameDecoder,
@@ -29,7 +29,7 @@
     Proof,
     encode_frame,
 )
-from passgate.membership.transport import TrafficCounters
+from passgate.peers.transport import TrafficCounters
 
 HANDSHAKE_TIMEOUT_S = 5.0
 READ_CHUNK_BYTES = 65536
--- a/passgate/membership/peer_transport.py
+++ b/passgate/peers/peer_transport.py
@@ -18,8 +18,8 @@
 from tornado.tcpserver import TCPServer
 
 from passgate.errors import Overloaded, PeerConnectionLost, PeerUnreachable
-from passgate.membership.calls import CallTable, OpenCall, answer_call, check_payload
-from passgate.membership.frames import (
+from passgate.peers.calls import CallTable, OpenCall, answer_call, check_payload
+from passgate.peers.frames import (
     MAXIMUM_FRAME_BYTES,
     PROTOCOL_VERSION,
     CallFailure,
@@ -29,8 +29,8 @@
     Hello,
     OneWay,
 )
-from passgate.membership.peer_connection import ACCEPTING, CONNECTING, PeerConnection
-from passgate.membership.transport import CallHandler, MessageHandler, TrafficCounters
+from passgate.peers.peer_connection import ACCEPTING, CONNECTING, PeerConnection
+from passgate.peers.transport import CallHandler, MessageHandler, TrafficCounters
 
 CONNECTIONS_MAXIMUM = 128
 
--- a/passgate/membership/transport.py
+++ b/passgate/peers/transport.py
@@ -1,7 +1,7 @@
 """The interface of peer transports: one-way messages and calls between daemons.
 
-Implementations: :class:`~passgate.membership.peer_transport.TcpPeerTransport`
-over sockets and :class:`~passgate.membership.memory_transport.MemoryTransport`
+Implementations: :class:`~passgate.peers.peer_transport.TcpPeerTransport`
+over sockets and :class:`~passgate.peers.memory_transport.MemoryTransport`
 in virtual time.
 """
 
--- a/passgate/server/parts.py
+++ b/passgate/server/parts.py
@@ -17,8 +17,8 @@
 from passgate.interfaces import AppClient, EngineClient, LogClient, MachineList, WeightStore
 from passgate.membership.agent import MembershipAgent
 from passgate.membership.messages import MemberInfo, MemberState
-from passgate.membership.peer_transport import TcpPeerTransport
-from passgate.membership.transport import PeerTransport
+from passgate.peers.peer_transport import TcpPeerTransport
+from passgate.peers.transport import PeerTransport
 from passgate.routing.dispatcher import Dispatcher
 from passgate.routing.policies import POLICIES
 from passgate.routing.replica_directory import ReplicaDirectory
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -150,7 +150,7 @@
     """Daemons that share a log and a network in memory."""
 
     def __init__(self):
-        from passgate.membership.memory_transport import MemoryNetwork
+        from passgate.peers.memory_transport import MemoryNetwork
         from passgate.state.memory_log import MemoryLog
 
         self.log = MemoryLog()
--- a/tests/test_membership_schedules.py
+++ b/tests/test_membership_schedules.py
@@ -9,8 +9,8 @@
 
 from passgate.clock import new_virtual_loop
 from passgate.membership.agent import MembershipAgent
-from passgate.membership.memory_transport import MemoryNetwork
 from passgate.membership.messages import MemberInfo, MemberState
+from passgate.peers.memory_transport import MemoryNetwork
 
 DAEMONS = 4
 CONVERGE_S = 60
--- a/tests/test_peer_transport.py
+++ b/tests/test_peer_transport.py
@@ -14,16 +14,16 @@
     PeerTimeout,
     PeerUnreachable,
 )
-from passgate.membership.frames import (
+from passgate.peers.frames import (
     MAXIMUM_FRAME_BYTES,
     PROTOCOL_VERSION,
     Hello,
     Proof,
     encode_frame,
 )
-from passgate.membership.memory_transport import MemoryNetwork
-from passgate.membership.peer_connection import CONNECTING, proof_digest
-from passgate.membership.peer_transport import TcpPeerTransport, parse_address
+from passgate.peers.memory_transport import MemoryNetwork
+from passgate.peers.peer_connection import CONNECTING, proof_digest
+from passgate.peers.peer_transport import TcpPeerTransport, parse_address
 
 TIMEOUT_S = 5.0
 
