--- a/passgate/check/specification/leadership.py
+++ b/passgate/check/specification/leadership.py
@@ -1,4 +1,4 @@
-"""Specification of the lead on the jobs' topic, on the running code's fold.
+"""Specification of the lead on the control topic, on the running code's fold.
 
 Two daemons renew and claim; each append is on its way for any time before it reaches
 the log, and each daemon reads at its own pace.  Time is counted in ticks: a leader may
@@ -17,8 +17,8 @@
 from minicheck import Protocol
 
 from passgate.check.specification.kernel import Mutant, Specification, Step
-from passgate.jobs.fold import JobFold
 from passgate.jobs.records import Batch, LeaderClaimed, WriterAlive
+from passgate.versions.lead_fold import LeadFold
 
 DAEMONS = 2
 MAX_TICKS = 4
@@ -57,12 +57,12 @@
     daemons: tuple[Daemon, ...] = (Daemon(applied=1, confirmed=0), Daemon(applied=1))
 
 
-class _ForgetfulFold(JobFold):
+class _ForgetfulFold(LeadFold):
     """Mutant: a claim counts although the leader was heard since."""
 
-    def _claim_lead(self, offset: int, entry: LeaderClaimed) -> None:
+    def _claim(self, offset: int, entry: LeaderClaimed) -> None:
         self.leader_heard = entry.seen
-        super()._claim_lead(offset, entry)
+        super()._claim(offset, entry)
 
 
 class _Model:
@@ -70,10 +70,10 @@
 
     def __init__(self, mutants: frozenset[str]) -> None:
         self.mutants = mutants
-        self._fold_type = _ForgetfulFold if "ignore_renewals" in mutants else JobFold
+        self._fold_type = _ForgetfulFold if "ignore_renewals" in mutants else LeadFold
         self.fold = functools.cache(self._fold)
 
-    def _fold(self, log: tuple[Entry, ...]) -> JobFold:
+    def _fold(self, log: tuple[Entry, ...]) -> LeadFold:
         fold = self._fold_type()
         for offset, entry in enumerate(log):
             holder = f"d{entry.writer}"
@@ -85,7 +85,7 @@
             fold.apply(offset, Batch(writer=holder, entries=(body,)), now_s=0.0)
         return fold
 
-    def view(self, state: LeadModelState, daemon: Daemon) -> JobFold:
+    def view(self, state: LeadModelState, daemon: Daemon) -> LeadFold:
         return self.fold(state.log[: daemon.applied])
 
     def transitions(self, state: LeadModelState) -> list[Step]:
--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -112,6 +112,21 @@
     replicas: int
 
 
+class PartitionsHeld(Event, tag="partitions_held"):
+    """The log's group deals this daemon other partitions of jobs to watch."""
+
+    generation: int
+    parts: tuple[int, ...]
+
+
+class PeerFailed(Event, tag="peer_failed"):
+    """A daemon that was asked about jobs did not answer; the jobs are read from the log."""
+
+    peer: str
+    part: int
+    reason: str
+
+
 class ForwardSent(Event, tag="forward_sent"):
     """A request was sent to a replica."""
 
--- a/passgate/emulator/shared_log.py
+++ b/passgate/emulator/shared_log.py
@@ -21,8 +21,18 @@
 import msgspec
 
 from passgate.clock import monotonic_s
+from passgate.emulator.log_groups import LogGroups
 from passgate.errors import LogAppendUnknown, LogUnavailable
-from passgate.sharedlog.log import AppendConflict, HistoryGone, KeyedRecord, KeyedSnapshot, LogPage
+from passgate.sharedlog.log import (
+    MAX_PAGE_BYTES,
+    AppendConflict,
+    GroupPartition,
+    GroupShare,
+    HistoryGone,
+    KeyedRecord,
+    KeyedSnapshot,
+    LogPage,
+)
 
 ANSWER_S = 0.004
 ANSWER_TIMEOUT_S = 1.2
@@ -71,11 +81,15 @@
 class MemorySharedLog:
     """The log itself; each daemon has a client of its own."""
 
-    def __init__(self, seed: int = 0) -> None:
+    def __init__(self, seed: int = 0, *, parts: int = 4) -> None:
         self.faults = SharedLogFaults()
+        self.parts = parts
+        """Partitions of each topic that is not keyed."""
+        self.groups = LogGroups(monotonic_s)
         self.cut_off: set[str] = set()
         """Clients whose calls get no answer."""
         self.calls = 0
+        self.bytes_read = 0
         self.random = random.Random(seed)
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._keyed: dict[str, dict[str, bytes]] = {}
@@ -113,6 +127,16 @@
         partition.drop_before(partition.end)
 
 
+def _first_bytes(records: Sequence[bytes], max_bytes: int) -> tuple[bytes, ...]:
+    """Return the first records that make up at most ``max_bytes``, and one at least."""
+    size = 0
+    for count, record in enumerate(records):
+        size += len(record)
+        if size > max_bytes and count:
+            return tuple(records[:count])
+    return tuple(records)
+
+
 class MemorySharedLogClient:
     """:class:`passgate.sharedlog.log.SharedLog` on a log in memory."""
 
@@ -141,7 +165,9 @@
         if at is None or at == partition.end:
             self._log.add(topic, part, records)
 
-    async def read(self, topic: str, part: int, start: int, *, wait_s: float) -> LogPage:
+    async def read(
+        self, topic: str, part: int, start: int, *, wait_s: float, max_bytes: int = MAX_PAGE_BYTES
+    ) -> LogPage:
         """Return records from an offset; see :class:`SharedLog`."""
         await self._reach(LogUnavailable)
         partition = self._log.partition(topic, part)
@@ -153,7 +179,8 @@
                 break
         if start < partition.first:
             raise HistoryGone(partition.first)
-        records = tuple(partition.records[start - partition.first :])
+        records = _first_bytes(partition.records[start - partition.first :], max_bytes)
+        self._log.bytes_read += sum(len(record) for record in records)
         page = LogPage(start=start, end=partition.end, records=records)
         await self._answer(LogUnavailable)
         return page
@@ -164,6 +191,30 @@
         records = tuple(KeyedRecord(key=key, value=value) for key, value in self._log.newest(topic).items())
         return KeyedSnapshot(records=records, next_offset=self._log.partition(topic, part).end)
 
+    async def join(
+        self, group: str, member: str, topics: Sequence[str], *, lifetime_s: float, generation: int
+    ) -> GroupShare:
+        """Join a group or stay in it; see :class:`SharedLog`."""
+        await self._reach(LogUnavailable)
+        partitions = [(topic, part) for topic in topics for part in range(self._log.parts)]
+        share = self._log.groups.join(group, member, partitions, lifetime_s=lifetime_s, generation=generation)
+        await self._answer(LogUnavailable)
+        held = frozenset(GroupPartition(topic, part) for topic, part in share.partitions)
+        return GroupShare(generation=share.generation, partitions=held)
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group at once."""
+        await self._reach(LogUnavailable)
+        self._log.groups.leave(group, member)
+        await self._answer(LogUnavailable)
+
+    async def members(self, group: str) -> dict[GroupPartition, str]:
+        """Return the member of each partition; see :class:`SharedLog`."""
+        await self._reach(LogUnavailable)
+        owners = self._log.groups.owners(group)
+        await self._answer(LogUnavailable)
+        return {GroupPartition(topic, part): member for (topic, part), member in owners.items()}
+
     def decode_keyed(self, record: bytes) -> KeyedRecord:
         """Split a record of a keyed topic."""
         key, _, value = record.partition(SEPARATOR)
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import secrets
-import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -25,7 +24,6 @@
     DecisionLog,
     DependencyLost,
     DependencyRegained,
-    RecordUnreadable,
     SettingsReloaded,
 )
 from passgate.gateway.dialect import HeaderNames
@@ -41,15 +39,19 @@
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
-from passgate.jobs.ownership import Ownership
-from passgate.jobs.records import WriterStopped, decode_batch
+from passgate.jobs.liveness import Liveness
+from passgate.jobs.peers import JobPeers
+from passgate.jobs.records import writer_name
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
+from passgate.jobs.shards import JobShards, ShardSettings
 from passgate.jobs.waiting import WaitingLine
-from passgate.sharedlog.log import LogPage, SharedLog
-from passgate.sharedlog.tail import KeyedTail, RecordTail, TailSettings
+from passgate.peers.transport import PeerTransport
+from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.log import SharedLog
+from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
 from passgate.statecharts import Machine
-from passgate.versions.leadership import Leadership
+from passgate.versions.control import ControlTopic
 from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
 
 UNACKNOWLEDGED_TIMEOUT_S = 2.0
@@ -64,6 +66,9 @@
 """Part of the grace that is left for ending."""
 STOP_STEP_S = 0.05
 LOG_LOST_S = 2.5
+LEADING_PARTS = 3
+"""Daemons that watch one of the first partitions may lead: so many in each zone."""
+CONFIGURED_STEP_S = 0.05
 
 
 class LogTopics(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,6 +78,9 @@
     replicas: str
     relayed_replicas: str
     jobs: str
+    control: str
+    watch_group: str
+    """Each zone has a group of this name whose members watch the partitions of the jobs' topic."""
 
 
 class GatewayDaemon:
@@ -87,11 +95,12 @@
         log: SharedLog,
         control: ReplicaControl,
         decoder: ReplicaDecoder,
+        peers: PeerTransport,
     ) -> None:
         self.settings = settings
         self.http = http
         self.start_id = secrets.token_hex(4)
-        writer = f"{settings.daemon_id}.{self.start_id}"
+        writer = writer_name(settings.daemon_id, self.start_id, peers.address)
         self.metrics = GatewayMetrics()
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         self.config = ConfigHolder()
@@ -113,27 +122,61 @@
         self._caller = caller
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions)
         self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
-        self._fold = JobFold()
         self._waiting = WaitingLine()
-        self._jobs_tail = RecordTail(log, TailSettings(topic=topics.jobs, gap_s=0.03), self._apply_jobs)
-        self._journal = Journal(
+        self._peers = peers
+        group = f"{topics.watch_group}.{settings.zone}"
+        self._member = GroupMember(
             log,
+            group,
+            writer,
             topics.jobs,
+            self.decisions,
+            least_lifetime_s=settings.group_lifetime_s,
+        )
+        journal = Journal(
+            log,
+            topics.control,
             0,
             writer,
             record_bytes=settings.max_record_bytes,
             append_bytes=settings.max_append_bytes,
         )
-        self.ownership = Ownership(
-            self._fold, self._journal, self._jobs_tail.freshness, self._make_runner, self.decisions
+        self._control = ControlTopic(
+            log,
+            topics.control,
+            journal,
+            lambda: any(part < LEADING_PARTS for part in self._member.held()),
+            self.decisions,
+            lease_s=settings.lease_s,
+        )
+        shard_settings = ShardSettings(
+            topic=topics.jobs,
+            parts=settings.log_parts,
+            writer=writer,
+            record_bytes=settings.max_record_bytes,
+            append_bytes=settings.max_append_bytes,
+            retention_s=settings.job_retention_s,
         )
-        self._leadership = Leadership(
-            self._fold, self._journal, self.ownership, self.decisions, lease_s=settings.lease_s
+        directory = GroupDirectory(log, group, topics.jobs)
+        job_peers = JobPeers(peers, directory, writer, self.decisions)
+        self.shards = JobShards(
+            log,
+            shard_settings,
+            self._member.held,
+            self._make_runner,
+            Liveness(job_peers.is_alive),
+            self.decisions,
         )
+        self.jobs = JobService(self.shards, job_peers, journal, self.wanted.newest, self.decisions)
         self._loader = Loader(
-            self.wanted, self.replicas, self._leadership, control, settings.daemon_id, self.decisions
+            self.wanted,
+            self.replicas,
+            self._control.leadership,
+            control,
+            settings.daemon_id,
+            self._control.fold.newest_jobs,
+            self.decisions,
         )
-        self.jobs = JobService(self._fold, self._journal, self._jobs_tail, self.decisions)
         self._keyed_tails: list[KeyedTail] = []
         self._flushed_s = 0.0
         self._stop = asyncio.Event()
@@ -154,30 +197,7 @@
         settings = TailSettings(topic=topic, gap_s=gap_s, urgent=True)
         self._keyed_tails.append(KeyedTail(self._log, settings, replace=replace, update=update))
 
-    def _apply_jobs(self, page: LogPage) -> None:
-        now_s = monotonic_s()
-        for index, record in enumerate(page.records):
-            try:
-                batch = decode_batch(record)
-            except (msgspec.DecodeError, zlib.error) as error:
-                # A newer daemon's record, for example; a daemon that ended here would never get past it.
-                self.decisions.write(RecordUnreadable(offset=page.start + index, reason=str(error)))
-                continue
-            self._fold.apply(page.start + index, batch, now_s)
-            if batch.writer == self._journal.writer:
-                self._leadership.read_back(batch)
-        self._note_lags()
-
-    def _note_lags(self) -> None:
-        """Learn from new jobs how far behind the newest version their replicas may be."""
-        for job_id in self._fold.changed_jobs:
-            job = self._fold.jobs[job_id]
-            newest = self.wanted.versions.get(job.model, 0)
-            if self._fold.newest_job.get(job.model) == job_id and not job.results and newest:
-                self._loader.note_job(job.model, max(newest - job.min_version, 0), job.total)
-        self._fold.changed_jobs.clear()
-
-    def _make_runner(self, job: JobState) -> JobRunner | None:
+    def _make_runner(self, fold: JobFold, journal: Journal, job: JobState) -> JobRunner | None:
         table = self.config.table
         spec = job.spec()
         route = table.match(spec.host, spec.path) if table is not None else None
@@ -192,7 +212,7 @@
             waiting=self._waiting,
             group_replica={},
         )
-        return JobRunner(job, self._fold, self._journal, tools)
+        return JobRunner(job, fold, journal, tools)
 
     # --- life --------------------------------------------------------------------
 
@@ -201,8 +221,12 @@
         return self.life.within("serving")
 
     def _knows_all(self) -> bool:
-        known = self.config.table is not None and self._discovery.loaded
-        return known and self._jobs_tail.caught_up
+        return self.config.table is not None and self._discovery.loaded
+
+    @property
+    def _log_freshness(self) -> Freshness:
+        """How fresh this daemon's view of what the operator writes is."""
+        return self._keyed_tails[0].freshness
 
     @property
     def stopping(self) -> bool:
@@ -213,7 +237,7 @@
         """Put changed settings in force; addresses that it listens on stay as they are."""
         changed = settings != self.settings
         self.settings = settings
-        self._leadership.lease_s = settings.lease_s
+        self._control.leadership.lease_s = settings.lease_s
         self.decisions.write(SettingsReloaded(changed=changed))
 
     def stop(self) -> None:
@@ -229,12 +253,11 @@
         self._front.listen(self.settings.front_address)
         self._ready_server.listen(self.settings.ready_address)
         self.decisions.write(DaemonStarted(start_id=self.start_id, zone=self.settings.zone))
+        self._peers.start(_ignore_message, self.jobs.answer_peer)
         background = [
-            self._journal.run(),
-            self._jobs_tail.run(),
             self._discovery.run(),
             *(tail.run() for tail in self._keyed_tails),
-            self._run_when_caught_up(),
+            self._run_when_configured(),
             self._watch_log(),
         ]
         async with asyncio.TaskGroup() as group:
@@ -246,18 +269,19 @@
         self.decisions.flush()
 
     def _exposition(self) -> bytes:
-        self.metrics.log_age.set(self._jobs_tail.freshness.age_s(monotonic_s()))
+        self.metrics.log_age.set(self._log_freshness.age_s(monotonic_s()))
         self.metrics.in_flight.set(self._front.in_flight)
-        self.metrics.jobs_owned.set(self.ownership.running)
-        self.metrics.leads.set(self._leadership.leads)
+        self.metrics.jobs_owned.set(self.shards.running)
+        self.metrics.leads.set(self._control.leadership.leads)
         return self.metrics.exposition()
 
-    async def _run_when_caught_up(self) -> None:
-        while not self._jobs_tail.caught_up or self.config.table is None:
-            await asyncio.sleep(0.05)
+    async def _run_when_configured(self) -> None:
+        while self.config.table is None:
+            await asyncio.sleep(CONFIGURED_STEP_S)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.ownership.run())
-            group.create_task(self._leadership.run())
+            group.create_task(self._member.run())
+            group.create_task(self._control.run())
+            group.create_task(self.shards.run())
             group.create_task(self._loader.run())
 
     async def _watch_log(self) -> None:
@@ -266,11 +290,10 @@
             if self.life.within("starting") and self._knows_all():
                 self.life.send("caught_up")
                 self.life.send("joined")
-            self._note_log_state(self._jobs_tail.freshness.age_s(monotonic_s()))
+            self._note_log_state(self._log_freshness.age_s(monotonic_s()))
             now_s = monotonic_s()
             if now_s - self._flushed_s >= FLUSH_S:
                 self._flushed_s = now_s
-                self._fold.prune(now_s, self.settings.job_retention_s)
                 self.decisions.flush()
 
     def _note_log_state(self, age_s: float) -> None:
@@ -285,16 +308,13 @@
         began_s = monotonic_s()
         self.decisions.write(DaemonStopping(in_flight=self._front.in_flight))
         self.life.send("announced")
-        self.ownership.stopping = True
-        self.jobs.stopping = True
         self._front.close_after_answers()
-        self.ownership.save_all()
-        released = self._journal.put(WriterStopped())
+        handing_over = asyncio.get_running_loop().create_task(self._hand_over())
         end_s = began_s + self.settings.stop_grace_s - STOP_RESERVE_S
         while monotonic_s() < end_s:
             await asyncio.sleep(STOP_STEP_S)
             waited_s = monotonic_s() - began_s
-            handed_over = released.done() or waited_s >= RELEASE_WAIT_S
+            handed_over = handing_over.done() or waited_s >= RELEASE_WAIT_S
             if handed_over and self._front.in_flight == 0 and waited_s >= NOTICE_S:
                 break
         # From here on nothing is begun: what arrives while connections are closed is refused.
@@ -306,8 +326,19 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STOP_RESERVE_S / 2):
                 await self._front.close()
+        await self._peers.close()
         self.life.send("handed_over")
 
+    async def _hand_over(self) -> None:
+        """Free all that is owned, then leave the group."""
+        stands = [*self.shards.stop(), self._control.stop()]
+        await asyncio.wait(stands, timeout=RELEASE_WAIT_S)
+        await self._member.leave()
+
+
+def _ignore_message(sender: str, payload: bytes) -> None:
+    """Daemons of the platform ask questions only."""
+
 
 def make_http_client() -> HttpClient:
     """Return the client that a daemon uses towards the log and the replicas."""
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -17,12 +17,18 @@
     """``IP:PORT`` for readiness checks."""
     log_address: str
     """``IP:PORT`` of the log service."""
+    peer_address: str
+    """``IP:PORT`` for other daemons; port 0 takes any."""
     stop_grace_s: float = 8.0
     """Time from SIGTERM to SIGKILL."""
     lease_s: float = 3.0
     """Orders of two holders must lie further apart than this."""
     job_retention_s: float = 150.0
     """Time for which a job that is not open stays readable."""
+    log_parts: int = 4
+    """Partitions of each topic of the log."""
+    group_lifetime_s: float = 1.0
+    """Shortest silence after which the log takes a member out of a group."""
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
     max_connections: int = 8_000
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -1,4 +1,4 @@
-"""State of all jobs and of the leader lease, folded from the log in offset order.
+"""State of the jobs of one partition, folded from the log in offset order.
 
 Every daemon folds the same records with this code and so has the same results at
 the same positions.  Decisions that several daemons race for are made here: the
@@ -31,16 +31,12 @@
     JobEnded,
     JobPart,
     JobSpec,
-    LeaderClaimed,
-    LeaderReleased,
     Result,
-    WriterAlive,
     WriterStopped,
     decode_spec,
     encode_spec,
 )
 
-NO_CLAIM = -1
 FIRST_EPOCH = 1
 MAX_PENDING_PARTS = 256
 """Jobs whose pieces are not all there; the oldest are dropped beyond this."""
@@ -63,6 +59,8 @@
         self.ended = False
         self.owner = owner
         """Writer that runs the items; empty when it stopped."""
+        self.freed_s = now_s
+        """When it was read that nobody owns the job."""
         self.epoch = FIRST_EPOCH
         self.folded_s = now_s
 
@@ -96,17 +94,12 @@
 
 
 class JobFold:
-    """All jobs on the log, the writers heard, and who leads."""
+    """All jobs of a partition and the writers heard there."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobState] = {}
         self.heard_s: dict[str, float] = {}
         """Writer to the loop time at which its last batch was folded."""
-        self.leader = ""
-        self.leader_fence = NO_CLAIM
-        """Offset of the last leader claim that counted; rises with each leader."""
-        self.leader_heard = NO_CLAIM
-        """Offset of the leader's last record."""
         self.newest_job: dict[str, str] = {}
         """Model to the newest job that asked for it."""
         self.kept: dict[str, KeptEvents] = {}
@@ -114,18 +107,14 @@
         self.finished: dict[str, Result] = {}
         """Item to its newest result, for later jobs that ask for it again."""
         self._pieces: dict[tuple[str, str], _Pieces] = {}
-        self.changed_jobs: set[str] = set()
-        """Jobs touched since the reader cleared this."""
 
     def apply(self, offset: int, batch: Batch, now_s: float) -> None:
         """Take the next record of the log."""
         self.heard_s[batch.writer] = now_s
-        if batch.writer == self.leader:
-            self.leader_heard = offset
         for entry in batch.entries:
-            self._apply_entry(offset, batch.writer, entry, now_s)
+            self._apply_entry(batch.writer, entry, now_s)
 
-    def _apply_entry(self, offset: int, writer: str, entry: object, now_s: float) -> None:
+    def _apply_entry(self, writer: str, entry: object, now_s: float) -> None:
         match entry:
             case JobPart():
                 self._add_part(writer, entry, now_s)
@@ -137,16 +126,8 @@
                 self._keep(writer, entry)
             case JobEnded():
                 self._end(entry)
-            case LeaderClaimed():
-                self._claim_lead(offset, entry)
-            case LeaderReleased():
-                self._release_lead(entry.holder)
             case WriterStopped():
-                self._stop_writer(writer)
-            case WriterAlive(fence=fence) if fence > self.leader_fence:
-                self.leader = writer
-                self.leader_fence = fence
-                self.leader_heard = offset
+                self._stop_writer(writer, now_s)
 
     def _add_part(self, writer: str, part: JobPart, now_s: float) -> None:
         if part.job_id in self.jobs:
@@ -163,7 +144,6 @@
                 return
             self.jobs[spec.job_id] = JobState(spec, part.owner, now_s)
             self.newest_job[spec.model] = spec.job_id
-            self.changed_jobs.add(spec.job_id)
         while len(self._pieces) > MAX_PENDING_PARTS:
             del self._pieces[next(iter(self._pieces))]
 
@@ -172,7 +152,6 @@
         if job is not None and entry.epoch == job.epoch + 1:
             job.owner = entry.owner
             job.epoch = entry.epoch
-            self.changed_jobs.add(job.job_id)
 
     def _list(self, entry: ItemsDone) -> None:
         job = self.jobs.get(entry.job_id)
@@ -182,7 +161,6 @@
             if job.list_result(result):
                 self.finished[result.item_id] = result
                 self.kept.pop(result.item_id, None)
-        self.changed_jobs.add(job.job_id)
 
     def _keep(self, writer: str, entry: ItemProgressed) -> None:
         """Add events to the run they belong to; events of another run are ignored."""
@@ -205,18 +183,10 @@
         job = self.jobs.get(entry.job_id)
         if job is not None:
             job.ended = True
-            self.changed_jobs.add(job.job_id)
 
-    def _claim_lead(self, offset: int, entry: LeaderClaimed) -> None:
-        silent = not self.leader or entry.seen == self.leader_heard
-        if entry.after == self.leader_fence and silent:
-            self.leader = entry.holder
-            self.leader_fence = offset
-            self.leader_heard = offset
-
-    def _release_lead(self, holder: str) -> None:
-        if self.leader == holder:
-            self.leader = ""
+    def any_open(self) -> bool:
+        """Whether items of any job are still to be run."""
+        return any(job.open for job in self.jobs.values())
 
     def prune(self, now_s: float, retention_s: float) -> None:
         """Forget jobs that were submitted longer ago than ``retention_s`` and are not open."""
@@ -226,15 +196,13 @@
 
     def _forget(self, job: JobState) -> None:
         del self.jobs[job.job_id]
-        self.changed_jobs.discard(job.job_id)
         for item_id in job.item_ids:
             self.kept.pop(item_id, None)
             self.finished.pop(item_id, None)
 
-    def _stop_writer(self, writer: str) -> None:
-        self._release_lead(writer)
+    def _stop_writer(self, writer: str, now_s: float) -> None:
         self.heard_s.pop(writer, None)
         for job in self.jobs.values():
             if job.owner == writer:
                 job.owner = ""
-                self.changed_jobs.add(job.job_id)
+                job.freed_s = now_s
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -1,4 +1,4 @@
-"""Appends entries to the jobs' topic: in batches, one append at a time, until they stand there.
+"""Appends entries to one partition: in batches, one append at a time, until they stand there.
 
 Entries are harmless when repeated (see ``fold``), so an append whose answer was
 lost is simply made again.  Only a new job is appended on its own, because its
@@ -15,7 +15,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import DurabilityUnknown, LogAppendUnknown, LogUnavailable
-from passgate.jobs.records import AnyEntry, Batch, ItemProgressed, ItemsDone, encode_batch
+from passgate.jobs.records import AnyEntry, Batch, ItemProgressed, ItemsDone, WriterAlive, encode_batch
 from passgate.sharedlog.log import SharedLog
 
 logger = logging.getLogger("passgate.jobs")
@@ -24,6 +24,9 @@
 """Time for which entries wait for others before they are appended together."""
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
+RENEW_S = 0.4
+"""A daemon that owns or leads something appends at least this often."""
+NO_FENCE = -1
 MAX_UNREAD = 1024
 """Batches whose time of sending is kept until they are read back."""
 RAW_RECORD_SHARE = 0.7
@@ -31,7 +34,7 @@
 
 
 class Journal:
-    """Writer of one daemon."""
+    """One daemon's writer of one partition."""
 
     def __init__(
         self, log: SharedLog, topic: str, part: int, writer: str, *, record_bytes: int, append_bytes: int
@@ -46,6 +49,7 @@
         self._wakeup = asyncio.Event()
         self.appended_s = float("-inf")
         """When the last append that was acknowledged had been sent."""
+        self._renewal: asyncio.Future[int] | None = None
         self._sequence = 0
         self._sent_s: dict[int, float] = {}
         """When batches that were not read back yet were sent first."""
@@ -62,6 +66,17 @@
         self._wakeup.set()
         return future
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be appended."""
+        return not self._queue
+
+    def renew(self, fence: int = NO_FENCE) -> None:
+        """Append a renewal when nothing else was appended for some time."""
+        waiting = self._renewal is not None and not self._renewal.done()
+        if not waiting and monotonic_s() - self.appended_s >= RENEW_S:
+            self._renewal = self.put(WriterAlive(fence=fence))
+
     async def run(self) -> None:
         """Append what is put, until cancelled."""
         while True:
--- /dev/null
+++ b/passgate/jobs/peers.py
@@ -0,0 +1,144 @@
+"""Questions about jobs between daemons.
+
+A daemon that does not follow a job's partition asks the one that watches it in its zone.  The
+watcher's name in the log's group holds its address, so no daemon needs to know the
+others.  An answer that does not come costs little: the partition is then read from
+the log.  The watcher of a partition also asks an owner that is silent on the log
+whether it lives, and so need not wait for its whole patience when it does not.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from passgate.decisions import DecisionLog, PeerFailed
+from passgate.errors import ExecutionStatus, NotFound, PassgateError, PeerCallFailed, PeerError
+from passgate.jobs.reader import ResultPage
+from passgate.jobs.records import address_of
+from passgate.peers.transport import PeerTransport
+from passgate.sharedlog.group import GroupDirectory
+
+ANSWER_S = 0.35
+"""Time for an answer beyond the wait that is asked for."""
+OWN_S = 0.1
+"""Time for a watcher to say that it takes a new job."""
+REMOTE_FRESH_S = 0.6
+"""Greatest age of the view of the log with which "nothing new" is said to another daemon."""
+ALIVE_S = 0.3
+"""Time for a daemon to say that it lives."""
+
+ALIVE, OWN, READ, BODY, END = "jobs.alive", "jobs.own", "jobs.read", "jobs.body", "jobs.end"
+
+
+class AskAlive(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks which life of a daemon runs at an address."""
+
+
+class Alive(msgspec.Struct, frozen=True, kw_only=True):
+    """The life that answers."""
+
+    writer: str
+
+
+class OwnJob(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks whether the watcher of a partition takes a new job."""
+
+    part: int
+
+
+class JobTaken(msgspec.Struct, frozen=True, kw_only=True):
+    """Writer that owns the new job; empty when it does not."""
+
+    writer: str
+
+
+class ReadJob(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks for results from a position on."""
+
+    host: str
+    job_id: str
+    position: int
+    wait_s: float
+
+
+class ReadBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks for the body of an item."""
+
+    host: str
+    job_id: str
+    item_id: str
+
+
+class EndJob(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks to end a job."""
+
+    host: str
+    job_id: str
+    patience_s: float
+
+
+class JobPeers:
+    """Asks the watchers of partitions; every failure is a PeerError, but for NotFound."""
+
+    def __init__(
+        self,
+        transport: PeerTransport,
+        directory: GroupDirectory,
+        writer: str,
+        decisions: DecisionLog,
+    ) -> None:
+        self._transport = transport
+        self._directory = directory
+        self._writer = writer
+        self._decisions = decisions
+
+    async def is_alive(self, writer: str) -> bool:
+        """Ask whether this life of a daemon still runs."""
+        address = address_of(writer)
+        try:
+            payload = await self._transport.call(address, ALIVE, msgspec.json.encode(AskAlive()), ALIVE_S)
+            return msgspec.json.decode(payload, type=Alive).writer == writer
+        except (PeerError, msgspec.DecodeError):
+            return False
+
+    async def owner_of_new(self, part: int) -> str:
+        """Return the writer of the watcher that takes a new job, or nothing."""
+        try:
+            payload = await self._ask(part, OWN, OwnJob(part=part), OWN_S)
+        except PeerError:
+            return ""
+        return msgspec.json.decode(payload, type=JobTaken).writer
+
+    async def read(self, part: int, question: ReadJob) -> ResultPage:
+        """Return results from a position on; raises PeerError or NotFound."""
+        payload = await self._ask(part, READ, question, question.wait_s + ANSWER_S)
+        return msgspec.json.decode(payload, type=ResultPage)
+
+    async def body(self, part: int, question: ReadBody) -> bytes:
+        """Return the body of an item; raises PeerError or NotFound."""
+        return await self._ask(part, BODY, question, ANSWER_S)
+
+    async def end(self, part: int, question: EndJob) -> None:
+        """End a job and return once that stands on the log; raises PeerError or NotFound."""
+        await self._ask(part, END, question, question.patience_s)
+
+    async def _ask(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
+        member = await self._directory.member_of(part)
+        if member is None or member == self._writer:
+            raise PeerError("nobody else watches the partition", part=part)
+        address = address_of(member)
+        try:
+            return await self._transport.call(address, method, msgspec.json.encode(question), timeout_s)
+        except PeerCallFailed as error:
+            if error.details.get("peer_code") == NotFound.code:
+                raise NotFound(str(error), execution=ExecutionStatus.NOT_RUN) from error
+            self._note(address, part, error)
+            raise
+        except PeerError as error:
+            self._note(address, part, error)
+            raise
+
+    def _note(self, address: str, part: int, error: PassgateError) -> None:
+        self._directory.forget()
+        reason = error.details.get("peer_code", error.code)
+        self._decisions.write(PeerFailed(peer=address, part=part, reason=reason))
--- /dev/null
+++ b/passgate/jobs/reader.py
@@ -0,0 +1,99 @@
+"""Answers questions about jobs from a partition that this daemon follows."""
+
+from __future__ import annotations
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.errors import ExecutionStatus, NotFound, NotReady
+from passgate.jobs.fold import JobState
+from passgate.jobs.records import Result
+from passgate.jobs.shards import Shard
+
+MAX_PAGE_BYTES = 450_000
+"""Text in one page; a page must also fit into one answer between daemons."""
+CATCH_UP_S = 0.9
+"""Time for a partition that was not followed to be read to its end."""
+CONFIRM_S = 0.5
+"""Time for reading the log to its end before a job is said to be unknown."""
+STALE_S = 2.6
+"""With a view of the log older than this, "nothing new" is not said to a caller."""
+RESULT_OVERHEAD_BYTES = 200
+
+
+class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Results of a job from a position on."""
+
+    total: int
+    next_position: int
+    results: tuple[Result, ...]
+
+
+async def read_page(
+    shard: Shard, job_id: str, position: int, wait_s: float, *, fresh_s: float = STALE_S
+) -> ResultPage:
+    """Return results from a position, waiting for one.
+
+    Args:
+        shard: the partition of the job.
+        job_id: the job.
+        position: results before it are left out.
+        wait_s: how long to wait for the first.
+        fresh_s: greatest age of the view of the log that may say "nothing new".
+
+    Raises:
+        NotFound: there is no such job.
+        NotReady: the log can not be read.
+    """
+    job = await find_job(shard, job_id)
+    until_s = monotonic_s() + wait_s
+    while len(job.results) <= position and monotonic_s() < until_s:
+        await shard.tail.wait_past(shard.tail.next_offset, until_s - monotonic_s())
+    if len(job.results) <= position < job.total and not await _is_fresh(shard, fresh_s):
+        raise NotReady("the log can not be read", execution=ExecutionStatus.NOT_RUN)
+    page = _page(job, position)
+    return ResultPage(total=job.total, next_position=position + len(page), results=page)
+
+
+async def read_body(shard: Shard, job_id: str, item_id: str) -> bytes:
+    """Return the body of an item; raises NotFound or NotReady."""
+    job = await find_job(shard, job_id)
+    item = job.item(item_id)
+    if item is None:
+        raise NotFound("no such item", execution=ExecutionStatus.NOT_RUN)
+    return item.body
+
+
+async def find_job(shard: Shard, job_id: str) -> JobState:
+    """Return a job; raises NotFound when there is none, NotReady when that is not sure."""
+    shard.need()
+    job = shard.fold.jobs.get(job_id)
+    if job is not None and shard.current:
+        return job
+    caught_up = await shard.tail.wait_caught_up(CATCH_UP_S)
+    job = shard.fold.jobs.get(job_id)
+    if job is not None:
+        return job
+    if not caught_up or not await shard.tail.confirm(CONFIRM_S):
+        raise NotReady("the log can not be read", execution=ExecutionStatus.NOT_RUN)
+    job = shard.fold.jobs.get(job_id)
+    if job is None:
+        raise NotFound("no such job", execution=ExecutionStatus.NOT_RUN)
+    return job
+
+
+async def _is_fresh(shard: Shard, fresh_s: float) -> bool:
+    if shard.tail.freshness.age_s(monotonic_s()) <= fresh_s:
+        return True
+    return await shard.tail.confirm(CONFIRM_S)
+
+
+def _page(job: JobState, position: int) -> tuple[Result, ...]:
+    page: list[Result] = []
+    size = 0
+    for result in job.results[position:]:
+        size += len(result.text) + RESULT_OVERHEAD_BYTES
+        if page and size > MAX_PAGE_BYTES:
+            break
+        page.append(result)
+    return tuple(page)
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -1,4 +1,4 @@
-"""Records of batch jobs on the shared log.
+"""Records on the shared log: of batch jobs, and of the lead.
 
 One log record is a batch: its writer and some entries, as compressed JSON.
 
@@ -121,12 +121,6 @@
     """Offset of the last record of that leader which the claimer had read."""
 
 
-class LeaderReleased(Entry, tag="unlead"):
-    """``holder`` gives no orders any more."""
-
-    holder: str
-
-
 class WriterStopped(Entry, tag="stop"):
     """The writer of this batch ends as planned; its jobs are free."""
 
@@ -138,6 +132,15 @@
     """Fence under which the writer leads, if it does; tells those whose history began later."""
 
 
+class JobNoted(Entry, tag="need"):
+    """What a new job asks of its model's weights; kept apart from the job for the leader."""
+
+    model: str
+    lag: int
+    """How many versions behind the newest the job allows."""
+    items: int
+
+
 AnyEntry = (
     JobPart
     | JobClaimed
@@ -145,12 +148,42 @@
     | ItemProgressed
     | JobEnded
     | LeaderClaimed
-    | LeaderReleased
     | WriterStopped
     | WriterAlive
+    | JobNoted
 )
 
 
+AT = "@"
+
+
+def writer_name(daemon_id: str, life: str, peer_address: str) -> str:
+    """Return the name of one life of a daemon; it tells where other daemons reach it.
+
+    >>> writer_name("front-1", "5f3a", "10.1.0.10:7720")
+    'front-1.5f3a@10.1.0.10:7720'
+    """
+    return f"{daemon_id}.{life}{AT}{peer_address}"
+
+
+def daemon_of(writer: str) -> str:
+    """Return the daemon of a writer.
+
+    >>> daemon_of("front-1.5f3a@10.1.0.10:7720")
+    'front-1'
+    """
+    return writer.partition(AT)[0].rpartition(".")[0]
+
+
+def address_of(writer: str) -> str:
+    """Return the peer address of a writer; empty when it has none.
+
+    >>> address_of("front-1.5f3a@10.1.0.10:7720")
+    '10.1.0.10:7720'
+    """
+    return writer.partition(AT)[2]
+
+
 class Batch(msgspec.Struct, frozen=True, kw_only=True):
     """What one append holds: entries of one writer."""
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -1,9 +1,14 @@
-"""Answers callers of batch jobs at any daemon, from the fold of the log."""
+"""Answers callers of batch jobs at any daemon.
+
+A daemon that follows a job's partition answers from its own state, any other asks the
+partition's watcher, and reads the partition itself when no answer comes.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import secrets
+from collections.abc import Callable
 
 import msgspec
 
@@ -14,44 +19,54 @@
     DurabilityUnknown,
     ExecutionStatus,
     InvalidRequest,
-    NotFound,
     NotReady,
     PassgateError,
+    PeerCallFailed,
+    PeerError,
 )
-from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
-from passgate.jobs.records import JobEnded, JobSpec, Result, split_spec
-from passgate.sharedlog.tail import RecordTail
+from passgate.jobs.peers import (
+    ALIVE,
+    BODY,
+    END,
+    OWN,
+    READ,
+    REMOTE_FRESH_S,
+    Alive,
+    EndJob,
+    JobPeers,
+    JobTaken,
+    OwnJob,
+    ReadBody,
+    ReadJob,
+)
+from passgate.jobs.reader import ResultPage, find_job, read_body, read_page
+from passgate.jobs.records import JobEnded, JobNoted, JobSpec, split_spec
+from passgate.jobs.shards import JobShards, Shard
 
-MAX_PAGE_BYTES = 900_000
-CONFIRM_S = 0.5
-"""Time for reading the log to its end before a job is said to be unknown."""
 OWNER_HEARD_S = 0.8
 """An owner heard within this time is given the next job too."""
-STALE_S = 2.6
-"""With a view of the log older than this, "nothing new" is not said."""
-RESULT_OVERHEAD_BYTES = 200
-
-
-class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
-    """Results of a job from a position on."""
-
-    total: int
-    next_position: int
-    results: tuple[Result, ...]
 
 
 class JobService:
     """Submits, reads and ends jobs."""
 
-    def __init__(self, fold: JobFold, journal: Journal, tail: RecordTail, decisions: DecisionLog) -> None:
-        self.stopping = False
-        """Whether this daemon is about to end and shall own no new job."""
-        self._fold = fold
-        self._journal = journal
-        self._tail = tail
+    def __init__(
+        self,
+        shards: JobShards,
+        peers: JobPeers,
+        control: Journal,
+        newest_version: Callable[[str], int],
+        decisions: DecisionLog,
+    ) -> None:
+        self._shards = shards
+        self._peers = peers
+        self._control = control
+        self._newest_version = newest_version
         self._decisions = decisions
 
+    # --- for callers -------------------------------------------------------------
+
     async def submit(self, spec: JobSpec, deadline_s: float) -> None:
         """Put a job on the log once; return when it stands there.
 
@@ -63,11 +78,11 @@
         if not spec.items or len({item.id for item in spec.items}) != len(spec.items):
             raise InvalidRequest("a job needs items with distinct ids", execution=ExecutionStatus.NOT_RUN)
         began_s = monotonic_s()
+        shard = self._shards.of(spec.host)
         offset = -1
-        if spec.job_id not in self._fold.jobs:
-            parts = split_spec(spec, secrets.token_hex(4), self._journal.piece_bytes, self._owner_for(spec))
+        if spec.job_id not in shard.fold.jobs:
             try:
-                offset = await self._journal.append_job(parts, deadline_s)
+                offset = await self._append(shard, spec, deadline_s)
             except PassgateError as error:
                 self._decisions.write(
                     JobAcceptFailed(job_id=spec.job_id, status=error.http_status, reason=error.code)
@@ -82,72 +97,120 @@
             )
         )
 
-    def _owner_for(self, spec: JobSpec) -> str:
-        """Return who shall run a job: the owner of the model's last job, if it was heard lately.
+    async def _append(self, shard: Shard, spec: JobSpec, deadline_s: float) -> int:
+        owner = await self._owner_for(shard, spec)
+        parts = split_spec(spec, secrets.token_hex(4), shard.journal.piece_bytes, owner)
+        offset = await shard.journal.append_job(parts, deadline_s)
+        if owner == self._shards.writer:
+            shard.need()
+        lag = max(self._newest_version(spec.model) - spec.min_version, 0)
+        self._control.put(JobNoted(model=spec.model, lag=lag, items=len(spec.items)))
+        return offset
+
+    async def _owner_for(self, shard: Shard, spec: JobSpec) -> str:
+        """Return who shall run a job: the owner of the model's last one, the watcher, or this daemon.
 
         One owner knows what it has sent where, and its connections are open.
         """
-        last = self._fold.jobs.get(self._fold.newest_job.get(spec.model, ""))
-        if last is not None and last.owner:
-            heard_s = self._fold.heard_s.get(last.owner, float("-inf"))
-            if monotonic_s() - heard_s < OWNER_HEARD_S:
+        if shard.current:
+            last = shard.fold.jobs.get(shard.fold.newest_job.get(spec.model, ""))
+            heard_s = shard.fold.heard_s.get(last.owner) if last is not None else None
+            if last is not None and heard_s is not None and monotonic_s() - heard_s < OWNER_HEARD_S:
                 return last.owner
-        return "" if self.stopping else self._journal.writer
+        if self._shards.watches(shard.part):
+            return self._shards.writer
+        watcher = await self._peers.owner_of_new(shard.part)
+        return watcher or ("" if self._shards.stopping else self._shards.writer)
 
-    async def read(self, job_id: str, position: int, wait_s: float) -> ResultPage:
+    async def read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
-        job = await self._find(job_id)
-        until_s = monotonic_s() + wait_s
-        while len(job.results) <= position and monotonic_s() < until_s:
-            seen = self._tail.next_offset
-            await self._tail.wait_past(seen, until_s - monotonic_s())
-        if len(job.results) <= position < job.total and self._stale():
-            raise NotReady("the log can not be read", execution=ExecutionStatus.NOT_RUN)
-        page = _page(job, position)
-        return ResultPage(total=job.total, next_position=position + len(page), results=page)
-
-    async def body(self, job_id: str, item_id: str) -> bytes:
+        shard = self._shards.of(host)
+        if not self._answers(shard):
+            try:
+                question = ReadJob(host=host, job_id=job_id, position=position, wait_s=wait_s)
+                return await self._peers.read(shard.part, question)
+            except PeerError:
+                shard.need()
+                wait_s = 0.0  # a part of the caller's patience is spent
+        return await read_page(shard, job_id, position, wait_s)
+
+    async def body(self, host: str, job_id: str, item_id: str) -> bytes:
         """Return the body of an item; raises NotFound or NotReady."""
-        job = await self._find(job_id)
-        item = job.item(item_id)
-        if item is None:
-            raise NotFound("no such item", execution=ExecutionStatus.NOT_RUN)
-        return item.body
-
-    async def end(self, job_id: str, deadline_s: float) -> None:
-        """End a job; return once that stands on the log. Repeats do nothing."""
-        job = await self._find(job_id)
-        if job.ended:
-            return
-        stands = self._journal.put(JobEnded(job_id=job_id))
+        shard = self._shards.of(host)
+        if not self._answers(shard):
+            try:
+                question = ReadBody(host=host, job_id=job_id, item_id=item_id)
+                return await self._peers.body(shard.part, question)
+            except PeerError:
+                shard.need()
+        return await read_body(shard, job_id, item_id)
+
+    async def end(self, host: str, job_id: str, deadline_s: float) -> None:
+        """End a job; return once that stands on the log.  Repeats do nothing.
+
+        An end that can not be checked is written all the same, as its caller will not
+        come back for ever.
+        """
+        shard = self._shards.of(host)
+        try:
+            if self._answers(shard):
+                await self._end_here(shard, job_id, deadline_s)
+                return
+            patience_s = max((deadline_s - monotonic_s()) / 2, 0.0)
+            await self._peers.end(shard.part, EndJob(host=host, job_id=job_id, patience_s=patience_s))
+        except (PeerError, NotReady):
+            await self._append_end(shard, job_id, deadline_s)
+
+    async def _end_here(self, shard: Shard, job_id: str, deadline_s: float) -> None:
+        job = await find_job(shard, job_id)
+        if not job.ended:
+            await self._append_end(shard, job_id, deadline_s)
+        self._decisions.write(JobEndedEvent(job_id=job_id, listed=len(job.results), total=job.total))
+
+    async def _append_end(self, shard: Shard, job_id: str, deadline_s: float) -> None:
+        stands = shard.journal.put(JobEnded(job_id=job_id))
         try:
             async with asyncio.timeout(max(deadline_s - monotonic_s(), 0.0)):
                 await asyncio.shield(stands)
         except TimeoutError as error:
             raise DurabilityUnknown("the end may be on the log") from error
-        self._decisions.write(JobEndedEvent(job_id=job_id, listed=len(job.results), total=job.total))
 
-    def _stale(self) -> bool:
-        return self._tail.freshness.age_s(monotonic_s()) > STALE_S
-
-    async def _find(self, job_id: str) -> JobState:
-        job = self._fold.jobs.get(job_id)
-        if job is not None:
-            return job
-        if not await self._tail.confirm(CONFIRM_S):
-            raise NotReady("the log can not be read", execution=ExecutionStatus.NOT_RUN)
-        job = self._fold.jobs.get(job_id)
-        if job is None:
-            raise NotFound("no such job", execution=ExecutionStatus.NOT_RUN)
-        return job
-
-
-def _page(job: JobState, position: int) -> tuple[Result, ...]:
-    page: list[Result] = []
-    size = 0
-    for result in job.results[position:]:
-        size += len(result.text) + RESULT_OVERHEAD_BYTES
-        if page and size > MAX_PAGE_BYTES:
-            break
-        page.append(result)
-    return tuple(page)
+    def _answers(self, shard: Shard) -> bool:
+        return shard.current or self._shards.watches(shard.part)
+
+    # --- for other daemons -------------------------------------------------------
+
+    async def answer_peer(self, sender: str, method: str, payload: bytes) -> bytes:
+        """Answer another daemon's question from this daemon's own view of the log.
+
+        Raises:
+            NotFound: there is no such job or item.
+            NotReady: this daemon can not tell.
+            PeerCallFailed: the question is unknown.
+        """
+        if method == ALIVE:
+            return msgspec.json.encode(Alive(writer=self._shards.writer))
+        if method == OWN:
+            return msgspec.json.encode(self._take(msgspec.json.decode(payload, type=OwnJob)))
+        if method == READ:
+            read = msgspec.json.decode(payload, type=ReadJob)
+            return msgspec.json.encode(await self._read_for(read))
+        if method == BODY:
+            question = msgspec.json.decode(payload, type=ReadBody)
+            return await read_body(self._shards.of(question.host), question.job_id, question.item_id)
+        if method == END:
+            end = msgspec.json.decode(payload, type=EndJob)
+            deadline_s = monotonic_s() + end.patience_s
+            await self._end_here(self._shards.of(end.host), end.job_id, deadline_s)
+            return b""
+        raise PeerCallFailed("unknown question", peer_code="unknown_method")
+
+    def _take(self, question: OwnJob) -> JobTaken:
+        takes = self._shards.watches(question.part)
+        return JobTaken(writer=self._shards.writer if takes else "")
+
+    async def _read_for(self, question: ReadJob) -> ResultPage:
+        shard = self._shards.of(question.host)
+        return await read_page(
+            shard, question.job_id, question.position, question.wait_s, fresh_s=REMOTE_FRESH_S
+        )
--- a/passgate/peers/peer_connection.py
+++ b/passgate/peers/peer_connection.py
@@ -13,6 +13,7 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
+from passgate.clock import monotonic_s
 from passgate.errors import (
     PeerConnectionLost,
     PeerCredentialRefused,
@@ -68,6 +69,8 @@
         """Why the connection ended."""
         self.busy = 0
         """Calls open or being answered on it."""
+        self.heard_s = monotonic_s()
+        """When bytes came last, or the connection was made."""
         self._stream = stream
         self._role = role
         self._hello = hello
@@ -129,6 +132,7 @@
         while True:
             data = await self._stream.read_bytes(READ_CHUNK_BYTES, partial=True)
             self._counters.bytes_received += len(data)
+            self.heard_s = monotonic_s()
             for frame in decoder.feed(data):
                 self._counters.frames_received += 1
                 self._receive(frame)
--- a/passgate/peers/peer_transport.py
+++ b/passgate/peers/peer_transport.py
@@ -17,7 +17,8 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from passgate.errors import Overloaded, PeerConnectionLost, PeerUnreachable
+from passgate.clock import monotonic_s
+from passgate.errors import Overloaded, PeerConnectionLost, PeerTimeout, PeerUnreachable
 from passgate.peers.calls import CallTable, OpenCall, answer_call, check_payload
 from passgate.peers.frames import (
     MAXIMUM_FRAME_BYTES,
@@ -41,6 +42,8 @@
 """A peer that reads slower than this loses messages instead of our memory."""
 
 NONCE_BYTES = 16
+SILENT_S = 1.0
+"""A connection on which a call timed out and nothing came for this long is closed."""
 
 
 class TcpPeerTransport(TCPServer):
@@ -115,6 +118,10 @@
             self._calls.fail(call, PeerUnreachable("too much is queued", address=address))
         try:
             return await self._calls.wait(call, timeout_s)
+        except PeerTimeout:
+            if monotonic_s() - connection.heard_s > SILENT_S:
+                connection.close()  # the machine is gone or cut off; the next call connects anew
+            raise
         finally:
             connection.busy -= 1
             open_calls.remove(call)
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -11,6 +11,7 @@
 from passgate.clients.curl import HttpClient
 from passgate.gateway.daemon import GatewayDaemon, LogTopics, make_http_client
 from passgate.gateway.settings import GatewaySettings
+from passgate.peers.peer_transport import TcpPeerTransport, parse_address
 from passgate.platform import names
 from passgate.platform.beliefs import Beliefs, PlatformReplicaDecoder
 from passgate.platform.front import Front, PlatformReplicaControl
@@ -27,9 +28,15 @@
         replicas=names.REPLICAS_TOPIC,
         relayed_replicas=names.RELAYED_REPLICAS_TOPIC,
         jobs=names.JOBS_TOPIC,
+        control=names.CONTROL_TOPIC,
+        watch_group=names.WATCH_GROUP,
     )
     control = PlatformReplicaControl(http)
-    daemon = GatewayDaemon(settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder())
+    host, port = parse_address(settings.peer_address)
+    peers = TcpPeerTransport(host, port)
+    daemon = GatewayDaemon(
+        settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder(), peers
+    )
     beliefs = Beliefs(daemon)
     daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.take_operator, beliefs.take_operator)
     return daemon
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -10,8 +10,8 @@
 from passgate.errors import ExecutionStatus, MalformedBody
 from passgate.gateway.replicas import ReplicaInfo
 from passgate.gateway.routes import GatewayConfig, RequestLimits, Route, RouteKind, RoutePart, Service
+from passgate.jobs.reader import ResultPage
 from passgate.jobs.records import ItemSpec, JobSpec
-from passgate.jobs.service import ResultPage
 from passgate.versions.loader import ReplicaReport
 
 logger = logging.getLogger("passgate.platform")
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -34,7 +34,7 @@
         if path.startswith(names.JOB_PATH):
             return await self._job_call(request, path.removeprefix(names.JOB_PATH), query)
         if path.startswith(names.ITEM_PATH):
-            return await self._item_call(path.removeprefix(names.ITEM_PATH), query)
+            return await self._item_call(request, path.removeprefix(names.ITEM_PATH), query)
         return await self._routed(request)
 
     async def _routed(self, request: IncomingRequest) -> GatewayAnswer | StreamAnswer:
@@ -69,17 +69,18 @@
 
     async def _job_call(self, request: IncomingRequest, job_id: str, query: str) -> GatewayAnswer:
         if request.method == "DELETE":
-            await self._daemon.jobs.end(job_id, _deadline_s(request))
+            await self._daemon.jobs.end(request.host, job_id, _deadline_s(request))
             return GatewayAnswer(status=200)
         after = parse_qs(query).get("afterRev", ["0"])[0]
         told_ms = request.header(names.HEADERS.wait_ms)
         wait_s = min(int(told_ms) / 1000 if told_ms.isdigit() else 0.0, MAX_WAIT_S)
-        page = await self._daemon.jobs.read(job_id, int(after) if after.isdigit() else 0, wait_s)
+        position = int(after) if after.isdigit() else 0
+        page = await self._daemon.jobs.read(request.host, job_id, position, wait_s)
         return json_answer(200, documents.results_document(page))
 
-    async def _item_call(self, job_id: str, query: str) -> GatewayAnswer:
+    async def _item_call(self, request: IncomingRequest, job_id: str, query: str) -> GatewayAnswer:
         item_id = parse_qs(query).get("id", [""])[0]
-        body = await self._daemon.jobs.body(job_id, item_id)
+        body = await self._daemon.jobs.body(request.host, job_id, item_id)
         return GatewayAnswer(status=200, headers=OCTETS, body=body)
 
 
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -20,7 +20,10 @@
 from passgate.errors import ExecutionStatus, LogAppendUnknown, LogUnavailable, PassgateError
 from passgate.platform import names
 from passgate.sharedlog.log import (
+    MAX_PAGE_BYTES,
     AppendConflict,
+    GroupPartition,
+    GroupShare,
     HistoryGone,
     KeyedRecord,
     KeyedSnapshot,
@@ -37,7 +40,8 @@
 FIRST_PAGE_PAUSE_S = 0.1
 MAX_PAGE_PAUSE_S = 1.0
 MAX_PAGE_TRIES = 20
-MAX_READ_KB = 1024
+RECORDS_TYPE = "application/octet-stream"
+JSON_TYPE = "application/json"
 
 
 class _Appended(msgspec.Struct):
@@ -56,6 +60,30 @@
     offset: int = 0
 
 
+class _Join(msgspec.Struct):
+    group: str
+    member: str
+    topics: list[str]
+    ttl_ms: int
+    generation: int
+
+
+class _Leave(msgspec.Struct):
+    group: str
+    member: str
+
+
+class _Joined(msgspec.Struct):
+    generation: int
+    parts: list[tuple[str, int, int]]
+    """Topic, partition, committed offset."""
+
+
+class _Members(msgspec.Struct):
+    parts: list[tuple[str, int, str, int]]
+    """Topic, partition, member, committed offset."""
+
+
 class _NewestPage(msgspec.Struct):
     requests: list[_Newest]
     end: int
@@ -79,6 +107,13 @@
     return tuple(records)
 
 
+def _check(answer: HttpAnswer) -> None:
+    if answer.status == THROTTLED:
+        raise LogThrottled("too many calls")
+    if answer.status != OK:
+        raise LogUnavailable(f"refused with {answer.status}", status=answer.status)
+
+
 class PlatformLog:
     """Calls of the log service."""
 
@@ -108,10 +143,13 @@
             raise LogUnavailable(f"append refused with {answer.status}", status=answer.status)
         return msgspec.json.decode(answer.body, type=_Appended).offset
 
-    async def read(self, topic: str, part: int, start: int, *, wait_s: float) -> LogPage:
+    async def read(
+        self, topic: str, part: int, start: int, *, wait_s: float, max_bytes: int = MAX_PAGE_BYTES
+    ) -> LogPage:
         """Return records from an offset; see :class:`SharedLog`."""
         wait_ms = int(wait_s * 1000)
-        path = f"{names.READ_PATH}?topic={quote(topic)}&part={part}&from={start}&max_kb={MAX_READ_KB}"
+        max_kb = max(max_bytes // 1024, 1)
+        path = f"{names.READ_PATH}?topic={quote(topic)}&part={part}&from={start}&max_kb={max_kb}"
         answer = await self._read(f"{path}&waitMs={wait_ms}", wait_s + CALL_TIMEOUT_S)
         if answer.status == GONE:
             raise HistoryGone(msgspec.json.decode(answer.body, type=_End).first)
@@ -151,6 +189,35 @@
             pause_s = min(pause_s * 2.0, MAX_PAGE_PAUSE_S)
         raise LogThrottled("too many reads")
 
+    async def join(
+        self, group: str, member: str, topics: Sequence[str], *, lifetime_s: float, generation: int
+    ) -> GroupShare:
+        """Join a group or stay in it; see :class:`SharedLog`."""
+        document = _Join(group, member, list(topics), int(lifetime_s * 1000), generation)
+        answer = await self._post(names.JOIN_PATH, document)
+        joined = msgspec.json.decode(answer.body, type=_Joined)
+        held = frozenset(GroupPartition(topic, part) for topic, part, _ in joined.parts)
+        return GroupShare(generation=joined.generation, partitions=held)
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group at once."""
+        await self._post(names.LEAVE_PATH, _Leave(group, member))
+
+    async def members(self, group: str) -> dict[GroupPartition, str]:
+        """Return the member of each partition; see :class:`SharedLog`."""
+        answer = await self._read(f"{names.MEMBERS_PATH}?group={quote(group)}", CALL_TIMEOUT_S)
+        _check(answer)
+        rows = msgspec.json.decode(answer.body, type=_Members).parts
+        return {GroupPartition(topic, part): member for topic, part, member, _ in rows}
+
+    async def _post(self, path: str, document: msgspec.Struct) -> HttpAnswer:
+        try:
+            answer = await self._call("POST", path, msgspec.json.encode(document), CALL_TIMEOUT_S, JSON_TYPE)
+        except PassgateError as error:
+            raise LogUnavailable(str(error)) from error
+        _check(answer)
+        return answer
+
     def decode_keyed(self, record: bytes) -> KeyedRecord:
         """Split a raw record of a keyed topic: length of the key, key, value."""
         size = record[0]
@@ -167,13 +234,15 @@
         except PassgateError as error:
             raise LogUnavailable(str(error)) from error
 
-    async def _call(self, method: str, path: str, body: bytes | None, timeout_s: float) -> HttpAnswer:
+    async def _call(
+        self, method: str, path: str, body: bytes | None, timeout_s: float, content_type: str = RECORDS_TYPE
+    ) -> HttpAnswer:
         return await self._http.fetch(
             HttpCall(
                 method=method,
                 url=self._base + path,
                 body=body,
-                headers={"Content-Type": "application/octet-stream"} if body is not None else {},
+                headers={"Content-Type": content_type} if body is not None else {},
                 send=SendPolicy.ONCE,
                 timeout_s=timeout_s,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -36,6 +36,8 @@
 
 class _Platform(msgspec.Struct, frozen=True):
     address: str
+    parts: int = 4
+    ttl_min_ms: float = 1000.0
     record_bytes: int = 262_144
     call_bytes: int = 2_097_152
 
@@ -44,10 +46,12 @@
     maxFds: int = 8200  # noqa: N815
 
 
-class _Node(msgspec.Struct, frozen=True):
+class _Node(msgspec.Struct, frozen=True, kw_only=True):
     node: str
     zone: str
     listen: _Listen
+    ip: str = ""
+    portRange: tuple[int, ...] = ()  # noqa: N815  (name of the platform)
     platform: _Platform
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
@@ -70,6 +74,9 @@
         front_address=node.listen.front,
         ready_address=node.listen.ready,
         log_address=node.platform.address,
+        peer_address=_peer_address(node),
+        log_parts=node.platform.parts,
+        group_lifetime_s=node.platform.ttl_min_ms / 1000,
         stop_grace_s=node.bounds.graceS,
         lease_s=node.bounds.leaseMs / 1000,
         job_retention_s=node.bounds.statusS + RETENTION_MARGIN_S,
@@ -79,6 +86,12 @@
     )
 
 
+def _peer_address(node: _Node) -> str:
+    host = node.ip or node.listen.front.rpartition(":")[0]
+    port = node.portRange[0] if node.portRange else 0
+    return f"{host}:{port}"
+
+
 def read_settings(path: str) -> GatewaySettings:
     """Return the settings of a file; raises SettingsError."""
     try:
--- /dev/null
+++ b/passgate/sharedlog/group.py
@@ -0,0 +1,127 @@
+"""Membership of a group of the log: who watches which partition.
+
+The group only spreads work.  Two members that both hold a partition for a moment do
+no harm, as whatever they append is decided in the log's order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, PartitionsHeld
+from passgate.errors import LogError
+from passgate.sharedlog.log import GroupPartition, SharedLog
+
+logger = logging.getLogger("passgate.sharedlog")
+
+JOIN_S = 0.35
+"""Time between two joins; the shortest lifetime covers two that are lost."""
+LEAST_LIFETIME_S = 1.2
+"""Silence after which the log takes a member out."""
+LEAVE_TIMEOUT_S = 1.0
+DIRECTORY_LIFE_S = 2.0
+"""Age after which the list of members is read anew when it is needed."""
+RETRY_S = 1.0
+"""Time after a failed read of the list before the next."""
+PATIENCE_S = 0.3
+"""Longest time that a caller waits for the list; then the one known before must do."""
+
+
+class GroupMember:
+    """This daemon's membership; keeps joining while it runs."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        group: str,
+        member: str,
+        topic: str,
+        decisions: DecisionLog,
+        *,
+        least_lifetime_s: float = 0.0,
+    ) -> None:
+        self._log = log
+        self._group = group
+        self._member = member
+        self._topic = topic
+        self._decisions = decisions
+        self._lifetime_s = max(LEAST_LIFETIME_S, least_lifetime_s)
+        self._generation = 0
+        self._joined_s = float("-inf")
+        self._held: frozenset[int] = frozenset()
+        self._left = False
+
+    def held(self) -> frozenset[int]:
+        """Return the partitions that this member holds; none once its lifetime is over."""
+        if self._left or monotonic_s() - self._joined_s > self._lifetime_s:
+            return frozenset()
+        return self._held
+
+    async def run(self) -> None:
+        """Join again and again until cancelled or left."""
+        while not self._left:
+            try:
+                await self._join()
+            except LogError as error:
+                logger.info("join_failed", extra={"group": self._group, "error": str(error)})
+            await asyncio.sleep(JOIN_S)
+
+    async def _join(self) -> None:
+        sent_s = monotonic_s()
+        share = await self._log.join(
+            self._group,
+            self._member,
+            [self._topic],
+            lifetime_s=self._lifetime_s,
+            generation=self._generation,
+        )
+        self._joined_s = sent_s
+        held = frozenset(partition.part for partition in share.partitions)
+        if held != self._held:
+            self._decisions.write(PartitionsHeld(generation=share.generation, parts=tuple(sorted(held))))
+        self._generation = share.generation
+        self._held = held
+
+    async def leave(self) -> None:
+        """Hold nothing from now on and tell the log, best effort."""
+        self._left = True
+        with contextlib.suppress(LogError, TimeoutError):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._log.leave(self._group, self._member)
+
+
+class GroupDirectory:
+    """Who holds which partition, read when it is asked for and kept for a short time."""
+
+    def __init__(self, log: SharedLog, group: str, topic: str) -> None:
+        self._log = log
+        self._group = group
+        self._topic = topic
+        self._members: dict[GroupPartition, str] = {}
+        self._read_s = float("-inf")
+        self._reading: asyncio.Task[None] | None = None
+
+    async def member_of(self, part: int) -> str | None:
+        """Return the member that holds a partition; while the log fails, the last one known."""
+        reading = self._reading is not None and not self._reading.done()
+        if not reading and monotonic_s() - self._read_s > DIRECTORY_LIFE_S:
+            self._reading = asyncio.get_running_loop().create_task(self._read())
+            reading = True
+        if reading:
+            await asyncio.wait([self._reading], timeout=PATIENCE_S)
+        return self._members.get(GroupPartition(self._topic, part))
+
+    def forget(self) -> None:
+        """Read the list anew when it is needed next; a member did not answer."""
+        self._read_s = float("-inf")
+
+    async def _read(self) -> None:
+        self._read_s = monotonic_s() + RETRY_S - DIRECTORY_LIFE_S
+        try:
+            self._members = await self._log.members(self._group)
+            self._read_s = monotonic_s()
+        except LogError as error:
+            logger.info("members_unknown", extra={"group": self._group, "error": str(error)})
--- a/passgate/sharedlog/log.py
+++ b/passgate/sharedlog/log.py
@@ -17,6 +17,8 @@
 
 from passgate.errors import ExecutionStatus, LogError, LogUnavailable
 
+MAX_PAGE_BYTES = 1 << 20
+
 
 class LogThrottled(LogUnavailable):
     """The log refused a call because all daemons together make too many."""
@@ -77,6 +79,21 @@
     next_offset: int
 
 
+class GroupPartition(msgspec.Struct, frozen=True):
+    """A partition that a group deals to its members."""
+
+    topic: str
+    part: int
+
+
+class GroupShare(msgspec.Struct, frozen=True, kw_only=True):
+    """What belongs to one member of a group."""
+
+    generation: int
+    """Rises with every change of the group."""
+    partitions: frozenset[GroupPartition]
+
+
 class SharedLog(Protocol):
     """Calls of the log.
 
@@ -91,14 +108,37 @@
         """
         ...
 
-    async def read(self, topic: str, part: int, start: int, *, wait_s: float) -> LogPage:
-        """Return records from ``start``, waiting up to ``wait_s``; raises HistoryGone."""
+    async def read(
+        self, topic: str, part: int, start: int, *, wait_s: float, max_bytes: int = MAX_PAGE_BYTES
+    ) -> LogPage:
+        """Return records from ``start``, waiting up to ``wait_s``; raises HistoryGone.
+
+        A page holds about ``max_bytes`` at most, and one record at least.
+        """
         ...
 
     async def newest(self, topic: str, part: int) -> KeyedSnapshot:
         """Return the newest record of every key of a keyed topic."""
         ...
 
+    async def join(
+        self, group: str, member: str, topics: Sequence[str], *, lifetime_s: float, generation: int
+    ) -> GroupShare:
+        """Join a group or stay in it; its members share the partitions of their topics.
+
+        A member that does not join again within ``lifetime_s`` is taken out.
+        ``generation`` is the last one heard, 0 at first.
+        """
+        ...
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group at once."""
+        ...
+
+    async def members(self, group: str) -> dict[GroupPartition, str]:
+        """Return the member of each partition of a group that has one."""
+        ...
+
     def decode_keyed(self, record: bytes) -> KeyedRecord:
         """Split a raw record of a keyed topic."""
         ...
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -19,7 +19,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import LogError
-from passgate.sharedlog.log import HistoryGone, KeyedRecord, LogPage, LogThrottled, SharedLog
+from passgate.sharedlog.log import MAX_PAGE_BYTES, HistoryGone, KeyedRecord, LogPage, LogThrottled, SharedLog
 
 logger = logging.getLogger("passgate.sharedlog")
 
@@ -28,12 +28,15 @@
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.4
 """Pauses after failed reads; short, as configuration must be in force soon after a recovery."""
+MIN_PAGE_BYTES = 32 * 1024
+"""Pages become smaller down to this when reads fail, as a large one may not arrive in time."""
 SLOW_DOWN = 2.0
 SPEED_UP = 0.995
 MAX_GAP_S = 0.8
 """Longest pause between reads while the log throttles; far below the time for configuration."""
 URGENT_PAUSE_S = 0.3
 """Pause after a throttled read of what must be known at once."""
+CATCH_UP_STEP_S = 0.01
 NEVER_S = float("-inf")
 EMPTY_PAGE_AGE_S = 0.1
 """How old an empty page may be when it arrives."""
@@ -89,16 +92,23 @@
         self.recovered_s = NEVER_S
         """When reading began to work again after the last time of being behind."""
 
-    def confirmed(self, now_s: float) -> None:
-        """Note a read that began at ``now_s`` and reached the end."""
-        if now_s - self._confirmed_s > BEHIND_S:
-            self.recovered_s = now_s
-        self._confirmed_s = max(self._confirmed_s, now_s)
+    def confirmed(self, began_s: float, applied_s: float | None = None) -> None:
+        """Note a read that began at ``began_s``, reached the end and was applied at ``applied_s``."""
+        if began_s - self._confirmed_s > BEHIND_S:
+            self.recovered_s = began_s if applied_s is None else applied_s
+        self._confirmed_s = max(self._confirmed_s, began_s)
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the last confirmed state; infinite before the first."""
         return now_s - self._confirmed_s
 
+    def silence_s(self, heard_s: float | None, now_s: float) -> float:
+        """Return for how long a writer has surely been silent while the log could be read.
+
+        ``heard_s`` is when its last record was read, None when there was none.
+        """
+        return now_s - max(self.recovered_s, heard_s if heard_s is not None else NEVER_S)
+
 
 class _Follower:
     """Reads again and again; pauses after failures and refusals, and knows how fresh it is."""
@@ -108,6 +118,9 @@
         self._settings = settings
         self._pause_s = FIRST_PAUSE_S
         self._pace = ReadPace(settings.gap_s)
+        self._page_bytes = MAX_PAGE_BYTES
+        self.wait_s = settings.wait_s
+        """Longest wait of one long poll."""
         self.freshness = Freshness()
 
     async def run(self) -> None:
@@ -124,6 +137,7 @@
                 await asyncio.sleep(self._throttled_s())
             except LogError as error:
                 logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
+                self._page_bytes = max(self._page_bytes // 2, MIN_PAGE_BYTES)
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2.0, MAX_PAUSE_S)
 
@@ -140,7 +154,12 @@
         return self._pace.gap_s
 
     async def _read(self, start: int, wait_s: float) -> LogPage:
-        return await self._log.read(self._settings.topic, self._settings.part, start, wait_s=wait_s)
+        page = await self._log.read(
+            self._settings.topic, self._settings.part, start, wait_s=wait_s, max_bytes=self._page_bytes
+        )
+        if page.next_offset < page.end:
+            self._page_bytes = min(self._page_bytes * 2, MAX_PAGE_BYTES)
+        return page
 
     def _confirm_end(self, page: LogPage, began_s: float) -> bool:
         """Note whether a page reached the end of the partition; return whether it did."""
@@ -148,7 +167,7 @@
             return False
         # An empty page was the truth when its wait ended, a page with records when it was made.
         at_s = began_s if page.records else max(began_s, monotonic_s() - EMPTY_PAGE_AGE_S)
-        self.freshness.confirmed(at_s)
+        self.freshness.confirmed(at_s, monotonic_s())
         return True
 
 
@@ -165,7 +184,7 @@
 
     async def _read_once(self) -> None:
         began_s = monotonic_s()
-        page = await self._read(self.next_offset, self._settings.wait_s if self.caught_up else 0.0)
+        page = await self._read(self.next_offset, self.wait_s if self.caught_up else 0.0)
         self._take(page)
         if self._confirm_end(page, began_s):
             self.caught_up = True
@@ -193,6 +212,15 @@
                 return self.next_offset > offset
         return True
 
+    async def wait_caught_up(self, timeout_s: float) -> bool:
+        """Wait until the end was reached once; return False when time ran out."""
+        until_s = monotonic_s() + timeout_s
+        while not self.caught_up:
+            if monotonic_s() >= until_s:
+                return False
+            await asyncio.sleep(CATCH_UP_STEP_S)
+        return True
+
     async def confirm(self, timeout_s: float) -> bool:
         """Return True once everything that stood on the log when called was applied.
 
@@ -208,6 +236,36 @@
         return await self.wait_past(page.end - 1, timeout_s)
 
 
+class FollowedTail:
+    """Starts and stops a tail as it is needed; what was read stays.
+
+    A tail that is started again has to reach the end anew before it counts as caught up.
+    """
+
+    def __init__(self, tail: RecordTail) -> None:
+        self.tail = tail
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def following(self) -> bool:
+        """Whether the tail is being read."""
+        return self._task is not None
+
+    @property
+    def current(self) -> bool:
+        """Whether the tail is being read and has reached the end."""
+        return self._task is not None and self.tail.caught_up
+
+    def set(self, wanted: bool) -> None:
+        """Follow, or stop following."""
+        if wanted and self._task is None:
+            self.tail.caught_up = False
+            self._task = asyncio.get_running_loop().create_task(self.tail.run())
+        elif not wanted and self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+
 class KeyedTail(_Follower):
     """Follows a keyed topic: the newest value of each key, then every change of it.
 
@@ -239,7 +297,7 @@
             await self._load()
             self._reload = False
         began_s = monotonic_s()
-        page = await self._read(self._next_offset or 0, self._settings.wait_s)
+        page = await self._read(self._next_offset or 0, self.wait_s)
         if page.records and page.start == self._next_offset:
             self._update(tuple(self._log.decode_keyed(record) for record in page.records), page.start)
             self._next_offset = page.next_offset
--- /dev/null
+++ b/passgate/versions/control.py
@@ -0,0 +1,81 @@
+"""The control topic: who leads, and what new jobs need.
+
+Only a few daemons follow it, as only they may lead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, RecordUnreadable
+from passgate.jobs.journal import Journal
+from passgate.jobs.records import WriterStopped, decode_batch
+from passgate.sharedlog.log import LogPage, SharedLog
+from passgate.sharedlog.tail import FollowedTail, RecordTail, TailSettings
+from passgate.versions.lead_fold import LeadFold
+from passgate.versions.leadership import Leadership
+
+TICK_S = 0.1
+GAP_S = 0.1
+"""Pause between reads."""
+
+
+class ControlTopic:
+    """This daemon's part in the control topic."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        topic: str,
+        journal: Journal,
+        may_lead: Callable[[], bool],
+        decisions: DecisionLog,
+        *,
+        lease_s: float,
+    ) -> None:
+        self.fold = LeadFold()
+        self.journal = journal
+        self._may_lead = may_lead
+        self._decisions = decisions
+        self._followed = FollowedTail(RecordTail(log, TailSettings(topic=topic, gap_s=GAP_S), self._apply))
+        freshness = self._followed.tail.freshness
+        self.leadership = Leadership(self.fold, journal, freshness, decisions, lease_s=lease_s)
+
+    async def run(self) -> None:
+        """Write, follow and lead as needed, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.journal.run())
+            try:
+                while True:
+                    self._tick()
+                    await asyncio.sleep(TICK_S)
+            finally:
+                self._followed.set(False)
+
+    def _tick(self) -> None:
+        self._followed.set(self._may_lead() or self.leadership.leads)
+        if self._followed.current:
+            self.leadership.tick()
+
+    def stop(self) -> asyncio.Future[int]:
+        """Give up the lead; the result is there once that stands on the log."""
+        self.leadership.stopping = True
+        return self.journal.put(WriterStopped())
+
+    def _apply(self, page: LogPage) -> None:
+        now_s = monotonic_s()
+        for index, record in enumerate(page.records):
+            offset = page.start + index
+            try:
+                batch = decode_batch(record)
+            except (msgspec.DecodeError, zlib.error) as error:
+                self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
+                continue
+            self.fold.apply(offset, batch, now_s)
+            if batch.writer == self.journal.writer:
+                self.leadership.read_back(batch)
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -10,21 +10,20 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, LeadershipLost, LeadershipTaken
-from passgate.jobs.fold import JobFold
 from passgate.jobs.journal import Journal
-from passgate.jobs.ownership import Ownership, daemon_of
-from passgate.jobs.records import Batch, LeaderClaimed
+from passgate.jobs.records import Batch, LeaderClaimed, daemon_of
+from passgate.sharedlog.tail import Freshness
+from passgate.versions.lead_fold import LeadFold
 
-TICK_S = 0.1
 TAKEOVER_MARGIN_S = 0.5
 """Silence beyond the lease after which others claim."""
 USABLE_SHARE = 0.6
 """Share of the lease for which a renewal on the log allows orders, from its sending."""
 CLAIM_PAUSE_S = 0.7
+FRESH_S = 1.6
+"""Only a daemon that has read the whole topic this recently judges the leader."""
 
 
 class Leadership:
@@ -32,18 +31,19 @@
 
     def __init__(
         self,
-        fold: JobFold,
+        fold: LeadFold,
         journal: Journal,
-        ownership: Ownership,
+        freshness: Freshness,
         decisions: DecisionLog,
         *,
         lease_s: float,
     ) -> None:
         self._fold = fold
         self._journal = journal
-        self._ownership = ownership
+        self._freshness = freshness
         self._decisions = decisions
         self.lease_s = lease_s
+        self.stopping = False
         self._next_claim_s = 0.0
         self._led_fence: int | None = None
         self._confirmed_s = float("-inf")
@@ -62,7 +62,7 @@
     def may_order(self) -> bool:
         """Whether an order may be sent now."""
         age_s = monotonic_s() - self._confirmed_s
-        return self.leads and age_s < self.lease_s * USABLE_SHARE and not self._ownership.stopping
+        return self.leads and age_s < self.lease_s * USABLE_SHARE and not self.stopping
 
     def read_back(self, batch: Batch) -> None:
         """Take a batch of this daemon that the fold has just applied."""
@@ -70,19 +70,13 @@
         if sent_s is not None and self.leads:
             self._confirmed_s = max(self._confirmed_s, sent_s)
 
-    async def run(self) -> None:
-        """Renew or claim until cancelled."""
-        while True:
-            self.tick()
-            await asyncio.sleep(TICK_S)
-
     def tick(self) -> None:
         """Renew the lease, or claim it when it is free."""
         now_s = monotonic_s()
         self._note_change()
         if self.leads:
-            self._ownership.renew(now_s)
-        elif not self._ownership.stopping and now_s >= self._next_claim_s and self._is_free(now_s):
+            self._journal.renew(self.fence)
+        elif not self.stopping and now_s >= self._next_claim_s and self._is_free(now_s):
             self._next_claim_s = now_s + CLAIM_PAUSE_S
             claim = LeaderClaimed(
                 holder=self._journal.writer, after=self._fold.leader_fence, seen=self._fold.leader_heard
@@ -90,12 +84,13 @@
             self._journal.put(claim)
 
     def _is_free(self, now_s: float) -> bool:
-        if not self._ownership.reads_log(now_s):
+        if self._freshness.age_s(now_s) >= FRESH_S:
             return False
         leader = self._fold.leader
         if not leader or daemon_of(leader) == daemon_of(self._journal.writer):
             return True
-        return self._ownership.silent_s(leader, now_s) > self.lease_s + TAKEOVER_MARGIN_S
+        silent_s = self._freshness.silence_s(self._fold.heard_s.get(leader), now_s)
+        return silent_s > self.lease_s + TAKEOVER_MARGIN_S
 
     def _note_change(self) -> None:
         fence = self.fence if self.leads else None
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from typing import Protocol
 
 import msgspec
@@ -16,6 +17,7 @@
 from passgate.decisions import DecisionLog, OrderSent, VersionWanted
 from passgate.errors import PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
+from passgate.jobs.records import JobNoted
 from passgate.versions.leadership import Leadership
 from passgate.versions.load_plan import LoadChoice, LoadLimit, ModelNeed, plan_loads
 
@@ -60,14 +62,6 @@
         ...
 
 
-class NewestJob(msgspec.Struct, frozen=True, kw_only=True):
-    """What the newest job of a model tells of the weights it needs."""
-
-    lag: int = 0
-    """How many versions behind the newest it allows."""
-    items: int = 0
-
-
 class RunningLoad(msgspec.Struct, frozen=True, kw_only=True):
     """A load under way."""
 
@@ -83,6 +77,10 @@
         self._decisions = decisions
         self.versions: dict[str, int] = {}
 
+    def newest(self, model: str) -> int:
+        """Return the newest version named for a model, 0 when there is none."""
+        return self.versions.get(model, 0)
+
     def offer(self, model: str, version: int) -> None:
         """Take a named version unless a newer one is known."""
         if version > self.versions.get(model, 0):
@@ -100,6 +98,7 @@
         leadership: Leadership,
         control: ReplicaControl,
         holder: str,
+        jobs: Mapping[str, JobNoted],
         decisions: DecisionLog,
     ) -> None:
         self._wanted = wanted
@@ -108,7 +107,8 @@
         self._control = control
         self._holder = holder
         self._decisions = decisions
-        self._jobs: dict[str, NewestJob] = {}
+        self._jobs = jobs
+        """Model to what its newest job asks for."""
         self._loading: dict[str, RunningLoad] = {}
         """Replica to its load."""
         self._limits: dict[str, LoadLimit] = {}
@@ -124,10 +124,6 @@
             for load in self._loading.values():
                 load.task.cancel()
 
-    def note_job(self, model: str, lag: int, items: int) -> None:
-        """Learn from a model's newest job how old its weights may be and how many items run at once."""
-        self._jobs[model] = NewestJob(lag=lag, items=items)
-
     def tick(self) -> None:
         """Start loads where versions are missing and there is room for a load."""
         self._loading = {key: load for key, load in self._loading.items() if not load.task.done()}
@@ -147,19 +143,20 @@
 
     def _choices(self, now_s: float) -> list[LoadChoice]:
         """Return the loads that are wanted now, the most urgent first."""
-        needs = [
-            ModelNeed(model=model, version=version, lag=job.lag, items=job.items)
-            for model, version in self._wanted.versions.items()
-            for job in [self._jobs.get(model, NewestJob())]
-        ]
         return plan_loads(
-            needs,
+            [self._need(model, version) for model, version in self._wanted.versions.items()],
             [state for state in self._replicas.all() if not state.info.draining],
             loading={replica_id: load.model for replica_id, load in self._loading.items()},
             waiting={replica_id for replica_id, at_s in self._retry_at_s.items() if now_s < at_s},
             now_s=now_s,
         )
 
+    def _need(self, model: str, version: int) -> ModelNeed:
+        job = self._jobs.get(model)
+        if job is None:
+            return ModelNeed(model=model, version=version)
+        return ModelNeed(model=model, version=version, lag=job.lag, items=job.items)
+
     def _limit(self, service: str) -> LoadLimit:
         return self._limits.setdefault(service, LoadLimit())
 
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -10,14 +10,18 @@
 import json
 import random
 import struct
+import time
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from passgate.emulator.log_groups import LogGroups
+
 LENGTH = struct.Struct(">I")
 HEAD = struct.Struct(">QQ")
 HEARTBEAT_S = 0.5
+PARTS = 4
 
 
 class Partition:
@@ -69,6 +73,7 @@
 
     def __init__(self):
         self.partitions = {}
+        self.groups = LogGroups(time.monotonic)
         self.faults = LogServiceFaults()
         self.calls = 0
         self.random = random.Random(1)
@@ -100,6 +105,9 @@
             ("/-/log-append", AppendHandler, {"service": self}),
             ("/-/log-read", ReadHandler, {"service": self}),
             ("/-/log-newest", NewestHandler, {"service": self}),
+            ("/-/log-join", JoinHandler, {"service": self}),
+            ("/-/log-leave", LeaveHandler, {"service": self}),
+            ("/-/log-owners", MembersHandler, {"service": self}),
         ]
         self.server = HTTPServer(Application(handlers))
         self.address = listen(self.server, port)
@@ -189,6 +197,35 @@
         self.finish({"requests": rows[:500], "more": len(rows) > 500, "end": end})
 
 
+class JoinHandler(LogHandler):
+    def post(self):
+        join = json.loads(self.request.body)
+        partitions = [(topic, part) for topic in join["topics"] for part in range(PARTS)]
+        share = self.service.groups.join(
+            join["group"],
+            join["member"],
+            partitions,
+            lifetime_s=join["ttl_ms"] / 1000,
+            generation=join["generation"],
+        )
+        rows = [[topic, part, 0] for topic, part in share.partitions]
+        self.finish({"generation": share.generation, "ttl_ms": join["ttl_ms"], "parts": rows})
+
+
+class LeaveHandler(LogHandler):
+    def post(self):
+        leave = json.loads(self.request.body)
+        self.service.groups.leave(leave["group"], leave["member"])
+        self.finish({})
+
+
+class MembersHandler(LogHandler):
+    def get(self):
+        owners = self.service.groups.owners(self.get_query_argument("group"))
+        rows = [[topic, part, member, 0] for (topic, part), member in owners.items()]
+        self.finish({"parts": rows})
+
+
 @dataclass
 class Run:
     """One run of a request at a replica."""
