Give light parts of a split route their share at daemons with few requests

Each daemon's choice began at the heaviest part, so many daemons with a few requests each gave a light part nothing (test: 300 daemons with 3 requests each, share 0 instead of 0.1). Change: the place in the range of the weights moves on by the golden ratio from a drawn start. RouteTable.named, which nothing called, is gone.

--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -9,11 +9,15 @@
 
 from __future__ import annotations
 
+import bisect
 import enum
+import itertools
+import random
 
 import msgspec
 
 DEFAULT_TIMEOUT_S = 30.0
+GOLDEN_RATIO = 0.6180339887498949
 
 
 class RouteKind(enum.Enum):
@@ -95,7 +99,6 @@
 
     def __init__(self, config: GatewayConfig) -> None:
         self.config = config
-        self._by_name = {route.name: route for route in config.routes}
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(config.routes, key=lambda route: len(route.path_prefix), reverse=True):
             self._by_host.setdefault(route.host, []).append(route)
@@ -108,10 +111,6 @@
                 return route
         return None
 
-    def named(self, name: str) -> Route | None:
-        """Return the route of this name, or None."""
-        return self._by_name.get(name)
-
 
 class ConfigHolder:
     """The configuration in force; versions only rise."""
@@ -130,25 +129,30 @@
 class WeightedChoice:
     """Spreads requests over a route's parts so that shares follow the weights closely.
 
-    >>> choice = WeightedChoice()
+    Each request's place in the range of the weights is the last one moved on by the golden
+    ratio, which fills the range evenly from any start.  The start is drawn, so that many
+    daemons that see few requests each give light parts their share too.
+
+    >>> choice = WeightedChoice(seed=1)
     >>> route = Route(name="a", host="h", path_prefix="/", parts=(RoutePart("s", 90), RoutePart("t", 10)))
-    >>> picked = [choice.pick(route) for _ in range(20)]
+    >>> picked = [choice.pick(route) for _ in range(100)]
     >>> picked.count("s"), picked.count("t")
-    (18, 2)
+    (90, 10)
     """
 
-    def __init__(self) -> None:
-        self._credits: dict[str, dict[str, float]] = {}
+    def __init__(self, seed: int | None = None) -> None:
+        self._random = random.Random(seed)
+        self._places: dict[str, float] = {}
+        """Route to the place of its last request, from 0 to 1."""
 
     def pick(self, route: Route) -> str:
-        """Return the service for the next request (smooth weighted round robin)."""
+        """Return the service for the next request."""
         parts = [part for part in route.parts if part.weight > 0] or list(route.parts)
         if len(parts) == 1:
             return parts[0].service
-        total = sum(part.weight for part in parts)
-        credits = self._credits.setdefault(route.name, {})
-        for part in parts:
-            credits[part.service] = credits.get(part.service, 0.0) + part.weight
-        best = max(parts, key=lambda part: credits[part.service]).service
-        credits[best] -= total
-        return best
+        last = self._places.get(route.name)
+        place = self._random.random() if last is None else (last + GOLDEN_RATIO) % 1.0
+        self._places[route.name] = place
+        ends = list(itertools.accumulate(part.weight for part in parts))
+        index = bisect.bisect_right(ends, place * ends[-1])
+        return parts[min(index, len(parts) - 1)].service
