Have the whole text of an item scored before it is listed

Cause: an item of the new customer names a scorer; its result counts as succeeded only with the stamp of a 2xx to that reward call. Change: jobs.reward_call sends the call by the route in force of its host and path, one attempt after the other, until a stamp is there. Only answers of 500 that were read, with the echoed id, count towards "dead", up to the larger bound of both routes; refusals, lost answers, silences, other statuses lead to a further attempt after a growing pause. A call's patience is eight times the replica's usual latency, doubled after each silence. Calls stand in line, get no replica above 0.7 of its slots, and so leave places to callers. The whole text stands on the log while it waits (ItemProgressed.whole): another owner, a later life or a later job that carries the item on repeats the reward call only. A score is kept with the id of its call, so an item that comes again with another scorer is scored anew. The first record of a run that arrives a second time no longer begins the run anew in the fold.

--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -219,6 +219,33 @@
     events_kept: int
 
 
+class RewardSent(Event, tag="reward_sent"):
+    """The reward call of an item, whose text is whole, was sent to a replica."""
+
+    job_id: str
+    item_id: str
+    request_id: str
+    replica_id: str
+    attempt: int
+
+    @property
+    def ordinary(self) -> bool:
+        """Only further attempts are told of first."""
+        return self.attempt == 1
+
+
+class RewardFailed(Event, tag="reward_failed"):
+    """An attempt of a reward call brought no score."""
+
+    job_id: str
+    item_id: str
+    request_id: str
+    replica_id: str
+    reason: str
+    failures: int
+    """Answers of 500 so far; they alone end the item."""
+
+
 class ItemListed(Event, tag="item_listed"):
     """A result of an item is on the log."""
 
@@ -228,6 +255,7 @@
     versions: tuple[int, ...]
     attempts: int
     elapsed_ms: float
+    scored: bool = False
 
     @property
     def ordinary(self) -> bool:
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -33,7 +33,7 @@
 from passgate.gateway.metrics import GatewayMetrics
 from passgate.gateway.replica_call import ReplicaCaller
 from passgate.gateway.replicas import ReplicaTable
-from passgate.gateway.routes import ConfigHolder, GatewayConfig
+from passgate.gateway.routes import ConfigHolder, GatewayConfig, Route, WeightedChoice
 from passgate.gateway.settings import GatewaySettings
 from passgate.gateway.stream_forwarder import StreamForwarder
 from passgate.jobs.fold import JobFold, JobState
@@ -42,6 +42,7 @@
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.records import writer_name
+from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings
@@ -123,6 +124,15 @@
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions)
         self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
         self._waiting = WaitingLine()
+        self._rewards = RewardTools(
+            find_route=self._find_route,
+            caller=caller,
+            replicas=self.replicas,
+            names=names,
+            decisions=self.decisions,
+            parts=WeightedChoice(),
+            line=asyncio.Lock(),
+        )
         self._peers = peers
         group = f"{topics.watch_group}.{settings.zone}"
         self._member = GroupMember(
@@ -197,10 +207,13 @@
         settings = TailSettings(topic=topic, gap_s=gap_s, urgent=True)
         self._keyed_tails.append(KeyedTail(self._log, settings, replace=replace, update=update))
 
-    def _make_runner(self, fold: JobFold, journal: Journal, job: JobState) -> JobRunner | None:
+    def _find_route(self, host: str, path: str) -> Route | None:
         table = self.config.table
+        return table.match(host, path) if table is not None else None
+
+    def _make_runner(self, fold: JobFold, journal: Journal, job: JobState) -> JobRunner | None:
         spec = job.spec()
-        route = table.match(spec.host, spec.path) if table is not None else None
+        route = self._find_route(spec.host, spec.path)
         if route is None:
             return None
         tools = ItemTools(
@@ -210,6 +223,7 @@
             names=self._names,
             decisions=self.decisions,
             waiting=self._waiting,
+            rewards=self._rewards,
             group_replica={},
         )
         return JobRunner(job, fold, journal, tools)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -70,6 +70,11 @@
     body: bytes
     replica_id: str
 
+    def header(self, name: str) -> str:
+        """Return the first header of this name, or nothing."""
+        lowered = name.lower()
+        return next((value for key, value in self.headers if key.lower() == lowered), "")
+
 
 def forwarded_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return the headers that are passed on: all but those of a single connection.
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import msgspec
@@ -42,6 +43,10 @@
     """Version of the weights of each model it holds."""
 
 
+FULL_LOAD = 1.0
+"""Load of a replica all of whose slots are taken."""
+
+
 class ChoiceRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What a request asks of a replica."""
 
@@ -52,8 +57,8 @@
     min_version: int = 0
     preferred: str = ""
     """Replica that holds the prompt's shared part, if any."""
-    room_only: bool = False
-    """Whether only replicas with a free slot will do."""
+    load_below: float = math.inf
+    """Only replicas with a smaller load, in shares of their slots, will do."""
 
 
 class ReplicaState:
@@ -130,7 +135,7 @@
         info = state.info
         if info.draining or info.service not in request.services or info.replica_id in request.excluded:
             return False
-        if request.room_only and state.load(now_s) >= 1.0:
+        if state.load(now_s) >= request.load_below:
             return False
         return not request.model or state.version_of(request.model) >= request.min_version
 
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -22,7 +22,7 @@
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer
 from passgate.gateway.replica_call import ReplicaExchange, forwarded_headers
-from passgate.gateway.replicas import ChoiceRequest
+from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest
 from passgate.gateway.routes import Route
 
 OK = 200
@@ -138,7 +138,7 @@
         if not stream.route.resumable or not stream.may_go_on:
             return False
         wish = ChoiceRequest(
-            services=frozenset({stream.service}), excluded=frozenset(stream.tried), room_only=True
+            services=frozenset({stream.service}), excluded=frozenset(stream.tried), load_below=FULL_LOAD
         )
         return self._replicas.has_faster(exchange.replica_id, wish, monotonic_s())
 
--- a/passgate/jobs/checkpoint.py
+++ b/passgate/jobs/checkpoint.py
@@ -37,8 +37,13 @@
 
     def entry(self) -> ItemProgressed | None:
         """Return the entry for the events since the last call, or None when there are none."""
-        if self._stream.count <= self._saved:
-            return None
+        return self._entry(whole=False) if self._stream.count > self._saved else None
+
+    def last_entry(self) -> ItemProgressed:
+        """Return the entry that ends the output, with the events since the last call."""
+        return self._entry(whole=True)
+
+    def _entry(self, *, whole: bool) -> ItemProgressed:
         data, versions = self._stream.events_after(self._saved)
         entry = ItemProgressed(
             job_id=self._job_id,
@@ -49,6 +54,7 @@
             versions=versions,
             last_id=self._stream.last_id,
             parent=self._parent,
+            whole=whole,
         )
         self._saved = self._stream.count
         self._parent = ""
--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -20,6 +20,16 @@
     data: list[str] = []
     versions: list[int] = []
     last_id: str = ""
+    whole: bool = False
+    """Whether the output has no further events and waits for its reward call."""
+
+    def text(self) -> str:
+        """Return the data of all events, separated by line feeds."""
+        return "\n".join(self.data)
+
+    def distinct_versions(self) -> tuple[int, ...]:
+        """Return the versions of the weights that made the events, each once, in order."""
+        return tuple(dict.fromkeys(self.versions))
 
 
 class EventStream:
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -32,6 +32,7 @@
     JobPart,
     JobSpec,
     Result,
+    ResultState,
     WriterStopped,
     decode_spec,
     encode_spec,
@@ -160,7 +161,13 @@
         for result in entry.results:
             if job.list_result(result):
                 self.finished[result.item_id] = result
-                self.kept.pop(result.item_id, None)
+                self._drop_events(result)
+
+    def _drop_events(self, result: Result) -> None:
+        """Forget an item's events, unless a later job may still have the whole text scored."""
+        kept = self.kept.get(result.item_id)
+        if kept is not None and not (kept.whole and result.state is ResultState.DEAD):
+            del self.kept[result.item_id]
 
     def _keep(self, writer: str, entry: ItemProgressed) -> None:
         """Add events to the run they belong to; events of another run are ignored."""
@@ -168,9 +175,10 @@
         if job is None or entry.item_id in job.listed:
             return
         kept = self.kept.get(entry.item_id)
-        if entry.after == 0 and not entry.parent and (kept is None or job.owner == writer):
+        begins = entry.after == 0 and not entry.parent
+        if begins and (kept is None or (job.owner == writer and kept.run != entry.run)):
             kept = self.kept[entry.item_id] = KeptEvents(run=entry.run)
-        if kept is None or entry.after != len(kept.data):
+        if kept is None or kept.whole or entry.after != len(kept.data):
             return
         if entry.run != kept.run and entry.parent != kept.run:
             return
@@ -178,6 +186,7 @@
         kept.data.extend(entry.data)
         kept.versions.extend(entry.versions)
         kept.last_id = entry.last_id
+        kept.whole = entry.whole
 
     def _end(self, entry: JobEnded) -> None:
         job = self.jobs.get(entry.job_id)
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -22,11 +22,12 @@
 )
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replica_call import ReplicaCaller, ReplicaExchange, ReplicaRequest
-from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
+from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest, ReplicaState, ReplicaTable
 from passgate.gateway.routes import Route
 from passgate.jobs.checkpoint import ItemCheckpoint
 from passgate.jobs.event_stream import EventStream, KeptEvents
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
+from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.waiting import Rank, WaitingLine
 
 ROOM_STEP_S = 0.03
@@ -56,6 +57,7 @@
     names: HeaderNames
     decisions: DecisionLog
     waiting: WaitingLine
+    rewards: RewardTools
     group_replica: dict[str, str]
     """Group to the replica that read its shared prompt last."""
 
@@ -119,7 +121,7 @@
             model=self._job.model,
             min_version=self._job.min_version,
             preferred=self._tools.group_replica.get(self.item.group, ""),
-            room_only=True,
+            load_below=FULL_LOAD,
         )
 
     def _choose(self) -> ReplicaState | None:
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -24,6 +24,16 @@
     DEAD = "dead"
 
 
+class RewardSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """The reward call of an item: the request that scores its whole text."""
+
+    id: str
+    """Identifies the call at the replica that answers it."""
+    host: str
+    path: str
+    body: bytes = b""
+
+
 class ItemSpec(msgspec.Struct, frozen=True, kw_only=True):
     """One item of a job as its caller submitted it."""
 
@@ -33,6 +43,8 @@
     body: bytes = b""
     tokens: int = 0
     group: str = ""
+    reward: RewardSpec | None = None
+    """Without it the item is done once its text is whole."""
 
 
 class JobSpec(msgspec.Struct, frozen=True, kw_only=True):
@@ -48,6 +60,14 @@
     desired: int = 0
 
 
+class Score(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a reward call brought."""
+
+    call_id: str
+    stamp: str
+    """Signature of the replica that answered the call with a success."""
+
+
 class Result(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The final result of an item."""
 
@@ -55,6 +75,7 @@
     state: ResultState
     text: str = ""
     versions: tuple[int, ...] = ()
+    score: Score | None = None
 
 
 class Entry(msgspec.Struct, frozen=True, kw_only=True, tag_field="t"):
@@ -103,6 +124,8 @@
     """Identifier of the last of these events."""
     parent: str = ""
     """Run that this one goes on from, in its first record."""
+    whole: bool = False
+    """Whether these events end the output, which now waits for its reward call."""
 
 
 class JobEnded(Entry, tag="end"):
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -10,12 +10,15 @@
 import asyncio
 import logging
 
+import msgspec
+
 from passgate.clock import monotonic_s
 from passgate.decisions import ItemListed
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemRun, ItemTools
 from passgate.jobs.journal import Journal
-from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState
+from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState, RewardSpec
+from passgate.jobs.reward_call import RewardCall
 from passgate.jobs.waiting import Rank
 
 logger = logging.getLogger("passgate.jobs")
@@ -85,18 +88,36 @@
         return (not known, -self._tools.expected_tokens(item))
 
     async def _start(self, item: ItemSpec, items: asyncio.TaskGroup) -> None:
-        earlier = self._fold.finished.get(item.id)
-        if earlier is not None and self._fits(earlier):
-            self._list(earlier, attempts=0, began_s=monotonic_s())
+        earlier = self._known_text(item.id)
+        if earlier is not None:
+            items.create_task(self._score(item, earlier, attempts=0, began_s=monotonic_s()))
             return
         run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), self._rank)
         await run.wait_for_replica()
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
 
+    def _known_text(self, item_id: str) -> Result | None:
+        """Return the whole text of an item from an earlier job or owner, if its versions fit."""
+        earlier = self._fold.finished.get(item_id)
+        if earlier is not None and self._fits(earlier):
+            return earlier
+        kept = self._fold.kept.get(item_id)
+        if kept is None or not kept.whole:
+            return None
+        whole = Result(
+            item_id=item_id,
+            state=ResultState.SUCCEEDED,
+            text=kept.text(),
+            versions=kept.distinct_versions(),
+        )
+        return whole if self._fits(whole) else None
+
     def _fits(self, result: Result) -> bool:
         if result.state is not ResultState.SUCCEEDED or not result.versions:
             return False
+        if self._tools.route.single_version and len(result.versions) > 1:
+            return False
         return min(result.versions) >= self._spec.min_version
 
     async def _run_item(self, run: ItemRun) -> None:
@@ -105,7 +126,24 @@
             result = await run.result()
         finally:
             del self._running[run.item.id]
-        self._list(result, attempts=run.attempts, began_s=run.began_s)
+        if run.item.reward is not None and result.state is ResultState.SUCCEEDED:
+            self._journal.put(run.checkpoint.last_entry())
+        await self._score(run.item, result, run.attempts, run.began_s)
+
+    async def _score(self, item: ItemSpec, result: Result, attempts: int, began_s: float) -> None:
+        """Have a whole text scored where the item asks for it, and list the result."""
+        if item.reward is not None and result.state is ResultState.SUCCEEDED:
+            result = await self._scored(item, item.reward, result)
+        self._list(result, attempts, began_s)
+
+    async def _scored(self, item: ItemSpec, reward: RewardSpec, result: Result) -> Result:
+        if result.score is not None and result.score.call_id == reward.id:
+            return result
+        call = RewardCall(self._spec.job_id, item.id, reward, self._tools.rewards)
+        score = await call.score(self._tools.route.max_attempts)
+        if score is None:
+            return Result(item_id=item.id, state=ResultState.DEAD)
+        return msgspec.structs.replace(result, score=score)
 
     async def _checkpoint_often(self) -> None:
         while True:
@@ -122,5 +160,6 @@
                 versions=result.versions,
                 attempts=attempts,
                 elapsed_ms=round((monotonic_s() - began_s) * 1000, 1),
+                scored=result.score is not None,
             )
         )
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -11,7 +11,7 @@
 from passgate.gateway.replicas import ReplicaInfo
 from passgate.gateway.routes import GatewayConfig, RequestLimits, Route, RouteKind, RoutePart, Service
 from passgate.jobs.reader import ResultPage
-from passgate.jobs.records import ItemSpec, JobSpec
+from passgate.jobs.records import ItemSpec, JobSpec, RewardSpec
 from passgate.versions.loader import ReplicaReport
 
 logger = logging.getLogger("passgate.platform")
@@ -94,6 +94,13 @@
     models: list[_Model] = []
 
 
+class _Scorer(msgspec.Struct, frozen=True):
+    id: str
+    host: str
+    path: str
+    body: str = ""
+
+
 class _Item(msgspec.Struct, frozen=True):
     id: str
     path: str
@@ -101,6 +108,7 @@
     body: str = ""
     tokens: int = 0
     group: str = ""
+    scorer: _Scorer | None = None
 
 
 class _Job(msgspec.Struct, frozen=True):
@@ -191,6 +199,7 @@
                 body=base64.b64decode(item.body),
                 tokens=item.tokens,
                 group=item.group,
+                reward=_reward(item.scorer),
             )
             for item in job.requests
         )
@@ -208,11 +217,18 @@
     )
 
 
-class _Result(msgspec.Struct):
+def _reward(scorer: _Scorer | None) -> RewardSpec | None:
+    if scorer is None:
+        return None
+    return RewardSpec(id=scorer.id, host=scorer.host, path=scorer.path, body=base64.b64decode(scorer.body))
+
+
+class _Result(msgspec.Struct, omit_defaults=True):
     id: str
     state: str
     text: str
     versions: tuple[int, ...]
+    score: str | None = None
 
 
 class _Results(msgspec.Struct):
@@ -227,7 +243,13 @@
         total=page.total,
         nextToken=page.next_position,
         results=[
-            _Result(id=row.item_id, state=row.state.value, text=row.text, versions=row.versions)
+            _Result(
+                id=row.item_id,
+                state=row.state.value,
+                text=row.text,
+                versions=row.versions,
+                score=row.score.stamp if row.score is not None else None,
+            )
             for row in page.results
         ],
     )
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -238,6 +238,8 @@
     last_event_id: str
     versions: list = field(default_factory=list)
     whole: bool = False
+    began_s: float = 0.0
+    ended_s: float = 0.0
 
 
 @dataclass
@@ -379,6 +381,7 @@
             body=self.request.body,
             deadline_ms=headers.get("X-Deadline-Ms", ""),
             last_event_id=headers.get("Last-Event-Id", ""),
+            began_s=time.monotonic(),
         )
         replica.runs.append(run)
         self.set_header("X-Attempt-Id", "0" if replica.faults.wrong_id else request_id)
@@ -391,7 +394,7 @@
             await self.stream(run)
             return
         await asyncio.sleep(replica.work_s * replica.faults.slow)
-        run.whole = True
+        run.whole, run.ended_s = True, time.monotonic()
         if random.random() < replica.faults.lost_answers:
             self.cut()
             return
@@ -423,7 +426,7 @@
             self.write("\n".join(lines) + "\n\n")
             with contextlib.suppress(Exception):
                 await self.flush()
-        run.whole = True
+        run.whole, run.ended_s = True, time.monotonic()
         self.finish()
 
     def take_order(self):
@@ -489,7 +492,21 @@
     } | fields
 
 
-def job_body(item_ids, *, model="m", min_version=1, step=1):
+def reward_id(item_id):
+    return f"score-{item_id}"
+
+
+def scorer(item_id):
+    """Return the reward call of an item; it goes by the safe route."""
+    return {
+        "id": reward_id(item_id),
+        "host": "h.example",
+        "path": f"/call/score/{item_id}",
+        "body": base64.b64encode(f"score {item_id}".encode()).decode(),
+    }
+
+
+def job_body(item_ids, *, model="m", min_version=1, step=1, scored=False):
     items = [
         {
             "id": item_id,
@@ -499,6 +516,7 @@
             "tokens": 10,
             "group": item_id[:2],
         }
+        | ({"scorer": scorer(item_id)} if scored else {})
         for item_id in item_ids
     ]
     document = {
--- a/tests/test_jobs_fold.py
+++ b/tests/test_jobs_fold.py
@@ -30,6 +30,20 @@
     )
 
 
+def events(item, run, after, *data, whole=False, parent="", version=1):
+    return ItemProgressed(
+        job_id="j",
+        item_id=item,
+        run=run,
+        after=after,
+        data=data,
+        versions=(version,) * len(data),
+        last_id=str(after + len(data)),
+        parent=parent,
+        whole=whole,
+    )
+
+
 def done(item, text="t", job_id="j", versions=(1,)):
     result = Result(item_id=item, state=ResultState.SUCCEEDED, text=text, versions=versions)
     return ItemsDone(job_id=job_id, results=(result,))
@@ -163,3 +177,32 @@
     log.add("d1.x", progressed("r1", 1, ("2",)))
     assert "a" not in log.fold.kept
     assert log.fold.finished["a"].text == "t"
+
+
+def test_a_whole_text_that_waits_for_its_score_stays_as_it_is(log):
+    log.add("d1.x", events("a", "r1", 0, "x", "y"))
+    log.add("d1.x", events("a", "r1", 2, "z", whole=True))
+    log.add("d1.x", events("a", "r1", 3, "late"))
+    kept = log.fold.kept["a"]
+    assert (kept.text(), kept.whole, kept.distinct_versions()) == ("x\ny\nz", True, (1,))
+
+
+def test_an_end_without_events_marks_the_kept_ones_as_whole(log):
+    log.add("d1.x", events("a", "r1", 0, "x"))
+    log.add("d1.x", events("a", "r1", 1, whole=True))
+    assert (log.fold.kept["a"].text(), log.fold.kept["a"].whole) == ("x", True)
+
+
+def test_a_late_copy_of_the_first_events_does_not_begin_the_run_anew(log):
+    first = events("a", "r1", 0, "x")
+    log.add("d1.x", first)
+    log.add("d1.x", events("a", "r1", 1, "y", whole=True))
+    log.add("d1.x", first)
+    assert (log.fold.kept["a"].text(), log.fold.kept["a"].whole) == ("x\ny", True)
+
+
+def test_the_whole_text_of_an_item_whose_scoring_failed_is_kept_for_a_later_job(log):
+    log.add("d1.x", events("a", "r1", 0, "x", whole=True), events("b", "r2", 0, "x"))
+    dead = [Result(item_id=item, state=ResultState.DEAD) for item in ("a", "b")]
+    log.add("d1.x", ItemsDone(job_id="j", results=tuple(dead)))
+    assert set(log.fold.kept) == {"a"}
