Let a daemon keep its place in the log's groups over its lives

Cause: the name of a group's member held the daemon's life. Change: the member's name is the daemon's id and peer address. The log tells the new life what the one before held, at its first join. Writers on the log keep their names with the life in them; only these own, lead and claim. Test: test_daemons_that_are_all_killed_watch_at_once_when_they_come_back.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -41,7 +41,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
-from passgate.jobs.records import writer_name
+from passgate.jobs.records import member_name, writer_name
 from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
@@ -134,11 +134,12 @@
             line=asyncio.Lock(),
         )
         self._peers = peers
+        member = member_name(settings.daemon_id, peers.address)
         group = f"{topics.watch_group}.{settings.zone}"
         self._member = GroupMember(
             log,
             group,
-            writer,
+            member,
             topics.jobs,
             self.decisions,
             least_lifetime_s=settings.group_lifetime_s,
@@ -168,7 +169,7 @@
             retention_s=settings.job_retention_s,
         )
         directory = GroupDirectory(log, group, topics.jobs)
-        job_peers = JobPeers(peers, directory, writer, self.decisions)
+        job_peers = JobPeers(peers, directory, member, self.decisions)
         self.shards = JobShards(
             log,
             shard_settings,
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -84,12 +84,12 @@
         self,
         transport: PeerTransport,
         directory: GroupDirectory,
-        writer: str,
+        member: str,
         decisions: DecisionLog,
     ) -> None:
         self._transport = transport
         self._directory = directory
-        self._writer = writer
+        self._member = member
         self._decisions = decisions
 
     async def is_alive(self, writer: str) -> bool:
@@ -124,7 +124,7 @@
 
     async def _ask(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
         member = await self._directory.member_of(part)
-        if member is None or member == self._writer:
+        if member is None or member == self._member:
             raise PeerError("nobody else watches the partition", part=part)
         address = address_of(member)
         try:
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -189,6 +189,17 @@
     return f"{daemon_id}.{life}{AT}{peer_address}"
 
 
+def member_name(daemon_id: str, peer_address: str) -> str:
+    """Return the name of a daemon in the log's groups: the same for all its lives.
+
+    A daemon that comes back within its lifetime in a group keeps what it held.
+
+    >>> address_of(member_name("front-1", "10.1.0.10:7720"))
+    '10.1.0.10:7720'
+    """
+    return f"{daemon_id}{AT}{peer_address}"
+
+
 def daemon_of(writer: str) -> str:
     """Return the daemon of a writer.
 
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -19,7 +19,15 @@
 from passgate.jobs.ownership import TAKEOVER_S
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.reader import find_job
-from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState, writer_name
+from passgate.jobs.records import (
+    ItemsDone,
+    ItemSpec,
+    JobSpec,
+    Result,
+    ResultState,
+    member_name,
+    writer_name,
+)
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings, partition_of
 from passgate.peers.memory_transport import MemoryNetwork
@@ -63,7 +71,8 @@
         self.transport = self.network.transport(f"{name}:7720", name)
         self.name = writer_name(name, str(life), self.transport.address)
         decisions = DecisionLog(name, write=len)
-        self.member = GroupMember(self.client, f"watch.{zone}", self.name, "jobs", decisions)
+        member = member_name(name, self.transport.address)
+        self.member = GroupMember(self.client, f"watch.{zone}", member, "jobs", decisions)
         sizes = {"record_bytes": 262_144, "append_bytes": 2_000_000}
         self.journal = Journal(self.client, "control", 0, self.name, **sizes)
         self.control = ControlTopic(
@@ -77,7 +86,7 @@
         self.leadership = self.control.leadership
         settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
         directory = GroupDirectory(self.client, f"watch.{zone}", "jobs")
-        peers = JobPeers(self.transport, directory, self.name, decisions)
+        peers = JobPeers(self.transport, directory, member, decisions)
         liveness = Liveness(peers.is_alive)
         self.shards = JobShards(
             self.client, settings, self.member.held, self.make_runner, liveness, decisions
@@ -188,6 +197,28 @@
     run_virtual(main())
 
 
+def test_daemons_that_are_all_killed_watch_at_once_when_they_come_back():
+    """Nobody waits until the log takes the members of the lives before out of the group."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 3)
+        held = [daemon.member.held() for daemon in daemons]
+        await daemons[0].service.submit(job_spec("j"), monotonic_s() + 2)
+        for daemon in daemons:
+            await daemon.kill()
+        back = [Daemon(log, f"d{number}", life=1, zone="z0").start() for number in range(3)]
+        await asyncio.sleep(0.1)
+        assert [daemon.member.held() for daemon in back] == held
+        await asyncio.sleep(0.4)
+        assert await back[0].owner("j") in {daemon.name for daemon in back}
+        await settle(back, ["j"])
+        for daemon in back:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
 def test_a_planned_stop_hands_jobs_over_at_once():
     async def main():
         daemons = await started(MemorySharedLog(), 3)
