Send calls to a silent log again beside those that wait

A call that was sent to the silent log stays without an answer until its 1.2 s (2.2 s for a long poll) are over, also when the log is back meanwhile; appends of results, reads and joins of the groups alike. Ruled out: pauses between calls (0.05 to 0.5 s), throttling. Change: sharedlog.hedge sends such a call again after each 0.35 s of silence, four at most at a time; the first answer counts. Entries are harmless when repeated; the fold now also ignores a late copy of the first record of a run that was dropped.

--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -20,6 +20,8 @@
     data: list[str] = []
     versions: list[int] = []
     last_id: str = ""
+    replaced: frozenset[str] = frozenset()
+    """Earlier runs whose events were dropped; late copies of their records count for nothing."""
     whole: bool = False
     """Whether the output has no further events and waits for its reward call."""
 
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -175,9 +175,9 @@
         if job is None or entry.item_id in job.listed:
             return
         kept = self.kept.get(entry.item_id)
-        begins = entry.after == 0 and not entry.parent
-        if begins and (kept is None or (job.owner == writer and kept.run != entry.run)):
-            kept = self.kept[entry.item_id] = KeptEvents(run=entry.run)
+        if entry.after == 0 and not entry.parent and self._begins(entry, kept, job.owner == writer):
+            replaced = kept.replaced | {kept.run} if kept is not None else frozenset()
+            kept = self.kept[entry.item_id] = KeptEvents(run=entry.run, replaced=replaced)
         if kept is None or kept.whole or entry.after != len(kept.data):
             return
         if entry.run != kept.run and entry.parent != kept.run:
@@ -188,6 +188,13 @@
         kept.last_id = entry.last_id
         kept.whole = entry.whole
 
+    @staticmethod
+    def _begins(entry: ItemProgressed, kept: KeptEvents | None, by_owner: bool) -> bool:
+        """Whether the first record of a run begins what is kept anew."""
+        if kept is None:
+            return True
+        return by_owner and entry.run != kept.run and entry.run not in kept.replaced
+
     def _end(self, entry: JobEnded) -> None:
         job = self.jobs.get(entry.job_id)
         if job is not None:
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -16,6 +16,7 @@
 from passgate.clock import monotonic_s
 from passgate.errors import DurabilityUnknown, LogAppendUnknown, LogUnavailable
 from passgate.jobs.records import AnyEntry, Batch, ItemProgressed, ItemsDone, WriterAlive, encode_batch
+from passgate.sharedlog.hedge import hedged
 from passgate.sharedlog.log import SharedLog
 
 logger = logging.getLogger("passgate.jobs")
@@ -113,7 +114,7 @@
         while True:
             sent_s = monotonic_s()
             try:
-                offset = await self._log.append(self._topic, self._part, [record])
+                offset = await hedged(lambda: self._log.append(self._topic, self._part, [record]))
             except (LogUnavailable, LogAppendUnknown) as error:
                 logger.info("append_failed", extra={"error": str(error), "code": error.code})
                 await asyncio.sleep(pause_s)
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -13,7 +13,8 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PartitionsHeld
 from passgate.errors import LogError
-from passgate.sharedlog.log import GroupPartition, SharedLog
+from passgate.sharedlog.hedge import hedged
+from passgate.sharedlog.log import GroupPartition, GroupShare, SharedLog
 
 logger = logging.getLogger("passgate.sharedlog")
 
@@ -71,13 +72,7 @@
 
     async def _join(self) -> None:
         sent_s = monotonic_s()
-        share = await self._log.join(
-            self._group,
-            self._member,
-            [self._topic],
-            lifetime_s=self._lifetime_s,
-            generation=self._generation,
-        )
+        share = await hedged(self._call_join)
         self._joined_s = sent_s
         held = frozenset(partition.part for partition in share.partitions)
         if held != self._held:
@@ -85,6 +80,15 @@
         self._generation = share.generation
         self._held = held
 
+    async def _call_join(self) -> GroupShare:
+        return await self._log.join(
+            self._group,
+            self._member,
+            [self._topic],
+            lifetime_s=self._lifetime_s,
+            generation=self._generation,
+        )
+
     async def leave(self) -> None:
         """Hold nothing from now on and tell the log, best effort."""
         self._left = True
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -19,6 +19,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import LogError
+from passgate.sharedlog.hedge import hedged
 from passgate.sharedlog.log import MAX_PAGE_BYTES, HistoryGone, KeyedRecord, LogPage, LogThrottled, SharedLog
 
 logger = logging.getLogger("passgate.sharedlog")
@@ -122,6 +123,7 @@
         self._log = log
         self._settings = settings
         self._pause_s = FIRST_PAUSE_S
+        self._failing = False
         self._pace = ReadPace(settings.gap_s)
         self._page_bytes = MAX_PAGE_BYTES
         self.wait_s = settings.wait_s
@@ -133,6 +135,7 @@
         while True:
             try:
                 at_end = await self._read_once()
+                self._failing = False
                 self._pause_s = FIRST_PAUSE_S
                 self._pace.succeeded()
                 await asyncio.sleep(self._pace.gap_s if at_end or self._pace.slowed else 0.0)
@@ -142,6 +145,7 @@
                 await asyncio.sleep(self._throttled_s())
             except LogError as error:
                 logger.info("log_read_failed", extra={"topic": self._settings.topic, "error": str(error)})
+                self._failing = True
                 self._page_bytes = max(self._page_bytes // 2, MIN_PAGE_BYTES)
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2.0, MAX_PAUSE_S)
@@ -160,13 +164,17 @@
         return self._pace.gap_s
 
     async def _read(self, start: int, wait_s: float) -> LogPage:
-        page = await self._log.read(
-            self._settings.topic, self._settings.part, start, wait_s=wait_s, max_bytes=self._page_bytes
-        )
+        page = await (hedged(lambda: self._call(start, 0.0)) if self._failing else self._call(start, wait_s))
         if page.next_offset < page.end:
             self._page_bytes = min(self._page_bytes * 2, MAX_PAGE_BYTES)
         return page
 
+    async def _call(self, start: int, wait_s: float) -> LogPage:
+        settings = self._settings
+        return await self._log.read(
+            settings.topic, settings.part, start, wait_s=wait_s, max_bytes=self._page_bytes
+        )
+
     def _confirm_end(self, page: LogPage, began_s: float) -> bool:
         """Note whether a page reached the end of the partition; return whether it did."""
         if page.next_offset < page.end:
--- a/tests/test_jobs_fold.py
+++ b/tests/test_jobs_fold.py
@@ -206,3 +206,12 @@
     dead = [Result(item_id=item, state=ResultState.DEAD) for item in ("a", "b")]
     log.add("d1.x", ItemsDone(job_id="j", results=tuple(dead)))
     assert set(log.fold.kept) == {"a"}
+
+
+def test_a_late_copy_of_a_run_that_was_dropped_does_not_bring_it_back(log):
+    dropped = events("a", "r1", 0, "x")
+    log.add("d1.x", dropped)
+    log.add("d1.x", events("a", "r2", 0, "y"))
+    log.add("d1.x", dropped)
+    log.add("d1.x", events("a", "r2", 1, "z", whole=True))
+    assert (log.fold.kept["a"].text(), log.fold.kept["a"].whole) == ("y\nz", True)
