Name the reward call in explanations, and let the fault soak play scorers

Change: passgate explain takes an item's or a reward call's id and says what failed of the call. In the soak three of five jobs name scorers; each score must be the stamp of the item's own call, begun after a run had made the whole text. Runs at replicas that crashed are judged too (before, they were left out). Tests: tests/test_explain.py (both ids).

--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -30,7 +30,9 @@
 ID_FIELDS = ("request_id", "job_id", "item_id", "replica_id")
 HEAD_FIELDS = frozenset({"time", "up", "daemon", "event"})
 FAILURE_STATUS = 400
+REWARD_EVENTS = frozenset({"reward_sent", "reward_failed"})
 
+REWARD_ANSWERED_500 = "the replica answered 500"
 REASONS = {
     "no_replica_available": "replicas were full, set aside or not known; nothing ran",
     "not_ready": "the daemon did not know the configuration or could not read the log; nothing ran",
@@ -44,6 +46,8 @@
     "incomplete_answer": "the stream broke off or fell silent",
     "version_too_old": "the replica's weights were older than the job allows",
     "moved_elsewhere": "another replica was much faster",
+    "answer_mismatch": "the answer belonged to another request",
+    REWARD_ANSWERED_500: "the scorer failed; as many of these as the routes allow end the item",
 }
 
 
@@ -103,6 +107,10 @@
 def _verdict(wanted: str, mine: list[Line], lines: list[Line]) -> str:
     if any(line.get("item_id") == wanted for line in mine):
         return _item_verdict(mine, lines)
+    items = {line["item_id"] for line in mine if line["event"] in REWARD_EVENTS}
+    if items:
+        of_item = [line for line in lines if line.get("item_id") in items]
+        return f"reward call of item {', '.join(sorted(items))}: {_item_verdict(of_item, lines)}"
     if any(line.get("job_id") == wanted for line in mine):
         return _job_verdict(mine)
     return _request_verdict(mine)
@@ -158,14 +166,20 @@
     else:
         parts.append("no result in these logs")
     if failures:
-        codes = sorted({failure["reason"].partition(":")[0] for failure in failures})
-        reasons = "; ".join(f"{code}: {_because(code)}" for code in codes)
-        parts.append(f"{len(failures)} failed attempts ({reasons})")
+        parts.append(f"{len(failures)} failed attempts ({_reasons(failures)})")
+    rewards = [line for line in mine if line["event"] == "reward_failed"]
+    if rewards:
+        parts.append(f"{len(rewards)} failed attempts of its reward call ({_reasons(rewards)})")
     if moves:
         parts.append(f"its job was taken over {len(moves)} times")
     return "; ".join(parts)
 
 
+def _reasons(failures: list[Line]) -> str:
+    codes = sorted({failure["reason"].partition(":")[0] for failure in failures})
+    return "; ".join(f"{code}: {_because(code)}" for code in codes)
+
+
 def run(identifier: str, *files: str) -> None:
     """Show the life of one request, job or item.
 
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -95,6 +95,8 @@
 
     items: list
     min_version: int
+    scored: bool = False
+    """Whether its items name scorers."""
     accepted_s: float = 0.0
     promised: bool = True
     """Whether every answer so far promised that it does not run."""
@@ -115,6 +117,7 @@
         self.daemons = [DaemonProcess(number, self.log, folder, log_file) for number in range(DAEMONS)]
         self.replicas = []
         self.left_s = {}
+        self.crashed = []
         self.jobs = {}
         self.safe, self.unsafe = {}, {}
         self.version = 1
@@ -233,7 +236,9 @@
             self.number += 1
             job_id = f"job{self.number}"
             items = [f"{job_id}-{index}" for index in range(self.random.randint(3, 12))]
-            self.jobs[job_id] = JobSeen(items=items, min_version=max(self.version - 1, 1))
+            self.jobs[job_id] = JobSeen(
+                items=items, min_version=max(self.version - 1, 1), scored=self.random.random() < 0.6
+            )
             await self.submit(job_id)
             await asyncio.sleep(self.random.uniform(0.3, 1.2))
             if self.random.random() < 0.2:
@@ -241,7 +246,7 @@
 
     async def submit(self, job_id):
         job = self.jobs[job_id]
-        body = stand_ins.job_body(job.items, model=MODEL, min_version=job.min_version)
+        body = stand_ins.job_body(job.items, model=MODEL, min_version=job.min_version, scored=job.scored)
         for _ in range(6):
             daemon = self.random.choice(self.daemons)
             try:
@@ -304,6 +309,8 @@
             self.breach(f"{job_id}: {row['id']} is not whole")
         if row["versions"] and min(row["versions"]) < job.min_version:
             self.breach(f"{job_id}: {row['id']} was made by version {min(row['versions'])}")
+        if ("score" in row) != (job.scored and row["state"] == "succeeded"):
+            self.breach(f"{job_id}: {row['id']} has {'a' if 'score' in row else 'no'} score")
 
     async def weights(self):
         while not self.stopping:
@@ -423,6 +430,7 @@
         self.replicas.remove(old)
         if self.random.random() < 0.4:
             await old.crash()
+            self.crashed.append(old)
             return
         old.draining = True
         old.tell()
@@ -468,7 +476,7 @@
 
     def judge(self):
         """Check what the replicas saw against what the callers were told."""
-        replicas = self.replicas + [replica for replica, _ in self.left_s.values()]
+        replicas = self.replicas + self.crashed + [replica for replica, _ in self.left_s.values()]
         runs = {}
         for replica in replicas:
             for run in replica.runs:
@@ -483,8 +491,22 @@
             ran = [item for item in job.items if item in runs]
             if ran and not job.accepted_s and job.promised:
                 self.breach(f"{job_id} was refused each time and ran")
+        self.judge_scores(runs)
         self.judge_orders(replicas)
 
+    def judge_scores(self, runs):
+        """A score is the stamp of the item's own call, begun after a run made its text whole."""
+        for job_id, job in self.jobs.items():
+            for row in job.rows:
+                if "score" in row and not self.is_scored_after_text(row, runs):
+                    self.breach(f"{job_id}: {row['id']} has the score {row['score']}")
+
+    def is_scored_after_text(self, row, runs):
+        texts = [run.ended_s for run in runs.get(row["id"], []) if run.whole]
+        calls = runs.get(stand_ins.reward_id(row["id"]), [])
+        mine = [run for run in calls if f"{run.replica_id}.{run.request_id}" == row["score"]]
+        return any(run.began_s >= min(texts, default=float("inf")) for run in mine)
+
     def judge_orders(self, replicas):
         holders = {}
         for replica in replicas:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -127,3 +127,18 @@
     log.write(JobEnded(job_id="j", listed=1, total=1))
     log.flush()
     assert json.loads(bytes(written))["job_id"] == "j"
+
+
+@pytest.mark.parametrize("wanted", ["item1", stand_ins.reward_id("item1")])
+def test_an_item_whose_reward_call_fails_is_explained_by_either_id(wanted):
+    async def scenario(world):
+        world.replica("i-1", "llm", models={"m": 1}.items())
+        world.replica("i-2", "app").faults.failing = 500
+        await world.until(lambda: world.daemon.replicas.get("i-2"))
+        await world.submit(["item1"], scored=True)
+        await world.all_results("job1")
+
+    story = explain(wanted, lines_of(scenario))
+    assert "dead" in story.verdict
+    assert "failed attempts of its reward call (the replica answered 500" in story.verdict
+    assert any("reward_sent" in line and "i-2" in line for line in story.lines)
