Let a daemon that the log does not answer put new jobs there through another

The job due at 4.0 s was accepted at 7.09 s: the daemon that got it first tried until the caller left after 3 s, without an answer and without a line. Ruled out: the log's own time for an append (25 to 40 ms), job_accept_failed lines (none: the caller's leaving cancelled the request). Change: after 0.3 s without the log's answer a daemon asks the partition's watcher in its zone, or any other member, to append the job; the first success counts. A job stands there once whoever appends it. Whatever happens, the answer comes by the deadline: 503 when nothing was done here and nobody was asked, else 504. The list of watchers is read every 5 s, so that it is known when the log falls silent. Tests: tests/test_jobs_daemons.py (two new, one for hosts of four partitions).

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -178,6 +178,7 @@
             Liveness(job_peers.is_alive),
             self.decisions,
         )
+        self._job_peers = job_peers
         self.jobs = JobService(self.shards, job_peers, journal, self.wanted.newest, self.decisions)
         self._loader = Loader(
             self.wanted,
@@ -297,6 +298,7 @@
             group.create_task(self._member.run())
             group.create_task(self._control.run())
             group.create_task(self.shards.run())
+            group.create_task(self._job_peers.keep_known())
             group.create_task(self._loader.run())
 
     async def _watch_log(self) -> None:
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -9,12 +9,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
 from passgate.decisions import DecisionLog, PeerFailed
-from passgate.errors import ExecutionStatus, NotFound, PassgateError, PeerCallFailed, PeerError
+from passgate.errors import (
+    ExecutionStatus,
+    NotFound,
+    PassgateError,
+    PeerCallFailed,
+    PeerError,
+    PeerUnreachable,
+)
 from passgate.jobs.reader import ResultPage
-from passgate.jobs.records import address_of
+from passgate.jobs.records import JobSpec, address_of, encode_spec
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.group import GroupDirectory
 
@@ -27,7 +36,11 @@
 ALIVE_S = 0.3
 """Time for a daemon to say that it lives."""
 
-ALIVE, OWN, READ, BODY, END = "jobs.alive", "jobs.own", "jobs.read", "jobs.body", "jobs.end"
+ALIVE, OWN, SUBMIT = "jobs.alive", "jobs.own", "jobs.submit"
+READ, BODY, END = "jobs.read", "jobs.body", "jobs.end"
+
+REFRESH_S = 5.0
+"""Time between reads of the list of watchers, so that it is known when the log falls silent."""
 
 
 class AskAlive(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,6 +65,14 @@
     writer: str
 
 
+class SubmitJob(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks to put a job on the log, for a daemon that can not reach it."""
+
+    spec: bytes
+    """Encoded, see :func:`passgate.jobs.records.encode_spec`."""
+    patience_s: float
+
+
 class ReadJob(msgspec.Struct, frozen=True, kw_only=True):
     """Asks for results from a position on."""
 
@@ -109,6 +130,17 @@
             return ""
         return msgspec.json.decode(payload, type=JobTaken).writer
 
+    async def keep_known(self) -> None:
+        """Keep the list of watchers known, until cancelled."""
+        while True:
+            await self._directory.refresh()
+            await asyncio.sleep(REFRESH_S)
+
+    async def submit(self, part: int, spec: JobSpec, patience_s: float) -> None:
+        """Let another daemon put a job on the log; raises PeerError when it may not stand there."""
+        question = SubmitJob(spec=encode_spec(spec), patience_s=patience_s)
+        await self._ask(part, SUBMIT, question, patience_s, anyone=True)
+
     async def read(self, part: int, question: ReadJob) -> ResultPage:
         """Return results from a position on; raises PeerError or NotFound."""
         payload = await self._ask(part, READ, question, question.wait_s + ANSWER_S)
@@ -122,10 +154,14 @@
         """End a job and return once that stands on the log; raises PeerError or NotFound."""
         await self._ask(part, END, question, question.patience_s)
 
-    async def _ask(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
+    async def _ask(
+        self, part: int, method: str, question: msgspec.Struct, timeout_s: float, *, anyone: bool = False
+    ) -> bytes:
         member = await self._directory.member_of(part)
+        if anyone and member in (None, self._member):
+            member = self._directory.any_but(self._member)
         if member is None or member == self._member:
-            raise PeerError("nobody else watches the partition", part=part)
+            raise PeerUnreachable("nobody else watches the partition", part=part)
         address = address_of(member)
         try:
             return await self._transport.call(address, method, msgspec.json.encode(question), timeout_s)
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -32,6 +32,7 @@
     OWN,
     READ,
     REMOTE_FRESH_S,
+    SUBMIT,
     Alive,
     EndJob,
     JobPeers,
@@ -39,11 +40,15 @@
     OwnJob,
     ReadBody,
     ReadJob,
+    SubmitJob,
 )
 from passgate.jobs.reader import ResultPage, find_job, read_body, read_page
-from passgate.jobs.records import JobEnded, JobNoted, JobSpec, split_spec
+from passgate.jobs.records import JobEnded, JobNoted, JobSpec, decode_spec, split_spec
 from passgate.jobs.shards import JobShards, Shard
 
+SILENCE_S = 0.3
+"""Time for the log to take a new job before another daemon is asked to put it there as well."""
+UNKNOWN_OFFSET = -1
 OWNER_HEARD_S = 0.8
 """An owner heard within this time is given the next job too."""
 
@@ -79,7 +84,7 @@
             raise InvalidRequest("a job needs items with distinct ids", execution=ExecutionStatus.NOT_RUN)
         began_s = monotonic_s()
         shard = self._shards.of(spec.host)
-        offset = -1
+        offset = UNKNOWN_OFFSET
         if spec.job_id not in shard.fold.jobs:
             try:
                 offset = await self._append(shard, spec, deadline_s)
@@ -98,6 +103,42 @@
         )
 
     async def _append(self, shard: Shard, spec: JobSpec, deadline_s: float) -> int:
+        """Put a job on the log, through another daemon where this one can not."""
+        here = asyncio.get_running_loop().create_task(self._append_here(shard, spec, deadline_s))
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                await asyncio.wait([here], timeout=SILENCE_S)
+                if here.done() or not await self._append_elsewhere(shard, spec, deadline_s, here):
+                    return await here
+                return UNKNOWN_OFFSET
+        except TimeoutError as error:
+            raise DurabilityUnknown("the job may be on the log") from error
+        finally:
+            here.cancel()
+
+    async def _append_elsewhere(
+        self, shard: Shard, spec: JobSpec, deadline_s: float, here: asyncio.Task[int]
+    ) -> bool:
+        """Return whether another daemon put the job on the log before this one did."""
+        patience_s = max(deadline_s - monotonic_s(), 0.0)
+        there = asyncio.get_running_loop().create_task(self._peers.submit(shard.part, spec, patience_s))
+        try:
+            await asyncio.wait([here, there], return_when=asyncio.FIRST_COMPLETED)
+            if not here.done():
+                return there.exception() is None
+            if here.exception() is None:
+                return False
+            await asyncio.wait([there])
+            error = there.exception()
+            if isinstance(error, PeerError) and error.execution is ExecutionStatus.NOT_RUN:
+                return False  # nobody was asked, so what became of it here is all
+            if error is not None:
+                raise DurabilityUnknown("the job may be on the log") from error
+            return True
+        finally:
+            there.cancel()
+
+    async def _append_here(self, shard: Shard, spec: JobSpec, deadline_s: float) -> int:
         owner = await self._owner_for(shard, spec)
         parts = split_spec(spec, secrets.token_hex(4), shard.journal.piece_bytes, owner)
         offset = await shard.journal.append_job(parts, deadline_s)
@@ -192,6 +233,13 @@
             return msgspec.json.encode(Alive(writer=self._shards.writer))
         if method == OWN:
             return msgspec.json.encode(self._take(msgspec.json.decode(payload, type=OwnJob)))
+        if method == SUBMIT:
+            submitted = msgspec.json.decode(payload, type=SubmitJob)
+            spec = decode_spec(submitted.spec)
+            shard = self._shards.of(spec.host)
+            if spec.job_id not in shard.fold.jobs:
+                await self._append_here(shard, spec, monotonic_s() + submitted.patience_s)
+            return b""
         if method == READ:
             read = msgspec.json.decode(payload, type=ReadJob)
             return msgspec.json.encode(await self._read_for(read))
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PartitionsHeld
@@ -118,6 +119,16 @@
             await asyncio.wait([self._reading], timeout=PATIENCE_S)
         return self._members.get(GroupPartition(self._topic, part))
 
+    def any_but(self, member: str) -> str | None:
+        """Return another member, as known last."""
+        others = {other for other in self._members.values() if other != member}
+        return random.choice(sorted(others)) if others else None
+
+    async def refresh(self) -> None:
+        """Read the list unless it was read lately."""
+        if monotonic_s() - self._read_s > DIRECTORY_LIFE_S:
+            await self._read()
+
     def forget(self) -> None:
         """Read the list anew when it is needed next; a member did not answer."""
         self._read_s = float("-inf")
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -17,7 +17,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.ownership import TAKEOVER_S
-from passgate.jobs.peers import JobPeers
+from passgate.jobs.peers import REFRESH_S, JobPeers
 from passgate.jobs.reader import find_job
 from passgate.jobs.records import (
     ItemsDone,
@@ -86,7 +86,7 @@
         self.leadership = self.control.leadership
         settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
         directory = GroupDirectory(self.client, f"watch.{zone}", "jobs")
-        peers = JobPeers(self.transport, directory, member, decisions)
+        self.peers = peers = JobPeers(self.transport, directory, member, decisions)
         liveness = Liveness(peers.is_alive)
         self.shards = JobShards(
             self.client, settings, self.member.held, self.make_runner, liveness, decisions
@@ -100,7 +100,7 @@
     def start(self):
         loop = asyncio.get_running_loop()
         self.transport.start(lambda sender, payload: None, self.service.answer_peer)
-        parts = (self.member.run(), self.control.run(), self.shards.run())
+        parts = (self.member.run(), self.control.run(), self.shards.run(), self.peers.keep_known())
         self.tasks = [loop.create_task(part) for part in parts]
         return self
 
@@ -219,6 +219,48 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("host", ["h", "h1", "h2", "h3"])
+def test_a_daemon_cut_off_from_the_log_accepts_jobs_through_another(host):
+    """Also when it watches the partition itself."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 3)
+        await asyncio.sleep(REFRESH_S)
+        for number, daemon in enumerate(daemons):
+            log.cut_off = {f"d{number}"}
+            began_s = monotonic_s()
+            await daemon.service.submit(job_spec(f"j{number}", host=host), began_s + 3.0)
+            assert monotonic_s() - began_s < 1.0
+            log.cut_off = set()
+            await asyncio.sleep(1.0)
+        await settle(daemons, ["j0", "j1", "j2"], host=host)
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
+def test_a_job_that_no_daemon_can_put_on_the_log_is_answered_by_its_deadline():
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 3)
+        await asyncio.sleep(REFRESH_S)
+        log.faults.silent = True
+        for daemon in daemons:
+            deadline_s = monotonic_s() + 2.0
+            with pytest.raises(DurabilityUnknown):
+                await daemon.service.submit(job_spec("j"), deadline_s)
+            assert monotonic_s() <= deadline_s + 0.01
+        log.faults.silent, log.faults.refusing = False, True
+        with pytest.raises((LogUnavailable, DurabilityUnknown)):
+            await daemons[0].service.submit(job_spec("k"), monotonic_s() + 1.0)
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
 def test_a_planned_stop_hands_jobs_over_at_once():
     async def main():
         daemons = await started(MemorySharedLog(), 3)
