Let a daemon cut off from the log read and end jobs through others

Change: a daemon whose view of the log is older than 1.6 s asks up to three other members of its zone, the next one after 0.15 s, for reads, ends and new jobs; whoever can not reach the log itself refuses at once, any other answers from its own view or asks the watcher. What is known here is still answered here. Tests: tests/test_jobs_daemons.py (reads at a daemon cut off, on four partitions; one daemon that serves for its zone); both fail without the change.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -179,7 +179,9 @@
             self.decisions,
         )
         self._job_peers = job_peers
-        self.jobs = JobService(self.shards, job_peers, journal, self.wanted.newest, self.decisions)
+        self.jobs = JobService(
+            self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
+        )
         self._loader = Loader(
             self.wanted,
             self.replicas,
@@ -244,6 +246,9 @@
         """How fresh this daemon's view of what the operator writes is."""
         return self._keyed_tails[0].freshness
 
+    def _log_age_s(self) -> float:
+        return self._log_freshness.age_s(monotonic_s())
+
     @property
     def stopping(self) -> bool:
         """Whether a planned stop has begun."""
@@ -285,7 +290,7 @@
         self.decisions.flush()
 
     def _exposition(self) -> bytes:
-        self.metrics.log_age.set(self._log_freshness.age_s(monotonic_s()))
+        self.metrics.log_age.set(self._log_age_s())
         self.metrics.in_flight.set(self._front.in_flight)
         self.metrics.jobs_owned.set(self.shards.running)
         self.metrics.leads.set(self._control.leadership.leads)
@@ -307,7 +312,7 @@
             if self.life.within("starting") and self._knows_all():
                 self.life.send("caught_up")
                 self.life.send("joined")
-            self._note_log_state(self._log_freshness.age_s(monotonic_s()))
+            self._note_log_state(self._log_age_s())
             now_s = monotonic_s()
             if now_s - self._flushed_s >= FLUSH_S:
                 self._flushed_s = now_s
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -33,6 +33,10 @@
 """Time for a watcher to say that it takes a new job."""
 REMOTE_FRESH_S = 0.6
 """Greatest age of the view of the log with which "nothing new" is said to another daemon."""
+NEXT_ASKED_S = 0.15
+"""Time for a daemon to answer before another one is asked as well."""
+MOST_ASKED = 3
+"""Daemons that are asked by one that can not reach the log."""
 ALIVE_S = 0.3
 """Time for a daemon to say that it lives."""
 
@@ -80,6 +84,8 @@
     job_id: str
     position: int
     wait_s: float
+    relay: bool = False
+    """The sender can not reach the log; whoever is asked shall ask the watcher if need be."""
 
 
 class ReadBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,6 +102,8 @@
     host: str
     job_id: str
     patience_s: float
+    relay: bool = False
+    """The sender can not reach the log; the end is to be written unchecked."""
 
 
 class JobPeers:
@@ -139,13 +147,19 @@
     async def submit(self, part: int, spec: JobSpec, patience_s: float) -> None:
         """Let another daemon put a job on the log; raises PeerError when it may not stand there."""
         question = SubmitJob(spec=encode_spec(spec), patience_s=patience_s)
-        await self._ask(part, SUBMIT, question, patience_s, anyone=True)
+        await self._ask_several(part, SUBMIT, question, patience_s)
 
     async def read(self, part: int, question: ReadJob) -> ResultPage:
         """Return results from a position on; raises PeerError or NotFound."""
         payload = await self._ask(part, READ, question, question.wait_s + ANSWER_S)
         return msgspec.json.decode(payload, type=ResultPage)
 
+    async def read_anywhere(self, part: int, question: ReadJob) -> ResultPage:
+        """Do the same for a daemon that can not reach the log, and so may not know who watches."""
+        relayed = msgspec.structs.replace(question, relay=True)
+        payload = await self._ask_several(part, READ, relayed, question.wait_s + 2 * ANSWER_S)
+        return msgspec.json.decode(payload, type=ResultPage)
+
     async def body(self, part: int, question: ReadBody) -> bytes:
         """Return the body of an item; raises PeerError or NotFound."""
         return await self._ask(part, BODY, question, ANSWER_S)
@@ -154,14 +168,45 @@
         """End a job and return once that stands on the log; raises PeerError or NotFound."""
         await self._ask(part, END, question, question.patience_s)
 
-    async def _ask(
-        self, part: int, method: str, question: msgspec.Struct, timeout_s: float, *, anyone: bool = False
-    ) -> bytes:
+    async def end_anywhere(self, part: int, question: EndJob) -> None:
+        """Do the same for a daemon that can not reach the log."""
+        relayed = msgspec.structs.replace(question, relay=True)
+        await self._ask_several(part, END, relayed, question.patience_s)
+
+    async def _ask(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
         member = await self._directory.member_of(part)
-        if anyone and member in (None, self._member):
-            member = self._directory.any_but(self._member)
         if member is None or member == self._member:
             raise PeerUnreachable("nobody else watches the partition", part=part)
+        return await self._ask_member(member, part, method, question, timeout_s)
+
+    async def _ask_several(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
+        """Ask members one after the other, without waiting long for each; return the first answer."""
+        members = self._directory.others(self._member)[:MOST_ASKED]
+        if not members:
+            raise PeerUnreachable("no other daemon is known", part=part)
+        waiting: set[asyncio.Task[bytes]] = set()
+        failure: BaseException | None = None
+        try:
+            while members or waiting:
+                if members:
+                    call = self._ask_member(members.pop(), part, method, question, timeout_s)
+                    waiting.add(asyncio.get_running_loop().create_task(call))
+                patience_s = NEXT_ASKED_S if members else None
+                done, waiting = await asyncio.wait(
+                    waiting, timeout=patience_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if task.exception() is None or isinstance(task.exception(), NotFound):
+                        return task.result()
+                    failure = task.exception()
+        finally:
+            for task in waiting:
+                task.cancel()
+        raise PeerError("no other daemon can tell", part=part) from failure
+
+    async def _ask_member(
+        self, member: str, part: int, method: str, question: msgspec.Struct, timeout_s: float
+    ) -> bytes:
         address = address_of(member)
         try:
             return await self._transport.call(address, method, msgspec.json.encode(question), timeout_s)
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -46,6 +46,8 @@
 from passgate.jobs.records import JobEnded, JobNoted, JobSpec, decode_spec, split_spec
 from passgate.jobs.shards import JobShards, Shard
 
+FRESH_S = 1.6
+"""A view of the log that is older is not asked while another daemon answers."""
 SILENCE_S = 0.3
 """Time for the log to take a new job before another daemon is asked to put it there as well."""
 UNKNOWN_OFFSET = -1
@@ -62,12 +64,14 @@
         peers: JobPeers,
         control: Journal,
         newest_version: Callable[[str], int],
+        log_age_s: Callable[[], float],
         decisions: DecisionLog,
     ) -> None:
         self._shards = shards
         self._peers = peers
         self._control = control
         self._newest_version = newest_version
+        self._log_age_s = log_age_s
         self._decisions = decisions
 
     # --- for callers -------------------------------------------------------------
@@ -107,7 +111,7 @@
         here = asyncio.get_running_loop().create_task(self._append_here(shard, spec, deadline_s))
         try:
             async with asyncio.timeout_at(deadline_s):
-                await asyncio.wait([here], timeout=SILENCE_S)
+                await asyncio.wait([here], timeout=0.0 if self._cut_off() else SILENCE_S)
                 if here.done() or not await self._append_elsewhere(shard, spec, deadline_s, here):
                     return await here
                 return UNKNOWN_OFFSET
@@ -166,10 +170,11 @@
     async def read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
         shard = self._shards.of(host)
-        if not self._answers(shard):
+        if not self._answers(shard) and not _has_news(shard, job_id, position):
             try:
                 question = ReadJob(host=host, job_id=job_id, position=position, wait_s=wait_s)
-                return await self._peers.read(shard.part, question)
+                read = self._peers.read_anywhere if self._cut_off() else self._peers.read
+                return await read(shard.part, question)
             except PeerError:
                 shard.need()
                 wait_s = 0.0  # a part of the caller's patience is spent
@@ -198,7 +203,9 @@
                 await self._end_here(shard, job_id, deadline_s)
                 return
             patience_s = max((deadline_s - monotonic_s()) / 2, 0.0)
-            await self._peers.end(shard.part, EndJob(host=host, job_id=job_id, patience_s=patience_s))
+            question = EndJob(host=host, job_id=job_id, patience_s=patience_s)
+            end = self._peers.end_anywhere if self._cut_off() else self._peers.end
+            await end(shard.part, question)
         except (PeerError, NotReady):
             await self._append_end(shard, job_id, deadline_s)
 
@@ -216,7 +223,18 @@
         except TimeoutError as error:
             raise DurabilityUnknown("the end may be on the log") from error
 
+    def _cut_off(self) -> bool:
+        """Whether this daemon can not read the log at present."""
+        return self._log_age_s() > FRESH_S
+
+    def _refuse_if_cut_off(self) -> None:
+        if self._cut_off():
+            raise NotReady("the log can not be read here", execution=ExecutionStatus.NOT_RUN)
+
     def _answers(self, shard: Shard) -> bool:
+        """Whether this daemon's own view of a partition will do."""
+        if shard.current and shard.tail.freshness.age_s(monotonic_s()) > FRESH_S:
+            return False
         return shard.current or self._shards.watches(shard.part)
 
     # --- for other daemons -------------------------------------------------------
@@ -234,6 +252,7 @@
         if method == OWN:
             return msgspec.json.encode(self._take(msgspec.json.decode(payload, type=OwnJob)))
         if method == SUBMIT:
+            self._refuse_if_cut_off()
             submitted = msgspec.json.decode(payload, type=SubmitJob)
             spec = decode_spec(submitted.spec)
             shard = self._shards.of(spec.host)
@@ -248,8 +267,7 @@
             return await read_body(self._shards.of(question.host), question.job_id, question.item_id)
         if method == END:
             end = msgspec.json.decode(payload, type=EndJob)
-            deadline_s = monotonic_s() + end.patience_s
-            await self._end_here(self._shards.of(end.host), end.job_id, deadline_s)
+            await self._end_for(end)
             return b""
         raise PeerCallFailed("unknown question", peer_code="unknown_method")
 
@@ -257,8 +275,28 @@
         takes = self._shards.watches(question.part)
         return JobTaken(writer=self._shards.writer if takes else "")
 
+    async def _end_for(self, question: EndJob) -> None:
+        shard = self._shards.of(question.host)
+        deadline_s = monotonic_s() + question.patience_s
+        if question.relay:
+            self._refuse_if_cut_off()
+            await self._append_end(shard, question.job_id, deadline_s)
+        else:
+            await self._end_here(shard, question.job_id, deadline_s)
+
     async def _read_for(self, question: ReadJob) -> ResultPage:
         shard = self._shards.of(question.host)
+        if question.relay:
+            self._refuse_if_cut_off()
+        if question.relay and not self._answers(shard):
+            relayed = msgspec.structs.replace(question, relay=False)
+            return await self._peers.read(shard.part, relayed)
         return await read_page(
             shard, question.job_id, question.position, question.wait_s, fresh_s=REMOTE_FRESH_S
         )
+
+
+def _has_news(shard: Shard, job_id: str, position: int) -> bool:
+    """Whether results from a position on are known here; what stands on the log stays as it is."""
+    job = shard.fold.jobs.get(job_id)
+    return job is not None and len(job.results) > position
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -119,10 +119,10 @@
             await asyncio.wait([self._reading], timeout=PATIENCE_S)
         return self._members.get(GroupPartition(self._topic, part))
 
-    def any_but(self, member: str) -> str | None:
-        """Return another member, as known last."""
-        others = {other for other in self._members.values() if other != member}
-        return random.choice(sorted(others)) if others else None
+    def others(self, member: str) -> list[str]:
+        """Return the other members, as known last, in any order."""
+        others = sorted({other for other in self._members.values() if other != member})
+        return random.sample(others, len(others))
 
     async def refresh(self) -> None:
         """Read the list unless it was read lately."""
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -32,6 +32,7 @@
 from passgate.jobs.shards import JobShards, ShardSettings, partition_of
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.tail import KeyedTail, TailSettings
 from passgate.versions.control import ControlTopic
 
 LEASE_S = 3.0
@@ -62,6 +63,10 @@
         pass
 
 
+def _ignore_records(records, start):
+    pass
+
+
 class Daemon:
     """A daemon without replicas and callers; the rest is the product's own code."""
 
@@ -91,7 +96,16 @@
         self.shards = JobShards(
             self.client, settings, self.member.held, self.make_runner, liveness, decisions
         )
-        self.service = JobService(self.shards, peers, self.journal, lambda model: 0, decisions)
+        settings = TailSettings(topic="keyed.op", gap_s=0.05)
+        self.operator = KeyedTail(self.client, settings, replace=_ignore_records, update=_ignore_records)
+        self.service = JobService(
+            self.shards,
+            peers,
+            self.journal,
+            lambda model: 0,
+            lambda: self.operator.freshness.age_s(monotonic_s()),
+            decisions,
+        )
         self.tasks = []
 
     def make_runner(self, fold, journal, job):
@@ -100,7 +114,13 @@
     def start(self):
         loop = asyncio.get_running_loop()
         self.transport.start(lambda sender, payload: None, self.service.answer_peer)
-        parts = (self.member.run(), self.control.run(), self.shards.run(), self.peers.keep_known())
+        parts = (
+            self.member.run(),
+            self.control.run(),
+            self.shards.run(),
+            self.peers.keep_known(),
+            self.operator.run(),
+        )
         self.tasks = [loop.create_task(part) for part in parts]
         return self
 
@@ -241,6 +261,54 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("host", ["h", "h1", "h2", "h3"])
+def test_new_results_are_read_at_a_daemon_cut_off_from_the_log(host):
+    """Also at the watcher of the partition, which knows the results up to the cut."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 4)
+        await asyncio.sleep(REFRESH_S)
+        await daemons[0].service.submit(job_spec("j", 10, host=host), monotonic_s() + 3.0)
+        await asyncio.sleep(1.0)
+        owner = await daemons[0].owner("j", host)
+        victim = next(daemon for daemon in daemons if daemon.member.held() and daemon.name != owner)
+        log.cut_off = {victim.name.split(".")[0]}
+        await asyncio.sleep(2.0)
+        seen = len((await victim.service.read(host, "j", 0, 1.0)).results)
+        page = await victim.service.read(host, "j", seen, 1.0)
+        assert page.results
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
+def test_one_daemon_that_reaches_the_log_serves_for_all_of_its_zone():
+    """Whichever of the others is asked, and whoever watched the partition before the cut."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 4)
+        await asyncio.sleep(REFRESH_S)
+        await daemons[0].service.submit(job_spec("j", 12), monotonic_s() + 3.0)
+        await asyncio.sleep(0.5)
+        log.cut_off = {"d0", "d1", "d2"}
+        await asyncio.sleep(4.0)
+        await daemons[1].service.submit(job_spec("k", 2), monotonic_s() + 2.0)
+        for daemon in daemons:
+            seen = len((await daemon.service.read(HOST, "j", 0, 1.0)).results)
+            page = await daemon.service.read(HOST, "j", seen, 1.0)
+            assert page.results or seen == page.total
+            assert (await daemon.service.read(HOST, "k", 0, 1.0)).total == 2
+        await daemons[2].service.end(HOST, "k", monotonic_s() + 2.0)
+        assert (await find_job(daemons[3].shards.of(HOST), "k")).ended
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
 def test_a_job_that_no_daemon_can_put_on_the_log_is_answered_by_its_deadline():
     async def main():
         log = MemorySharedLog()
