Let items wait in the order of their slack instead of their job's age

A short item of the older job delays nothing when it begins later. Change: an item's rank is the latest moment at which it may begin without delaying its job: the job's own time plus what its longest item is expected to take longer (least slack first, Dertouzos 1974 and Mok 1983). Within one job the order stays: known items, then the longest.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -36,6 +36,7 @@
 from passgate.gateway.routes import ConfigHolder, GatewayConfig, Route, WeightedChoice
 from passgate.gateway.settings import GatewaySettings
 from passgate.gateway.stream_forwarder import StreamForwarder
+from passgate.jobs.durations import OutputDurations
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
@@ -124,6 +125,7 @@
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions)
         self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
         self._waiting = WaitingLine()
+        self._durations = OutputDurations()
         self._rewards = RewardTools(
             find_route=self._find_route,
             caller=caller,
@@ -227,6 +229,7 @@
             names=self._names,
             decisions=self.decisions,
             waiting=self._waiting,
+            durations=self._durations,
             rewards=self._rewards,
             group_replica={},
         )
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -25,6 +25,7 @@
 from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest, ReplicaState, ReplicaTable
 from passgate.gateway.routes import Route
 from passgate.jobs.checkpoint import ItemCheckpoint
+from passgate.jobs.durations import OutputDurations
 from passgate.jobs.event_stream import EventStream, KeptEvents
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardTools
@@ -57,6 +58,7 @@
     names: HeaderNames
     decisions: DecisionLog
     waiting: WaitingLine
+    durations: OutputDurations
     rewards: RewardTools
     group_replica: dict[str, str]
     """Group to the replica that read its shared prompt last."""
@@ -84,6 +86,10 @@
         self._tools = tools
         self._stream = EventStream(tools.names.weight_versions)
         usable = kept if kept is not None and self._is_usable(kept) else None
+        self.resumed = usable is not None
+        """Whether it goes on from what an earlier run left."""
+        self.sent_s = self.began_s
+        """When the last attempt began."""
         if usable is not None:
             self._stream.resume(usable)
         self.checkpoint = ItemCheckpoint(job.job_id, item.id, self._stream, usable)
@@ -140,13 +146,14 @@
             if result is not None:
                 return result
             await asyncio.sleep(RETRY_PAUSE_S)
-            self._rank = Rank(job_s=self._rank.job_s, fresh=False, number=id(self))
+            self._rank = Rank(start_s=self._rank.start_s, fresh=False, number=id(self))
             with self._tools.waiting.place(self._job.model, self._rank):
                 await self.wait_for_replica()
 
     async def _attempt(self, state: ReplicaState) -> Result | None:
         replica_id = state.info.replica_id
         self.attempts += 1
+        self.sent_s = monotonic_s()
         self._tools.group_replica[self.item.group] = replica_id
         self._tools.decisions.write(
             ItemSent(
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -40,7 +40,6 @@
         self._journal = journal
         self._tools = tools
         self._spec: JobSpec = job.spec()
-        self._rank = Rank(job_s=job.folded_s, fresh=True, number=id(self))
         self._running: dict[str, ItemRun] = {}
 
     async def run(self) -> None:
@@ -59,9 +58,9 @@
         async with asyncio.TaskGroup() as tasks:
             checkpoints = tasks.create_task(self._checkpoint_often())
             async with asyncio.TaskGroup() as items:
-                with self._tools.waiting.place(self._spec.model, self._rank):
-                    for item in self._in_order():
-                        await self._start(item, items)
+                for rank, item in self._in_order():
+                    with self._tools.waiting.place(self._spec.model, rank):
+                        await self._start(item, rank, items)
             checkpoints.cancel()
 
     def _give_up(self) -> None:
@@ -78,21 +77,31 @@
             if now_s - run.began_s >= min_age_s and (entry := run.checkpoint.entry()) is not None:
                 self._journal.put(entry)
 
-    def _in_order(self) -> list[ItemSpec]:
+    def _in_order(self) -> list[tuple[Rank, ItemSpec]]:
         """Return the items without a result: those known from earlier jobs first, then the longest."""
         left = [item for item in self._spec.items if item.id not in self._job.listed]
-        return sorted(left, key=self._order)
+        longest_s = max((self._expected_s(item) for item in left), default=0.0)
+        return [(self._rank(item, longest_s), item) for item in sorted(left, key=self._order)]
 
     def _order(self, item: ItemSpec) -> tuple[bool, float]:
-        known = item.id in self._fold.kept or item.id in self._fold.finished
-        return (not known, -self._tools.expected_tokens(item))
+        return (not self._is_known(item), -self._tools.expected_tokens(item))
 
-    async def _start(self, item: ItemSpec, items: asyncio.TaskGroup) -> None:
+    def _is_known(self, item: ItemSpec) -> bool:
+        return item.id in self._fold.kept or item.id in self._fold.finished
+
+    def _expected_s(self, item: ItemSpec) -> float:
+        return self._tools.durations.expected_s(self._spec.model, self._tools.expected_tokens(item))
+
+    def _rank(self, item: ItemSpec, longest_s: float) -> Rank:
+        slack_s = 0.0 if self._is_known(item) else longest_s - self._expected_s(item)
+        return Rank(start_s=self._job.folded_s + slack_s, fresh=True, number=id(item))
+
+    async def _start(self, item: ItemSpec, rank: Rank, items: asyncio.TaskGroup) -> None:
         earlier = self._known_text(item.id)
         if earlier is not None:
             items.create_task(self._score(item, earlier, attempts=0, began_s=monotonic_s()))
             return
-        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), self._rank)
+        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), rank)
         await run.wait_for_replica()
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
@@ -126,10 +135,17 @@
             result = await run.result()
         finally:
             del self._running[run.item.id]
+        self._learn(run, result)
         if run.item.reward is not None and result.state is ResultState.SUCCEEDED:
             self._journal.put(run.checkpoint.last_entry())
         await self._score(run.item, result, run.attempts, run.began_s)
 
+    def _learn(self, run: ItemRun, result: Result) -> None:
+        """Note how long a whole output took that was made in one piece."""
+        if run.attempts == 1 and not run.resumed and result.state is ResultState.SUCCEEDED:
+            tokens = self._tools.expected_tokens(run.item)
+            self._tools.durations.observe(self._spec.model, tokens, monotonic_s() - run.sent_s)
+
     async def _score(self, item: ItemSpec, result: Result, attempts: int, began_s: float) -> None:
         """Have a whole text scored where the item asks for it, and list the result."""
         if item.reward is not None and result.state is ResultState.SUCCEEDED:
--- a/passgate/jobs/waiting.py
+++ b/passgate/jobs/waiting.py
@@ -1,10 +1,11 @@
-"""Order in which items that wait for a replica get one: the oldest job's first.
+"""Order in which items that wait for a replica get one: least slack first.
 
-The steps of one trainer follow each other, so a newer job that takes slots from an
-older one delays both.  Items of other models do not wait for each other.
+A job is whole when its longest items are, so a short item may begin later by as much
+as the job's longest takes longer.  Items of an older job come first among those with
+equal slack.  Items of other models do not wait for each other.
 
 >>> line = WaitingLine()
->>> older, newer = Rank(job_s=1.0, fresh=True), Rank(job_s=2.0, fresh=False)
+>>> older, newer = Rank(start_s=1.0, fresh=True), Rank(start_s=2.0, fresh=False)
 >>> line.enter("m", newer); line.enter("m", older); line.enter("other", newer)
 >>> line.is_first("m", older), line.is_first("m", newer), line.is_first("other", newer)
 (True, False, True)
@@ -25,8 +26,8 @@
 class Rank(msgspec.Struct, frozen=True, order=True, kw_only=True):
     """Place of a job's items among those that wait; less comes first."""
 
-    job_s: float
-    """When the job was read from the log."""
+    start_s: float
+    """Latest time at which the item may begin without delaying its job."""
     fresh: bool
     """Whether these items were not sent yet; begun ones come first."""
     number: int = 0
