Let replicas whose entries lapsed while the log was away serve on for 2 s

Daemons dropped such a replica with the first record that says so, and had none of a service until the entries came back. Change: a replica that was not draining stays for 2 s after the log's return (known from how old the list's last confirmed read is); it is dropped then unless its entry came back. In steady state, and for one that was draining, an entry that goes counts at once. A decision line says "lapsed". Tests: tests/test_gateway_discovery.py (lapse during three lengths of outage; gone at once in steady state); the first fails without the change.

--- a/passgate/gateway/discovery.py
+++ b/passgate/gateway/discovery.py
@@ -25,7 +25,7 @@
 from passgate.errors import LogAppendUnknown, LogError
 from passgate.gateway.replicas import ReplicaInfo, ReplicaTable
 from passgate.sharedlog.log import KeyedRecord, SharedLog
-from passgate.sharedlog.tail import KeyedTail, TailSettings
+from passgate.sharedlog.tail import BEHIND_S, Freshness, KeyedTail, TailSettings
 
 logger = logging.getLogger("passgate.gateway")
 
@@ -45,6 +45,8 @@
 RELAYED_GAP_S = 0.4
 RELAY_KEY_PREFIX = "relay/"
 FORGET_GONE_S = 120.0
+COME_BACK_S = 2.0
+"""Time after the log's return within which entries that lapsed meanwhile are written again."""
 
 
 class DiscoveryNews(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,6 +70,17 @@
         self._decisions = decisions
         self._known_at: dict[str, int] = {}
         self._gone_s: dict[str, float] = {}
+        self._returned_s = float("-inf")
+        self._lapsed: dict[str, int] = {}
+        """Replicas whose entries went while the log was away, with the offset that says so."""
+
+    def note_log(self, freshness: Freshness) -> None:
+        """Note how fresh the list is that the next news come from."""
+        now_s = monotonic_s()
+        if freshness.age_s(now_s) > BEHIND_S:
+            self._returned_s = now_s
+        else:
+            self._returned_s = max(self._returned_s, freshness.recovered_s)
 
     def __len__(self) -> int:
         return len(self._replicas.all())
@@ -78,6 +91,11 @@
             return False
         self._known_at[news.replica_id] = news.at
         known = self._replicas.get(news.replica_id)
+        self._lapsed.pop(news.replica_id, None)
+        if news.info is None and known is not None and self._may_have_lapsed(known.info):
+            self._lapsed[news.replica_id] = news.at
+            self._note(news.replica_id, known.info.service, "lapsed", True)
+            return False
         if news.info is None:
             self._gone_s[news.replica_id] = monotonic_s()
             self._replicas.remove(news.replica_id)
@@ -99,6 +117,20 @@
         for info in infos:
             self.take(DiscoveryNews(replica_id=info.replica_id, at=at, info=info))
 
+    def _may_have_lapsed(self, info: ReplicaInfo) -> bool:
+        """Whether an entry may have gone only because its replica could not reach the log."""
+        return not info.draining and monotonic_s() - self._returned_s < COME_BACK_S
+
+    def drop_lapsed(self) -> list[DiscoveryNews]:
+        """Drop replicas whose entries did not come back; return what is known now."""
+        if not self._lapsed or monotonic_s() - self._returned_s < COME_BACK_S:
+            return []
+        gone = [DiscoveryNews(replica_id=key, at=at) for key, at in self._lapsed.items()]
+        for news in gone:
+            del self._known_at[news.replica_id]
+            self.take(news)
+        return gone
+
     def forget_gone(self) -> None:
         """Drop what is kept of replicas that are gone for long."""
         old_s = monotonic_s() - FORGET_GONE_S
@@ -183,6 +215,9 @@
         self._follow_directly(not long_list or self.relaying or self._relayed is None or not self._loaded)
         if self.relaying:
             await self._relay()
+        for news in self._view.drop_lapsed():
+            if self.relaying:
+                self._unrelayed[news.replica_id] = (news, monotonic_s())
         self._view.forget_gone()
 
     def _set_relaying(self, relaying: bool) -> None:
@@ -226,11 +261,17 @@
             self._relays_heard.clear()
 
     def _take_list(self, records: tuple[KeyedRecord, ...], at: int) -> None:
+        self._note_log()
         infos = [info for record in records if record.value and (info := self._decoder.decode(record))]
         self._view.take_all(infos, at - 1)
         self._loaded = True
 
+    def _note_log(self) -> None:
+        if self._direct is not None:
+            self._view.note_log(self._direct[0].freshness)
+
     def _take_entries(self, records: tuple[KeyedRecord, ...], start: int) -> None:
+        self._note_log()
         for index, record in enumerate(records):
             info = self._decoder.decode(record) if record.value else None
             if record.value and info is None:
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -160,3 +160,43 @@
             await node.kill()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("away_s", [3.0, 4.3, 6.0])
+def test_entries_that_lapsed_while_the_log_was_away_may_come_back(away_s):
+    """The last list serves on for 2 s after the log's return; who is missing then is gone."""
+
+    async def main():
+        log = MemorySharedLog()
+        for number in range(3):
+            tell(log, number, draining=number == 2)
+        node = Node(log, 0)
+        await asyncio.sleep(1.0)
+        assert len(node.table.all()) == 3
+        log.faults = SharedLogFaults(silent=True)
+        await asyncio.sleep(away_s)
+        for number in range(3):
+            log.put_keyed(RAW, f"r{number}", b"")
+        log.faults = SharedLogFaults()
+        await asyncio.sleep(1.2)
+        assert {state.info.replica_id for state in node.table.all()} == {"r0", "r1"}
+        tell(log, 0)
+        await asyncio.sleep(2.0)
+        assert {state.info.replica_id for state in node.table.all()} == {"r0"}
+        await node.kill()
+
+    run_virtual(main())
+
+
+def test_an_entry_that_goes_in_steady_state_is_gone_at_once():
+    async def main():
+        log = MemorySharedLog()
+        tell(log, 0)
+        node = Node(log, 0)
+        await asyncio.sleep(6.0)
+        log.put_keyed(RAW, "r0", b"")
+        await asyncio.sleep(0.6)
+        assert not node.table.all()
+        await node.kill()
+
+    run_virtual(main())
