--- a/tests/test_jobs_fold.py
+++ b/tests/test_jobs_fold.py
@@ -122,16 +122,7 @@
 
 
 def progressed(run, after, data, parent="", item="a"):
-    return ItemProgressed(
-        job_id="j",
-        item_id=item,
-        run=run,
-        after=after,
-        data=data,
-        versions=(1,) * len(data),
-        last_id=str(after + len(data)),
-        parent=parent,
-    )
+    return events(item, run, after, *data, parent=parent)
 
 
 def test_kept_events_grow_along_one_run(log):
