Start the tests' daemon on other ports when its own were taken meanwhile

The tests choose a free port and the daemon listens on it a moment later; another run may take it in between, the daemon's task then ends with "address in use" and nobody looks at it. Made on purpose (a held port), the same TimeoutError and the task's OSError 98 were seen. That this was the cause of the one failure is shown by likeness and by the missing daemon_started line, not by its own exception. Change: the world starts the daemon again on other addresses, four times at most, only for that error. Test: test_the_world_starts_also_when_its_first_port_is_taken.

--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import pathlib
 import socket
@@ -24,6 +25,13 @@
 HOST = "h.example"
 
 
+PORT_TRIES = 4
+
+
+def is_port_taken(error):
+    return isinstance(error, OSError) and error.errno == errno.EADDRINUSE
+
+
 def free_address():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -48,8 +56,13 @@
         self.log.put("keyed.op", "config", stand_ins.config_document(version, list(routes), ["app", "llm"]))
 
     async def start(self, *, ready=True):
-        text = stand_ins.settings_text("d1", self.log.address, free_address(), free_address())
-        self.daemon, self.task = start_daemon(text)
+        """Start the daemon; another process may take a free port before it listens there."""
+        for _ in range(PORT_TRIES):
+            text = stand_ins.settings_text("d1", self.log.address, free_address(), free_address())
+            self.daemon, self.task = start_daemon(text)
+            await asyncio.sleep(0)
+            if not (self.task.done() and is_port_taken(self.task.exception())):
+                break
         if ready:
             await self.until(self.daemon.ready)
 
@@ -606,3 +619,18 @@
     world.daemon._front.refuse_new()
     answer = await world.call("POST", "/call/x", b"")
     assert (answer.status, app.runs) == (503, [])
+
+
+@in_world
+async def test_the_world_starts_also_when_its_first_port_is_taken(world):
+    """Two runs of the tests side by side choose from the same free ports."""
+    with socket.socket() as other:
+        other.bind(("127.0.0.1", 0))
+        other.listen()
+        taken = f"127.0.0.1:{other.getsockname()[1]}"
+        addresses = [taken, free_address(), free_address(), free_address()]
+        world.replica("i-1", "app")
+        world.configure(1, stand_ins.safe_route())
+        with unittest.mock.patch(f"{__name__}.free_address", side_effect=addresses):
+            await world.start()
+        assert world.daemon.ready()
