Tell in one line where the time of a job's run went, and log each read of results

Cause: what makes a step slow could only be guessed at, as the lines of single items are dropped at owners of large jobs (60 lines a second). Change: job_whole, written by the owner when the groups that the caller waits for are whole, with the time of the item that came last by part; job_read for each answered page. Ruled out: a higher budget of lines, which costs processor time on every daemon. Conclusion: no change of behaviour; needed for the time budget of slow steps.

--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -263,6 +263,50 @@
         return self.state == "succeeded" and self.attempts <= 1
 
 
+class JobWhole(Event, tag="job_whole"):
+    """The groups that the caller of a job waits for are whole; times since this daemon read the job.
+
+    The parts are those of the item listed last, which decided how long the job took.
+    """
+
+    job_id: str
+    model: str
+    step: int
+    items: int
+    whole_ms: float
+    all_sent_ms: float
+    """Until each item had been sent once, of those sent at all."""
+    failures: dict[str, int]
+    """Attempts of all items that ended without the whole output, by code."""
+    last_item: str
+    waited_ms: float
+    """Until the item was first sent."""
+    first_event_ms: float
+    """From there to its first event."""
+    events: int
+    """Events made here; an earlier owner or job may have made others."""
+    events_ms: float
+    """From its first to its last event, without the time between attempts."""
+    stalled_ms: float
+    """From the last event of an attempt to the first of the next."""
+    attempts: int
+
+
+class JobRead(Event, tag="job_read"):
+    """A caller read results of a job."""
+
+    job_id: str
+    position: int
+    results: int
+    total: int
+    elapsed_ms: float
+
+    @property
+    def ordinary(self) -> bool:
+        """Whether the answer is of the usual course of things."""
+        return True
+
+
 class JobEnded(Event, tag="job_ended"):
     """A job was ended by its caller."""
 
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -29,6 +29,7 @@
 from passgate.jobs.event_stream import EventStream, KeptEvents
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardTools
+from passgate.jobs.timing import JobTiming
 from passgate.jobs.waiting import Rank, WaitingLine
 
 ROOM_STEP_S = 0.03
@@ -76,9 +77,17 @@
     """One item while it is run."""
 
     def __init__(
-        self, job: JobSpec, item: ItemSpec, tools: ItemTools, kept: KeptEvents | None, rank: Rank
+        self,
+        job: JobSpec,
+        item: ItemSpec,
+        tools: ItemTools,
+        kept: KeptEvents | None,
+        rank: Rank,
+        timing: JobTiming,
     ) -> None:
         self.item = item
+        self._timing = timing
+        self._times = timing.item(item.id)
         self._rank = rank
         self.began_s = monotonic_s()
         self.attempts = 0
@@ -154,6 +163,7 @@
         replica_id = state.info.replica_id
         self.attempts += 1
         self.sent_s = monotonic_s()
+        self._times.sent(self.sent_s)
         self._tools.group_replica[self.item.group] = replica_id
         self._tools.decisions.write(
             ItemSent(
@@ -172,6 +182,7 @@
 
     def _note_failure(self, replica_id: str, error: PassgateError) -> None:
         self._avoided = replica_id
+        self._timing.failures[error.code] += 1
         group_replica = self._tools.group_replica
         if isinstance(error, BackendRefused) and group_replica.get(self.item.group) == replica_id:
             del group_replica[self.item.group]
@@ -266,6 +277,8 @@
             before = self._stream.count
             self._stream.feed(data)
             now_s = monotonic_s()
+            if self._stream.count > before:
+                self._times.events(now_s, self._stream.count - before)
             if event_at_s is not None and self._stream.count > before:
                 exchange.observe_pace((now_s - event_at_s) / (self._stream.count - before))
             event_at_s = now_s
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -19,6 +19,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState, RewardSpec
 from passgate.jobs.reward_call import RewardCall
+from passgate.jobs.timing import JobTiming
 from passgate.jobs.waiting import Rank
 
 logger = logging.getLogger("passgate.jobs")
@@ -41,6 +42,7 @@
         self._tools = tools
         self._spec: JobSpec = job.spec()
         self._running: dict[str, ItemRun] = {}
+        self._timing = JobTiming(self._spec, job.folded_s)
 
     async def run(self) -> None:
         """Run all items that have no result; return when nothing is left to do."""
@@ -68,7 +70,7 @@
         for item in self._spec.items:
             if item.id not in self._job.listed:
                 dead = Result(item_id=item.id, state=ResultState.DEAD)
-                self._list(dead, attempts=0, began_s=self._job.folded_s)
+                self._list(item, dead, attempts=0, began_s=self._job.folded_s)
 
     def save(self, min_age_s: float = 0.0) -> None:
         """Record the events of the items that run for at least ``min_age_s``."""
@@ -101,7 +103,7 @@
         if earlier is not None:
             items.create_task(self._score(item, earlier, attempts=0, began_s=monotonic_s()))
             return
-        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), rank)
+        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), rank, self._timing)
         await run.wait_for_replica()
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
@@ -150,7 +152,7 @@
         """Have a whole text scored where the item asks for it, and list the result."""
         if item.reward is not None and result.state is ResultState.SUCCEEDED:
             result = await self._scored(item, item.reward, result)
-        self._list(result, attempts, began_s)
+        self._list(item, result, attempts, began_s)
 
     async def _scored(self, item: ItemSpec, reward: RewardSpec, result: Result) -> Result:
         if result.score is not None and result.score.call_id == reward.id:
@@ -166,7 +168,7 @@
             await asyncio.sleep(CHECKPOINT_S)
             self.save(CHECKPOINT_AGE_S)
 
-    def _list(self, result: Result, attempts: int, began_s: float) -> None:
+    def _list(self, item: ItemSpec, result: Result, attempts: int, began_s: float) -> None:
         self._journal.put(ItemsDone(job_id=self._spec.job_id, results=(result,)))
         self._tools.decisions.write(
             ItemListed(
@@ -179,3 +181,6 @@
                 scored=result.score is not None,
             )
         )
+        whole = self._timing.listed(item, monotonic_s(), self._job.listed.keys())
+        if whole is not None:
+            self._tools.decisions.write(whole)
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, JobAccepted, JobAcceptFailed
+from passgate.decisions import DecisionLog, JobAccepted, JobAcceptFailed, JobRead
 from passgate.decisions import JobEnded as JobEndedEvent
 from passgate.errors import (
     DurabilityUnknown,
@@ -169,6 +169,20 @@
 
     async def read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
+        began_s = monotonic_s()
+        page = await self._read(host, job_id, position, wait_s)
+        self._decisions.write(
+            JobRead(
+                job_id=job_id,
+                position=position,
+                results=len(page.results),
+                total=page.total,
+                elapsed_ms=round((monotonic_s() - began_s) * 1000, 1),
+            )
+        )
+        return page
+
+    async def _read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         shard = self._shards.of(host)
         if not self._answers(shard) and not _has_news(shard, job_id, position):
             try:
