Keep partitions and jobs on the larger machines of a zone

Cause: the log deals a zone's partitions evenly, so most watchers, owners and the leader stand on the smallest machines of a large deployment (about 30 of 39 in a zone have 0.52 cores), where the streams of one step of 160 items take more processor time than there is. Change: a member's name tells its cores; a machine below one core joins its zone's group only while the list of members has shown fewer than three larger ones for 3 s. Ruled out: a delay by size at each start, which lengthens recovery where all are small.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -42,15 +42,17 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
-from passgate.jobs.records import member_name, writer_name
+from passgate.jobs.records import writer_name
 from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings
 from passgate.jobs.waiting import WaitingLine
 from passgate.peers.transport import PeerTransport
+from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import GroupDirectory, GroupMember
 from passgate.sharedlog.log import SharedLog
+from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
 from passgate.statecharts import Machine
 from passgate.versions.control import ControlTopic
@@ -136,7 +138,8 @@
             line=asyncio.Lock(),
         )
         self._peers = peers
-        member = member_name(settings.daemon_id, peers.address)
+        member = member_name(settings.daemon_id, peers.address, settings.cores)
+        candidacy = Candidacy(settings.cores, monotonic_s())
         group = f"{topics.watch_group}.{settings.zone}"
         self._member = GroupMember(
             log,
@@ -144,6 +147,7 @@
             member,
             topics.jobs,
             self.decisions,
+            candidacy=candidacy,
             least_lifetime_s=settings.group_lifetime_s,
         )
         journal = Journal(
@@ -170,7 +174,7 @@
             append_bytes=settings.max_append_bytes,
             retention_s=settings.job_retention_s,
         )
-        directory = GroupDirectory(log, group, topics.jobs)
+        directory = GroupDirectory(log, group, topics.jobs, candidacy)
         job_peers = JobPeers(peers, directory, member, self.decisions)
         self.shards = JobShards(
             log,
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -32,3 +32,5 @@
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
     max_connections: int = 8_000
+    cores: float = 1.0
+    """Processor time that the daemon may use, in cores of ordinary speed."""
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -23,9 +23,10 @@
     PeerUnreachable,
 )
 from passgate.jobs.reader import ResultPage
-from passgate.jobs.records import JobSpec, address_of, encode_spec
+from passgate.jobs.records import JobSpec, encode_spec
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.group import GroupDirectory
+from passgate.sharedlog.member_names import address_of
 
 ANSWER_S = 0.35
 """Time for an answer beyond the wait that is asked for."""
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from passgate.sharedlog.member_names import ADDRESS_MARK
+
 COMPRESSION_LEVEL = 1
 
 
@@ -177,27 +179,13 @@
 )
 
 
-AT = "@"
-
-
 def writer_name(daemon_id: str, life: str, peer_address: str) -> str:
     """Return the name of one life of a daemon; it tells where other daemons reach it.
 
     >>> writer_name("front-1", "5f3a", "10.1.0.10:7720")
     'front-1.5f3a@10.1.0.10:7720'
     """
-    return f"{daemon_id}.{life}{AT}{peer_address}"
-
-
-def member_name(daemon_id: str, peer_address: str) -> str:
-    """Return the name of a daemon in the log's groups: the same for all its lives.
-
-    A daemon that comes back within its lifetime in a group keeps what it held.
-
-    >>> address_of(member_name("front-1", "10.1.0.10:7720"))
-    '10.1.0.10:7720'
-    """
-    return f"{daemon_id}{AT}{peer_address}"
+    return f"{daemon_id}.{life}{ADDRESS_MARK}{peer_address}"
 
 
 def daemon_of(writer: str) -> str:
@@ -206,16 +194,7 @@
     >>> daemon_of("front-1.5f3a@10.1.0.10:7720")
     'front-1'
     """
-    return writer.partition(AT)[0].rpartition(".")[0]
-
-
-def address_of(writer: str) -> str:
-    """Return the peer address of a writer; empty when it has none.
-
-    >>> address_of("front-1.5f3a@10.1.0.10:7720")
-    '10.1.0.10:7720'
-    """
-    return writer.partition(AT)[2]
+    return writer.partition(ADDRESS_MARK)[0].rpartition(".")[0]
 
 
 class Batch(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -44,6 +44,10 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     maxFds: int = 8200  # noqa: N815
+    cpuShare: float = 1.0  # noqa: N815
+    """Share of the time for which the process may run."""
+    cores: float = 1.0
+    """Speed while it runs, in ordinary cores; not the number of threads that run at once."""
 
 
 class _Node(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,6 +87,7 @@
         max_record_bytes=node.platform.record_bytes,
         max_append_bytes=node.platform.call_bytes,
         max_connections=node.limits.maxFds - 200,
+        cores=node.limits.cpuShare * node.limits.cores,
     )
 
 
--- /dev/null
+++ b/passgate/sharedlog/candidacy.py
@@ -0,0 +1,52 @@
+"""Whether a daemon takes part in its zone's group, by the size of its machine.
+
+Members of the group watch partitions and run jobs, whose streams take processor time.
+Machines with a whole core join at once.  A smaller one joins only while the list of
+members shows too few larger ones; it leaves when there are enough of them.
+
+>>> small = Candidacy(cores=0.5, started_s=0.0)
+>>> small.take_list(["a~2.15@10.0.0.1:7720"] * 3, now_s=0.2)
+>>> small.wanted(now_s=10.0)
+False
+>>> small.take_list(["a~2.15@10.0.0.1:7720"], now_s=10.0)
+>>> small.wanted(now_s=10.0), small.wanted(now_s=10.0 + PATIENCE_S)
+(False, True)
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from passgate.sharedlog.member_names import cores_of
+
+AMPLE_CORES = 1.0
+"""A machine with as much joins without looking; the streams of two jobs of 160 items take about half."""
+ENOUGH_LARGER = 3
+"""Larger members with which a daemon is not needed; any two of them may be lost at once."""
+CLEARLY_LARGER = 1.25
+"""Another machine counts as larger from this many times the own cores on."""
+PATIENCE_S = 3.0
+"""Time for which too few larger members must have been seen: a restart, and two reads of the list."""
+
+
+class Candidacy:
+    """One daemon's wish to be a member."""
+
+    def __init__(self, cores: float, started_s: float) -> None:
+        self._cores = cores
+        self._few_since_s: float | None = started_s
+        """Since when too few larger members are known; None while there are enough."""
+
+    def take_list(self, members: Iterable[str], now_s: float) -> None:
+        """Take the list of members as it has just been read."""
+        larger = sum(1 for member in members if cores_of(member) >= CLEARLY_LARGER * self._cores)
+        if larger >= ENOUGH_LARGER:
+            self._few_since_s = None
+        elif self._few_since_s is None:
+            self._few_since_s = now_s
+
+    def wanted(self, now_s: float) -> bool:
+        """Whether this daemon shall be a member now."""
+        if self._cores >= AMPLE_CORES:
+            return True
+        return self._few_since_s is not None and now_s - self._few_since_s >= PATIENCE_S
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -14,6 +14,7 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PartitionsHeld
 from passgate.errors import LogError
+from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.hedge import hedged
 from passgate.sharedlog.log import GroupPartition, GroupShare, SharedLog
 
@@ -43,11 +44,13 @@
         topic: str,
         decisions: DecisionLog,
         *,
+        candidacy: Candidacy,
         least_lifetime_s: float = 0.0,
     ) -> None:
         self._log = log
         self._group = group
         self._member = member
+        self._candidacy = candidacy
         self._topic = topic
         self._decisions = decisions
         self._lifetime_s = max(LEAST_LIFETIME_S, least_lifetime_s)
@@ -63,14 +66,27 @@
         return self._held
 
     async def run(self) -> None:
-        """Join again and again until cancelled or left."""
+        """Join again and again, while the daemon shall be a member, until cancelled or left."""
         while not self._left:
-            try:
-                await self._join()
-            except LogError as error:
-                logger.info("join_failed", extra={"group": self._group, "error": str(error)})
+            if self._candidacy.wanted(monotonic_s()):
+                await self._stay()
+            elif self._held or self._generation:
+                await self._withdraw()
             await asyncio.sleep(JOIN_S)
 
+    async def _stay(self) -> None:
+        try:
+            await self._join()
+        except LogError as error:
+            logger.info("join_failed", extra={"group": self._group, "error": str(error)})
+
+    async def _withdraw(self) -> None:
+        """Hold nothing, as larger machines do; jobs that run here stay."""
+        self._held = frozenset()
+        self._generation = 0
+        self._decisions.write(PartitionsHeld(generation=0, parts=()))
+        await self._tell_left()
+
     async def _join(self) -> None:
         sent_s = monotonic_s()
         share = await hedged(self._call_join)
@@ -93,6 +109,9 @@
     async def leave(self) -> None:
         """Hold nothing from now on and tell the log, best effort."""
         self._left = True
+        await self._tell_left()
+
+    async def _tell_left(self) -> None:
         with contextlib.suppress(LogError, TimeoutError):
             async with asyncio.timeout(LEAVE_TIMEOUT_S):
                 await self._log.leave(self._group, self._member)
@@ -101,10 +120,11 @@
 class GroupDirectory:
     """Who holds which partition, read when it is asked for and kept for a short time."""
 
-    def __init__(self, log: SharedLog, group: str, topic: str) -> None:
+    def __init__(self, log: SharedLog, group: str, topic: str, candidacy: Candidacy) -> None:
         self._log = log
         self._group = group
         self._topic = topic
+        self._candidacy = candidacy
         self._members: dict[GroupPartition, str] = {}
         self._read_s = float("-inf")
         self._reading: asyncio.Task[None] | None = None
@@ -138,5 +158,6 @@
         try:
             self._members = await self._log.members(self._group)
             self._read_s = monotonic_s()
+            self._candidacy.take_list(set(self._members.values()), self._read_s)
         except LogError as error:
             logger.info("members_unknown", extra={"group": self._group, "error": str(error)})
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -25,13 +25,14 @@
     JobSpec,
     Result,
     ResultState,
-    member_name,
     writer_name,
 )
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings, partition_of
 from passgate.peers.memory_transport import MemoryNetwork
+from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import KeyedTail, TailSettings
 from passgate.versions.control import ControlTopic
 
@@ -70,14 +71,17 @@
 class Daemon:
     """A daemon without replicas and callers; the rest is the product's own code."""
 
-    def __init__(self, log, name, life=0, zone="a"):
+    def __init__(self, log, name, life=0, zone="a", cores=2.0):
         self.client = log.client(name)
         self.network = networks.setdefault(log, MemoryNetwork(random.Random(1)))
         self.transport = self.network.transport(f"{name}:7720", name)
         self.name = writer_name(name, str(life), self.transport.address)
         decisions = DecisionLog(name, write=len)
-        member = member_name(name, self.transport.address)
-        self.member = GroupMember(self.client, f"watch.{zone}", member, "jobs", decisions)
+        member = member_name(name, self.transport.address, cores)
+        candidacy = Candidacy(cores, monotonic_s())
+        self.member = GroupMember(
+            self.client, f"watch.{zone}", member, "jobs", decisions, candidacy=candidacy
+        )
         sizes = {"record_bytes": 262_144, "append_bytes": 2_000_000}
         self.journal = Journal(self.client, "control", 0, self.name, **sizes)
         self.control = ControlTopic(
@@ -90,7 +94,7 @@
         )
         self.leadership = self.control.leadership
         settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
-        directory = GroupDirectory(self.client, f"watch.{zone}", "jobs")
+        directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
         self.peers = peers = JobPeers(self.transport, directory, member, decisions)
         liveness = Liveness(peers.is_alive)
         self.shards = JobShards(
--- a/tests/test_sharedlog_silence.py
+++ b/tests/test_sharedlog_silence.py
@@ -9,6 +9,7 @@
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import JobEnded
+from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import GroupMember
 from passgate.sharedlog.hedge import HEDGE_S
 from passgate.sharedlog.tail import RecordTail, TailSettings
@@ -62,7 +63,9 @@
 def test_a_member_holds_its_partitions_soon_again(silent_s):
     async def main():
         log = MemorySharedLog()
-        member = GroupMember(log.client("d"), "g", "d", "t", DecisionLog("d", write=len))
+        member = GroupMember(
+            log.client("d"), "g", "d", "t", DecisionLog("d", write=len), candidacy=Candidacy(2.0, 0.0)
+        )
         task = asyncio.get_running_loop().create_task(member.run())
         await asyncio.sleep(1.0)
         assert member.held()
