Leave a silent stream after ten of its usual pauses while other replicas are heard

Cause: a stream of a replica that went dark was left after 1.2 s of silence (1.5 s before its first event), though events come each 40 ms, and the replica went on getting items. A step's longest items have 0.3 s to spare, so each such wait delays the trainer. Change: the wait is ten of the replica's usual pauses (0.3 to 1.5 s), and only while other replicas' streams bring events; the replica left is set aside. A daemon that was itself held up reads first what came meanwhile. Ruled out: a shorter fixed time, which leaves all streams at once when the daemon's own link or processor stalls.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -47,6 +47,7 @@
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings
+from passgate.jobs.silence import StreamSilence
 from passgate.jobs.waiting import WaitingLine
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.candidacy import Candidacy
@@ -128,6 +129,7 @@
         self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
         self._waiting = WaitingLine()
         self._durations = OutputDurations()
+        self._silence = StreamSilence()
         self._rewards = RewardTools(
             find_route=self._find_route,
             caller=caller,
@@ -235,6 +237,7 @@
             waiting=self._waiting,
             durations=self._durations,
             rewards=self._rewards,
+            silence=self._silence,
             group_replica={},
         )
         return JobRunner(job, fold, journal, tools)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -244,6 +244,16 @@
         now_s = monotonic_s()
         self._replicas.observe_latency(self.replica_id, now_s - self._began_s, now_s)
 
+    def fell_silent(self) -> None:
+        """Count a stream that was left as its replica seems lost; it is set aside for some time."""
+        self.too_slow()
+        self._failed(unreachable=True)
+
+    @property
+    def usual_pause_s(self) -> float:
+        """Time that the replica has lately taken for an event."""
+        return self._state.recent_latency_s(monotonic_s())
+
     def _note_load(self, answer: HTTPHeaders) -> None:
         told = answer.get(self._names.replica_load)
         if told is None:
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -29,14 +29,12 @@
 from passgate.jobs.event_stream import EventStream, KeptEvents
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardTools
+from passgate.jobs.silence import FIRST_BYTES_PATIENCE_S, StreamSilence, patience_for
 from passgate.jobs.timing import JobTiming
 from passgate.jobs.waiting import Rank, WaitingLine
 
 ROOM_STEP_S = 0.03
 """Pause between looks for a replica with room."""
-FIRST_EVENT_TIMEOUT_S = 1.5
-NEXT_EVENT_TIMEOUT_S = 1.2
-"""A stream silent for this long is given up and taken up elsewhere."""
 MIN_EVENTS_HERE = 4
 """Events between two looks for a much faster replica."""
 LONG_EVENTS = 30
@@ -61,6 +59,7 @@
     waiting: WaitingLine
     durations: OutputDurations
     rewards: RewardTools
+    silence: StreamSilence
     group_replica: dict[str, str]
     """Group to the replica that read its shared prompt last."""
 
@@ -199,14 +198,15 @@
     async def _exchange(self, state: ReplicaState) -> Result | None:
         exchange = self._tools.caller.open(state, self._request())
         try:
-            async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S):
-                status = await exchange.head()
+            status = await self._tools.silence.wait(
+                exchange.replica_id, exchange.head, FIRST_BYTES_PATIENCE_S
+            )
             if status != OK:
                 return self._failed_run(status)
             self._begin(exchange)
             await self._read_events(exchange)
         except TimeoutError as error:
-            exchange.too_slow()
+            exchange.fell_silent()
             raise IncompleteAnswer("the stream is silent") from error
         finally:
             exchange.close()
@@ -265,18 +265,19 @@
         self._stream.begin_attempt(version)
 
     async def _read_events(self, exchange: ReplicaExchange) -> None:
-        timeout_s = FIRST_EVENT_TIMEOUT_S
+        silence, replica_id = self._tools.silence, exchange.replica_id
+        patience_s = FIRST_BYTES_PATIENCE_S
         event_at_s: float | None = None
         first_count = self._stream.count
         while True:
-            async with asyncio.timeout(timeout_s):
-                data = await exchange.read()
+            data = await silence.wait(replica_id, exchange.read, patience_s)
             if not data:
                 break
-            timeout_s = NEXT_EVENT_TIMEOUT_S
+            patience_s = patience_for(exchange.usual_pause_s)
             before = self._stream.count
             self._stream.feed(data)
             now_s = monotonic_s()
+            silence.heard(replica_id, now_s)
             if self._stream.count > before:
                 self._times.events(now_s, self._stream.count - before)
             if event_at_s is not None and self._stream.count > before:
