--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -97,15 +97,19 @@
             watching: whether this daemon watches the partition for all.
         """
         now_s = monotonic_s()
-        for job in [job for job in self._fold.jobs.values() if job.open]:
-            if job.owner == self.me:
-                self._ensure_runner(job)
-            elif not self.stopping and self._may_claim(job, watching, now_s):
+        self.start_runners()
+        for job in [job for job in self._fold.jobs.values() if job.open and job.owner != self.me]:
+            if not self.stopping and self._may_claim(job, watching, now_s):
                 self._claim(job, now_s)
         self._stop_runners()
         if self._runners:
             self._journal.renew()
 
+    def start_runners(self) -> None:
+        """Run the open jobs that this daemon owns; called also as soon as records were read."""
+        for job in [job for job in self._fold.jobs.values() if job.open and job.owner == self.me]:
+            self._ensure_runner(job)
+
     def _may_claim(self, job: JobState, watching: bool, now_s: float) -> bool:
         if job.job_id in self._claiming or self._freshness.age_s(now_s) >= FRESH_S:
             return False
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -129,6 +129,8 @@
             self.fold.apply(page.start + index, batch, now_s)
             if batch.writer == self.journal.writer:
                 self.journal.read_back(batch)
+        if self.current:
+            self.ownership.start_runners()
 
 
 class JobShards:
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -40,6 +40,8 @@
 FAULTS = ["kill", "cut", "silent", "refuse", "lost", "slow", "deal", "lapse", "part", "none"]
 HOST = "h"
 ITEM_S = 0.4
+READ_SOON_S = 0.05
+"""Time after its acceptance within which the owner has read a job from the log."""
 networks = weakref.WeakKeyDictionary()
 """Network between the daemons of each log."""
 
@@ -554,3 +556,22 @@
             await daemon.kill()
 
     run_virtual(main())
+
+
+def test_a_new_job_is_begun_as_soon_as_its_record_was_read():
+    async def main():
+        log = MemorySharedLog()
+        (daemon,) = await started(log, 1)
+        await daemon.service.submit(job_spec("warm"), monotonic_s() + 5.0)
+        await settle([daemon], ["warm"])
+        spent = []
+        for number in range(8):
+            await daemon.service.submit(job_spec(f"j{number}", count=1), monotonic_s() + 5.0)
+            accepted_s = monotonic_s()
+            while not daemon.shards.running:
+                await asyncio.sleep(0.005)
+            spent.append(monotonic_s() - accepted_s)
+            await settle([daemon], [f"j{number}"])
+        assert max(spent) <= READ_SOON_S
+
+    run_virtual(main())
