Gather results that come together into one page for a caller that waits

Change: a read that may wait gathers for 0.2 s after the first result, no longer than it was asked to wait and not once the groups are whole that the caller waits for. Found by its test: the loop of a gathering read span when the time left was below the clock's resolution.

--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from passgate.jobs.event_stream import KeptEvents
+from passgate.jobs.groups import GroupProgress
 from passgate.jobs.records import (
     Batch,
     ItemProgressed,
@@ -57,6 +58,7 @@
         self.results: list[Result] = []
         self.listed: dict[str, int] = {}
         """Item to its position."""
+        self._progress = GroupProgress(spec.items, spec.desired)
         self.ended = False
         self.owner = owner
         """Writer that runs the items; empty when it stopped."""
@@ -70,6 +72,11 @@
         """Whether items are still to be run."""
         return not self.ended and len(self.results) < self.total
 
+    @property
+    def satisfied(self) -> bool:
+        """Whether all results stand here that its caller waits for."""
+        return self._progress.enough
+
     def spec(self) -> JobSpec:
         """Return the job as submitted."""
         return decode_spec(self.packed_spec)
@@ -86,6 +93,7 @@
             return False
         self.listed[result.item_id] = len(self.results)
         self.results.append(result)
+        self._progress.listed(result.item_id)
         return True
 
 
--- a/passgate/jobs/reader.py
+++ b/passgate/jobs/reader.py
@@ -19,6 +19,8 @@
 STALE_S = 2.6
 """With a view of the log older than this, "nothing new" is not said to a caller."""
 RESULT_OVERHEAD_BYTES = 200
+GATHER_S = 0.2
+"""Time for further results of a job whose caller waits; the last items of a step end within 0.15 s."""
 
 
 class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,7 +34,7 @@
 async def read_page(
     shard: Shard, job_id: str, position: int, wait_s: float, *, fresh_s: float = STALE_S
 ) -> ResultPage:
-    """Return results from a position, waiting for one.
+    """Return results from a position, waiting for one and for those that come just after it.
 
     Args:
         shard: the partition of the job.
@@ -49,12 +51,24 @@
     until_s = monotonic_s() + wait_s
     while len(job.results) <= position and monotonic_s() < until_s:
         await shard.tail.wait_past(shard.tail.next_offset, until_s - monotonic_s())
+    await _gather(shard, job, min(until_s, monotonic_s() + GATHER_S))
     if len(job.results) <= position < job.total and not await _is_fresh(shard, fresh_s):
         raise NotReady("the log can not be read", execution=ExecutionStatus.NOT_RUN)
     page = _page(job, position)
     return ResultPage(total=job.total, next_position=position + len(page), results=page)
 
 
+async def _gather(shard: Shard, job: JobState, until_s: float) -> None:
+    """Wait for results that come together with those that are there.
+
+    Items that began together end together, and a caller pauses after each page (some for
+    0.5 s), so a page with the first of them only would delay the rest by that pause.
+    """
+    while not job.satisfied and job.open:
+        if not await shard.tail.wait_past(shard.tail.next_offset, until_s - monotonic_s()):
+            return
+
+
 async def read_body(shard: Shard, job_id: str, item_id: str) -> bytes:
     """Return the body of an item; raises NotFound or NotReady."""
     job = await find_job(shard, job_id)
--- a/passgate/jobs/timing.py
+++ b/passgate/jobs/timing.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from passgate.decisions import JobWhole
+from passgate.jobs.groups import GroupProgress
 from passgate.jobs.records import ItemSpec, JobSpec
 
 
@@ -61,11 +62,7 @@
         self._spec = spec
         self._began_s = began_s
         self._items: dict[str, ItemTimes] = {}
-        self._missing: dict[str, set[str]] = {}
-        """Group to its items that are not listed."""
-        for item in spec.items:
-            self._missing.setdefault(item.group, set()).add(item.id)
-        self._wanted = min(spec.desired or len(self._missing), len(self._missing))
+        self._progress = GroupProgress(spec.items, spec.desired)
         self._told = False
         self.failures: Counter[str] = Counter()
         """Attempts that ended without the whole output, by code."""
@@ -82,14 +79,9 @@
             now_s: loop time.
             present: items listed by this daemon or earlier owners.
         """
-        for group in list(self._missing):
-            missing = self._missing[group]
-            missing.difference_update(present)
-            missing.discard(item.id)
-            if not missing:
-                del self._missing[group]
-                self._wanted -= 1
-        if self._told or self._wanted > 0:
+        for item_id in (*present, item.id):
+            self._progress.listed(item_id)
+        if self._told or not self._progress.enough:
             return None
         self._told = True
         return self._line(item, now_s)
--- /dev/null
+++ b/tests/test_jobs_reader.py
@@ -0,0 +1,98 @@
+"""When a caller that waits for results is answered."""
+
+import asyncio
+
+import pytest
+
+from passgate.clock import monotonic_s, run_virtual
+from passgate.emulator.shared_log import MemorySharedLog
+from passgate.jobs.reader import GATHER_S
+from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState
+from tests.test_jobs_daemons import HOST, Daemon
+
+NEAR_S = 0.1
+SETTLED_S = 2.5
+"""Time for a daemon to watch its partitions, and to read one to its end again."""
+GROUPS = ("a", "a", "b", "b")
+
+
+class IdleRunner:
+    """Leaves all items to the test."""
+
+    async def run(self):
+        await asyncio.sleep(3600.0)
+
+    def save(self):
+        pass
+
+
+class IdleDaemon(Daemon):
+    """A daemon whose items only the test lists."""
+
+    def make_runner(self, fold, journal, job):
+        return IdleRunner()
+
+
+async def open_job(desired):
+    daemon = IdleDaemon(MemorySharedLog(), "d").start()
+    await asyncio.sleep(SETTLED_S)
+    items = tuple(ItemSpec(id=f"i{number}", path="/p/x", group=group) for number, group in enumerate(GROUPS))
+    spec = JobSpec(job_id="j", host=HOST, path="/p/", items=items, desired=desired)
+    await daemon.service.submit(spec, monotonic_s() + 5.0)
+    await asyncio.sleep(SETTLED_S)
+    return daemon
+
+
+def put(daemon, number):
+    result = Result(item_id=f"i{number}", state=ResultState.SUCCEEDED, text="t", versions=(1,))
+    daemon.shards.of(HOST).journal.put(ItemsDone(job_id="j", results=(result,)))
+
+
+async def read_while(daemon, results, wait_s=1.0):
+    """Read from the beginning while results come; return their number and the time it took.
+
+    ``results`` are pairs of the time after the first and the item.
+    """
+    began_s = monotonic_s()
+
+    async def read():
+        page = await daemon.service.read(HOST, "j", 0, wait_s)
+        return len(page.results), monotonic_s() - began_s
+
+    reading = asyncio.get_running_loop().create_task(read())
+    for at_s, number in results:
+        await asyncio.sleep(max(began_s + at_s - monotonic_s(), 0.0))
+        put(daemon, number)
+    return await reading
+
+
+@pytest.mark.parametrize(
+    "desired, results, count, after_s",
+    [
+        (2, [(0.3, 0), (0.4, 1)], 2, 0.3 + GATHER_S),
+        (1, [(0.3, 0), (0.4, 1)], 2, 0.4),
+        (1, [(0.3, 0), (0.35, 2), (0.4, 3), (0.6, 1)], 3, 0.4),
+        (2, [(0.9, 0)], 1, 1.0),
+        (2, [], 0, 1.0),
+    ],
+    ids=["together", "enough", "enough_of_another_group", "no_longer_than_asked", "nothing"],
+)
+def test_a_page_holds_results_that_come_together(desired, results, count, after_s):
+    async def main():
+        daemon = await open_job(desired)
+        got, took_s = await read_while(daemon, results)
+        assert got == count
+        assert after_s <= took_s <= after_s + NEAR_S
+
+    run_virtual(main())
+
+
+def test_a_caller_that_does_not_wait_is_answered_at_once():
+    async def main():
+        daemon = await open_job(desired=2)
+        put(daemon, 0)
+        await asyncio.sleep(0.5)
+        got, took_s = await read_while(daemon, [], wait_s=0.0)
+        assert (got, took_s) == (1, 0.0)
+
+    run_virtual(main())
