Take jobs over as soon as their owner is known to have ended

A part of it: records read at the start counted as just heard, so owners that were gone counted as alive for 0.8 s and more, and were then asked. Change: only records appended while the partition is followed count as heard; an owner is asked after 0.55 s of silence, or at once if it was never heard; when another life of its daemon answers, its jobs are claimed without further patience. Ruled out: claiming after no answer alone, as the owner may be unreachable and alive.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -183,7 +183,7 @@
             shard_settings,
             self._member.held,
             self._make_runner,
-            Liveness(job_peers.is_alive),
+            Liveness(job_peers.life_at),
             self.decisions,
         )
         self._job_peers = job_peers
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -117,9 +117,17 @@
         """Item to its newest result, for later jobs that ask for it again."""
         self._pieces: dict[tuple[str, str], _Pieces] = {}
 
-    def apply(self, offset: int, batch: Batch, now_s: float) -> None:
-        """Take the next record of the log."""
-        self.heard_s[batch.writer] = now_s
+    def apply(self, offset: int, batch: Batch, now_s: float, *, fresh: bool = True) -> None:
+        """Take the next record of the log.
+
+        Args:
+            offset: its offset.
+            batch: what it holds.
+            now_s: loop time.
+            fresh: whether it was appended just now, so that its writer has been heard.
+        """
+        if fresh:
+            self.heard_s[batch.writer] = now_s
         for entry in batch.entries:
             self._apply_entry(batch.writer, entry, now_s)
 
--- a/passgate/jobs/liveness.py
+++ b/passgate/jobs/liveness.py
@@ -1,50 +1,75 @@
 """Whether the owner of a job still lives.
 
-A writer that is silent on the log is asked at its peer address.  No answer, or that of
-a later life of the same daemon, counts as death until the writer is heard again.
+A writer that is silent on the log is asked at its peer address.  When another life of
+the same daemon answers there, the writer has surely ended.  When nobody answers, it may
+only be unreachable, and counts as silent until it is heard again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from passgate.clock import monotonic_s
 
-ASK_AGAIN_S = 0.5
-"""Time between two questions to the same writer."""
+ASK_AGAIN_S = 0.3
+"""Time between two questions to the same writer; about the time that an answer is waited for."""
 FORGET_S = 30.0
 
 
+class Sign(enum.Enum):
+    """What a writer's address told of it."""
+
+    ALIVE = "alive"
+    REPLACED = "replaced"
+    """A later life of its daemon answers."""
+    SILENT = "silent"
+
+
 class _Asked(msgspec.Struct):
     began_s: float
-    answer: asyncio.Task[bool]
+    answer: asyncio.Task[str]
 
 
 class Liveness:
     """What this daemon knows of other writers' lives."""
 
-    def __init__(self, ask: Callable[[str], Awaitable[bool]]) -> None:
-        """Make the view; ``ask`` tells whether a writer answers as itself."""
+    def __init__(self, ask: Callable[[str], Awaitable[str]]) -> None:
+        """Make the view; ``ask`` returns the writer that answers at a writer's address, or nothing."""
         self._ask = ask
         self._asked: dict[str, _Asked] = {}
 
-    def seems_dead(self, writer: str, heard_s: float) -> bool:
-        """Whether a writer that was heard last at ``heard_s`` did not answer since; asks if need be."""
+    def sign_of(self, writer: str, heard_s: float) -> Sign | None:
+        """Return what a writer's address has told since it was heard last; asks if need be.
+
+        Returns None while no answer is known that was asked for after ``heard_s``.
+        """
         now_s = monotonic_s()
         asked = self._asked.get(writer)
-        if asked is None or (asked.answer.done() and now_s - asked.began_s > ASK_AGAIN_S):
-            dead = asked is not None and not asked.answer.result() and asked.began_s > heard_s
+        sign = None
+        if asked is not None and asked.answer.done() and asked.began_s > heard_s:
+            sign = _sign(writer, asked.answer.result())
+        if sign is not Sign.REPLACED and (asked is None or self._may_ask_again(asked, now_s)):
             self._begin(writer, now_s)
-            return dead
-        return asked.answer.done() and not asked.answer.result() and asked.began_s > heard_s
+        return sign
+
+    @staticmethod
+    def _may_ask_again(asked: _Asked, now_s: float) -> bool:
+        return asked.answer.done() and now_s - asked.began_s > ASK_AGAIN_S
 
     def _begin(self, writer: str, now_s: float) -> None:
         self._asked = {key: asked for key, asked in self._asked.items() if now_s - asked.began_s < FORGET_S}
         answer = asyncio.get_running_loop().create_task(self._question(writer))
         self._asked[writer] = _Asked(now_s, answer)
 
-    async def _question(self, writer: str) -> bool:
+    async def _question(self, writer: str) -> str:
         return await self._ask(writer)
+
+
+def _sign(writer: str, answering: str) -> Sign:
+    if answering == writer:
+        return Sign.ALIVE
+    return Sign.REPLACED if answering else Sign.SILENT
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -17,7 +17,7 @@
 from passgate.decisions import DecisionLog, JobOwned
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
-from passgate.jobs.liveness import Liveness
+from passgate.jobs.liveness import Liveness, Sign
 from passgate.jobs.records import JobClaimed, daemon_of
 from passgate.jobs.runner import JobRunner
 from passgate.sharedlog.tail import Freshness
@@ -26,8 +26,10 @@
 
 TAKEOVER_S = 1.5
 """Silence of an owner after which its jobs are taken over."""
-ASK_S = 0.8
-"""Silence of an owner after which it is asked whether it lives."""
+ASK_S = 0.55
+"""Silence of an owner after which it is asked whether it lives; it appends each 0.4 s."""
+DEAD_S = 0.8
+"""Silence after which an owner that does not answer either counts as dead."""
 BYSTANDER_S = 2.0
 """Time that daemons which do not watch the partition leave to the one that does."""
 CLAIM_PAUSE_S = 0.5
@@ -125,9 +127,11 @@
         if daemon_of(writer) == daemon_of(self.me):
             return True
         heard_s = self._fold.heard_s.get(writer, NEVER_S)
-        if heard_s > self._freshness.recovered_s and now_s - heard_s < ASK_S:
+        silent_s = self._silent_s(writer, now_s)
+        if heard_s > NEVER_S and silent_s < ASK_S:
             return False
-        return self._liveness.seems_dead(writer, heard_s)
+        sign = self._liveness.sign_of(writer, heard_s)
+        return sign is Sign.REPLACED or (sign is Sign.SILENT and silent_s >= DEAD_S)
 
     def _silent_s(self, writer: str, now_s: float) -> float:
         return self._freshness.silence_s(self._fold.heard_s.get(writer), now_s)
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -122,14 +122,14 @@
         self._member = member
         self._decisions = decisions
 
-    async def is_alive(self, writer: str) -> bool:
-        """Ask whether this life of a daemon still runs."""
+    async def life_at(self, writer: str) -> str:
+        """Return the writer that answers at a writer's address; nothing when nobody does."""
         address = address_of(writer)
         try:
             payload = await self._transport.call(address, ALIVE, msgspec.json.encode(AskAlive()), ALIVE_S)
-            return msgspec.json.decode(payload, type=Alive).writer == writer
+            return msgspec.json.decode(payload, type=Alive).writer
         except (PeerError, msgspec.DecodeError):
-            return False
+            return ""
 
     async def owner_of_new(self, part: int) -> str:
         """Return the writer of the watcher that takes a new job, or nothing."""
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -126,7 +126,7 @@
                 offset = page.start + index
                 self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
                 continue
-            self.fold.apply(page.start + index, batch, now_s)
+            self.fold.apply(page.start + index, batch, now_s, fresh=self.current)
             if batch.writer == self.journal.writer:
                 self.journal.read_back(batch)
         if self.current:
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -40,6 +40,8 @@
 FAULTS = ["kill", "cut", "silent", "refuse", "lost", "slow", "deal", "lapse", "part", "none"]
 HOST = "h"
 ITEM_S = 0.4
+TAKEN_OVER_SOON_S = 0.8
+"""Time from the start of all daemons until an open job runs again: joining the group, reading, claiming."""
 READ_SOON_S = 0.05
 """Time after its acceptance within which the owner has read a job from the log."""
 networks = weakref.WeakKeyDictionary()
@@ -98,7 +100,7 @@
         settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
         directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
         self.peers = peers = JobPeers(self.transport, directory, member, decisions)
-        liveness = Liveness(peers.is_alive)
+        liveness = Liveness(peers.life_at)
         self.shards = JobShards(
             self.client, settings, self.member.held, self.make_runner, liveness, decisions
         )
@@ -575,3 +577,25 @@
         assert max(spent) <= READ_SOON_S
 
     run_virtual(main())
+
+
+def test_jobs_are_taken_over_soon_after_all_daemons_were_killed():
+    """Fails while what is read at the start counts as just heard, and so the owner as alive."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 3)
+        await daemons[0].service.submit(job_spec("j", count=40), monotonic_s() + 5.0)
+        await asyncio.sleep(1.0)
+        for daemon in daemons:
+            await daemon.kill()
+        await asyncio.sleep(0.3)
+        log.groups.drop_members()
+        log.groups.shift += 1  # another daemon than the owner will watch
+        restarted_s = monotonic_s()
+        daemons = [Daemon(log, f"d{number}", life=1).start() for number in range(3)]
+        while not any(daemon.shards.running for daemon in daemons):
+            await asyncio.sleep(0.02)
+        assert monotonic_s() - restarted_s < TAKEN_OVER_SOON_S
+
+    run_virtual(main())
--- /dev/null
+++ b/tests/test_jobs_liveness.py
@@ -0,0 +1,58 @@
+"""What a daemon concludes from the answers at a silent writer's address."""
+
+import asyncio
+
+import pytest
+
+from passgate.clock import monotonic_s, run_virtual
+from passgate.jobs.liveness import ASK_AGAIN_S, Liveness, Sign
+
+WRITER = "d1.a@h:1"
+ANSWER_S = 0.01
+
+
+def asked(answers):
+    """Return the view of a daemon whose questions get these answers, and the questions."""
+    questions = []
+
+    async def ask(writer):
+        questions.append(monotonic_s())
+        await asyncio.sleep(ANSWER_S)
+        return answers[min(len(questions), len(answers)) - 1]
+
+    return Liveness(ask), questions
+
+
+@pytest.mark.parametrize(
+    "answer, sign", [(WRITER, Sign.ALIVE), ("d1.b@h:1", Sign.REPLACED), ("", Sign.SILENT)]
+)
+def test_the_answer_tells_whether_the_writer_ended(answer, sign):
+    async def main():
+        liveness, _ = asked([answer])
+        assert liveness.sign_of(WRITER, heard_s=float("-inf")) is None
+        await asyncio.sleep(2 * ANSWER_S)
+        assert liveness.sign_of(WRITER, heard_s=float("-inf")) is sign
+
+    run_virtual(main())
+
+
+def test_an_answer_older_than_the_writers_last_record_counts_no_more():
+    async def main():
+        liveness, _ = asked([""])
+        liveness.sign_of(WRITER, heard_s=float("-inf"))
+        await asyncio.sleep(2 * ANSWER_S)
+        assert liveness.sign_of(WRITER, heard_s=monotonic_s()) is None
+
+    run_virtual(main())
+
+
+def test_a_silent_writer_is_asked_again_and_one_that_was_replaced_is_not():
+    async def main():
+        liveness, questions = asked(["", "d1.b@h:1"])
+        for _ in range(40):
+            liveness.sign_of(WRITER, heard_s=float("-inf"))
+            await asyncio.sleep(0.1)
+        assert len(questions) == 2
+        assert ASK_AGAIN_S < questions[1] - questions[0] <= ASK_AGAIN_S + 0.11
+
+    run_virtual(main())
