Let small machines join a group only after lists that were read meanwhile

Change: too few larger members must be seen in two lists at least 3 s apart, and a machine that waits for this reads the list each 2 s. Figures: the test samples a start of small and large machines together; it fails before.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -141,7 +141,7 @@
         )
         self._peers = peers
         member = member_name(settings.daemon_id, peers.address, settings.cores)
-        candidacy = Candidacy(settings.cores, monotonic_s())
+        candidacy = Candidacy(settings.cores)
         group = f"{topics.watch_group}.{settings.zone}"
         self._member = GroupMember(
             log,
@@ -176,8 +176,8 @@
             append_bytes=settings.max_append_bytes,
             retention_s=settings.job_retention_s,
         )
-        directory = GroupDirectory(log, group, topics.jobs, candidacy)
-        job_peers = JobPeers(peers, directory, member, self.decisions)
+        self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
+        job_peers = JobPeers(peers, self._directory, member, self.decisions)
         self.shards = JobShards(
             log,
             shard_settings,
@@ -186,7 +186,6 @@
             Liveness(job_peers.life_at),
             self.decisions,
         )
-        self._job_peers = job_peers
         self.jobs = JobService(
             self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
         )
@@ -313,7 +312,7 @@
             group.create_task(self._member.run())
             group.create_task(self._control.run())
             group.create_task(self.shards.run())
-            group.create_task(self._job_peers.keep_known())
+            group.create_task(self._directory.keep_known())
             group.create_task(self._loader.run())
 
     async def _watch_log(self) -> None:
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -44,9 +44,6 @@
 ALIVE, OWN, SUBMIT = "jobs.alive", "jobs.own", "jobs.submit"
 READ, BODY, END = "jobs.read", "jobs.body", "jobs.end"
 
-REFRESH_S = 5.0
-"""Time between reads of the list of watchers, so that it is known when the log falls silent."""
-
 
 class AskAlive(msgspec.Struct, frozen=True, kw_only=True):
     """Asks which life of a daemon runs at an address."""
@@ -139,12 +136,6 @@
             return ""
         return msgspec.json.decode(payload, type=JobTaken).writer
 
-    async def keep_known(self) -> None:
-        """Keep the list of watchers known, until cancelled."""
-        while True:
-            await self._directory.refresh()
-            await asyncio.sleep(REFRESH_S)
-
     async def submit(self, part: int, spec: JobSpec, patience_s: float) -> None:
         """Let another daemon put a job on the log; raises PeerError when it may not stand there."""
         question = SubmitJob(spec=encode_spec(spec), patience_s=patience_s)
--- a/passgate/sharedlog/candidacy.py
+++ b/passgate/sharedlog/candidacy.py
@@ -4,13 +4,16 @@
 Machines with a whole core join at once.  A smaller one joins only while the list of
 members shows too few larger ones; it leaves when there are enough of them.
 
->>> small = Candidacy(cores=0.5, started_s=0.0)
+>>> small = Candidacy(cores=0.5)
 >>> small.take_list(["a~2.15@10.0.0.1:7720"] * 3, now_s=0.2)
->>> small.wanted(now_s=10.0)
+>>> small.wanted
 False
 >>> small.take_list(["a~2.15@10.0.0.1:7720"], now_s=10.0)
->>> small.wanted(now_s=10.0), small.wanted(now_s=10.0 + PATIENCE_S)
+>>> small.wanted, small.waiting
 (False, True)
+>>> small.take_list(["a~2.15@10.0.0.1:7720"], now_s=10.0 + PATIENCE_S)
+>>> small.wanted, small.waiting
+(True, False)
 """
 
 from __future__ import annotations
@@ -32,21 +35,31 @@
 class Candidacy:
     """One daemon's wish to be a member."""
 
-    def __init__(self, cores: float, started_s: float) -> None:
+    def __init__(self, cores: float) -> None:
         self._cores = cores
-        self._few_since_s: float | None = started_s
-        """Since when too few larger members are known; None while there are enough."""
+        self._few_since_s: float | None = None
+        """Since when each list that was read showed too few larger members; None if the last did not."""
+        self._few_until_s = 0.0
+        """When the last such list was read."""
 
     def take_list(self, members: Iterable[str], now_s: float) -> None:
         """Take the list of members as it has just been read."""
         larger = sum(1 for member in members if cores_of(member) >= CLEARLY_LARGER * self._cores)
         if larger >= ENOUGH_LARGER:
             self._few_since_s = None
-        elif self._few_since_s is None:
+            return
+        self._few_until_s = now_s
+        if self._few_since_s is None:
             self._few_since_s = now_s
 
-    def wanted(self, now_s: float) -> bool:
-        """Whether this daemon shall be a member now."""
+    @property
+    def wanted(self) -> bool:
+        """Whether this daemon shall be a member."""
         if self._cores >= AMPLE_CORES:
             return True
-        return self._few_since_s is not None and now_s - self._few_since_s >= PATIENCE_S
+        return self._few_since_s is not None and self._few_until_s - self._few_since_s >= PATIENCE_S
+
+    @property
+    def waiting(self) -> bool:
+        """Whether further lists decide soon whether it shall."""
+        return not self.wanted and self._few_since_s is not None
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -27,6 +27,8 @@
 LEAVE_TIMEOUT_S = 1.0
 DIRECTORY_LIFE_S = 2.0
 """Age after which the list of members is read anew when it is needed."""
+REFRESH_S = 5.0
+"""Time between reads of the list, so that it is known when the log falls silent."""
 RETRY_S = 1.0
 """Time after a failed read of the list before the next."""
 PATIENCE_S = 0.3
@@ -68,7 +70,7 @@
     async def run(self) -> None:
         """Join again and again, while the daemon shall be a member, until cancelled or left."""
         while not self._left:
-            if self._candidacy.wanted(monotonic_s()):
+            if self._candidacy.wanted:
                 await self._stay()
             elif self._held or self._generation:
                 await self._withdraw()
@@ -144,10 +146,12 @@
         others = sorted({other for other in self._members.values() if other != member})
         return random.sample(others, len(others))
 
-    async def refresh(self) -> None:
-        """Read the list unless it was read lately."""
-        if monotonic_s() - self._read_s > DIRECTORY_LIFE_S:
-            await self._read()
+    async def keep_known(self) -> None:
+        """Keep the list known, until cancelled."""
+        while True:
+            if monotonic_s() - self._read_s > DIRECTORY_LIFE_S:
+                await self._read()
+            await asyncio.sleep(DIRECTORY_LIFE_S / 2 if self._candidacy.waiting else REFRESH_S)
 
     def forget(self) -> None:
         """Read the list anew when it is needed next; a member did not answer."""
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -17,7 +17,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.ownership import TAKEOVER_S
-from passgate.jobs.peers import REFRESH_S, JobPeers
+from passgate.jobs.peers import JobPeers
 from passgate.jobs.reader import find_job
 from passgate.jobs.records import (
     ItemsDone,
@@ -31,7 +31,7 @@
 from passgate.jobs.shards import JobShards, ShardSettings, partition_of
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.sharedlog.candidacy import Candidacy
-from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.group import REFRESH_S, GroupDirectory, GroupMember
 from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import KeyedTail, TailSettings
 from passgate.versions.control import ControlTopic
@@ -82,7 +82,7 @@
         self.name = writer_name(name, str(life), self.transport.address)
         decisions = DecisionLog(name, write=len)
         member = member_name(name, self.transport.address, cores)
-        candidacy = Candidacy(cores, monotonic_s())
+        candidacy = Candidacy(cores)
         self.member = GroupMember(
             self.client, f"watch.{zone}", member, "jobs", decisions, candidacy=candidacy
         )
@@ -98,7 +98,7 @@
         )
         self.leadership = self.control.leadership
         settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
-        directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
+        self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
         self.peers = peers = JobPeers(self.transport, directory, member, decisions)
         liveness = Liveness(peers.life_at)
         self.shards = JobShards(
@@ -126,7 +126,7 @@
             self.member.run(),
             self.control.run(),
             self.shards.run(),
-            self.peers.keep_known(),
+            self.directory.keep_known(),
             self.operator.run(),
         )
         self.tasks = [loop.create_task(part) for part in parts]
--- a/tests/test_sharedlog_candidacy.py
+++ b/tests/test_sharedlog_candidacy.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from passgate.clock import monotonic_s, run_virtual
+from passgate.clock import run_virtual
 from passgate.decisions import DecisionLog
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.sharedlog.candidacy import ENOUGH_LARGER, PATIENCE_S, Candidacy
@@ -12,6 +12,7 @@
 PARTS = 12
 LOOK_S = 1.0
 SETTLED_S = 8.0
+STEP_S = 0.1
 LARGE, SMALL = 2.15, 0.52
 
 
@@ -19,7 +20,7 @@
     """The part of a daemon that has to do with its zone's group."""
 
     def __init__(self, log, name, cores):
-        candidacy = Candidacy(cores, monotonic_s())
+        candidacy = Candidacy(cores)
         client = log.client(name)
         address = f"{name}:1"
         self.member = GroupMember(
@@ -32,12 +33,7 @@
         )
         self.directory = GroupDirectory(client, "g", "t", candidacy)
         loop = asyncio.get_running_loop()
-        self.tasks = [loop.create_task(self.member.run()), loop.create_task(self.look())]
-
-    async def look(self):
-        while True:
-            await self.directory.refresh()
-            await asyncio.sleep(LOOK_S)
+        self.tasks = [loop.create_task(self.member.run()), loop.create_task(self.directory.keep_known())]
 
     def end(self):
         for task in self.tasks:
@@ -59,8 +55,9 @@
     async def scene(log):
         small = [Daemon(log, f"s{number}", SMALL) for number in range(6)]
         large = [Daemon(log, f"l{number}", LARGE) for number in range(ENOUGH_LARGER)]
-        await asyncio.sleep(SETTLED_S)
-        assert [daemon.parts for daemon in small] == [0] * 6
+        for _ in range(round(SETTLED_S / STEP_S)):
+            await asyncio.sleep(STEP_S)
+            assert [daemon.parts for daemon in small] == [0] * 6
         assert sum(daemon.parts for daemon in large) == PARTS
 
     played(scene)
--- a/tests/test_sharedlog_silence.py
+++ b/tests/test_sharedlog_silence.py
@@ -64,7 +64,7 @@
     async def main():
         log = MemorySharedLog()
         member = GroupMember(
-            log.client("d"), "g", "d", "t", DecisionLog("d", write=len), candidacy=Candidacy(2.0, 0.0)
+            log.client("d"), "g", "d", "t", DecisionLog("d", write=len), candidacy=Candidacy(2.0)
         )
         task = asyncio.get_running_loop().create_task(member.run())
         await asyncio.sleep(1.0)
