Wait for a partition's watcher instead of reading the partition at every daemon

Change: a daemon that is asked and does not know the partition to its end says so at once. Who asks then asks the member that watched before, which reads on for 4 s, and then the watcher again each 0.1 s; reading the partition oneself is left for 3 s without an answer. A daemon closes its connections to others also when it is cancelled. Ruled out: asking other zones' watchers, whose texts would cross zones, as the last resort. Tests: two that fail before; the test of who follows a partition waits until those that held it while the group formed have stopped, as strict on the steady state as before.

--- a/passgate/errors/__init__.py
+++ b/passgate/errors/__init__.py
@@ -17,6 +17,7 @@
 )
 from passgate.errors.peers import (
     PeerCallFailed,
+    PeerCatchingUp,
     PeerConnectionLost,
     PeerCredentialRefused,
     PeerError,
@@ -111,6 +112,7 @@
     "PassgateError",
     "PayloadTooLarge",
     "PeerCallFailed",
+    "PeerCatchingUp",
     "PeerConnectionLost",
     "PeerCredentialRefused",
     "PeerError",
--- a/passgate/errors/peers.py
+++ b/passgate/errors/peers.py
@@ -47,3 +47,10 @@
     """The peer's handler failed; details give the peer's ``peer_code``."""
 
     code = "peer_call_failed"
+
+
+class PeerCatchingUp(PeerError):
+    """The peer answers, but can not tell yet or at present; it will soon, or another one will."""
+
+    code = "peer_catching_up"
+    execution = ExecutionStatus.NOT_RUN
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -290,12 +290,15 @@
             self._run_when_configured(),
             self._watch_log(),
         ]
-        async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(part) for part in background]
-            await self._stop.wait()
-            await self._wind_down()
-            for task in tasks:
-                task.cancel()
+        try:
+            async with asyncio.TaskGroup() as group:
+                tasks = [group.create_task(part) for part in background]
+                await self._stop.wait()
+                await self._wind_down()
+                for task in tasks:
+                    task.cancel()
+        finally:
+            await self._peers.close()
         self.decisions.flush()
 
     def _exposition(self) -> bytes:
@@ -357,7 +360,6 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STOP_RESERVE_S / 2):
                 await self._front.close()
-        await self._peers.close()
         self.life.send("handed_over")
 
     async def _hand_over(self) -> None:
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -13,12 +13,15 @@
 
 import msgspec
 
+from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PeerFailed
 from passgate.errors import (
     ExecutionStatus,
     NotFound,
+    NotReady,
     PassgateError,
     PeerCallFailed,
+    PeerCatchingUp,
     PeerError,
     PeerUnreachable,
 )
@@ -38,6 +41,10 @@
 """Time for a daemon to answer before another one is asked as well."""
 MOST_ASKED = 3
 """Daemons that are asked by one that can not reach the log."""
+CATCH_UP_S = 3.0
+"""Time for a zone to find a watcher (a lost one lapses after 1.2 s) and for it to read a partition."""
+CATCH_UP_STEP_S = 0.1
+"""Time before a watcher that still reads its partition is asked again."""
 ALIVE_S = 0.3
 """Time for a daemon to say that it lives."""
 
@@ -118,6 +125,8 @@
         self._directory = directory
         self._member = member
         self._decisions = decisions
+        self._in_doubt_since_s: dict[int, float] = {}
+        """Since when nobody could tell of a partition, by partition."""
 
     async def life_at(self, writer: str) -> str:
         """Return the writer that answers at a writer's address; nothing when nobody does."""
@@ -143,7 +152,7 @@
 
     async def read(self, part: int, question: ReadJob) -> ResultPage:
         """Return results from a position on; raises PeerError or NotFound."""
-        payload = await self._ask(part, READ, question, question.wait_s + ANSWER_S)
+        payload = await self._ask_patiently(part, READ, question, question.wait_s + ANSWER_S)
         return msgspec.json.decode(payload, type=ResultPage)
 
     async def read_anywhere(self, part: int, question: ReadJob) -> ResultPage:
@@ -154,7 +163,7 @@
 
     async def body(self, part: int, question: ReadBody) -> bytes:
         """Return the body of an item; raises PeerError or NotFound."""
-        return await self._ask(part, BODY, question, ANSWER_S)
+        return await self._ask_patiently(part, BODY, question, ANSWER_S)
 
     async def end(self, part: int, question: EndJob) -> None:
         """End a job and return once that stands on the log; raises PeerError or NotFound."""
@@ -165,11 +174,42 @@
         relayed = msgspec.structs.replace(question, relay=True)
         await self._ask_several(part, END, relayed, question.patience_s)
 
+    async def _ask_patiently(
+        self, part: int, method: str, question: msgspec.Struct, timeout_s: float
+    ) -> bytes:
+        """Ask until an answer comes or its time is over; a watcher that has just begun reads first.
+
+        Raises PeerCatchingUp when an answer may soon be had, and after a while PeerUnreachable.
+        """
+        until_s = monotonic_s() + timeout_s
+        while True:
+            try:
+                payload = await self._ask(part, method, question, until_s - monotonic_s())
+                self._in_doubt_since_s.pop(part, None)
+                return payload
+            except PeerCatchingUp as error:
+                now_s = monotonic_s()
+                if now_s - self._in_doubt_since_s.setdefault(part, now_s) > CATCH_UP_S:
+                    raise PeerUnreachable("nobody can tell of the partition", part=part) from error
+                if now_s + CATCH_UP_STEP_S >= until_s:
+                    raise
+            await asyncio.sleep(CATCH_UP_STEP_S)
+
     async def _ask(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
-        member = await self._directory.member_of(part)
-        if member is None or member == self._member:
+        """Ask the watcher; when it can not tell, ask the one before it, which reads on for some time."""
+        until_s = monotonic_s() + timeout_s
+        watcher = await self._directory.member_of(part)
+        if watcher is None:
+            raise PeerCatchingUp("no watcher is known", part=part)
+        if watcher == self._member:
             raise PeerUnreachable("nobody else watches the partition", part=part)
-        return await self._ask_member(member, part, method, question, timeout_s)
+        try:
+            return await self._ask_member(watcher, part, method, question, timeout_s)
+        except PeerCatchingUp:
+            earlier = self._directory.earlier_member_of(part)
+            if earlier is None or earlier in (self._member, watcher):
+                raise
+            return await self._ask_member(earlier, part, method, question, until_s - monotonic_s())
 
     async def _ask_several(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
         """Ask members one after the other, without waiting long for each; return the first answer."""
@@ -206,12 +246,15 @@
             if error.details.get("peer_code") == NotFound.code:
                 raise NotFound(str(error), execution=ExecutionStatus.NOT_RUN) from error
             self._note(address, part, error)
+            if error.details.get("peer_code") == NotReady.code:
+                raise PeerCatchingUp(str(error), part=part) from error
+            self._directory.forget()
             raise
         except PeerError as error:
             self._note(address, part, error)
+            self._directory.forget()
             raise
 
     def _note(self, address: str, part: int, error: PassgateError) -> None:
-        self._directory.forget()
         reason = error.details.get("peer_code", error.code)
         self._decisions.write(PeerFailed(peer=address, part=part, reason=reason))
--- a/passgate/jobs/reader.py
+++ b/passgate/jobs/reader.py
@@ -69,6 +69,15 @@
             return
 
 
+def check_followed(shard: Shard) -> None:
+    """Check that a partition is followed here and known to its end; raises NotReady.
+
+    Another daemon that asks is told at once, and need not wait until it is.
+    """
+    if not shard.current:
+        raise NotReady("the partition is not known here yet", execution=ExecutionStatus.NOT_RUN)
+
+
 async def read_body(shard: Shard, job_id: str, item_id: str) -> bytes:
     """Return the body of an item; raises NotFound or NotReady."""
     job = await find_job(shard, job_id)
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -22,6 +22,7 @@
     NotReady,
     PassgateError,
     PeerCallFailed,
+    PeerCatchingUp,
     PeerError,
 )
 from passgate.jobs.journal import Journal
@@ -42,7 +43,7 @@
     ReadJob,
     SubmitJob,
 )
-from passgate.jobs.reader import ResultPage, find_job, read_body, read_page
+from passgate.jobs.reader import ResultPage, check_followed, find_job, read_body, read_page
 from passgate.jobs.records import JobEnded, JobNoted, JobSpec, decode_spec, split_spec
 from passgate.jobs.shards import JobShards, Shard
 
@@ -189,6 +190,8 @@
                 question = ReadJob(host=host, job_id=job_id, position=position, wait_s=wait_s)
                 read = self._peers.read_anywhere if self._cut_off() else self._peers.read
                 return await read(shard.part, question)
+            except PeerCatchingUp as error:
+                raise NotReady(str(error), execution=ExecutionStatus.NOT_RUN) from error
             except PeerError:
                 shard.need()
                 wait_s = 0.0  # a part of the caller's patience is spent
@@ -201,6 +204,8 @@
             try:
                 question = ReadBody(host=host, job_id=job_id, item_id=item_id)
                 return await self._peers.body(shard.part, question)
+            except PeerCatchingUp as error:
+                raise NotReady(str(error), execution=ExecutionStatus.NOT_RUN) from error
             except PeerError:
                 shard.need()
         return await read_body(shard, job_id, item_id)
@@ -278,7 +283,9 @@
             return msgspec.json.encode(await self._read_for(read))
         if method == BODY:
             question = msgspec.json.decode(payload, type=ReadBody)
-            return await read_body(self._shards.of(question.host), question.job_id, question.item_id)
+            shard = self._shards.of(question.host)
+            check_followed(shard)
+            return await read_body(shard, question.job_id, question.item_id)
         if method == END:
             end = msgspec.json.decode(payload, type=EndJob)
             await self._end_for(end)
@@ -296,6 +303,7 @@
             self._refuse_if_cut_off()
             await self._append_end(shard, question.job_id, deadline_s)
         else:
+            check_followed(shard)
             await self._end_here(shard, question.job_id, deadline_s)
 
     async def _read_for(self, question: ReadJob) -> ResultPage:
@@ -305,6 +313,7 @@
         if question.relay and not self._answers(shard):
             relayed = msgspec.structs.replace(question, relay=False)
             return await self._peers.read(shard.part, relayed)
+        check_followed(shard)
         return await read_page(
             shard, question.job_id, question.position, question.wait_s, fresh_s=REMOTE_FRESH_S
         )
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -203,7 +203,9 @@
             if shard.current:
                 shard.ownership.tick(watching=self.watches(part))
                 shard.fold.prune(now_s, self._settings.retention_s)
-            if needed:
+            if part in held:
+                shard.need()  # and so for some time after it passes on, while the next watcher reads
+            elif needed:
                 shard.needed_until_s = max(shard.needed_until_s, now_s)
             elif now_s - shard.needed_until_s > KEEP_S and shard.journal.idle:
                 shard.close()
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -128,6 +128,8 @@
         self._topic = topic
         self._candidacy = candidacy
         self._members: dict[GroupPartition, str] = {}
+        self._earlier: dict[GroupPartition, str] = {}
+        """Partition to the member that held it before."""
         self._read_s = float("-inf")
         self._reading: asyncio.Task[None] | None = None
 
@@ -137,10 +139,14 @@
         if not reading and monotonic_s() - self._read_s > DIRECTORY_LIFE_S:
             self._reading = asyncio.get_running_loop().create_task(self._read())
             reading = True
-        if reading:
+        if self._reading is not None and reading:
             await asyncio.wait([self._reading], timeout=PATIENCE_S)
         return self._members.get(GroupPartition(self._topic, part))
 
+    def earlier_member_of(self, part: int) -> str | None:
+        """Return the member that held a partition before, as far as it is known."""
+        return self._earlier.get(GroupPartition(self._topic, part))
+
     def others(self, member: str) -> list[str]:
         """Return the other members, as known last, in any order."""
         others = sorted({other for other in self._members.values() if other != member})
@@ -160,8 +166,14 @@
     async def _read(self) -> None:
         self._read_s = monotonic_s() + RETRY_S - DIRECTORY_LIFE_S
         try:
-            self._members = await self._log.members(self._group)
+            self._take(await self._log.members(self._group))
             self._read_s = monotonic_s()
             self._candidacy.take_list(set(self._members.values()), self._read_s)
         except LogError as error:
             logger.info("members_unknown", extra={"group": self._group, "error": str(error)})
+
+    def _take(self, members: dict[GroupPartition, str]) -> None:
+        for partition, member in self._members.items():
+            if members.get(partition) != member:
+                self._earlier[partition] = member
+        self._members = members
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import weakref
 
@@ -20,15 +21,17 @@
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.reader import find_job
 from passgate.jobs.records import (
+    Batch,
     ItemsDone,
     ItemSpec,
     JobSpec,
     Result,
     ResultState,
+    encode_batch,
     writer_name,
 )
 from passgate.jobs.service import JobService
-from passgate.jobs.shards import JobShards, ShardSettings, partition_of
+from passgate.jobs.shards import LINGER_S, JobShards, ShardSettings, partition_of
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import REFRESH_S, GroupDirectory, GroupMember
@@ -377,6 +380,7 @@
         daemons = await started(MemorySharedLog(), 12, zones)
         await daemons[0].service.submit(job_spec("j", 8), monotonic_s() + 2)
         await settle(daemons, ["j"])
+        await asyncio.sleep(LINGER_S + 0.5)  # those that held the partition while the group formed read on
         part = partition_of(HOST, 4)
         followers = [daemon for daemon in daemons if daemon.shards._shard(part).current]
         assert zones <= len(followers) <= zones + 1
@@ -599,3 +603,79 @@
         assert monotonic_s() - restarted_s < TAKEN_OVER_SOON_S
 
     run_virtual(main())
+
+
+def make_long(log):
+    """Let the partition of the jobs take some seconds to read."""
+    log.faults = SharedLogFaults(slow_s=0.5)
+    texts = [log.random.randbytes(1_000_000).hex() for _ in range(4)]
+    results = (Result(item_id="i", state=ResultState.SUCCEEDED, text=text, versions=(1,)) for text in texts)
+    for result in results:
+        batch = Batch(writer="d9.0", entries=(ItemsDone(job_id="unknown", results=(result,)),))
+        log.add("jobs", partition_of(HOST, log.parts), [encode_batch(batch)])
+
+
+def test_a_job_is_read_through_the_earlier_watcher_while_the_next_one_reads_the_log():
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 6)
+        await daemons[0].service.submit(job_spec("j", 4), monotonic_s() + 2)
+        await settle(daemons, ["j"])
+        make_long(log)
+        await asyncio.sleep(LINGER_S + REFRESH_S)
+        part = partition_of(HOST, log.parts)
+        first = next(daemon for daemon in daemons if daemon.shards.watches(part))
+        log.groups.deal_anew()
+        while not any(daemon.shards.watches(part) for daemon in daemons if daemon is not first):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.5)
+        for daemon in daemons:
+            page = await daemon.service.read(HOST, "j", 0, 0.0)
+            assert len(page.results) == 4
+        watching = {daemon.name for daemon in daemons if daemon.shards.watches(part)}
+        following = {daemon.name for daemon in daemons if daemon.shards.of(HOST).followed.following}
+        assert following <= watching | {first.name}
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
+async def ask_often(daemons):
+    await asyncio.sleep(1.2)  # until the log was read once
+    while True:
+        for daemon in daemons:
+            with contextlib.suppress(NotReady):
+                await daemon.service.read(HOST, "j", 0, 0.0)
+
+
+def test_daemons_wait_for_a_watcher_that_reads_the_log_instead_of_reading_it_too():
+    """Fails where each one reads for itself: after a loss of all daemons the log has no time for it."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await started(log, 6)
+        await daemons[0].service.submit(job_spec("j", 4), monotonic_s() + 2)
+        await settle(daemons, ["j"])
+        for daemon in daemons:
+            await daemon.kill()
+        log.groups.drop_members()
+        make_long(log)
+        daemons = [Daemon(log, f"d{number}", life=1).start() for number in range(6)]
+        part = partition_of(HOST, log.parts)
+        watched = set()
+        asking = asyncio.get_running_loop().create_task(ask_often(daemons))
+        for _ in range(100):
+            watched.add(log.groups.owners("watch.a").get(("jobs", part), "").partition("~")[0])
+            await asyncio.sleep(0.02)
+        asking.cancel()
+        following = {
+            f"d{number}" for number, daemon in enumerate(daemons) if daemon.shards.of(HOST).followed.following
+        }
+        assert following <= watched
+        assert len(watched) < len(daemons)
+        await settle(daemons, ["j"])
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
