Leave jobs that small machines accept to the watchers

Change: a daemon that is too small for its zone's group accepts such a job for nobody, and the first watcher that reads it claims it.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -185,6 +185,7 @@
             self._make_runner,
             Liveness(job_peers.life_at),
             self.decisions,
+            may_own_new=lambda: candidacy.wanted,
         )
         self.jobs = JobService(
             self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -52,6 +52,7 @@
 SILENCE_S = 0.3
 """Time for the log to take a new job before another daemon is asked to put it there as well."""
 UNKNOWN_OFFSET = -1
+NOBODY = ""
 OWNER_HEARD_S = 0.8
 """An owner heard within this time is given the next job too."""
 
@@ -156,7 +157,8 @@
     async def _owner_for(self, shard: Shard, spec: JobSpec) -> str:
         """Return who shall run a job: the owner of the model's last one, the watcher, or this daemon.
 
-        One owner knows what it has sent where, and its connections are open.
+        One owner knows what it has sent where, and its connections are open.  A job that
+        nobody owns is claimed by any watcher as soon as it reads it.
         """
         if shard.current:
             last = shard.fold.jobs.get(shard.fold.newest_job.get(spec.model, ""))
@@ -166,7 +168,7 @@
         if self._shards.watches(shard.part):
             return self._shards.writer
         watcher = await self._peers.owner_of_new(shard.part)
-        return watcher or ("" if self._shards.stopping else self._shards.writer)
+        return watcher or (self._shards.writer if self._shards.may_own_new else NOBODY)
 
     async def read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -144,10 +144,24 @@
         make_runner: RunnerFactory,
         liveness: Liveness,
         decisions: DecisionLog,
+        *,
+        may_own_new: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Begin with no partition.
+
+        Args:
+            log: the log.
+            settings: what all shards share.
+            held: the partitions that this daemon watches for its zone.
+            make_runner: makes the runner of a job.
+            liveness: tells whether other writers live.
+            decisions: where decisions are noted.
+            may_own_new: whether this daemon is large enough for a job that no watcher takes.
+        """
         self._log = log
         self._settings = settings
         self._held = held
+        self._may_own_new = may_own_new
         self._make_runner = make_runner
         self._liveness = liveness
         self._decisions = decisions
@@ -164,6 +178,11 @@
         """Name of this daemon's present life."""
         return self._settings.writer
 
+    @property
+    def may_own_new(self) -> bool:
+        """Whether this daemon owns a new job that no watcher takes."""
+        return self._may_own_new() and not self.stopping
+
     def watches(self, part: int) -> bool:
         """Whether this daemon watches a partition for all."""
         return not self.stopping and part in self._held()
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -105,7 +105,13 @@
         self.peers = peers = JobPeers(self.transport, directory, member, decisions)
         liveness = Liveness(peers.life_at)
         self.shards = JobShards(
-            self.client, settings, self.member.held, self.make_runner, liveness, decisions
+            self.client,
+            settings,
+            self.member.held,
+            self.make_runner,
+            liveness,
+            decisions,
+            may_own_new=lambda: candidacy.wanted,
         )
         settings = TailSettings(topic="keyed.op", gap_s=0.05)
         self.operator = KeyedTail(self.client, settings, replace=_ignore_records, update=_ignore_records)
@@ -679,3 +685,23 @@
             await daemon.kill()
 
     run_virtual(main())
+
+
+def test_a_small_machine_leaves_a_job_that_it_accepts_to_a_watcher():
+    """Also when no watcher tells it that it takes the job, as after a loss of all daemons."""
+
+    async def main():
+        log = MemorySharedLog()
+        large = await started(log, 4)
+        small = Daemon(log, "s", zone="z0", cores=0.5).start()
+        await asyncio.sleep(REFRESH_S)
+        networks[log].cut(lambda address, zone: address)
+        await small.service.submit(job_spec("j", 2), monotonic_s() + 2)
+        await asyncio.sleep(0.5)
+        assert (await large[0].owner("j")) in {daemon.name for daemon in large}
+        assert not small.shards.running
+        await settle(large, ["j"])
+        for daemon in (small, *large):
+            await daemon.kill()
+
+    run_virtual(main())
