Leave a job free that is given to a writer which has stopped

Cause: a stopping daemon frees the jobs that stand on the log when its stop is read; one that is accepted just afterwards, by a daemon that had not read of the stop, or claimed by the stopping daemon itself, stayed with an owner that runs nothing until its silence was noticed (0.8 s and more). Change: the fold remembers the last 1,024 writers that stopped; what is given to one is free.

--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -42,6 +42,8 @@
 FIRST_EPOCH = 1
 MAX_PENDING_PARTS = 256
 """Jobs whose pieces are not all there; the oldest are dropped beyond this."""
+MAX_STOPPED = 1024
+"""Writers remembered as stopped; what they appended before they stopped arrives within seconds."""
 
 
 class JobState:
@@ -63,7 +65,7 @@
         self.owner = owner
         """Writer that runs the items; empty when it stopped."""
         self.freed_s = now_s
-        """When it was read that nobody owns the job."""
+        """When it was read last who owns the job, or that nobody does."""
         self.epoch = FIRST_EPOCH
         self.folded_s = now_s
 
@@ -116,6 +118,8 @@
         self.finished: dict[str, Result] = {}
         """Item to its newest result, for later jobs that ask for it again."""
         self._pieces: dict[tuple[str, str], _Pieces] = {}
+        self._stopped: dict[str, None] = {}
+        """Writers that ended as planned, the latest last."""
 
     def apply(self, offset: int, batch: Batch, now_s: float, *, fresh: bool = True) -> None:
         """Take the next record of the log.
@@ -136,7 +140,7 @@
             case JobPart():
                 self._add_part(writer, entry, now_s)
             case JobClaimed():
-                self._claim(entry)
+                self._claim(entry, now_s)
             case ItemsDone():
                 self._list(entry)
             case ItemProgressed():
@@ -159,17 +163,22 @@
                 spec = decode_spec(data)
             except (zlib.error, msgspec.DecodeError):
                 return
-            self.jobs[spec.job_id] = JobState(spec, part.owner, now_s)
+            self.jobs[spec.job_id] = JobState(spec, self._unless_stopped(part.owner), now_s)
             self.newest_job[spec.model] = spec.job_id
         while len(self._pieces) > MAX_PENDING_PARTS:
             del self._pieces[next(iter(self._pieces))]
 
-    def _claim(self, entry: JobClaimed) -> None:
+    def _claim(self, entry: JobClaimed, now_s: float) -> None:
         job = self.jobs.get(entry.job_id)
         if job is not None and entry.epoch == job.epoch + 1:
-            job.owner = entry.owner
+            job.owner = self._unless_stopped(entry.owner)
+            job.freed_s = now_s
             job.epoch = entry.epoch
 
+    def _unless_stopped(self, writer: str) -> str:
+        """Return who owns a job that is given to a writer: nobody once that has stopped."""
+        return "" if writer in self._stopped else writer
+
     def _list(self, entry: ItemsDone) -> None:
         job = self.jobs.get(entry.job_id)
         if job is None:
@@ -234,6 +243,9 @@
 
     def _stop_writer(self, writer: str, now_s: float) -> None:
         self.heard_s.pop(writer, None)
+        self._stopped[writer] = None
+        while len(self._stopped) > MAX_STOPPED:
+            del self._stopped[next(iter(self._stopped))]
         for job in self.jobs.values():
             if job.owner == writer:
                 job.owner = ""
--- a/tests/test_jobs_fold.py
+++ b/tests/test_jobs_fold.py
@@ -113,6 +113,22 @@
     assert (job.owner, job.freed_s) == ("", 7.0)
 
 
+def test_a_job_given_to_a_writer_that_has_stopped_is_free():
+    """Accepted by a daemon that had not read of the stop yet."""
+    log = Log()
+    log.add("d1.x", WriterStopped(), now_s=7.0)
+    log.add("d2.x", *split_spec(spec(), "n", 10_000, "d1.x"), now_s=8.0)
+    job = log.fold.jobs["j"]
+    assert (job.owner, job.freed_s) == ("", 8.0)
+
+
+def test_a_claim_by_a_writer_that_has_stopped_leaves_the_job_free(log):
+    log.add("d2.x", WriterStopped(), now_s=7.0)
+    log.add("d2.x", JobClaimed(job_id="j", owner="d2.x", epoch=2), now_s=8.0)
+    job = log.fold.jobs["j"]
+    assert (job.owner, job.freed_s, job.epoch) == ("", 8.0, 2)
+
+
 def test_an_ended_job_is_not_open_and_keeps_its_results(log):
     log.add("d1.x", done("a"))
     log.add("d2.x", JobEnded(job_id="j"))
