Let the watcher of an idle partition answer although its view is 3 s old

Cause: a test failed at random once partitions were dealt sooner: long polls of a partition without open jobs take 3 s, and a view older than 1.6 s counted as cut off, so the watcher asked for another watcher, which is itself. A daemon that had just read a partition also kept the long poll of 3 s while a job was open, and judged no owner from 1.6 s on: a killed owner was replaced after 3.9 s instead of 1.6 s. Change: whether a daemon is cut off is told by the operator's topic; the length of long polls follows the fold at once; a relayed question is answered by whoever follows the partition.

--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -253,9 +253,12 @@
             raise NotReady("the log can not be read here", execution=ExecutionStatus.NOT_RUN)
 
     def _answers(self, shard: Shard) -> bool:
-        """Whether this daemon's own view of a partition will do."""
-        if shard.current and shard.tail.freshness.age_s(monotonic_s()) > FRESH_S:
-            return False
+        """Whether this daemon's own view of a partition will do.
+
+        The view of an idle partition may be older than usual, as its long polls are longer.
+        """
+        if self._cut_off():
+            return shard.current and shard.tail.freshness.age_s(monotonic_s()) <= FRESH_S
         return shard.current or self._shards.watches(shard.part)
 
     # --- for other daemons -------------------------------------------------------
@@ -312,7 +315,7 @@
         shard = self._shards.of(question.host)
         if question.relay:
             self._refuse_if_cut_off()
-        if question.relay and not self._answers(shard):
+        if question.relay and not shard.current:
             relayed = msgspec.structs.replace(question, relay=False)
             return await self._peers.read(shard.part, relayed)
         check_followed(shard)
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -105,6 +105,10 @@
         """Whether the state here is kept up to date."""
         return self.followed.current
 
+    def choose_wait(self) -> None:
+        """Let long polls be short while a job is open, as its owner is judged by a fresh view only."""
+        self.tail.wait_s = POLL_WAIT_S if self.fold.any_open() else IDLE_WAIT_S
+
     def need(self) -> None:
         """Follow the partition from now on, for some time."""
         self.needed_until_s = max(self.needed_until_s, monotonic_s() + LINGER_S)
@@ -129,6 +133,7 @@
             self.fold.apply(page.start + index, batch, now_s, fresh=self.current)
             if batch.writer == self.journal.writer:
                 self.journal.read_back(batch)
+        self.choose_wait()
         if self.current:
             self.ownership.start_runners()
 
@@ -218,7 +223,7 @@
             shard.ownership.stopping = self.stopping
             needed = part in held or shard.ownership.owns_any() or now_s < shard.needed_until_s
             shard.followed.set(needed)
-            shard.tail.wait_s = POLL_WAIT_S if shard.fold.any_open() else IDLE_WAIT_S
+            shard.choose_wait()
             if shard.current:
                 shard.ownership.tick(watching=self.watches(part))
                 shard.fold.prune(now_s, self._settings.retention_s)
