Join sooner until a changed group has settled

Change: joins come each 0.1 s for 0.6 s after a change instead of once. A test of the earlier watcher chose its daemon while the log was already slow, when a member holds nothing for moments; the log now becomes slow just before the partitions are dealt.

--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -23,7 +23,9 @@
 JOIN_S = 0.35
 """Time between two joins; the shortest lifetime covers two that are lost."""
 JOIN_SOON_S = 0.1
-"""The same after a change of the group: partitions pass on only once all members have heard of it."""
+"""The same while the group settles: partitions pass on only once their members have heard of a change."""
+SETTLE_S = 0.6
+"""Time after a change within which all members have joined again."""
 LEAST_LIFETIME_S = 1.2
 """Silence after which the log takes a member out."""
 LEAVE_TIMEOUT_S = 1.0
@@ -60,6 +62,8 @@
         self._lifetime_s = max(LEAST_LIFETIME_S, least_lifetime_s)
         self._generation = 0
         self._joined_s = float("-inf")
+        self._changed_s = float("-inf")
+        """When a change of the group was heard of last."""
         self._held: frozenset[int] = frozenset()
         self._left = False
 
@@ -72,21 +76,18 @@
     async def run(self) -> None:
         """Join again and again, while the daemon shall be a member, until cancelled or left."""
         while not self._left:
-            changed = False
             if self._candidacy.wanted:
-                changed = await self._stay()
+                await self._stay()
             elif self._held or self._generation:
                 await self._withdraw()
-            await asyncio.sleep(JOIN_SOON_S if changed else JOIN_S)
+            settling = monotonic_s() - self._changed_s < SETTLE_S
+            await asyncio.sleep(JOIN_SOON_S if settling else JOIN_S)
 
-    async def _stay(self) -> bool:
-        """Join, or stay; return whether the group has changed."""
-        known = self._generation
+    async def _stay(self) -> None:
         try:
             await self._join()
         except LogError as error:
             logger.info("join_failed", extra={"group": self._group, "error": str(error)})
-        return self._generation != known
 
     async def _withdraw(self) -> None:
         """Hold nothing, as larger machines do; jobs that run here stay."""
@@ -102,6 +103,8 @@
         held = frozenset(partition.part for partition in share.partitions)
         if held != self._held:
             self._decisions.write(PartitionsHeld(generation=share.generation, parts=tuple(sorted(held))))
+        if share.generation != self._generation:
+            self._changed_s = monotonic_s()
         self._generation = share.generation
         self._held = held
 
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -611,9 +611,11 @@
     run_virtual(main())
 
 
+SLOW = SharedLogFaults(slow_s=0.5)
+
+
 def make_long(log):
-    """Let the partition of the jobs take some seconds to read."""
-    log.faults = SharedLogFaults(slow_s=0.5)
+    """Let the partition of the jobs take some seconds to read once the log is slow."""
     texts = [log.random.randbytes(1_000_000).hex() for _ in range(4)]
     results = (Result(item_id="i", state=ResultState.SUCCEEDED, text=text, versions=(1,)) for text in texts)
     for result in results:
@@ -631,6 +633,7 @@
         await asyncio.sleep(LINGER_S + REFRESH_S)
         part = partition_of(HOST, log.parts)
         first = next(daemon for daemon in daemons if daemon.shards.watches(part))
+        log.faults = SLOW
         log.groups.deal_anew()
         while not any(daemon.shards.watches(part) for daemon in daemons if daemon is not first):
             await asyncio.sleep(0.02)
@@ -667,6 +670,7 @@
             await daemon.kill()
         log.groups.drop_members()
         make_long(log)
+        log.faults = SLOW
         daemons = [Daemon(log, f"d{number}", life=1).start() for number in range(6)]
         part = partition_of(HOST, log.parts)
         watched = set()
