Take jobs over from owners that the log does not answer, with what they made

Change: a daemon that is asked whether it lives tells for how long the log has not acknowledged its appends. From 0.45 s on its jobs are claimed, if the log has just answered the one who claims; before the claim it stops its runs and hands over the entries that do not stand on the log, which go there before the claim.

--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -40,7 +40,6 @@
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
-from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.records import writer_name
 from passgate.jobs.reward_call import RewardTools
@@ -183,9 +182,10 @@
             shard_settings,
             self._member.held,
             self._make_runner,
-            Liveness(job_peers.life_at),
+            job_peers,
             self.decisions,
             may_own_new=lambda: candidacy.wanted,
+            log_answers=self._member.answered,
         )
         self.jobs = JobService(
             self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -50,6 +50,8 @@
         self._wakeup = asyncio.Event()
         self.appended_s = float("-inf")
         """When the last append that was acknowledged had been sent."""
+        self._waiting_since_s: float | None = None
+        """When the batch was sent first that has no answer yet."""
         self._renewal: asyncio.Future[int] | None = None
         self._sequence = 0
         self._sent_s: dict[int, float] = {}
@@ -72,6 +74,15 @@
         """Whether nothing waits to be appended."""
         return not self._queue
 
+    @property
+    def waiting_s(self) -> float:
+        """Time for which the log has not acknowledged what was sent last; 0 when it has."""
+        return 0.0 if self._waiting_since_s is None else monotonic_s() - self._waiting_since_s
+
+    def pending(self) -> list[AnyEntry]:
+        """Return the entries that the log has not acknowledged, in order."""
+        return [entry for entry, _ in self._queue]
+
     def renew(self, fence: int = NO_FENCE) -> None:
         """Append a renewal when nothing else was appended for some time."""
         waiting = self._renewal is not None and not self._renewal.done()
@@ -111,6 +122,7 @@
     async def _append_until_done(self, queued: Sequence[tuple[AnyEntry, asyncio.Future[int]]]) -> None:
         record = self._encode(tuple(entry for entry, _ in queued))
         pause_s = FIRST_PAUSE_S
+        self._waiting_since_s = monotonic_s()
         while True:
             sent_s = monotonic_s()
             try:
@@ -121,6 +133,7 @@
                 pause_s = min(pause_s * 2.0, MAX_PAUSE_S)
                 continue
             self.appended_s = max(self.appended_s, sent_s)
+            self._waiting_since_s = None
             for _, future in queued:
                 if not future.done():
                     future.set_result(offset)
--- a/passgate/jobs/liveness.py
+++ b/passgate/jobs/liveness.py
@@ -2,7 +2,8 @@
 
 A writer that is silent on the log is asked at its peer address.  When another life of
 the same daemon answers there, the writer has surely ended.  When nobody answers, it may
-only be unreachable, and counts as silent until it is heard again.
+only be unreachable, and counts as silent until it is heard again.  A writer that answers
+tells also whether the log takes what it appends.
 """
 
 from __future__ import annotations
@@ -15,15 +16,28 @@
 
 from passgate.clock import monotonic_s
 
+CUT_OFF_S = 0.45
+"""A writer whose appends have waited for this long is cut off; a slow log answers within 0.3 s."""
 ASK_AGAIN_S = 0.3
 """Time between two questions to the same writer; about the time that an answer is waited for."""
 FORGET_S = 30.0
 
 
+class Alive(msgspec.Struct, frozen=True, kw_only=True):
+    """What a daemon answers that is asked whether it lives."""
+
+    writer: str
+    """Its present life."""
+    waiting_s: float = 0.0
+    """Time for which the log has not acknowledged what it appends to the partition in question."""
+
+
 class Sign(enum.Enum):
     """What a writer's address told of it."""
 
     ALIVE = "alive"
+    CUT_OFF = "cut_off"
+    """It lives, but the log does not take what it appends."""
     REPLACED = "replaced"
     """A later life of its daemon answers."""
     SILENT = "silent"
@@ -31,14 +45,14 @@
 
 class _Asked(msgspec.Struct):
     began_s: float
-    answer: asyncio.Task[str]
+    answer: asyncio.Task[Alive | None]
 
 
 class Liveness:
     """What this daemon knows of other writers' lives."""
 
-    def __init__(self, ask: Callable[[str], Awaitable[str]]) -> None:
-        """Make the view; ``ask`` returns the writer that answers at a writer's address, or nothing."""
+    def __init__(self, ask: Callable[[str], Awaitable[Alive | None]]) -> None:
+        """Make the view; ``ask`` returns what is answered at a writer's address, None without an answer."""
         self._ask = ask
         self._asked: dict[str, _Asked] = {}
 
@@ -65,11 +79,13 @@
         answer = asyncio.get_running_loop().create_task(self._question(writer))
         self._asked[writer] = _Asked(now_s, answer)
 
-    async def _question(self, writer: str) -> str:
+    async def _question(self, writer: str) -> Alive | None:
         return await self._ask(writer)
 
 
-def _sign(writer: str, answering: str) -> Sign:
-    if answering == writer:
-        return Sign.ALIVE
-    return Sign.REPLACED if answering else Sign.SILENT
+def _sign(writer: str, answer: Alive | None) -> Sign:
+    if answer is None:
+        return Sign.SILENT
+    if answer.writer != writer:
+        return Sign.REPLACED
+    return Sign.CUT_OFF if answer.waiting_s >= CUT_OFF_S else Sign.ALIVE
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -17,9 +17,10 @@
 from passgate.decisions import DecisionLog, JobOwned
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
-from passgate.jobs.liveness import Liveness, Sign
-from passgate.jobs.records import JobClaimed, daemon_of
+from passgate.jobs.liveness import Sign
+from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, daemon_of
 from passgate.jobs.runner import JobRunner
+from passgate.jobs.take_over import Handed, TakeOver
 from passgate.sharedlog.tail import Freshness
 
 logger = logging.getLogger("passgate.jobs")
@@ -32,6 +33,8 @@
 """Silence after which an owner that does not answer either counts as dead."""
 BYSTANDER_S = 2.0
 """Time that daemons which do not watch the partition leave to the one that does."""
+CLAIMED_S = 2.0
+"""Time after a hand-over within which the claim of whoever asked for it stands on the log."""
 CLAIM_PAUSE_S = 0.5
 """Time after a claim stands on the log within which it must have been read."""
 TAKEOVER_SPREAD_S = 0.3
@@ -54,17 +57,19 @@
         journal: Journal,
         freshness: Freshness,
         make_runner: RunnerFactory,
-        liveness: Liveness,
+        take_over: TakeOver,
         decisions: DecisionLog,
     ) -> None:
         self._fold = fold
         self._journal = journal
         self._freshness = freshness
         self._make_runner = make_runner
-        self._liveness = liveness
+        self._take_over = take_over
         self._decisions = decisions
         self._runners: dict[str, tuple[JobRunner, asyncio.Task[None]]] = {}
         self._claiming: set[str] = set()
+        self._handed_over_s: dict[str, float] = {}
+        """Jobs whose runs were stopped for another daemon, with the time."""
         self.stopping = False
 
     @property
@@ -86,6 +91,15 @@
         for runner, _ in self._runners.values():
             runner.save()
 
+    def hand_over(self) -> Handed:
+        """Stop all runs, as the log does not take what they make; return what does not stand there."""
+        now_s = monotonic_s()
+        self.save_all()
+        for job_id in self._runners:
+            self._handed_over_s[job_id] = now_s
+        self.cancel_all()
+        return [entry for entry in self._journal.pending() if isinstance(entry, ItemsDone | ItemProgressed)]
+
     def cancel_all(self) -> None:
         """End all runners."""
         for _, task in self._runners.values():
@@ -110,7 +124,19 @@
     def start_runners(self) -> None:
         """Run the open jobs that this daemon owns; called also as soon as records were read."""
         for job in [job for job in self._fold.jobs.values() if job.open and job.owner == self.me]:
-            self._ensure_runner(job)
+            if not self._is_handed_over(job.job_id):
+                self._ensure_runner(job)
+
+    def _is_handed_over(self, job_id: str) -> bool:
+        """Whether another daemon may have claimed a job, which is not known while the log is away."""
+        handed_over_s = self._handed_over_s.get(job_id)
+        if handed_over_s is None:
+            return False
+        now_s = monotonic_s()
+        if now_s - handed_over_s < CLAIMED_S or self._freshness.age_s(now_s) >= FRESH_S:
+            return True
+        del self._handed_over_s[job_id]
+        return False
 
     def _may_claim(self, job: JobState, watching: bool, now_s: float) -> bool:
         if job.job_id in self._claiming or self._freshness.age_s(now_s) >= FRESH_S:
@@ -130,7 +156,9 @@
         silent_s = self._silent_s(writer, now_s)
         if heard_s > NEVER_S and silent_s < ASK_S:
             return False
-        sign = self._liveness.sign_of(writer, heard_s)
+        sign = self._take_over.liveness.sign_of(writer, heard_s)
+        if sign is Sign.CUT_OFF:
+            return self._take_over.log_answers()
         return sign is Sign.REPLACED or (sign is Sign.SILENT and silent_s >= DEAD_S)
 
     def _silent_s(self, writer: str, now_s: float) -> float:
@@ -138,22 +166,29 @@
 
     def _claim(self, job: JobState, now_s: float) -> None:
         self._claiming.add(job.job_id)
-        claim = JobClaimed(job_id=job.job_id, owner=self.me, epoch=job.epoch + 1)
-        previous, silent_s = job.owner, self._silent_s(job.owner, now_s)
-        future = self._journal.put(claim)
+        silent_s = self._silent_s(job.owner, now_s)
+        task = asyncio.get_running_loop().create_task(self._put_claim(job, silent_s))
+        task.add_done_callback(_log_failure)
 
-        def done(_: asyncio.Future[int]) -> None:
+    async def _put_claim(self, job: JobState, silent_s: float) -> None:
+        """Claim a job; what its owner made and could not append goes before the claim."""
+        previous, epoch = job.owner, job.epoch
+        heard_s = self._fold.heard_s.get(previous, NEVER_S)
+        if previous and self._take_over.liveness.sign_of(previous, heard_s) is Sign.CUT_OFF:
+            for entry in await self._take_over.hand_over(previous):
+                self._journal.put(entry)
+        try:
+            await self._journal.put(JobClaimed(job_id=job.job_id, owner=self.me, epoch=epoch + 1))
+        finally:
             asyncio.get_running_loop().call_later(CLAIM_PAUSE_S, self._claiming.discard, job.job_id)
-            self._decisions.write(
-                JobOwned(
-                    job_id=job.job_id,
-                    epoch=claim.epoch,
-                    previous_owner=previous,
-                    silent_s=round(min(silent_s, 1e6), 3),
-                )
+        self._decisions.write(
+            JobOwned(
+                job_id=job.job_id,
+                epoch=epoch + 1,
+                previous_owner=previous,
+                silent_s=round(min(silent_s, 1e6), 3),
             )
-
-        future.add_done_callback(done)
+        )
 
     def _ensure_runner(self, job: JobState) -> None:
         if job.job_id in self._runners:
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -25,8 +25,10 @@
     PeerError,
     PeerUnreachable,
 )
+from passgate.jobs.liveness import Alive
 from passgate.jobs.reader import ResultPage
-from passgate.jobs.records import JobSpec, encode_spec
+from passgate.jobs.records import ItemProgressed, ItemsDone, JobSpec, encode_spec
+from passgate.jobs.take_over import Handed
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.group import GroupDirectory
 from passgate.sharedlog.member_names import address_of
@@ -48,18 +50,30 @@
 ALIVE_S = 0.3
 """Time for a daemon to say that it lives."""
 
-ALIVE, OWN, SUBMIT = "jobs.alive", "jobs.own", "jobs.submit"
+HAND_OVER_S = 0.3
+"""Time for a daemon that is cut off from the log to hand over what it made."""
+
+ALIVE, HAND_OVER, OWN, SUBMIT = "jobs.alive", "jobs.hand_over", "jobs.own", "jobs.submit"
 READ, BODY, END = "jobs.read", "jobs.body", "jobs.end"
 
 
 class AskAlive(msgspec.Struct, frozen=True, kw_only=True):
-    """Asks which life of a daemon runs at an address."""
+    """Asks which life of a daemon runs at an address; answered by :class:`Alive`."""
 
+    part: int
+    """Partition of which the asker judges the daemon's jobs."""
 
-class Alive(msgspec.Struct, frozen=True, kw_only=True):
-    """The life that answers."""
 
-    writer: str
+class HandOver(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks a daemon that is cut off from the log to stop the runs of a partition's jobs."""
+
+    part: int
+
+
+class HandedOver(msgspec.Struct, frozen=True, kw_only=True):
+    """What the runs made that does not stand on the log."""
+
+    entries: tuple[ItemsDone | ItemProgressed, ...] = ()
 
 
 class OwnJob(msgspec.Struct, frozen=True, kw_only=True):
@@ -128,14 +142,24 @@
         self._in_doubt_since_s: dict[int, float] = {}
         """Since when nobody could tell of a partition, by partition."""
 
-    async def life_at(self, writer: str) -> str:
-        """Return the writer that answers at a writer's address; nothing when nobody does."""
-        address = address_of(writer)
+    async def life_at(self, writer: str, part: int) -> Alive | None:
+        """Return what is answered at a writer's address; None when nobody answers."""
+        question = msgspec.json.encode(AskAlive(part=part))
         try:
-            payload = await self._transport.call(address, ALIVE, msgspec.json.encode(AskAlive()), ALIVE_S)
-            return msgspec.json.decode(payload, type=Alive).writer
+            payload = await self._transport.call(address_of(writer), ALIVE, question, ALIVE_S)
+            return msgspec.json.decode(payload, type=Alive)
         except (PeerError, msgspec.DecodeError):
-            return ""
+            return None  # the caller notes who counts as dead, and why
+
+    async def hand_over(self, writer: str, part: int) -> Handed:
+        """Let a writer that is cut off from the log stop; nothing is handed over when it does not answer."""
+        question = msgspec.json.encode(HandOver(part=part))
+        try:
+            payload = await self._transport.call(address_of(writer), HAND_OVER, question, HAND_OVER_S)
+            return msgspec.json.decode(payload, type=HandedOver).entries
+        except (PeerError, msgspec.DecodeError) as error:
+            self._decisions.write(PeerFailed(peer=address_of(writer), part=part, reason=str(error)))
+            return ()
 
     async def owner_of_new(self, part: int) -> str:
         """Return the writer of the watcher that takes a new job, or nothing."""
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -26,16 +26,20 @@
     PeerError,
 )
 from passgate.jobs.journal import Journal
+from passgate.jobs.liveness import CUT_OFF_S, Alive
 from passgate.jobs.peers import (
     ALIVE,
     BODY,
     END,
+    HAND_OVER,
     OWN,
     READ,
     REMOTE_FRESH_S,
     SUBMIT,
-    Alive,
+    AskAlive,
     EndJob,
+    HandedOver,
+    HandOver,
     JobPeers,
     JobTaken,
     OwnJob,
@@ -272,7 +276,9 @@
             PeerCallFailed: the question is unknown.
         """
         if method == ALIVE:
-            return msgspec.json.encode(Alive(writer=self._shards.writer))
+            return msgspec.json.encode(self._sign_of_life(msgspec.json.decode(payload, type=AskAlive)))
+        if method == HAND_OVER:
+            return msgspec.json.encode(self._hand_over(msgspec.json.decode(payload, type=HandOver)))
         if method == OWN:
             return msgspec.json.encode(self._take(msgspec.json.decode(payload, type=OwnJob)))
         if method == SUBMIT:
@@ -297,6 +303,17 @@
             return b""
         raise PeerCallFailed("unknown question", peer_code="unknown_method")
 
+    def _sign_of_life(self, question: AskAlive) -> Alive:
+        shard = self._shards.known(question.part)
+        waiting_s = shard.journal.waiting_s if shard is not None else 0.0
+        return Alive(writer=self._shards.writer, waiting_s=waiting_s)
+
+    def _hand_over(self, question: HandOver) -> HandedOver:
+        shard = self._shards.known(question.part)
+        if shard is None or shard.journal.waiting_s < CUT_OFF_S:
+            return HandedOver()
+        return HandedOver(entries=tuple(shard.ownership.hand_over()))
+
     def _take(self, question: OwnJob) -> JobTaken:
         takes = self._shards.watches(question.part)
         return JobTaken(writer=self._shards.writer if takes else "")
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -22,10 +22,10 @@
 from passgate.decisions import DecisionLog, RecordUnreadable
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
-from passgate.jobs.liveness import Liveness
 from passgate.jobs.ownership import Ownership
 from passgate.jobs.records import WriterStopped, decode_batch
 from passgate.jobs.runner import JobRunner
+from passgate.jobs.take_over import OwnerPeers, TakeOver
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import POLL_WAIT_S, FollowedTail, RecordTail, TailSettings
 
@@ -68,7 +68,7 @@
         log: SharedLog,
         settings: ShardSettings,
         make_runner: RunnerFactory,
-        liveness: Liveness,
+        take_over: TakeOver,
         decisions: DecisionLog,
     ) -> None:
         self.part = part
@@ -89,7 +89,7 @@
             self.journal,
             self.tail.freshness,
             lambda job: make_runner(self.fold, self.journal, job),
-            liveness,
+            take_over,
             decisions,
         )
         self.needed_until_s = monotonic_s()
@@ -147,10 +147,11 @@
         settings: ShardSettings,
         held: Callable[[], frozenset[int]],
         make_runner: RunnerFactory,
-        liveness: Liveness,
+        peers: OwnerPeers,
         decisions: DecisionLog,
         *,
         may_own_new: Callable[[], bool] = lambda: True,
+        log_answers: Callable[[], bool] = lambda: True,
     ) -> None:
         """Begin with no partition.
 
@@ -159,16 +160,18 @@
             settings: what all shards share.
             held: the partitions that this daemon watches for its zone.
             make_runner: makes the runner of a job.
-            liveness: tells whether other writers live.
+            peers: asks the owners of jobs.
             decisions: where decisions are noted.
             may_own_new: whether this daemon is large enough for a job that no watcher takes.
+            log_answers: whether the log has just answered this daemon.
         """
         self._log = log
         self._settings = settings
         self._held = held
         self._may_own_new = may_own_new
         self._make_runner = make_runner
-        self._liveness = liveness
+        self._peers = peers
+        self._log_answers = log_answers
         self._decisions = decisions
         self._shards: dict[int, Shard] = {}
         self.stopping = False
@@ -199,11 +202,16 @@
     def _shard(self, part: int) -> Shard:
         shard = self._shards.get(part)
         if shard is None:
+            take_over = TakeOver(part, self._peers, self._log_answers)
             shard = self._shards[part] = Shard(
-                part, self._log, self._settings, self._make_runner, self._liveness, self._decisions
+                part, self._log, self._settings, self._make_runner, take_over, self._decisions
             )
         return shard
 
+    def known(self, part: int) -> Shard | None:
+        """Return a partition if this daemon has to do with it."""
+        return self._shards.get(part)
+
     async def run(self) -> None:
         """Follow what is needed and run what is owned, until cancelled."""
         try:
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -26,6 +26,8 @@
 """The same while the group settles: partitions pass on only once their members have heard of a change."""
 SETTLE_S = 0.6
 """Time after a change within which all members have joined again."""
+ANSWERED_S = 0.5
+"""Age of an answer of the log that shows that it serves; longer than the time between two joins."""
 LEAST_LIFETIME_S = 1.2
 """Silence after which the log takes a member out."""
 LEAVE_TIMEOUT_S = 1.0
@@ -73,6 +75,10 @@
             return frozenset()
         return self._held
 
+    def answered(self) -> bool:
+        """Whether the log has just answered this member, so that it is known to serve."""
+        return monotonic_s() - self._joined_s < ANSWERED_S
+
     async def run(self) -> None:
         """Join again and again, while the daemon shall be a member, until cancelled or left."""
         while not self._left:
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -15,8 +15,8 @@
 from passgate.decisions import DecisionLog
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
 from passgate.errors import DurabilityUnknown, LogUnavailable, NotFound, NotReady
+from passgate.jobs.fold import FIRST_EPOCH
 from passgate.jobs.journal import Journal
-from passgate.jobs.liveness import Liveness
 from passgate.jobs.ownership import TAKEOVER_S
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.reader import find_job
@@ -45,6 +45,8 @@
 ITEM_S = 0.4
 TAKEN_OVER_SOON_S = 0.8
 """Time from the start of all daemons until an open job runs again: joining the group, reading, claiming."""
+HANDED_OVER_S = 1.3
+"""Time from the cut until another daemon runs the job: the owner's next append, 0.45 s, one question."""
 READ_SOON_S = 0.05
 """Time after its acceptance within which the owner has read a job from the log."""
 networks = weakref.WeakKeyDictionary()
@@ -103,15 +105,15 @@
         settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
         self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
         self.peers = peers = JobPeers(self.transport, directory, member, decisions)
-        liveness = Liveness(peers.life_at)
         self.shards = JobShards(
             self.client,
             settings,
             self.member.held,
             self.make_runner,
-            liveness,
+            peers,
             decisions,
             may_own_new=lambda: candidacy.wanted,
+            log_answers=self.member.answered,
         )
         settings = TailSettings(topic="keyed.op", gap_s=0.05)
         self.operator = KeyedTail(self.client, settings, replace=_ignore_records, update=_ignore_records)
@@ -709,3 +711,78 @@
             await daemon.kill()
 
     run_virtual(main())
+
+
+async def watched_by_another(log, host=HOST):
+    """Return daemons of which one owns an open job and another watches its partition, the owner first."""
+    daemons = await started(log, 3)
+    await daemons[0].service.submit(job_spec("j", 40, host), monotonic_s() + 5.0)
+    await asyncio.sleep(1.0)
+    log.groups.deal_anew()
+    await asyncio.sleep(2.5)
+    owner = next(daemon for daemon in daemons if daemon.shards.running)
+    assert not owner.shards.watches(partition_of(host, log.parts))
+    return [owner, *(daemon for daemon in daemons if daemon is not owner)]
+
+
+def test_an_owner_that_the_log_does_not_answer_hands_its_jobs_over_with_what_it_made():
+    """Fails where a living owner is waited for: 1.5 s and more, and its results are made again."""
+
+    async def main():
+        log = MemorySharedLog()
+        owner, *others = await watched_by_another(log)
+        name = owner.name.partition(".")[0]
+        log.cut_off = {name}
+        cut_s = monotonic_s()
+        while not any(daemon.shards.running for daemon in others):
+            await asyncio.sleep(0.02)
+        assert monotonic_s() - cut_s < HANDED_OVER_S
+        assert not owner.shards.running
+        made = owner.shards.of(HOST).journal.pending()
+        texts = {entry.results[0].text for entry in made if isinstance(entry, ItemsDone)}
+        assert texts
+        await asyncio.sleep(0.5)
+        listed = {result.text for result in (await find_job(others[0].shards.of(HOST), "j")).results}
+        assert texts <= listed
+        log.cut_off = set()
+        await settle(others, ["j"])
+        for daemon in (owner, *others):
+            await daemon.kill()
+
+    run_virtual(main())
+
+
+def test_jobs_stay_with_their_owner_while_the_log_answers_nobody():
+    async def main():
+        log = MemorySharedLog()
+        owner, *others = await watched_by_another(log)
+        log.faults = SharedLogFaults(silent=True)
+        await asyncio.sleep(4.0)
+        log.faults = SharedLogFaults()
+        await asyncio.sleep(2.0)
+        assert owner.shards.running
+        assert (await find_job(others[0].shards.of(HOST), "j")).epoch == FIRST_EPOCH
+        await settle(others, ["j"])
+        for daemon in (owner, *others):
+            await daemon.kill()
+
+    run_virtual(main())
+
+
+def test_an_owner_that_handed_over_in_vain_goes_on_once_the_log_is_back():
+    """Whoever asked for the jobs was killed before its claim stood on the log."""
+
+    async def main():
+        log = MemorySharedLog()
+        owner, *others = await watched_by_another(log)
+        log.cut_off = {owner.name.partition(".")[0]}
+        while owner.shards.running:
+            await asyncio.sleep(0.02)
+        for daemon in others:
+            await daemon.kill()
+        await asyncio.sleep(1.0)
+        log.cut_off = set()
+        await settle([owner], ["j"])
+        await owner.kill()
+
+    run_virtual(main())
--- a/tests/test_jobs_liveness.py
+++ b/tests/test_jobs_liveness.py
@@ -5,7 +5,7 @@
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
-from passgate.jobs.liveness import ASK_AGAIN_S, Liveness, Sign
+from passgate.jobs.liveness import ASK_AGAIN_S, CUT_OFF_S, Alive, Liveness, Sign
 
 WRITER = "d1.a@h:1"
 ANSWER_S = 0.01
@@ -24,7 +24,13 @@
 
 
 @pytest.mark.parametrize(
-    "answer, sign", [(WRITER, Sign.ALIVE), ("d1.b@h:1", Sign.REPLACED), ("", Sign.SILENT)]
+    "answer, sign",
+    [
+        (Alive(writer=WRITER), Sign.ALIVE),
+        (Alive(writer=WRITER, waiting_s=CUT_OFF_S), Sign.CUT_OFF),
+        (Alive(writer="d1.b@h:1"), Sign.REPLACED),
+        (None, Sign.SILENT),
+    ],
 )
 def test_the_answer_tells_whether_the_writer_ended(answer, sign):
     async def main():
@@ -38,7 +44,7 @@
 
 def test_an_answer_older_than_the_writers_last_record_counts_no_more():
     async def main():
-        liveness, _ = asked([""])
+        liveness, _ = asked([None])
         liveness.sign_of(WRITER, heard_s=float("-inf"))
         await asyncio.sleep(2 * ANSWER_S)
         assert liveness.sign_of(WRITER, heard_s=monotonic_s()) is None
@@ -48,7 +54,7 @@
 
 def test_a_silent_writer_is_asked_again_and_one_that_was_replaced_is_not():
     async def main():
-        liveness, questions = asked(["", "d1.b@h:1"])
+        liveness, questions = asked([None, Alive(writer="d1.b@h:1")])
         for _ in range(40):
             liveness.sign_of(WRITER, heard_s=float("-inf"))
             await asyncio.sleep(0.1)
