Authenticate callers by tenants' API keys, and learn configurations from peers

A daemon that the log turns away kept old keys in force for as long as that lasted. Jobs and what is kept of items are named by tenant, so that another tenant's identifier names nothing. A key is looked up again before each further send. Ruled out: a check of the owner at each call on a job (identifiers scoped by tenant need none).

--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -97,6 +97,24 @@
     routes: int
 
 
+class ConfigurationLearned(Event, tag="configuration_learned"):
+    """A newer configuration came from another daemon, as the log does not answer this one."""
+
+    version: int
+    peer: str
+    age_ms: float
+    """Age of that daemon's view of the log."""
+    log_age_ms: float
+    """Age of this daemon's own view."""
+
+
+class ConfigurationRejected(Event, tag="configuration_rejected"):
+    """A configuration contradicts itself; the version in force stays."""
+
+    version: int
+    reason: str
+
+
 class ReplicaChanged(Event, tag="replica_changed"):
     """Discovery tells of a replica otherwise than before."""
 
--- a/passgate/errors/platform.py
+++ b/passgate/errors/platform.py
@@ -63,6 +63,14 @@
     code = "order_refused"
 
 
+class InvalidConfiguration(PassgateError):
+    """A configuration contradicts itself; the version in force stays."""
+
+    code = "invalid_configuration"
+    http_status = 422
+    execution = ExecutionStatus.NOT_RUN
+
+
 class PlatformError(PassgateError):
     """The machine list or the weight store failed."""
 
--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -55,6 +55,24 @@
     http_status = 401
 
 
+class MissingCredential(Unauthorized):
+    """The request carries no credential."""
+
+    code = "missing_credential"
+
+
+class MalformedCredential(Unauthorized):
+    """The request's credential is not in the expected form, or there are several."""
+
+    code = "malformed_credential"
+
+
+class UnknownKey(Unauthorized):
+    """No tenant of the configuration in force holds the request's key."""
+
+    code = "unknown_key"
+
+
 class NotFound(InvalidRequest):
     """The named object does not exist."""
 
--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from passgate.errors import InvalidRequest
+from passgate.gateway.access import SCOPE_MARK
 
 Line = dict[str, Any]
 """One decision line as read; its fields are those of :mod:`passgate.decisions`."""
@@ -38,6 +39,9 @@
     "not_ready": "the daemon did not know the configuration or could not read the log; nothing ran",
     "deadline_exceeded": "no replica answered within the time limit",
     "backend_unreachable": "connections to replicas failed after the request was sent",
+    "missing_credential": "the request carried no API key; nothing ran",
+    "malformed_credential": "the request's API key was not in the bearer form, or sent twice; nothing ran",
+    "unknown_key": "no tenant of the configuration in force holds the request's API key; nothing ran",
     "no_route": "no route of the configuration in force matches",
     "log_unavailable": "the log refused or could not be reached; the job never runs",
     "durability_unknown": "the answer of the log was lost; the job may run",
@@ -88,13 +92,19 @@
 def explain(wanted: str, texts: Iterable[str]) -> Story:
     """Return the life of an ID; raises InvalidRequest when no line names it."""
     lines = read_lines(texts)
-    mine = [line for line in lines if any(line.get(name) == wanted for name in ID_FIELDS)]
+    mine = [line for line in lines if any(_names(line, name, wanted) for name in ID_FIELDS)]
     if not mine:
         raise InvalidRequest(f"no line names {wanted}")
     mine.sort(key=lambda line: (line["_order"], line["time"]))
     return Story(lines=tuple(_show(line) for line in mine), verdict=_verdict(wanted, mine, lines))
 
 
+def _names(line: Line, field: str, wanted: str) -> bool:
+    """Whether a line's field holds an ID; a job's ID follows the name of its tenant."""
+    told = line.get(field)
+    return told == wanted or (field == "job_id" and str(told).endswith(f"{SCOPE_MARK}{wanted}"))
+
+
 def _show(line: Line) -> str:
     fields = " ".join(
         f"{name}={value}"
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -18,6 +18,7 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import (
     ConfigurationInForce,
+    ConfigurationRejected,
     DaemonStarted,
     DaemonStopped,
     DaemonStopping,
@@ -26,6 +27,8 @@
     DependencyRegained,
     SettingsReloaded,
 )
+from passgate.errors import InvalidConfiguration
+from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.discovery import Discovery, DiscoveryView, ReplicaDecoder
 from passgate.gateway.forwarder import Forwarder
@@ -128,8 +131,6 @@
         self._log = log
         caller = ReplicaCaller(http, self.replicas, names)
         self._caller = caller
-        self.forwarder = Forwarder(caller, self.replicas, names, self.decisions)
-        self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions)
         self._waiting = WaitingLine()
         self._durations = OutputDurations()
         self._silence = StreamSilence()
@@ -180,6 +181,16 @@
             retention_s=settings.job_retention_s,
         )
         self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
+        self._configuration_peers = ConfigurationPeers(
+            peers,
+            lambda: self._directory.others(member),
+            self.config,
+            self._log_age_s,
+            self.put_config,
+            self.decisions,
+        )
+        self.forwarder = Forwarder(caller, self.replicas, names, self.decisions, self.config)
+        self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions, self.config)
         job_peers = JobPeers(peers, self._directory, member, self.decisions)
         self.shards = JobShards(
             log,
@@ -212,8 +223,13 @@
     # --- beliefs -----------------------------------------------------------------
 
     def put_config(self, config: GatewayConfig) -> None:
-        """Take a configuration from the log."""
-        if self.config.offer(config):
+        """Take a configuration; one that contradicts itself changes nothing."""
+        try:
+            newer = self.config.offer(config)
+        except InvalidConfiguration as error:
+            self.decisions.write(ConfigurationRejected(version=config.version, reason=str(error)))
+            return
+        if newer:
             self.decisions.write(ConfigurationInForce(version=config.version, routes=len(config.routes)))
             limits = config.limits
             self._front.set_limits(max_body_bytes=limits.max_body_bytes, idle_timeout_s=limits.idle_timeout_s)
@@ -263,6 +279,17 @@
     def _log_age_s(self) -> float:
         return self._log_freshness.age_s(monotonic_s())
 
+    @property
+    def configuration_may_be_stale(self) -> bool:
+        """Whether a newer configuration may be in force, as neither the log nor a daemon tells."""
+        return self._configuration_peers.age_s() >= LOG_LOST_S
+
+    @property
+    def configuration_expired(self) -> bool:
+        """Whether the operator wants requests refused, as the configuration may be too old."""
+        settings = self.settings
+        return settings.fail_closed and self._configuration_peers.age_s() > settings.configuration_age_s
+
     @property
     def stopping(self) -> bool:
         """Whether a planned stop has begun."""
@@ -288,7 +315,7 @@
         self._front.listen(self.settings.front_address)
         self._ready_server.listen(self.settings.ready_address)
         self.decisions.write(DaemonStarted(start_id=self.start_id, zone=self.settings.zone))
-        self._peers.start(_ignore_message, self.jobs.answer_peer)
+        self._peers.start(_ignore_message, self._answer_peer)
         background = [
             self._discovery.run(),
             *(tail.run() for tail in self._keyed_tails),
@@ -322,6 +349,12 @@
             group.create_task(self.shards.run())
             group.create_task(self._directory.keep_known())
             group.create_task(self._loader.run())
+            group.create_task(self._configuration_peers.run())
+
+    async def _answer_peer(self, sender: str, method: str, payload: bytes) -> bytes:
+        if method == CONFIGURATION_METHOD:
+            return self._configuration_peers.answer(payload)
+        return await self.jobs.answer_peer(sender, method, payload)
 
     async def _watch_log(self) -> None:
         while True:
--- a/passgate/gateway/dialect.py
+++ b/passgate/gateway/dialect.py
@@ -29,3 +29,5 @@
     length_hint: str
     prompt_parts: str
     wait_ms: str
+    tenant: str
+    """Tenant of the caller; set by the gateway, whatever the caller sent."""
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -19,6 +19,7 @@
     ExecutionStatus,
     PassgateError,
 )
+from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest
 from passgate.gateway.replica_call import ReplicaAnswer, cancel_all, forwarded_headers
@@ -48,9 +49,9 @@
 class Forwarder(ForwarderBase):
     """Forwards requests of plain routes."""
 
-    async def forward(self, request: IncomingRequest, route: Route) -> GatewayAnswer:
+    async def forward(self, request: IncomingRequest, route: Route, caller: Caller) -> GatewayAnswer:
         """Return the answer of a replica; raises PassgateError when there is none."""
-        forwarding = self._begin(request, route)
+        forwarding = self._begin(request, route, caller)
         try:
             answer = await self._run(forwarding)
         except PassgateError as error:
@@ -88,13 +89,18 @@
             if monotonic_s() >= min(patience_s, forwarding.limit_s):
                 return False
             await asyncio.sleep(WAIT_STEP_S)
+        if forwarding.may_have_run and not self._may_send(forwarding):
+            return False
+        self._check_access(forwarding)
         self._send(forwarding, running, state)
         return True
 
     def _may_hedge(self, forwarding: Forwarding) -> bool:
         if not forwarding.repeatable or not forwarding.attempts_left:
             return False
-        return monotonic_s() >= self._hedge_at_s(forwarding) and self._choose(forwarding) is not None
+        if monotonic_s() < self._hedge_at_s(forwarding) or not self._may_send(forwarding):
+            return False
+        return self._choose(forwarding) is not None
 
     def _hedge_at_s(self, forwarding: Forwarding) -> float:
         delay_s = HEDGE_SHARE * forwarding.route.target_latency_s
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -6,13 +6,14 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ForwardEnded, ForwardSent
-from passgate.errors import NoReplicaAvailable
+from passgate.errors import NoReplicaAvailable, Unauthorized
 from passgate.errors.base import ExecutionStatus, PassgateError
+from passgate.gateway.access import Caller
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.messages import IncomingRequest
 from passgate.gateway.replica_call import ReplicaCaller, ReplicaRequest
 from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
-from passgate.gateway.routes import Route, RouteKind, WeightedChoice
+from passgate.gateway.routes import ConfigHolder, Route, RouteKind, WeightedChoice
 
 RETRY_AFTER_S = 0.15
 """When a refused caller is asked to come back."""
@@ -22,6 +23,9 @@
     """One request while it is forwarded."""
 
     request: IncomingRequest
+    caller: Caller
+    configuration_version: int
+    """Configuration under which the caller was last known to be allowed."""
     route: Route
     service: str
     request_id: str
@@ -54,18 +58,26 @@
     """Begins, sends and ends forwarded requests."""
 
     def __init__(
-        self, caller: ReplicaCaller, replicas: ReplicaTable, names: HeaderNames, decisions: DecisionLog
+        self,
+        caller: ReplicaCaller,
+        replicas: ReplicaTable,
+        names: HeaderNames,
+        decisions: DecisionLog,
+        config: ConfigHolder,
     ) -> None:
+        self._config = config
         self._caller = caller
         self._replicas = replicas
         self._names = names
         self._decisions = decisions
         self._weights = WeightedChoice()
 
-    def _begin(self, request: IncomingRequest, route: Route) -> Forwarding:
+    def _begin(self, request: IncomingRequest, route: Route, caller: Caller) -> Forwarding:
         deadline_s = request.deadline_s(self._names.deadline_ms)
         return Forwarding(
             request=request,
+            caller=caller,
+            configuration_version=self._config.version,
             route=route,
             service=self._weights.pick(route),
             request_id=request.header(self._names.request_id),
@@ -74,6 +86,25 @@
             last_event_id=request.header(self._names.last_event_id),
         )
 
+    def _check_access(self, forwarding: Forwarding) -> None:
+        """Check again, before a further send, that the caller's key is in force; raises Unauthorized.
+
+        A key that is taken away while its request waits must not start a run.
+        """
+        table = self._config.table
+        if table is None or table.config.version == forwarding.configuration_version:
+            return
+        table.keys.caller_of(forwarding.request.headers, public=forwarding.route.public)
+        forwarding.configuration_version = table.config.version
+
+    def _may_send(self, forwarding: Forwarding) -> bool:
+        """Return whether the caller's key is still in force."""
+        try:
+            self._check_access(forwarding)
+        except Unauthorized:
+            return False
+        return True
+
     def _choose(self, forwarding: Forwarding) -> ReplicaState | None:
         choice = ChoiceRequest(services=frozenset({forwarding.service}), excluded=frozenset(forwarding.tried))
         return self._replicas.choose(choice, monotonic_s())
@@ -94,6 +125,7 @@
             deadline_s=forwarding.deadline_s,
             priority=forwarding.route.priority if forwarding.route.kind is RouteKind.STREAMING else None,
             repeatable=forwarding.repeatable,
+            tenant=forwarding.caller.tenant,
         )
 
     def _note_sent(self, forwarding: Forwarding, state: ReplicaState) -> None:
--- a/passgate/gateway/messages.py
+++ b/passgate/gateway/messages.py
@@ -14,6 +14,8 @@
 
 JSON_TYPE = "application/json"
 RETRY_AFTER = "Retry-After"
+UNAUTHORIZED = 401
+CHALLENGE, CHALLENGE_SCHEME = "WWW-Authenticate", "Bearer"
 DEFAULT_DEADLINE_S = 30.0
 """Time that a caller is taken to wait when it does not say."""
 RETRY_AFTER_S = 0.2
@@ -74,6 +76,8 @@
     if status in (408, 421, 429, 503) and error.execution is not ExecutionStatus.NOT_RUN:
         status = 502
     headers: tuple[tuple[str, str], ...] = ()
+    if status == UNAUTHORIZED:
+        headers = ((CHALLENGE, CHALLENGE_SCHEME),)
     if status in (429, 503):
         headers = ((RETRY_AFTER, f"{error.retry_after_s or RETRY_AFTER_S:.3f}"),)
     return json_answer(status, {"error": error.body()}, headers)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -17,6 +17,7 @@
 from passgate.clients.transfer import Transfer
 from passgate.clock import monotonic_s
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
+from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 
@@ -60,6 +61,8 @@
     """Loop time until which the replica may work on it."""
     priority: int | None = None
     repeatable: bool = True
+    tenant: str | None = None
+    """Tenant to be named to the replica; see :func:`passgate.gateway.access.headers_for_replica`."""
 
 
 class ReplicaAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -144,7 +147,8 @@
         request = self._request
         left_s = max(request.deadline_s - self._began_s, 0.001)
         headers = HTTPHeaders()
-        for name, value in forwarded_headers(request.headers):
+        passed_on = headers_for_replica(request.headers, request.tenant, self._names.tenant)
+        for name, value in forwarded_headers(passed_on):
             headers.add(name, value)
         headers["Host"] = request.host
         headers[self._names.request_id] = request.request_id
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -16,7 +16,10 @@
 
 import msgspec
 
+from passgate.gateway.access import KeyIndex, Tenant
+
 DEFAULT_TIMEOUT_S = 30.0
+NO_VERSION = -1
 GOLDEN_RATIO = 0.6180339887498949
 
 
@@ -59,6 +62,8 @@
     """Time after which an item of a batch job may be given up."""
     result_deadline_s: float = 60.0
     """Time within which the results of a batch job are due."""
+    public: bool = False
+    """Whether callers need no key."""
     single_version: bool = False
     """Whether one version of the weights must make the whole of a result."""
 
@@ -91,18 +96,26 @@
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    """Without any, callers need no key."""
     limits: RequestLimits = RequestLimits()
 
 
 class RouteTable:
-    """Routes of one configuration by host, longest prefix first."""
+    """One configuration, compiled: its routes by host, longest prefix first, and its keys."""
 
     def __init__(self, config: GatewayConfig) -> None:
+        """Compile a configuration; raises InvalidConfiguration."""
         self.config = config
+        self.keys = KeyIndex(config.tenants)
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(config.routes, key=lambda route: len(route.path_prefix), reverse=True):
             self._by_host.setdefault(route.host, []).append(route)
 
+    def takes_public_jobs(self, host: str) -> bool:
+        """Whether jobs of a host may be submitted, and so read, without a key."""
+        return any(route.public and route.kind is RouteKind.BATCH for route in self._by_host.get(host, ()))
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None."""
         plain_path = path.partition("?")[0]
@@ -118,8 +131,16 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
 
+    @property
+    def version(self) -> int:
+        """Version in force, NO_VERSION before the first."""
+        return NO_VERSION if self.table is None else self.table.config.version
+
     def offer(self, config: GatewayConfig) -> bool:
-        """Put a configuration in force unless a newer one is; return whether it was."""
+        """Put a configuration in force unless a newer one is; return whether it was.
+
+        Raises InvalidConfiguration; the version in force stays then.
+        """
         if self.table is not None and config.version <= self.table.config.version:
             return False
         self.table = RouteTable(config)
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -32,5 +32,8 @@
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
     max_connections: int = 8_000
+    fail_closed: bool = False
+    """Whether requests are refused once the configuration may be older than ``configuration_age_s``."""
+    configuration_age_s: float = 5.0
     cores: float = 1.0
     """Processor time that the daemon may use, in cores of ordinary speed."""
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -19,6 +19,7 @@
     MovedElsewhere,
     PassgateError,
 )
+from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer
 from passgate.gateway.replica_call import ReplicaExchange, forwarded_headers
@@ -38,9 +39,11 @@
 class StreamForwarder(ForwarderBase):
     """Forwards requests of streaming routes."""
 
-    async def forward(self, request: IncomingRequest, route: Route) -> GatewayAnswer | StreamAnswer:
+    async def forward(
+        self, request: IncomingRequest, route: Route, caller: Caller
+    ) -> GatewayAnswer | StreamAnswer:
         """Return the head and the events of a stream, or the replica's refusal as a whole answer."""
-        stream = self._begin(request, route)
+        stream = self._begin(request, route, caller)
         exchange = await self._open(stream)
         if exchange.status != OK:
             try:
@@ -84,6 +87,10 @@
         state = self._choose(stream)
         if state is None:
             raise self._failed(stream, "no replica")
+        if not stream.may_have_run:
+            self._check_access(stream)
+        elif not self._may_send(stream):
+            raise self._failed(stream, "the key was taken away")
         self._note_sent(stream, state)
         return self._caller.open(state, self._replica_request(stream))
 
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from passgate.gateway.access import scoped_id
 from passgate.jobs.event_stream import KeptEvents
 from passgate.jobs.groups import GroupProgress
 from passgate.jobs.records import (
@@ -49,14 +50,23 @@
 class JobState:
     """One job: its spec, its results in order, its owner."""
 
-    def __init__(self, spec: JobSpec, owner: str, now_s: float) -> None:
+    def __init__(self, spec: JobSpec, owner: str, now_s: float, packed_spec: bytes = b"") -> None:
+        """Begin with no result.
+
+        Args:
+            spec: the job as submitted.
+            owner: writer that runs the items; nobody when empty.
+            now_s: loop time.
+            packed_spec: the encoded spec, if it is at hand.
+        """
         self.job_id = spec.job_id
-        self.packed_spec = encode_spec(spec)
+        self.packed_spec = packed_spec or encode_spec(spec)
         """Kept compressed; unpacked on demand."""
         self.total = len(spec.items)
         self.item_ids = frozenset(item.id for item in spec.items)
         self.min_version = spec.min_version
         self.model = spec.model
+        self.tenant = spec.tenant
         self.results: list[Result] = []
         self.listed: dict[str, int] = {}
         """Item to its position."""
@@ -69,6 +79,10 @@
         self.epoch = FIRST_EPOCH
         self.folded_s = now_s
 
+    def key_of(self, item_id: str) -> str:
+        """Return the name under which the fold keeps what was made of an item of this job."""
+        return scoped_id(self.tenant, item_id)
+
     @property
     def open(self) -> bool:
         """Whether items are still to be run."""
@@ -114,9 +128,9 @@
         self.newest_job: dict[str, str] = {}
         """Model to the newest job that asked for it."""
         self.kept: dict[str, KeptEvents] = {}
-        """Item to the events of its unfinished run."""
+        """Item, scoped by its tenant, to the events of its unfinished run."""
         self.finished: dict[str, Result] = {}
-        """Item to its newest result, for later jobs that ask for it again."""
+        """Item, scoped by its tenant, to its newest result, for later jobs that ask for it again."""
         self._pieces: dict[tuple[str, str], _Pieces] = {}
         self._stopped: dict[str, None] = {}
         """Writers that ended as planned, the latest last."""
@@ -163,7 +177,7 @@
                 spec = decode_spec(data)
             except (zlib.error, msgspec.DecodeError):
                 return
-            self.jobs[spec.job_id] = JobState(spec, self._unless_stopped(part.owner), now_s)
+            self.jobs[spec.job_id] = JobState(spec, self._unless_stopped(part.owner), now_s, data)
             self.newest_job[spec.model] = spec.job_id
         while len(self._pieces) > MAX_PENDING_PARTS:
             del self._pieces[next(iter(self._pieces))]
@@ -185,24 +199,26 @@
             return
         for result in entry.results:
             if job.list_result(result):
-                self.finished[result.item_id] = result
-                self._drop_events(result)
+                key = job.key_of(result.item_id)
+                self.finished[key] = result
+                self._drop_events(key, result)
 
-    def _drop_events(self, result: Result) -> None:
+    def _drop_events(self, key: str, result: Result) -> None:
         """Forget an item's events, unless a later job may still have the whole text scored."""
-        kept = self.kept.get(result.item_id)
+        kept = self.kept.get(key)
         if kept is not None and not (kept.whole and result.state is ResultState.DEAD):
-            del self.kept[result.item_id]
+            del self.kept[key]
 
     def _keep(self, writer: str, entry: ItemProgressed) -> None:
         """Add events to the run they belong to; events of another run are ignored."""
         job = self.jobs.get(entry.job_id)
         if job is None or entry.item_id in job.listed:
             return
-        kept = self.kept.get(entry.item_id)
+        key = job.key_of(entry.item_id)
+        kept = self.kept.get(key)
         if entry.after == 0 and not entry.parent and self._begins(entry, kept, job.owner == writer):
             replaced = kept.replaced | {kept.run} if kept is not None else frozenset()
-            kept = self.kept[entry.item_id] = KeptEvents(run=entry.run, replaced=replaced)
+            kept = self.kept[key] = KeptEvents(run=entry.run, replaced=replaced)
         if kept is None or kept.whole or entry.after != len(kept.data):
             return
         if entry.run != kept.run and entry.parent != kept.run:
@@ -238,8 +254,8 @@
     def _forget(self, job: JobState) -> None:
         del self.jobs[job.job_id]
         for item_id in job.item_ids:
-            self.kept.pop(item_id, None)
-            self.finished.pop(item_id, None)
+            self.kept.pop(job.key_of(item_id), None)
+            self.finished.pop(job.key_of(item_id), None)
 
     def _stop_writer(self, writer: str, now_s: float) -> None:
         self.heard_s.pop(writer, None)
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -245,9 +245,14 @@
             headers=tuple(headers),
             body=self.item.body,
             deadline_s=monotonic_s() + ITEM_DEADLINE_S,
-            priority=self._tools.route.priority,
+            priority=self._priority,
+            tenant=self._job.tenant,
         )
 
+    @property
+    def _priority(self) -> int:
+        return self._tools.route.priority if self._job.priority is None else self._job.priority
+
     def _failed_run(self, status: int) -> Result | None:
         dead = Result(item_id=self.item.id, state=ResultState.DEAD)
         if status == IMPOSSIBLE:
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -53,6 +53,7 @@
     """A whole job as its caller submitted it."""
 
     job_id: str
+    """Unique over all tenants; see :func:`passgate.gateway.access.scoped_id`."""
     host: str
     path: str
     items: tuple[ItemSpec, ...]
@@ -60,6 +61,10 @@
     model: str = ""
     min_version: int = 0
     desired: int = 0
+    tenant: str | None = None
+    """Tenant that submitted the job, to be named to the replicas; None where there are no tenants."""
+    priority: int | None = None
+    """Rank of the tenant's requests; replaces the rank of the route."""
 
 
 class Score(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -54,8 +54,11 @@
 class RewardCall:
     """The reward call of one item, over all its attempts."""
 
-    def __init__(self, job_id: str, item_id: str, spec: RewardSpec, tools: RewardTools) -> None:
+    def __init__(
+        self, job_id: str, item_id: str, spec: RewardSpec, tools: RewardTools, tenant: str | None = None
+    ) -> None:
         self._job_id = job_id
+        self._tenant = tenant
         self._item_id = item_id
         self._spec = spec
         self._tools = tools
@@ -155,6 +158,7 @@
             headers=(),
             body=self._spec.body,
             deadline_s=monotonic_s() + patience_s,
+            tenant=self._tenant,
         )
 
     def _stamp_of(self, answer: ReplicaAnswer) -> str:
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -14,6 +14,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import ItemListed
+from passgate.gateway.access import scoped_id
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemRun, ItemTools
 from passgate.jobs.journal import Journal
@@ -89,7 +90,12 @@
         return (not self._is_known(item), -self._tools.expected_tokens(item))
 
     def _is_known(self, item: ItemSpec) -> bool:
-        return item.id in self._fold.kept or item.id in self._fold.finished
+        key = self._key(item.id)
+        return key in self._fold.kept or key in self._fold.finished
+
+    def _key(self, item_id: str) -> str:
+        """Return the name under which the fold keeps what was made of an item."""
+        return scoped_id(self._spec.tenant, item_id)
 
     def _expected_s(self, item: ItemSpec) -> float:
         return self._tools.durations.expected_s(self._spec.model, self._tools.expected_tokens(item))
@@ -103,17 +109,18 @@
         if earlier is not None:
             items.create_task(self._score(item, earlier, attempts=0, began_s=monotonic_s()))
             return
-        run = ItemRun(self._spec, item, self._tools, self._fold.kept.get(item.id), rank, self._timing)
+        kept = self._fold.kept.get(self._key(item.id))
+        run = ItemRun(self._spec, item, self._tools, kept, rank, self._timing)
         await run.wait_for_replica()
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
 
     def _known_text(self, item_id: str) -> Result | None:
         """Return the whole text of an item from an earlier job or owner, if its versions fit."""
-        earlier = self._fold.finished.get(item_id)
+        earlier = self._fold.finished.get(self._key(item_id))
         if earlier is not None and self._fits(earlier):
             return earlier
-        kept = self._fold.kept.get(item_id)
+        kept = self._fold.kept.get(self._key(item_id))
         if kept is None or not kept.whole:
             return None
         whole = Result(
@@ -157,7 +164,7 @@
     async def _scored(self, item: ItemSpec, reward: RewardSpec, result: Result) -> Result:
         if result.score is not None and result.score.call_id == reward.id:
             return result
-        call = RewardCall(self._spec.job_id, item.id, reward, self._tools.rewards)
+        call = RewardCall(self._spec.job_id, item.id, reward, self._tools.rewards, self._spec.tenant)
         score = await call.score(self._tools.route.max_attempts)
         if score is None:
             return Result(item_id=item.id, state=ResultState.DEAD)
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from passgate.errors import ExecutionStatus, MalformedBody
+from passgate.gateway.access import Caller, Tenant, scoped_id
 from passgate.gateway.replicas import ReplicaInfo
 from passgate.gateway.routes import GatewayConfig, RequestLimits, Route, RouteKind, RoutePart, Service
 from passgate.jobs.reader import ResultPage
@@ -48,6 +49,7 @@
     queueTtlS: float = 60.0
     resultDeadlineMs: float = 60_000
     singleVersion: bool = False
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -55,6 +57,12 @@
     maxConns: int = 100
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    apiKeys: list[str] = []
+    priority: int | None = None
+
+
 class _Limits(msgspec.Struct, frozen=True):
     maxHeaderBytes: int = 16_384
     maxBodyBytes: int = 33_554_432
@@ -67,6 +75,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -129,6 +138,10 @@
         services=tuple(
             Service(name=service.name, max_connections=service.maxConns) for service in config.services
         ),
+        tenants=tuple(
+            Tenant(name=tenant.name, api_keys=tuple(tenant.apiKeys), priority=tenant.priority)
+            for tenant in config.tenants
+        ),
         limits=RequestLimits(
             max_header_bytes=limits.maxHeaderBytes,
             max_body_bytes=limits.maxBodyBytes,
@@ -154,6 +167,7 @@
         item_time_to_live_s=route.queueTtlS,
         result_deadline_s=route.resultDeadlineMs / 1000,
         single_version=route.singleVersion,
+        public=route.public,
     )
 
 
@@ -187,8 +201,11 @@
     )
 
 
-def decode_job(job_id: str, host: str, path: str, body: bytes) -> JobSpec:
-    """Return the job of a submitted body; raises MalformedBody."""
+def decode_job(job_id: str, host: str, path: str, body: bytes, caller: Caller) -> JobSpec:
+    """Return the job of a submitted body; raises MalformedBody.
+
+    Its identifier is scoped by the caller's tenant, as callers choose identifiers freely.
+    """
     try:
         job = msgspec.json.decode(body, type=_Job)
         items = tuple(
@@ -206,7 +223,9 @@
     except (msgspec.DecodeError, ValueError) as error:
         raise MalformedBody(f"no batch job: {error}", execution=ExecutionStatus.NOT_RUN) from error
     return JobSpec(
-        job_id=job_id,
+        job_id=scoped_id(caller.tenant, job_id),
+        tenant=caller.tenant,
+        priority=caller.priority,
         host=host,
         path=path,
         items=items,
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -7,10 +7,18 @@
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
 from passgate.decisions import RequestRefused
-from passgate.errors import ExecutionStatus, InvalidRequest, NotFound, NotReady
+from passgate.errors import (
+    ExecutionStatus,
+    InvalidRequest,
+    NotFound,
+    NotReady,
+    PassgateError,
+    Unauthorized,
+)
+from passgate.gateway.access import Caller, scoped_id
 from passgate.gateway.daemon import GatewayDaemon
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, json_answer
-from passgate.gateway.routes import RouteKind
+from passgate.gateway.routes import RouteKind, RouteTable
 from passgate.platform import documents, names
 from passgate.versions.loader import LoadOrder, ReplicaReport
 
@@ -19,6 +27,8 @@
 ANSWER_MARGIN_S = 0.1
 REPORT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 1.5
+NO_ROUTE = "no_route"
+LOGGED_PATH_CHARACTERS = 80
 OCTETS = (("Content-Type", "application/octet-stream"),)
 
 
@@ -38,36 +48,73 @@
         return await self._routed(request)
 
     async def _routed(self, request: IncomingRequest) -> GatewayAnswer | StreamAnswer:
-        table = self._daemon.config.table
-        if table is None:
-            raise NotReady("no configuration is known yet", execution=ExecutionStatus.NOT_RUN)
+        table = self._table()
         route = table.match(request.host, request.path)
         if route is None:
-            self._daemon.decisions.write(
-                RequestRefused(
-                    request_id=request.header(names.HEADERS.request_id),
-                    path=request.path[:80],
-                    status=404,
-                    reason="no_route",
-                    configuration_version=table.config.version,
-                )
-            )
-            raise NotFound("no such route", execution=ExecutionStatus.NOT_RUN)
+            self._note_refusal(request, NotFound.http_status, NO_ROUTE)
+            raise self._unless_stale(NotFound("no such route", execution=ExecutionStatus.NOT_RUN))
+        caller = self._caller_of(request, table, public=route.public)
         if route.kind is RouteKind.BATCH:
-            return await self._submit(request)
+            return await self._submit(request, caller)
         if route.kind is RouteKind.STREAMING:
-            return await self._daemon.stream_forwarder.forward(request, route)
-        return await self._daemon.forwarder.forward(request, route)
+            return await self._daemon.stream_forwarder.forward(request, route, caller)
+        return await self._daemon.forwarder.forward(request, route, caller)
+
+    def _table(self) -> RouteTable:
+        table = self._daemon.config.table
+        if table is None:
+            raise NotReady("no configuration is known yet", execution=ExecutionStatus.NOT_RUN)
+        if self._daemon.configuration_expired:
+            raise NotReady("the configuration is too old to be used", execution=ExecutionStatus.NOT_RUN)
+        return table
+
+    def _caller_of(self, request: IncomingRequest, table: RouteTable, *, public: bool) -> Caller:
+        """Return who sent a request; raises Unauthorized, or NotReady while that may be out of date."""
+        try:
+            return table.keys.caller_of(request.headers, public=public)
+        except Unauthorized as error:
+            self._note_refusal(request, error.http_status, error.code)
+            raise self._unless_stale(error) from error
+
+    def _unless_stale(self, refusal: PassgateError) -> PassgateError:
+        """Return a refusal for good, or one that lets the caller come back while the log is away.
+
+        A route or a key that is not known here may have been added meanwhile.
+        """
+        if self._daemon.configuration_may_be_stale:
+            return NotReady("the configuration may be out of date", execution=ExecutionStatus.NOT_RUN)
+        return refusal
+
+    def _note_refusal(self, request: IncomingRequest, status: int, reason: str) -> None:
+        self._daemon.decisions.write(
+            RequestRefused(
+                request_id=request.header(names.HEADERS.request_id),
+                path=request.path[:LOGGED_PATH_CHARACTERS],
+                status=status,
+                reason=reason,
+                configuration_version=self._daemon.config.version,
+            )
+        )
 
-    async def _submit(self, request: IncomingRequest) -> GatewayAnswer:
+    async def _submit(self, request: IncomingRequest, caller: Caller) -> GatewayAnswer:
         job_id = request.header(names.HEADERS.request_id)
         if not job_id:
             raise InvalidRequest("a batch job needs an id", execution=ExecutionStatus.NOT_RUN)
-        spec = documents.decode_job(job_id, request.host, request.path, request.body)
+        spec = documents.decode_job(job_id, request.host, request.path, request.body, caller)
         await self._daemon.jobs.submit(spec, _deadline_s(request))
         return GatewayAnswer(status=202)
 
-    async def _job_call(self, request: IncomingRequest, job_id: str, query: str) -> GatewayAnswer:
+    def _job_key(self, request: IncomingRequest, job_id: str) -> str:
+        """Return the job that a caller means; no other tenant's job has that name.
+
+        Raises NotReady or Unauthorized.
+        """
+        table = self._table()
+        caller = self._caller_of(request, table, public=table.takes_public_jobs(request.host))
+        return scoped_id(caller.tenant, job_id)
+
+    async def _job_call(self, request: IncomingRequest, told_id: str, query: str) -> GatewayAnswer:
+        job_id = self._job_key(request, told_id)
         if request.method == "DELETE":
             await self._daemon.jobs.end(request.host, job_id, _deadline_s(request))
             return GatewayAnswer(status=200)
@@ -78,7 +125,8 @@
         page = await self._daemon.jobs.read(request.host, job_id, position, wait_s)
         return json_answer(200, documents.results_document(page))
 
-    async def _item_call(self, request: IncomingRequest, job_id: str, query: str) -> GatewayAnswer:
+    async def _item_call(self, request: IncomingRequest, told_id: str, query: str) -> GatewayAnswer:
+        job_id = self._job_key(request, told_id)
         item_id = parse_qs(query).get("id", [""])[0]
         body = await self._daemon.jobs.body(request.host, job_id, item_id)
         return GatewayAnswer(status=200, headers=OCTETS, body=body)
--- a/passgate/platform/names.py
+++ b/passgate/platform/names.py
@@ -20,6 +20,7 @@
     length_hint="X-Length-Hint",
     prompt_parts="X-Prompt-Prefix",
     wait_ms="X-Wait-Ms",
+    tenant="X-Tenant",
 )
 
 READY_PATH = "/-/ready"
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -32,6 +32,8 @@
     graceS: float = 8.0  # noqa: N815  (names of the platform)
     leaseMs: float = 3000.0  # noqa: N815
     statusS: float = 120.0  # noqa: N815
+    failClosed: bool = False  # noqa: N815
+    revokeMs: float = 5000.0  # noqa: N815
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -88,6 +90,8 @@
         max_append_bytes=node.platform.call_bytes,
         max_connections=node.limits.maxFds - 200,
         cores=node.limits.cpuShare * node.limits.cores,
+        fail_closed=node.bounds.failClosed,
+        configuration_age_s=node.bounds.revokeMs / 1000,
     )
 
 
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -236,6 +236,9 @@
     body: bytes
     deadline_ms: str
     last_event_id: str
+    tenants: list = field(default_factory=list)
+    """Values of the header that names the tenant."""
+    credentials: list = field(default_factory=list)
     versions: list = field(default_factory=list)
     whole: bool = False
     began_s: float = 0.0
@@ -381,6 +384,8 @@
             body=self.request.body,
             deadline_ms=headers.get("X-Deadline-Ms", ""),
             last_event_id=headers.get("Last-Event-Id", ""),
+            tenants=headers.get_list("X-Tenant"),
+            credentials=headers.get_list("Authorization"),
             began_s=time.monotonic(),
         )
         replica.runs.append(run)
@@ -447,10 +452,11 @@
         self.finish()
 
 
-def config_document(version, routes, services):
+def config_document(version, routes, services, tenants=()):
     return {
         "version": version,
         "routes": routes,
+        "tenants": [{"name": name, "apiKeys": list(keys)} for name, keys in dict(tenants).items()],
         "services": [{"name": name, "healthPath": "/health", "maxConns": 100} for name in services],
         "limits": {
             "maxHeaderBytes": 16384,
--- /dev/null
+++ b/tests/test_gateway_configuration_peers.py
@@ -0,0 +1,138 @@
+"""Configurations learned from other daemons while the log does not answer, in virtual time."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from passgate.clock import monotonic_s, run_virtual
+from passgate.decisions import DecisionLog
+from passgate.gateway.access import Tenant
+from passgate.gateway.configuration_peers import (
+    ASK_AFTER_S,
+    CONFIGURATION_METHOD,
+    ConfigurationPeers,
+    KnownConfiguration,
+)
+from passgate.gateway.routes import ConfigHolder, GatewayConfig
+from passgate.peers.memory_transport import MemoryNetwork
+
+APPLY_S = 3.0
+"""Time within which a configuration must be in force."""
+
+
+def config(version, *keys):
+    return GatewayConfig(version=version, tenants=(Tenant(name="orchard", api_keys=keys),))
+
+
+class Daemon:
+    """What learns and tells configurations; the log is read unless it is turned away."""
+
+    def __init__(self, network, number, daemons):
+        self.daemons = daemons
+        self.transport = network.transport(f"d{number}:7720", "z")
+        self.name = f"d{number}@{self.transport.address}"
+        self.holder = ConfigHolder()
+        self.turned_away_s = None
+        self.peers = ConfigurationPeers(
+            self.transport,
+            self.others,
+            self.holder,
+            self.log_age_s,
+            self.holder.offer,
+            DecisionLog("d", write=len),
+        )
+
+    def others(self):
+        names = [daemon.name for daemon in self.daemons if daemon is not self]
+        return random.sample(names, len(names))
+
+    def log_age_s(self):
+        return 0.0 if self.turned_away_s is None else monotonic_s() - self.turned_away_s
+
+    async def answer(self, sender, method, payload):
+        assert method == CONFIGURATION_METHOD
+        return self.peers.answer(payload)
+
+    def start(self):
+        self.transport.start(lambda sender, payload: None, self.answer)
+        return asyncio.get_running_loop().create_task(self.peers.run())
+
+
+def world(count=12):
+    network, daemons = MemoryNetwork(random.Random(1)), []
+    daemons.extend(Daemon(network, number, daemons) for number in range(count))
+    return network, daemons
+
+
+def put(daemons, new):
+    for daemon in daemons:
+        if daemon.turned_away_s is None:
+            daemon.holder.offer(new)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_third_that_the_log_turns_away_has_each_version_in_time(seed):
+    async def main():
+        random.seed(seed)
+        _, daemons = world()
+        tasks = [daemon.start() for daemon in daemons]
+        put(daemons, config(1, "k1", "k2"))
+        for daemon in daemons[::3]:
+            daemon.turned_away_s = monotonic_s()
+        for version in range(2, 6):
+            put(daemons, config(version, "k2"))
+            await asyncio.sleep(APPLY_S)
+            assert {daemon.holder.version for daemon in daemons} == {version}
+            assert all(daemon.peers.age_s() < APPLY_S for daemon in daemons)
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
+
+
+def test_an_older_version_of_a_peer_is_not_put_back():
+    async def main():
+        _, daemons = world(3)
+        behind, ahead, _ = daemons
+        put(daemons, config(4, "k2"))
+        ahead.turned_away_s = monotonic_s()
+        ahead.holder.offer(config(7, "k2"))
+        task = ahead.start()
+        for daemon in (behind, daemons[2]):
+            daemon.start()
+        await asyncio.sleep(5.0)
+        assert ahead.holder.version == 7
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_nobody_is_asked_while_the_log_answers_and_age_grows_when_nobody_answers():
+    async def main():
+        network, daemons = world(3)
+        put(daemons, config(1))
+        tasks = [daemon.start() for daemon in daemons]
+        await asyncio.sleep(10.0)
+        assert all(daemon.transport.counters.frames_sent == 0 for daemon in daemons)
+        daemons[0].turned_away_s = monotonic_s()
+        network.cut(lambda address, zone: address == daemons[0].transport.address)
+        await asyncio.sleep(ASK_AFTER_S + 4.0)
+        assert daemons[0].peers.age_s() == pytest.approx(ASK_AFTER_S + 4.0, abs=0.2)
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
+
+
+def test_an_answer_carries_a_configuration_only_when_it_is_newer():
+    async def main():
+        _, (daemon, *_) = world(2)
+        daemon.holder.offer(config(3, "k"))
+        for version, told in ((2, 3), (3, None), (9, None)):
+            question = msgspec.json.encode({"version": version})
+            known = msgspec.json.decode(daemon.peers.answer(question), type=KnownConfiguration)
+            assert (known.config.version if known.config else None) == told
+
+    run_virtual(main())
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -53,8 +53,9 @@
         self.replicas[replica_id] = stand_ins.Replica(self.log, replica_id, service, **fields).start()
         return self.replicas[replica_id]
 
-    def configure(self, version, *routes):
-        self.log.put("keyed.op", "config", stand_ins.config_document(version, list(routes), ["app", "llm"]))
+    def configure(self, version, *routes, tenants=()):
+        document = stand_ins.config_document(version, list(routes), ["app", "llm"], tenants)
+        self.log.put("keyed.op", "config", document)
 
     async def start(self, *, ready=True):
         """Start the daemon; another process may take a free port before it listens there."""
--- /dev/null
+++ b/tests/test_platform_tenants.py
@@ -0,0 +1,203 @@
+"""Tenants on one daemon over sockets: keys, what replicas see, isolation of jobs, revocation."""
+
+import asyncio
+import base64
+import json
+
+import msgspec
+
+from passgate.jobs.records import decode_batch
+from tests import platform_stand_ins as stand_ins
+from tests.test_platform_daemon import World, in_world
+
+KEYS = {"orchard": ["key-o1", "key-o2"], "mill": ["key-m1"]}
+ORCHARD = {"Authorization": "Bearer key-o1"}
+ORCHARD_TOO = {"Authorization": "Bearer key-o2"}
+MILL = {"Authorization": "Bearer key-m1"}
+
+
+async def submit(world, key, item_ids, job_id="job1", **fields):
+    body = stand_ins.job_body(item_ids, **fields)
+    return await world.call("POST", "/stream/j", body, request_id=job_id, **key)
+
+
+async def read(world, key, job_id="job1", after=0):
+    return await world.call("GET", f"/-/lots/{job_id}?afterRev={after}", **{"X-Wait-Ms": "500"}, **key)
+
+
+async def read_all(world, key, job_id="job1"):
+    rows = []
+    async with asyncio.timeout(8.0):
+        while True:
+            answer = await read(world, key, job_id, len(rows))
+            assert answer.status == 200
+            page = json.loads(answer.body)
+            rows += page["results"]
+            if len(rows) == page["total"]:
+                return rows
+
+
+@in_world
+async def test_a_replica_is_told_the_tenant_and_nothing_of_the_key(world: World):
+    app = world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route(), tenants=KEYS)
+    await world.start()
+    answer = await world.call("POST", "/call/x", b"", **ORCHARD, **{"x-tenant": "mill", "X-Other": "kept"})
+    assert answer.status == 200
+    (run,) = app.runs
+    assert (run.tenants, run.credentials) == (["orchard"], [])
+
+
+@in_world
+async def test_without_a_held_key_nothing_runs(world):
+    app = world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route(), stand_ins.batch_route(), tenants=KEYS)
+    await world.start()
+    for headers in ({}, {"Authorization": "Bearer no"}, {"Authorization": "key-o1"}):
+        for method, path in (
+            ("POST", "/call/x"),
+            ("POST", "/stream/j"),
+            ("GET", "/-/lots/job1"),
+            ("DELETE", "/-/lots/job1"),
+            ("GET", "/-/items/job1?id=a1"),
+        ):
+            answer = await world.call(method, path, b"" if method == "POST" else None, **headers)
+            assert (answer.status, answer.headers["WWW-Authenticate"]) == (401, "Bearer")
+    assert (await world.call("GET", "/nowhere/x")).status == 404
+    assert app.runs == []
+
+
+@in_world
+async def test_a_public_route_needs_no_key(world):
+    app = world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route(public=True), tenants=KEYS)
+    await world.start()
+    assert (await world.call("POST", "/call/x", b"", **{"X-Tenant": "mill"})).status == 200
+    assert app.runs[0].tenants == []
+
+
+@in_world
+async def test_a_job_belongs_to_the_tenant_that_submitted_it(world):
+    llm = world.replica("i-1", "llm", models=[("m", 1)])
+    world.configure(1, stand_ins.batch_route(), tenants=KEYS)
+    await world.start()
+    assert (await submit(world, ORCHARD, ["a1", "a2"])).status == 202
+    assert len(await read_all(world, ORCHARD_TOO)) == 2
+    assert (await read(world, MILL)).status == 404
+    assert (await world.call("GET", "/-/items/job1?id=a1", **MILL)).status == 404
+    assert (await world.call("DELETE", "/-/lots/job1", **MILL)).status == 404
+    assert (await world.call("GET", "/-/items/job1?id=a1", **ORCHARD)).body == b"body a1"
+    assert {tuple(run.tenants) for run in llm.runs} == {("orchard",)}
+
+
+@in_world
+async def test_two_tenants_may_choose_the_same_identifiers_and_share_no_text(world):
+    llm = world.replica("i-1", "llm", models=[("m", 1)])
+    world.configure(1, stand_ins.batch_route(), tenants=KEYS)
+    await world.start()
+    assert (await submit(world, ORCHARD, ["a1"])).status == 202
+    await read_all(world, ORCHARD)
+    assert (await submit(world, MILL, ["a1"])).status == 202
+    assert len(await read_all(world, MILL)) == 1
+    assert [run.tenants for run in llm.runs] == [["orchard"], ["mill"]]
+
+
+@in_world
+async def test_headers_of_an_item_can_not_name_another_tenant(world):
+    llm = world.replica("i-1", "llm", models=[("m", 1)])
+    world.configure(1, stand_ins.batch_route(), tenants=KEYS)
+    await world.start()
+    document = json.loads(stand_ins.job_body(["a1"]))
+    document["requests"][0]["headers"] |= {"X-Tenant": "mill", "Authorization": "Bearer key-m1"}
+    answer = await world.call(
+        "POST", "/stream/j", json.dumps(document).encode(), request_id="job1", **ORCHARD
+    )
+    assert answer.status == 202
+    await read_all(world, ORCHARD)
+    assert [(run.tenants, run.credentials) for run in llm.runs] == [(["orchard"], [])]
+
+
+@in_world
+async def test_a_key_that_is_taken_away_starts_nothing_and_its_jobs_go_on(world):
+    app = world.replica("i-1", "app")
+    world.replica("i-2", "llm", models=[("m", 1)], event_s=0.1)
+    routes = (stand_ins.safe_route(), stand_ins.batch_route())
+    world.configure(1, *routes, tenants=KEYS)
+    await world.start()
+    assert (await submit(world, ORCHARD, ["a1", "a2"])).status == 202
+    world.configure(2, *routes, tenants=KEYS | {"orchard": ["key-o2"]})
+    await world.until(lambda: world.daemon.config.version == 2)
+    assert (await world.call("POST", "/call/x", b"", **ORCHARD)).status == 401
+    assert app.runs == []
+    assert (await read(world, ORCHARD)).status == 401
+    assert len(await read_all(world, ORCHARD_TOO)) == 2
+
+
+@in_world
+async def test_a_key_taken_away_while_its_request_waits_starts_no_run(world):
+    app = world.replica("i-1", "app")
+    app.faults.refusing = True
+    route = stand_ins.safe_route(targetLatencyMs=5000, timeoutMs=5000)
+    world.configure(1, route, tenants=KEYS)
+    await world.start()
+    waiting = asyncio.create_task(world.call("POST", "/call/x", b"", deadline_ms=5000, **ORCHARD))
+    await asyncio.sleep(0.1)
+    world.configure(2, route, tenants={"mill": ["key-m1"]})
+    await world.until(lambda: world.daemon.config.version == 2)
+    app.faults.refusing = False
+    world.replica("i-2", "app")
+    answer = await waiting
+    assert answer.status in (401, 503)
+    assert app.runs == [] and world.replicas["i-2"].runs == []
+
+
+@in_world
+async def test_an_unknown_key_is_no_final_answer_while_the_configuration_may_be_old(world):
+    world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route(), tenants=KEYS)
+    await world.start()
+    world.log.faults.silent = True
+    await world.until(lambda: world.daemon.configuration_may_be_stale)
+    answer = await world.call("POST", "/call/x", b"", Authorization="Bearer added-meanwhile")
+    assert answer.status == 503
+    assert (await world.call("POST", "/call/x", b"", **ORCHARD)).status == 200
+
+
+@in_world
+async def test_a_daemon_that_fails_closed_serves_nothing_on_an_old_configuration(world):
+    app = world.replica("i-1", "app")
+    world.configure(1, stand_ins.safe_route(), tenants=KEYS)
+    await world.start()
+    settings = world.daemon.settings
+    world.daemon.settings = msgspec.structs.replace(settings, fail_closed=True, configuration_age_s=0.5)
+    assert (await world.call("POST", "/call/x", b"", **ORCHARD)).status in (200, 503)
+    world.log.faults.silent = True
+    await asyncio.sleep(2.0)
+    runs = len(app.runs)
+    assert (await world.call("POST", "/call/x", b"", **ORCHARD)).status == 503
+    assert len(app.runs) == runs
+
+
+@in_world
+async def test_no_key_stands_in_what_a_daemon_writes(world):
+    lines = bytearray()
+    world.replica("i-1", "app")
+    world.replica("i-2", "llm", models=[("m", 1)])
+    world.configure(1, stand_ins.safe_route(), stand_ins.batch_route(), tenants=KEYS)
+    await world.start()
+    world.daemon.decisions._write = lambda data: lines.extend(data) or len(data)
+    await world.call("POST", "/call/x", b"", **ORCHARD)
+    await world.call("POST", "/call/x", b"", Authorization="Bearer key-wrong")
+    await submit(world, MILL, ["a1"])
+    await read_all(world, MILL)
+    world.daemon.decisions.flush()
+    appended = b"".join(
+        msgspec.json.encode(decode_batch(record))
+        for (topic, _), partition in world.log.partitions.items()
+        if not topic.startswith("keyed.")
+        for record in partition.records
+    )
+    written = bytes(lines) + world.daemon.metrics.exposition() + appended
+    keys = [key for held in KEYS.values() for key in held] + ["key-wrong"]
+    assert b"forward_ended" in lines and b"job1" in appended
+    assert [key for key in keys if key.encode() in written or base64.b64encode(key.encode()) in written] == []
