Report the tenants' usage for each window of the wall clock

Change: each daemon counts the requests that replicas began, by window and tenant, and hands the counts to the leader of the control topic, whose appends they ride on (a second way through the zone's watcher, a third by its own append). The leader commits a window's report to the log before it first sends it; whoever leads sends exactly that, with the fence of its lead. Counts carry the daemon's life and a number, so that a repeated one counts once. The time of day is agreed between daemons (median) and kept by the steady clock. Ruled out: an append of its own for each daemon (one request in 12 s reaches each of 81 daemons, so nearly each request would cost a call).

--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -365,6 +365,22 @@
     outcome: str
 
 
+class UsageWindowCommitted(Event, tag="usage_window_committed"):
+    """The usage report of a window was put on the log, to be sent as it stands there."""
+
+    window: int
+    requests: int
+    tenants: int
+
+
+class UsageReportSent(Event, tag="usage_report_sent"):
+    """A usage report was sent to the platform."""
+
+    window: int
+    fence: int
+    outcome: str
+
+
 class LinesDropped(Event, tag="lines_dropped"):
     """Lines that did not fit into the budget since the last such line."""
 
--- /dev/null
+++ b/passgate/duties/service.py
@@ -0,0 +1,89 @@
+"""What one daemon does for the singleton duties: it counts, hands counts on, and reports if it leads."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog
+from passgate.duties.calls import CallBudget, DutyCalls
+from passgate.duties.clock_sync import CLOCK_METHOD, ClockSync
+from passgate.duties.meter import UsageMeter
+from passgate.duties.usage_channel import COUNT_METHOD, UsageChannel
+from passgate.duties.usage_fold import UsageFold
+from passgate.duties.usage_reporter import UsageReporter
+from passgate.duties.wall_clock import AgreedWallClock
+from passgate.duties.windows import UsageWindows
+from passgate.errors import PeerCallFailed
+from passgate.gateway.settings import DutySettings
+from passgate.peers.transport import PeerTransport
+from passgate.sharedlog.group import GroupDirectory
+from passgate.versions.control import ControlTopic
+
+RATE_SHARE = 0.8
+"""Share of the calls that the platform takes; the rest is left to a holder that has just ended."""
+
+
+class Duties:
+    """The duties of one daemon."""
+
+    def __init__(
+        self,
+        settings: DutySettings,
+        calls: DutyCalls,
+        control: ControlTopic,
+        fold: UsageFold,
+        transport: PeerTransport,
+        directory: GroupDirectory,
+        decisions: DecisionLog,
+        *,
+        member: str,
+        holder: str,
+    ) -> None:
+        """Connect the parts.
+
+        Args:
+            settings: what the platform asks for.
+            calls: calls to the platform.
+            control: the control topic, whose leader holds the duties.
+            fold: usage as folded from that topic.
+            transport: carries questions to other daemons.
+            directory: the daemons of this zone that watch partitions.
+            decisions: where decisions are noted.
+            member: this daemon's name in the directory.
+            holder: this daemon's name towards the platform.
+        """
+        windows = UsageWindows(length_s=settings.usage_window_s)
+        clock = AgreedWallClock(time.time, monotonic_s)
+        journal = control.journal
+        self._sync = ClockSync(clock, transport, lambda: directory.others(member))
+        self._channel = UsageChannel(transport, journal, lambda: control.fold.leader, directory.member_of)
+        self.meter = UsageMeter(journal.writer, windows, clock.now_s, self._channel.send)
+        self._reporter = UsageReporter(
+            fold,
+            journal,
+            control.leadership,
+            calls,
+            CallBudget(settings.calls_per_s * RATE_SHARE, 0.0),
+            windows,
+            clock.now_s,
+            decisions,
+            holder=holder,
+            due_s=settings.usage_due_s,
+        )
+
+    async def run(self) -> None:
+        """Count and report until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._sync.run())
+            group.create_task(self.meter.run())
+            group.create_task(self._reporter.run())
+
+    async def answer_peer(self, sender: str, method: str, payload: bytes) -> bytes:
+        """Answer another daemon's question; raises PeerCallFailed."""
+        if method == COUNT_METHOD:
+            return await self._channel.answer(payload)
+        if method == CLOCK_METHOD:
+            return self._sync.answer()
+        raise PeerCallFailed("unknown question", peer_code="unknown_method")
--- /dev/null
+++ b/passgate/duties/windows.py
@@ -0,0 +1,24 @@
+"""Windows of the wall clock by which usage is reported.
+
+>>> windows = UsageWindows(length_s=5.0)
+>>> windows.at(1_000_003.0), windows.end_s(200_000)
+(200000, 1000005.0)
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class UsageWindows(msgspec.Struct, frozen=True, kw_only=True):
+    """Numbers of windows: window ``k`` begins ``k`` lengths after the start of 1970."""
+
+    length_s: float
+
+    def at(self, wall_s: float) -> int:
+        """Return the window of a time of day."""
+        return int(wall_s // self.length_s)
+
+    def end_s(self, window: int) -> float:
+        """Return the time of day at which a window ends."""
+        return (window + 1) * self.length_s
--- a/passgate/gateway/daemon.py
+++ b/passgate/gateway/daemon.py
@@ -27,6 +27,9 @@
     DependencyRegained,
     SettingsReloaded,
 )
+from passgate.duties.calls import DutyCalls
+from passgate.duties.service import Duties
+from passgate.duties.usage_fold import UsageFold
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -80,6 +83,8 @@
 LEADING_PARTS = 3
 """Daemons that watch one of the first partitions may lead: so many in each zone."""
 CONFIGURED_STEP_S = 0.05
+DUTY_METHODS = "duties."
+"""Questions between daemons whose method begins so are about duties."""
 
 
 class LogTopics(msgspec.Struct, frozen=True, kw_only=True):
@@ -107,6 +112,7 @@
         control: ReplicaControl,
         decoder: ReplicaDecoder,
         peers: PeerTransport,
+        duty_calls: DutyCalls | None = None,
     ) -> None:
         self.settings = settings
         self.http = http
@@ -164,6 +170,7 @@
             record_bytes=settings.max_record_bytes,
             append_bytes=settings.max_append_bytes,
         )
+        usage = UsageFold()
         self._control = ControlTopic(
             log,
             topics.control,
@@ -171,6 +178,7 @@
             lambda: any(part < LEADING_PARTS for part in self._member.held()),
             self.decisions,
             lease_s=settings.lease_s,
+            folds=(usage,),
         )
         shard_settings = ShardSettings(
             topic=topics.jobs,
@@ -181,6 +189,19 @@
             retention_s=settings.job_retention_s,
         )
         self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
+        self._duties: Duties | None = None
+        if settings.duties is not None and duty_calls is not None:
+            self._duties = Duties(
+                settings.duties,
+                duty_calls,
+                self._control,
+                usage,
+                peers,
+                self._directory,
+                self.decisions,
+                member=member,
+                holder=settings.daemon_id,
+            )
         self._configuration_peers = ConfigurationPeers(
             peers,
             lambda: self._directory.others(member),
@@ -189,8 +210,11 @@
             self.put_config,
             self.decisions,
         )
-        self.forwarder = Forwarder(caller, self.replicas, names, self.decisions, self.config)
-        self.stream_forwarder = StreamForwarder(caller, self.replicas, names, self.decisions, self.config)
+        meter = self._duties.meter if self._duties is not None else None
+        self.forwarder = Forwarder(caller, self.replicas, names, self.decisions, self.config, meter)
+        self.stream_forwarder = StreamForwarder(
+            caller, self.replicas, names, self.decisions, self.config, meter
+        )
         job_peers = JobPeers(peers, self._directory, member, self.decisions)
         self.shards = JobShards(
             log,
@@ -350,8 +374,12 @@
             group.create_task(self._directory.keep_known())
             group.create_task(self._loader.run())
             group.create_task(self._configuration_peers.run())
+            if self._duties is not None:
+                group.create_task(self._duties.run())
 
     async def _answer_peer(self, sender: str, method: str, payload: bytes) -> bytes:
+        if self._duties is not None and method.startswith(DUTY_METHODS):
+            return await self._duties.answer_peer(sender, method, payload)
         if method == CONFIGURATION_METHOD:
             return self._configuration_peers.answer(payload)
         return await self.jobs.answer_peer(sender, method, payload)
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -43,7 +43,8 @@
     """A whole answer that reports a failure; given when nothing better comes."""
 
 
-Running = dict[asyncio.Task[ReplicaAnswer], ReplicaState]
+Running = dict[asyncio.Task[ReplicaAnswer], float]
+"""Attempts that are under way, with the time of day at which each was sent."""
 
 
 class Forwarder(ForwarderBase):
@@ -78,6 +79,7 @@
                 if running and self._may_hedge(forwarding):
                     self._send(forwarding, running, self._choose(forwarding))
         finally:
+            self._count_unfinished(forwarding, running)
             await cancel_all(running)
 
     async def _send_next(self, forwarding: Forwarding, running: Running) -> bool:
@@ -111,7 +113,7 @@
             return
         self._note_sent(forwarding, state)
         call = self._caller.call(state, self._replica_request(forwarding))
-        running[asyncio.get_running_loop().create_task(call)] = state
+        running[asyncio.get_running_loop().create_task(call)] = self._usage_now_s()
 
     async def _wait(self, forwarding: Forwarding, running: Running) -> None:
         until_s = forwarding.limit_s
@@ -122,8 +124,10 @@
 
     def _collect(self, forwarding: Forwarding, running: Running, outcome: _Outcome) -> ReplicaAnswer | None:
         for task in [task for task in running if task.done()]:
-            del running[task]
+            sent_at_s = running.pop(task)
             error = task.exception()
+            if _has_run(error):
+                self._count_run(forwarding, sent_at_s)
             if error is None:
                 answer = task.result()
                 if self._is_final(forwarding, answer):
@@ -137,6 +141,11 @@
                 raise error
         return None
 
+    def _count_unfinished(self, forwarding: Forwarding, running: Running) -> None:
+        """Count the attempts that are cut off because another one, or nobody, is waited for."""
+        for sent_at_s in running.values():
+            self._count_run(forwarding, sent_at_s)
+
     def _is_final(self, forwarding: Forwarding, answer: ReplicaAnswer) -> bool:
         if answer.status >= SERVER_ERROR:
             return not (forwarding.repeatable and forwarding.attempts_left)
@@ -157,3 +166,8 @@
         if running or forwarding.may_have_run:
             return DeadlineExceeded("time limit is over", execution=ExecutionStatus.UNKNOWN)
         return refusal("no replica in time")
+
+
+def _has_run(error: BaseException | None) -> bool:
+    """Whether an attempt that ended so was begun, as far as that is known."""
+    return not isinstance(error, PassgateError) or error.execution is not ExecutionStatus.NOT_RUN
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import msgspec
 
 from passgate.clock import monotonic_s
@@ -35,6 +37,8 @@
     """Loop time at which the caller leaves."""
     tried: list[str] = []
     may_have_run: bool = False
+    counted: bool = False
+    """Whether usage counts the request already."""
     last_event_id: str = ""
     """Identifier of the last event that the caller has."""
 
@@ -54,6 +58,18 @@
         return self.attempts_left and (self.repeatable or not self.may_have_run)
 
 
+class RunCounter(Protocol):
+    """Counts the runs of tenants' requests."""
+
+    def now_s(self) -> float:
+        """Return the time of day, to be given to :meth:`began` later."""
+        ...
+
+    def began(self, tenant: str | None, at_s: float) -> None:
+        """Count a request that a replica began at a time of day."""
+        ...
+
+
 class ForwarderBase:
     """Begins, sends and ends forwarded requests."""
 
@@ -64,7 +80,9 @@
         names: HeaderNames,
         decisions: DecisionLog,
         config: ConfigHolder,
+        usage: RunCounter | None = None,
     ) -> None:
+        self._usage = usage
         self._config = config
         self._caller = caller
         self._replicas = replicas
@@ -140,6 +158,14 @@
             )
         )
 
+    def _usage_now_s(self) -> float:
+        return self._usage.now_s() if self._usage is not None else 0.0
+
+    def _count_run(self, forwarding: Forwarding, sent_at_s: float) -> None:
+        """Count a request that a replica has begun."""
+        if self._usage is not None:
+            self._usage.began(forwarding.caller.tenant, sent_at_s)
+
     def _note_end(self, forwarding: Forwarding, status: int, reason: str) -> None:
         self._decisions.write(
             ForwardEnded(
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -5,6 +5,24 @@
 import msgspec
 
 
+class DutySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Singleton duties towards the platform; times in seconds."""
+
+    address: str
+    """``IP:PORT`` that takes the calls of duties."""
+    calls_per_s: float = 50.0
+    """Calls that all daemons together may make."""
+    usage: bool = False
+    """Whether usage is to be reported."""
+    scaling: bool = False
+    """Whether replicas are to be ordered."""
+    usage_window_s: float = 5.0
+    usage_due_s: float = 10.0
+    """Time after the end of a window within which its report is due."""
+    fences_checked: bool = True
+    """Whether the platform refuses calls with a lower fence than it has seen."""
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
     """What a daemon knows at its start; times in seconds."""
 
@@ -35,5 +53,7 @@
     fail_closed: bool = False
     """Whether requests are refused once the configuration may be older than ``configuration_age_s``."""
     configuration_age_s: float = 5.0
+    duties: DutySettings | None = None
+    """None where the platform asks for none."""
     cores: float = 1.0
     """Processor time that the daemon may use, in cores of ordinary speed."""
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -128,6 +128,7 @@
             for block in whole:
                 stream.last_event_id = event_id(block) or stream.last_event_id
             if whole:
+                self._count_stream(stream)
                 now_s = monotonic_s()
                 if event_at_s:
                     exchange.observe_pace((now_s - event_at_s) / len(whole))
@@ -140,6 +141,12 @@
             raise IncompleteAnswer("the stream broke off")
         exchange.succeeded_stream()
 
+    def _count_stream(self, stream: Forwarding) -> None:
+        """Count a stream with its first event, which is when a replica begins it."""
+        if not stream.counted:
+            stream.counted = True
+            self._count_run(stream, self._usage_now_s())
+
     def _leaves(self, stream: Forwarding, exchange: ReplicaExchange) -> bool:
         """Whether a resumable stream had better go on at another replica."""
         if not stream.route.resumable or not stream.may_go_on:
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -1,4 +1,4 @@
-"""Records on the shared log: of batch jobs, and of the lead.
+"""Records on the shared log: of batch jobs, of the lead, and of the duties that go with it.
 
 One log record is a batch: its writer and some entries, as compressed JSON.
 
@@ -171,6 +171,34 @@
     items: int
 
 
+Counts = dict[str, int]
+"""Tenant to number of requests."""
+
+
+class UsageCounted(Entry, tag="usage"):
+    """Requests that replicas began in one window, as one daemon counted them since its last count."""
+
+    meter: str
+    """Life of the daemon that counted."""
+    number: int
+    """Numbers that daemon's counts; a repeated record counts once."""
+    window: int
+    counts: Counts
+
+
+class UsageCommitted(Entry, tag="usage_commit"):
+    """The report of a window, before it is first sent; whoever reports sends exactly this."""
+
+    window: int
+    counts: Counts
+
+
+class UsageReported(Entry, tag="usage_sent"):
+    """The platform accepted the report of a window."""
+
+    window: int
+
+
 AnyEntry = (
     JobPart
     | JobClaimed
@@ -181,6 +209,9 @@
     | WriterStopped
     | WriterAlive
     | JobNoted
+    | UsageCounted
+    | UsageCommitted
+    | UsageReported
 )
 
 
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -14,6 +14,7 @@
 from passgate.peers.peer_transport import TcpPeerTransport, parse_address
 from passgate.platform import names
 from passgate.platform.beliefs import Beliefs, PlatformReplicaDecoder
+from passgate.platform.duty_calls import PlatformDutyCalls
 from passgate.platform.front import Front, PlatformReplicaControl
 from passgate.platform.log_client import PlatformLog
 from passgate.platform.settings import SettingsWatcher, read_settings, settings_path
@@ -34,8 +35,9 @@
     control = PlatformReplicaControl(http)
     host, port = parse_address(settings.peer_address)
     peers = TcpPeerTransport(host, port)
+    duty_calls = PlatformDutyCalls(http, settings.duties.address) if settings.duties is not None else None
     daemon = GatewayDaemon(
-        settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder(), peers
+        settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder(), peers, duty_calls
     )
     beliefs = Beliefs(daemon)
     daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.take_operator, beliefs.take_operator)
--- /dev/null
+++ b/passgate/platform/duty_calls.py
@@ -0,0 +1,53 @@
+"""Calls of singleton duties in the platform's form."""
+
+from __future__ import annotations
+
+import msgspec
+
+from passgate.clients.calls import HttpCall, SendPolicy
+from passgate.clients.curl import HttpClient
+from passgate.duties.calls import DutyCalls, DutyOutcome, UsageReport
+from passgate.errors import PassgateError
+from passgate.platform import names
+
+CALL_TIMEOUT_S = 1.0
+"""Well within a lease of 3 s, so that a new holder's first call comes later than the last one's end."""
+OUTCOMES = {200: DutyOutcome.ACCEPTED, 409: DutyOutcome.REFUSED}
+
+
+class _Usage(msgspec.Struct):
+    window: int
+    counts: dict[str, int]
+
+
+class PlatformDutyCalls(DutyCalls):
+    """Sends the calls over HTTP."""
+
+    def __init__(self, http: HttpClient, address: str) -> None:
+        self._http = http
+        self._address = address
+
+    async def report_usage(self, report: UsageReport) -> DutyOutcome:
+        """Send the report of a window."""
+        document = _Usage(window=report.window, counts=dict(report.counts))
+        return await self._call(names.USAGE_PATH, document, report.holder, report.fence)
+
+    async def _call(self, path: str, document: msgspec.Struct, holder: str, fence: int) -> DutyOutcome:
+        call = HttpCall(
+            method="POST",
+            url=f"http://{self._address}{path}",
+            headers={
+                names.DUTY_HOLDER: holder,
+                names.DUTY_FENCE: str(fence),
+                "Content-Type": "application/json",
+            },
+            body=msgspec.json.encode(document),
+            send=SendPolicy.ONCE,
+            timeout_s=CALL_TIMEOUT_S,
+            control=True,
+        )
+        try:
+            answer = await self._http.fetch(call)
+        except PassgateError:
+            return DutyOutcome.UNKNOWN  # the caller notes the outcome and calls again
+        return OUTCOMES.get(answer.status, DutyOutcome.UNKNOWN)
--- a/passgate/platform/names.py
+++ b/passgate/platform/names.py
@@ -29,6 +29,13 @@
 REPORT_PATH = "/-/report"
 ORDER_PATH = "/-/order"
 
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
+DUTY_HOLDER = "X-Duty-Holder"
+DUTY_FENCE = "X-Fence-Token"
+USAGE_DUTY = "usage"
+SCALING_DUTY = "autoscale"
+
 APPEND_PATH = "/-/log-append"
 READ_PATH = "/-/log-read"
 NEWEST_PATH = "/-/log-newest"
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -11,7 +11,7 @@
 
 from passgate.errors import SettingsError
 from passgate.gateway.daemon import GatewayDaemon
-from passgate.gateway.settings import GatewaySettings
+from passgate.gateway.settings import DutySettings, GatewaySettings
 from passgate.platform import names
 from passgate.platform.log_client import PlatformLog
 
@@ -34,6 +34,9 @@
     statusS: float = 120.0  # noqa: N815
     failClosed: bool = False  # noqa: N815
     revokeMs: float = 5000.0  # noqa: N815
+    usageWindowS: float = 5.0  # noqa: N815
+    usageLateS: float = 10.0  # noqa: N815
+    fencingEnforced: bool = True  # noqa: N815
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -44,6 +47,12 @@
     call_bytes: int = 2_097_152
 
 
+class _Cloud(msgspec.Struct, frozen=True):
+    address: str
+    dutyPerS: float = 50.0  # noqa: N815
+    duties: tuple[str, ...] = ()
+
+
 class _Limits(msgspec.Struct, frozen=True):
     maxFds: int = 8200  # noqa: N815
     cpuShare: float = 1.0  # noqa: N815
@@ -60,6 +69,7 @@
     portRange: tuple[int, ...] = ()  # noqa: N815  (name of the platform)
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    cloud: _Cloud | None = None
     limits: _Limits = _Limits()
 
 
@@ -92,6 +102,22 @@
         cores=node.limits.cpuShare * node.limits.cores,
         fail_closed=node.bounds.failClosed,
         configuration_age_s=node.bounds.revokeMs / 1000,
+        duties=_duties(node),
+    )
+
+
+def _duties(node: _Node) -> DutySettings | None:
+    cloud = node.cloud
+    if cloud is None:
+        return None
+    return DutySettings(
+        address=cloud.address,
+        calls_per_s=cloud.dutyPerS,
+        usage=names.USAGE_DUTY in cloud.duties,
+        scaling=names.SCALING_DUTY in cloud.duties,
+        usage_window_s=node.bounds.usageWindowS,
+        usage_due_s=node.bounds.usageLateS,
+        fences_checked=node.bounds.fencingEnforced,
     )
 
 
--- a/passgate/versions/control.py
+++ b/passgate/versions/control.py
@@ -1,4 +1,4 @@
-"""The control topic: who leads, and what new jobs need.
+"""The control topic: who leads, what new jobs need, and the records of duties.
 
 Only a few daemons follow it, as only they may lead.
 """
@@ -7,14 +7,15 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import msgspec
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, RecordUnreadable
 from passgate.jobs.journal import Journal
-from passgate.jobs.records import WriterStopped, decode_batch
+from passgate.jobs.records import Batch, WriterStopped, decode_batch
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import FollowedTail, RecordTail, TailSettings
 from passgate.versions.lead_fold import LeadFold
@@ -25,6 +26,18 @@
 """Pause between reads."""
 
 
+class ControlFold(Protocol):
+    """Further state that is folded from the control topic."""
+
+    def begin(self, first_offset: int) -> None:
+        """Note the offset of the first record that is read."""
+        ...
+
+    def apply(self, writer: str, entry: object, *, leads: bool) -> None:
+        """Take an entry of the log; ``leads`` tells whether its writer led at that place."""
+        ...
+
+
 class ControlTopic:
     """This daemon's part in the control topic."""
 
@@ -37,7 +50,10 @@
         decisions: DecisionLog,
         *,
         lease_s: float,
+        folds: Sequence[ControlFold] = (),
     ) -> None:
+        self._folds = folds
+        self._began = False
         self.fold = LeadFold()
         self.journal = journal
         self._may_lead = may_lead
@@ -69,6 +85,10 @@
 
     def _apply(self, page: LogPage) -> None:
         now_s = monotonic_s()
+        if not self._began:
+            self._began = True
+            for fold in self._folds:
+                fold.begin(page.start)
         for index, record in enumerate(page.records):
             offset = page.start + index
             try:
@@ -77,5 +97,12 @@
                 self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
                 continue
             self.fold.apply(offset, batch, now_s)
+            self._apply_to_folds(batch)
             if batch.writer == self.journal.writer:
                 self.leadership.read_back(batch)
+
+    def _apply_to_folds(self, batch: Batch) -> None:
+        leads = batch.writer == self.fold.leader
+        for entry in batch.entries:
+            for fold in self._folds:
+                fold.apply(batch.writer, entry, leads=leads)
