--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -50,7 +50,6 @@
     "watch": Command("passgate.operator_commands", "watch", "show which daemon has which revision"),
     "explain": Command("passgate.explain", "run", "the life of one request, job or item from logs"),
     "demo": Command("passgate.demo", "demo", "run both example deployments on this machine"),
-    "overhead": Command("passgate.overhead", "overhead", "measure the path through one daemon"),
     "lab": Command("passgate.lab.cli", "LabCommands", "experiments in the emulator"),
     "check": Command("passgate.check.cli", "CheckCommands", "model and history checks"),
     "plan": Command("passgate.plan_commands", "PlanCommands", "plans shown before they are carried out"),
--- a/passgate/rollout/cli.py
+++ b/passgate/rollout/cli.py
@@ -16,8 +16,14 @@
 from rich.table import Table
 
 from passgate.errors import InvalidRequest
-from passgate.rollout.hollow_fleet import make_views
-from passgate.rollout.plan import PlanRequest, PlatformRates, RolloutPlan, best_distribution, make_plan
+from passgate.rollout.plan import (
+    PlanRequest,
+    PlatformRates,
+    RolloutPlan,
+    best_distribution,
+    make_plan,
+    make_views,
+)
 from passgate.rollout.swap_modes import swap_mode
 from passgate.rollout.types import DistributionSettings, RolloutSettings, RolloutTarget
 
--- a/passgate/rollout/plan.py
+++ b/passgate/rollout/plan.py
@@ -265,3 +265,15 @@
             from_store=sum(order.source == STORE_SOURCE for order in stages),
             from_other_zone=sum(self._model.crosses(order) for order in stages),
         )
+
+
+def make_views(replicas: int, zones: int) -> list[ReplicaView]:
+    """Return replicas spread evenly over zones, with made-up addresses."""
+    return [
+        ReplicaView(
+            replica_id=f"e{number:04d}",
+            address=f"10.{number // 250}.{number % 250}.1:9000",
+            zone=f"z{number % zones:02d}",
+        )
+        for number in range(replicas)
+    ]
--- a/passgate/lab/control_cluster.py
+++ b/tests/membership_cluster.py
@@ -31,7 +31,8 @@
 from passgate.membership.configuration_sync import ConfigurationSync
 from passgate.membership.messages import MemberInfo
 from passgate.peers.memory_transport import MemoryNetwork
-from passgate.state.configuration import ConfigurationService
+from passgate.schema import MachineRole
+from passgate.state.configuration import ConfigurationService, PoolSpec
 from passgate.state.memory_log import MemoryLog, MemoryLogClient
 
 POLL_S = 0.05
@@ -168,3 +169,11 @@
             raise DeadlineExceeded("the condition did not come to hold")
         await asyncio.sleep(POLL_S)
     return monotonic_s() - start_s
+
+
+async def change(daemon: HollowDaemon, number: int) -> float:
+    """Put a pool through one daemon; return when it was accepted."""
+    spec = PoolSpec(selector="tier=gold", role=MachineRole.ENGINE, model="model")
+    labels = {"tier": "gold", "change": str(number)}
+    await daemon.service.put("Pool", f"pool-{number % 50}", labels, spec, None, timeout_s=10.0)
+    return monotonic_s()
--- a/passgate/rollout/hollow_fleet.py
+++ b/tests/rollout_fleet.py
@@ -276,15 +276,3 @@
         if not self.settings.cut_through or fetch is None:
             raise PlatformError("the source has no such version", reason="absent")
         await fetch.reach(size)
-
-
-def make_views(replicas: int, zones: int) -> list[ReplicaView]:
-    """Return replicas spread evenly over zones, with made-up addresses."""
-    return [
-        ReplicaView(
-            replica_id=f"e{number:04d}",
-            address=f"10.{number // 250}.{number % 250}.1:9000",
-            zone=f"z{number % zones:02d}",
-        )
-        for number in range(replicas)
-    ]
--- a/passgate/rollout/hollow_run.py
+++ b/tests/rollout_fleet_run.py
@@ -22,12 +22,13 @@
 from passgate.clock import monotonic_s
 from passgate.emulator.parameters import StoreParameters
 from passgate.emulator.weight_store import EmulatedWeightStore
-from passgate.rollout.hollow_fleet import HollowFleet, HollowSettings, make_views
 from passgate.rollout.manager import RolloutManager
 from passgate.rollout.order_sender import OrderTimes
+from passgate.rollout.plan import make_views
 from passgate.rollout.types import ReplicaView, RolloutSettings, RolloutTarget
 from passgate.state.leases import LeaseService
 from passgate.state.memory_log import MemoryLog, MemoryLogClient
+from tests.rollout_fleet import HollowFleet, HollowSettings
 
 __all__ = ["HollowDaemon", "HollowRun", "make_views"]
 
--- a/tests/test_membership_agent.py
+++ b/tests/test_membership_agent.py
@@ -1,6 +1,8 @@
+import asyncio
+
 from passgate.clock import new_virtual_loop
-from passgate.lab.control_cluster import ClusterShape, HollowCluster
 from passgate.membership.config import MembershipConfig
+from tests.membership_cluster import ClusterShape, HollowCluster, until
 
 
 def with_cluster(scenario, daemons: int, zones: int, seed: int = 7) -> None:
@@ -36,9 +38,20 @@
     with_cluster(scenario, daemons=12, zones=3)
 
 
-def test_change_listeners_hear_of_a_death_once():
-    import asyncio
+def test_loss_of_a_zone_is_known_to_every_survivor():
+    async def scenario(cluster):
+        await cluster.start_settled()
+        victims = [daemon for daemon in cluster.daemons if daemon.zone == "zone-00"]
+        await asyncio.gather(*(victim.kill() for victim in victims))
+        survivors = cluster.living()
+        assert (len(victims), len(survivors)) == (3, 6)
+        gone = {victim.member_id for victim in victims}
+        await until(lambda: not any(other.agent.is_alive(name) for other in survivors for name in gone), 60.0)
 
+    with_cluster(scenario, daemons=9, zones=3, seed=1)
+
+
+def test_change_listeners_hear_of_a_death_once():
     async def scenario(cluster):
         await cluster.start_settled()
         watcher, victim, *_ = cluster.daemons
--- a/tests/test_membership_configuration.py
+++ b/tests/test_membership_configuration.py
@@ -4,9 +4,8 @@
 
 from passgate.clock import new_virtual_loop
 from passgate.errors import DeadlineExceeded, PeerCallFailed, PeerUnreachable
-from passgate.lab.control_cluster import ClusterShape, HollowCluster, HollowDaemon, until
-from passgate.lab.control_cost import change
 from passgate.membership.configuration_sync import RECORDS_METHOD
+from tests.membership_cluster import ClusterShape, HollowCluster, HollowDaemon, change, until
 
 TIMEOUT_S = 30.0
 
@@ -48,6 +47,26 @@
     with_cluster(scenario)
 
 
+def test_change_is_in_force_after_a_zone_cut_while_the_zone_can_not_read_the_log():
+    in_force_s = 19.0
+
+    async def scenario(cluster):
+        inside = [daemon for daemon in cluster.daemons if daemon.zone == "zone-00"]
+        writer = next(daemon for daemon in cluster.daemons if daemon not in inside)
+        before = [daemon.revision for daemon in cluster.daemons]
+        cluster.network.cut(lambda _address, zone: zone == "zone-00")
+        await set_log(cluster, inside, down=True)
+        await change(writer, 1)
+        await asyncio.sleep(60.0)
+        assert all(daemon.revision < writer.revision for daemon in inside)
+        cluster.network.heal()
+        await until(lambda: all(daemon.revision >= writer.revision for daemon in inside), in_force_s)
+        assert all(daemon.revision >= old for daemon, old in zip(cluster.daemons, before, strict=True))
+        assert sum(pulls(daemon) for daemon in inside) > 0
+
+    with_cluster(scenario, daemons=6)
+
+
 def test_peers_are_not_asked_while_the_log_brings_changes():
     async def scenario(cluster):
         # Peers tell of a change sooner than these daemons' log clients bring it.
--- a/tests/test_rollout_manager.py
+++ b/tests/test_rollout_manager.py
@@ -8,11 +8,12 @@
 from passgate.emulator.engine_events import SwapFailure
 from passgate.emulator.parameters import StoreParameters
 from passgate.errors import OrderRefused
-from passgate.rollout.hollow_fleet import HollowSettings
-from passgate.rollout.hollow_run import ROLE, HollowRun, make_views
+from passgate.rollout.plan import make_views
 from passgate.rollout.seeds import seed_chain
 from passgate.rollout.types import RolloutSettings
 from passgate.schema import EngineOrder, OrderKind
+from tests.rollout_fleet import HollowSettings
+from tests.rollout_fleet_run import ROLE, HollowRun
 
 LIMIT_S = 120.0
 
--- a/tests/test_rollout_service.py
+++ b/tests/test_rollout_service.py
@@ -9,7 +9,6 @@
 from passgate.emulator.parameters import StoreParameters
 from passgate.emulator.weight_store import EmulatedWeightStore
 from passgate.records import ObjectPut, Record
-from passgate.rollout.hollow_fleet import HollowFleet, HollowSettings
 from passgate.rollout.types import ReplicaView
 from passgate.routing.replica_directory import ReplicaDirectory
 from passgate.schema import MachineInfo, MachineRole
@@ -17,6 +16,7 @@
 from passgate.state.configuration_state import ConfigurationState
 from passgate.state.leases import LeaseService
 from passgate.state.memory_log import MemoryLog, MemoryLogClient
+from tests.rollout_fleet import HollowFleet, HollowSettings
 
 LIMIT_S = 60.0
 
