--- a/passgate/gateway/daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import secrets
 from collections.abc import Callable
 
@@ -16,20 +15,19 @@
 from passgate.clients.calls import HttpLimits
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
+from passgate.daemon.planned_stop import RELEASE_WAIT_S, PlannedStop
 from passgate.decisions import (
     ConfigurationInForce,
     ConfigurationRejected,
     DaemonStarted,
-    DaemonStopped,
-    DaemonStopping,
     DecisionLog,
     DependencyLost,
     DependencyRegained,
     SettingsReloaded,
 )
 from passgate.duties.calls import DutyCalls
+from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
-from passgate.duties.usage_fold import UsageFold
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -68,17 +66,6 @@
 MAX_BUFFERED_BYTES = 32 * 1024
 WATCH_S = 0.1
 FLUSH_S = 0.2
-NOTICE_S = 3.0
-"""Time after SIGTERM within which the platform still sends new connections."""
-RELEASE_WAIT_S = 5.0
-"""Longest time after SIGTERM for which the log is waited for to hand over jobs."""
-LAST_ANSWERS_S = 0.7
-"""Time for requests in flight once new ones are refused; plain requests take 0.2 s at most when calm."""
-CLOSE_S = 0.3
-"""Time for connections to close."""
-STOP_RESERVE_S = LAST_ANSWERS_S + CLOSE_S + 0.2
-"""Part of the grace that is left for ending; the remainder is for the process to exit."""
-STOP_STEP_S = 0.05
 LOG_LOST_S = 2.5
 LEADING_PARTS = 3
 """Daemons that watch one of the first partitions may lead: so many in each zone."""
@@ -162,6 +149,8 @@
             candidacy=candidacy,
             least_lifetime_s=settings.group_lifetime_s,
         )
+        self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
+        job_peers = JobPeers(peers, self._directory, member, self.decisions)
         journal = Journal(
             log,
             topics.control,
@@ -170,7 +159,7 @@
             record_bytes=settings.max_record_bytes,
             append_bytes=settings.max_append_bytes,
         )
-        usage = UsageFold()
+        duty_folds = DutyFolds()
         self._control = ControlTopic(
             log,
             topics.control,
@@ -178,7 +167,7 @@
             lambda: any(part < LEADING_PARTS for part in self._member.held()),
             self.decisions,
             lease_s=settings.lease_s,
-            folds=(usage,),
+            folds=(duty_folds,),
         )
         shard_settings = ShardSettings(
             topic=topics.jobs,
@@ -188,17 +177,18 @@
             append_bytes=settings.max_append_bytes,
             retention_s=settings.job_retention_s,
         )
-        self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
         self._duties: Duties | None = None
         if settings.duties is not None and duty_calls is not None:
             self._duties = Duties(
                 settings.duties,
                 duty_calls,
                 self._control,
-                usage,
+                duty_folds,
                 peers,
                 self._directory,
                 self.decisions,
+                config=self.config,
+                replicas=self.replicas,
                 member=member,
                 holder=settings.daemon_id,
             )
@@ -215,7 +205,6 @@
         self.stream_forwarder = StreamForwarder(
             caller, self.replicas, names, self.decisions, self.config, meter
         )
-        job_peers = JobPeers(peers, self._directory, member, self.decisions)
         self.shards = JobShards(
             log,
             shard_settings,
@@ -338,7 +327,7 @@
         self._ready_server = Ingress(probe_handler(self.ready, self._exposition))
         self._front.listen(self.settings.front_address)
         self._ready_server.listen(self.settings.ready_address)
-        self.decisions.write(DaemonStarted(start_id=self.start_id, zone=self.settings.zone))
+        self.decisions.write(self._started_event())
         self._peers.start(_ignore_message, self._answer_peer)
         background = [
             self._discovery.run(),
@@ -350,13 +339,28 @@
             async with asyncio.TaskGroup() as group:
                 tasks = [group.create_task(part) for part in background]
                 await self._stop.wait()
-                await self._wind_down()
+                await PlannedStop(
+                    self._front,
+                    self.life,
+                    self._hand_over,
+                    self._flush_counts,
+                    self.decisions,
+                    grace_s=self.settings.stop_grace_s,
+                ).run()
                 for task in tasks:
                     task.cancel()
         finally:
             await self._peers.close()
         self.decisions.flush()
 
+    def _started_event(self) -> DaemonStarted:
+        duties = self.settings.duties
+        return DaemonStarted(
+            start_id=self.start_id,
+            zone=self.settings.zone,
+            scaling_policy=duties.scaling.value if duties is not None else "",
+        )
+
     def _exposition(self) -> bytes:
         self.metrics.log_age.set(self._log_age_s())
         self.metrics.in_flight.set(self._front.in_flight)
@@ -404,42 +408,16 @@
             self.life.send("log_back")
             self.decisions.write(DependencyRegained(dependency="log"))
 
-    async def _wind_down(self) -> None:
-        began_s = monotonic_s()
-        self.decisions.write(DaemonStopping(in_flight=self._front.in_flight))
-        self.life.send("announced")
-        self._front.close_after_answers()
-        handing_over = asyncio.get_running_loop().create_task(self._hand_over())
-        end_s = began_s + self.settings.stop_grace_s - STOP_RESERVE_S
-        while monotonic_s() < end_s:
-            await asyncio.sleep(STOP_STEP_S)
-            waited_s = monotonic_s() - began_s
-            handed_over = handing_over.done() or waited_s >= RELEASE_WAIT_S
-            if handed_over and self._front.in_flight == 0 and waited_s >= NOTICE_S:
-                break
-        # From here on nothing is begun: what arrives while connections are closed is refused.
-        self._front.refuse_new()
-        self._front.stop_listening()
-        await self._wait_for_answers(monotonic_s() + LAST_ANSWERS_S)
-        self.life.send("finished")
-        after_s = round(monotonic_s() - began_s, 3)
-        self.decisions.write(DaemonStopped(in_flight=self._front.in_flight, after_s=after_s))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CLOSE_S):
-                await self._front.close()
-        self.life.send("handed_over")
-
-    async def _wait_for_answers(self, until_s: float) -> None:
-        """Let requests that were begun before the daemon refused new ones get their answers."""
-        while self._front.in_flight and monotonic_s() < until_s:
-            await asyncio.sleep(STOP_STEP_S)
-
     async def _hand_over(self) -> None:
         """Free all that is owned, then leave the group."""
         stands = [*self.shards.stop(), self._control.stop()]
         await asyncio.wait(stands, timeout=RELEASE_WAIT_S)
         await self._member.leave()
 
+    async def _flush_counts(self) -> None:
+        if self._duties is not None:
+            await self._duties.meter.flush()
+
 
 def _ignore_message(sender: str, payload: bytes) -> None:
     """Daemons of the platform ask questions only."""
--- a/passgate/decisions.py
+++ b/passgate/decisions.py
@@ -49,6 +49,8 @@
 
     start_id: str
     zone: str
+    scaling_policy: str = ""
+    """Empty where the platform does not let the system order replicas."""
 
 
 class DaemonStopping(Event, tag="daemon_stopping"):
@@ -381,6 +383,19 @@
     outcome: str
 
 
+class ReplicasOrderedEvent(Event, tag="replicas_ordered"):
+    """An order of replicas was sent to the platform."""
+
+    service: str
+    zone: str
+    spot: bool
+    count: int
+    present: int
+    """Replicas of that kind that were ready there."""
+    fence: int
+    outcome: str
+
+
 class LinesDropped(Event, tag="lines_dropped"):
     """Lines that did not fit into the budget since the last such line."""
 
--- a/passgate/duties/calls.py
+++ b/passgate/duties/calls.py
@@ -34,6 +34,17 @@
     fence: int
 
 
+class ReplicaOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """How many replicas of one kind a service shall have in a zone."""
+
+    service: str
+    zone: str
+    spot: bool
+    count: int
+    holder: str
+    fence: int
+
+
 class DutyCalls(Protocol):
     """Calls that an adapter makes; none raises PassgateError."""
 
@@ -41,6 +52,10 @@
         """Send the report of a window."""
         ...
 
+    async def order_replicas(self, order: ReplicaOrder) -> DutyOutcome:
+        """Order replicas; REFUSED also when none can be had there now."""
+        ...
+
 
 class CallBudget:
     """Token bucket over the calls of all duties of the holder."""
--- a/passgate/duties/service.py
+++ b/passgate/duties/service.py
@@ -9,14 +9,17 @@
 from passgate.decisions import DecisionLog
 from passgate.duties.calls import CallBudget, DutyCalls
 from passgate.duties.clock_sync import CLOCK_METHOD, ClockSync
+from passgate.duties.folds import DutyFolds
 from passgate.duties.meter import UsageMeter
+from passgate.duties.scaler import Scaler
 from passgate.duties.usage_channel import COUNT_METHOD, UsageChannel
-from passgate.duties.usage_fold import UsageFold
 from passgate.duties.usage_reporter import UsageReporter
 from passgate.duties.wall_clock import AgreedWallClock
 from passgate.duties.windows import UsageWindows
 from passgate.errors import PeerCallFailed
-from passgate.gateway.settings import DutySettings
+from passgate.gateway.replicas import ReplicaTable
+from passgate.gateway.routes import ConfigHolder
+from passgate.gateway.settings import DutySettings, ScalingPolicy
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.group import GroupDirectory
 from passgate.versions.control import ControlTopic
@@ -33,11 +36,13 @@
         settings: DutySettings,
         calls: DutyCalls,
         control: ControlTopic,
-        fold: UsageFold,
+        folds: DutyFolds,
         transport: PeerTransport,
         directory: GroupDirectory,
         decisions: DecisionLog,
         *,
+        config: ConfigHolder,
+        replicas: ReplicaTable,
         member: str,
         holder: str,
     ) -> None:
@@ -47,10 +52,12 @@
             settings: what the platform asks for.
             calls: calls to the platform.
             control: the control topic, whose leader holds the duties.
-            fold: usage as folded from that topic.
+            folds: duties as folded from that topic.
             transport: carries questions to other daemons.
             directory: the daemons of this zone that watch partitions.
             decisions: where decisions are noted.
+            config: the configuration in force.
+            replicas: the replicas that are there.
             member: this daemon's name in the directory.
             holder: this daemon's name towards the platform.
         """
@@ -60,18 +67,33 @@
         self._sync = ClockSync(clock, transport, lambda: directory.others(member))
         self._channel = UsageChannel(transport, journal, lambda: control.fold.leader, directory.member_of)
         self.meter = UsageMeter(journal.writer, windows, clock.now_s, self._channel.send)
+        budget = CallBudget(settings.calls_per_s * RATE_SHARE, 0.0)
         self._reporter = UsageReporter(
-            fold,
+            folds.usage,
             journal,
             control.leadership,
             calls,
-            CallBudget(settings.calls_per_s * RATE_SHARE, 0.0),
+            budget,
             windows,
             clock.now_s,
             decisions,
             holder=holder,
             due_s=settings.usage_due_s,
         )
+        self._scaler: Scaler | None = None
+        if settings.scaling is ScalingPolicy.WHOLE_STEPS:
+            self._scaler = Scaler(
+                folds.scaling,
+                journal,
+                control.leadership,
+                calls,
+                budget,
+                config,
+                replicas,
+                control.fold.newest_jobs,
+                decisions,
+                holder=holder,
+            )
 
     async def run(self) -> None:
         """Count and report until cancelled."""
@@ -79,6 +101,8 @@
             group.create_task(self._sync.run())
             group.create_task(self.meter.run())
             group.create_task(self._reporter.run())
+            if self._scaler is not None:
+                group.create_task(self._scaler.run())
 
     async def answer_peer(self, sender: str, method: str, payload: bytes) -> bytes:
         """Answer another daemon's question; raises PeerCallFailed."""
--- a/passgate/duties/usage_fold.py
+++ b/passgate/duties/usage_fold.py
@@ -6,10 +6,10 @@
 >>> from passgate.jobs.records import UsageCommitted, UsageCounted
 >>> fold = UsageFold()
 >>> count = UsageCounted(meter="d1.a", number=0, window=7, counts={"orchard": 2})
->>> fold.apply("d1.a", count, leads=False); fold.apply("d2.a", count, leads=False)
+>>> fold.apply(0, "d1.a", count, leads=False); fold.apply(1, "d2.a", count, leads=False)
 >>> fold.counts_of(7)
 {'orchard': 2}
->>> fold.apply("d2.a", UsageCommitted(window=7, counts={"orchard": 2}), leads=True)
+>>> fold.apply(2, "d2.a", UsageCommitted(window=7, counts={"orchard": 2}), leads=True)
 >>> fold.unreported, fold.through
 ({7: {'orchard': 2}}, 7)
 """
@@ -50,8 +50,8 @@
         """Note the offset of the first record that is read."""
         self.history_lost = first_offset > 0
 
-    def apply(self, writer: str, entry: object, *, leads: bool) -> None:
-        """Take an entry of the log; ``leads`` tells whether its writer led at that place."""
+    def apply(self, offset: int, writer: str, entry: object, *, leads: bool) -> None:
+        """Take an entry of the record at an offset; ``leads`` tells whether its writer led there."""
         match entry:
             case UsageCounted():
                 self._count(entry)
--- a/passgate/duties/usage_reporter.py
+++ b/passgate/duties/usage_reporter.py
@@ -20,8 +20,9 @@
 from passgate.versions.leadership import Leadership
 
 TICK_S = 0.1
-SEND_RESERVE_S = 3.5
-"""Part of the time in which a report is due that is left for commit, sends and a change of holder."""
+SEND_RESERVE_S = 6.5
+"""Part of the time in which a report is due that is left for a change of holder (a lease of 3 s and
+0.5 s, then its first batch) and for commit and sends, which take 1 s each when the log is slow."""
 LEAST_SETTLE_S = 1.0
 """Counts of a window are waited for at least this long after its end."""
 FIRST_PAUSE_S = 0.2
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -43,6 +43,8 @@
     zone: str
     slots: int
     draining: bool = False
+    spot: bool = False
+    """Whether the platform may take it away at short notice."""
     model_versions: dict[str, int] = {}
     """Version of the weights of each model it holds."""
 
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -73,12 +73,28 @@
         return frozenset(part.service for part in self.parts)
 
 
+class ScalingRule(msgspec.Struct, frozen=True, kw_only=True):
+    """How many replicas of a service may be ordered, and what they cost."""
+
+    least: int
+    """Fewest replicas in each zone, of both kinds together."""
+    most: int
+    boot_s: float
+    """Time from an order until its replicas serve."""
+    spot_price: float = 1.0
+    """Price of a spot replica as a share of an ordinary one."""
+    zone_prices: dict[str, float] = {}
+    """Price of a replica-second by zone; only their ratios matter."""
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """One service of the configuration."""
 
     name: str
     max_connections: int = 100
     """Connections that one of its replicas accepts from all daemons together."""
+    scaling: ScalingRule | None = None
+    """None where the number of replicas is not the system's to decide."""
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -2,9 +2,20 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 
+class ScalingPolicy(enum.Enum):
+    """How many replicas are ordered where the platform lets the system decide."""
+
+    NEVER = "never"
+    """What is there stays as it is."""
+    WHOLE_STEPS = "whole_steps"
+    """As many slots as the newest step of each model has items; see :mod:`passgate.duties.scaling_policy`."""
+
+
 class DutySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Singleton duties towards the platform; times in seconds."""
 
@@ -14,8 +25,8 @@
     """Calls that all daemons together may make."""
     usage: bool = False
     """Whether usage is to be reported."""
-    scaling: bool = False
-    """Whether replicas are to be ordered."""
+    scaling: ScalingPolicy = ScalingPolicy.NEVER
+    """Experiment; ordering for whole steps has not been shown to earn more than it costs."""
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
     """Time after the end of a window within which its report is due."""
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -199,6 +199,25 @@
     window: int
 
 
+class ReplicasDecided(Entry, tag="scale"):
+    """How many replicas of one kind a service shall have in a zone; its offset is the order's fence."""
+
+    service: str
+    zone: str
+    spot: bool
+    count: int
+
+
+class ReplicasOrdered(Entry, tag="scale_sent"):
+    """The platform accepted or refused the order of a decision."""
+
+    service: str
+    zone: str
+    spot: bool
+    decided: int
+    """Offset of the decision."""
+
+
 AnyEntry = (
     JobPart
     | JobClaimed
@@ -212,6 +231,8 @@
     | UsageCounted
     | UsageCommitted
     | UsageReported
+    | ReplicasDecided
+    | ReplicasOrdered
 )
 
 
--- a/passgate/platform/beliefs.py
+++ b/passgate/platform/beliefs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from passgate.gateway.daemon import GatewayDaemon
+from passgate.daemon.gateway_daemon import GatewayDaemon
 from passgate.gateway.discovery import ReplicaDecoder
 from passgate.gateway.replicas import ReplicaInfo
 from passgate.platform import documents, names
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -10,7 +10,15 @@
 from passgate.errors import ExecutionStatus, MalformedBody
 from passgate.gateway.access import Caller, Tenant, scoped_id
 from passgate.gateway.replicas import ReplicaInfo
-from passgate.gateway.routes import GatewayConfig, RequestLimits, Route, RouteKind, RoutePart, Service
+from passgate.gateway.routes import (
+    GatewayConfig,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutePart,
+    ScalingRule,
+    Service,
+)
 from passgate.jobs.reader import ResultPage
 from passgate.jobs.records import ItemSpec, JobSpec, RewardSpec
 from passgate.versions.loader import ReplicaReport
@@ -52,9 +60,18 @@
     public: bool = False
 
 
+class _Scaling(msgspec.Struct, frozen=True):
+    min: int
+    max: int
+    bootS: float
+    spotPrice: float = 1.0
+    zonePrices: dict[str, float] = {}
+
+
 class _Service(msgspec.Struct, frozen=True):
     name: str
     maxConns: int = 100
+    scaling: _Scaling | None = None
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -89,6 +106,7 @@
     zone: str = ""
     slots: int = 1
     state: str = "ready"
+    spot: bool = False
     models: list[_Model] = []
 
 
@@ -135,9 +153,7 @@
     return GatewayConfig(
         version=config.version,
         routes=tuple(_route(route) for route in config.routes),
-        services=tuple(
-            Service(name=service.name, max_connections=service.maxConns) for service in config.services
-        ),
+        services=tuple(_service(service) for service in config.services),
         tenants=tuple(
             Tenant(name=tenant.name, api_keys=tuple(tenant.apiKeys), priority=tenant.priority)
             for tenant in config.tenants
@@ -151,6 +167,24 @@
     )
 
 
+def _service(service: _Service) -> Service:
+    return Service(
+        name=service.name,
+        max_connections=service.maxConns,
+        scaling=_scaling(service.scaling) if service.scaling is not None else None,
+    )
+
+
+def _scaling(scaling: _Scaling) -> ScalingRule:
+    return ScalingRule(
+        least=scaling.min,
+        most=scaling.max,
+        boot_s=scaling.bootS,
+        spot_price=scaling.spotPrice,
+        zone_prices=scaling.zonePrices,
+    )
+
+
 def _route(route: _Route) -> Route:
     split = route.trafficSplit or [_Split(service=route.service)]
     return Route(
@@ -181,6 +215,7 @@
         zone=replica.zone,
         slots=replica.slots,
         draining=replica.state == DRAINING,
+        spot=replica.spot,
         model_versions={model.name: model.version for model in replica.models},
     )
 
--- a/passgate/platform/duty_calls.py
+++ b/passgate/platform/duty_calls.py
@@ -6,7 +6,7 @@
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
-from passgate.duties.calls import DutyCalls, DutyOutcome, UsageReport
+from passgate.duties.calls import DutyCalls, DutyOutcome, ReplicaOrder, UsageReport
 from passgate.errors import PassgateError
 from passgate.platform import names
 
@@ -20,6 +20,13 @@
     counts: dict[str, int]
 
 
+class _Scale(msgspec.Struct, omit_defaults=True):
+    service: str
+    zone: str
+    desired: int
+    spot: bool = False
+
+
 class PlatformDutyCalls(DutyCalls):
     """Sends the calls over HTTP."""
 
@@ -32,6 +39,11 @@
         document = _Usage(window=report.window, counts=dict(report.counts))
         return await self._call(names.USAGE_PATH, document, report.holder, report.fence)
 
+    async def order_replicas(self, order: ReplicaOrder) -> DutyOutcome:
+        """Order replicas of one kind in a zone."""
+        document = _Scale(service=order.service, zone=order.zone, desired=order.count, spot=order.spot)
+        return await self._call(names.SCALE_PATH, document, order.holder, order.fence)
+
     async def _call(self, path: str, document: msgspec.Struct, holder: str, fence: int) -> DutyOutcome:
         call = HttpCall(
             method="POST",
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -6,6 +6,7 @@
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
+from passgate.daemon.gateway_daemon import GatewayDaemon
 from passgate.decisions import RequestRefused
 from passgate.errors import (
     ExecutionStatus,
@@ -16,7 +17,6 @@
     Unauthorized,
 )
 from passgate.gateway.access import Caller, scoped_id
-from passgate.gateway.daemon import GatewayDaemon
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, json_answer
 from passgate.gateway.routes import RouteKind, RouteTable
 from passgate.platform import documents, names
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -9,9 +9,9 @@
 import msgspec
 import yaml
 
+from passgate.daemon.gateway_daemon import GatewayDaemon
 from passgate.errors import SettingsError
-from passgate.gateway.daemon import GatewayDaemon
-from passgate.gateway.settings import DutySettings, GatewaySettings
+from passgate.gateway.settings import DutySettings, GatewaySettings, ScalingPolicy
 from passgate.platform import names
 from passgate.platform.log_client import PlatformLog
 
@@ -53,6 +53,12 @@
     duties: tuple[str, ...] = ()
 
 
+class _Experiments(msgspec.Struct, frozen=True):
+    """Ways that are not in use by default; the platform's own file has no such part."""
+
+    scaling: ScalingPolicy = ScalingPolicy.NEVER
+
+
 class _Limits(msgspec.Struct, frozen=True):
     maxFds: int = 8200  # noqa: N815
     cpuShare: float = 1.0  # noqa: N815
@@ -70,6 +76,7 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     cloud: _Cloud | None = None
+    experiments: _Experiments = _Experiments()
     limits: _Limits = _Limits()
 
 
@@ -114,7 +121,7 @@
         address=cloud.address,
         calls_per_s=cloud.dutyPerS,
         usage=names.USAGE_DUTY in cloud.duties,
-        scaling=names.SCALING_DUTY in cloud.duties,
+        scaling=node.experiments.scaling if names.SCALING_DUTY in cloud.duties else ScalingPolicy.NEVER,
         usage_window_s=node.bounds.usageWindowS,
         usage_due_s=node.bounds.usageLateS,
         fences_checked=node.bounds.fencingEnforced,
--- a/passgate/versions/control.py
+++ b/passgate/versions/control.py
@@ -33,8 +33,8 @@
         """Note the offset of the first record that is read."""
         ...
 
-    def apply(self, writer: str, entry: object, *, leads: bool) -> None:
-        """Take an entry of the log; ``leads`` tells whether its writer led at that place."""
+    def apply(self, offset: int, writer: str, entry: object, *, leads: bool) -> None:
+        """Take an entry of the record at an offset; ``leads`` tells whether its writer led there."""
         ...
 
 
@@ -97,12 +97,12 @@
                 self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
                 continue
             self.fold.apply(offset, batch, now_s)
-            self._apply_to_folds(batch)
+            self._apply_to_folds(offset, batch)
             if batch.writer == self.journal.writer:
                 self.leadership.read_back(batch)
 
-    def _apply_to_folds(self, batch: Batch) -> None:
+    def _apply_to_folds(self, offset: int, batch: Batch) -> None:
         leads = batch.writer == self.fold.leader
         for entry in batch.entries:
             for fold in self._folds:
-                fold.apply(batch.writer, entry, leads=leads)
+                fold.apply(offset, batch.writer, entry, leads=leads)
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -26,8 +26,8 @@
 import fire
 
 from passgate.clients.calls import HttpCall, SendPolicy
+from passgate.daemon.gateway_daemon import make_http_client
 from passgate.errors import PassgateError
-from passgate.gateway.daemon import make_http_client
 from tests import platform_stand_ins as stand_ins
 from tests.fault_proxy import FaultProxy
 from tests.test_platform_daemon import free_address
--- /dev/null
+++ b/tests/test_duties_scaling.py
@@ -0,0 +1,214 @@
+"""Orders of replicas by the leader, against a platform that is late, silent or has none."""
+
+import asyncio
+import random
+
+import pytest
+
+from passgate.clock import monotonic_s, run_virtual
+from passgate.decisions import DecisionLog
+from passgate.duties.calls import CallBudget, DutyOutcome
+from passgate.duties.scaler import BOOT_MARGIN_S, Scaler
+from passgate.duties.scaling_fold import ScalingFold
+from passgate.duties.scaling_policy import ZoneReplicas, spread_replicas
+from passgate.emulator.shared_log import MemorySharedLog
+from passgate.gateway.replicas import ReplicaInfo, ReplicaTable
+from passgate.gateway.routes import ConfigHolder, GatewayConfig, ScalingRule, Service
+from passgate.jobs.journal import Journal
+from passgate.jobs.records import JobNoted, writer_name
+from passgate.versions.control import ControlTopic
+
+RULE = ScalingRule(least=1, most=4, boot_s=2.0, spot_price=0.2, zone_prices={"a": 1.0, "b": 0.8})
+SIZES = {"record_bytes": 262_144, "append_bytes": 2_000_000}
+LEASE_S = 3.0
+
+
+class Platform:
+    """Boots what is ordered; some calls are unanswered and carried out seconds later."""
+
+    def __init__(self, daemons, seed=0, lost=0.0):
+        self.daemons = daemons
+        self.random = random.Random(seed)
+        self.lost = lost
+        self.none_until_s = 0.0
+        self.fences = {}
+        self.holders = {}
+        self.counts = {}
+        self.calls = []
+
+    async def order_replicas(self, order):
+        if self.random.random() < self.lost:
+            asyncio.get_running_loop().call_later(self.random.choice([0.1, 3.0]), self.take, order)
+            await asyncio.sleep(1.0)
+            return DutyOutcome.UNKNOWN
+        await asyncio.sleep(0.01)
+        return self.take(order)
+
+    def take(self, order):
+        pool = (order.service, order.zone, order.spot)
+        self.calls.append((monotonic_s(), order))
+        holder = self.holders.setdefault((pool, order.fence), order.holder)
+        assert holder == order.holder, "two holders sent one fence"
+        if order.fence < self.fences.get(pool, -1) or monotonic_s() < self.none_until_s:
+            return DutyOutcome.REFUSED
+        self.fences[pool] = order.fence
+        self.counts[pool] = order.count
+        asyncio.get_running_loop().call_later(RULE.boot_s, self.boot, pool)
+        return DutyOutcome.ACCEPTED
+
+    def boot(self, pool):
+        service, zone, spot = pool
+        for number in range(self.counts[pool]):
+            info = ReplicaInfo(
+                replica_id=f"{zone}-{number}-{monotonic_s()}" if spot else f"{zone}-{number}",
+                service=service,
+                address="h:1",
+                zone=zone,
+                slots=8,
+                spot=spot,
+                model_versions={"m": 1},
+            )
+            for daemon in self.daemons:
+                present = [s for s in daemon.replicas.all() if s.info.zone == zone and s.info.spot == spot]
+                if len(present) < self.counts[pool]:
+                    daemon.replicas.put(info)
+
+    def reclaim(self, zone, for_s):
+        self.none_until_s = monotonic_s() + for_s
+        for daemon in self.daemons:
+            for state in daemon.replicas.all():
+                if state.info.zone == zone and state.info.spot:
+                    daemon.replicas.remove(state.info.replica_id)
+
+
+class Daemon:
+    def __init__(self, log, platform, name, life=0):
+        client = log.client(name)
+        writer = writer_name(name, str(life), f"{name}:7720")
+        decisions = DecisionLog(name, write=len)
+        self.fold = ScalingFold()
+        self.replicas = ReplicaTable("a", seed=1)
+        config = ConfigHolder()
+        config.offer(GatewayConfig(version=1, services=(Service(name="llm", scaling=RULE),)))
+        journal = Journal(client, "control", 0, writer, **SIZES)
+        self.control = ControlTopic(
+            client, "control", journal, lambda: True, decisions, lease_s=LEASE_S, folds=(self.fold,)
+        )
+        self.scaler = Scaler(
+            self.fold,
+            journal,
+            self.control.leadership,
+            platform,
+            CallBudget(40.0, 0.0),
+            config,
+            self.replicas,
+            self.control.fold.newest_jobs,
+            decisions,
+            holder=name,
+        )
+        for zone in ("a", "b"):
+            info = ReplicaInfo(
+                replica_id=f"{zone}-own",
+                service="llm",
+                address="h:1",
+                zone=zone,
+                slots=8,
+                model_versions={"m": 1},
+            )
+            self.replicas.put(info)
+        self.tasks = []
+
+    def start(self):
+        parts = (self.control.run(), self.scaler.run())
+        self.tasks = [asyncio.get_running_loop().create_task(part) for part in parts]
+        return self
+
+    async def kill(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def present(self):
+        return sum(1 for state in self.replicas.all())
+
+
+def world(seed=0, lost=0.0, count=3):
+    daemons = []
+    log, platform = MemorySharedLog(), Platform(daemons, seed, lost)
+    daemons.extend(Daemon(log, platform, f"d{number}").start() for number in range(count))
+    return log, platform, daemons
+
+
+def note(daemon, items):
+    daemon.control.journal.put(JobNoted(model="m", lag=1, items=items))
+
+
+def test_replicas_for_a_whole_step_are_ordered_within_the_bounds():
+    async def main():
+        _, platform, daemons = world()
+        await asyncio.sleep(2.0)
+        note(daemons[0], items=36)
+        await asyncio.sleep(8.0)
+        assert daemons[0].present() == 5
+        note(daemons[0], items=1000)
+        await asyncio.sleep(8.0)
+        assert daemons[0].present() == 2 * RULE.most
+        assert all(order.spot for _, order in platform.calls)
+
+    run_virtual(main())
+
+
+def test_nothing_is_ordered_where_what_is_there_suffices():
+    async def main():
+        _, platform, daemons = world()
+        note(daemons[0], items=16)
+        await asyncio.sleep(20.0)
+        assert platform.calls == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_late_orders_and_killed_holders_leave_one_number_and_no_shared_fence(seed):
+    async def main():
+        log, platform, daemons = world(seed, lost=0.4)
+        await asyncio.sleep(2.0)
+        for life in range(1, 4):
+            note(daemons[seed % 3], items=16 + 10 * life)
+            await asyncio.sleep(5.0)
+            leaders = [daemon for daemon in daemons if daemon.control.leadership.leads]
+            place = daemons.index(leaders[0] if leaders else daemons[0])
+            await daemons[place].kill()
+            daemons[place] = Daemon(log, platform, f"d{place}", life).start()
+        platform.lost = 0.0
+        await asyncio.sleep(20.0)
+        decided = {pool: decision.count for pool, decision in daemons[0].fold.decided.items()}
+        assert {pool.zone: count for pool, count in decided.items()} == {
+            zone: count for (_, zone, _), count in platform.counts.items()
+        }
+        assert sum(platform.counts.values()) == 4
+
+    run_virtual(main())
+
+
+def test_after_a_reclaim_replicas_are_ordered_again_without_pressing():
+    async def main():
+        _, platform, daemons = world()
+        await asyncio.sleep(2.0)
+        note(daemons[0], items=36)
+        await asyncio.sleep(10.0)
+        before = len(platform.calls)
+        for zone in ("a", "b"):
+            platform.reclaim(zone, for_s=9.0)
+        await asyncio.sleep(30.0)
+        assert daemons[0].present() == 5
+        assert len(platform.calls) - before <= 2 * 4
+
+    run_virtual(main())
+
+
+def test_what_is_added_is_spread_over_zones_up_to_the_bound():
+    present = {"a": ZoneReplicas(ordinary=3), "b": ZoneReplicas(ordinary=4)}
+    spread = spread_replicas(RULE, present, wanted=20)
+    assert spread == {"a": ZoneReplicas(ordinary=3, spot=1), "b": ZoneReplicas(ordinary=4)}
+    assert BOOT_MARGIN_S > 0
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -189,30 +189,30 @@
     fold = UsageFold()
     entry = UsageCounted(meter="d1.a", number=4, window=9, counts={"orchard": 3})
     for writer in ("d1.a", "d2.a", "d1.a"):
-        fold.apply(writer, entry, leads=False)
+        fold.apply(0, writer, entry, leads=False)
     assert fold.counts_of(9) == {"orchard": 3}
 
 
 def test_a_late_count_changes_no_committed_window_and_is_noted():
     fold = UsageFold()
-    fold.apply("d1.a", UsageCommitted(window=9, counts={"orchard": 3}), leads=True)
-    fold.apply("d2.a", UsageCounted(meter="d2.a", number=0, window=9, counts={"mill": 2}), leads=False)
+    fold.apply(0, "d1.a", UsageCommitted(window=9, counts={"orchard": 3}), leads=True)
+    fold.apply(0, "d2.a", UsageCounted(meter="d2.a", number=0, window=9, counts={"mill": 2}), leads=False)
     assert (fold.unreported, fold.counts_of(9), fold.late) == ({9: {"orchard": 3}}, {}, 2)
 
 
 def test_only_the_leader_commits_and_the_first_commit_counts():
     fold = UsageFold()
-    fold.apply("d2.a", UsageCommitted(window=9, counts={}), leads=False)
+    fold.apply(0, "d2.a", UsageCommitted(window=9, counts={}), leads=False)
     assert fold.through is None
-    fold.apply("d1.a", UsageCommitted(window=9, counts={"orchard": 3}), leads=True)
-    fold.apply("d2.a", UsageCommitted(window=9, counts={"orchard": 4}), leads=True)
+    fold.apply(0, "d1.a", UsageCommitted(window=9, counts={"orchard": 3}), leads=True)
+    fold.apply(0, "d2.a", UsageCommitted(window=9, counts={"orchard": 4}), leads=True)
     assert fold.unreported == {9: {"orchard": 3}}
 
 
 def test_without_the_oldest_records_no_counted_window_is_taken_as_uncommitted():
     fold = UsageFold()
     fold.begin(first_offset=40)
-    fold.apply("d2.a", UsageCounted(meter="d2.a", number=0, window=9, counts={"mill": 2}), leads=False)
+    fold.apply(0, "d2.a", UsageCounted(meter="d2.a", number=0, window=9, counts={"mill": 2}), leads=False)
     assert fold.first_open() is None
 
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -13,9 +13,9 @@
 import pytest
 
 from passgate.clients.calls import HttpCall, SendPolicy
+from passgate.daemon import planned_stop
+from passgate.daemon.gateway_daemon import make_http_client
 from passgate.errors import PassgateError
-from passgate.gateway import daemon as daemon_module
-from passgate.gateway.daemon import make_http_client
 from passgate.jobs import item_run
 from passgate.platform.__main__ import make_daemon
 from passgate.platform.front import Front
@@ -601,7 +601,7 @@
                 if world.task.done():
                     return
 
-    with unittest.mock.patch.object(daemon_module, "NOTICE_S", 0.3):
+    with unittest.mock.patch.object(planned_stop, "NOTICE_S", 0.3):
         callers = [asyncio.create_task(call_on(number)) for number in range(8)]
         await asyncio.sleep(0.2)
         world.daemon.stop()
@@ -635,7 +635,7 @@
                     return
 
     world.daemon.settings = msgspec.structs.replace(world.daemon.settings, stop_grace_s=2.0)
-    with unittest.mock.patch.object(daemon_module, "NOTICE_S", 0.3):
+    with unittest.mock.patch.object(planned_stop, "NOTICE_S", 0.3):
         callers = [asyncio.create_task(call_on(number)) for number in range(8)]
         await asyncio.sleep(0.2)
         world.daemon.stop()
