--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -63,13 +63,19 @@
 from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
 
 UNACKNOWLEDGED_TIMEOUT_S = 2.0
+"""Time after which a connection whose bytes are not acknowledged is dead; two lost packets are borne."""
 MAX_BUFFERED_BYTES = 32 * 1024
+"""Unread bytes of one answer after which its connection is paused."""
 WATCH_S = 0.1
+"""Time between looks at the log's freshness and the daemon's life."""
 FLUSH_S = 0.2
+"""Time between writes of decision lines."""
 LOG_LOST_S = 2.5
+"""Age of the view of the log from which it counts as lost: two long polls and a half."""
 LEADING_PARTS = 3
 """Daemons that watch one of the first partitions may lead: so many in each zone."""
 CONFIGURED_STEP_S = 0.05
+"""Time between looks for the first configuration."""
 DUTY_METHODS = "duties."
 """Questions between daemons whose method begins so are about duties."""
 
--- a/passgate/daemon/planned_stop.py
+++ b/passgate/daemon/planned_stop.py
@@ -28,6 +28,7 @@
 STOP_RESERVE_S = LAST_ANSWERS_S + FLUSH_S + CLOSE_S + 0.1
 """Part of the grace that is left for ending; the remainder is for the process to exit."""
 STOP_STEP_S = 0.05
+"""Time between looks whether all is done."""
 
 
 class PlannedStop:
--- a/passgate/duties/clock_sync.py
+++ b/passgate/duties/clock_sync.py
@@ -17,6 +17,7 @@
 MOST_ASKED = 4
 """Daemons asked at once; with the own clock, a median that two wrong clocks do not shift."""
 ANSWER_S = 0.3
+"""Time for an answer; a later one says little of the moment it was asked for."""
 FIRST_S = 0.5
 """Time after the start of the first question; the list of daemons is known by then."""
 GAP_S = 10.0
--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -25,12 +25,15 @@
 from passgate.versions.leadership import Leadership
 
 TICK_S = 0.5
+"""Time between decisions; an eighth of the shortest boot time seen."""
 FIRST_PAUSE_S = 2.0
 """Pause after the platform had no replica of a kind in a zone; a reclaim lasts 8 to 11 s."""
 MAX_PAUSE_S = 10.0
+"""Longest such pause."""
 BOOT_MARGIN_S = 3.0
 """Time beyond the boot time after which replicas that did not come are ordered anew."""
 UNKNOWN_PAUSE_S = 0.5
+"""Pause before an unanswered order is sent again with the same fence."""
 
 
 class _Pace(msgspec.Struct):
--- a/passgate/duties/usage_channel.py
+++ b/passgate/duties/usage_channel.py
@@ -22,6 +22,7 @@
 ASK_S = 1.0
 """Time for another daemon to put counts on the log; a calm log takes 0.03 s, a slow one 0.3 s."""
 FORWARD_S = 0.8
+"""The same for the leader that the asked daemon asks; less, so that the first still gets an answer."""
 APPEND_S = 2.0
 """Time for an append of one's own before the counts are handed on another way as well."""
 CONTROL_PART = 0
--- a/passgate/duties/usage_reporter.py
+++ b/passgate/duties/usage_reporter.py
@@ -20,13 +20,16 @@
 from passgate.versions.leadership import Leadership
 
 TICK_S = 0.1
+"""Time between looks for what is due; small against the time in which a report is due."""
 SEND_RESERVE_S = 6.5
 """Part of the time in which a report is due that is left for a change of holder (a lease of 3 s and
 0.5 s, then its first batch) and for commit and sends, which take 1 s each when the log is slow."""
 LEAST_SETTLE_S = 1.0
 """Counts of a window are waited for at least this long after its end."""
 FIRST_PAUSE_S = 0.2
+"""Pause after the first call without a usable answer."""
 MAX_PAUSE_S = 2.0
+"""Longest such pause; three fit into the time that is left for sends."""
 
 
 class UsageReporter:
--- a/passgate/gateway/configuration_peers.py
+++ b/passgate/gateway/configuration_peers.py
@@ -28,7 +28,9 @@
 MOST_ASKED = 3
 """Daemons asked at once: if a third of all are turned away, all three are in 4 of 100 questions."""
 ANSWER_S = 0.4
+"""Time for an answer; a round trip between zones takes 1 ms, a starved daemon some hundred."""
 TICK_S = 0.1
+"""Time between looks at the age of the view; a tenth of the time between questions."""
 NEVER_S = float("-inf")
 
 
--- a/passgate/gateway/discovery.py
+++ b/passgate/gateway/discovery.py
@@ -34,7 +34,9 @@
 RELAYS = 3
 """Daemons that read a long list for all; any two may be lost at once."""
 TICK_S = 0.25
+"""Time between looks at what has to change; a quarter of the shortest silence that is judged."""
 HEARTBEAT_S = 0.5
+"""Time between signs of life of a relay; a third of the silence after which it counts as gone."""
 RELAY_SILENT_S = 1.5
 """A relay silent for this long counts no more."""
 JOIN_CHANCE_FEW, JOIN_CHANCE_NONE = 0.08, 0.2
@@ -42,9 +44,12 @@
 RANK_DELAY_S = 0.15
 """Each further relay waits this much longer, and appends only what nobody appended."""
 DIRECT_GAP_S = 0.25
+"""Pause between reads of the list by a daemon that reads it itself; entries change each second."""
 RELAYED_GAP_S = 0.4
+"""Pause between reads of the relayed changes, which arrive in batches."""
 RELAY_KEY_PREFIX = "relay/"
 FORGET_GONE_S = 120.0
+"""Time for which a replica that is gone is remembered; twice the longest outage of the log seen."""
 COME_BACK_S = 2.0
 """Time after the log's return within which entries that lapsed meanwhile are written again."""
 
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -31,6 +31,7 @@
 WAIT_SHARE = 0.2
 """Share of the target latency for which a request waits for a replica before it is refused."""
 WAIT_STEP_S = 0.02
+"""Time between looks for a replica with room; a tenth of the shortest target latency."""
 FIRST_REDIRECTION = 300
 SERVER_ERROR = 500
 
--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -38,7 +38,9 @@
 IDLE_TIMEOUT_MARGIN_S = 3.0
 """Idle connections are closed this much later than callers may use them."""
 MAX_HEADER_BYTES = 65_536
+"""Bound before a configuration names its own; tornado refuses longer heads."""
 MAX_BODY_BYTES = 1 << 26
+"""Bound before a configuration names its own."""
 
 
 class Ingress(HTTPServerConnectionDelegate):
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -24,7 +24,9 @@
 )
 
 REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
+"""From a request's work of some 10 ms over its target latency (0.2 s) to its deadline."""
 ITEM_BUCKETS_S = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 40)
+"""From a short output to the time for which items are kept; steps are due after some 7 s."""
 
 __all__ = ["GatewayMetrics", "JobEnded"]
 
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -22,6 +22,7 @@
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 
 CONNECT_TIMEOUT_S = 0.6
+"""Time for a new connection; a lost opening packet is sent again only after a second."""
 HOP_HEADERS = frozenset(
     {
         "connection",
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -18,6 +18,7 @@
 SMOOTHING = 0.2
 """Weight of a new observation in a replica's latency."""
 ASSUMED_LATENCY_S = 0.05
+"""Latency of a replica of which nothing has been seen: about that of a plain request or one event."""
 REPORT_LIFE_S = 1.5
 """Age after which what a replica told of its load counts no longer."""
 OTHER_ZONE_COST = 0.05
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -19,6 +19,7 @@
 from passgate.gateway.access import KeyIndex, Tenant
 
 DEFAULT_TIMEOUT_S = 30.0
+"""Longest hold of a request whose route names none."""
 NO_VERSION = -1
 GOLDEN_RATIO = 0.6180339887498949
 
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -24,7 +24,9 @@
 GATHER_S = 0.02
 """Time for which entries wait for others before they are appended together."""
 FIRST_PAUSE_S = 0.05
+"""Pause after the first failed append; a calm log answers within 0.03 s."""
 MAX_PAUSE_S = 0.5
+"""Longest pause, so that appends go on soon after the log is back."""
 RENEW_S = 0.4
 """A daemon that owns or leads something appends at least this often."""
 NO_FENCE = -1
--- a/passgate/jobs/liveness.py
+++ b/passgate/jobs/liveness.py
@@ -21,6 +21,7 @@
 ASK_AGAIN_S = 0.3
 """Time between two questions to the same writer; about the time that an answer is waited for."""
 FORGET_S = 30.0
+"""Time for which an answer is remembered; longer than any take-over lasts."""
 
 
 class Alive(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/jobs/reader.py
+++ b/passgate/jobs/reader.py
@@ -19,6 +19,7 @@
 STALE_S = 2.6
 """With a view of the log older than this, "nothing new" is not said to a caller."""
 RESULT_OVERHEAD_BYTES = 200
+"""Bytes of a result beside its text: identifiers, state, versions."""
 GATHER_S = 0.2
 """Time for further results of a job whose caller waits; the last items of a step end within 0.15 s."""
 
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -32,7 +32,9 @@
 """An attempt is given up after this many times the replica's usual latency."""
 LEAST_PATIENCE_S, MOST_PATIENCE_S = 0.4, 4.0
 FIRST_PAUSE_S = 0.02
+"""Pause after the first failed attempt; another replica may have room at once."""
 MAX_PAUSE_S = 0.5
+"""Longest pause between attempts."""
 FAILED = 500
 FIRST_SUCCESS, FIRST_REDIRECTION = 200, 300
 
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -30,6 +30,7 @@
 from passgate.sharedlog.tail import POLL_WAIT_S, FollowedTail, RecordTail, TailSettings
 
 TICK_S = 0.1
+"""Time between looks at ownership; a quarter of the shortest silence that is judged."""
 GAP_S = 0.03
 """Pause between reads, so that small records arrive in batches."""
 IDLE_WAIT_S = 3.0
--- a/passgate/peers/calls.py
+++ b/passgate/peers/calls.py
@@ -80,6 +80,6 @@
         check_payload(payload)
     except PassgateError as error:
         return CallFailure(request.call_id, error.code, str(error))
-    except Exception as error:  # a faulty handler must not end the connection of its peers
+    except Exception as error:  # noqa: BLE001  a faulty handler must not end the connection of its peers
         return CallFailure(request.call_id, PassgateError.code, type(error).__name__)
     return CallReply(request.call_id, payload)
--- a/passgate/peers/peer_connection.py
+++ b/passgate/peers/peer_connection.py
@@ -33,7 +33,9 @@
 from passgate.peers.transport import TrafficCounters
 
 HANDSHAKE_TIMEOUT_S = 5.0
+"""Time for both greetings on a new connection."""
 READ_CHUNK_BYTES = 65536
+"""Most bytes taken from a connection at once."""
 QUEUED_BEFORE_HANDSHAKE_MAXIMUM = 256
 """Frames kept while the handshake runs; further ones are dropped."""
 
--- a/passgate/peers/peer_transport.py
+++ b/passgate/peers/peer_transport.py
@@ -42,6 +42,7 @@
 """A peer that reads slower than this loses messages instead of our memory."""
 
 NONCE_BYTES = 16
+"""Random bytes by which a peer proves that it knows the credential."""
 SILENT_S = 1.0
 """A connection on which a call timed out and nothing came for this long is closed."""
 
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -20,6 +20,7 @@
 from passgate.platform.settings import SettingsWatcher, read_settings, settings_path
 
 OPERATOR_GAP_S = 0.05
+"""Pause between reads of the operator's topic; small, as keys are to be in force within seconds."""
 
 
 def make_daemon(settings: GatewaySettings, http: HttpClient, log: PlatformLog) -> GatewayDaemon:
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -23,10 +23,15 @@
 from passgate.versions.loader import LoadOrder, ReplicaReport
 
 MAX_WAIT_S = 1.0
+"""Longest hold of a read of results that the platform allows."""
 DEFAULT_DEADLINE_S = 4.0
+"""Time that a caller of a job is taken to wait when it does not say."""
 ANSWER_MARGIN_S = 0.1
+"""Part of a caller's time that is left for the answer to travel."""
 REPORT_TIMEOUT_S = 1.0
+"""Time for a replica's report; a calm one takes some ms."""
 ORDER_TIMEOUT_S = 1.5
+"""Time for the answer to an order; half of the lease, so that a leader's last order ends within it."""
 NO_ROUTE = "no_route"
 LOGGED_PATH_CHARACTERS = 80
 OCTETS = (("Content-Type", "application/octet-stream"),)
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -34,11 +34,14 @@
 CALL_TIMEOUT_S = 1.2
 """Time for one call's answer beyond the wait it asks for."""
 CONNECT_TIMEOUT_S = 0.7
+"""Time for a new connection to the log; a lost opening packet is sent again only after a second."""
 OK, GONE, PRECONDITION_FAILED, THROTTLED = 200, 410, 412, 429
 LENGTH = struct.Struct(">I")
 PAGE_HEAD = struct.Struct(">QQ")
 FIRST_PAGE_PAUSE_S = 0.1
+"""Pause before a throttled page is asked for again."""
 MAX_PAGE_PAUSE_S = 1.0
+"""Longest such pause."""
 MAX_PAGE_TRIES = 20
 RECORDS_TYPE = "application/octet-stream"
 JSON_TYPE = "application/json"
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -18,6 +18,7 @@
 logger = logging.getLogger("passgate.platform")
 
 WATCH_S = 2.0
+"""Time between looks at the settings file, which may change without a signal."""
 
 RETENTION_MARGIN_S = 30.0
 """A job stays readable for this much longer than the platform asks."""
--- a/passgate/routing/generate_call.py
+++ b/passgate/routing/generate_call.py
@@ -270,7 +270,7 @@
         )
         try:
             self._on_chunk(kept)
-        except Exception as error:
+        except Exception as error:  # noqa: BLE001  the caller's own callback; its failure ends the call
             self._on_chunk = None
             self._events.put_nowait(_CallbackFailed(error))
 
--- a/passgate/server/daemon.py
+++ b/passgate/server/daemon.py
@@ -132,7 +132,7 @@
         while True:
             try:
                 await work()
-            except Exception as error:  # Whatever it is, the daemon goes on serving.
+            except Exception as error:  # noqa: BLE001  Whatever it is, the daemon goes on serving.
                 self._changed(
                     "background_work_failed", logging.ERROR, work=work.__qualname__, failure=repr(error)
                 )
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -31,6 +31,7 @@
 LEAST_LIFETIME_S = 1.2
 """Silence after which the log takes a member out."""
 LEAVE_TIMEOUT_S = 1.0
+"""Time for the log to take note that a member leaves; it lapses by itself otherwise."""
 DIRECTORY_LIFE_S = 2.0
 """Age after which the list of members is read anew when it is needed."""
 REFRESH_S = 5.0
--- a/passgate/sharedlog/log.py
+++ b/passgate/sharedlog/log.py
@@ -18,6 +18,7 @@
 from passgate.errors import ExecutionStatus, LogError, LogUnavailable
 
 MAX_PAGE_BYTES = 1 << 20
+"""Largest page that the log gives at once."""
 
 
 class LogThrottled(LogUnavailable):
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -27,6 +27,7 @@
 POLL_WAIT_S = 1.0
 """Longest wait of one long poll; a lost dependency is noticed soon after."""
 FIRST_PAUSE_S = 0.05
+"""Pause after the first failed read."""
 MAX_PAUSE_S = 0.4
 """Pauses after failed reads; short, as configuration must be in force soon after a recovery."""
 MIN_PAGE_BYTES = 32 * 1024
@@ -38,6 +39,7 @@
 URGENT_PAUSE_S = 0.3
 """Pause after a throttled read of what must be known at once."""
 CATCH_UP_STEP_S = 0.01
+"""Time between looks whether the end was reached; a page takes about 50 ms."""
 NEVER_S = float("-inf")
 EMPTY_PAGE_AGE_S = 0.1
 """How old an empty page may be when it arrives."""
--- a/passgate/state/append_queue.py
+++ b/passgate/state/append_queue.py
@@ -219,7 +219,7 @@
             self.counters.refused += 1
             self._mark_absent(surely_absent)
             return False
-        except Exception:  # Whatever an adapter raises, the queue goes on: the append is in doubt.
+        except Exception:  # noqa: BLE001  Whatever an adapter raises, the queue goes on: the append is in doubt.
             self.counters.in_doubt += 1
             return False
         finally:
--- a/passgate/state/fold.py
+++ b/passgate/state/fold.py
@@ -118,7 +118,7 @@
             return Rejected(offset, UnknownRecord("kind of a newer version", kind=record.body.kind))
         try:
             return self.fold.apply(offset, record)
-        except Exception as error:  # Pure, so every reader fails alike; a bad record must not stop them.
+        except Exception as error:  # noqa: BLE001  Pure, so every reader fails alike; a bad record must not stop them.
             return Rejected(offset, PassgateError("the record can not be applied", cause=repr(error)))
 
     def snapshot(self) -> SnapshotTaken | None:
--- a/passgate/state/log_follower.py
+++ b/passgate/state/log_follower.py
@@ -226,7 +226,7 @@
         wait_s = READ_WAIT_S if self.synchronised else 0.0
         try:
             batch = await self._read(wait_s)
-        except Exception:  # Whatever an adapter raises, the follower goes on.
+        except Exception:  # noqa: BLE001  Whatever an adapter raises, the follower goes on.
             self.counters.read_failures += 1
             await asyncio.sleep(self._backoff.next_s())
             return
--- a/passgate/state/lot_keeper.py
+++ b/passgate/state/lot_keeper.py
@@ -182,7 +182,7 @@
                 if isinstance(error, InvalidRequest) and not isinstance(error, NotFound):
                     raise
                 retry_after_s = error.retry_after_s
-            except Exception:  # A fault of the producer or of its answer must not end the lot.
+            except Exception:  # noqa: BLE001  A fault of the producer or of its answer must not end the lot.
                 self.faults += 1
             await self._pause(retry_after_s or backoff_s * self._random.uniform(0.5, 1.0))
             backoff_s = min(backoff_s * 2, RETRY_CAP_S)
--- a/passgate/versions/control.py
+++ b/passgate/versions/control.py
@@ -22,6 +22,7 @@
 from passgate.versions.leadership import Leadership
 
 TICK_S = 0.1
+"""Time between looks at the lease; a quarter of the time between renewals."""
 GAP_S = 0.1
 """Pause between reads."""
 
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -22,6 +22,7 @@
 USABLE_SHARE = 0.6
 """Share of the lease for which a renewal on the log allows orders, from its sending."""
 CLAIM_PAUSE_S = 0.7
+"""Time after a claim within which it must have been read back."""
 FRESH_S = 1.6
 """Only a daemon that has read the whole topic this recently judges the leader."""
 
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -22,12 +22,15 @@
 from passgate.versions.load_plan import LoadChoice, LoadLimit, ModelNeed, plan_loads
 
 TICK_S = 0.05
+"""Time between looks for loads to begin; a load takes 0.9 s."""
 LOAD_TIMEOUT_S = 6.0
 """Time after which an order that shows no effect is looked into again."""
 TAKEN = frozenset({200, 202})
 """Statuses of an order that is being carried out or already holds."""
 POLL_S = 0.1
+"""Time between looks whether a load is done."""
 RETRY_S = 0.5
+"""Pause before a replica that did not take an order gets another."""
 
 
 class ReplicaReport(msgspec.Struct, frozen=True, kw_only=True):
