Take the lead at once from a leader whose daemon has a later life

And each daemon that held a partition for a moment while the group formed read it on for 4 s. Change: a candidate asks the silent leader's address; when a later life answers, its process has surely ended and the lead is claimed. A partition that passes on before it is known here is not read on.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -28,6 +28,7 @@
 from passgate.duties.calls import DutyCalls
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
+from passgate.duties.usage_channel import CONTROL_PART
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -44,6 +45,7 @@
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
+from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.records import writer_name
 from passgate.jobs.reward_call import RewardTools
@@ -174,6 +176,7 @@
             self.decisions,
             lease_s=settings.lease_s,
             folds=(duty_folds,),
+            sign_of=Liveness(lambda writer: job_peers.life_at(writer, CONTROL_PART)).sign_of,
         )
         shard_settings = ShardSettings(
             topic=topics.jobs,
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -115,6 +115,16 @@
         self.needed_until_s = max(self.needed_until_s, monotonic_s() + LINGER_S)
         self.followed.set(True)
 
+    def linger(self) -> None:
+        """Follow the partition for some time after it passes on, while the next watcher reads it.
+
+        Only a daemon that has read it can answer meanwhile.  When all daemons of a zone start at
+        once, each holds many partitions for a moment; reading these on would take the log's
+        bytes a second from the daemons that keep them.
+        """
+        if self.current:
+            self.need()
+
     def close(self) -> None:
         """End all that runs for this partition."""
         self.followed.set(False)
@@ -237,7 +247,7 @@
                 shard.ownership.tick(watching=self.watches(part))
                 shard.fold.prune(now_s, self._settings.retention_s)
             if part in held:
-                shard.need()  # and so for some time after it passes on, while the next watcher reads
+                shard.linger()
             elif needed:
                 shard.needed_until_s = max(shard.needed_until_s, now_s)
             elif now_s - shard.needed_until_s > KEEP_S and shard.journal.idle:
--- a/passgate/versions/control.py
+++ b/passgate/versions/control.py
@@ -15,6 +15,7 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, RecordUnreadable
 from passgate.jobs.journal import Journal
+from passgate.jobs.liveness import Sign
 from passgate.jobs.records import Batch, WriterStopped, decode_batch
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import FollowedTail, RecordTail, TailSettings
@@ -52,6 +53,7 @@
         *,
         lease_s: float,
         folds: Sequence[ControlFold] = (),
+        sign_of: Callable[[str, float], Sign | None] = lambda writer, heard_s: None,
     ) -> None:
         self._folds = folds
         self._began = False
@@ -61,7 +63,9 @@
         self._decisions = decisions
         self._followed = FollowedTail(RecordTail(log, TailSettings(topic=topic, gap_s=GAP_S), self._apply))
         freshness = self._followed.tail.freshness
-        self.leadership = Leadership(self.fold, journal, freshness, decisions, lease_s=lease_s)
+        self.leadership = Leadership(
+            self.fold, journal, freshness, decisions, lease_s=lease_s, sign_of=sign_of
+        )
 
     async def run(self) -> None:
         """Write, follow and lead as needed, until cancelled."""
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -10,9 +10,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, LeadershipLost, LeadershipTaken
 from passgate.jobs.journal import Journal
+from passgate.jobs.liveness import Sign
 from passgate.jobs.records import Batch, LeaderClaimed, daemon_of
 from passgate.sharedlog.tail import Freshness
 from passgate.versions.lead_fold import LeadFold
@@ -23,6 +26,9 @@
 """Share of the lease for which a renewal on the log allows orders, from its sending."""
 CLAIM_PAUSE_S = 0.7
 """Time after a claim within which it must have been read back."""
+ASK_S = 0.55
+"""Silence after which the leader is asked whether it lives; it appends each 0.4 s."""
+NEVER_S = float("-inf")
 FRESH_S = 1.6
 """Only a daemon that has read the whole topic this recently judges the leader."""
 
@@ -38,7 +44,19 @@
         decisions: DecisionLog,
         *,
         lease_s: float,
+        sign_of: Callable[[str, float], Sign | None] = lambda writer, heard_s: None,
     ) -> None:
+        """Begin without the lead.
+
+        Args:
+            fold: who leads, by the log.
+            journal: this daemon's writer of the control topic.
+            freshness: how fresh this daemon's view of that topic is.
+            decisions: where decisions are noted.
+            lease_s: orders of two holders lie further apart than this.
+            sign_of: returns what a writer's address has told since it was heard last, if anything.
+        """
+        self._sign_of = sign_of
         self._fold = fold
         self._journal = journal
         self._freshness = freshness
@@ -91,7 +109,18 @@
         if not leader or daemon_of(leader) == daemon_of(self._journal.writer):
             return True
         silent_s = self._freshness.silence_s(self._fold.heard_s.get(leader), now_s)
-        return silent_s > self.lease_s + TAKEOVER_MARGIN_S
+        if silent_s > self.lease_s + TAKEOVER_MARGIN_S:
+            return True
+        return silent_s > ASK_S and self._has_ended(leader)
+
+    def _has_ended(self, leader: str) -> bool:
+        """Whether the leader's process has surely ended, as a later life of its daemon answers.
+
+        Without this, daemons that all start at once wait for the whole lease of a leader that
+        is gone, since each has only just read its last record.
+        """
+        heard_s = self._fold.heard_s.get(leader, NEVER_S)
+        return self._sign_of(leader, heard_s) is Sign.REPLACED
 
     def _note_change(self) -> None:
         fence = self.fence if self.leads else None
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -17,6 +17,7 @@
 from passgate.errors import DurabilityUnknown, LogUnavailable, NotFound, NotReady
 from passgate.jobs.fold import FIRST_EPOCH
 from passgate.jobs.journal import Journal
+from passgate.jobs.liveness import Liveness
 from passgate.jobs.ownership import TAKEOVER_S
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.reader import find_job
@@ -31,7 +32,12 @@
     writer_name,
 )
 from passgate.jobs.service import JobService
-from passgate.jobs.shards import LINGER_S, JobShards, ShardSettings, partition_of
+from passgate.jobs.shards import (
+    LINGER_S,
+    JobShards,
+    ShardSettings,
+    partition_of,
+)
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import REFRESH_S, GroupDirectory, GroupMember
@@ -81,6 +87,7 @@
     """A daemon without replicas and callers; the rest is the product's own code."""
 
     def __init__(self, log, name, life=0, zone="a", cores=2.0):
+        self.zone = zone
         self.client = log.client(name)
         self.network = networks.setdefault(log, MemoryNetwork(random.Random(1)))
         self.transport = self.network.transport(f"{name}:7720", name)
@@ -92,6 +99,8 @@
             self.client, f"watch.{zone}", member, "jobs", decisions, candidacy=candidacy
         )
         sizes = {"record_bytes": 262_144, "append_bytes": 2_000_000}
+        self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
+        self.peers = peers = JobPeers(self.transport, directory, member, decisions)
         self.journal = Journal(self.client, "control", 0, self.name, **sizes)
         self.control = ControlTopic(
             self.client,
@@ -100,11 +109,16 @@
             lambda: bool(self.member.held()),
             decisions,
             lease_s=LEASE_S,
+            sign_of=Liveness(lambda writer: peers.life_at(writer, 0)).sign_of,
         )
         self.leadership = self.control.leadership
-        settings = ShardSettings(topic="jobs", parts=log.parts, writer=self.name, retention_s=150.0, **sizes)
-        self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
-        self.peers = peers = JobPeers(self.transport, directory, member, decisions)
+        settings = ShardSettings(
+            topic="jobs",
+            parts=log.parts,
+            writer=self.name,
+            retention_s=150.0,
+            **sizes,
+        )
         self.shards = JobShards(
             self.client,
             settings,
@@ -786,3 +800,22 @@
         await owner.kill()
 
     run_virtual(main())
+
+
+LED_AGAIN_S = 1.5
+"""Time from the start of all daemons until one leads: join, read, silence, one question, claim."""
+
+
+def test_daemons_that_all_start_anew_do_not_wait_for_the_lease_of_a_leader_that_is_gone():
+    async def main():
+        log = MemorySharedLog(parts=4)
+        daemons = [Daemon(log, f"d{number}").start() for number in range(3)]
+        await asyncio.sleep(8.0)
+        assert any(daemon.leadership.may_order() for daemon in daemons)
+        for daemon in daemons:
+            await daemon.kill()
+        daemons = [Daemon(log, f"d{number}", life=1).start() for number in range(3)]
+        await asyncio.sleep(LED_AGAIN_S)
+        assert sum(daemon.leadership.may_order() for daemon in daemons) == 1
+
+    run_virtual(main())
