Let the fault soak play tenants, revocations, an intruder and the endpoint of duties

Cause: the soak knew neither keys nor duties. Change: every call carries a key and a forged tenant; keys are taken away and each daemon must refuse them 4 s later; another tenant and an unknown key ask for jobs, items and calls; a stand-in takes usage reports, silent, busy, slow or carried out late, and judges that no fence has two holders and no window two reports; replicas must have been told the calling tenant and no credential.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -29,13 +29,21 @@
 from passgate.daemon.gateway_daemon import make_http_client
 from passgate.errors import PassgateError
 from tests import platform_stand_ins as stand_ins
+from tests.duty_stand_in import DutyEndpoint, DutyFaults
 from tests.fault_proxy import FaultProxy
 from tests.test_platform_daemon import free_address
 
 DAEMONS = 4
+TENANT, OTHER_TENANT = "orchard", "mill"
+KEYS = ("key-o1", "key-o2", "key-o3")
+"""Keys of the tenant that calls; all but the last may be taken away."""
+OTHER_KEY = "key-m1"
+UNKNOWN_KEY = "key-x"
 MODEL = "m"
 PROMISES = frozenset({408, 421, 429, 503})
 SETTLE_S = 20.0
+REVOKED_S = 4.0
+"""Time after which a key that was taken away is refused, with a margin for a busy machine."""
 NOT_FOUND_GRACE_S = 2.0
 LEAVING_S = 3.5
 """Time after which a leaving replica must get no new request, with a margin for a busy machine."""
@@ -45,7 +53,8 @@
 class DaemonProcess:
     """One daemon as a process with a log proxy of its own."""
 
-    def __init__(self, number, log, folder, log_file):
+    def __init__(self, number, log, folder, log_file, duties):
+        self.duties = duties
         self.name = f"d{number}"
         self.front, self.ready = free_address(), free_address()
         self.proxy = FaultProxy(log.address, number)
@@ -60,7 +69,14 @@
         if not self.proxy.address:
             await self.proxy.start()
         self.path.write_text(
-            stand_ins.settings_text(self.name, self.proxy.address, self.front, self.ready, grace_s=6)
+            stand_ins.settings_text(
+                self.name,
+                self.proxy.address,
+                self.front,
+                self.ready,
+                grace_s=6,
+                duties=self.duties.address,
+            )
         )
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -114,7 +130,12 @@
         self.log_file = log_file
         self.log = stand_ins.LogService().start()
         self.http = make_http_client()
-        self.daemons = [DaemonProcess(number, self.log, folder, log_file) for number in range(DAEMONS)]
+        self.duties = DutyEndpoint(seed).start()
+        self.keys = list(KEYS)
+        """Keys of the tenant in the newest configuration."""
+        self.daemons = [
+            DaemonProcess(number, self.log, folder, log_file, self.duties) for number in range(DAEMONS)
+        ]
         self.replicas = []
         self.left_s = {}
         self.crashed = []
@@ -154,7 +175,8 @@
             stand_ins.safe_route(name="once", pathPrefix="/once/", kind="unsafe"),
             stand_ins.batch_route(),
         ]
-        document = stand_ins.config_document(self.config_version, routes, ["app", "llm"])
+        tenants = {TENANT: self.keys, OTHER_TENANT: [OTHER_KEY]}
+        document = stand_ins.config_document(self.config_version, routes, ["app", "llm"], tenants)
         self.log.put("keyed.op", "config", document)
 
     def name_version(self):
@@ -169,7 +191,14 @@
         for daemon in self.daemons:
             await daemon.start()
         await asyncio.sleep(2.5)
-        workers = [self.call_safe(), self.call_unsafe(), self.trainer(), self.reader(), self.weights()]
+        workers = [
+            self.call_safe(),
+            self.call_unsafe(),
+            self.trainer(),
+            self.reader(),
+            self.weights(),
+            self.intruder(),
+        ]
         tasks = [asyncio.create_task(worker) for worker in workers]
         await self.faults()
         await self.heal()
@@ -187,7 +216,9 @@
 
     # --- callers -----------------------------------------------------------------
 
-    async def call(self, daemon, method, path, body=None, request_id="x", deadline_ms=2000, **headers):
+    async def call(
+        self, daemon, method, path, body=None, request_id="x", deadline_ms=2000, key=KEYS[-1], **headers
+    ):
         call = HttpCall(
             method=method,
             url=f"http://{daemon.front}{path}",
@@ -196,6 +227,8 @@
                 "Host": "h.example",
                 "X-Attempt-Id": request_id,
                 "X-Deadline-Ms": str(deadline_ms),
+                "Authorization": f"Bearer {key}",
+                "X-Tenant": OTHER_TENANT,
             }
             | headers,
             send=SendPolicy.ONCE_ON_FRESH_CONNECTION,
@@ -231,6 +264,36 @@
         if answer.status == 404:
             self.breach(f"{daemon.name} answered 404 to {request_id}")
 
+    async def intruder(self):
+        """Another tenant, and somebody with no known key, ask for jobs that are not theirs."""
+        while not self.stopping:
+            await asyncio.sleep(0.2)
+            if not self.jobs:
+                continue
+            job_id = self.random.choice(list(self.jobs))
+            key = self.random.choice([OTHER_KEY, UNKNOWN_KEY])
+            method, path = self.random.choice(
+                [
+                    ("GET", f"/-/lots/{job_id}"),
+                    ("GET", f"/-/items/{job_id}?id={self.jobs[job_id].items[0]}"),
+                    ("POST", "/call/intruder"),
+                ]
+            )
+            if method == "POST":
+                key = UNKNOWN_KEY
+            with contextlib.suppress(PassgateError):
+                answer = await self.call(
+                    self.random.choice(self.daemons),
+                    method,
+                    path,
+                    b"" if method == "POST" else None,
+                    request_id="intruder",
+                    key=key,
+                )
+                self.note(f"intruder {answer.status}")
+                if answer.status == 200:
+                    self.breach(f"{method} {path} was answered to the key {key}")
+
     async def trainer(self):
         while not self.stopping:
             self.number += 1
@@ -331,8 +394,10 @@
             self.replace_replica,
             self.change_configuration,
             self.kill_all,
+            self.revoke_key,
+            self.harm_duties,
         ]
-        weights = [3, 3, 3, 1, 4, 4, 5, 2, 2, 1]
+        weights = [3, 3, 3, 1, 4, 4, 5, 2, 2, 1, 2, 2]
         until_s = time.monotonic() + self.seconds
         while time.monotonic() < until_s:
             (fault,) = self.random.choices(kinds, weights)
@@ -440,6 +505,34 @@
     async def change_configuration(self):
         self.configure()
 
+    async def revoke_key(self):
+        """Take a key away; each daemon that is not harmed must refuse it in time."""
+        if len(self.keys) == 1:
+            self.keys = list(KEYS)
+            self.configure()
+            return
+        key = self.keys.pop(0)
+        self.configure()
+        await asyncio.sleep(REVOKED_S)
+        for daemon in self.daemons:
+            with contextlib.suppress(PassgateError):
+                answer = await self.call(daemon, "POST", "/call/revoked", b"", "revoked", key=key)
+                self.note(f"revoked key {answer.status}")
+                if answer.status == 200:
+                    self.breach(f"{daemon.name} served a key that was taken away {REVOKED_S} s before")
+
+    async def harm_duties(self):
+        faults = self.duties.faults
+        match self.random.choice(["silent", "busy", "slow"]):
+            case "silent":
+                faults.silent = 0.5
+            case "busy":
+                faults.busy = True
+            case "slow":
+                faults.slow_s = self.random.uniform(0.1, 0.8)
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        self.duties.faults = DutyFaults()
+
     async def heal(self):
         for daemon in self.daemons:
             daemon.proxy.heal()
@@ -493,6 +586,16 @@
                 self.breach(f"{job_id} was refused each time and ran")
         self.judge_scores(runs)
         self.judge_orders(replicas)
+        self.judge_tenants(runs)
+        self.broken += self.duties.breaches
+        self.note(f"windows reported {len(self.duties.reports)}")
+
+    def judge_tenants(self, runs):
+        """Each replica was told the tenant that called, and nothing of its key."""
+        for request_id, seen in runs.items():
+            for run in seen:
+                if run.tenants != [TENANT] or run.credentials:
+                    self.breach(f"{request_id} ran for {run.tenants} with {len(run.credentials)} credentials")
 
     def judge_scores(self, runs):
         """A score is the stamp of the item's own call, begun after a run made its text whole."""
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -535,9 +535,10 @@
     return json.dumps(document).encode()
 
 
-def settings_text(daemon_id, log_address, front, ready, *, zone="a", grace_s=8):
+def settings_text(daemon_id, log_address, front, ready, *, zone="a", grace_s=8, duties=""):
+    cloud = f'cloud:\n  address: "{duties}"\n  duties: ["usage"]\n' if duties else ""
     return f"""
-node: "{daemon_id}"
+{cloud}node: "{daemon_id}"
 role: "gateway"
 zone: "{zone}"
 listen:
