--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -10,12 +10,12 @@
 import secrets
 from collections.abc import Callable
 
-import msgspec
-
 from passgate.clients.calls import HttpLimits
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
 from passgate.daemon.planned_stop import RELEASE_WAIT_S, PlannedStop
+from passgate.daemon.runners import RunnerMaker
+from passgate.daemon.topics import LogTopics
 from passgate.decisions import (
     ConfigurationInForce,
     ConfigurationRejected,
@@ -38,22 +38,15 @@
 from passgate.gateway.metrics import GatewayMetrics
 from passgate.gateway.replica_call import ReplicaCaller
 from passgate.gateway.replicas import ReplicaTable
-from passgate.gateway.routes import ConfigHolder, GatewayConfig, Route, WeightedChoice
+from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
 from passgate.gateway.stream_forwarder import StreamForwarder
-from passgate.jobs.durations import OutputDurations
-from passgate.jobs.fold import JobFold, JobState
-from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.records import writer_name
-from passgate.jobs.reward_call import RewardTools
-from passgate.jobs.runner import JobRunner
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings
-from passgate.jobs.silence import StreamSilence
-from passgate.jobs.waiting import WaitingLine
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import GroupDirectory, GroupMember
@@ -82,18 +75,6 @@
 """Questions between daemons whose method begins so are about duties."""
 
 
-class LogTopics(msgspec.Struct, frozen=True, kw_only=True):
-    """Topics that a daemon follows, by the names of the log."""
-
-    operator: str
-    replicas: str
-    relayed_replicas: str
-    jobs: str
-    control: str
-    watch_group: str
-    """Each zone has a group of this name whose members watch the partitions of the jobs' topic."""
-
-
 class GatewayDaemon:
     """One daemon.  An adapter gives it the log, the topics' meaning and the callers' handler."""
 
@@ -127,23 +108,9 @@
             settings.daemon_id,
             self.decisions,
         )
-        self._names = names
-        self._topics = topics
         self._log = log
         caller = ReplicaCaller(http, self.replicas, names)
-        self._caller = caller
-        self._waiting = WaitingLine()
-        self._durations = OutputDurations()
-        self._silence = StreamSilence()
-        self._rewards = RewardTools(
-            find_route=self._find_route,
-            caller=caller,
-            replicas=self.replicas,
-            names=names,
-            decisions=self.decisions,
-            parts=WeightedChoice(),
-            line=asyncio.Lock(),
-        )
+        runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions)
         self._peers = peers
         member = member_name(settings.daemon_id, peers.address, settings.cores)
         candidacy = Candidacy(settings.cores)
@@ -218,7 +185,7 @@
             log,
             shard_settings,
             self._member.held,
-            self._make_runner,
+            runners.make,
             job_peers,
             self.decisions,
             may_own_new=lambda: candidacy.wanted,
@@ -261,29 +228,6 @@
         settings = TailSettings(topic=topic, gap_s=gap_s, urgent=True)
         self._keyed_tails.append(KeyedTail(self._log, settings, replace=replace, update=update))
 
-    def _find_route(self, host: str, path: str) -> Route | None:
-        table = self.config.table
-        return table.match(host, path) if table is not None else None
-
-    def _make_runner(self, fold: JobFold, journal: Journal, job: JobState) -> JobRunner | None:
-        spec = job.spec()
-        route = self._find_route(spec.host, spec.path)
-        if route is None:
-            return None
-        tools = ItemTools(
-            route=route,
-            caller=self._caller,
-            replicas=self.replicas,
-            names=self._names,
-            decisions=self.decisions,
-            waiting=self._waiting,
-            durations=self._durations,
-            rewards=self._rewards,
-            silence=self._silence,
-            group_replica={},
-        )
-        return JobRunner(job, fold, journal, tools)
-
     # --- life --------------------------------------------------------------------
 
     def ready(self) -> bool:
--- /dev/null
+++ b/passgate/decisions/__init__.py
@@ -0,0 +1,98 @@
+"""Decision log: one structured line for each decision on a request or belief.
+
+Each event is a typed struct; its fields are the inputs that decided it and the
+outcome.  Lines are JSON on standard output.  They are written without blocking,
+within a budget of lines a second; what does not fit is dropped, counted and said
+in the next line.  Events that matter for explaining failures go before ordinary ones.
+
+>>> lines = []
+>>> log = DecisionLog("d1", write=lambda data: lines.append(data) or len(data), now=lambda: 5.0)
+>>> log.write(JobEnded(job_id="j", listed=3, total=4))
+>>> log.flush()
+>>> b'"event":"job_ended"' in lines[0], b'"daemon":"d1"' in lines[0]
+(True, True)
+"""
+
+from __future__ import annotations
+
+from passgate.decisions.events import (
+    ConfigurationInForce,
+    ConfigurationLearned,
+    ConfigurationRejected,
+    DaemonStarted,
+    DaemonStopped,
+    DaemonStopping,
+    DependencyLost,
+    DependencyRegained,
+    Event,
+    ForwardEnded,
+    ForwardSent,
+    ItemFailed,
+    ItemListed,
+    ItemSent,
+    JobAccepted,
+    JobAcceptFailed,
+    JobEnded,
+    JobOwned,
+    JobRead,
+    JobWhole,
+    LeadershipLost,
+    LeadershipTaken,
+    LinesDropped,
+    OrderSent,
+    PartitionsHeld,
+    PeerFailed,
+    RecordUnreadable,
+    RelayChanged,
+    ReplicaChanged,
+    ReplicasOrderedEvent,
+    RequestRefused,
+    RewardFailed,
+    RewardSent,
+    SettingsReloaded,
+    UsageReportSent,
+    UsageWindowCommitted,
+    VersionWanted,
+)
+from passgate.decisions.log import DecisionLog
+
+__all__ = [
+    "ConfigurationInForce",
+    "ConfigurationLearned",
+    "ConfigurationRejected",
+    "DaemonStarted",
+    "DaemonStopped",
+    "DaemonStopping",
+    "DecisionLog",
+    "DependencyLost",
+    "DependencyRegained",
+    "Event",
+    "ForwardEnded",
+    "ForwardSent",
+    "ItemFailed",
+    "ItemListed",
+    "ItemSent",
+    "JobAcceptFailed",
+    "JobAccepted",
+    "JobEnded",
+    "JobOwned",
+    "JobRead",
+    "JobWhole",
+    "LeadershipLost",
+    "LeadershipTaken",
+    "LinesDropped",
+    "OrderSent",
+    "PartitionsHeld",
+    "PeerFailed",
+    "RecordUnreadable",
+    "RelayChanged",
+    "ReplicaChanged",
+    "ReplicasOrderedEvent",
+    "RequestRefused",
+    "RewardFailed",
+    "RewardSent",
+    "SettingsReloaded",
+    "UsageReportSent",
+    "UsageWindowCommitted",
+    "VersionWanted",
+]
--- a/passgate/decisions.py
+++ b/passgate/decisions/events.py
@@ -1,34 +1,9 @@
-"""Decision log: one structured line for each decision on a request or belief.
-
-Each event is a typed struct; its fields are the inputs that decided it and the
-outcome.  Lines are JSON on standard output.  They are written without blocking,
-within a budget of lines a second; what does not fit is dropped, counted and said
-in the next line.  Events that matter for explaining failures go before ordinary ones.
-
->>> lines = []
->>> log = DecisionLog("d1", write=lambda data: lines.append(data) or len(data), now=lambda: 5.0)
->>> log.write(JobEnded(job_id="j", listed=3, total=4))
->>> log.flush()
->>> b'"event":"job_ended"' in lines[0], b'"daemon":"d1"' in lines[0]
-(True, True)
-"""
+"""The events that decision lines tell of: inputs that decided, their age or version, the outcome."""
 
 from __future__ import annotations
 
-import os
-import time
-from collections.abc import Callable
-
 import msgspec
 
-LINES_PER_S = 60.0
-"""Lines a second that may be written on average."""
-BURST_LINES = 240.0
-ORDINARY_RESERVE_SHARE = 0.5
-"""Ordinary events use only this share of the budget; the rest is kept for failures."""
-MAX_BUFFER_BYTES = 256 * 1024
-STDOUT = 1
-
 
 class Event(msgspec.Struct, frozen=True, kw_only=True, tag_field="event"):
     """Base of all events."""
@@ -401,78 +376,3 @@
 
     ordinary: int
     important: int
-
-
-def _write_stdout(data: bytes) -> int:
-    try:
-        return os.write(STDOUT, data)
-    except BlockingIOError:
-        return 0
-    except OSError:
-        return len(data)
-
-
-class DecisionLog:
-    """Writes events within a budget; never blocks."""
-
-    def __init__(
-        self,
-        daemon_id: str,
-        *,
-        write: Callable[[bytes], int] = _write_stdout,
-        now: Callable[[], float] = time.monotonic,
-        wall: Callable[[], float] = time.time,
-        lines_per_s: float = LINES_PER_S,
-        observe: Callable[[Event], None] | None = None,
-    ) -> None:
-        self._write = write
-        self._now = now
-        self._wall = wall
-        self._observe = observe
-        self._rate = lines_per_s
-        self._tokens = BURST_LINES
-        self._filled_s = now()
-        self._buffer = bytearray()
-        self._dropped_ordinary = 0
-        self._dropped_important = 0
-        self._encoder = msgspec.json.Encoder()
-        self._daemon = msgspec.json.encode(daemon_id)
-
-    def write(self, event: Event) -> None:
-        """Note an event; it is written with the next flush."""
-        if self._observe is not None:
-            self._observe(event)
-        if not self._take(event.ordinary):
-            if event.ordinary:
-                self._dropped_ordinary += 1
-            else:
-                self._dropped_important += 1
-            return
-        self._append(event)
-
-    def _append(self, event: Event) -> None:
-        head = b'{"time":%.3f,"up":%.3f,"daemon":%s,' % (self._wall(), self._now(), self._daemon)
-        self._buffer += head + self._encoder.encode(event)[1:] + b"\n"
-
-    def _take(self, ordinary: bool) -> bool:
-        now_s = self._now()
-        self._tokens = min(BURST_LINES, self._tokens + (now_s - self._filled_s) * self._rate)
-        self._filled_s = now_s
-        floor = BURST_LINES * ORDINARY_RESERVE_SHARE if ordinary else 0.0
-        if self._tokens - 1.0 < floor or len(self._buffer) > MAX_BUFFER_BYTES:
-            return False
-        self._tokens -= 1.0
-        return True
-
-    def flush(self) -> None:
-        """Write what the reader of standard output takes now; keep the rest."""
-        if self._dropped_ordinary or self._dropped_important:
-            dropped = LinesDropped(ordinary=self._dropped_ordinary, important=self._dropped_important)
-            if len(self._buffer) < MAX_BUFFER_BYTES:
-                self._dropped_ordinary = self._dropped_important = 0
-                self._append(dropped)
-        while self._buffer:
-            written = self._write(bytes(self._buffer))
-            if written <= 0:
-                return
-            del self._buffer[:written]
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -153,6 +153,10 @@
         """Version in force, NO_VERSION before the first."""
         return NO_VERSION if self.table is None else self.table.config.version
 
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route in force of a host and path, or None."""
+        return self.table.match(host, path) if self.table is not None else None
+
     def offer(self, config: GatewayConfig) -> bool:
         """Put a configuration in force unless a newer one is; return whether it was.
 
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -9,7 +9,8 @@
 import sys
 
 from passgate.clients.curl import HttpClient
-from passgate.daemon.gateway_daemon import GatewayDaemon, LogTopics, make_http_client
+from passgate.daemon.gateway_daemon import GatewayDaemon, make_http_client
+from passgate.daemon.topics import LogTopics
 from passgate.gateway.settings import GatewaySettings
 from passgate.peers.peer_transport import TcpPeerTransport, parse_address
 from passgate.platform import names
