--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -30,8 +30,6 @@
     usage_window_s: float = 5.0
     usage_due_s: float = 10.0
     """Time after the end of a window within which its report is due."""
-    fences_checked: bool = True
-    """Whether the platform refuses calls with a lower fence than it has seen."""
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -37,7 +37,6 @@
     revokeMs: float = 5000.0  # noqa: N815
     usageWindowS: float = 5.0  # noqa: N815
     usageLateS: float = 10.0  # noqa: N815
-    fencingEnforced: bool = True  # noqa: N815
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -125,7 +124,6 @@
         scaling=node.experiments.scaling if names.SCALING_DUTY in cloud.duties else ScalingPolicy.NEVER,
         usage_window_s=node.bounds.usageWindowS,
         usage_due_s=node.bounds.usageLateS,
-        fences_checked=node.bounds.fencingEnforced,
     )
 
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -593,32 +593,39 @@
     assert [run.whole for run in faster.runs] == [True]
 
 
-@in_world
-async def test_the_end_of_a_planned_stop_cuts_no_request_that_a_replica_has(world):
-    app = world.replica("i-1", "app", work_s=0.03)
-    world.configure(1, stand_ins.safe_route(maxAttempts=1))
-    await world.start()
+async def stop_under_calls(world, *, apart_s, calls):
+    """Stop the daemon while eight callers go on, begun ``apart_s`` apart; return each call's status."""
     statuses = {}
 
     async def call_on(number):
-        for step in range(400):
+        await asyncio.sleep(number * apart_s)
+        for step in range(calls):
             request_id = f"r{number}-{step}"
+            statuses[request_id] = None
             try:
                 statuses[request_id] = (
                     await world.call("POST", "/call/x", b"", request_id=request_id)
                 ).status
             except PassgateError:
-                statuses[request_id] = None
                 if world.task.done():
                     return
 
-    with unittest.mock.patch.object(planned_stop, "NOTICE_S", 0.3):
-        callers = [asyncio.create_task(call_on(number)) for number in range(8)]
-        await asyncio.sleep(0.2)
-        world.daemon.stop()
-        await asyncio.gather(*callers)
-        await world.task
+    callers = [asyncio.create_task(call_on(number)) for number in range(8)]
+    await asyncio.sleep(0.2)
+    world.daemon.stop()
+    await asyncio.gather(*callers)
+    await world.task
     world.task = None
+    return statuses
+
+
+@in_world
+async def test_the_end_of_a_planned_stop_cuts_no_request_that_a_replica_has(world):
+    app = world.replica("i-1", "app", work_s=0.03)
+    world.configure(1, stand_ins.safe_route(maxAttempts=1))
+    await world.start()
+    with unittest.mock.patch.object(planned_stop, "NOTICE_S", 0.3):
+        statuses = await stop_under_calls(world, apart_s=0.0, calls=400)
     cut = [run.request_id for run in app.runs if statuses[run.request_id] != 200]
     assert cut == []
     assert set(statuses.values()) <= {200, 503, None}
@@ -630,29 +637,9 @@
     app = world.replica("i-1", "app", work_s=0.1)
     world.configure(1, stand_ins.safe_route(maxAttempts=1))
     await world.start()
-    statuses = {}
-
-    async def call_on(number):
-        await asyncio.sleep(number * 0.013)
-        for step in range(100):
-            request_id = f"r{number}-{step}"
-            statuses[request_id] = None
-            try:
-                statuses[request_id] = (
-                    await world.call("POST", "/call/x", b"", request_id=request_id)
-                ).status
-            except PassgateError:
-                if world.task.done():
-                    return
-
     world.daemon.settings = msgspec.structs.replace(world.daemon.settings, stop_grace_s=2.0)
     with unittest.mock.patch.object(planned_stop, "NOTICE_S", 0.3):
-        callers = [asyncio.create_task(call_on(number)) for number in range(8)]
-        await asyncio.sleep(0.2)
-        world.daemon.stop()
-        await asyncio.gather(*callers)
-        await world.task
-    world.task = None
+        statuses = await stop_under_calls(world, apart_s=0.013, calls=100)
     assert [run.request_id for run in app.runs if statuses[run.request_id] != 200] == []
 
 
