Tell of each failed attempt with a fingerprint of its request

Cause: the incident's logs could not tell whether one request ends the replicas or many are bystanders. Each try has an id of its own, and `forward_ended` names the replicas but not how each attempt ended.

Change: `attempt_failed` for plain and streamed requests: replica, code, whether it may have run, elapsed time, and a digest of host, method, path, tenant and body that is the same for each try of a request. `passgate explain FINGERPRINT` joins the tries. No decision changes. The stand-in of a replica can be ended by a request.

Before: no line joined two tries. After: two tries at two replicas give one fingerprint and the verdict "2 failed attempts in 2 tries of one request" (tests/test_explain.py).

--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 from passgate.decisions.events import (
+    AttemptFailed,
     ConfigurationInForce,
     ConfigurationLearned,
     ConfigurationRejected,
@@ -57,6 +58,7 @@
 from passgate.decisions.log import DecisionLog
 
 __all__ = [
+    "AttemptFailed",
     "ConfigurationInForce",
     "ConfigurationLearned",
     "ConfigurationRejected",
--- a/passgate/decisions/events.py
+++ b/passgate/decisions/events.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from passgate.errors import ExecutionStatus
+
 
 class Event(msgspec.Struct, frozen=True, kw_only=True, tag_field="event"):
     """Base of all events."""
@@ -137,6 +139,26 @@
         return self.attempt == 1
 
 
+class AttemptFailed(Event, tag="attempt_failed"):
+    """A replica did not give the whole answer of a request that was sent to it."""
+
+    request_id: str
+    route: str
+    replica_id: str
+    fingerprint: str
+    """Digest of the request's content; the same for each try of one request."""
+    reason: str
+    """Code of the failure."""
+    execution: str
+    """Whether the replica may have begun the request."""
+    elapsed_ms: float
+
+    @property
+    def ordinary(self) -> bool:
+        """A refusal is ordinary, as the request certainly did not run."""
+        return self.execution == ExecutionStatus.NOT_RUN.value
+
+
 class ForwardEnded(Event, tag="forward_ended"):
     """A request got its final answer."""
 
--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -28,7 +28,7 @@
 Line = dict[str, Any]
 """One decision line as read; its fields are those of :mod:`passgate.decisions`."""
 
-ID_FIELDS = ("request_id", "job_id", "item_id", "replica_id")
+ID_FIELDS = ("request_id", "job_id", "item_id", "replica_id", "fingerprint")
 HEAD_FIELDS = frozenset({"time", "up", "daemon", "event"})
 FAILURE_STATUS = 400
 REWARD_EVENTS = frozenset({"reward_sent", "reward_failed"})
@@ -123,6 +123,8 @@
         return f"reward call of item {', '.join(sorted(items))}: {_item_verdict(of_item, lines)}"
     if any(line.get("job_id") == wanted for line in mine):
         return _job_verdict(mine)
+    if any(line.get("fingerprint") == wanted for line in mine):
+        return _fingerprint_verdict(mine)
     return _request_verdict(mine)
 
 
@@ -146,6 +148,17 @@
     return f"answered {status}{after} ({reason}): {_because(reason)}; tried {tried}"
 
 
+def _fingerprint_verdict(mine: list[Line]) -> str:
+    """Say how the attempts of all tries of one request failed."""
+    failures = [line for line in mine if line["event"] == "attempt_failed"]
+    tries = {line["request_id"] for line in failures}
+    replicas = ", ".join(dict.fromkeys(line["replica_id"] for line in failures))
+    return (
+        f"{len(failures)} failed attempts in {len(tries)} tries of one request, "
+        f"at {replicas} ({_reasons(failures)})"
+    )
+
+
 def _job_verdict(mine: list[Line]) -> str:
     failed = [line for line in mine if line["event"] == "job_accept_failed"]
     accepted = [line for line in mine if line["event"] == "job_accepted"]
@@ -194,7 +207,7 @@
     """Show the life of one request, job or item.
 
     Args:
-        identifier: the id of a request, job, item or replica.
+        identifier: the id of a request, job, item or replica, or a request's fingerprint.
         files: log files; ``-`` or none means standard input.
     """
     texts: list[str] = []
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -44,8 +44,18 @@
     """A whole answer that reports a failure; given when nothing better comes."""
 
 
-Running = dict[asyncio.Task[ReplicaAnswer], float]
-"""Attempts that are under way, with the time of day at which each was sent."""
+class _Attempt(msgspec.Struct, frozen=True, kw_only=True):
+    """One attempt that is under way."""
+
+    replica_id: str
+    began_s: float
+    """Loop time at which it was sent."""
+    sent_at_s: float
+    """Time of day at which it was sent."""
+
+
+Running = dict[asyncio.Task[ReplicaAnswer], _Attempt]
+"""Attempts that are under way."""
 
 
 class Forwarder(ForwarderBase):
@@ -114,7 +124,9 @@
             return
         self._note_sent(forwarding, state)
         call = self._caller.call(state, self._replica_request(forwarding))
-        running[asyncio.get_running_loop().create_task(call)] = self._usage_now_s()
+        running[asyncio.get_running_loop().create_task(call)] = _Attempt(
+            replica_id=state.info.replica_id, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
+        )
 
     async def _wait(self, forwarding: Forwarding, running: Running) -> None:
         until_s = forwarding.limit_s
@@ -125,10 +137,10 @@
 
     def _collect(self, forwarding: Forwarding, running: Running, outcome: _Outcome) -> ReplicaAnswer | None:
         for task in [task for task in running if task.done()]:
-            sent_at_s = running.pop(task)
+            attempt = running.pop(task)
             error = task.exception()
             if _has_run(error):
-                self._count_run(forwarding, sent_at_s)
+                self._count_run(forwarding, attempt.sent_at_s)
             if error is None:
                 answer = task.result()
                 if self._is_final(forwarding, answer):
@@ -136,6 +148,7 @@
                 outcome.fallback = answer
                 forwarding.may_have_run = True
             elif isinstance(error, PassgateError):
+                self._note_failed_attempt(forwarding, attempt.replica_id, error, attempt.began_s)
                 outcome.failure = error
                 forwarding.may_have_run |= error.execution is not ExecutionStatus.NOT_RUN
             else:
@@ -144,8 +157,8 @@
 
     def _count_unfinished(self, forwarding: Forwarding, running: Running) -> None:
         """Count the attempts that are cut off because another one, or nobody, is waited for."""
-        for sent_at_s in running.values():
-            self._count_run(forwarding, sent_at_s)
+        for attempt in running.values():
+            self._count_run(forwarding, attempt.sent_at_s)
 
     def _is_final(self, forwarding: Forwarding, answer: ReplicaAnswer) -> bool:
         if answer.status >= SERVER_ERROR:
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, ForwardEnded, ForwardSent
+from passgate.decisions import AttemptFailed, DecisionLog, ForwardEnded, ForwardSent
 from passgate.errors import NoReplicaAvailable, Unauthorized
 from passgate.errors.base import ExecutionStatus, PassgateError
 from passgate.gateway.access import Caller
@@ -16,6 +16,7 @@
 from passgate.gateway.replica_call import ReplicaCaller, ReplicaRequest
 from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
 from passgate.gateway.routes import ConfigHolder, Route, RouteKind, WeightedChoice
+from passgate.quarantine.identity import RequestIdentity
 
 RETRY_AFTER_S = 0.15
 """When a refused caller is asked to come back."""
@@ -42,6 +43,18 @@
     last_event_id: str = ""
     """Identifier of the last event that the caller has."""
 
+    @property
+    def identity(self) -> RequestIdentity:
+        """What makes a further try the same request."""
+        request = self.request
+        return RequestIdentity(
+            host=request.host,
+            method=request.method,
+            path=request.path,
+            tenant=self.caller.tenant,
+            body=request.body,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
@@ -158,6 +171,21 @@
             )
         )
 
+    def _note_failed_attempt(
+        self, forwarding: Forwarding, replica_id: str, error: PassgateError, began_s: float
+    ) -> None:
+        self._decisions.write(
+            AttemptFailed(
+                request_id=forwarding.request_id,
+                route=forwarding.route.name,
+                replica_id=replica_id,
+                fingerprint=forwarding.identity.fingerprint(),
+                reason=error.code,
+                execution=error.execution.value,
+                elapsed_ms=round((monotonic_s() - began_s) * 1000, 1),
+            )
+        )
+
     def _usage_now_s(self) -> float:
         return self._usage.now_s() if self._usage is not None else 0.0
 
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -137,16 +137,17 @@
         self._names = names
         self._state = state
         self._request = request
-        self._began_s = monotonic_s()
+        self.began_s = monotonic_s()
+        """Loop time at which it was sent."""
         self._open = True
         self.replica_id = state.info.replica_id
         self._transfer: Transfer = http.start(self._http_call())
         state.in_flight += 1
-        replicas.health.sent(self.replica_id, self._began_s)
+        replicas.health.sent(self.replica_id, self.began_s)
 
     def _http_call(self) -> HttpCall:
         request = self._request
-        left_s = max(request.deadline_s - self._began_s, 0.001)
+        left_s = max(request.deadline_s - self.began_s, 0.001)
         headers = HTTPHeaders()
         passed_on = headers_for_replica(request.headers, request.tenant, self._names.tenant)
         for name, value in forwarded_headers(passed_on):
@@ -241,7 +242,7 @@
         """Count an attempt whose answer is whole."""
         now_s = monotonic_s()
         self._replicas.health.succeeded(self.replica_id)
-        self._replicas.observe_latency(self.replica_id, now_s - self._began_s, now_s)
+        self._replicas.observe_latency(self.replica_id, now_s - self.began_s, now_s)
 
     def _failed(self, *, unreachable: bool) -> None:
         self._replicas.health.failed(self.replica_id, monotonic_s(), unreachable=unreachable)
@@ -249,7 +250,7 @@
     def too_slow(self) -> None:
         """Count an attempt that was given up because nothing came."""
         now_s = monotonic_s()
-        self._replicas.observe_latency(self.replica_id, now_s - self._began_s, now_s)
+        self._replicas.observe_latency(self.replica_id, now_s - self.began_s, now_s)
 
     def fell_silent(self) -> None:
         """Count a stream that was left as its replica seems lost; it is set aside for some time."""
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -72,17 +72,24 @@
                 exchange.too_slow()
                 exchange.close()
                 stream.may_have_run = True
+                self._note_failed_exchange(stream, exchange, DeadlineExceeded("no head in time"))
                 if not stream.may_go_on or monotonic_s() >= stream.limit_s:
                     raise self._failed(stream, "no head in time") from error
             except PassgateError as error:
                 exchange.close()
                 stream.may_have_run |= error.execution is not ExecutionStatus.NOT_RUN
+                self._note_failed_exchange(stream, exchange, error)
                 if not stream.may_go_on:
                     raise self._failed(stream, error.code) from error
             except asyncio.CancelledError:
                 exchange.close()
                 raise
 
+    def _note_failed_exchange(
+        self, stream: Forwarding, exchange: ReplicaExchange, error: PassgateError
+    ) -> None:
+        self._note_failed_attempt(stream, exchange.replica_id, error, exchange.began_s)
+
     def _send(self, stream: Forwarding) -> ReplicaExchange:
         state = self._choose(stream)
         if state is None:
@@ -105,6 +112,8 @@
                 except (PassgateError, TimeoutError) as error:
                     exchange.close()
                     stream.may_have_run = True
+                    failure = error if isinstance(error, PassgateError) else IncompleteAnswer("silent")
+                    self._note_failed_exchange(stream, exchange, failure)
                     if not stream.may_go_on or monotonic_s() >= stream.limit_s:
                         raise self._failed(stream, "broke off") from error
                 exchange = await self._open(stream)
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import random
+import socket
 import struct
 import time
 from dataclasses import dataclass, field
@@ -241,6 +242,8 @@
     credentials: list = field(default_factory=list)
     versions: list = field(default_factory=list)
     whole: bool = False
+    crashed: bool = False
+    """Whether this run ended its replica."""
     began_s: float = 0.0
     ended_s: float = 0.0
 
@@ -283,10 +286,15 @@
         self.server = None
         self.address = ""
         self.beating = None
+        self.crash_on = lambda request: False
+        """Whether a request ends this replica while it runs; the replica then is down until restarted."""
+        self.ended = False
+        self.on_end = lambda replica: None
+        """Called once when a request has ended this replica."""
 
-    def start(self):
+    def start(self, port=0):
         self.server = HTTPServer(Application([(".*", ReplicaHandler, {"replica": self})]))
-        self.address = listen(self.server)
+        self.address = listen(self.server, port)
         self.tell()
         return self
 
@@ -309,6 +317,19 @@
         await self.server.close_all_connections()
         self.log.put("keyed.servers", self.replica_id, None)
 
+    def end(self):
+        """End as a process does that crashes: nothing listens any more, all connections are reset."""
+        if self.ended:
+            return
+        self.ended = True
+        self.server.stop()
+        for connection in list(self.server._connections):
+            stream = connection.stream
+            if not stream.closed():
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                stream.close()
+        self.on_end(self)
+
     async def stop(self):
         self.server.stop()
         await self.server.close_all_connections()
@@ -395,6 +416,12 @@
             self.set_status(replica.faults.failing)
             self.finish()
             return
+        if replica.crash_on(self.request):
+            await asyncio.sleep(replica.work_s)
+            if not self.left:
+                run.crashed = True
+                replica.end()
+            return
         if "/stream" in self.request.path:
             await self.stream(run)
             return
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -142,3 +142,21 @@
     assert "dead" in story.verdict
     assert "failed attempts of its reward call (the replica answered 500" in story.verdict
     assert any("reward_sent" in line and "i-2" in line for line in story.lines)
+
+
+def test_tries_of_one_request_that_end_replicas_are_explained_by_its_fingerprint():
+    async def scenario(world):
+        for name in ("i-1", "i-2"):
+            world.replica(name, "app").crash_on = lambda request: request.body == b"crash"
+        await world.until(lambda: len(world.daemon.replicas.all()) == 2)
+        await world.call("POST", "/call/x", b"crash", request_id="first")
+        await world.call("POST", "/call/x", b"crash", request_id="second")
+
+    lines = lines_of(scenario)
+    failed = [json.loads(line) for line in lines if '"attempt_failed"' in line]
+    assert {line["request_id"] for line in failed} == {"first", "second"}
+    (fingerprint,) = {line["fingerprint"] for line in failed}
+    assert {line["execution"] for line in failed} == {"unknown"}
+    story = explain(fingerprint, lines)
+    assert "2 failed attempts in 2 tries of one request" in story.verdict
+    assert "backend_unreachable: connections to replicas failed after the request was sent" in story.verdict
