--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,8 @@
     MachineRole,
 )
 
+pytest_plugins = ["pytester", "tests.known_red"]
+
 ENGINE = MachineInfo(
     machine_id="e1", role=MachineRole.ENGINE, address="127.0.0.1:1", zone="z", labels={"kind": "engine"}
 )
--- /dev/null
+++ b/tests/crashing_world.py
@@ -0,0 +1,112 @@
+"""Several daemons over one log, and replicas that a request can end; they come back under new ids."""
+
+import asyncio
+import contextlib
+
+from passgate.clients.calls import HttpCall, SendPolicy
+from passgate.errors import PassgateError
+from tests import platform_stand_ins as stand_ins
+from tests.test_platform_daemon import HOST, World, free_address, start_daemon
+
+CRASHING_BODY = b"crash"
+BACK_AFTER_S = 0.4
+"""Time for which a replica is away that a request has ended."""
+
+
+class CrashingWorld(World):
+    """Stand-ins and daemons, in one loop; the body ``crash`` ends the replica that runs it."""
+
+    def __init__(self):
+        super().__init__()
+        self.daemons = []
+        self.tasks = []
+        self.restarts = []
+        self.ended = []
+        """Replicas that a request has ended, in order."""
+        self.started = 0
+
+    def add_replica(self, service="app", port=0, **fields):
+        """Start a replica; every life has an id of its own."""
+        self.started += 1
+        fields.setdefault("work_s", 0.03)
+        replica = stand_ins.Replica(self.log, f"i-{self.started}", service, **fields)
+        replica.crash_on = lambda request: request.body == CRASHING_BODY
+        replica.on_end = lambda ended: self._note_end(ended, fields)
+        self.replicas[replica.replica_id] = replica.start(port)
+        return replica
+
+    def _note_end(self, replica, fields):
+        self.ended.append(replica)
+        task = asyncio.get_running_loop().create_task(self._restart(replica, fields))
+        self.restarts.append(task)
+
+    async def _restart(self, replica, fields):
+        await asyncio.sleep(BACK_AFTER_S)
+        self.log.put("keyed.servers", replica.replica_id, None)
+        self.add_replica(replica.service, port=int(replica.address.rpartition(":")[2]), **fields)
+
+    async def start_daemons(self, count):
+        for _ in range(count):
+            await self.start_one(f"d{len(self.daemons) + 1}")
+        await self.until(lambda: all(daemon.ready() for daemon in self.daemons))
+
+    async def start_one(self, name):
+        text = stand_ins.settings_text(name, self.log.address, free_address(), free_address())
+        daemon, task = start_daemon(text)
+        self.daemons.append(daemon)
+        self.tasks.append(task)
+        await asyncio.sleep(0)
+
+    async def kill_daemons(self):
+        """End all daemons without a word; what they knew is gone."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.daemons, self.tasks = [], []
+
+    async def ask(self, daemon, body, request_id, path="/call/x", method="POST", **headers):
+        """Return the status of a request; None when the connection ended without an answer."""
+        call = HttpCall(
+            method=method,
+            url=f"http://{daemon.settings.front_address}{path}",
+            body=body,
+            headers={"Host": HOST, "X-Attempt-Id": request_id, "X-Deadline-Ms": "1500"} | headers,
+            send=SendPolicy.ONCE,
+            timeout_s=3.0,
+        )
+        with contextlib.suppress(PassgateError):
+            return await self.http.fetch(call)
+        return None
+
+    async def crash_again_and_again(self, times, gap_s, prefix="crash"):
+        """Send the crashing request as several tries, to one daemon after the other."""
+        answers = []
+        for number in range(times):
+            daemon = self.daemons[number % len(self.daemons)]
+            answers.append(await self.ask(daemon, CRASHING_BODY, f"{prefix}-{number}"))
+            await asyncio.sleep(gap_s)
+        return answers
+
+    async def close(self):
+        await self.kill_daemons()
+        for task in self.restarts:
+            task.cancel()
+        await super().close()
+
+
+def in_crashing_world(test):
+    """Run a coroutine test with such a world."""
+
+    def run():
+        async def main():
+            world = CrashingWorld()
+            try:
+                await test(world)
+            finally:
+                await world.close()
+
+        asyncio.run(main())
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -150,6 +150,9 @@
             world.replica(name, "app").crash_on = lambda request: request.body == b"crash"
         await world.until(lambda: len(world.daemon.replicas.all()) == 2)
         await world.call("POST", "/call/x", b"crash", request_id="first")
+        (ended,) = [replica for replica in world.replicas.values() if replica.ended]
+        world.log.put("keyed.servers", ended.replica_id, None)
+        await world.until(lambda: len(world.daemon.replicas.all()) == 1)
         await world.call("POST", "/call/x", b"crash", request_id="second")
 
     lines = lines_of(scenario)
