Count the time for which a machine was suspended in all of a daemon's times

Change: a daemon runs on a loop whose clock is CLOCK_BOOTTIME, both on the platform and `passgate serve`; every time of the product comes from the loop, so leases, ages, deadlines and the agreed time of day are right after a suspension. An empty page of the log counts as true no longer than until its answer was due.

--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -65,6 +65,7 @@
         settings: path of the settings file.
         overrides: any setting by its name, for example --zone caruaru or --limits.max_body_bytes 1024.
     """
+    from passgate.clock import DaemonEventLoop
     from passgate.logging_setup import configure_logging
     from passgate.server.daemon import run_daemon
     from passgate.settings import load_settings
@@ -78,7 +79,8 @@
             loop.add_signal_handler(number, ask)
 
     raise_file_limit()
-    whole = asyncio.run(run_daemon(loaded, logger, on_stop_signal))
+    with asyncio.Runner(loop_factory=DaemonEventLoop) as runner:
+        whole = runner.run(run_daemon(loaded, logger, on_stop_signal))
     if not whole:
         raise SystemExit(EXIT_FAILED)
 
--- a/passgate/clock.py
+++ b/passgate/clock.py
@@ -22,6 +22,18 @@
 Result = TypeVar("Result")
 
 
+class DaemonEventLoop(asyncio.SelectorEventLoop):
+    """The loop of a daemon: its clock also counts the time for which the machine was suspended.
+
+    Linux's steady clock stands still then, while leases lapse, callers leave and the log goes on.
+    Timers that came due meanwhile fire when the loop next wakes; a daemon's ticks wake it each 0.1 s.
+    """
+
+    def time(self) -> float:
+        """Return seconds since the machine was booted, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 CANCEL_ROUNDS = 20
 """Most rounds of cancelling what a run left behind."""
 
--- a/passgate/platform/__main__.py
+++ b/passgate/platform/__main__.py
@@ -9,6 +9,7 @@
 import sys
 
 from passgate.clients.curl import HttpClient
+from passgate.clock import DaemonEventLoop
 from passgate.daemon.gateway_daemon import GatewayDaemon, make_http_client
 from passgate.daemon.topics import LogTopics
 from passgate.gateway.settings import GatewaySettings
@@ -47,6 +48,11 @@
     return daemon
 
 
+def runner() -> asyncio.Runner:
+    """Return what runs a daemon."""
+    return asyncio.Runner(loop_factory=DaemonEventLoop)
+
+
 async def serve() -> None:
     """Run one daemon until SIGTERM."""
     with contextlib.suppress(OSError):
@@ -67,4 +73,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(serve())
+    with runner() as main_runner:
+        main_runner.run(serve())
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -43,6 +43,9 @@
 NEVER_S = float("-inf")
 EMPTY_PAGE_AGE_S = 0.1
 """How old an empty page may be when it arrives."""
+SLOWEST_ANSWER_S = 1.2
+"""Time for an answer beyond its wait, the time-out of the log's client.  A page that is read later
+had come before, and the machine stood still."""
 BEHIND_S = 2.5
 """Without a confirmed read for this long, a follower counts as behind."""
 
@@ -177,13 +180,19 @@
             settings.topic, settings.part, start, wait_s=wait_s, max_bytes=self._page_bytes
         )
 
-    def _confirm_end(self, page: LogPage, began_s: float) -> bool:
-        """Note whether a page reached the end of the partition; return whether it did."""
+    def _confirm_end(self, page: LogPage, began_s: float, wait_s: float) -> bool:
+        """Note whether a page reached the end of the partition; return whether it did.
+
+        A machine that stood still may read a page long after it was made, so an empty one counts
+        as true no longer than until its answer was due.
+        """
         if page.next_offset < page.end:
             return False
         # An empty page was the truth when its wait ended, a page with records when it was made.
-        at_s = began_s if page.records else max(began_s, monotonic_s() - EMPTY_PAGE_AGE_S)
-        self.freshness.confirmed(at_s, monotonic_s())
+        now_s = monotonic_s()
+        due_s = began_s + wait_s + SLOWEST_ANSWER_S
+        at_s = began_s if page.records else max(began_s, min(due_s, now_s - EMPTY_PAGE_AGE_S))
+        self.freshness.confirmed(at_s, now_s)
         return True
 
 
@@ -200,9 +209,10 @@
 
     async def _read_once(self) -> bool:
         began_s = monotonic_s()
-        page = await self._read(self.next_offset, self.wait_s if self.caught_up else 0.0)
+        wait_s = self.wait_s if self.caught_up else 0.0
+        page = await self._read(self.next_offset, wait_s)
         self._take(page)
-        at_end = self._confirm_end(page, began_s)
+        at_end = self._confirm_end(page, began_s, wait_s)
         self.caught_up = self.caught_up or at_end
         return at_end
 
@@ -318,7 +328,7 @@
         if page.records and page.start == self._next_offset:
             self._update(tuple(self._log.decode_keyed(record) for record in page.records), page.start)
             self._next_offset = page.next_offset
-        return self._confirm_end(page, began_s)
+        return self._confirm_end(page, began_s, self.wait_s)
 
     def _skip_lost_history(self, first: int) -> None:
         self._reload = True
