Let an answer clear a request only for the service that gave it; count suspensions in `up`

Cause: with a split route a request that ends the replicas of one service may be answered by those of the other. Each such answer cleared all its reports, so two more replicas of the first service would have ended after each of them. Found by reading, not by a run.

Change: a report names its replica's service, and an answer clears those of its own service only; a test that fails without it. `up` is the time since boot, suspensions included.

--- a/passgate/clock.py
+++ b/passgate/clock.py
@@ -22,6 +22,11 @@
 Result = TypeVar("Result")
 
 
+def since_boot_s() -> float:
+    """Return seconds since the machine was booted; unlike the steady clock it counts suspensions."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class DaemonEventLoop(asyncio.SelectorEventLoop):
     """The loop of a daemon: its clock also counts the time for which the machine was suspended.
 
@@ -31,7 +36,7 @@
 
     def time(self) -> float:
         """Return seconds since the machine was booted, suspensions included."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        return since_boot_s()
 
 
 CANCEL_ROUNDS = 20
--- a/passgate/decisions/log.py
+++ b/passgate/decisions/log.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from passgate.clock import since_boot_s
 from passgate.decisions.events import Event, LinesDropped
 
 LINES_PER_S = 60.0
@@ -36,7 +37,7 @@
         daemon_id: str,
         *,
         write: Callable[[bytes], int] = _write_stdout,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = since_boot_s,
         wall: Callable[[], float] = time.time,
         lines_per_s: float = LINES_PER_S,
         observe: Callable[[Event], None] | None = None,
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -20,7 +20,7 @@
 from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
-from passgate.quarantine.guard import CRASH_LIMIT, CrashGuard, ReplicaAddress
+from passgate.quarantine.guard import CRASH_LIMIT, CrashGuard, ReplicaPlace
 from passgate.quarantine.identity import RequestIdentity
 
 CONNECT_TIMEOUT_S = 0.6
@@ -268,12 +268,13 @@
     def succeeded(self) -> None:
         """Count an attempt whose answer is whole."""
         now_s = monotonic_s()
-        self._crashes.succeeded(self._request.identity)
+        self._crashes.succeeded(self._request.identity, self._state.info.service)
         self._replicas.health.succeeded(self.replica_id)
         self._replicas.observe_latency(self.replica_id, now_s - self.began_s, now_s)
 
     def _broke_off(self, error: PassgateError) -> None:
-        replica = ReplicaAddress(replica_id=self.replica_id, address=self._state.info.address)
+        info = self._state.info
+        replica = ReplicaPlace(replica_id=self.replica_id, service=info.service, address=info.address)
         self._crashes.broke_off(self._request.identity, replica, error)
 
     def _failed(self, *, unreachable: bool) -> None:
@@ -304,7 +305,7 @@
 
     def succeeded_stream(self) -> None:
         """Count a stream that came whole; its length says nothing of the replica's speed."""
-        self._crashes.succeeded(self._request.identity)
+        self._crashes.succeeded(self._request.identity, self._state.info.service)
         self._replicas.health.succeeded(self.replica_id)
 
     def observe_pace(self, event_s: float) -> None:
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -35,10 +35,11 @@
 """Time between looks whether a request is held still; holds last for minutes."""
 
 
-class ReplicaAddress(msgspec.Struct, frozen=True, kw_only=True):
-    """A replica, and where it listened when an attempt was sent to it."""
+class ReplicaPlace(msgspec.Struct, frozen=True, kw_only=True):
+    """A replica, its service, and where it listened when an attempt was sent to it."""
 
     replica_id: str
+    service: str
     address: str
 
 
@@ -126,7 +127,7 @@
         if self._last_chances:
             self._last_chances.pop(identity.fingerprint(), None)
 
-    def broke_off(self, identity: RequestIdentity, replica: ReplicaAddress, error: PassgateError) -> None:
+    def broke_off(self, identity: RequestIdentity, replica: ReplicaPlace, error: PassgateError) -> None:
         """Look at a replica whose answer broke off, and report it if it has ended."""
         if not _may_be_crash(error):
             return
@@ -141,10 +142,11 @@
         if len(self._ledger):
             self._clear(self._ledger.clear_replica(replica_id, began_s), "the replica lives")
 
-    def succeeded(self, identity: RequestIdentity) -> None:
-        """Take a whole answer as a proof that the request does not crash replicas."""
+    def succeeded(self, identity: RequestIdentity, service: str) -> None:
+        """Take a whole answer as a proof that the request does not crash replicas of a service."""
         if len(self._ledger):
-            self._clear(self._ledger.clear_request(identity.fingerprint()), "the request was answered")
+            cleared = self._ledger.clear_request(identity.fingerprint(), service)
+            self._clear(cleared, "the request was answered")
 
     def _is_last_chance(self, fingerprint: str, limit: int) -> bool:
         return self._ledger.crashes(fingerprint, unix_s()) == limit - 1
@@ -154,11 +156,16 @@
             return 0.0
         return self._ledger.held_for_s(identity.fingerprint(), limit, unix_s())
 
-    async def _look(self, fingerprint: str, replica: ReplicaAddress) -> None:
+    async def _look(self, fingerprint: str, replica: ReplicaPlace) -> None:
         if not await self._reporter.has_ended(replica.address):
             return
         self._reporter.set_aside(replica.replica_id, monotonic_s())
-        report = CrashReport(fingerprint=fingerprint, replica_id=replica.replica_id, at_unix_s=unix_s())
+        report = CrashReport(
+            fingerprint=fingerprint,
+            replica_id=replica.replica_id,
+            service=replica.service,
+            at_unix_s=unix_s(),
+        )
         if not self._ledger.add(report, monotonic_s()):
             return
         self._reporter.report(report)
--- a/passgate/quarantine/ledger.py
+++ b/passgate/quarantine/ledger.py
@@ -7,10 +7,11 @@
 
 >>> ledger = CrashLedger()
 >>> for replica_id in ("r1", "r2"):
-...     _ = ledger.add(CrashReport(fingerprint="f", replica_id=replica_id, at_unix_s=100.0), now_s=5.0)
+...     report = CrashReport(fingerprint="f", replica_id=replica_id, service="s", at_unix_s=100.0)
+...     _ = ledger.add(report, now_s=5.0)
 >>> ledger.held_for_s("f", limit=2, unix_s=160.0), ledger.held_for_s("f", limit=3, unix_s=160.0)
 (540.0, 0.0)
->>> [report.replica_id for report in ledger.clear_request("f")]
+>>> [report.replica_id for report in ledger.clear_request("f", "s")]
 ['r1', 'r2']
 >>> ledger.held_for_s("f", limit=2, unix_s=160.0)
 0.0
@@ -32,6 +33,8 @@
 
     fingerprint: str
     replica_id: str
+    service: str
+    """Service of the replica."""
     at_unix_s: float
     """Time of day at which the reporting daemon knew."""
 
@@ -79,9 +82,13 @@
         self._count -= 1
         return True
 
-    def clear_request(self, fingerprint: str) -> list[CrashReport]:
-        """Drop all reports of a request that a replica has answered; return them."""
-        return self._remove_all(list(self._by_request.get(fingerprint, {}).values()))
+    def clear_request(self, fingerprint: str, service: str) -> list[CrashReport]:
+        """Drop the reports of a request that a replica of a service has answered; return them.
+
+        Those of other services stand: one release of a split route may crash where another does not.
+        """
+        known = self._by_request.get(fingerprint, {}).values()
+        return self._remove_all([each for each in known if each.report.service == service])
 
     def clear_replica(self, replica_id: str, began_s: float) -> list[CrashReport]:
         """Drop the reports of a replica that answered an attempt begun after them; return them.
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -16,11 +16,11 @@
 )
 from passgate.quarantine import ledger as ledgers
 from passgate.quarantine.channel import POLL_S, CrashChannel
-from passgate.quarantine.guard import CRASH_LIMIT, CrashGuard, CrashReporter, ReplicaAddress
+from passgate.quarantine.guard import CRASH_LIMIT, CrashGuard, CrashReporter, ReplicaPlace
 from passgate.quarantine.identity import RequestIdentity
 from passgate.quarantine.ledger import REPORT_LIFE_S, CrashLedger, CrashReport
 
-TOPIC = "keyed.crashes"
+TOPIC, SERVICE = "keyed.crashes", "app"
 LOOK_S = 0.02
 BROKEN = BackendUnreachable("reset", execution=ExecutionStatus.UNKNOWN)
 
@@ -30,7 +30,7 @@
 
 
 def replica(name):
-    return ReplicaAddress(replica_id=name, address=f"{name}:1")
+    return ReplicaPlace(replica_id=name, service=SERVICE, address=f"{name}:1")
 
 
 class Daemon:
@@ -191,12 +191,20 @@
     await first.crash("r1", identity=request(b"beside"))
     await asyncio.sleep(0.1)
     assert second.guard.is_suspect(request(b"beside"))
-    second.guard.succeeded(request(b"beside"))
+    second.guard.succeeded(request(b"beside"), SERVICE)
     await asyncio.sleep(0.1)
     assert not first.guard.is_suspect(request(b"beside"))
     assert fleet.daemon().ledger.crashes(request(b"beside").fingerprint(), 0.0) == 0
 
 
+@virtually
+async def test_an_answer_of_another_service_clears_nothing(fleet):
+    daemon = fleet.daemon()
+    await daemon.crash("r1", "r2")
+    daemon.guard.succeeded(request(), "another")
+    assert daemon.guard.is_held(request())
+
+
 @virtually
 async def test_a_replica_that_answers_later_has_not_ended(fleet):
     """As at a daemon that was cut off with refused connections, and then was not any more."""
@@ -251,7 +259,7 @@
     await first.crash("r1", "r2")
     await asyncio.sleep(0.1)
     fleet.log.cut_off.add("d1")
-    first.guard.succeeded(request())
+    first.guard.succeeded(request(), SERVICE)
     await asyncio.sleep(1.0)
     fleet.log.drop_history(TOPIC)
     fleet.log.cut_off.clear()
@@ -263,7 +271,9 @@
     monkeypatch.setattr(ledgers, "MOST_REPORTS", 3)
     ledger = CrashLedger()
     for number in range(5):
-        report = CrashReport(fingerprint=f"f{number}", replica_id="r", at_unix_s=float(number))
+        report = CrashReport(
+            fingerprint=f"f{number}", replica_id="r", service=SERVICE, at_unix_s=float(number)
+        )
         assert ledger.add(report, now_s=0.0)
     assert ledger.pairs() == {("f2", "r"), ("f3", "r"), ("f4", "r")}
     assert len(ledger) == 3
