Exchange crash reports between daemons while the log does not answer them

Cause: reports travel over the log. While it is down, or turns a daemon away, each daemon learns by itself what ends replicas, at the price of two replicas each.

Change: a daemon whose view of the reports is older than 2.5 s exchanges them with three others of its zone, twice a second; one that the log answers writes what it learns there. What a daemon has cleared and not yet written is not taken back.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -48,6 +48,7 @@
 from passgate.jobs.service import JobService
 from passgate.jobs.shards import JobShards, ShardSettings
 from passgate.peers.transport import PeerTransport
+from passgate.quarantine.peers import CRASH_REPORTS_METHOD, CrashPeers
 from passgate.quarantine.service import Crashes
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import GroupDirectory, GroupMember
@@ -178,6 +179,7 @@
             self.put_config,
             self.decisions,
         )
+        self._crash_peers = CrashPeers(peers, lambda: self._directory.others(member), self._crashes.channel)
         meter = self._duties.meter if self._duties is not None else None
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions, self.config, meter)
         self.stream_forwarder = StreamForwarder(
@@ -334,6 +336,7 @@
             group.create_task(self._directory.keep_known())
             group.create_task(self._loader.run())
             group.create_task(self._configuration_peers.run())
+            group.create_task(self._crash_peers.run())
             if self._duties is not None:
                 group.create_task(self._duties.run())
 
@@ -342,6 +345,8 @@
             return await self._duties.answer_peer(sender, method, payload)
         if method == CONFIGURATION_METHOD:
             return self._configuration_peers.answer(payload)
+        if method == CRASH_REPORTS_METHOD:
+            return self._crash_peers.answer(payload)
         return await self.jobs.answer_peer(sender, method, payload)
 
     async def _watch_log(self) -> None:
--- a/passgate/decisions/events.py
+++ b/passgate/decisions/events.py
@@ -174,6 +174,8 @@
 
     replica_id: str
     fingerprint: str
+    source: str
+    """``log``, or ``peer`` while the log does not answer this daemon."""
     crashes: int
     age_ms: float
     """Time since the report was made, by the time of day of both daemons."""
--- a/passgate/quarantine/channel.py
+++ b/passgate/quarantine/channel.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -29,6 +29,12 @@
 """Pause after a failed append."""
 MAX_PAUSE_S = 1.0
 """Longest such pause; a log that is back takes the reports within this."""
+DROPPED = b""
+"""Value of a record that drops its key."""
+FRESH_S = 2.5
+"""Age of the view of the topic up to which the log counts as answering; a calm one confirms it each 2 s."""
+MOST_TOLD = 256
+"""Reports told to another daemon at once, the newest; some 40 KB."""
 KEY_SEPARATOR = "/"
 
 
@@ -74,7 +80,28 @@
 
     def clear(self, report: CrashReport) -> None:
         """Tell all daemons that a report does not stand any more."""
-        self._write(_key(report), b"")
+        self._write(_key(report), DROPPED)
+
+    def is_current(self) -> bool:
+        """Whether the log answers this daemon, so that it knows what others report."""
+        return self._tail.freshness.age_s(monotonic_s()) < FRESH_S
+
+    def newest(self) -> tuple[CrashReport, ...]:
+        """Return the newest reports that stand."""
+        return self._ledger.newest(MOST_TOLD)
+
+    def learn(self, reports: Iterable[CrashReport]) -> None:
+        """Take reports from another daemon, and write new ones to the log if it answers this daemon."""
+        for report in reports:
+            if self._is_cleared(report) or self._ledger.knows(report.fingerprint, report.replica_id):
+                continue
+            self._take(report, "peer")
+            if self.is_current():
+                self.report(report)
+
+    def _is_cleared(self, report: CrashReport) -> bool:
+        """Whether this daemon has dropped a report, and the log does not know yet."""
+        return self._unwritten.get(_key(report)) == DROPPED
 
     async def run(self) -> None:
         """Read and write until cancelled."""
@@ -92,7 +119,7 @@
             await self._changed.wait()
             self._changed.clear()
             for report in self._ledger.clear_expired(unix_s()):
-                self._unwritten[_key(report)] = b""
+                self._unwritten[_key(report)] = DROPPED
             try:
                 await self._append(dict(self._unwritten))
                 pause_s = FIRST_PAUSE_S
@@ -130,17 +157,18 @@
                 self._ledger.remove(fingerprint, replica_id)
                 continue
             try:
-                self._take(msgspec.json.decode(record.value, type=CrashReport))
+                self._take(msgspec.json.decode(record.value, type=CrashReport), "log")
             except msgspec.DecodeError as error:
                 self._decisions.write(RecordUnreadable(offset=start + index, reason=str(error)))
 
-    def _take(self, report: CrashReport) -> None:
+    def _take(self, report: CrashReport, source: str) -> None:
         if self._ledger.add(report, monotonic_s()):
             self._set_aside(report.replica_id, monotonic_s())
             self._decisions.write(
                 CrashReported(
                     replica_id=report.replica_id,
                     fingerprint=report.fingerprint,
+                    source=source,
                     crashes=self._ledger.crashes(report.fingerprint, unix_s()),
                     age_ms=round((unix_s() - report.at_unix_s) * 1000, 1),
                 )
--- a/passgate/quarantine/ledger.py
+++ b/passgate/quarantine/ledger.py
@@ -19,6 +19,8 @@
 
 from __future__ import annotations
 
+import heapq
+
 import msgspec
 
 REPORT_LIFE_S = 600.0
@@ -118,6 +120,11 @@
         """Return fingerprint and replica of each report."""
         return {(request, replica) for request, known in self._by_request.items() for replica in known}
 
+    def newest(self, most: int) -> tuple[CrashReport, ...]:
+        """Return the newest reports."""
+        reports = (each.report for known in self._by_request.values() for each in known.values())
+        return tuple(heapq.nlargest(most, reports, key=lambda report: report.at_unix_s))
+
     def _remove_all(self, known: list[_Known]) -> list[CrashReport]:
         reports = [each.report for each in known]
         for report in reports:
--- a/passgate/quarantine/service.py
+++ b/passgate/quarantine/service.py
@@ -31,11 +31,11 @@
             decisions: where decisions are noted.
         """
         ledger = CrashLedger()
-        self._channel = CrashChannel(log, topic, ledger, set_aside, decisions)
+        self.channel = CrashChannel(log, topic, ledger, set_aside, decisions)
         reporter = CrashReporter(
             has_ended=has_ended,
-            report=self._channel.report,
-            clear=self._channel.clear,
+            report=self.channel.report,
+            clear=self.channel.clear,
             set_aside=set_aside,
         )
         self.guard = CrashGuard(ledger, reporter, decisions)
@@ -43,8 +43,8 @@
     @property
     def loaded(self) -> bool:
         """Whether all reports that stood on the log were read once."""
-        return self._channel.loaded
+        return self.channel.loaded
 
     async def run(self) -> None:
         """Carry reports until cancelled."""
-        await self._channel.run()
+        await self.channel.run()
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -1,6 +1,7 @@
 """The guard in virtual time: what counts as a crash, what clears a request, what is known at all daemons."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -14,11 +15,14 @@
     IncompleteAnswer,
     RequestQuarantined,
 )
+from passgate.peers.memory_transport import MemoryNetwork
 from passgate.quarantine import ledger as ledgers
-from passgate.quarantine.channel import POLL_S, CrashChannel
+from passgate.quarantine.channel import FRESH_S, POLL_S, CrashChannel
 from passgate.quarantine.guard import CRASH_LIMIT, CrashGuard, CrashReporter, ReplicaPlace
 from passgate.quarantine.identity import RequestIdentity
 from passgate.quarantine.ledger import REPORT_LIFE_S, CrashLedger, CrashReport
+from passgate.quarantine.peers import EXCHANGE_GAP_S, CrashPeers
+from passgate.sharedlog.member_names import member_name
 
 TOPIC, SERVICE = "keyed.crashes", "app"
 LOOK_S = 0.02
@@ -36,8 +40,8 @@
 class Daemon:
     """A guard and its channel; ``dead`` holds the addresses at which nobody listens."""
 
-    def __init__(self, log, name, dead):
-        self.dead = dead
+    def __init__(self, fleet, name):
+        log, self.dead = fleet.log, fleet.dead
         self.set_aside = []
         self.ledger = CrashLedger()
         decisions = DecisionLog(name, write=len)
@@ -49,7 +53,15 @@
             set_aside=self.note_set_aside,
         )
         self.guard = CrashGuard(self.ledger, reporter, decisions)
-        self.task = asyncio.get_running_loop().create_task(self.channel.run())
+        self.transport = fleet.network.transport(f"{name}:7", "z")
+        self.name = member_name(name, self.transport.address, 1.0)
+        self.peers = CrashPeers(self.transport, lambda: fleet.others(self.name), self.channel)
+        self.transport.start(lambda sender, payload: None, self.answer)
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(part.run()) for part in (self.channel, self.peers)]
+
+    async def answer(self, sender, method, payload):
+        return self.peers.answer(payload)
 
     def note_set_aside(self, replica_id, now_s):
         self.set_aside.append(replica_id)
@@ -71,13 +83,18 @@
 class Fleet:
     def __init__(self):
         self.log = MemorySharedLog(seed=1)
+        self.network = MemoryNetwork(random.Random(1))
         self.dead = set()
         self.daemons = []
 
     def daemon(self):
-        self.daemons.append(Daemon(self.log, f"d{len(self.daemons)}", self.dead))
+        self.daemons.append(Daemon(self, f"d{len(self.daemons)}"))
         return self.daemons[-1]
 
+    def others(self, name):
+        others = [daemon.name for daemon in self.daemons if daemon.name != name]
+        return self.log.random.sample(others, len(others))
+
 
 def virtually(test):
     """Run a coroutine test in virtual time."""
@@ -235,6 +252,34 @@
     assert second.guard.is_held(request())
 
 
+@virtually
+async def test_daemons_that_the_log_does_not_answer_tell_each_other(fleet):
+    """Without this each of them lets a request end as many replicas as its limit."""
+    daemons = [fleet.daemon() for _ in range(6)]
+    await asyncio.sleep(1.0)
+    fleet.log.faults = SharedLogFaults(refusing=True)
+    await daemons[0].crash("r1", "r2")
+    await asyncio.sleep(FRESH_S + 4 * EXCHANGE_GAP_S)
+    assert all(daemon.guard.is_held(request()) for daemon in daemons)
+    daemons[1].guard.succeeded(request(), SERVICE)
+    await asyncio.sleep(4 * EXCHANGE_GAP_S)
+    assert not daemons[1].guard.is_suspect(request())
+    fleet.log.faults = SharedLogFaults()
+    await asyncio.sleep(POLL_S + 2.0)
+    assert not any(daemon.guard.is_suspect(request()) for daemon in daemons)
+
+
+@virtually
+async def test_a_daemon_that_is_cut_off_from_the_log_writes_its_reports_through_others(fleet):
+    daemons = [fleet.daemon() for _ in range(6)]
+    await asyncio.sleep(1.0)
+    fleet.log.cut_off.add("d0")
+    await daemons[0].crash("r1", "r2")
+    await asyncio.sleep(FRESH_S + 2 * EXCHANGE_GAP_S + 0.2)
+    assert all(daemon.guard.is_held(request()) for daemon in daemons)
+    assert len(fleet.log.newest(TOPIC)) == 2
+
+
 @virtually
 async def test_a_held_request_is_tried_again_when_its_reports_expire_and_one_more_crash_holds_it(fleet):
     first, second = fleet.daemon(), fleet.daemon()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -65,6 +65,21 @@
     assert len(world.ended) == ended
 
 
+@in_crashing_world
+async def test_daemons_spare_replicas_while_the_log_is_down(world):
+    for _ in range(3):
+        world.add_replica()
+    world.configure(1, stand_ins.safe_route())
+    await world.start_daemons(4)
+    await asyncio.sleep(1.0)  # they know each other by the log's group
+    world.log.faults.refusing = True
+    await asyncio.sleep(3.0)
+    await world.crash_again_and_again(12, gap_s=0.7)
+    assert len(world.ended) <= 2 + MOST_ENDED
+    world.log.faults.refusing = False
+    await world.until(lambda: len(world.log.newest("keyed.passgate-crashes")) == len(world.ended))
+
+
 @in_crashing_world
 async def test_a_request_that_comes_to_all_daemons_at_once_spares_replicas_soon(world):
     for _ in range(8):
