--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -288,6 +288,8 @@
         self.beating = None
         self.crash_on = lambda request: False
         """Whether a request ends this replica while it runs; the replica then is down until restarted."""
+        self.work_of = lambda request: self.work_s
+        """Time that a plain request takes."""
         self.ended = False
         self.on_end = lambda replica: None
         """Called once when a request has ended this replica."""
@@ -419,13 +421,13 @@
         if replica.crash_on(self.request):
             await asyncio.sleep(replica.work_s)
             if not self.left:
-                run.crashed = True
+                run.crashed, run.ended_s = True, time.monotonic()
                 replica.end()
             return
         if "/stream" in self.request.path:
             await self.stream(run)
             return
-        await asyncio.sleep(replica.work_s * replica.faults.slow)
+        await asyncio.sleep(replica.work_of(self.request) * replica.faults.slow)
         run.whole, run.ended_s = True, time.monotonic()
         if random.random() < replica.faults.lost_answers:
             self.cut()
