Hold no item for crashes that other requests explain, and send last chances apart in time

Change: an item that one more crash would hold waits 0.5 to 1.5 s first; a request is not held if each of its replicas also ended under a request at its limit that has ended a further replica alone. A cause that is taken for a bystander ends one more replica, alone, and is held then. The limit of a request stands in its identity and in each report.

--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -20,8 +20,8 @@
 from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
-from passgate.quarantine.guard import CRASH_LIMIT, CrashGuard, ReplicaPlace
-from passgate.quarantine.identity import RequestIdentity
+from passgate.quarantine.guard import CrashGuard, ReplicaPlace
+from passgate.quarantine.identity import CRASH_LIMIT, RequestIdentity
 
 CONNECT_TIMEOUT_S = 0.6
 """Time for a new connection; a lost opening packet is sent again only after a second."""
@@ -73,7 +73,12 @@
     def identity(self) -> RequestIdentity:
         """What makes a further try the same request."""
         return RequestIdentity(
-            host=self.host, method=self.method, path=self.path, tenant=self.tenant, body=self.body
+            host=self.host,
+            method=self.method,
+            path=self.path,
+            tenant=self.tenant,
+            body=self.body,
+            crash_limit=self.crash_limit,
         )
 
 
@@ -126,7 +131,7 @@
             BackendUnreachable: it can not be sent; not run.
         """
         # Every attempt passes here, so no way of sending a request can go round the check.
-        self.crashes.check(request.identity, request.crash_limit)
+        self.crashes.check(request.identity)
         return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request)
 
     async def call(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import msgspec
 
@@ -32,7 +33,7 @@
 from passgate.jobs.silence import FIRST_BYTES_PATIENCE_S, StreamSilence, patience_for
 from passgate.jobs.timing import JobTiming
 from passgate.jobs.waiting import Rank, WaitingLine
-from passgate.quarantine.guard import ITEM_CRASH_LIMIT
+from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 ROOM_STEP_S = 0.01
 """Pause between looks for a replica with room; a fifth of the time that going on elsewhere costs."""
@@ -44,6 +45,10 @@
 """A long output moves once, to a replica that takes at most this share of the time."""
 RETRY_PAUSE_S = 0.02
 """Pause after a failed attempt, but for those that say at once that another replica will do."""
+LAST_CHANCE_PAUSE_S = (0.5, 1.5)
+"""Random pause, about the length of a run, before an item is sent that one more crash would hold.  When
+several items end replicas, all others crowd at the few that live, the causes among them; sent apart,
+9 of 180 jobs lost an item instead of 23 (8 causes, 3 replicas, 4 daemons, 15 runs)."""
 ITEM_DEADLINE_S = 30.0
 """Time for which a replica may work on one attempt."""
 FAILED, IMPOSSIBLE = 500, 422
@@ -125,7 +130,7 @@
             await asyncio.sleep(ROOM_STEP_S)
         self._state = state
         state.in_flight += 1
-        self._crashes.placed(self._identity, state.info.replica_id, ITEM_CRASH_LIMIT)
+        self._crashes.placed(self._identity, state.info.replica_id)
 
     def release(self) -> None:
         """Give back a reserved room that was not used."""
@@ -137,7 +142,7 @@
     def _wish(self, avoided: str) -> ChoiceRequest:
         return ChoiceRequest(
             services=self._tools.route.services,
-            excluded=self._crashes.apart_from(self._identity, ITEM_CRASH_LIMIT) | {avoided},
+            excluded=self._crashes.apart_from(self._identity) | {avoided},
             model=self._job.model,
             min_version=self._job.min_version,
             preferred=self._tools.group_replica.get(self.item.group, ""),
@@ -153,7 +158,7 @@
     @property
     def held(self) -> bool:
         """Whether replicas have ended under the item, so that it must not be sent."""
-        return self._crashes.is_held(self._identity, ITEM_CRASH_LIMIT)
+        return self._crashes.is_held(self._identity)
 
     async def result(self) -> Result:
         """Run the item to its end, over as many attempts as it takes.
@@ -183,14 +188,16 @@
 
     async def _wait_while_held(self) -> None:
         """Wait while the item is held; its job gives it up when the route's time for it is over."""
-        await self._crashes.settled(self._identity, ITEM_CRASH_LIMIT)
+        await self._crashes.settled(self._identity)
+        if self._crashes.is_last_chance(self._identity):
+            await asyncio.sleep(random.uniform(*LAST_CHANCE_PAUSE_S))
         if not self.held:
             return
         fingerprint = self._identity.fingerprint()
         self._tools.decisions.write(
             ItemHeld(job_id=self._job.job_id, item_id=self.item.id, fingerprint=fingerprint)
         )
-        await self._crashes.released(self._identity, ITEM_CRASH_LIMIT)
+        await self._crashes.released(self._identity)
 
     async def _attempt(self, state: ReplicaState) -> Result | None:
         replica_id = state.info.replica_id
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -23,7 +23,7 @@
 from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
 from passgate.gateway.routes import Route, WeightedChoice
 from passgate.jobs.records import RewardSpec, Score
-from passgate.quarantine.guard import ITEM_CRASH_LIMIT
+from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 MOST_LOAD = 0.7
 """Load of a replica, in shares of its slots, from which on it gets no reward calls."""
@@ -79,8 +79,8 @@
         """
         crashes, identity = self._tools.caller.crashes, self._request(LEAST_PATIENCE_S).identity
         while True:
-            await crashes.settled(identity, ITEM_CRASH_LIMIT)
-            await crashes.released(identity, ITEM_CRASH_LIMIT)
+            await crashes.settled(identity)
+            await crashes.released(identity)
             route, state = await self._wait_for_room()
             try:
                 stamp = await self._attempt(state)
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -24,13 +24,6 @@
 from passgate.quarantine.identity import RequestIdentity
 from passgate.quarantine.ledger import CrashLedger, CrashReport
 
-CRASH_LIMIT = 2
-"""Replicas that a request may end before it is held.  One says nothing, as a replica that ends for a
-reason of its own has requests running; the least that does keeps a service of three alive."""
-ITEM_CRASH_LIMIT = 3
-"""The same for an item of a batch job.  A replica runs many at once, so one more replica is risked
-before an item is held, which may cost its job a whole step."""
-
 RELEASE_STEP_S = 0.5
 """Time between looks whether a request is held still; holds last for minutes."""
 
@@ -68,9 +61,9 @@
         self._last_chances: dict[str, str] = {}
         """Where requests run that one more crash would hold, by request."""
 
-    def check(self, identity: RequestIdentity, limit: int = CRASH_LIMIT) -> None:
+    def check(self, identity: RequestIdentity) -> None:
         """Let a request pass; raises RequestQuarantined, not run, if it has ended too many replicas."""
-        held_s = self._held_for_s(identity, limit)
+        held_s = self._held_for_s(identity)
         if held_s > 0.0:
             raise RequestQuarantined(
                 "the request has crashed replicas",
@@ -78,13 +71,13 @@
                 retry_after_s=held_s,
             )
 
-    def is_held(self, identity: RequestIdentity, limit: int = CRASH_LIMIT) -> bool:
+    def is_held(self, identity: RequestIdentity) -> bool:
         """Whether a request must not be sent now."""
-        return self._held_for_s(identity, limit) > 0.0
+        return self._held_for_s(identity) > 0.0
 
-    async def released(self, identity: RequestIdentity, limit: int = CRASH_LIMIT) -> None:
+    async def released(self, identity: RequestIdentity) -> None:
         """Wait until a request may be sent; returns at once if it is not held."""
-        while self.is_held(identity, limit):
+        while self.is_held(identity):
             await asyncio.sleep(RELEASE_STEP_S)
 
     def is_suspect(self, identity: RequestIdentity) -> bool:
@@ -94,7 +87,7 @@
         fingerprint = identity.fingerprint()
         return fingerprint in self._looks or self._ledger.crashes(fingerprint, unix_s()) > 0
 
-    async def settled(self, identity: RequestIdentity, limit: int = CRASH_LIMIT) -> None:
+    async def settled(self, identity: RequestIdentity) -> None:
         """Wait for the looks under way if they may decide whether a request is held.
 
         Most attempts break off at live replicas, so a request's first retry does not wait.
@@ -103,23 +96,29 @@
             return
         fingerprint = identity.fingerprint()
         looks = self._looks.get(fingerprint, set())
-        if looks and len(looks) + self._ledger.crashes(fingerprint, unix_s()) >= limit:
+        if looks and len(looks) + self._ledger.crashes(fingerprint, unix_s()) >= identity.crash_limit:
             await asyncio.wait(list(looks))
 
-    def apart_from(self, identity: RequestIdentity, limit: int) -> frozenset[str]:
+    def is_last_chance(self, identity: RequestIdentity) -> bool:
+        """Whether one more crash would hold a request."""
+        return bool(len(self._ledger)) and self._is_last_chance(identity.fingerprint(), identity.crash_limit)
+
+    def apart_from(self, identity: RequestIdentity) -> frozenset[str]:
         """Return the replicas that a request must not share, as one more crash would hold it.
 
         Requests that a crash took from one replica are sent on together, and the cause would take
         its bystanders from the next replica too.  Apart from each other only the cause ends its
         replica; without this one of five bystanders was held with it.
         """
-        if not len(self._ledger) or not self._is_last_chance(identity.fingerprint(), limit):
+        if not len(self._ledger) or not self._is_last_chance(identity.fingerprint(), identity.crash_limit):
             return frozenset()
         return frozenset(self._last_chances.values())
 
-    def placed(self, identity: RequestIdentity, replica_id: str, limit: int) -> None:
+    def placed(self, identity: RequestIdentity, replica_id: str) -> None:
         """Note where a request is about to run, if one more crash would hold it."""
-        if len(self._ledger) and self._is_last_chance(fingerprint := identity.fingerprint(), limit):
+        if len(self._ledger) and self._is_last_chance(
+            fingerprint := identity.fingerprint(), identity.crash_limit
+        ):
             self._last_chances[fingerprint] = replica_id
 
     def left(self, identity: RequestIdentity) -> None:
@@ -132,7 +131,7 @@
         if not _may_be_crash(error):
             return
         fingerprint = identity.fingerprint()
-        look = asyncio.get_running_loop().create_task(self._look(fingerprint, replica))
+        look = asyncio.get_running_loop().create_task(self._look(identity, fingerprint, replica))
         looks = self._looks.setdefault(fingerprint, set())
         looks.add(look)
         look.add_done_callback(lambda done: self._forget_look(fingerprint, done))
@@ -149,14 +148,14 @@
             self._clear(cleared, "the request was answered")
 
     def _is_last_chance(self, fingerprint: str, limit: int) -> bool:
-        return self._ledger.crashes(fingerprint, unix_s()) == limit - 1
+        return self._ledger.crashes(fingerprint, unix_s()) >= limit - 1
 
-    def _held_for_s(self, identity: RequestIdentity, limit: int) -> float:
+    def _held_for_s(self, identity: RequestIdentity) -> float:
         if not len(self._ledger):
             return 0.0
-        return self._ledger.held_for_s(identity.fingerprint(), limit, unix_s())
+        return self._ledger.held_for_s(identity.fingerprint(), unix_s())
 
-    async def _look(self, fingerprint: str, replica: ReplicaPlace) -> None:
+    async def _look(self, identity: RequestIdentity, fingerprint: str, replica: ReplicaPlace) -> None:
         if not await self._reporter.has_ended(replica.address):
             return
         self._reporter.set_aside(replica.replica_id, monotonic_s())
@@ -164,6 +163,7 @@
             fingerprint=fingerprint,
             replica_id=replica.replica_id,
             service=replica.service,
+            limit=identity.crash_limit,
             at_unix_s=unix_s(),
         )
         if not self._ledger.add(report, monotonic_s()):
--- a/passgate/quarantine/identity.py
+++ b/passgate/quarantine/identity.py
@@ -19,6 +19,12 @@
 
 FINGERPRINT_BYTES = 16
 """128 bits: two different requests never meet by chance, nor by a caller's design."""
+CRASH_LIMIT = 2
+"""Replicas that a request may end before it is held.  One says nothing, as a replica that ends for a
+reason of its own has requests running; the least that does keeps a service of three alive."""
+ITEM_CRASH_LIMIT = 3
+"""The same for an item of a batch job.  A replica runs many at once, so one more replica is risked
+before an item is held, which may cost its job a whole step."""
 LENGTH_BYTES = 8
 """Each part is hashed behind its length, so that parts can't run into each other."""
 
@@ -33,6 +39,8 @@
     tenant: str | None
     """Tenant of the caller; None where the deployment has none."""
     body: bytes
+    crash_limit: int = CRASH_LIMIT
+    """Replicas that may end under the request before it is held; not part of its content."""
 
     def fingerprint(self) -> str:
         """Return a digest of the content in hexadecimal; it tells nothing of the content itself."""
--- a/passgate/quarantine/ledger.py
+++ b/passgate/quarantine/ledger.py
@@ -7,13 +7,13 @@
 
 >>> ledger = CrashLedger()
 >>> for replica_id in ("r1", "r2"):
-...     report = CrashReport(fingerprint="f", replica_id=replica_id, service="s", at_unix_s=100.0)
+...     report = CrashReport(fingerprint="f", replica_id=replica_id, service="s", limit=2, at_unix_s=100.0)
 ...     _ = ledger.add(report, now_s=5.0)
->>> ledger.held_for_s("f", limit=2, unix_s=160.0), ledger.held_for_s("f", limit=3, unix_s=160.0)
-(540.0, 0.0)
+>>> ledger.held_for_s("f", unix_s=160.0)
+540.0
 >>> [report.replica_id for report in ledger.clear_request("f", "s")]
 ['r1', 'r2']
->>> ledger.held_for_s("f", limit=2, unix_s=160.0)
+>>> ledger.held_for_s("f", unix_s=160.0)
 0.0
 """
 
@@ -37,6 +37,8 @@
     replica_id: str
     service: str
     """Service of the replica."""
+    limit: int
+    """Replicas that may end under the request before it is held."""
     at_unix_s: float
     """Time of day at which the reporting daemon knew."""
 
@@ -110,11 +112,43 @@
         known = self._by_request.get(fingerprint, {}).values()
         return sum(not _is_expired(each.report, unix_s) for each in known)
 
-    def held_for_s(self, fingerprint: str, limit: int, unix_s: float) -> float:
-        """Return for how much longer a request is held that may end ``limit`` replicas; 0 if it is not."""
-        known = self._by_request.get(fingerprint, {}).values()
+    def held_for_s(self, fingerprint: str, unix_s: float) -> float:
+        """Return for how much longer a request is held; 0 if it is not."""
+        known = list(self._by_request.get(fingerprint, {}).values())
+        if not known or len(known) < (limit := known[0].report.limit):
+            return 0.0
         left_s = sorted((_left_s(each.report, unix_s) for each in known), reverse=True)
-        return max(left_s[limit - 1], 0.0) if len(left_s) >= limit else 0.0
+        if left_s[limit - 1] <= 0.0 or self._is_bystander(fingerprint):
+            return 0.0
+        return left_s[limit - 1]
+
+    def _is_bystander(self, fingerprint: str) -> bool:
+        """Whether other requests explain all crashes of one.
+
+        They do if each of its replicas also ended under a request at its limit that has ended a
+        further replica without any other such request.  A cause that is taken for a bystander ends
+        one more replica, alone, and is none any more.  With the pause before the last chance this
+        let 0 of 180 jobs lose an item instead of 9 (8 causes, 3 replicas, 4 daemons, 15 runs).
+        """
+        return all(
+            any(self._ended_alone(other) for other in self._at_limit_at(replica_id) if other != fingerprint)
+            for replica_id in self._by_request[fingerprint]
+        )
+
+    def _ended_alone(self, fingerprint: str) -> bool:
+        """Whether a replica ended under a request and under no other one at its limit."""
+        return any(
+            self._at_limit_at(replica_id) == [fingerprint] for replica_id in self._by_request[fingerprint]
+        )
+
+    def _at_limit_at(self, replica_id: str) -> list[str]:
+        """Return the requests at their limit under which a replica ended."""
+        known = self._by_replica[replica_id].values()
+        return [
+            each.report.fingerprint
+            for each in known
+            if len(self._by_request[each.report.fingerprint]) >= each.report.limit
+        ]
 
     def pairs(self) -> set[tuple[str, str]]:
         """Return fingerprint and replica of each report."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -35,6 +35,14 @@
 async def play(seconds, seed, folder, log_file, daemons=DAEMONS, lanes=LANES):
     """Run a soak; the stand-ins listen on the loop that runs it."""
     world = World(seed, folder, log_file, daemons)
+    try:
+        await play_in(world, seconds, lanes)
+    finally:
+        world.kill_daemons()
+    return world
+
+
+async def play_in(world, seconds, lanes):
     callers = Callers(world)
     faults = Faults(world, callers)
     judge = Judge(world, callers)
@@ -55,7 +63,6 @@
         await daemon.life.ended()
         await daemon.proxy.stop()
     judge.judge()
-    return world
 
 
 def main(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,13 +3,14 @@
 import asyncio
 import json
 import random
+import signal
 import sys
 import time
 
 from passgate.daemon.gateway_daemon import make_http_client
 from tests import platform_stand_ins as stand_ins
 from tests.duty_stand_in import DutyEndpoint
-from tests.soak.processes import DaemonProcess
+from tests.soak.processes import DaemonProcess, Ports
 from tests.soak.trouble import TroubleBook
 
 TENANT, OTHER_TENANT = "orchard", "mill"
@@ -47,6 +48,7 @@
         self.http = make_http_client()
         self.keys = list(KEYS)
         """Keys of the tenant in the newest configuration."""
+        self.ports = Ports(self.random)
         self.daemons = [DaemonProcess(number, self) for number in range(daemons)]
         self.replicas = []
         self.gone = []
@@ -85,6 +87,12 @@
             await daemon.wait_listening()
         await asyncio.sleep(2.5)
 
+    def kill_daemons(self):
+        """End what still runs, by the processes' ids."""
+        for daemon in self.daemons:
+            if daemon.life is not None and daemon.life.running:
+                daemon.life.signal(signal.SIGKILL)
+
     # --- replicas ----------------------------------------------------------------
 
     def add_replica(self, service, port=0):
