Name one age of a fresh view, report usage only where it is asked for, and count late requests

Change: FRESH_S in sharedlog.tail (the quarantine's own age is CURRENT_S now); meter and reporter run only where usage is asked for, with a test that fails without it; gauge passgate_usage_late_requests; ReplicasOrderedEvent is ReplicaOrderSent (its line keeps its name).

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -137,7 +137,7 @@
             record_bytes=settings.max_record_bytes,
             append_bytes=settings.max_append_bytes,
         )
-        duty_folds = DutyFolds()
+        self._duty_folds = duty_folds = DutyFolds()
         self._control = ControlTopic(
             log,
             topics.control,
@@ -180,7 +180,8 @@
             self.decisions,
         )
         self._crash_peers = CrashPeers(peers, lambda: self._directory.others(member), self._crashes.channel)
-        meter = self._duties.meter if self._duties is not None else None
+        counts_usage = settings.duties is not None and settings.duties.usage
+        meter = self._duties.meter if self._duties is not None and counts_usage else None
         self.forwarder = Forwarder(caller, self.replicas, names, self.decisions, self.config, meter)
         self.stream_forwarder = StreamForwarder(
             caller, self.replicas, names, self.decisions, self.config, meter
@@ -324,6 +325,7 @@
         self.metrics.in_flight.set(self._front.in_flight)
         self.metrics.jobs_owned.set(self.shards.running)
         self.metrics.leads.set(self._control.leadership.leads)
+        self.metrics.usage_late.set(self._duty_folds.usage.late)
         return self.metrics.exposition()
 
     async def _run_when_configured(self) -> None:
--- a/passgate/decisions/events.py
+++ b/passgate/decisions/events.py
@@ -418,7 +418,7 @@
     outcome: str
 
 
-class ReplicasOrderedEvent(Event, tag="replicas_ordered"):
+class ReplicaOrderSent(Event, tag="replicas_ordered"):
     """An order of replicas was sent to the platform."""
 
     service: str
--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, ReplicasOrderedEvent
+from passgate.decisions import DecisionLog, ReplicaOrderSent
 from passgate.duties.calls import CallBudget, DutyCalls, DutyOutcome, ReplicaOrder
 from passgate.duties.scaling_fold import Decision, ReplicaPool, ScalingFold
 from passgate.duties.scaling_policy import ZoneReplicas, replicas_for, spread_replicas
@@ -151,7 +151,7 @@
             )
         )
         self._decisions.write(
-            ReplicasOrderedEvent(
+            ReplicaOrderSent(
                 service=pool.service,
                 zone=pool.zone,
                 spot=pool.spot,
--- a/passgate/duties/service.py
+++ b/passgate/duties/service.py
@@ -61,6 +61,7 @@
             member: this daemon's name in the directory.
             holder: this daemon's name towards the platform.
         """
+        self._reports_usage = settings.usage
         windows = UsageWindows(length_s=settings.usage_window_s)
         clock = AgreedWallClock(time.time, monotonic_s)
         journal = control.journal
@@ -96,11 +97,12 @@
             )
 
     async def run(self) -> None:
-        """Count and report until cancelled."""
+        """Count and report, and order replicas, as far as the platform asks for it, until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._sync.run())
-            group.create_task(self.meter.run())
-            group.create_task(self._reporter.run())
+            if self._reports_usage:
+                group.create_task(self.meter.run())
+                group.create_task(self._reporter.run())
             if self._scaler is not None:
                 group.create_task(self._scaler.run())
 
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -79,6 +79,11 @@
         self.jobs_owned = Gauge(
             "passgate_jobs_owned", "Jobs whose items this daemon runs.", registry=self.registry
         )
+        self.usage_late = Gauge(
+            "passgate_usage_late_requests",
+            "Requests counted after their window was committed, so that no report names them.",
+            registry=self.registry,
+        )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
     def observe(self, event: Event) -> None:
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -21,7 +21,7 @@
 from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, daemon_of
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.take_over import Handed, TakeOver
-from passgate.sharedlog.tail import Freshness
+from passgate.sharedlog.tail import FRESH_S, Freshness
 
 logger = logging.getLogger("passgate.jobs")
 
@@ -39,8 +39,6 @@
 """Time after a claim stands on the log within which it must have been read."""
 TAKEOVER_SPREAD_S = 0.3
 """Random part of the wait, so that few daemons claim at once."""
-FRESH_S = 1.6
-"""Only a daemon that has read the whole log this recently judges others."""
 
 NEVER_S = float("-inf")
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -50,9 +50,8 @@
 from passgate.jobs.reader import ResultPage, check_followed, find_job, read_body, read_page
 from passgate.jobs.records import JobEnded, JobNoted, JobSpec, decode_spec, split_spec
 from passgate.jobs.shards import JobShards, Shard
+from passgate.sharedlog.tail import FRESH_S
 
-FRESH_S = 1.6
-"""A view of the log that is older is not asked while another daemon answers."""
 SILENCE_S = 0.3
 """Time for the log to take a new job before another daemon is asked to put it there as well."""
 UNKNOWN_OFFSET = -1
--- a/passgate/quarantine/channel.py
+++ b/passgate/quarantine/channel.py
@@ -31,7 +31,7 @@
 """Longest such pause; a log that is back takes the reports within this."""
 DROPPED = b""
 """Value of a record that drops its key."""
-FRESH_S = 2.5
+CURRENT_S = 2.5
 """Age of the view of the topic up to which the log counts as answering; a calm one confirms it each 2 s."""
 MOST_TOLD = 256
 """Reports told to another daemon at once, the newest; some 40 KB."""
@@ -84,7 +84,7 @@
 
     def is_current(self) -> bool:
         """Whether the log answers this daemon, so that it knows what others report."""
-        return self._tail.freshness.age_s(monotonic_s()) < FRESH_S
+        return self._tail.freshness.age_s(monotonic_s()) < CURRENT_S
 
     def newest(self) -> tuple[CrashReport, ...]:
         """Return the newest reports that stand."""
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -46,6 +46,9 @@
 SLOWEST_ANSWER_S = 1.2
 """Time for an answer beyond its wait, the time-out of the log's client.  A page that is read later
 had come before, and the machine stood still."""
+FRESH_S = 1.6
+"""Age up to which a view of the log is taken for the present one: a long poll of 1 s, and its answer.
+Others are judged, and questions of the log answered, only from a view that is not older."""
 BEHIND_S = 2.5
 """Without a confirmed read for this long, a follower counts as behind."""
 
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -17,7 +17,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Sign
 from passgate.jobs.records import Batch, LeaderClaimed, daemon_of
-from passgate.sharedlog.tail import Freshness
+from passgate.sharedlog.tail import FRESH_S, Freshness
 from passgate.versions.lead_fold import LeadFold
 
 TAKEOVER_MARGIN_S = 0.5
@@ -29,8 +29,6 @@
 ASK_S = 0.55
 """Silence after which the leader is asked whether it lives; it appends each 0.4 s."""
 NEVER_S = float("-inf")
-FRESH_S = 1.6
-"""Only a daemon that has read the whole topic this recently judges the leader."""
 
 
 class Leadership:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -17,7 +17,7 @@
 )
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.quarantine import ledger as ledgers
-from passgate.quarantine.channel import FRESH_S, POLL_S, CrashChannel
+from passgate.quarantine.channel import CURRENT_S, POLL_S, CrashChannel
 from passgate.quarantine.guard import CrashGuard, CrashReporter, ReplicaPlace
 from passgate.quarantine.identity import CRASH_LIMIT, RequestIdentity
 from passgate.quarantine.ledger import REPORT_LIFE_S, CrashLedger, CrashReport
@@ -260,7 +260,7 @@
     await asyncio.sleep(1.0)
     fleet.log.faults = SharedLogFaults(refusing=True)
     await daemons[0].crash("r1", "r2")
-    await asyncio.sleep(FRESH_S + 4 * EXCHANGE_GAP_S)
+    await asyncio.sleep(CURRENT_S + 4 * EXCHANGE_GAP_S)
     assert all(daemon.guard.is_held(request()) for daemon in daemons)
     daemons[1].guard.succeeded(request(), SERVICE)
     await asyncio.sleep(4 * EXCHANGE_GAP_S)
@@ -276,7 +276,7 @@
     await asyncio.sleep(1.0)
     fleet.log.cut_off.add("d0")
     await daemons[0].crash("r1", "r2")
-    await asyncio.sleep(FRESH_S + 2 * EXCHANGE_GAP_S + 0.2)
+    await asyncio.sleep(CURRENT_S + 2 * EXCHANGE_GAP_S + 0.2)
     assert all(daemon.guard.is_held(request()) for daemon in daemons)
     assert len(fleet.log.newest(TOPIC)) == 2
 
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
+from passgate.daemon.gateway_daemon import make_http_client
 from passgate.jobs.records import decode_batch
+from passgate.platform.__main__ import make_daemon
+from passgate.platform.log_client import PlatformLog
+from passgate.platform.settings import parse_settings
 from tests import platform_stand_ins as stand_ins
 from tests.test_platform_daemon import World, in_world
 
@@ -201,3 +205,18 @@
     keys = [key for held in KEYS.values() for key in held] + ["key-wrong"]
     assert b"forward_ended" in lines and b"job1" in appended
     assert [key for key in keys if key.encode() in written or base64.b64encode(key.encode()) in written] == []
+
+
+def test_a_platform_that_asks_for_replicas_only_gets_no_usage_counts():
+    async def main():
+        text = stand_ins.settings_text(
+            "d1", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", duties="127.0.0.1:4"
+        )
+        for duty, counts in (("usage", True), ("autoscale", False)):
+            settings = parse_settings(text.replace('["usage"]', f'["{duty}"]'))
+            http = make_http_client()
+            daemon = make_daemon(settings, http, PlatformLog(http, settings.log_address))
+            assert (daemon.forwarder._usage is not None) == counts
+            http.close()
+
+    asyncio.run(main())
