Do not count the end of a leaving replica as a crash

Cause: a replica that leaves ends some time after it said so, with or without the requests that it still runs; its port then refuses connections, which counted as a crash under each of them.

Change: an attempt that breaks off at a replica that is draining, or that discovery does not list any more, is not looked at. A test for both, which failed before. Its second case first met the 2 s within which a lapsed entry may come back, and failed; it waits for their end now.

--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -278,7 +278,13 @@
         self._replicas.observe_latency(self.replica_id, now_s - self.began_s, now_s)
 
     def _broke_off(self, error: PassgateError) -> None:
+        """Have it looked at whether the replica ended under the request.
+
+        The end of one that was leaving says nothing of the requests that still ran there.
+        """
         info = self._state.info
+        if info.draining or self._replicas.get(self.replica_id) is None:
+            return
         replica = ReplicaPlace(replica_id=self.replica_id, service=info.service, address=info.address)
         self._crashes.broke_off(self._request.identity, replica, error)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,6 +11,9 @@
 
 import asyncio
 
+import pytest
+
+from passgate.gateway.discovery import COME_BACK_S
 from tests import platform_stand_ins as stand_ins
 from tests.crashing_world import in_crashing_world
 
@@ -131,6 +134,30 @@
     assert (await world.ask(world.daemons[0], b"x", "served")).status == 200
 
 
+@in_crashing_world
+@pytest.mark.parametrize("told", ["draining", "gone"])
+async def test_the_end_of_a_leaving_replica_is_no_crash(world, told):
+    replica = world.add_replica(work_s=1.0)
+    replica.on_end = lambda ended: None
+    world.configure(1, stand_ins.safe_route(maxAttempts=1))
+    await world.start_daemons(1)
+    (daemon,) = world.daemons
+    await asyncio.sleep(COME_BACK_S + 0.5)  # an entry that goes sooner may only have lapsed
+    request = asyncio.create_task(world.ask(daemon, b"slow", "slow"))
+    await world.until(lambda: replica.runs)
+    if told == "draining":
+        replica.draining = True
+        replica.tell()
+        await world.until(lambda: daemon.replicas.get(replica.replica_id).info.draining)
+    else:
+        world.log.put("keyed.servers", replica.replica_id, None)
+        await world.until(lambda: daemon.replicas.get(replica.replica_id) is None)
+    replica.end()
+    assert (await request).status == 502
+    await asyncio.sleep(0.2)
+    assert world.log.newest("keyed.passgate-crashes") == {}
+
+
 @in_crashing_world
 async def test_an_item_that_ends_replicas_is_held_and_the_others_finish(world):
     for _ in range(4):
