--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -136,7 +136,8 @@
 
     def set_aside(self, replica_id: str, now_s: float) -> None:
         """Send nothing to a replica for a while at whose address nobody listens."""
-        self.health.failed(replica_id, now_s, unreachable=True)
+        if replica_id in self._states:
+            self.health.failed(replica_id, now_s, unreachable=True)
 
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return a replica, or None."""
