Hold signals until a daemon handles them, and again once its stop has ended

Cause: the event loop's end gives signals their default action back, so a second SIGTERM in the last milliseconds of a planned stop turned its exit code into -15; and they have it before the loop runs, so SIGHUP, which only tells of changed settings, ended a starting daemon. Class: a signal's default action outside the time in which a handler stands.

Change: passgate/process_signals.py blocks the handled signals from the first line of the process until the handlers stand, and again before the loop is closed. The program moved from platform/__main__.py to platform/program.py, so that nothing slow is imported before. passgate serve had the same end and holds them too. The soak's processes are not asyncio's any more: a signal's sender may reap an ended process before asyncio's watcher, which then says 255 (seen once while the test was written).

--- a/passgate/cli.py
+++ b/passgate/cli.py
@@ -67,6 +67,7 @@
     """
     from passgate.clock import DaemonEventLoop
     from passgate.logging_setup import configure_logging
+    from passgate.process_signals import handle_signals, hold_signals
     from passgate.server.daemon import run_daemon
     from passgate.settings import load_settings
 
@@ -74,13 +75,12 @@
     logger = configure_logging(loaded.log_level, loaded.daemon_id)
 
     def on_stop_signal(ask: Callable[[], None]) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, ask)
+        handle_signals({signal.SIGTERM: ask, signal.SIGINT: ask})
 
     raise_file_limit()
     with asyncio.Runner(loop_factory=DaemonEventLoop) as runner:
         whole = runner.run(run_daemon(loaded, logger, on_stop_signal))
+        hold_signals()  # the loop's end would give them their default action back
     if not whole:
         raise SystemExit(EXIT_FAILED)
 
--- /dev/null
+++ b/passgate/platform/program.py
@@ -0,0 +1,77 @@
+"""One daemon on the users' platform, from its settings to the end of its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+
+from passgate.clients.curl import HttpClient
+from passgate.clock import DaemonEventLoop
+from passgate.daemon.gateway_daemon import GatewayDaemon, make_http_client
+from passgate.daemon.topics import LogTopics
+from passgate.gateway.settings import GatewaySettings
+from passgate.peers.peer_transport import TcpPeerTransport, parse_address
+from passgate.platform import names
+from passgate.platform.beliefs import Beliefs, PlatformReplicaDecoder
+from passgate.platform.duty_calls import PlatformDutyCalls
+from passgate.platform.front import Front, PlatformReplicaControl
+from passgate.platform.log_client import PlatformLog
+from passgate.platform.settings import SettingsWatcher, read_settings, settings_path
+from passgate.process_signals import handle_signals, hold_signals
+
+OPERATOR_GAP_S = 0.05
+"""Pause between reads of the operator's topic; small, as keys are to be in force within seconds."""
+
+
+def make_daemon(settings: GatewaySettings, http: HttpClient, log: PlatformLog) -> GatewayDaemon:
+    """Return a daemon that follows the platform's topics."""
+    topics = LogTopics(
+        operator=names.OPERATOR_TOPIC,
+        replicas=names.REPLICAS_TOPIC,
+        relayed_replicas=names.RELAYED_REPLICAS_TOPIC,
+        jobs=names.JOBS_TOPIC,
+        control=names.CONTROL_TOPIC,
+        crashes=names.CRASHES_TOPIC,
+        watch_group=names.WATCH_GROUP,
+    )
+    control = PlatformReplicaControl(http)
+    host, port = parse_address(settings.peer_address)
+    peers = TcpPeerTransport(host, port)
+    duty_calls = PlatformDutyCalls(http, settings.duties.address) if settings.duties is not None else None
+    daemon = GatewayDaemon(
+        settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder(), peers, duty_calls
+    )
+    beliefs = Beliefs(daemon)
+    daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.take_operator, beliefs.take_operator)
+    return daemon
+
+
+def runner() -> asyncio.Runner:
+    """Return what runs a daemon."""
+    return asyncio.Runner(loop_factory=DaemonEventLoop)
+
+
+async def serve() -> None:
+    """Run one daemon until SIGTERM."""
+    with contextlib.suppress(OSError):
+        os.set_blocking(sys.stdout.fileno(), False)  # a reader that takes nothing must not stall the loop
+    settings = read_settings(settings_path())
+    http = make_http_client()
+    log = PlatformLog(http, settings.log_address)
+    daemon = make_daemon(settings, http, log)
+    watcher = SettingsWatcher(daemon, log, settings_path())
+    handle_signals({signal.SIGTERM: daemon.stop, signal.SIGINT: daemon.stop, signal.SIGHUP: watcher.read})
+    watching = asyncio.get_running_loop().create_task(watcher.run())
+    await daemon.run(Front(daemon).handle)
+    hold_signals()
+    watching.cancel()
+    http.close()
+
+
+def main() -> None:
+    """Run a daemon with the settings that the platform names."""
+    with runner() as daemon_runner:
+        daemon_runner.run(serve())
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -6,7 +6,9 @@
 import pathlib
 import signal
 import socket
+import subprocess
 import sys
+import time
 
 from tests import platform_stand_ins as stand_ins
 from tests.fault_proxy import FaultProxy
@@ -15,6 +17,8 @@
 GRACE_S = 6
 END_S = 8.0
 """Time after a signal after which a process is killed; a planned stop ends before."""
+END_LOOK_S = 0.02
+"""Time between looks whether a process has ended."""
 READY_S = 30.0
 """Time for a daemon to say that it is ready, on a machine that runs a hundred of them."""
 
@@ -38,7 +42,11 @@
 
 
 class Life:
-    """One process of a daemon, from its start to its end."""
+    """One process of a daemon, from its start to its end.
+
+    Not asyncio's own process: its watcher and a signal's sender may both reap an ended process, and
+    the watcher then makes the exit code 255.
+    """
 
     def __init__(self, process):
         self._process = process
@@ -47,20 +55,20 @@
 
     def signal(self, number):
         self.killed |= number == signal.SIGKILL
-        with contextlib.suppress(ProcessLookupError):
-            self._process.send_signal(number)
+        self._process.send_signal(number)
 
     async def ended(self):
         """Wait for its end; kill it when it does not come.  Return the exit code."""
-        try:
-            return await asyncio.wait_for(self._process.wait(), END_S)
-        except TimeoutError:
-            self.signal(signal.SIGKILL)
-            return await self._process.wait()
+        kill_s = time.monotonic() + END_S
+        while self.running:
+            if time.monotonic() >= kill_s:
+                self.signal(signal.SIGKILL)
+            await asyncio.sleep(END_LOOK_S)
+        return self._process.returncode
 
     @property
     def running(self):
-        return self._process.returncode is None
+        return self._process.poll() is None
 
 
 class DaemonProcess:
@@ -86,10 +94,8 @@
         if not self.proxy.address:
             await self.proxy.start()
         self.write_settings()
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "passgate.platform",
+        process = subprocess.Popen(
+            [sys.executable, "-m", "passgate.platform"],
             cwd=ROOT,
             env=os.environ | {"PASSGATE_BOOT": str(self.path)},
             stdout=self.log_file,
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -17,9 +17,9 @@
 from passgate.daemon.gateway_daemon import make_http_client
 from passgate.errors import PassgateError
 from passgate.jobs import item_run
-from passgate.platform.__main__ import make_daemon
 from passgate.platform.front import Front
 from passgate.platform.log_client import PlatformLog
+from passgate.platform.program import make_daemon
 from passgate.platform.settings import SettingsWatcher, parse_settings
 from tests import platform_stand_ins as stand_ins
 
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -8,8 +8,8 @@
 
 from passgate.daemon.gateway_daemon import make_http_client
 from passgate.jobs.records import decode_batch
-from passgate.platform.__main__ import make_daemon
 from passgate.platform.log_client import PlatformLog
+from passgate.platform.program import make_daemon
 from passgate.platform.settings import parse_settings
 from tests import platform_stand_ins as stand_ins
 from tests.test_platform_daemon import World, in_world
--- a/tests/test_suspended_machine.py
+++ b/tests/test_suspended_machine.py
@@ -12,7 +12,7 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog
 from passgate.duties.wall_clock import AgreedWallClock
-from passgate.platform import __main__ as program
+from passgate.platform import program
 from passgate.sharedlog.log import LogPage
 from passgate.sharedlog.tail import SLOWEST_ANSWER_S, RecordTail, TailSettings
 from passgate.versions.leadership import Leadership
