Relay long lists of replicas by the log's groups, and keep them on the log in parts

Cause: beyond 200 replicas each daemon became a relay by chance while fewer than three were heard. Each starting daemon read the whole list (1.6 MB) from a log that sends 80 MB a second, so reads ran out of time, no relay was heard, and nearly all became relays, whose changes all had to read. A feedback loop without a bound. Ruled out: too few calls granted (none was refused for its rate), the processors (0.4 % busy).

Change: package discovery. The watcher of partition 0 of a zone's group relays; the first of them appends changes and the list in 16 compressed parts, others what it left out; a daemon that starts reads parts and changes; without any relay it helps itself after 4 to 10 s. Lists up to 200 are read as before, with one more call at the start. The stand-in of the log in memory can limit the bytes it sends, so the collapse is a test without the bench.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -25,6 +25,8 @@
     DependencyRegained,
     SettingsReloaded,
 )
+from passgate.discovery.service import Discovery, ReplicaDecoder
+from passgate.discovery.view import DiscoveryView
 from passgate.duties.calls import DutyCalls
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
@@ -32,7 +34,6 @@
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
-from passgate.gateway.discovery import Discovery, DiscoveryView, ReplicaDecoder
 from passgate.gateway.forwarder import Forwarder
 from passgate.gateway.ingress import Handler, Ingress, probe_handler
 from passgate.gateway.metrics import GatewayMetrics
@@ -72,6 +73,8 @@
 """Age of the view of the log from which it counts as lost: two long polls and a half."""
 LEADING_PARTS = 3
 """Daemons that watch one of the first partitions may lead: so many in each zone."""
+RELAYING_PART = 0
+"""The daemon of a zone that watches this partition relays a long list of replicas."""
 CONFIGURED_STEP_S = 0.05
 """Time between looks for the first configuration."""
 DUTY_METHODS = "duties."
@@ -106,10 +109,10 @@
         self._discovery = Discovery(
             log,
             topics.replicas,
-            topics.relayed_replicas,
             decoder,
             DiscoveryView(self.replicas, self.decisions),
             settings.daemon_id,
+            lambda: RELAYING_PART in self._member.held(),
             self.decisions,
         )
         self._log = log
--- a/passgate/daemon/topics.py
+++ b/passgate/daemon/topics.py
@@ -4,13 +4,14 @@
 
 import msgspec
 
+from passgate.discovery.service import ReplicaTopics
+
 
 class LogTopics(msgspec.Struct, frozen=True, kw_only=True):
     """Topics that a daemon follows, by the names of the log."""
 
     operator: str
-    replicas: str
-    relayed_replicas: str
+    replicas: ReplicaTopics
     jobs: str
     control: str
     crashes: str
--- a/passgate/decisions/events.py
+++ b/passgate/decisions/events.py
@@ -109,6 +109,15 @@
     replicas: int
 
 
+class DiscoveryLoaded(Event, tag="discovery_loaded"):
+    """This daemon knows the whole list of replicas for the first time."""
+
+    source: str
+    """Where it reads: "direct" or "relayed"."""
+    replicas: int
+    elapsed_ms: float
+
+
 class PartitionsHeld(Event, tag="partitions_held"):
     """The log's group deals this daemon other partitions of jobs to watch."""
 
--- /dev/null
+++ b/passgate/discovery/records.py
@@ -0,0 +1,84 @@
+"""What relays keep on the log of a long list of replicas: each change, and the whole list in parts.
+
+A daemon that starts reads the parts, and then the changes from where the parts were made.  Both are
+compressed JSON.
+
+>>> part = ListPart(part=3, at=40, changes_from=7)
+>>> decode_part(encode_part(part)) == part
+True
+>>> decode_changes(encode_changes(RelayedChanges(relay="d1"))).relay
+'d1'
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TypeVar
+
+import msgspec
+
+from passgate.discovery.view import DiscoveryNews
+from passgate.errors import MalformedRecord
+from passgate.sharedlog.log import KeyedRecord
+
+PARTS = 16
+"""Parts of the list.  One of 3,000 replicas takes about 4 KB, so 150,000 replicas fit into records."""
+COMPRESSION = 6
+"""The library's default; a list of 3,000 replicas shrinks from 0.6 MB to a ninth."""
+
+Content = TypeVar("Content", bound=msgspec.Struct)
+
+
+class RelayedChanges(msgspec.Struct, frozen=True, kw_only=True):
+    """One record of a relay; without changes it only shows that the relay lives."""
+
+    relay: str
+    """The daemon that appended it."""
+    changes: tuple[DiscoveryNews, ...] = ()
+
+
+class ListPart(msgspec.Struct, frozen=True, kw_only=True):
+    """All replicas of one part of the list."""
+
+    part: int
+    at: int
+    """Offset in discovery up to which the part is whole: a replica that it lacks was gone then."""
+    changes_from: int
+    """Offset in the topic of changes from which on they are not in the part."""
+    replicas: tuple[DiscoveryNews, ...] = ()
+
+
+def part_of(replica_id: str) -> int:
+    """Return the part of the list that holds a replica."""
+    return zlib.crc32(replica_id.encode()) % PARTS
+
+
+def encode_part(part: ListPart) -> KeyedRecord:
+    """Return the record of a part."""
+    return KeyedRecord(key=str(part.part), value=_pack(part))
+
+
+def decode_part(record: KeyedRecord) -> ListPart:
+    """Return the part of a record; raises MalformedRecord."""
+    return _unpack(record.value, ListPart)
+
+
+def encode_changes(changes: RelayedChanges) -> bytes:
+    """Return the record of changes."""
+    return _pack(changes)
+
+
+def decode_changes(record: bytes) -> RelayedChanges:
+    """Return the changes of a record; raises MalformedRecord."""
+    return _unpack(record, RelayedChanges)
+
+
+def _pack(content: msgspec.Struct) -> bytes:
+    return zlib.compress(msgspec.json.encode(content), COMPRESSION)
+
+
+def _unpack(data: bytes, kind: type[Content]) -> Content:
+    try:
+        return msgspec.json.decode(zlib.decompress(data), type=kind)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise MalformedRecord(f"{kind.__name__} of the list of replicas: {error}") from error
--- /dev/null
+++ b/passgate/discovery/service.py
@@ -0,0 +1,275 @@
+"""Follows the list of replicas: directly when it is short, through a few relays when it is long."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, DiscoveryLoaded, RelayChanged
+from passgate.discovery.relay import Progress, Relay
+from passgate.discovery.relayed_list import RelayedList
+from passgate.discovery.view import DiscoveryNews, DiscoveryView
+from passgate.errors import LogError
+from passgate.gateway.replicas import ReplicaInfo
+from passgate.sharedlog.log import KeyedRecord, SharedLog
+from passgate.sharedlog.tail import KeyedTail, TailSettings
+
+logger = logging.getLogger("passgate.discovery")
+
+DIRECT_LIMIT = 200
+"""Replicas up to which each daemon reads discovery itself."""
+DIRECT_AGAIN = 0.75
+"""Share of the limit below which a list that was long counts as short."""
+TICK_S = 0.25
+"""Time between looks at what has to change; a quarter of the shortest silence that is judged."""
+RELAY_TICK_S = 0.1
+"""The same for a relay, whose changes all others wait for."""
+DIRECT_GAP_S = 0.25
+"""Pause between reads of the list by a daemon that reads it itself; entries change each second."""
+HELP_ITSELF_S = (4.0, 10.0)
+"""Silence of all relays, while the log can be read, after which a daemon reads discovery itself: longer
+than it takes the log's groups to name another one, and drawn, as 300 daemons that read 1.6 MB each
+at once would take the log 6 s."""
+
+
+class ReplicaDecoder:
+    """How an adapter reads an entry of discovery; returns None for an unreadable one."""
+
+    def decode(self, record: KeyedRecord) -> ReplicaInfo | None:
+        """Return the replica of an entry."""
+        raise NotImplementedError
+
+
+class ReplicaTopics(msgspec.Struct, frozen=True, kw_only=True):
+    """Where replicas stand on the log."""
+
+    entries: str
+    """Keyed topic to which the replicas write."""
+    changes: str
+    """Topic to which relays append what changed."""
+    parts: str
+    """Keyed topic in which relays keep the whole list."""
+
+
+class Source(Enum):
+    """Where a daemon reads the replicas."""
+
+    UNKNOWN = "unknown"
+    DIRECT = "direct"
+    RELAYED = "relayed"
+
+
+class Discovery:
+    """Keeps a view up to date, directly or through relays, and relays when it is this daemon's turn."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        topics: ReplicaTopics,
+        decoder: ReplicaDecoder,
+        view: DiscoveryView,
+        daemon_id: str,
+        may_relay: Callable[[], bool],
+        decisions: DecisionLog,
+        *,
+        direct_limit: int = DIRECT_LIMIT,
+        seed: int | None = None,
+    ) -> None:
+        """Connect the parts.
+
+        Args:
+            log: carries entries, changes and the list.
+            topics: where they stand.
+            decoder: reads an entry.
+            view: the replicas as this daemon knows them.
+            daemon_id: names this daemon to other relays.
+            may_relay: whether this daemon is to relay a long list now; a few are at a time.
+            decisions: where decisions are noted.
+            direct_limit: replicas up to which a list is short.
+            seed: drives when this daemon helps itself, and reads the list again; drawn if None.
+        """
+        self._log = log
+        self._topics = topics
+        self._decoder = decoder
+        self._view = view
+        self._may_relay = may_relay
+        self._decisions = decisions
+        self._direct_limit = direct_limit
+        chance = random.Random(seed)
+        self._help_itself_s = chance.uniform(*HELP_ITSELF_S)
+        self._source = Source.UNKNOWN
+        self._direct: tuple[KeyedTail, asyncio.Task[None]] | None = None
+        self._relay = Relay(log, topics.changes, topics.parts, view, daemon_id)
+        self._relayed = RelayedList(
+            log,
+            topics.changes,
+            topics.parts,
+            view,
+            self._relay.heard,
+            decisions,
+            chance,
+        )
+        self._began_s: float | None = None
+        self.loaded = False
+        """Whether the whole list was read once."""
+        self.relaying = False
+        """Whether this daemon reads the list for others."""
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        self._began_s = monotonic_s()
+        try:
+            while True:
+                await self._tick()
+                await asyncio.sleep(RELAY_TICK_S if self.relaying else TICK_S)
+        finally:
+            self._stop_direct()
+            self._relayed.stop()
+
+    @property
+    def reads_directly(self) -> bool:
+        """Whether this daemon reads the entries that replicas write."""
+        return self._direct is not None
+
+    async def _tick(self) -> None:
+        try:
+            await self._choose_source()
+        except LogError as error:
+            logger.info("discovery_not_read", extra={"error": str(error)})
+            return
+        if self._source is Source.RELAYED:
+            await self._follow_relays()
+        self._note_loaded()
+        self._drop_lapsed()
+        self._view.forget_gone()
+
+    # --- where to read -------------------------------------------------------------
+
+    async def _choose_source(self) -> None:
+        """Decide where to read; raises LogError."""
+        if self._source is Source.UNKNOWN:
+            await self._find_source()
+        elif self._source is Source.DIRECT and len(self._view) > self._direct_limit:
+            self._source = Source.RELAYED
+        elif self._source is Source.RELAYED and self._is_short_again():
+            await self._return_to_direct()
+
+    async def _return_to_direct(self) -> None:
+        if self.relaying:
+            await self._relay.drop_list()
+        self._source = Source.DIRECT
+        self._set_relaying(False)
+        self._relayed.stop()
+        self._follow_directly()
+
+    def _is_short_again(self) -> bool:
+        all_know = not (self.relaying and self._relay.has_unappended)
+        return self.loaded and all_know and len(self._view) <= self._direct_limit * DIRECT_AGAIN
+
+    async def _find_source(self) -> None:
+        """Look whether relays keep a list; else read no more than the first page of entries."""
+        if await self._relayed.is_kept():
+            self._source = Source.RELAYED
+            return
+        began_s = monotonic_s()
+        snapshot = await self._log.newest(self._topics.entries, 0, most_pages=1)
+        if snapshot.more:
+            self._source = Source.RELAYED
+            return
+        self._source = Source.DIRECT
+        self._follow_directly().begin(snapshot, began_s)
+
+    # --- through relays ------------------------------------------------------------
+
+    async def _follow_relays(self) -> None:
+        await self._relayed.follow()
+        self._set_relaying(self._should_relay())
+        if self.relaying or self._must_help_itself():
+            self._follow_directly()
+        elif self._relayed.loaded:
+            self._stop_direct()
+        if self.relaying and self._direct is not None and self._direct[0].loaded:
+            await self._relay.step(
+                Progress(
+                    entries_read=self._direct[0].next_offset - 1,
+                    changes_read=self._relayed.changes_read,
+                    changes_kept=self._relayed.changes_kept,
+                )
+            )
+
+    def _should_relay(self) -> bool:
+        """Whether to relay; one whose turn is over goes on until it hears another."""
+        return self._may_relay() or (self.relaying and not self._relay.hears_others())
+
+    def _must_help_itself(self) -> bool:
+        return self._relayed.silence_s() > self._help_itself_s
+
+    def _set_relaying(self, relaying: bool) -> None:
+        if relaying == self.relaying:
+            return
+        self.relaying = relaying
+        if relaying:
+            self._relay.begin()
+        self._decisions.write(RelayChanged(relaying=relaying, replicas=len(self._view)))
+
+    # --- directly ------------------------------------------------------------------
+
+    def _follow_directly(self) -> KeyedTail:
+        if self._direct is None:
+            settings = TailSettings(topic=self._topics.entries, gap_s=DIRECT_GAP_S)
+            tail = KeyedTail(self._log, settings, replace=self._take_list, update=self._take_entries)
+            self._direct = (tail, asyncio.get_running_loop().create_task(tail.run()))
+        return self._direct[0]
+
+    def _stop_direct(self) -> None:
+        if self._direct is not None:
+            self._direct[1].cancel()
+            self._direct = None
+
+    def _take_list(self, records: tuple[KeyedRecord, ...], next_offset: int) -> None:
+        self._note_log()
+        infos = [info for record in records if record.value and (info := self._decoder.decode(record))]
+        changes = self._view.take_all(infos, next_offset - 1)
+        if self.relaying and self._relayed.whole:
+            # Without a list on the log nobody follows the changes yet, and its parts will hold all.
+            self._relay.changed(changes)
+
+    def _take_entries(self, records: tuple[KeyedRecord, ...], start: int) -> None:
+        self._note_log()
+        for index, record in enumerate(records):
+            info = self._decoder.decode(record) if record.value else None
+            if record.value and info is None:
+                continue
+            news = DiscoveryNews(replica_id=record.key, at=start + index, info=info)
+            if self._view.take(news) and self.relaying:
+                self._relay.changed([news])
+
+    def _note_log(self) -> None:
+        if self._direct is not None:
+            self._view.note_log(self._direct[0].freshness)
+
+    def _drop_lapsed(self) -> None:
+        gone = self._view.drop_lapsed()
+        if gone and self.relaying:
+            self._relay.changed(gone)
+
+    # --- progress ------------------------------------------------------------------
+
+    def _note_loaded(self) -> None:
+        directly = self._direct is not None and self._direct[0].loaded
+        if self.loaded or not (directly or self._relayed.loaded):
+            return
+        self.loaded = True
+        self._decisions.write(
+            DiscoveryLoaded(
+                source=self._source.value,
+                replicas=len(self._view),
+                elapsed_ms=round((monotonic_s() - (self._began_s or 0.0)) * 1000, 1),
+            )
+        )
--- /dev/null
+++ b/passgate/discovery/view.py
@@ -0,0 +1,154 @@
+"""The replicas as a daemon knows them from discovery; older news never replaces newer.
+
+>>> DiscoveryNews(replica_id="r", at=4).gone
+True
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, ReplicaChanged
+from passgate.gateway.replicas import ReplicaInfo, ReplicaTable
+from passgate.sharedlog.tail import BEHIND_S, Freshness
+
+FORGET_GONE_S = 120.0
+"""Time for which a replica that is gone is remembered; twice the longest outage of the log seen."""
+COME_BACK_S = 2.0
+"""Time after the log's return within which entries that lapsed meanwhile are written again."""
+
+
+class DiscoveryNews(msgspec.Struct, frozen=True, kw_only=True):
+    """What discovery said of one replica at an offset."""
+
+    replica_id: str
+    at: int
+    info: ReplicaInfo | None = None
+
+    @property
+    def gone(self) -> bool:
+        """Whether the replica is not listed any more."""
+        return self.info is None
+
+
+class _Lapse(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry that went, and may come back."""
+
+    gone_at: int
+    """Offset that says that it went."""
+    listed_at: int
+    """Offset at which the replica was last known to be listed."""
+
+
+class DiscoveryView:
+    """The replicas as known so far; news older than what is known is ignored."""
+
+    def __init__(self, replicas: ReplicaTable, decisions: DecisionLog) -> None:
+        self._replicas = replicas
+        self._decisions = decisions
+        self._known_at: dict[str, int] = {}
+        self._gone_s: dict[str, float] = {}
+        self._returned_s = float("-inf")
+        self._lapsed: dict[str, _Lapse] = {}
+        """Replicas whose entries went while the log was away."""
+
+    def note_log(self, freshness: Freshness) -> None:
+        """Note how fresh the list is that the next news come from."""
+        now_s = monotonic_s()
+        if freshness.age_s(now_s) > BEHIND_S:
+            self._returned_s = now_s
+        else:
+            self._returned_s = max(self._returned_s, freshness.recovered_s)
+
+    def __len__(self) -> int:
+        return len(self._replicas.all())
+
+    def take(self, news: DiscoveryNews) -> bool:
+        """Take news of one replica; return whether others may know it otherwise."""
+        if news.at <= self._known_at.get(news.replica_id, -1):
+            return False
+        listed_at = self._listed_at(news.replica_id)
+        self._known_at[news.replica_id] = news.at
+        known = self._replicas.get(news.replica_id)
+        came_back = self._lapsed.pop(news.replica_id, None) is not None
+        if news.info is None and known is not None and self._may_have_lapsed(known.info):
+            self._lapsed[news.replica_id] = _Lapse(gone_at=news.at, listed_at=listed_at)
+            self._note(news.replica_id, known.info.service, "lapsed", True)
+            return False
+        if news.info is None:
+            return self._remove(news.replica_id)
+        changed = came_back or known is None or known.info != news.info
+        if known is None or known.info.draining != news.info.draining:
+            state = "draining" if news.info.draining else "ready"
+            self._note(news.replica_id, news.info.service, state, True)
+        self._replicas.put(news.info)
+        return changed
+
+    def _remove(self, replica_id: str) -> bool:
+        """Forget a replica that is not listed any more; return whether it was known."""
+        known = self._replicas.get(replica_id)
+        self._gone_s[replica_id] = monotonic_s()
+        self._replicas.remove(replica_id)
+        self._note(replica_id, known.info.service if known else "", "gone", known is not None)
+        return known is not None
+
+    def take_relayed(self, news: DiscoveryNews) -> None:
+        """Take news from a relay, which has waited itself for an entry that may come back."""
+        if not news.gone:
+            self.take(news)
+        elif news.at > self._listed_at(news.replica_id):
+            self._lapsed.pop(news.replica_id, None)
+            self._known_at[news.replica_id] = max(news.at, self._known_at.get(news.replica_id, -1))
+            self._remove(news.replica_id)
+
+    def take_all(self, infos: list[ReplicaInfo], at: int) -> list[DiscoveryNews]:
+        """Take the whole list; ``at`` is the last offset that it holds.  Return what changed."""
+        listed = {info.replica_id for info in infos}
+        gone = [replica_id for replica_id in self.replica_ids() if replica_id not in listed]
+        news = [DiscoveryNews(replica_id=replica_id, at=at) for replica_id in gone]
+        news += [DiscoveryNews(replica_id=info.replica_id, at=at, info=info) for info in infos]
+        return [each for each in news if self.take(each)]
+
+    def replica_ids(self) -> list[str]:
+        """Return the identifiers of all known replicas."""
+        return [state.info.replica_id for state in self._replicas.all()]
+
+    def news(self) -> list[DiscoveryNews]:
+        """Return each known replica, with the offset at which it was last known to be listed."""
+        infos = [state.info for state in self._replicas.all()]
+        return [
+            DiscoveryNews(replica_id=info.replica_id, at=self._listed_at(info.replica_id), info=info)
+            for info in infos
+        ]
+
+    def _listed_at(self, replica_id: str) -> int:
+        """Return the offset at which a replica was last known to be listed; -1 if it never was."""
+        lapse = self._lapsed.get(replica_id)
+        return self._known_at.get(replica_id, -1) if lapse is None else lapse.listed_at
+
+    def _may_have_lapsed(self, info: ReplicaInfo) -> bool:
+        """Whether an entry may have gone only because its replica could not reach the log."""
+        return not info.draining and monotonic_s() - self._returned_s < COME_BACK_S
+
+    def drop_lapsed(self) -> list[DiscoveryNews]:
+        """Drop replicas whose entries did not come back; return what is known now."""
+        if not self._lapsed or monotonic_s() - self._returned_s < COME_BACK_S:
+            return []
+        gone = [DiscoveryNews(replica_id=key, at=lapse.gone_at) for key, lapse in self._lapsed.items()]
+        self._lapsed.clear()
+        for news in gone:
+            self._remove(news.replica_id)
+        return gone
+
+    def forget_gone(self) -> None:
+        """Drop what is kept of replicas that are gone for long."""
+        old_s = monotonic_s() - FORGET_GONE_S
+        for replica_id in [key for key, gone_s in self._gone_s.items() if gone_s < old_s]:
+            del self._gone_s[replica_id]
+            if self._replicas.get(replica_id) is None:
+                self._known_at.pop(replica_id, None)
+
+    def _note(self, replica_id: str, service: str, state: str, wanted: bool) -> None:
+        if wanted:
+            self._decisions.write(ReplicaChanged(replica_id=replica_id, service=service, state=state))
--- a/passgate/emulator/shared_log.py
+++ b/passgate/emulator/shared_log.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Sequence
 
@@ -38,6 +39,10 @@
 ANSWER_TIMEOUT_S = 1.2
 SEPARATOR = b"\x00"
 KEYED_PREFIX = "keyed."
+NEWEST_PAGE = 500
+"""Records on one page of the newest ones."""
+MOST_QUEUED_S = 2.0
+"""Reads that would wait longer for their bytes are refused."""
 
 
 class SharedLogFaults(msgspec.Struct, kw_only=True):
@@ -53,6 +58,8 @@
     """When an append whose answer is lost is done, after it was sent."""
     slow_s: float = 0.0
     """Added to the time of each answer."""
+    read_bytes_per_s: float = math.inf
+    """Bytes that all reads together get; one whose caller has left is sent all the same."""
 
 
 class _Partition:
@@ -90,6 +97,8 @@
         """Clients whose calls get no answer."""
         self.calls = 0
         self.bytes_read = 0
+        self._sent_until_s = 0.0
+        """Loop time until which the bytes of the reads so far take."""
         self.random = random.Random(seed)
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._keyed: dict[str, dict[str, bytes]] = {}
@@ -122,6 +131,19 @@
         """Return the newest value of each key."""
         return dict(self._keyed.get(topic, {}))
 
+    async def transfer(self, size: int) -> None:
+        """Send bytes to a reader; raises LogUnavailable when too many wait or come too late."""
+        self.bytes_read += size
+        now_s = monotonic_s()
+        begins_s = max(now_s, self._sent_until_s)
+        if begins_s - now_s > MOST_QUEUED_S:
+            raise LogUnavailable("too many bytes wait", status=503)
+        self._sent_until_s = begins_s + size / self.faults.read_bytes_per_s
+        wait_s = self._sent_until_s - now_s
+        await asyncio.sleep(min(wait_s, ANSWER_TIMEOUT_S))
+        if wait_s > ANSWER_TIMEOUT_S:
+            raise LogUnavailable("no answer")
+
     def drop_history(self, topic: str) -> None:
         """Forget all records so far; newest values of keys stay."""
         partition = self.partition(topic, 0)
@@ -181,16 +203,19 @@
         if start < partition.first:
             raise HistoryGone(partition.first)
         records = _first_bytes(partition.records[start - partition.first :], max_bytes)
-        self._log.bytes_read += sum(len(record) for record in records)
-        page = LogPage(start=start, end=partition.end, records=records)
+        await self._log.transfer(sum(len(record) for record in records))
+        page = LogPage(start=start, end=partition.end, records=records, first=partition.first)
         await self._answer(LogUnavailable)
         return page
 
-    async def newest(self, topic: str, part: int) -> KeyedSnapshot:
+    async def newest(self, topic: str, part: int, *, most_pages: int | None = None) -> KeyedSnapshot:
         """Return the newest record of every key; see :class:`SharedLog`."""
         await self._reach(LogUnavailable)
         records = tuple(KeyedRecord(key=key, value=value) for key, value in self._log.newest(topic).items())
-        return KeyedSnapshot(records=records, next_offset=self._log.partition(topic, part).end)
+        wanted = records if most_pages is None else records[: most_pages * NEWEST_PAGE]
+        next_offset = self._log.partition(topic, part).end
+        await self._log.transfer(sum(len(record.value) for record in wanted))
+        return KeyedSnapshot(records=wanted, next_offset=next_offset, more=len(wanted) < len(records))
 
     async def join(
         self, group: str, member: str, topics: Sequence[str], *, lifetime_s: float, generation: int
--- a/passgate/errors/platform.py
+++ b/passgate/errors/platform.py
@@ -49,6 +49,12 @@
     code = "unknown_record"
 
 
+class MalformedRecord(LogError):
+    """A record of the log could not be decoded; passed over."""
+
+    code = "malformed_record"
+
+
 class SupersededEpoch(PassgateError):
     """The record or order carried an epoch older than the current one."""
 
--- a/passgate/platform/beliefs.py
+++ b/passgate/platform/beliefs.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from passgate.daemon.gateway_daemon import GatewayDaemon
-from passgate.gateway.discovery import ReplicaDecoder
+from passgate.discovery.service import ReplicaDecoder
 from passgate.gateway.replicas import ReplicaInfo
 from passgate.platform import documents, names
 from passgate.sharedlog.log import KeyedRecord
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import itertools
 import random
 import struct
 from collections.abc import Sequence
@@ -160,15 +161,16 @@
             raise LogThrottled("too many reads")
         if answer.status != OK or len(answer.body) < PAGE_HEAD.size:
             raise LogUnavailable(f"read refused with {answer.status}", status=answer.status)
-        end, _first = PAGE_HEAD.unpack_from(answer.body)
-        return LogPage(start=start, end=end, records=unpack_records(answer.body[PAGE_HEAD.size :]))
+        end, first = PAGE_HEAD.unpack_from(answer.body)
+        records = unpack_records(answer.body[PAGE_HEAD.size :])
+        return LogPage(start=start, end=end, records=records, first=first)
 
-    async def newest(self, topic: str, part: int) -> KeyedSnapshot:
+    async def newest(self, topic: str, part: int, *, most_pages: int | None = None) -> KeyedSnapshot:
         """Return the newest record of every key; see :class:`SharedLog`."""
         records: list[KeyedRecord] = []
         end: int | None = None
         after = ""
-        while True:
+        for pages in itertools.count(1):
             path = f"{names.NEWEST_PATH}?topic={quote(topic)}&part={part}"
             answer = await self._read_page(path + (f"&afterRev={quote(after, safe='')}" if after else ""))
             if answer.status != OK:
@@ -177,9 +179,11 @@
             # The pages are no snapshot: reading on from the first page's end repeats what moved meanwhile.
             end = page.end if end is None else end
             records += [KeyedRecord(key=row.key, value=base64.b64decode(row.value)) for row in page.requests]
-            if not page.more or not page.requests:
-                return KeyedSnapshot(records=tuple(records), next_offset=end)
+            more = page.more and bool(page.requests)
+            if not more or pages == most_pages:
+                return KeyedSnapshot(records=tuple(records), next_offset=end, more=more)
             after = page.requests[-1].key
+        raise AssertionError("unreachable")
 
     async def _read_page(self, path: str) -> HttpAnswer:
         """Read one page; when throttled wait and ask again, as beginning anew would cost all pages."""
--- a/passgate/platform/program.py
+++ b/passgate/platform/program.py
@@ -12,6 +12,7 @@
 from passgate.clock import DaemonEventLoop
 from passgate.daemon.gateway_daemon import GatewayDaemon, make_http_client
 from passgate.daemon.topics import LogTopics
+from passgate.discovery.service import ReplicaTopics
 from passgate.gateway.settings import GatewaySettings
 from passgate.peers.peer_transport import TcpPeerTransport, parse_address
 from passgate.platform import names
@@ -30,8 +31,11 @@
     """Return a daemon that follows the platform's topics."""
     topics = LogTopics(
         operator=names.OPERATOR_TOPIC,
-        replicas=names.REPLICAS_TOPIC,
-        relayed_replicas=names.RELAYED_REPLICAS_TOPIC,
+        replicas=ReplicaTopics(
+            entries=names.REPLICAS_TOPIC,
+            changes=names.REPLICA_CHANGES_TOPIC,
+            parts=names.REPLICA_LIST_TOPIC,
+        ),
         jobs=names.JOBS_TOPIC,
         control=names.CONTROL_TOPIC,
         crashes=names.CRASHES_TOPIC,
--- a/passgate/sharedlog/counted.py
+++ b/passgate/sharedlog/counted.py
@@ -52,9 +52,10 @@
         page = self._log.read(topic, part, start, wait_s=wait_s, max_bytes=max_bytes)
         return await self._counted("read", topic, page)
 
-    async def newest(self, topic: str, part: int) -> KeyedSnapshot:
+    async def newest(self, topic: str, part: int, *, most_pages: int | None = None) -> KeyedSnapshot:
         """Return the newest record of every key; a call of several pages counts once."""
-        return await self._counted("newest", topic, self._log.newest(topic, part))
+        snapshot = self._log.newest(topic, part, most_pages=most_pages)
+        return await self._counted("newest", topic, snapshot)
 
     async def join(
         self, group: str, member: str, topics: Sequence[str], *, lifetime_s: float, generation: int
--- a/passgate/sharedlog/log.py
+++ b/passgate/sharedlog/log.py
@@ -59,6 +59,8 @@
     end: int
     """End of the partition when it was read."""
     records: tuple[bytes, ...]
+    first: int = 0
+    """Offset of the first record that the partition still keeps."""
 
     @property
     def next_offset(self) -> int:
@@ -78,6 +80,8 @@
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    more: bool = False
+    """Whether keys are missing, as no more pages were asked for."""
 
 
 class GroupPartition(msgspec.Struct, frozen=True):
@@ -118,8 +122,8 @@
         """
         ...
 
-    async def newest(self, topic: str, part: int) -> KeyedSnapshot:
-        """Return the newest record of every key of a keyed topic."""
+    async def newest(self, topic: str, part: int, *, most_pages: int | None = None) -> KeyedSnapshot:
+        """Return the newest record of every key of a keyed topic, or of those of the first pages."""
         ...
 
     async def join(
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -20,7 +20,15 @@
 from passgate.clock import monotonic_s
 from passgate.errors import LogError
 from passgate.sharedlog.hedge import hedged
-from passgate.sharedlog.log import MAX_PAGE_BYTES, HistoryGone, KeyedRecord, LogPage, LogThrottled, SharedLog
+from passgate.sharedlog.log import (
+    MAX_PAGE_BYTES,
+    HistoryGone,
+    KeyedRecord,
+    KeyedSnapshot,
+    LogPage,
+    LogThrottled,
+    SharedLog,
+)
 
 logger = logging.getLogger("passgate.sharedlog")
 
@@ -207,6 +215,8 @@
         self._apply = apply
         self._advanced = asyncio.Event()
         self.next_offset = 0
+        self.first_kept = 0
+        """Offset of the first record that the log still kept at the last read."""
         self.caught_up = False
         """Whether the end was reached once."""
 
@@ -223,6 +233,7 @@
         self.next_offset = first
 
     def _take(self, page: LogPage) -> None:
+        self.first_kept = max(self.first_kept, page.first)
         if page.records and page.start == self.next_offset:
             self._apply(page)
             self.next_offset = page.next_offset
@@ -322,6 +333,16 @@
         """Whether a snapshot was read."""
         return self._next_offset is not None
 
+    @property
+    def next_offset(self) -> int:
+        """Offset up to which all was read; 0 before the first snapshot."""
+        return self._next_offset or 0
+
+    def begin(self, snapshot: KeyedSnapshot, began_s: float) -> None:
+        """Begin with a snapshot whose reading began at a loop time."""
+        self._take_snapshot(snapshot, began_s)
+        self._reload = False
+
     async def _read_once(self) -> bool:
         if self._reload:
             await self._load()
@@ -338,7 +359,9 @@
 
     async def _load(self) -> None:
         began_s = monotonic_s()
-        snapshot = await self._log.newest(self._settings.topic, self._settings.part)
+        self._take_snapshot(await self._log.newest(self._settings.topic, self._settings.part), began_s)
+
+    def _take_snapshot(self, snapshot: KeyedSnapshot, began_s: float) -> None:
         self._replace(snapshot.records, snapshot.next_offset)
         self._next_offset = snapshot.next_offset
         self.freshness.confirmed(began_s)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from passgate.gateway.discovery import COME_BACK_S
+from passgate.discovery.view import COME_BACK_S
 from tests import platform_stand_ins as stand_ins
 from tests.crashing_world import in_crashing_world
 
