--- a/passgate/decisions/events.py
+++ b/passgate/decisions/events.py
@@ -379,6 +379,13 @@
     total: int
 
 
+class JobEndFailed(Event, tag="job_end_failed"):
+    """The end of a job was not confirmed to its caller; it may take effect all the same."""
+
+    job_id: str
+    reason: str
+
+
 class LeadershipTaken(Event, tag="leadership_taken"):
     """This daemon gives orders to replicas from now on."""
 
--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -167,6 +167,7 @@
     moves = [line for line in mine if line["event"] == "job_owned"]
     dead = [line for line in mine if line["event"] == "item_listed" and line["state"] == "dead"]
     ends = [line for line in mine if line["event"] == "job_ended"]
+    unsure = [line for line in mine if line["event"] == "job_end_failed"]
     parts = [f"accepted {len(accepted)} times" if accepted else "its acceptance is not in these logs"]
     if moves:
         parts.append(f"taken over {len(moves)} times, last by {moves[-1].get('daemon')}")
@@ -174,6 +175,8 @@
         parts.append(f"{len(dead)} items dead")
     if ends:
         parts.append(f"ended with {ends[-1]['listed']} of {ends[-1]['total']} results")
+    elif unsure:
+        parts.append(f"its end was not confirmed ({unsure[-1]['reason']}) and may have taken effect")
     return "; ".join(parts)
 
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, JobAccepted, JobAcceptFailed, JobRead
+from passgate.decisions import DecisionLog, JobAccepted, JobAcceptFailed, JobEndFailed, JobRead
 from passgate.decisions import JobEnded as JobEndedEvent
 from passgate.errors import (
     DurabilityUnknown,
@@ -220,7 +220,18 @@
 
         An end that can not be checked is written all the same, as its caller will not
         come back for ever.
+
+        Raises:
+            NotFound: there is no such job.
+            DurabilityUnknown: the end may take effect.
         """
+        try:
+            await self._end(host, job_id, deadline_s)
+        except PassgateError as error:
+            self._decisions.write(JobEndFailed(job_id=job_id, reason=error.code))
+            raise
+
+    async def _end(self, host: str, job_id: str, deadline_s: float) -> None:
         shard = self._shards.of(host)
         try:
             if self._answers(shard):
