Split the decision events by subject

Change: base, daemon_events, request_events, job_events, leader_events; the package exports as before. Conclusion: no behaviour changed.

--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -15,24 +15,29 @@
 
 from __future__ import annotations
 
-from passgate.decisions.events import (
-    AttemptFailed,
+from passgate.decisions.base import (
+    Event,
+    LinesDropped,
+)
+from passgate.decisions.daemon_events import (
     ConfigurationInForce,
     ConfigurationLearned,
     ConfigurationRejected,
-    CrashReported,
-    CrashReportsCleared,
     DaemonStarted,
     DaemonStopped,
     DaemonStopping,
     DependencyLost,
     DependencyRegained,
     DiscoveryLoaded,
-    Event,
-    ForwardEnded,
-    ForwardSent,
+    PartitionsHeld,
+    PeerFailed,
+    RecordUnreadable,
+    RelayChanged,
+    ReplicaChanged,
+    SettingsReloaded,
+)
+from passgate.decisions.job_events import (
     ItemFailed,
-    ItemHeld,
     ItemListed,
     ItemSent,
     JobAccepted,
@@ -42,26 +47,29 @@
     JobOwned,
     JobRead,
     JobWhole,
+    RewardFailed,
+    RewardSent,
+)
+from passgate.decisions.leader_events import (
     LeadershipLost,
     LeadershipTaken,
-    LinesDropped,
     OrderSent,
-    PartitionsHeld,
-    PeerFailed,
-    RecordUnreadable,
-    RelayChanged,
-    ReplicaChanged,
-    ReplicaCrashed,
     ReplicaOrderSent,
-    RequestRefused,
-    RewardFailed,
-    RewardSent,
-    SettingsReloaded,
     UsageReportSent,
     UsageWindowCommitted,
     VersionWanted,
 )
 from passgate.decisions.log import DecisionLog
+from passgate.decisions.request_events import (
+    AttemptFailed,
+    CrashReported,
+    CrashReportsCleared,
+    ForwardEnded,
+    ForwardSent,
+    ItemHeld,
+    ReplicaCrashed,
+    RequestRefused,
+)
 
 __all__ = [
     "AttemptFailed",
--- a/passgate/decisions/log.py
+++ b/passgate/decisions/log.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from passgate.clock import since_boot_s
-from passgate.decisions.events import Event, LinesDropped
+from passgate.decisions.base import Event, LinesDropped
 
 LINES_PER_S = 60.0
 """Lines a second that may be written on average."""
