--- /dev/null
+++ b/tests/job_daemons.py
@@ -0,0 +1,215 @@
+"""Daemons of batch jobs over one log in virtual time, without replicas and callers."""
+
+import asyncio
+import random
+import weakref
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog
+from passgate.errors import NotReady
+from passgate.jobs.journal import Journal
+from passgate.jobs.liveness import Liveness
+from passgate.jobs.peers import JobPeers
+from passgate.jobs.reader import find_job
+from passgate.jobs.records import (
+    ItemsDone,
+    ItemSpec,
+    JobSpec,
+    Result,
+    ResultState,
+    writer_name,
+)
+from passgate.jobs.service import JobService
+from passgate.jobs.shards import (
+    JobShards,
+    ShardSettings,
+)
+from passgate.peers.memory_transport import MemoryNetwork
+from passgate.sharedlog.candidacy import Candidacy
+from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.member_names import member_name
+from passgate.sharedlog.tail import KeyedTail, TailSettings
+from passgate.versions.control import ControlTopic
+
+LEASE_S = 3.0
+FAULTS = ["kill", "cut", "silent", "refuse", "lost", "slow", "deal", "lapse", "part", "none"]
+HOST = "h"
+ITEM_S = 0.4
+TAKEN_OVER_SOON_S = 0.8
+"""Time from the start of all daemons until an open job runs again: joining the group, reading, claiming."""
+HANDED_OVER_S = 1.3
+"""Time from the cut until another daemon runs the job: the owner's next append, 0.45 s, one question."""
+READ_SOON_S = 0.05
+"""Time after its acceptance within which the owner has read a job from the log."""
+networks = weakref.WeakKeyDictionary()
+"""Network between the daemons of each log."""
+
+
+class Runner:
+    """Stands for the items' runs: each takes some time, its text names who made it."""
+
+    def __init__(self, daemon, journal, job):
+        self.daemon = daemon
+        self.journal = journal
+        self.job = job
+
+    async def run(self):
+        for item in self.job.spec().items:
+            if item.id not in self.job.listed:
+                await asyncio.sleep(ITEM_S)
+                text = f"{item.id} by {self.daemon.name}"
+                result = Result(item_id=item.id, state=ResultState.SUCCEEDED, text=text, versions=(1,))
+                self.journal.put(ItemsDone(job_id=self.job.job_id, results=(result,)))
+
+    def save(self):
+        pass
+
+
+def _ignore_records(records, start):
+    pass
+
+
+class Daemon:
+    """A daemon without replicas and callers; the rest is the product's own code."""
+
+    def __init__(self, log, name, life=0, zone="a", cores=2.0):
+        self.zone = zone
+        self.client = log.client(name)
+        self.network = networks.setdefault(log, MemoryNetwork(random.Random(1)))
+        self.transport = self.network.transport(f"{name}:7720", name)
+        self.name = writer_name(name, str(life), self.transport.address)
+        self.events = []
+        decisions = DecisionLog(name, write=len, observe=self.events.append)
+        member = member_name(name, self.transport.address, cores)
+        candidacy = Candidacy(cores)
+        self.member = GroupMember(
+            self.client, f"watch.{zone}", member, "jobs", decisions, candidacy=candidacy
+        )
+        sizes = {"record_bytes": 262_144, "append_bytes": 2_000_000}
+        self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
+        self.peers = peers = JobPeers(self.transport, directory, member, decisions)
+        self.journal = Journal(self.client, "control", 0, self.name, **sizes)
+        self.control = ControlTopic(
+            self.client,
+            "control",
+            self.journal,
+            lambda: bool(self.member.held()),
+            decisions,
+            lease_s=LEASE_S,
+            sign_of=Liveness(lambda writer: peers.life_at(writer, 0)).sign_of,
+        )
+        self.leadership = self.control.leadership
+        settings = ShardSettings(
+            topic="jobs",
+            parts=log.parts,
+            writer=self.name,
+            retention_s=150.0,
+            **sizes,
+        )
+        self.shards = JobShards(
+            self.client,
+            settings,
+            self.member.held,
+            self.make_runner,
+            peers,
+            decisions,
+            may_own_new=lambda: candidacy.wanted,
+            log_answers=self.member.answered,
+        )
+        settings = TailSettings(topic="keyed.op", gap_s=0.05)
+        self.operator = KeyedTail(self.client, settings, replace=_ignore_records, update=_ignore_records)
+        self.service = JobService(
+            self.shards,
+            peers,
+            self.journal,
+            lambda model: 0,
+            lambda: self.operator.freshness.age_s(monotonic_s()),
+            decisions,
+        )
+        self.tasks = []
+
+    def make_runner(self, fold, journal, job):
+        return Runner(self, journal, job)
+
+    def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport.start(lambda sender, payload: None, self.service.answer_peer)
+        parts = (
+            self.member.run(),
+            self.control.run(),
+            self.shards.run(),
+            self.directory.keep_known(),
+            self.operator.run(),
+        )
+        self.tasks = [loop.create_task(part) for part in parts]
+        return self
+
+    async def stop(self):
+        """Hand over as in a planned stop."""
+        await asyncio.wait([*self.shards.stop(), self.control.stop()])
+        await self.member.leave()
+
+    async def kill(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.transport.close()
+
+    async def owner(self, job_id, host=HOST):
+        """Return who owns a job, as this daemon reads it from the log."""
+        return (await find_job(self.shards.of(host), job_id)).owner
+
+    async def listed(self, job_id, host=HOST):
+        """Return a job's results as a caller reads them here, or None when it can not."""
+        try:
+            page = await self.service.read(host, job_id, 0, 0.0)
+        except NotReady:
+            return None
+        assert page.next_position == len(page.results)
+        whole = page.next_position == page.total
+        return whole, [(result.item_id, result.text) for result in page.results]
+
+
+def job_spec(job_id, count=4, host=HOST):
+    items = tuple(ItemSpec(id=f"{job_id}-{number}", path="/p/x") for number in range(count))
+    return JobSpec(job_id=job_id, host=host, path="/p/", items=items)
+
+
+class Orders:
+    """Samples who may give orders."""
+
+    def __init__(self, daemons):
+        self.daemons = daemons
+        self.turns = []
+
+    async def watch(self):
+        while True:
+            allowed = [
+                daemon.name for daemon in self.daemons if daemon.tasks and daemon.leadership.may_order()
+            ]
+            assert len(allowed) <= 1, f"{allowed} may order at once"
+            if allowed and (not self.turns or self.turns[-1][1] != allowed[0]):
+                self.turns.append((monotonic_s(), allowed[0]))
+            await asyncio.sleep(0.05)
+
+
+async def settle(daemons, jobs, timeout_s=60.0, host=HOST):
+    """Wait until all jobs are whole, as read at every daemon; return their lists by daemon."""
+    until_s = monotonic_s() + timeout_s
+    while monotonic_s() < until_s:
+        seen = [[await daemon.listed(job_id, host) for job_id in jobs] for daemon in daemons]
+        if all(page is not None and page[0] for pages in seen for page in pages):
+            return [[rows for _, rows in pages] for pages in seen]
+        await asyncio.sleep(0.2)
+    raise AssertionError(f"jobs are not finished everywhere: {seen}")
+
+
+async def started(log, count, zones=1):
+    """Return daemons among which the partitions are dealt."""
+    daemons = [Daemon(log, f"d{number}", zone=f"z{number % zones}").start() for number in range(count)]
+    await asyncio.sleep(2.5)
+    return daemons
+
+
+def by_name(daemons, writer):
+    return next(daemon for daemon in daemons if daemon.name == writer)
--- a/tests/test_jobs_reader.py
+++ b/tests/test_jobs_reader.py
@@ -8,7 +8,7 @@
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.jobs.reader import GATHER_S
 from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState
-from tests.test_jobs_daemons import HOST, Daemon
+from tests.job_daemons import HOST, Daemon
 
 NEAR_S = 0.1
 SETTLED_S = 2.5
