--- a/passgate/discovery/relay.py
+++ b/passgate/discovery/relay.py
@@ -24,7 +24,7 @@
     part_of,
 )
 from passgate.discovery.view import DiscoveryNews, DiscoveryView
-from passgate.errors import LogAppendUnknown, LogError
+from passgate.errors import LogError
 from passgate.sharedlog.log import KeyedRecord, SharedLog
 
 logger = logging.getLogger("passgate.discovery")
@@ -96,7 +96,7 @@
         drops = [KeyedRecord(key=str(number), value=b"") for number in range(PARTS)]
         try:
             await self._log.append(self._list_topic, 0, [self._log.encode_keyed(drop) for drop in drops])
-        except (LogError, LogAppendUnknown) as error:
+        except LogError as error:
             logger.info("replica_list_not_dropped", extra={"error": str(error)})
 
     def changed(self, changes: list[DiscoveryNews]) -> None:
@@ -139,7 +139,7 @@
                 await self._append_changes(due)
             if is_first:
                 await self._write_parts(now_s, progress)
-        except (LogError, LogAppendUnknown) as error:
+        except LogError as error:
             logger.info("relay_failed", extra={"error": str(error)})
         self._forget(now_s)
 
--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -48,7 +48,7 @@
         view: DiscoveryView,
         take_changes: Callable[[RelayedChanges, bool], None],
         decisions: DecisionLog,
-        chance: random.Random,
+        rng: random.Random,
     ) -> None:
         """Connect the parts.
 
@@ -59,14 +59,14 @@
             view: takes what is read.
             take_changes: is told of each record of a relay, and whether it was appended just now.
             decisions: where decisions are noted.
-            chance: draws when the list is read again.
+            rng: draws when the list is read again.
         """
         self._log = log
         self._list_topic = list_topic
         self._view = view
         self._take_changes = take_changes
         self._decisions = decisions
-        self._chance = chance
+        self._rng = rng
         settings = TailSettings(topic=changes_topic, gap_s=CHANGES_GAP_S)
         self._tail = FollowedTail(RecordTail(log, settings, self._take_page))
         self.whole = False
@@ -131,7 +131,7 @@
             return
         for part in parts:
             self._take_part(part)
-        self._load_s = monotonic_s() + self._chance.uniform(*RESYNC_S)
+        self._load_s = monotonic_s() + self._rng.uniform(*RESYNC_S)
         # A part may list what a change since has taken away, so the changes are read again as well.
         self._tail.set(False)
         self._next_offset = self._tail.tail.next_offset = min(part.changes_from for part in parts)
@@ -168,4 +168,4 @@
         self._heard_s = monotonic_s()
         if relay != self._relay:
             self._relay = relay
-            self._load_s = min(self._load_s, monotonic_s() + self._chance.uniform(*RESYNC_SOON_S))
+            self._load_s = min(self._load_s, monotonic_s() + self._rng.uniform(*RESYNC_SOON_S))
--- a/passgate/discovery/service.py
+++ b/passgate/discovery/service.py
@@ -32,7 +32,7 @@
 """The same for a relay, whose changes all others wait for."""
 DIRECT_GAP_S = 0.25
 """Pause between reads of the list by a daemon that reads it itself; entries change each second."""
-HELP_ITSELF_S = (4.0, 10.0)
+FALLBACK_S = (4.0, 10.0)
 """Silence of all relays, while the log can be read, after which a daemon reads discovery itself: longer
 than it takes the log's groups to name another one, and drawn, as 300 daemons that read 1.6 MB each
 at once would take the log 6 s."""
@@ -92,7 +92,7 @@
             may_relay: whether this daemon is to relay a long list now; a few are at a time.
             decisions: where decisions are noted.
             direct_limit: replicas up to which a list is short.
-            seed: drives when this daemon helps itself, and reads the list again; drawn if None.
+            seed: seeds the random times of a fallback and of reading the list again; drawn if None.
         """
         self._log = log
         self._topics = topics
@@ -101,8 +101,8 @@
         self._may_relay = may_relay
         self._decisions = decisions
         self._direct_limit = direct_limit
-        chance = random.Random(seed)
-        self._help_itself_s = chance.uniform(*HELP_ITSELF_S)
+        rng = random.Random(seed)
+        self._fallback_s = rng.uniform(*FALLBACK_S)
         self._source = Source.UNKNOWN
         self._direct: tuple[KeyedTail, asyncio.Task[None]] | None = None
         self._relay = Relay(log, topics.changes, topics.parts, view, daemon_id)
@@ -113,7 +113,7 @@
             view,
             self._relay.heard,
             decisions,
-            chance,
+            rng,
         )
         self._began_s: float | None = None
         self.loaded = False
@@ -190,7 +190,7 @@
     async def _follow_relays(self) -> None:
         await self._relayed.follow()
         self._set_relaying(self._should_relay())
-        if self.relaying or self._must_help_itself():
+        if self.relaying or self._must_fall_back():
             self._follow_directly()
         elif self._relayed.loaded:
             self._stop_direct()
@@ -207,8 +207,9 @@
         """Whether to relay; one whose turn is over goes on until it hears another."""
         return self._may_relay() or (self.relaying and not self._relay.hears_others())
 
-    def _must_help_itself(self) -> bool:
-        return self._relayed.silence_s() > self._help_itself_s
+    def _must_fall_back(self) -> bool:
+        """Whether to read discovery directly, as nobody relays."""
+        return self._relayed.silence_s() > self._fallback_s
 
     def _set_relaying(self, relaying: bool) -> None:
         if relaying == self.relaying:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -288,7 +288,7 @@
     run_virtual(main())
 
 
-def test_daemons_help_themselves_while_nobody_relays():
+def test_daemons_fall_back_to_reading_directly_while_nobody_relays():
     async def main():
         log = MemorySharedLog()
         for number in range(600):
