--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -104,7 +104,7 @@
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         log = CountedLog(log, self.metrics.count_log_call)
         self.config = ConfigHolder()
-        self.replicas = ReplicaTable(settings.zone)
+        self.replicas = ReplicaTable(settings.places)
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
--- a/passgate/discovery/service.py
+++ b/passgate/discovery/service.py
@@ -15,8 +15,8 @@
 from passgate.discovery.relay import Progress, Relay
 from passgate.discovery.relayed_list import RelayedList
 from passgate.discovery.view import DiscoveryNews, DiscoveryView
+from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.errors import LogError
-from passgate.gateway.replicas import ReplicaInfo
 from passgate.sharedlog.log import KeyedRecord, SharedLog
 from passgate.sharedlog.tail import KeyedTail, TailSettings
 
--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -10,7 +10,8 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ReplicaChanged
-from passgate.gateway.replicas import ReplicaInfo, ReplicaTable
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.gateway.replicas import ReplicaTable
 from passgate.sharedlog.tail import BEHIND_S, Freshness
 
 FORGET_GONE_S = 120.0
--- /dev/null
+++ b/passgate/eligibility/__init__.py
@@ -0,0 +1,1 @@
+"""Which replicas a request may be sent to now: one check before every send."""
--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -170,6 +170,12 @@
     code = "backend_unreachable"
 
 
+class SendForbidden(BackendUnreachable):
+    """A rule keeps requests from the replica now; nothing was sent."""
+
+    code = "send_forbidden"
+
+
 class IncompleteAnswer(ExecutionFailed):
     """The answer ended without its finish mark or with a wrong length."""
 
--- a/passgate/gateway/access.py
+++ b/passgate/gateway/access.py
@@ -44,6 +44,8 @@
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     """Rank of its requests, 0 first; replaces the rank of the route."""
+    allowed_regions: frozenset[str] = frozenset()
+    """Regions that may serve its requests and hold their bodies; empty where any may."""
 
 
 class Caller(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -16,6 +16,7 @@
 from passgate.clients.curl import HttpClient
 from passgate.clients.transfer import Transfer
 from passgate.clock import monotonic_s
+from passgate.eligibility.rules import ANY_REQUEST, SendTerms
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
 from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
@@ -68,6 +69,8 @@
     """Tenant to be named to the replica; see :func:`passgate.gateway.access.headers_for_replica`."""
     crash_limit: int = CRASH_LIMIT
     """Replicas that may end under the request before it is held."""
+    terms: SendTerms = ANY_REQUEST
+    """What the rules for sending need to know of it."""
 
     @property
     def identity(self) -> RequestIdentity:
@@ -128,10 +131,12 @@
 
         Raises:
             RequestQuarantined: the request has crashed replicas; it was not sent.
+            SendForbidden: a rule keeps requests from the replica now; it was not sent.
             BackendUnreachable: it can not be sent; not run.
         """
-        # Every attempt passes here, so no way of sending a request can go round the check.
+        # Every attempt passes here, so no way of sending a request can go round the checks.
         self.crashes.check(request.identity)
+        self._replicas.rules.admit(state.info, request.terms, monotonic_s())
         return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request)
 
     async def call(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -1,6 +1,6 @@
 """Replicas as discovery tells them, and what this daemon has seen of each.
 
->>> replicas = ReplicaTable("z1")
+>>> replicas = ReplicaTable(Places(zone="z1"))
 >>> replicas.put(ReplicaInfo(replica_id="r", service="s", address="h:1", zone="z1", slots=4))
 >>> replicas.choose(ChoiceRequest(services=frozenset({"s"})), now_s=0.0).info.replica_id
 'r'
@@ -13,6 +13,9 @@
 
 import msgspec
 
+from passgate.eligibility.places import Places
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.eligibility.rules import ANY_REQUEST, DrainingRule, SendRules, SendTerms
 from passgate.routing.replica_health import ReplicaHealth
 
 SMOOTHING = 0.2
@@ -35,21 +38,6 @@
 """Added to the score of a replica that loads, so that it comes after all others with room."""
 
 
-class ReplicaInfo(msgspec.Struct, frozen=True, kw_only=True):
-    """One replica as discovery tells it."""
-
-    replica_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    draining: bool = False
-    spot: bool = False
-    """Whether the platform may take it away at short notice."""
-    model_versions: dict[str, int] = {}
-    """Version of the weights of each model it holds."""
-
-
 FULL_LOAD = 1.0
 """Load of a replica all of whose slots are taken."""
 
@@ -66,6 +54,8 @@
     """Replica that holds the prompt's shared part, if any."""
     load_below: float = math.inf
     """Only replicas with a smaller load, in shares of their slots, will do."""
+    terms: SendTerms = ANY_REQUEST
+    """What the rules for sending need to know of the request."""
 
 
 class ReplicaState:
@@ -115,8 +105,10 @@
 class ReplicaTable:
     """All known replicas and the choice among them."""
 
-    def __init__(self, zone: str, seed: int | None = None) -> None:
-        self._zone = zone
+    def __init__(self, places: Places, seed: int | None = None) -> None:
+        self.places = places
+        self.rules = SendRules([DrainingRule()])
+        """What keeps requests from replicas; see :mod:`passgate.eligibility.rules`."""
         self._states: dict[str, ReplicaState] = {}
         self._random = random.Random(seed)
         self.health = ReplicaHealth()
@@ -159,7 +151,9 @@
 
     def _fits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
         info = state.info
-        if info.draining or info.service not in request.services or info.replica_id in request.excluded:
+        if info.service not in request.services or info.replica_id in request.excluded:
+            return False
+        if not self.rules.allows(info, request.terms, now_s):
             return False
         if state.load(now_s) >= request.load_below:
             return False
@@ -168,7 +162,7 @@
     def _score(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> float:
         load = state.load(now_s)
         score = (1.0 + load) * state.recent_latency_s(now_s) / ASSUMED_LATENCY_S + load
-        if state.info.zone != self._zone:
+        if state.info.zone != self.places.zone:
             score += OTHER_ZONE_COST
         if state.seems_loading(now_s):
             score += LOADING_COST
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -67,6 +67,8 @@
     """Whether callers need no key."""
     single_version: bool = False
     """Whether one version of the weights must make the whole of a result."""
+    allowed_regions: frozenset[str] = frozenset()
+    """Regions that may serve the route's requests and hold their bodies; empty where any may."""
 
     @property
     def services(self) -> frozenset[str]:
@@ -88,6 +90,15 @@
     """Price of a replica-second by zone; only their ratios matter."""
 
 
+class ColdStart(msgspec.Struct, frozen=True, kw_only=True):
+    """What a cold replica of a service bears, after a start or whenever it turns cold."""
+
+    lasts_s: float
+    """Time for which a replica is cold after its start."""
+    requests_per_s: float
+    """Requests that a cold replica bears each second."""
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """One service of the configuration."""
 
@@ -96,6 +107,8 @@
     """Connections that one of its replicas accepts from all daemons together."""
     scaling: ScalingRule | None = None
     """None where the number of replicas is not the system's to decide."""
+    cold_start: ColdStart | None = None
+    """None where a cold replica bears what any other does."""
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from passgate.eligibility.places import Places
+
 
 class ScalingPolicy(enum.Enum):
     """How many replicas are ordered where the platform lets the system decide."""
@@ -66,3 +68,16 @@
     """None where the platform asks for none."""
     cores: float = 1.0
     """Processor time that the daemon may use, in cores of ordinary speed."""
+    regions: dict[str, str] = {}
+    """Zone to its region."""
+    evacuation_s: float = 5.0
+    """Time after which a zone's evacuation must be in force everywhere."""
+    cold_overshoot: float = 1.0
+    """Times the rate of a cold replica that may reach it in a second."""
+    cold_slack: float = 0.0
+    """Requests beyond that rate that may reach it in a second."""
+
+    @property
+    def places(self) -> Places:
+        """Where the daemon is."""
+        return Places(zone=self.zone, regions=self.regions)
--- a/passgate/platform/beliefs.py
+++ b/passgate/platform/beliefs.py
@@ -8,7 +8,7 @@
 
 from passgate.daemon.gateway_daemon import GatewayDaemon
 from passgate.discovery.service import ReplicaDecoder
-from passgate.gateway.replicas import ReplicaInfo
+from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.platform import documents, names
 from passgate.sharedlog.log import KeyedRecord
 
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -7,10 +7,11 @@
 
 import msgspec
 
+from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.errors import ExecutionStatus, MalformedBody
 from passgate.gateway.access import Caller, Tenant, scoped_id
-from passgate.gateway.replicas import ReplicaInfo
 from passgate.gateway.routes import (
+    ColdStart,
     GatewayConfig,
     RequestLimits,
     Route,
@@ -58,6 +59,7 @@
     resultDeadlineMs: float = 60_000
     singleVersion: bool = False
     public: bool = False
+    allowedRegions: list[str] = []
 
 
 class _Scaling(msgspec.Struct, frozen=True):
@@ -72,12 +74,15 @@
     name: str
     maxConns: int = 100
     scaling: _Scaling | None = None
+    coldStartS: float = 0.0
+    coldPerS: float = 0.0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
     name: str
     apiKeys: list[str] = []
     priority: int | None = None
+    allowedRegions: list[str] = []
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -108,6 +113,8 @@
     state: str = "ready"
     spot: bool = False
     models: list[_Model] = []
+    born: int = 0
+    coldRemainingMs: int = 0
 
 
 class _NamedVersion(msgspec.Struct, frozen=True):
@@ -155,7 +162,12 @@
         routes=tuple(_route(route) for route in config.routes),
         services=tuple(_service(service) for service in config.services),
         tenants=tuple(
-            Tenant(name=tenant.name, api_keys=tuple(tenant.apiKeys), priority=tenant.priority)
+            Tenant(
+                name=tenant.name,
+                api_keys=tuple(tenant.apiKeys),
+                priority=tenant.priority,
+                allowed_regions=frozenset(tenant.allowedRegions),
+            )
             for tenant in config.tenants
         ),
         limits=RequestLimits(
@@ -172,9 +184,17 @@
         name=service.name,
         max_connections=service.maxConns,
         scaling=_scaling(service.scaling) if service.scaling is not None else None,
+        cold_start=_cold_start(service),
     )
 
 
+def _cold_start(service: _Service) -> ColdStart | None:
+    """Return what a cold replica bears; None where the platform tells no rate."""
+    if service.coldPerS <= 0.0:
+        return None
+    return ColdStart(lasts_s=service.coldStartS, requests_per_s=service.coldPerS)
+
+
 def _scaling(scaling: _Scaling) -> ScalingRule:
     return ScalingRule(
         least=scaling.min,
@@ -202,6 +222,7 @@
         result_deadline_s=route.resultDeadlineMs / 1000,
         single_version=route.singleVersion,
         public=route.public,
+        allowed_regions=frozenset(route.allowedRegions),
     )
 
 
@@ -217,6 +238,8 @@
         draining=replica.state == DRAINING,
         spot=replica.spot,
         model_versions={model.name: model.version for model in replica.models},
+        born_unix_ms=replica.born,
+        cold_ms=max(replica.coldRemainingMs, 0),
     )
 
 
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -37,6 +37,9 @@
     revokeMs: float = 5000.0  # noqa: N815
     usageWindowS: float = 5.0  # noqa: N815
     usageLateS: float = 10.0  # noqa: N815
+    evacuateMs: float = 5000.0  # noqa: N815
+    coldOvershoot: float = 1.0  # noqa: N815
+    coldSlack: float = 0.0  # noqa: N815
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -70,6 +73,8 @@
 class _Node(msgspec.Struct, frozen=True, kw_only=True):
     node: str
     zone: str
+    zones: dict[str, str] = {}
+    """Zone to its region."""
     listen: _Listen
     ip: str = ""
     portRange: tuple[int, ...] = ()  # noqa: N815  (name of the platform)
@@ -110,6 +115,10 @@
         fail_closed=node.bounds.failClosed,
         configuration_age_s=node.bounds.revokeMs / 1000,
         duties=_duties(node),
+        regions=node.zones,
+        evacuation_s=node.bounds.evacuateMs / 1000,
+        cold_overshoot=node.bounds.coldOvershoot,
+        cold_slack=node.bounds.coldSlack,
     )
 
 
--- a/tests/test_constants.py
+++ b/tests/test_constants.py
@@ -4,7 +4,18 @@
 import pathlib
 
 ROOT = pathlib.Path(__file__).parent.parent / "passgate"
-PACKAGES = ("daemon", "duties", "gateway", "jobs", "peers", "platform", "quarantine", "sharedlog", "versions")
+PACKAGES = (
+    "daemon",
+    "duties",
+    "eligibility",
+    "gateway",
+    "jobs",
+    "peers",
+    "platform",
+    "quarantine",
+    "sharedlog",
+    "versions",
+)
 SUFFIXES = ("_S", "_MS", "_BYTES", "_SHARE", "_LIMIT")
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,8 +13,10 @@
 from passgate.discovery.relayed_list import RESYNC_S
 from passgate.discovery.service import Discovery, ReplicaDecoder, ReplicaTopics
 from passgate.discovery.view import DiscoveryNews, DiscoveryView
+from passgate.eligibility.places import Places
+from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
-from passgate.gateway.replicas import ReplicaInfo, ReplicaTable
+from passgate.gateway.replicas import ReplicaTable
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.group import GroupMember
 
@@ -45,7 +47,7 @@
         name = f"d{number}"
         client = log.client(name)
         decisions = DecisionLog(name, write=len)
-        self.table = ReplicaTable("z")
+        self.table = ReplicaTable(Places(zone="z"))
         group = f"watch.{number % ZONES}"
         self.member = GroupMember(client, group, name, "jobs", decisions, candidacy=Candidacy(cores=2.0))
         self.discovery = Discovery(
@@ -78,7 +80,7 @@
 
 
 def test_older_news_than_what_is_known_is_ignored():
-    table = ReplicaTable("z")
+    table = ReplicaTable(Places(zone="z"))
 
     async def main():
         view = DiscoveryView(table, DecisionLog("d", write=len))
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -11,8 +11,10 @@
 from passgate.duties.scaler import BOOT_MARGIN_S, Scaler
 from passgate.duties.scaling_fold import ScalingFold
 from passgate.duties.scaling_policy import ZoneReplicas, spread_replicas
+from passgate.eligibility.places import Places
+from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.emulator.shared_log import MemorySharedLog
-from passgate.gateway.replicas import ReplicaInfo, ReplicaTable
+from passgate.gateway.replicas import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, GatewayConfig, ScalingRule, Service
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import JobNoted, writer_name
@@ -87,7 +89,7 @@
         writer = writer_name(name, str(life), f"{name}:7720")
         decisions = DecisionLog(name, write=len)
         self.fold = ScalingFold()
-        self.replicas = ReplicaTable("a", seed=1)
+        self.replicas = ReplicaTable(Places(zone="a"), seed=1)
         config = ConfigHolder()
         config.offer(GatewayConfig(version=1, services=(Service(name="llm", scaling=RULE),)))
         journal = Journal(client, "control", 0, writer, **SIZES)
--- a/tests/test_gateway_replicas.py
+++ b/tests/test_gateway_replicas.py
@@ -1,12 +1,14 @@
 """Which replica gets a request, after refusals."""
 
-from passgate.gateway.replicas import FULL_LOAD, LOADING_S, ChoiceRequest, ReplicaInfo, ReplicaTable
+from passgate.eligibility.places import Places
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.gateway.replicas import FULL_LOAD, LOADING_S, ChoiceRequest, ReplicaTable
 
 WISH = ChoiceRequest(services=frozenset({"s"}), load_below=FULL_LOAD)
 
 
 def table(count, slots=4):
-    replicas = ReplicaTable("z1", seed=1)
+    replicas = ReplicaTable(Places(zone="z1"), seed=1)
     for number in range(count):
         name = f"r{number}"
         replicas.put(ReplicaInfo(replica_id=name, service="s", address=f"h:{number}", zone="z1", slots=slots))
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -8,6 +8,7 @@
 PLATFORM_ORDER = [
     "sharedlog",
     "quarantine",
+    "eligibility",
     "gateway",
     "discovery",
     "jobs",
--- a/tests/test_versions_load_plan.py
+++ b/tests/test_versions_load_plan.py
@@ -1,6 +1,7 @@
 """Which replicas load which version: turns of models, shares, limits."""
 
-from passgate.gateway.replicas import ReplicaInfo, ReplicaState
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.gateway.replicas import ReplicaState
 from passgate.versions.load_plan import LoadLimit, ModelNeed, plan_loads
 
 LOAD_S = 0.9
