Add failing tests of last chances beside causes at other daemons, and of reward calls

Of eight items that were held at one site, four had run beside causes only: each had its last chance at a replica where a cause of another daemon ran. Reward calls do not run apart at all, so two calls of twelve were lost beside three causes (one run each).

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -401,3 +401,22 @@
         assert ledger.add(report, now_s=0.0)
     assert ledger.pairs() == {("f2", "r"), ("f3", "r"), ("f4", "r")}
     assert len(ledger) == 3
+
+
+@virtually
+async def test_the_place_of_a_last_chance_is_known_at_all_daemons(fleet):
+    """Seen with jobs at several daemons: items were held that had only run beside causes.
+
+    Before its last chance an item was kept apart from the others of its daemon, and shared the replica with
+    those of other daemons, the cause of the next crash among them; so the crash counted against both.
+    """
+    first, second = fleet.daemon(), fleet.daemon()
+    cause, beside = (request(body=body, crash_limit=ITEM_CRASH_LIMIT) for body in (b"cause", b"beside"))
+    for identity in (cause, beside):
+        await first.crash("r1", "r2", identity=identity)
+    first.guard.placed(cause, "r3")
+    await asyncio.sleep(0.5)
+    assert second.guard.apart_from(beside) == {"r3"}
+    first.guard.left(cause)
+    await asyncio.sleep(0.5)
+    assert second.guard.apart_from(beside) == frozenset()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -202,3 +202,24 @@
         world.host = owned[1 + number % 3]
         rows = await world.all_results(job_id, timeout_s=15.0)
         assert {row["id"] for row in rows if row["state"] == "succeeded"} == set(items)
+
+
+@in_crashing_world
+async def test_reward_calls_that_run_beside_causes_are_not_lost(world):
+    """Seen at a service of four: one reward call ended five replicas, and ordinary calls ended with them.
+
+    Reward calls crash as items do, but ran together up to the last chance, where nothing tells them apart.
+    """
+    world.add_replica("llm", models={"m": 1}.items(), slots=16)
+    for _ in range(2):
+        world.add_replica("app", work_s=0.25)
+    world.configure(1, stand_ins.batch_route(queueTtlS=20.0), stand_ins.safe_route())
+    await world.start_daemons(2)
+    world.daemon = world.daemons[0]
+    items = [f"item{number}" for number in range(12)]
+    causes = {"item0", "item1", "item2"}
+    world.crashing_bodies = {f"score {cause}".encode() for cause in causes}
+    answer = await world.ask(world.daemon, stand_ins.job_body(items, scored=True), "job1", path="/stream/j")
+    assert answer.status == 202
+    rows = await world.all_results("job1", timeout_s=30.0)
+    assert {row["id"] for row in rows if row["state"] == "succeeded"} == set(items) - causes
