Keep requests that one more crash would hold apart at all daemons, reward calls among them

Cause: before its last chance an item was kept apart from the others of its daemon only, and a reward call from none. Bystanders met the causes of other daemons there, were held with them, and hid them. Change: a last chance announces its replica on the topic of crash reports and runs there if its announcement is the first; other requests leave that replica to it while others have room. It waits out of the line.

--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -67,6 +67,7 @@
     ForwardEnded,
     ForwardSent,
     ItemHeld,
+    LastChanceBegun,
     ReplicaCrashed,
     RequestRefused,
 )
@@ -90,6 +91,7 @@
     "ForwardSent",
     "ItemFailed",
     "ItemHeld",
+    "LastChanceBegun",
     "ItemListed",
     "ItemSent",
     "JobAcceptFailed",
--- a/passgate/decisions/request_events.py
+++ b/passgate/decisions/request_events.py
@@ -97,6 +97,17 @@
     reason: str
 
 
+class LastChanceBegun(Event, tag="last_chance_begun"):
+    """A request that one more crash would hold is about to run, or leaves the replica to another such one."""
+
+    replica_id: str
+    fingerprint: str
+    announced: bool
+    """Whether all daemons know of it; if not, the log is slow or away."""
+    is_first: bool
+    """Whether it runs there."""
+
+
 class ItemHeld(Event, tag="item_held"):
     """An item is sent to no replica for a while, as replicas have ended under it."""
 
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import msgspec
 
@@ -45,10 +44,6 @@
 """A long output moves once, to a replica that takes at most this share of the time."""
 RETRY_PAUSE_S = 0.02
 """Pause after a failed attempt, but for those that say at once that another replica will do."""
-LAST_CHANCE_PAUSE_S = (0.5, 1.5)
-"""Random pause, about the length of a run, before an item is sent that one more crash would hold.  When
-several items end replicas, all others crowd at the few that live, the causes among them; sent apart,
-9 of 180 jobs lost an item instead of 23 (8 causes, 3 replicas, 4 daemons, 15 runs)."""
 ITEM_DEADLINE_S = 30.0
 """Time for which a replica may work on one attempt."""
 FAILED, IMPOSSIBLE = 500, 422
@@ -128,6 +123,15 @@
         line, model = self._tools.waiting, self._job.model
         while not line.is_first(model, self._rank) or (state := self._choose()) is None:
             await asyncio.sleep(ROOM_STEP_S)
+        self._reserve(state)
+
+    async def _wait_apart(self) -> None:
+        """Wait for a replica without last chances; out of the line, as others need no such replica."""
+        while (state := self._choose()) is None:
+            await asyncio.sleep(ROOM_STEP_S)
+        self._reserve(state)
+
+    def _reserve(self, state: ReplicaState) -> None:
         self._state = state
         state.in_flight += 1
         self._crashes.placed(self._identity, state.info.replica_id)
@@ -139,10 +143,10 @@
             self._state = None
             self._crashes.left(self._identity)
 
-    def _wish(self, avoided: str) -> ChoiceRequest:
+    def _wish(self, avoided: str, spared: frozenset[str] = frozenset()) -> ChoiceRequest:
         return ChoiceRequest(
             services=self._tools.route.services,
-            excluded=self._crashes.apart_from(self._identity) | {avoided},
+            excluded=self._crashes.apart_from(self._identity) | spared | {avoided},
             model=self._job.model,
             min_version=self._job.min_version,
             preferred=self._tools.group_replica.get(self.item.group, ""),
@@ -150,7 +154,12 @@
         )
 
     def _choose(self) -> ReplicaState | None:
-        state = self._tools.replicas.choose(self._wish(self._avoided), monotonic_s())
+        replicas, now_s = self._tools.replicas, monotonic_s()
+        if spared := self._crashes.spared():
+            state = replicas.choose(self._wish(self._avoided, spared), now_s)
+            if state is not None:
+                return state
+        state = replicas.choose(self._wish(self._avoided), now_s)
         if state is None:
             self._avoided = ""
         return state
@@ -160,14 +169,22 @@
         """Whether replicas have ended under the item, so that it must not be sent."""
         return self._crashes.is_held(self._identity)
 
+    @property
+    def waits_apart(self) -> bool:
+        """Whether replicas have ended under the item, so that it does not wait in line with others."""
+        return self.held or self._crashes.is_last_chance(self._identity)
+
     async def result(self) -> Result:
         """Run the item to its end, over as many attempts as it takes.
 
-        It needs no reserved room if it is held.
+        It needs no reserved room if it waits apart.
         """
         while True:
             if self._state is None:
                 await self._wait_again()
+            if not await self._crashes.has_place(self._identity):
+                self.release()
+                continue
             state = self._state
             assert state is not None
             self._state = None
@@ -182,15 +199,16 @@
     async def _wait_again(self) -> None:
         """Wait for a replica after an attempt, or until the item may be sent at all."""
         await self._wait_while_held()
+        if self._crashes.is_last_chance(self._identity):
+            await self._wait_apart()
+            return
         self._rank = Rank(start_s=self._rank.start_s, fresh=False, number=id(self))
         with self._tools.waiting.place(self._job.model, self._rank):
             await self.wait_for_replica()
 
     async def _wait_while_held(self) -> None:
         """Wait while the item is held; its job gives it up when the route's time for it is over."""
-        await self._crashes.settled(self._identity)
-        if self._crashes.is_last_chance(self._identity):
-            await asyncio.sleep(random.uniform(*LAST_CHANCE_PAUSE_S))
+        await self._crashes.paused(self._identity)
         if not self.held:
             return
         fingerprint = self._identity.fingerprint()
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -70,6 +70,8 @@
         self._silences = 0
         self._avoided = ""
         self._pause_s = FIRST_PAUSE_S
+        self._identity = self._request(LEAST_PATIENCE_S).identity
+        self._crashes = tools.caller.crashes
 
     async def score(self, item_attempts: int) -> Score | None:
         """Call until a score is there; return None when the call certainly fails each time.
@@ -77,11 +79,12 @@
         Args:
             item_attempts: attempts that the item's own route allows; the larger bound counts.
         """
-        crashes, identity = self._tools.caller.crashes, self._request(LEAST_PATIENCE_S).identity
         while True:
-            await crashes.settled(identity)
-            await crashes.released(identity)
+            await self._crashes.paused(self._identity)
+            await self._crashes.released(self._identity)
             route, state = await self._wait_for_room()
+            if not await self._has_place(state):
+                continue
             try:
                 stamp = await self._attempt(state)
             except PassgateError as error:
@@ -91,6 +94,8 @@
                     return Score(call_id=self._spec.id, stamp=stamp)
                 if self._failures >= max(route.max_attempts, item_attempts):
                     return None
+            finally:
+                self._crashes.left(self._identity)
             await asyncio.sleep(self._pause_s)
             self._pause_s = min(self._pause_s * 2.0, MAX_PAUSE_S)
 
@@ -99,17 +104,32 @@
         while True:
             while (route := self._route()) is None:
                 await asyncio.sleep(ROOM_STEP_S)
-            async with self._tools.line:
-                state = await self._wait_in_front(route)
+            if self._crashes.is_last_chance(self._identity):
+                state = await self._wait_in_front(route)  # out of the line, as others need no such replica
+            else:
+                async with self._tools.line:
+                    state = await self._wait_in_front(route)
             if state is not None:
                 return route, state
 
+    async def _has_place(self, state: ReplicaState) -> bool:
+        """Return whether the call may run where it has room; gives the room back if not."""
+        has_place = False
+        try:
+            has_place = await self._crashes.has_place(self._identity)
+        finally:
+            if not has_place:
+                state.in_flight -= 1
+                self._crashes.left(self._identity)
+        return has_place
+
     async def _wait_in_front(self, route: Route) -> ReplicaState | None:
         """Wait for room at a replica of the route; return None when the route is not in force any more."""
         while self._route() is route:
             state = self._choose(self._tools.parts.pick(route))
             if state is not None:
                 state.in_flight += 1
+                self._crashes.placed(self._identity, state.info.replica_id)
                 return state
             await asyncio.sleep(ROOM_STEP_S)
         return None
@@ -120,6 +140,14 @@
     def _choose(self, service: str) -> ReplicaState | None:
         excluded = frozenset({self._avoided}) if self._avoided else frozenset()
         self._avoided = ""  # the only replica of a service must get its second try
+        excluded |= self._crashes.apart_from(self._identity)
+        if spared := self._crashes.spared():
+            state = self._choose_without(service, excluded | spared)
+            if state is not None:
+                return state
+        return self._choose_without(service, excluded)
+
+    def _choose_without(self, service: str, excluded: frozenset[str]) -> ReplicaState | None:
         request = ChoiceRequest(services=frozenset({service}), excluded=excluded, load_below=MOST_LOAD)
         return self._tools.replicas.choose(request, monotonic_s())
 
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -111,7 +111,7 @@
             return
         kept = self._fold.kept.get(self._key(item.id))
         run = ItemRun(self._spec, item, self._tools, kept, rank, self._timing)
-        if not run.held:
+        if not run.waits_apart:
             await run.wait_for_replica()
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
--- a/passgate/quarantine/channel.py
+++ b/passgate/quarantine/channel.py
@@ -16,6 +16,7 @@
 from passgate.clock import monotonic_s, unix_s
 from passgate.decisions import CrashReported, DecisionLog, RecordUnreadable
 from passgate.errors import LogError
+from passgate.quarantine.last_chances import UNKNOWN_OFFSET, LastChance
 from passgate.quarantine.ledger import CrashLedger, CrashReport
 from passgate.sharedlog.log import KeyedRecord, SharedLog
 from passgate.sharedlog.tail import KeyedTail, TailSettings
@@ -36,6 +37,10 @@
 MOST_TOLD = 256
 """Reports told to another daemon at once, the newest; some 40 KB."""
 KEY_SEPARATOR = "/"
+LAST_CHANCE_KEY = "last-chance"
+"""First part of the keys of last chances; the keys of reports begin with a fingerprint."""
+
+Record = CrashReport | LastChance
 
 
 class CrashChannel:
@@ -74,13 +79,13 @@
         """Whether all reports that stood on the log were read once."""
         return self._tail.loaded
 
-    def report(self, report: CrashReport) -> None:
-        """Tell all daemons of a crash."""
-        self._write(_key(report), msgspec.json.encode(report))
+    def report(self, record: Record) -> None:
+        """Tell all daemons of a crash, or of a last chance."""
+        self._write(_key(record), msgspec.json.encode(record))
 
-    def clear(self, report: CrashReport) -> None:
-        """Tell all daemons that a report does not stand any more."""
-        self._write(_key(report), DROPPED)
+    def clear(self, record: Record) -> None:
+        """Tell all daemons that a record does not stand any more."""
+        self._write(_key(record), DROPPED)
 
     def is_current(self) -> bool:
         """Whether the log answers this daemon, so that it knows what others report."""
@@ -118,8 +123,8 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            for report in self._ledger.clear_expired(unix_s()):
-                self._unwritten[_key(report)] = DROPPED
+            for record in self._clear_expired():
+                self._unwritten[_key(record)] = DROPPED
             try:
                 await self._append(dict(self._unwritten))
                 pause_s = FIRST_PAUSE_S
@@ -129,6 +134,12 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(pause_s * 2.0, MAX_PAUSE_S)
 
+    def _clear_expired(self) -> list[Record]:
+        expired: list[Record] = []
+        expired += self._ledger.clear_expired(unix_s())
+        expired += self._ledger.last_chances.clear_expired(monotonic_s())
+        return expired
+
     async def _append(self, records: dict[str, bytes]) -> None:
         encoded = [
             self._log.encode_keyed(KeyedRecord(key=key, value=value)) for key, value in records.items()
@@ -146,20 +157,36 @@
             key = KEY_SEPARATOR.join((fingerprint, replica_id))
             if key not in listed and key not in self._unwritten:
                 self._ledger.remove(fingerprint, replica_id)
-        self._update(records, next_offset)
+        self._ledger.last_chances.keep_only(
+            _pair_of(key) for key in listed if key.startswith(LAST_CHANCE_KEY)
+        )
+        for record in records:
+            self._apply(record, UNKNOWN_OFFSET)
 
     def _update(self, records: tuple[KeyedRecord, ...], start: int) -> None:
         for index, record in enumerate(records):
-            if record.key in self._unwritten:
-                continue  # what this daemon is about to write is newer
-            if not record.value:
-                fingerprint, _, replica_id = record.key.partition(KEY_SEPARATOR)
-                self._ledger.remove(fingerprint, replica_id)
-                continue
-            try:
+            self._apply(record, start + index)
+
+    def _apply(self, record: KeyedRecord, offset: int) -> None:
+        if self._unwritten.get(record.key, record.value) != record.value:
+            return  # what this daemon is about to write is newer
+        if not record.value:
+            self._drop(record.key)
+            return
+        try:
+            if record.key.startswith(LAST_CHANCE_KEY):
+                chance = msgspec.json.decode(record.value, type=LastChance)
+                self._ledger.last_chances.heard(chance, offset, monotonic_s())
+            else:
                 self._take(msgspec.json.decode(record.value, type=CrashReport), "log")
-            except msgspec.DecodeError as error:
-                self._decisions.write(RecordUnreadable(offset=start + index, reason=str(error)))
+        except msgspec.DecodeError as error:
+            self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
+
+    def _drop(self, key: str) -> None:
+        if key.startswith(LAST_CHANCE_KEY):
+            self._ledger.last_chances.drop(*_pair_of(key))
+        else:
+            self._ledger.remove(*_pair_of(key))
 
     def _take(self, report: CrashReport, source: str) -> None:
         if self._ledger.add(report, monotonic_s()):
@@ -175,5 +202,13 @@
             )
 
 
-def _key(report: CrashReport) -> str:
-    return KEY_SEPARATOR.join((report.fingerprint, report.replica_id))
+def _key(record: Record) -> str:
+    pair = (record.fingerprint, record.replica_id)
+    prefix = (LAST_CHANCE_KEY,) if isinstance(record, LastChance) else ()
+    return KEY_SEPARATOR.join(prefix + pair)
+
+
+def _pair_of(key: str) -> tuple[str, str]:
+    """Return the fingerprint and the replica that a key names."""
+    fingerprint, _, replica_id = key.removeprefix(LAST_CHANCE_KEY + KEY_SEPARATOR).partition(KEY_SEPARATOR)
+    return fingerprint, replica_id
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import msgspec
 
 from passgate.clock import monotonic_s, unix_s
-from passgate.decisions import CrashReportsCleared, DecisionLog, ReplicaCrashed
+from passgate.decisions import CrashReportsCleared, DecisionLog, LastChanceBegun, ReplicaCrashed
 from passgate.errors import (
     BackendUnreachable,
     ExecutionStatus,
@@ -22,10 +23,20 @@
     RequestQuarantined,
 )
 from passgate.quarantine.identity import RequestIdentity
+from passgate.quarantine.last_chances import LastChance
 from passgate.quarantine.ledger import CrashLedger, CrashReport
 
 RELEASE_STEP_S = 0.5
 """Time between looks whether a request is held still; holds last for minutes."""
+LAST_CHANCE_PAUSE_S = (0.5, 1.5)
+"""Random pause, about the length of an item's run, before a request is sent that one more crash would hold.
+When several requests end replicas, all others crowd at the few that live, the causes among them; sent apart,
+9 of 180 jobs lost an item instead of 23 (8 causes, 3 replicas, 4 daemons, 15 runs)."""
+ANNOUNCED_S = 0.3
+"""Time for an announcement to be read back from the log, which takes some 20 ms.  A log that is slower leaves
+last chances apart from those of the same daemon only."""
+ANNOUNCED_STEP_S = 0.005
+"""Time between looks whether an announcement was read back."""
 
 
 class ReplicaPlace(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,10 +52,10 @@
 
     has_ended: Callable[[str], Awaitable[bool]]
     """Returns whether nothing listens at an address any more."""
-    report: Callable[[CrashReport], None]
-    """Tells all daemons of a crash."""
-    clear: Callable[[CrashReport], None]
-    """Tells all daemons that a report no longer stands."""
+    report: Callable[[CrashReport | LastChance], None]
+    """Tells all daemons of a crash, or of a last chance."""
+    clear: Callable[[CrashReport | LastChance], None]
+    """Tells all daemons that such a record no longer stands."""
     set_aside: Callable[[str, float], None]
     """Sends no further requests to a replica that has ended, from a loop time on."""
 
@@ -58,8 +69,7 @@
         self._decisions = decisions
         self._looks: dict[str, set[asyncio.Task[None]]] = {}
         """Looks at replicas that are under way, by the request that broke off there."""
-        self._last_chances: dict[str, str] = {}
-        """Where requests run that one more crash would hold, by request."""
+        self._last_chances = ledger.last_chances
 
     def check(self, identity: RequestIdentity) -> None:
         """Let a request pass; raises RequestQuarantined, not run, if it has ended too many replicas."""
@@ -101,7 +111,15 @@
 
     def is_last_chance(self, identity: RequestIdentity) -> bool:
         """Whether one more crash would hold a request."""
-        return bool(len(self._ledger)) and self._is_last_chance(identity.fingerprint(), identity.crash_limit)
+        if not len(self._ledger):
+            return False
+        return self._ledger.crashes(identity.fingerprint(), unix_s()) >= identity.crash_limit - 1
+
+    async def paused(self, identity: RequestIdentity) -> None:
+        """Wait for the looks that may decide on a request, and pause before its last chance."""
+        await self.settled(identity)
+        if self.is_last_chance(identity):
+            await asyncio.sleep(random.uniform(*LAST_CHANCE_PAUSE_S))
 
     def apart_from(self, identity: RequestIdentity) -> frozenset[str]:
         """Return the replicas that a request must not share, as one more crash would hold it.
@@ -110,21 +128,52 @@
         its bystanders from the next replica too.  Apart from each other only the cause ends its
         replica; without this one of five bystanders was held with it.
         """
-        if not len(self._ledger) or not self._is_last_chance(identity.fingerprint(), identity.crash_limit):
+        if not self.is_last_chance(identity):
             return frozenset()
-        return frozenset(self._last_chances.values())
+        return self._last_chances.replicas(monotonic_s(), besides=identity.fingerprint())
+
+    def spared(self) -> frozenset[str]:
+        """Return the replicas that any request better leaves to a last chance while others have room.
+
+        A cause ends its replica with all that runs there, and a further cause there hides it.
+        """
+        return self._last_chances.replicas(monotonic_s()) if len(self._ledger) else frozenset()
 
     def placed(self, identity: RequestIdentity, replica_id: str) -> None:
-        """Note where a request is about to run, if one more crash would hold it."""
-        if len(self._ledger) and self._is_last_chance(
-            fingerprint := identity.fingerprint(), identity.crash_limit
-        ):
-            self._last_chances[fingerprint] = replica_id
+        """Announce where a request is about to run, if one more crash would hold it."""
+        if not self.is_last_chance(identity):
+            return
+        chance = LastChance(fingerprint=identity.fingerprint(), replica_id=replica_id)
+        self._last_chances.begin(chance)
+        self._reporter.report(chance)
+
+    async def has_place(self, identity: RequestIdentity) -> bool:
+        """Return whether a request that was placed may run there: no other last chance was there before."""
+        if not len(self._ledger) or (chance := self._last_chances.here(identity.fingerprint())) is None:
+            return True
+        until_s = monotonic_s() + ANNOUNCED_S
+        while not self._last_chances.is_heard(chance.fingerprint, chance.replica_id):
+            if monotonic_s() >= until_s:
+                break
+            await asyncio.sleep(ANNOUNCED_STEP_S)
+        is_first = self._last_chances.is_first(chance.fingerprint, chance.replica_id, monotonic_s())
+        self._decisions.write(
+            LastChanceBegun(
+                replica_id=chance.replica_id,
+                fingerprint=chance.fingerprint,
+                announced=self._last_chances.is_heard(chance.fingerprint, chance.replica_id),
+                is_first=is_first,
+            )
+        )
+        return is_first
 
     def left(self, identity: RequestIdentity) -> None:
         """Note that a request does not run any more where it was placed."""
-        if self._last_chances:
-            self._last_chances.pop(identity.fingerprint(), None)
+        if not self._last_chances.any_here:
+            return
+        chance = self._last_chances.end(identity.fingerprint())
+        if chance is not None:
+            self._reporter.clear(chance)
 
     def broke_off(self, identity: RequestIdentity, replica: ReplicaPlace, error: PassgateError) -> None:
         """Look at a replica whose answer broke off, and report it if it has ended."""
@@ -147,9 +196,6 @@
             cleared = self._ledger.clear_request(identity.fingerprint(), service)
             self._clear(cleared, "the request was answered")
 
-    def _is_last_chance(self, fingerprint: str, limit: int) -> bool:
-        return self._ledger.crashes(fingerprint, unix_s()) >= limit - 1
-
     def _held_for_s(self, identity: RequestIdentity) -> float:
         if not len(self._ledger):
             return 0.0
--- a/passgate/quarantine/ledger.py
+++ b/passgate/quarantine/ledger.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
+from passgate.quarantine.last_chances import LastChances
 
 REPORT_LIFE_S = 600.0
 """Age at which a report expires: minutes, as a release that mends the replicas takes; after it one more
@@ -59,6 +60,8 @@
         """Fingerprint to replica to report."""
         self._by_replica: dict[str, dict[str, _Known]] = {}
         self._count = 0
+        self.last_chances = LastChances()
+        """Where requests run that one more crash would hold."""
 
     def __len__(self) -> int:
         return self._count
