--- a/tests/crashing_world.py
+++ b/tests/crashing_world.py
@@ -28,6 +28,8 @@
         """Replicas that a request has ended, in order."""
         self.started = 0
         self.crashing_bodies = {CRASHING_BODY}
+        self.crashing_loads = set()
+        """Models and versions whose load ends a replica."""
 
     def add_replica(self, service="app", port=0, **fields):
         """Start a replica; every life has an id of its own."""
@@ -35,6 +37,7 @@
         fields.setdefault("work_s", 0.03)
         replica = stand_ins.Replica(self.log, f"i-{self.started}", service, **fields)
         replica.crash_on = lambda request: request.body in self.crashing_bodies
+        replica.crash_on_load = lambda model, version: (model, version) in self.crashing_loads
         replica.on_end = lambda ended: self._note_end(ended, fields)
         self.replicas[replica.replica_id] = replica.start(port)
         return replica
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -288,6 +288,8 @@
         self.beating = None
         self.crash_on = lambda request: False
         """Whether a request ends this replica while it runs; the replica then is down until restarted."""
+        self.crash_on_load = lambda model, version: False
+        """Whether the load of a version ends this replica."""
         self.work_of = lambda request: self.work_s
         """Time that a plain request takes."""
         self.ended = False
@@ -339,6 +341,9 @@
     async def load(self, model, version):
         self.busy = True
         await asyncio.sleep(0.1)
+        if self.crash_on_load(model, version):
+            self.end()
+            return
         self.versions[model] = version
         self.busy = False
         self.tell()
