Hold back a version of weights whose load ends replicas

Cause: replicas that come back still lack the wanted version and get the same order again. What became of an order was kept about the replica, never about the version. Class: as with requests, a retry budget without memory of what it retries. Change: the order for a version counts as one request, at all daemons. After the first end one replica at a time loads it, after three none does, unless some replica holds the version; a newer version is loaded as usual. An unanswered order, a load that takes longer than usual and a replica that is listed no more are looked at.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -211,6 +211,7 @@
             control,
             settings.daemon_id,
             self._control.fold.newest_jobs,
+            self._crashes.guard,
             self.decisions,
         )
         self._keyed_tails: list[KeyedTail] = []
--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -53,6 +53,7 @@
 from passgate.decisions.leader_events import (
     LeadershipLost,
     LeadershipTaken,
+    LoadHeld,
     OrderSent,
     ReplicaOrderSent,
     UsageReportSent,
@@ -103,6 +104,7 @@
     "JobWhole",
     "LeadershipLost",
     "LeadershipTaken",
+    "LoadHeld",
     "LinesDropped",
     "OrderSent",
     "PartitionsHeld",
--- a/passgate/decisions/leader_events.py
+++ b/passgate/decisions/leader_events.py
@@ -37,6 +37,14 @@
     outcome: str
 
 
+class LoadHeld(Event, tag="load_held"):
+    """A version is loaded no more, as replicas ended while they loaded it; or it is loaded again."""
+
+    model: str
+    version: int
+    held: bool
+
+
 class UsageWindowCommitted(Event, tag="usage_window_committed"):
     """The usage report of a window was put on the log, to be sent as it stands there."""
 
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -177,10 +177,13 @@
 
     def broke_off(self, identity: RequestIdentity, replica: ReplicaPlace, error: PassgateError) -> None:
         """Look at a replica whose answer broke off, and report it if it has ended."""
-        if not _may_be_crash(error):
-            return
+        if _may_be_crash(error):
+            self.look_at(identity, replica)
+
+    def look_at(self, identity: RequestIdentity, replica: ReplicaPlace) -> None:
+        """Look whether a replica has ended that runs a request, and report it if so."""
         fingerprint = identity.fingerprint()
-        look = asyncio.get_running_loop().create_task(self._look(identity, fingerprint, replica))
+        look = asyncio.get_running_loop().create_task(self._look(identity, replica))
         looks = self._looks.setdefault(fingerprint, set())
         looks.add(look)
         look.add_done_callback(lambda done: self._forget_look(fingerprint, done))
@@ -201,9 +204,13 @@
             return 0.0
         return self._ledger.held_for_s(identity.fingerprint(), unix_s())
 
-    async def _look(self, identity: RequestIdentity, fingerprint: str, replica: ReplicaPlace) -> None:
-        if not await self._reporter.has_ended(replica.address):
-            return
+    async def _look(self, identity: RequestIdentity, replica: ReplicaPlace) -> None:
+        if await self._reporter.has_ended(replica.address):
+            self.ended(identity, replica)
+
+    def ended(self, identity: RequestIdentity, replica: ReplicaPlace) -> None:
+        """Report a replica that has certainly ended while it ran a request."""
+        fingerprint = identity.fingerprint()
         self._reporter.set_aside(replica.replica_id, monotonic_s())
         report = CrashReport(
             fingerprint=fingerprint,
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -18,7 +18,9 @@
 from passgate.errors import PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.jobs.records import JobNoted
+from passgate.quarantine.guard import CrashGuard
 from passgate.versions.leadership import Leadership
+from passgate.versions.load_crashes import LoadCrashes
 from passgate.versions.load_plan import LoadChoice, LoadLimit, ModelNeed, plan_loads
 
 TICK_S = 0.05
@@ -29,6 +31,10 @@
 """Statuses of an order that is being carried out or already holds."""
 POLL_S = 0.1
 """Time between looks whether a load is done."""
+LOOK_GAP_S = 1.2
+"""Time between looks whether a replica that loads has ended; longer than most loads, which need none."""
+REPLACED_S = 0.5
+"""Time in which a replica that starts again after its end is listed, once its entry before has gone."""
 RETRY_S = 0.5
 """Pause before a replica that did not take an order gets another."""
 
@@ -102,6 +108,7 @@
         control: ReplicaControl,
         holder: str,
         jobs: Mapping[str, JobNoted],
+        crashes: CrashGuard,
         decisions: DecisionLog,
     ) -> None:
         self._wanted = wanted
@@ -110,6 +117,7 @@
         self._control = control
         self._holder = holder
         self._decisions = decisions
+        self._crashes = LoadCrashes(crashes, replicas, decisions)
         self._jobs = jobs
         """Model to what its newest job asks for."""
         self._loading: dict[str, RunningLoad] = {}
@@ -135,9 +143,16 @@
         now_s = monotonic_s()
         for choice in self._choices(now_s):
             service = choice.state.info.service
-            if self._loads_in(service) < self._limit(service).allowed(self._replicas_of(service)):
+            limit = self._limit(service).allowed(self._replicas_of(service))
+            if self._loads_in(service) < limit and not self._waits_for_another(choice.model):
                 self._start(choice)
 
+    def _waits_for_another(self, model: str) -> bool:
+        """Whether a version that may end replicas is being loaded already."""
+        if not any(load.model == model for load in self._loading.values()):
+            return False
+        return self._crashes.is_suspect(model, self._wanted.newest(model))
+
     def _start(self, choice: LoadChoice) -> None:
         task = asyncio.get_running_loop().create_task(self._load(choice.state, choice.model))
         self._loading[choice.state.info.replica_id] = RunningLoad(
@@ -147,7 +162,11 @@
     def _choices(self, now_s: float) -> list[LoadChoice]:
         """Return the loads that are wanted now, the most urgent first."""
         return plan_loads(
-            [self._need(model, version) for model, version in self._wanted.versions.items()],
+            [
+                self._need(model, version)
+                for model, version in self._wanted.versions.items()
+                if not self._crashes.is_held(model, version)
+            ],
             [state for state in self._replicas.all() if not state.info.draining],
             loading={replica_id: load.model for replica_id, load in self._loading.items()},
             waiting={replica_id for replica_id, at_s in self._retry_at_s.items() if now_s < at_s},
@@ -182,6 +201,7 @@
             else:
                 self._retry_at_s[replica_id] = monotonic_s() + RETRY_S
         except PassgateError:
+            self._crashes.look_at(state, model, self._wanted.versions[model])
             self._retry_at_s[replica_id] = monotonic_s() + RETRY_S
 
     async def _report(self, state: ReplicaState) -> ReplicaReport:
@@ -220,10 +240,23 @@
     async def _wait_until_loaded(self, state: ReplicaState, model: str) -> None:
         began_s = monotonic_s()
         target = self._wanted.versions[model]
-        while monotonic_s() < began_s + LOAD_TIMEOUT_S:
+        look_at_s = began_s + LOOK_GAP_S
+        while (now_s := monotonic_s()) < began_s + LOAD_TIMEOUT_S:
             await asyncio.sleep(POLL_S)
-            if self._replicas.get(state.info.replica_id) is not state:
-                return
             if state.version_of(model) >= target:
                 self._limit(state.info.service).observe(monotonic_s() - began_s)
+                self._crashes.loaded(state, model, target)
                 return
+            if self._replicas.get(state.info.replica_id) is not state:
+                await self._see_whether_replaced(state, model, target)
+                return
+            if now_s >= look_at_s:
+                self._crashes.look_at(state, model, target)
+                look_at_s = now_s + LOOK_GAP_S
+
+    async def _see_whether_replaced(self, state: ReplicaState, model: str, version: int) -> None:
+        """Find out whether a replica that is listed no more ended under its order."""
+        self._crashes.look_at(state, model, version)
+        until_s = monotonic_s() + REPLACED_S
+        while not self._crashes.was_replaced(state, model, version) and monotonic_s() < until_s:
+            await asyncio.sleep(POLL_S)
