--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -53,6 +53,7 @@
 from passgate.decisions.leader_events import (
     LeadershipLost,
     LeadershipTaken,
+    LoadHeld,
     OrderSent,
     ReplicaOrderSent,
     UsageReportSent,
@@ -67,6 +68,7 @@
     ForwardEnded,
     ForwardSent,
     ItemHeld,
+    LastChanceBegun,
     ReplicaCrashed,
     RequestRefused,
 )
@@ -90,6 +92,7 @@
     "ForwardSent",
     "ItemFailed",
     "ItemHeld",
+    "LastChanceBegun",
     "ItemListed",
     "ItemSent",
     "JobAcceptFailed",
@@ -101,6 +104,7 @@
     "JobWhole",
     "LeadershipLost",
     "LeadershipTaken",
+    "LoadHeld",
     "LinesDropped",
     "OrderSent",
     "PartitionsHeld",
