--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -18,6 +18,7 @@
 
 from passgate.clients.calls import HttpAnswer, HttpCall, HttpLimits, SendPolicy
 from passgate.clients.connections import ConnectionEnds, KeptConnections, set_unacknowledged_timeout
+from passgate.clock import monotonic_s
 from passgate.errors import (
     BackendUnreachable,
     DeadlineExceeded,
@@ -73,6 +74,9 @@
         self.status = 0
         self.headers = HTTPHeaders()
         self.received_bytes = 0
+        self.connect_s: float | None = None
+        """Time that a new connection took to open; None on one that was open already."""
+        self._socket_s = 0.0
         self._client = client
         self._connections = connections
         self._new_descriptor: int | None = None
@@ -206,6 +210,7 @@
 
     def _on_socket(self, descriptor: int, purpose: int) -> int:
         self._new_descriptor = descriptor
+        self._socket_s = monotonic_s()
         if self._limits.unacknowledged_timeout_s is not None:
             set_unacknowledged_timeout(descriptor, self._limits.unacknowledged_timeout_s)
         return pycurl.SOCKOPT_OK
@@ -217,6 +222,7 @@
         ends = ConnectionEnds(remote_ip, local_ip, remote_port, local_port)
         if self._new_descriptor is not None:
             self._connections.remember(ends, self._new_descriptor)
+            self.connect_s = monotonic_s() - self._socket_s
         elif self._connections.is_closed(ends):
             self._found_closed = True
             return pycurl.PREREQFUNC_ABORT
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -31,6 +31,7 @@
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
 from passgate.duties.usage_channel import CONTROL_PART
+from passgate.eligibility.regions import RegionRule
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -42,6 +43,7 @@
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
 from passgate.gateway.stream_forwarder import StreamForwarder
+from passgate.jobs.bound_bodies import BoundBodies
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
@@ -53,7 +55,7 @@
 from passgate.quarantine.service import Crashes
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.counted import CountedLog
-from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.group import GroupDirectory, GroupMember, OtherZones, group_of_zone
 from passgate.sharedlog.log import SharedLog
 from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
@@ -103,8 +105,9 @@
         self.metrics = GatewayMetrics()
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         log = CountedLog(log, self.metrics.count_log_call)
-        self.config = ConfigHolder()
+        self.config = ConfigHolder(settings.places)
         self.replicas = ReplicaTable(settings.places)
+        self.replicas.rules.add(RegionRule(settings.places, self.metrics.count_region_send))
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -122,7 +125,7 @@
         self._peers = peers
         member = member_name(settings.daemon_id, peers.address, settings.cores)
         candidacy = Candidacy(settings.cores)
-        group = f"{topics.watch_group}.{settings.zone}"
+        group = group_of_zone(topics.watch_group, settings.zone)
         self._member = GroupMember(
             log,
             group,
@@ -133,7 +136,9 @@
             least_lifetime_s=settings.group_lifetime_s,
         )
         self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
-        job_peers = JobPeers(peers, self._directory, member, self.decisions)
+        distances = self.replicas.distances
+        elsewhere = OtherZones(log, topics.watch_group, topics.jobs, distances.nearest_first)
+        job_peers = JobPeers(peers, self._directory, member, self.decisions, distances, elsewhere)
         journal = Journal(
             log,
             topics.control,
@@ -200,6 +205,7 @@
             self.decisions,
             may_own_new=lambda: candidacy.wanted,
             log_answers=self._member.answered,
+            bodies=BoundBodies(log, self.config.terms_for, settings.places, shard_settings, self.decisions),
         )
         self.jobs = JobService(
             self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
--- a/passgate/daemon/runners.py
+++ b/passgate/daemon/runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 
 from passgate.decisions import DecisionLog
 from passgate.gateway.dialect import HeaderNames
@@ -40,12 +41,13 @@
         self._silence = StreamSilence()
         self._rewards = RewardTools(
             find_route=config.find_route,
+            terms_for=config.terms_for,
             caller=caller,
             replicas=replicas,
             names=names,
             decisions=decisions,
             parts=WeightedChoice(),
-            line=asyncio.Lock(),
+            lines=defaultdict(asyncio.Lock),
         )
 
     def make(self, fold: JobFold, journal: Journal, job: JobState) -> JobRunner | None:
@@ -64,6 +66,7 @@
             durations=self._durations,
             rewards=self._rewards,
             silence=self._silence,
+            terms_for=self._config.terms_for,
             group_replica={},
         )
         return JobRunner(job, fold, journal, tools)
--- a/passgate/decisions/job_events.py
+++ b/passgate/decisions/job_events.py
@@ -14,6 +14,20 @@
     elapsed_ms: float
 
 
+class JobBodiesLost(Event, tag="job_bodies_lost"):
+    """The bodies of a job that is bound to regions can not be read here any more."""
+
+    job_id: str
+    reason: str
+
+
+class JobFreed(Event, tag="job_freed"):
+    """A job was given up, as the configuration in force keeps it from this daemon's region."""
+
+    job_id: str
+    epoch: int
+
+
 class JobAcceptFailed(Event, tag="job_accept_failed"):
     """A batch job was not accepted, or it is not known whether it was."""
 
--- a/passgate/eligibility/rules.py
+++ b/passgate/eligibility/rules.py
@@ -33,8 +33,8 @@
     """What decides, beside the replica itself, whether something may be sent."""
 
     kind: SendKind = SendKind.REQUEST
-    regions: frozenset[str] = frozenset()
-    """Regions that may serve the request; empty where any may."""
+    regions: frozenset[str] | None = None
+    """Regions that may serve the request; None where any may, empty where none may."""
 
 
 ANY_REQUEST = SendTerms()
--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -124,6 +124,18 @@
     code = "no_replica_available"
 
 
+class NoReplicaInRegions(NoReplicaAvailable):
+    """No live replica can take the request in the regions that may serve it; others are not asked."""
+
+    code = "no_replica_in_regions"
+
+
+class NoRegionAllowed(Refused):
+    """The request's route and its tenant allow no region in common, so that none may serve it."""
+
+    code = "no_region_allowed"
+
+
 class RequestQuarantined(Refused):
     """The request has crashed replicas and is sent to none for a while."""
 
@@ -136,6 +148,12 @@
     code = "not_ready"
 
 
+class BodiesElsewhere(NotReady):
+    """The bodies of the job may not be held in this daemon's region; one of another region has them."""
+
+    code = "bodies_elsewhere"
+
+
 class Draining(Refused):
     """This daemon is stopping and takes no new work."""
 
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -95,6 +95,7 @@
 
     async def _send_next(self, forwarding: Forwarding, running: Running) -> bool:
         """Send to the next replica, waiting shortly for one; return False to give up."""
+        self._check_regions(forwarding)
         if not forwarding.may_go_on or not await self._spares_replicas(forwarding):
             return False
         patience_s = monotonic_s() + WAIT_SHARE * forwarding.route.target_latency_s
@@ -176,7 +177,7 @@
             raise BackendUnreachable("no replica gave a whole answer", execution=ExecutionStatus.UNKNOWN)
         if isinstance(outcome.failure, BackendRefused):
             raise refusal("replicas are full")
-        raise refusal("no replica can be reached")
+        raise self._refusal(forwarding, "no replica can be reached")
 
     def _out_of_time(self, forwarding: Forwarding, running: bool) -> PassgateError:
         if running or forwarding.may_have_run:
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -8,7 +8,14 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import AttemptFailed, DecisionLog, ForwardEnded, ForwardSent
-from passgate.errors import BackendUnreachable, NoReplicaAvailable, Unauthorized
+from passgate.eligibility.rules import SendTerms
+from passgate.errors import (
+    BackendUnreachable,
+    NoRegionAllowed,
+    NoReplicaAvailable,
+    NoReplicaInRegions,
+    Unauthorized,
+)
 from passgate.errors.base import ExecutionStatus, PassgateError
 from passgate.gateway.access import Caller
 from passgate.gateway.dialect import HeaderNames
@@ -154,8 +161,22 @@
             return False
         return True
 
+    def _terms(self, forwarding: Forwarding) -> SendTerms:
+        """Return what binds a request now; a changed configuration binds its further sends."""
+        request, tenant = forwarding.request, forwarding.caller.tenant
+        return self._config.terms_for(request.host, request.path, tenant, forwarding.route)
+
+    def _check_regions(self, forwarding: Forwarding) -> None:
+        """Check that some region may serve a request that has not run; raises NoRegionAllowed."""
+        if self._terms(forwarding).regions == frozenset() and not forwarding.may_have_run:
+            raise NoRegionAllowed("route and tenant allow no region in common")
+
     def _choose(self, forwarding: Forwarding) -> ReplicaState | None:
-        choice = ChoiceRequest(services=frozenset({forwarding.service}), excluded=frozenset(forwarding.tried))
+        choice = ChoiceRequest(
+            services=frozenset({forwarding.service}),
+            excluded=frozenset(forwarding.tried),
+            terms=self._terms(forwarding),
+        )
         return self._replicas.choose(choice, monotonic_s())
 
     def _replica_request(self, forwarding: Forwarding) -> ReplicaRequest:
@@ -175,8 +196,15 @@
             priority=forwarding.route.priority if forwarding.route.kind is RouteKind.STREAMING else None,
             repeatable=forwarding.repeatable,
             tenant=forwarding.caller.tenant,
+            terms=self._terms(forwarding),
         )
 
+    def _refusal(self, forwarding: Forwarding, reason: str) -> PassgateError:
+        """Return the answer for a request that did not run; tells of bounds that left no replica."""
+        if forwarding.tried or self._terms(forwarding).regions is None:
+            return refusal(reason)
+        return NoReplicaInRegions(reason, execution=ExecutionStatus.NOT_RUN, retry_after_s=RETRY_AFTER_S)
+
     def _note_sent(self, forwarding: Forwarding, state: ReplicaState) -> None:
         forwarding.tried.append(state.info.replica_id)
         self._decisions.write(
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -20,14 +20,19 @@
     ItemFailed,
     ItemListed,
     JobAccepted,
+    JobAcceptFailed,
     JobEnded,
 )
+from passgate.errors import NoRegionAllowed, NoReplicaInRegions
 
 REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 """From a request's work of some 10 ms over its target latency (0.2 s) to its deadline."""
 ITEM_BUCKETS_S = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 40)
 """From a short output to the time for which items are kept; steps are due after some 7 s."""
 
+REGION_CODES = frozenset({NoRegionAllowed.code, NoReplicaInRegions.code})
+"""Reasons of refusals that bounds on regions cause."""
+
 __all__ = ["GatewayMetrics", "JobEnded"]
 
 
@@ -74,6 +79,18 @@
             ("call", "subject", "outcome"),
             registry=self.registry,
         )
+        self._region_sends = Counter(
+            "passgate_region_sends",
+            "Requests sent to replicas, by the replicas' region: kept at home, or spilled to another.",
+            ("region", "outcome"),
+            registry=self.registry,
+        )
+        self._region_refusals = Counter(
+            "passgate_region_refusals",
+            "Requests and jobs refused as no region, or no replica in the allowed regions, may serve them.",
+            ("code",),
+            registry=self.registry,
+        )
         self.log_age = Gauge(
             "passgate_log_age_seconds",
             "Time since the jobs' topic was last known to be read to its end.",
@@ -96,9 +113,15 @@
         """Count a call to the log; see :mod:`passgate.sharedlog.counted`."""
         self._log_calls.labels(call, subject, outcome).inc()
 
+    def count_region_send(self, region: str, spilled: bool) -> None:
+        """Count a request that was sent to a replica of a region."""
+        self._region_sends.labels(region, "spilled" if spilled else "kept").inc()
+
     def observe(self, event: Event) -> None:
         """Count an event."""
         self._decisions.labels(event.name).inc()
+        if isinstance(event, ForwardEnded | JobAcceptFailed) and event.reason in REGION_CODES:
+            self._region_refusals.labels(event.reason).inc()
         match event:
             case ForwardEnded(status=status, elapsed_ms=elapsed_ms):
                 self._requests.labels(str(status)).observe(elapsed_ms / 1000)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -223,6 +223,9 @@
             self._failed(unreachable=error.execution is ExecutionStatus.NOT_RUN)
             self._broke_off(error)
             raise
+        if self._transfer.connect_s is not None:
+            zone = self._state.info.zone
+            self._replicas.distances.observe(zone, self._transfer.connect_s, monotonic_s())
         answer = self._transfer.headers
         echoed = answer.get(self._names.request_id)
         if echoed is not None and echoed != self._request.request_id:
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -10,12 +10,15 @@
 
 import math
 import random
+from collections.abc import Hashable
 
 import msgspec
 
 from passgate.eligibility.places import Places
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.rules import ANY_REQUEST, DrainingRule, SendRules, SendTerms
+from passgate.gateway.distance import Distances
+from passgate.gateway.spill import HomeFull, share_spilled
 from passgate.routing.replica_health import ReplicaHealth
 
 SMOOTHING = 0.2
@@ -24,8 +27,8 @@
 """Latency of a replica of which nothing has been seen: about that of a plain request or one event."""
 REPORT_LIFE_S = 1.5
 """Age after which what a replica told of its load counts no longer."""
-OTHER_ZONE_COST = 0.05
-"""Added to the score of a replica in another zone, in shares of its slots."""
+CHOICES_AWAY = 2
+"""Replicas of other regions that are compared; all daemons of a region would else pick the same one."""
 MAX_LATENCY_STEP = 6.0
 """One observation counts for at most this many times the present latency."""
 MUCH_FASTER = 0.5
@@ -97,6 +100,12 @@
         age = (now_s - self.latency_at_s) / LATENCY_FORGET_S
         return ASSUMED_LATENCY_S + (self.latency_s - ASSUMED_LATENCY_S) * 0.5 ** max(age, 0.0)
 
+    def expected_s(self, now_s: float) -> float:
+        """Return the time until a request sent now is answered; it waits only once all slots are taken."""
+        waits = max(self.load(now_s) + 1.0 / max(self.info.slots, 1) - FULL_LOAD, 0.0)
+        loading_s = LOADING_S if self.seems_loading(now_s) else 0.0
+        return (1.0 + waits) * self.recent_latency_s(now_s) + loading_s
+
     def version_of(self, model: str) -> int:
         """Return the version of a model's weights that the replica is known to hold."""
         return max(self.info.model_versions.get(model, 0), self.observed_versions.get(model, 0))
@@ -107,6 +116,8 @@
 
     def __init__(self, places: Places, seed: int | None = None) -> None:
         self.places = places
+        self.distances = Distances(places)
+        self._home_full = HomeFull()
         self.rules = SendRules([DrainingRule()])
         """What keeps requests from replicas; see :mod:`passgate.eligibility.rules`."""
         self._states: dict[str, ReplicaState] = {}
@@ -147,7 +158,47 @@
         if not healthy:
             return None
         self._random.shuffle(healthy)
-        return min(healthy, key=lambda state: self._score(state, request, now_s))
+        if not self.distances.several_regions:
+            return min(healthy, key=lambda state: self._score(state, request, now_s))
+        return self._choose_region(healthy, request, now_s)
+
+    def _choose_region(
+        self, healthy: list[ReplicaState], request: ChoiceRequest, now_s: float
+    ) -> ReplicaState | None:
+        """Return the best replica at home unless another region is worth the way."""
+        home = [state for state in healthy if self.distances.is_home(state.info.zone)]
+        away = [state for state in healthy if not self.distances.is_home(state.info.zone)][:CHOICES_AWAY]
+        kind = (request.services, request.model, request.terms.regions)
+        here = min(home, key=lambda state: self._score(state, request, now_s), default=None)
+        there = min(away, key=lambda state: self._score(state, request, now_s), default=None)
+        if here is not None:
+            self._home_full.has_room(kind)
+        if here is None or there is None:
+            return here or self._spilled(there, kind, request, now_s)
+        way_s = self.distances.cost_s(there.info.zone)
+        share = share_spilled(here.expected_s(now_s) - there.expected_s(now_s) - way_s, way_s)
+        return there if self._random.random() < share else here
+
+    def _spilled(
+        self, there: ReplicaState | None, kind: Hashable, request: ChoiceRequest, now_s: float
+    ) -> ReplicaState | None:
+        """Return a replica of another region for what has found none at home, unless it soon may.
+
+        What only waits for room at home waits there for as long as the way takes.
+        """
+        if there is None or not self._is_served_at_home(request, now_s):
+            return there
+        way_s = self.distances.cost_s(there.info.zone)
+        return there if self._home_full.may_spill(kind, way_s, now_s) else None
+
+    def _is_served_at_home(self, request: ChoiceRequest, now_s: float) -> bool:
+        """Whether a replica at home would serve a request if it had room."""
+        if request.load_below == math.inf:
+            return False
+        anyhow = msgspec.structs.replace(request, load_below=math.inf)
+        home = [state for state in self._states.values() if self.distances.is_home(state.info.zone)]
+        fitting = [state.info.replica_id for state in home if self._fits(state, anyhow, now_s)]
+        return bool(self.health.usable(fitting, now_s)) if fitting else False
 
     def _fits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
         info = state.info
@@ -162,8 +213,7 @@
     def _score(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> float:
         load = state.load(now_s)
         score = (1.0 + load) * state.recent_latency_s(now_s) / ASSUMED_LATENCY_S + load
-        if state.info.zone != self.places.zone:
-            score += OTHER_ZONE_COST
+        score += self.distances.cost_s(state.info.zone) / ASSUMED_LATENCY_S
         if state.seems_loading(now_s):
             score += LOADING_COST
         if request.preferred == state.info.replica_id:
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -16,6 +16,10 @@
 
 import msgspec
 
+from passgate.eligibility.places import Places
+from passgate.eligibility.regions import common_regions
+from passgate.eligibility.rules import SendTerms
+from passgate.errors import InvalidConfiguration
 from passgate.gateway.access import KeyIndex, Tenant
 
 DEFAULT_TIMEOUT_S = 30.0
@@ -134,10 +138,18 @@
 class RouteTable:
     """One configuration, compiled: its routes by host, longest prefix first, and its keys."""
 
-    def __init__(self, config: GatewayConfig) -> None:
-        """Compile a configuration; raises InvalidConfiguration."""
+    def __init__(self, config: GatewayConfig, places: Places | None = None) -> None:
+        """Compile a configuration; raises InvalidConfiguration.
+
+        Args:
+            config: the configuration.
+            places: the regions that there are, where they are known.
+        """
         self.config = config
         self.keys = KeyIndex(config.tenants)
+        self._tenants = {tenant.name: tenant for tenant in config.tenants}
+        for holder in (*config.routes, *config.tenants):
+            _check_regions(holder, places)
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(config.routes, key=lambda route: len(route.path_prefix), reverse=True):
             self._by_host.setdefault(route.host, []).append(route)
@@ -154,12 +166,30 @@
                 return route
         return None
 
+    def tenant_regions(self, tenant: str | None) -> frozenset[str]:
+        """Return the regions that a tenant allows; empty where any may serve it."""
+        known = self._tenants.get(tenant or "")
+        return known.allowed_regions if known is not None else frozenset()
+
+
+def _check_regions(holder: Route | Tenant, places: Places | None) -> None:
+    """Check the regions that a route or tenant names; raises InvalidConfiguration.
+
+    A name that no zone has is most likely misspelt, and would have all its requests refused.
+    """
+    known = frozenset(places.regions.values()) if places is not None else frozenset()
+    for region in holder.allowed_regions:
+        if not region or (known and region not in known):
+            raise InvalidConfiguration("an allowed region is not known", holder=holder.name, region=region)
+
 
 class ConfigHolder:
     """The configuration in force; versions only rise."""
 
-    def __init__(self) -> None:
+    def __init__(self, places: Places | None = None) -> None:
+        """Begin without one; ``places`` tells the regions that a configuration may name."""
         self.table: RouteTable | None = None
+        self._places = places
 
     @property
     def version(self) -> int:
@@ -170,6 +200,20 @@
         """Return the route in force of a host and path, or None."""
         return self.table.match(host, path) if self.table is not None else None
 
+    def terms_for(self, host: str, path: str, tenant: str | None, begun: Route | None = None) -> SendTerms:
+        """Return what binds a request by the configuration in force, whenever it was accepted.
+
+        Args:
+            host: host of the request.
+            path: its path.
+            tenant: name of its tenant, if it has one.
+            begun: the route by which it was accepted; binds it when no route is in force any more.
+        """
+        route = self.find_route(host, path) or begun
+        of_route = route.allowed_regions if route is not None else frozenset()
+        of_tenant = self.table.tenant_regions(tenant) if self.table is not None else frozenset()
+        return SendTerms(regions=common_regions(of_route, of_tenant))
+
     def offer(self, config: GatewayConfig) -> bool:
         """Put a configuration in force unless a newer one is; return whether it was.
 
@@ -177,7 +221,7 @@
         """
         if self.table is not None and config.version <= self.table.config.version:
             return False
-        self.table = RouteTable(config)
+        self.table = RouteTable(config, self._places)
         return True
 
 
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -17,11 +17,13 @@
     ExecutionStatus,
     IncompleteAnswer,
     MovedElsewhere,
+    NoRegionAllowed,
+    NoReplicaInRegions,
     PassgateError,
     RequestQuarantined,
 )
 from passgate.gateway.access import Caller
-from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
+from passgate.gateway.forwarding import ForwarderBase, Forwarding
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer
 from passgate.gateway.replica_call import ReplicaExchange, forwarded_headers
 from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest
@@ -92,9 +94,10 @@
 
     async def _send(self, stream: Forwarding) -> ReplicaExchange:
         try:
+            self._check_regions(stream)
             if not await self._spares_replicas(stream):
                 raise self._failed(stream, "replicas ended under the request")
-        except RequestQuarantined as error:
+        except (NoRegionAllowed, RequestQuarantined) as error:
             self._note_end(stream, error.http_status, error.code)
             raise
         state = self._choose(stream)
@@ -167,7 +170,10 @@
         if not stream.route.resumable or not stream.may_go_on:
             return False
         wish = ChoiceRequest(
-            services=frozenset({stream.service}), excluded=frozenset(stream.tried), load_below=FULL_LOAD
+            services=frozenset({stream.service}),
+            excluded=frozenset(stream.tried),
+            load_below=FULL_LOAD,
+            terms=self._terms(stream),
         )
         return self._replicas.has_faster(exchange.replica_id, wish, monotonic_s())
 
@@ -181,7 +187,8 @@
         elif stream.may_have_run:
             error = BackendUnreachable(reason, execution=ExecutionStatus.UNKNOWN)
         else:
-            error = refusal(reason)
+            error = self._refusal(stream, reason)
+        reason = error.code if isinstance(error, NoReplicaInRegions) else reason
         self._note_end(stream, error.http_status, reason)
         return error
 
--- /dev/null
+++ b/passgate/jobs/bound_bodies.py
@@ -0,0 +1,239 @@
+"""Bodies of jobs that only some regions may hold.
+
+All daemons fold all jobs, so the bodies of a job whose route or tenant names allowed regions
+do not stand with the job on the log.  They stand on a topic of that set of regions, which only
+daemons there read: each of them that follows the job's partition, as soon as it reads the job.
+
+>>> reward = RewardSpec(id="r", host="h", path="/", body=b"score")
+>>> item = ItemSpec(id="i", path="/p", body=b"secret", reward=reward)
+>>> spec = JobSpec(job_id="j", host="h", path="/p", items=(item,))
+>>> bare = without_bodies(spec, BodiesPlace(topic="t", part=0, first=0, last=0, nonce="n"))
+>>> bare.items[0].body, bare.items[0].reward.body
+(b'', b'')
+>>> with_bodies(bare, bodies_of(spec)).items == spec.items
+True
+>>> topic_of("jobs", frozenset({"b", "a"}))
+'jobs-bodies.a.b'
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import zlib
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog, JobBodiesLost
+from passgate.eligibility.places import Places
+from passgate.eligibility.regions import may_be_in
+from passgate.eligibility.rules import SendTerms
+from passgate.errors import LogAppendUnknown, LogError, LogUnavailable
+from passgate.jobs.records import (
+    COMPRESSION_LEVEL,
+    BodiesPiece,
+    BodiesPlace,
+    ItemBodies,
+    ItemSpec,
+    JobSpec,
+    RewardSpec,
+)
+from passgate.sharedlog.log import HistoryGone, SharedLog
+
+__all__ = ["BoundBodies", "ItemSpec", "RewardSpec"]
+
+logger = logging.getLogger("passgate.jobs")
+
+RETRY_PAUSE_S = 0.1
+"""Pause after a failed call; a calm log answers within 0.03 s."""
+PIECE_SHARE = 0.5
+"""Share of a record's limit that one piece fills; its base64 form is a third longer."""
+
+TermsOf = Callable[[str, str, str | None], SendTerms]
+"""Returns what binds a request of a host, path and tenant by the configuration in force."""
+
+
+class BodiesSettings(Protocol):
+    """What the settings of the partitions tell that matters here."""
+
+    topic: str
+    """Topic of the jobs."""
+    record_bytes: int
+
+
+def topic_of(jobs_topic: str, regions: frozenset[str]) -> str:
+    """Return the topic of the bodies that may be held in these regions only."""
+    return f"{jobs_topic}-bodies.{'.'.join(sorted(regions))}"
+
+
+def bodies_of(spec: JobSpec) -> tuple[ItemBodies, ...]:
+    """Return the bodies of a job, in the order of its items."""
+    return tuple(
+        ItemBodies(item.body, item.reward.body if item.reward is not None else b"") for item in spec.items
+    )
+
+
+def without_bodies(spec: JobSpec, place: BodiesPlace) -> JobSpec:
+    """Return a job as all daemons may read it."""
+    bare = tuple(_with(item, ItemBodies(b"")) for item in spec.items)
+    return msgspec.structs.replace(spec, items=bare, bodies_at=place)
+
+
+def with_bodies(spec: JobSpec, bodies: Sequence[ItemBodies]) -> JobSpec:
+    """Return a job with its bodies filled in."""
+    items = tuple(_with(item, body) for item, body in zip(spec.items, bodies, strict=True))
+    return msgspec.structs.replace(spec, items=items)
+
+
+def _with(item: ItemSpec, bodies: ItemBodies) -> ItemSpec:
+    reward = item.reward
+    if reward is not None:
+        reward = msgspec.structs.replace(reward, body=bodies.reward)
+    return msgspec.structs.replace(item, body=bodies.item, reward=reward)
+
+
+class BoundBodies:
+    """Puts bodies apart and reads them, for one daemon."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        terms_of: TermsOf,
+        places: Places,
+        settings: BodiesSettings,
+        decisions: DecisionLog,
+    ) -> None:
+        self._log = log
+        self._topic = settings.topic
+        self._places = places
+        self._terms_of = terms_of
+        self.decisions = decisions
+        self._piece_bytes = int(settings.record_bytes * PIECE_SHARE)
+
+    def regions_of(self, host: str, path: str, tenant: str | None) -> frozenset[str] | None:
+        """Return the regions that a job is bound to by the configuration in force; None where any may."""
+        return self._terms_of(host, path, tenant).regions
+
+    def may_hold(self, host: str, path: str, tenant: str | None) -> bool:
+        """Whether this daemon may hold the bodies of a job, and so own it, by the configuration in force."""
+        return may_be_in(self.regions_of(host, path, tenant), self._places.region)
+
+    async def put_apart(self, spec: JobSpec, part: int, deadline_s: float) -> JobSpec:
+        """Return a job as it may stand on the log; the bodies of a bound one stand elsewhere then.
+
+        Raises LogUnavailable when they can not be put there; the job is not on the log.
+        """
+        regions = self.regions_of(spec.host, spec.path, spec.tenant)
+        if regions is None or spec.bodies_at is not None:
+            return spec
+        topic, nonce = topic_of(self._topic, regions), secrets.token_hex(8)
+        offsets = [await self._append(topic, part, piece, deadline_s) for piece in self._pieces(spec, nonce)]
+        place = BodiesPlace(topic=topic, part=part, first=offsets[0], last=offsets[-1], nonce=nonce)
+        return without_bodies(spec, place)
+
+    def _pieces(self, spec: JobSpec, nonce: str) -> list[bytes]:
+        data = zlib.compress(msgspec.json.encode(bodies_of(spec)), COMPRESSION_LEVEL)
+        parts = [data[start : start + self._piece_bytes] for start in range(0, len(data), self._piece_bytes)]
+        return [
+            msgspec.json.encode(BodiesPiece(nonce=nonce, index=index, count=len(parts), data=piece))
+            for index, piece in enumerate(parts)
+        ]
+
+    async def _append(self, topic: str, part: int, record: bytes, deadline_s: float) -> int:
+        """Append a piece; one that may stand there twice is read once."""
+        while True:
+            try:
+                return await self._log.append(topic, part, [record])
+            except (LogUnavailable, LogAppendUnknown) as error:
+                if monotonic_s() + RETRY_PAUSE_S >= deadline_s:
+                    raise LogUnavailable("the bodies can not be put on the log") from error
+                logger.info("bodies_append_failed", extra={"error": str(error), "code": error.code})
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def read(self, place: BodiesPlace) -> tuple[ItemBodies, ...]:
+        """Return the bodies of a job; raises LogError, and HistoryGone when they are gone for good."""
+        pieces: dict[int, BodiesPiece] = {}
+        offset = place.first
+        while offset <= place.last:
+            page = await self._log.read(place.topic, place.part, offset, wait_s=0.0)
+            if not page.records:
+                break
+            for piece in filter(None, map(_decode_piece, page.records)):
+                if piece.nonce == place.nonce:
+                    pieces[piece.index] = piece
+            offset = page.next_offset
+        count = next(iter(pieces.values())).count if pieces else 0
+        if not count or len(pieces) < count:
+            raise LogUnavailable("not all pieces of the bodies can be read")
+        data = b"".join(pieces[index].data for index in range(count))
+        return msgspec.json.decode(zlib.decompress(data), type=tuple[ItemBodies, ...])
+
+
+def _decode_piece(record: bytes) -> BodiesPiece | None:
+    """Return a piece, or None when a newer daemon wrote it in another form."""
+    try:
+        return msgspec.json.decode(record, type=BodiesPiece)
+    except msgspec.DecodeError as error:
+        logger.warning("bodies_unreadable", extra={"error": str(error)})
+        return None
+
+
+class BoundJob(msgspec.Struct, frozen=True, kw_only=True):
+    """What tells where a job's bodies are and who may hold them."""
+
+    job_id: str
+    host: str
+    path: str
+    tenant: str | None
+    place: BodiesPlace
+
+
+class BodiesReader:
+    """Reads the bodies of the bound jobs of one partition, each once."""
+
+    def __init__(self, bodies: BoundBodies, take: Callable[[str, Sequence[ItemBodies]], None]) -> None:
+        """Make the reader; ``take`` gets a job's identifier and its bodies."""
+        self._bodies = bodies
+        self._take = take
+        self._reading: dict[str, asyncio.Task[None]] = {}
+        self._lost: set[str] = set()
+
+    def want(self, job: BoundJob) -> asyncio.Task[None] | None:
+        """Begin to read a job's bodies, unless this daemon may not hold them or they are gone."""
+        reading = self._reading.get(job.job_id)
+        if reading is not None or job.job_id in self._lost:
+            return reading
+        if not self._bodies.may_hold(job.host, job.path, job.tenant):
+            return None
+        task = asyncio.get_running_loop().create_task(self._read(job))
+        self._reading[job.job_id] = task
+        task.add_done_callback(lambda _: self._reading.pop(job.job_id, None))
+        return task
+
+    async def _read(self, job: BoundJob) -> None:
+        try:
+            bodies = await self._bodies.read(job.place)
+        except HistoryGone as error:
+            self._lost.add(job.job_id)
+            self._bodies.decisions.write(JobBodiesLost(job_id=job.job_id, reason=str(error)))
+        except LogError as error:
+            logger.info("bodies_read_failed", extra={"error": str(error), "code": error.code})
+            await asyncio.sleep(RETRY_PAUSE_S)
+        except (msgspec.DecodeError, zlib.error) as error:
+            self._lost.add(job.job_id)
+            self._bodies.decisions.write(JobBodiesLost(job_id=job.job_id, reason=str(error)))
+        else:
+            self._take(job.job_id, bodies)
+
+    def forget(self, job_ids: frozenset[str]) -> None:
+        """Keep nothing of jobs that are not among these."""
+        self._lost &= job_ids  # empty nearly always
+
+    def close(self) -> None:
+        """Read nothing any more."""
+        for task in self._reading.values():
+            task.cancel()
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -18,14 +18,17 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Sequence
 
 import msgspec
 
 from passgate.gateway.access import scoped_id
+from passgate.jobs.bound_bodies import BoundJob, with_bodies
 from passgate.jobs.event_stream import KeptEvents
 from passgate.jobs.groups import GroupProgress
 from passgate.jobs.records import (
     Batch,
+    ItemBodies,
     ItemProgressed,
     ItemsDone,
     ItemSpec,
@@ -67,6 +70,10 @@
         self.min_version = spec.min_version
         self.model = spec.model
         self.tenant = spec.tenant
+        self.host, self.path = spec.host, spec.path
+        self.bodies_at = spec.bodies_at
+        self.bodies: tuple[ItemBodies, ...] | None = None
+        """Bodies that do not stand with the job, once this daemon has read them."""
         self.results: list[Result] = []
         self.listed: dict[str, int] = {}
         """Item to its position."""
@@ -93,9 +100,19 @@
         """Whether all results stand here that its caller waits for."""
         return self._progress.enough
 
+    @property
+    def bound(self) -> BoundJob | None:
+        """Where the bodies are that are still to be read; None when they are there."""
+        if self.bodies_at is None or self.bodies is not None:
+            return None
+        return BoundJob(
+            job_id=self.job_id, host=self.host, path=self.path, tenant=self.tenant, place=self.bodies_at
+        )
+
     def spec(self) -> JobSpec:
-        """Return the job as submitted."""
-        return decode_spec(self.packed_spec)
+        """Return the job as submitted; without bodies while these are still to be read."""
+        spec = decode_spec(self.packed_spec)
+        return spec if self.bodies is None else with_bodies(spec, self.bodies)
 
     def item(self, item_id: str) -> ItemSpec | None:
         """Return an item as submitted, or None."""
@@ -241,6 +258,12 @@
         if job is not None:
             job.ended = True
 
+    def take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> None:
+        """Take the bodies of a job that stand apart from it."""
+        job = self.jobs.get(job_id)
+        if job is not None and len(bodies) == job.total:
+            job.bodies = tuple(bodies)
+
     def any_open(self) -> bool:
         """Whether items of any job are still to be run."""
         return any(job.open for job in self.jobs.values())
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ItemFailed, ItemHeld, ItemSent
+from passgate.eligibility.rules import SendTerms
 from passgate.errors import (
     BackendRefused,
     ExecutionStatus,
@@ -32,7 +34,7 @@
 from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.silence import FIRST_BYTES_PATIENCE_S, StreamSilence, patience_for
 from passgate.jobs.timing import JobTiming
-from passgate.jobs.waiting import Rank, WaitingLine
+from passgate.jobs.waiting import LineName, Rank, WaitingLine
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 ROOM_STEP_S = 0.01
@@ -67,9 +69,19 @@
     durations: OutputDurations
     rewards: RewardTools
     silence: StreamSilence
+    terms_for: Callable[[str, str, str | None], SendTerms]
+    """Returns what binds a request of a host, path and tenant by the configuration in force."""
     group_replica: dict[str, str]
     """Group to the replica that read its shared prompt last."""
 
+    def terms_of(self, job: JobSpec) -> SendTerms:
+        """Return what binds the items of a job now."""
+        return self.terms_for(job.host, job.path, job.tenant)
+
+    def line_of(self, job: JobSpec) -> LineName:
+        """Return the line in which items of a job wait that begin to wait now."""
+        return LineName(model=job.model, regions=self.terms_of(job).regions)
+
     def expected_tokens(self, item: ItemSpec) -> float:
         """Return the caller's estimate of the output's length, or 0."""
         told = item.headers.get(self.names.length_hint, "")
@@ -120,13 +132,13 @@
             return False
         return min(kept.versions) >= self._job.min_version
 
-    async def wait_for_replica(self) -> None:
+    async def wait_for_replica(self, line: LineName) -> None:
         """Wait until a replica has room for the item, and reserve the room.
 
         The item's rank must have a place in the line.
         """
-        line, model = self._tools.waiting, self._job.model
-        while not line.is_first(model, self._rank) or (state := self._choose()) is None:
+        waiting = self._tools.waiting
+        while not waiting.is_first(line, self._rank) or (state := self._choose()) is None:
             await asyncio.sleep(ROOM_STEP_S)
         self._state = state
         state.in_flight += 1
@@ -147,6 +159,7 @@
             min_version=self._job.min_version,
             preferred=self._tools.group_replica.get(self.item.group, ""),
             load_below=FULL_LOAD,
+            terms=self._tools.terms_of(self._job),
         )
 
     def _choose(self) -> ReplicaState | None:
@@ -183,8 +196,9 @@
         """Wait for a replica after an attempt, or until the item may be sent at all."""
         await self._wait_while_held()
         self._rank = Rank(start_s=self._rank.start_s, fresh=False, number=id(self))
-        with self._tools.waiting.place(self._job.model, self._rank):
-            await self.wait_for_replica()
+        line = self._tools.line_of(self._job)
+        with self._tools.waiting.place(line, self._rank):
+            await self.wait_for_replica(line)
 
     async def _wait_while_held(self) -> None:
         """Wait while the item is held; its job gives it up when the route's time for it is over."""
@@ -289,6 +303,7 @@
             priority=self._priority,
             tenant=self._job.tenant,
             crash_limit=ITEM_CRASH_LIMIT,
+            terms=self._tools.terms_of(self._job),
         )
 
     @property
--- a/passgate/jobs/liveness.py
+++ b/passgate/jobs/liveness.py
@@ -29,6 +29,8 @@
 
     writer: str
     """Its present life."""
+    zone: str = ""
+    """Its zone, so that the round trip of the question can be counted."""
     waiting_s: float = 0.0
     """Time for which the log has not acknowledged what it appends to the partition in question."""
 
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, JobOwned
+from passgate.decisions import DecisionLog, JobFreed, JobOwned
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Sign
@@ -41,6 +41,8 @@
 """Random part of the wait, so that few daemons claim at once."""
 
 NEVER_S = float("-inf")
+NOBODY = ""
+"""Owner of a job that any watcher may claim at once."""
 
 RunnerFactory = Callable[[JobState], JobRunner | None]
 """Makes a job's runner; None while no route fits."""
@@ -57,7 +59,10 @@
         make_runner: RunnerFactory,
         take_over: TakeOver,
         decisions: DecisionLog,
+        may_own: Callable[[JobState], bool] = lambda job: True,
     ) -> None:
+        """Begin with no runner; ``may_own`` tells whether this daemon's region may hold a job's bodies."""
+        self._may_own = may_own
         self._fold = fold
         self._journal = journal
         self._freshness = freshness
@@ -112,8 +117,10 @@
         """
         now_s = monotonic_s()
         self.start_runners()
-        for job in [job for job in self._fold.jobs.values() if job.open and job.owner != self.me]:
-            if not self.stopping and self._may_claim(job, watching, now_s):
+        for job in [job for job in self._fold.jobs.values() if job.open]:
+            if job.owner == self.me:
+                self._free_if_barred(job)
+            elif not self.stopping and self._may_claim(job, watching, now_s):
                 self._claim(job, now_s)
         self._stop_runners()
         if self._runners:
@@ -122,7 +129,7 @@
     def start_runners(self) -> None:
         """Run the open jobs that this daemon owns; called also as soon as records were read."""
         for job in [job for job in self._fold.jobs.values() if job.open and job.owner == self.me]:
-            if not self._is_handed_over(job.job_id):
+            if not self._is_handed_over(job.job_id) and self._may_own(job) and job.bound is None:
                 self._ensure_runner(job)
 
     def _is_handed_over(self, job_id: str) -> bool:
@@ -139,6 +146,8 @@
     def _may_claim(self, job: JobState, watching: bool, now_s: float) -> bool:
         if job.job_id in self._claiming or self._freshness.age_s(now_s) >= FRESH_S:
             return False
+        if not self._may_own(job) or job.bound is not None:
+            return False
         patience_s = 0.0 if watching else BYSTANDER_S + random.random()
         if not job.owner:
             return now_s - job.freed_s >= patience_s
@@ -195,6 +204,16 @@
             )
         )
 
+    def _free_if_barred(self, job: JobState) -> None:
+        """Leave a job to others once a changed configuration keeps it from this daemon's region."""
+        if self._may_own(job) or job.job_id in self._claiming:
+            return
+        self._claiming.add(job.job_id)
+        freed = JobClaimed(job_id=job.job_id, owner=NOBODY, epoch=job.epoch + 1)
+        stands = self._journal.put(freed)
+        stands.add_done_callback(lambda _: self._claiming.discard(job.job_id))
+        self._decisions.write(JobFreed(job_id=job.job_id, epoch=job.epoch + 1))
+
     def _ensure_runner(self, job: JobState) -> None:
         if job.job_id in self._runners:
             return
@@ -208,7 +227,7 @@
     def _stop_runners(self) -> None:
         for job_id, (runner, task) in list(self._runners.items()):
             job = self._fold.jobs.get(job_id)
-            if job is None or not job.open or job.owner != self.me:
+            if job is None or not job.open or job.owner != self.me or not self._may_own(job):
                 runner.save()
                 task.cancel()
                 del self._runners[job_id]
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -15,7 +15,9 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PeerFailed
+from passgate.eligibility.places import Places
 from passgate.errors import (
+    BodiesElsewhere,
     ExecutionStatus,
     NotFound,
     NotReady,
@@ -25,12 +27,13 @@
     PeerError,
     PeerUnreachable,
 )
+from passgate.gateway.distance import Distances
 from passgate.jobs.liveness import Alive
 from passgate.jobs.reader import ResultPage
 from passgate.jobs.records import ItemProgressed, ItemsDone, JobSpec, encode_spec
 from passgate.jobs.take_over import Handed
 from passgate.peers.transport import PeerTransport
-from passgate.sharedlog.group import GroupDirectory
+from passgate.sharedlog.group import GroupDirectory, OtherZones
 from passgate.sharedlog.member_names import address_of
 
 ANSWER_S = 0.35
@@ -134,7 +137,21 @@
         directory: GroupDirectory,
         member: str,
         decisions: DecisionLog,
+        distances: Distances | None = None,
+        elsewhere: OtherZones | None = None,
     ) -> None:
+        """Connect the parts.
+
+        Args:
+            transport: carries questions to other daemons.
+            directory: the members of this daemon's zone.
+            member: this daemon's own name among them.
+            decisions: where decisions are noted.
+            distances: round trips to the zones; without them, all is taken to be near.
+            elsewhere: the members of the other zones; None where no other region is known.
+        """
+        self._distances = distances or Distances(Places(zone=""))
+        self._elsewhere = elsewhere
         self._transport = transport
         self._directory = directory
         self._member = member
@@ -142,12 +159,22 @@
         self._in_doubt_since_s: dict[int, float] = {}
         """Since when nobody could tell of a partition, by partition."""
 
+    @property
+    def zone(self) -> str:
+        """Zone of this daemon."""
+        return self._distances.places.zone
+
     async def life_at(self, writer: str, part: int) -> Alive | None:
         """Return what is answered at a writer's address; None when nobody answers."""
         question = msgspec.json.encode(AskAlive(part=part))
         try:
-            payload = await self._transport.call(address_of(writer), ALIVE, question, ALIVE_S)
-            return msgspec.json.decode(payload, type=Alive)
+            began_s = monotonic_s()
+            patience_s = self._distances.patience_s(ALIVE_S)
+            payload = await self._transport.call(address_of(writer), ALIVE, question, patience_s)
+            alive = msgspec.json.decode(payload, type=Alive)
+            if alive.zone:
+                self._distances.observe(alive.zone, monotonic_s() - began_s, monotonic_s())
+            return alive
         except (PeerError, msgspec.DecodeError):
             return None  # the caller notes who counts as dead, and why
 
@@ -155,7 +182,8 @@
         """Let a writer that is cut off from the log stop; nothing is handed over when it does not answer."""
         question = msgspec.json.encode(HandOver(part=part))
         try:
-            payload = await self._transport.call(address_of(writer), HAND_OVER, question, HAND_OVER_S)
+            patience_s = self._distances.patience_s(HAND_OVER_S)
+            payload = await self._transport.call(address_of(writer), HAND_OVER, question, patience_s)
             return msgspec.json.decode(payload, type=HandedOver).entries
         except (PeerError, msgspec.DecodeError) as error:
             self._decisions.write(PeerFailed(peer=address_of(writer), part=part, reason=str(error)))
@@ -164,7 +192,8 @@
     async def owner_of_new(self, part: int) -> str:
         """Return the writer of the watcher that takes a new job, or nothing."""
         try:
-            payload = await self._ask(part, OWN, OwnJob(part=part), OWN_S)
+            patience_s = self._distances.patience_s(OWN_S, self.zone)
+            payload = await self._ask(part, OWN, OwnJob(part=part), patience_s)
         except PeerError:
             return ""
         return msgspec.json.decode(payload, type=JobTaken).writer
@@ -189,6 +218,25 @@
         """Return the body of an item; raises PeerError or NotFound."""
         return await self._ask_patiently(part, BODY, question, ANSWER_S)
 
+    async def body_elsewhere(self, part: int, question: ReadBody) -> bytes:
+        """Return the body of an item that other regions hold; raises PeerError or NotFound."""
+        failure: PassgateError | None = None
+        for zone, watcher in await self._watchers_elsewhere(part):
+            patience_s = self._distances.patience_s(ANSWER_S, zone)
+            try:
+                return await self._ask_member(watcher, part, BODY, question, patience_s)
+            except (PeerError, BodiesElsewhere) as error:
+                failure = error
+        raise PeerUnreachable("no daemon of another zone has the body", part=part) from failure
+
+    async def _watchers_elsewhere(self, part: int) -> list[tuple[str, str]]:
+        """Return other zones and their watchers of a partition: own region, then others, nearest first."""
+        if self._elsewhere is None:
+            return []
+        zones = self._elsewhere.nearest_first()
+        watchers = await asyncio.gather(*(directory.member_of(part) for _, directory in zones))
+        return [(zone, watcher) for (zone, _), watcher in zip(zones, watchers, strict=True) if watcher]
+
     async def end(self, part: int, question: EndJob) -> None:
         """End a job and return once that stands on the log; raises PeerError or NotFound."""
         await self._ask(part, END, question, question.patience_s)
@@ -223,6 +271,8 @@
         """Ask the watcher; when it can not tell, ask the one before it, which reads on for some time."""
         until_s = monotonic_s() + timeout_s
         watcher = await self._directory.member_of(part)
+        if watcher is None and self._distances.several_regions:
+            watcher = await self._nearest_elsewhere(part)
         if watcher is None:
             raise PeerCatchingUp("no watcher is known", part=part)
         if watcher == self._member:
@@ -235,6 +285,10 @@
                 raise
             return await self._ask_member(earlier, part, method, question, until_s - monotonic_s())
 
+    async def _nearest_elsewhere(self, part: int) -> str | None:
+        """Return the nearest watcher of another zone, as there is none in this one."""
+        return next((watcher for _, watcher in await self._watchers_elsewhere(part)), None)
+
     async def _ask_several(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
         """Ask members one after the other, without waiting long for each; return the first answer."""
         members = self._directory.others(self._member)[:MOST_ASKED]
@@ -247,7 +301,7 @@
                 if members:
                     call = self._ask_member(members.pop(), part, method, question, timeout_s)
                     waiting.add(asyncio.get_running_loop().create_task(call))
-                patience_s = NEXT_ASKED_S if members else None
+                patience_s = self._distances.patience_s(NEXT_ASKED_S, self.zone) if members else None
                 done, waiting = await asyncio.wait(
                     waiting, timeout=patience_s, return_when=asyncio.FIRST_COMPLETED
                 )
@@ -270,6 +324,8 @@
             if error.details.get("peer_code") == NotFound.code:
                 raise NotFound(str(error), execution=ExecutionStatus.NOT_RUN) from error
             self._note(address, part, error)
+            if error.details.get("peer_code") == BodiesElsewhere.code:
+                raise BodiesElsewhere(str(error), execution=ExecutionStatus.NOT_RUN) from error
             if error.details.get("peer_code") == NotReady.code:
                 raise PeerCatchingUp(str(error), part=part) from error
             self._directory.forget()
--- a/passgate/jobs/reader.py
+++ b/passgate/jobs/reader.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.errors import ExecutionStatus, NotFound, NotReady
+from passgate.errors import BodiesElsewhere, ExecutionStatus, NotFound, NotReady
 from passgate.jobs.fold import JobState
 from passgate.jobs.records import Result
 from passgate.jobs.shards import Shard
@@ -80,14 +82,27 @@
 
 
 async def read_body(shard: Shard, job_id: str, item_id: str) -> bytes:
-    """Return the body of an item; raises NotFound or NotReady."""
+    """Return the body of an item; raises NotFound, NotReady, or BodiesElsewhere."""
     job = await find_job(shard, job_id)
+    await _have_bodies(shard, job)
     item = job.item(item_id)
     if item is None:
         raise NotFound("no such item", execution=ExecutionStatus.NOT_RUN)
     return item.body
 
 
+async def _have_bodies(shard: Shard, job: JobState) -> None:
+    """Read the bodies of a job that stand apart; raises BodiesElsewhere or NotReady."""
+    if job.bodies_at is None:
+        return
+    if not shard.may_hold(job):
+        raise BodiesElsewhere("this region may not hold the bodies", execution=ExecutionStatus.NOT_RUN)
+    if job.bound is not None and shard.bodies is not None and (task := shard.bodies.want(job.bound)):
+        await asyncio.wait([task], timeout=CONFIRM_S)
+    if job.bound is not None:
+        raise NotReady("the bodies can not be read", execution=ExecutionStatus.NOT_RUN)
+
+
 async def find_job(shard: Shard, job_id: str) -> JobState:
     """Return a job; raises NotFound when there is none, NotReady when that is not sure."""
     shard.need()
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -49,6 +49,35 @@
     """Without it the item is done once its text is whole."""
 
 
+class BodiesPlace(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the bodies of a job stand that only some regions may hold."""
+
+    topic: str
+    part: int
+    first: int
+    """Offset of the first record that may hold a piece of them."""
+    last: int
+    """Offset of the last one."""
+    nonce: str
+    """Names the pieces that belong together."""
+
+
+class ItemBodies(msgspec.Struct, frozen=True, array_like=True):
+    """Bodies of one item and of its reward call."""
+
+    item: bytes
+    reward: bytes = b""
+
+
+class BodiesPiece(msgspec.Struct, frozen=True, kw_only=True):
+    """A piece of the encoded bodies of a job."""
+
+    nonce: str
+    index: int
+    count: int
+    data: bytes
+
+
 class JobSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A whole job as its caller submitted it."""
 
@@ -65,6 +94,8 @@
     """Tenant that submitted the job, to be named to the replicas; None where there are no tenants."""
     priority: int | None = None
     """Rank of the tenant's requests; replaces the rank of the route."""
+    bodies_at: BodiesPlace | None = None
+    """Where the bodies of its items stand, if these are not in the spec itself."""
 
 
 class Score(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -5,18 +5,21 @@
 read from a replica.  Attempts follow each other, so nothing is counted twice.
 
 Calls wait in line for a replica with room, and leave one place in some at each replica
-to callers of the same service.  Only the first in line looks for room.
+to callers of the same service.  Only the first in line looks for room; calls that are bound
+to other regions stand in another line, as all replicas that one may use may be gone.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 
 import msgspec
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, RewardFailed, RewardSent
+from passgate.eligibility.rules import SendTerms
 from passgate.errors import AnswerMismatch, ExecutionStatus, IncompleteAnswer, PassgateError
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replica_call import ReplicaAnswer, ReplicaCaller, ReplicaRequest
@@ -45,13 +48,15 @@
 
     find_route: Callable[[str, str], Route | None]
     """Returns the route in force of a host and path, or None."""
+    terms_for: Callable[[str, str, str | None], SendTerms]
+    """Returns what binds a request of a host, path and tenant by the configuration in force."""
     caller: ReplicaCaller
     replicas: ReplicaTable
     names: HeaderNames
     decisions: DecisionLog
     parts: WeightedChoice
-    line: asyncio.Lock
-    """Held by the call that looks for room; hands itself on in order."""
+    lines: defaultdict[frozenset[str] | None, asyncio.Lock]
+    """By the regions that may serve a call: held by the one that looks for room; hands itself on in order."""
 
 
 class RewardCall:
@@ -99,7 +104,7 @@
         while True:
             while (route := self._route()) is None:
                 await asyncio.sleep(ROOM_STEP_S)
-            async with self._tools.line:
+            async with self._tools.lines[self._terms().regions]:
                 state = await self._wait_in_front(route)
             if state is not None:
                 return route, state
@@ -117,10 +122,16 @@
     def _route(self) -> Route | None:
         return self._tools.find_route(self._spec.host, self._spec.path)
 
+    def _terms(self) -> SendTerms:
+        """Return what binds the call now: its own route, and the tenant of its job."""
+        return self._tools.terms_for(self._spec.host, self._spec.path, self._tenant)
+
     def _choose(self, service: str) -> ReplicaState | None:
         excluded = frozenset({self._avoided}) if self._avoided else frozenset()
         self._avoided = ""  # the only replica of a service must get its second try
-        request = ChoiceRequest(services=frozenset({service}), excluded=excluded, load_below=MOST_LOAD)
+        request = ChoiceRequest(
+            services=frozenset({service}), excluded=excluded, load_below=MOST_LOAD, terms=self._terms()
+        )
         return self._tools.replicas.choose(request, monotonic_s())
 
     async def _attempt(self, state: ReplicaState) -> str:
@@ -166,6 +177,7 @@
             deadline_s=monotonic_s() + patience_s,
             tenant=self._tenant,
             crash_limit=ITEM_CRASH_LIMIT,
+            terms=self._terms(),
         )
 
     def _stamp_of(self, answer: ReplicaAnswer) -> str:
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -16,9 +16,11 @@
 from passgate.decisions import DecisionLog, JobAccepted, JobAcceptFailed, JobEndFailed, JobRead
 from passgate.decisions import JobEnded as JobEndedEvent
 from passgate.errors import (
+    BodiesElsewhere,
     DurabilityUnknown,
     ExecutionStatus,
     InvalidRequest,
+    NoRegionAllowed,
     NotReady,
     PassgateError,
     PeerCallFailed,
@@ -86,6 +88,7 @@
 
         Raises:
             InvalidRequest: items are missing or not distinct.
+            NoRegionAllowed: no region may serve it.
             LogUnavailable: the job never runs.
             DurabilityUnknown: it may run.
         """
@@ -96,6 +99,7 @@
         offset = UNKNOWN_OFFSET
         if spec.job_id not in shard.fold.jobs:
             try:
+                self._check_servable(spec)
                 offset = await self._append(shard, spec, deadline_s)
             except PassgateError as error:
                 self._decisions.write(
@@ -116,6 +120,8 @@
         here = asyncio.get_running_loop().create_task(self._append_here(shard, spec, deadline_s))
         try:
             async with asyncio.timeout_at(deadline_s):
+                if not self._may_hold(spec.host, spec.path, spec.tenant):
+                    return await here  # the other daemons of this region may not get the bodies
                 await asyncio.wait([here], timeout=0.0 if self._cut_off() else SILENCE_S)
                 if here.done() or not await self._append_elsewhere(shard, spec, deadline_s, here):
                     return await here
@@ -149,6 +155,8 @@
 
     async def _append_here(self, shard: Shard, spec: JobSpec, deadline_s: float) -> int:
         owner = await self._owner_for(shard, spec)
+        if self._shards.bodies is not None:
+            spec = await self._shards.bodies.put_apart(spec, shard.part, deadline_s)
         parts = split_spec(spec, secrets.token_hex(4), shard.journal.piece_bytes, owner)
         offset = await shard.journal.append_job(parts, deadline_s)
         if owner == self._shards.writer:
@@ -163,7 +171,9 @@
         One owner knows what it has sent where, and its connections are open.  A job that
         nobody owns is claimed by any watcher as soon as it reads it.
         """
-        if shard.current:
+        if not self._may_hold(spec.host, spec.path, spec.tenant):
+            return NOBODY  # watchers in the regions that the job is bound to claim it
+        if shard.current and not self._is_bound(spec):
             last = shard.fold.jobs.get(shard.fold.newest_job.get(spec.model, ""))
             heard_s = shard.fold.heard_s.get(last.owner) if last is not None else None
             if last is not None and heard_s is not None and monotonic_s() - heard_s < OWNER_HEARD_S:
@@ -173,6 +183,22 @@
         watcher = await self._peers.owner_of_new(shard.part)
         return watcher or (self._shards.writer if self._shards.may_own_new else NOBODY)
 
+    def _check_servable(self, spec: JobSpec) -> None:
+        """Check that some region may serve a job; raises NoRegionAllowed."""
+        bodies = self._shards.bodies
+        if bodies is not None and bodies.regions_of(spec.host, spec.path, spec.tenant) == frozenset():
+            raise NoRegionAllowed("route and tenant allow no region in common")
+
+    def _may_hold(self, host: str, path: str, tenant: str | None) -> bool:
+        """Whether this daemon's region may hold the bodies of a job."""
+        bodies = self._shards.bodies
+        return bodies is None or bodies.may_hold(host, path, tenant)
+
+    def _is_bound(self, spec: JobSpec) -> bool:
+        """Whether only some regions may hold the bodies of a job; the last owner may be in another one."""
+        bodies = self._shards.bodies
+        return bodies is not None and bodies.regions_of(spec.host, spec.path, spec.tenant) is not None
+
     async def read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
         began_s = monotonic_s()
@@ -205,15 +231,27 @@
     async def body(self, host: str, job_id: str, item_id: str) -> bytes:
         """Return the body of an item; raises NotFound or NotReady."""
         shard = self._shards.of(host)
-        if not self._answers(shard):
-            try:
-                question = ReadBody(host=host, job_id=job_id, item_id=item_id)
+        question = ReadBody(host=host, job_id=job_id, item_id=item_id)
+        try:
+            if not self._answers(shard):
                 return await self._peers.body(shard.part, question)
-            except PeerCatchingUp as error:
-                raise NotReady(str(error), execution=ExecutionStatus.NOT_RUN) from error
-            except PeerError:
-                shard.need()
-        return await read_body(shard, job_id, item_id)
+        except BodiesElsewhere:
+            return await self._body_of_other_region(shard, question)
+        except PeerCatchingUp as error:
+            raise NotReady(str(error), execution=ExecutionStatus.NOT_RUN) from error
+        except PeerError:
+            shard.need()
+        try:
+            return await read_body(shard, job_id, item_id)
+        except BodiesElsewhere:
+            return await self._body_of_other_region(shard, question)
+
+    async def _body_of_other_region(self, shard: Shard, question: ReadBody) -> bytes:
+        """Return a body for a caller of a region that may not hold it; nothing of it is kept here."""
+        try:
+            return await self._peers.body_elsewhere(shard.part, question)
+        except PeerError as error:
+            raise NotReady(str(error), execution=ExecutionStatus.NOT_RUN) from error
 
     async def end(self, host: str, job_id: str, deadline_s: float) -> None:
         """End a job; return once that stands on the log.  Repeats do nothing.
@@ -316,7 +354,7 @@
     def _sign_of_life(self, question: AskAlive) -> Alive:
         shard = self._shards.known(question.part)
         waiting_s = shard.journal.waiting_s if shard is not None else 0.0
-        return Alive(writer=self._shards.writer, waiting_s=waiting_s)
+        return Alive(writer=self._shards.writer, zone=self._peers.zone, waiting_s=waiting_s)
 
     def _hand_over(self, question: HandOver) -> HandedOver:
         shard = self._shards.known(question.part)
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -20,6 +20,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, RecordUnreadable
+from passgate.jobs.bound_bodies import BodiesReader, BoundBodies
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
 from passgate.jobs.ownership import Ownership
@@ -71,10 +72,14 @@
         make_runner: RunnerFactory,
         take_over: TakeOver,
         decisions: DecisionLog,
+        bodies: BoundBodies | None = None,
     ) -> None:
         self.part = part
+        self._bodies = bodies
         self._decisions = decisions
         self.fold = JobFold()
+        self.bodies = BodiesReader(bodies, self.fold.take_bodies) if bodies is not None else None
+        """Reads the bodies of bound jobs; None where no job is bound."""
         self.journal = Journal(
             log,
             settings.topic,
@@ -92,6 +97,7 @@
             lambda job: make_runner(self.fold, self.journal, job),
             take_over,
             decisions,
+            self.may_hold,
         )
         self.needed_until_s = monotonic_s()
         self._writing = asyncio.get_running_loop().create_task(self.journal.run())
@@ -106,6 +112,21 @@
         """Whether the state here is kept up to date."""
         return self.followed.current
 
+    def may_hold(self, job: JobState) -> bool:
+        """Whether this daemon may hold a job's bodies, by the configuration in force."""
+        return self._bodies is None or self._bodies.may_hold(job.host, job.path, job.tenant)
+
+    def read_bodies(self) -> None:
+        """Begin to read the bodies of open jobs that this daemon may hold, and drop those it may not."""
+        if self.bodies is None:
+            return
+        for job in self.fold.jobs.values():
+            if job.bodies is not None and not self.may_hold(job):
+                job.bodies = None
+            elif job.open and job.bound is not None:
+                self.bodies.want(job.bound)
+        self.bodies.forget(frozenset(self.fold.jobs))
+
     def choose_wait(self) -> None:
         """Let long polls be short while a job is open, as its owner is judged by a fresh view only."""
         self.tail.wait_s = POLL_WAIT_S if self.fold.any_open() else IDLE_WAIT_S
@@ -128,6 +149,8 @@
     def close(self) -> None:
         """End all that runs for this partition."""
         self.followed.set(False)
+        if self.bodies is not None:
+            self.bodies.close()
         self.ownership.cancel_all()
         self._writing.cancel()
 
@@ -145,6 +168,7 @@
             if batch.writer == self.journal.writer:
                 self.journal.read_back(batch)
         self.choose_wait()
+        self.read_bodies()
         if self.current:
             self.ownership.start_runners()
 
@@ -163,6 +187,7 @@
         *,
         may_own_new: Callable[[], bool] = lambda: True,
         log_answers: Callable[[], bool] = lambda: True,
+        bodies: BoundBodies | None = None,
     ) -> None:
         """Begin with no partition.
 
@@ -175,6 +200,7 @@
             decisions: where decisions are noted.
             may_own_new: whether this daemon is large enough for a job that no watcher takes.
             log_answers: whether the log has just answered this daemon.
+            bodies: keeps the bodies of bound jobs apart; None where no job is bound.
         """
         self._log = log
         self._settings = settings
@@ -183,6 +209,7 @@
         self._make_runner = make_runner
         self._peers = peers
         self._log_answers = log_answers
+        self.bodies = bodies
         self._decisions = decisions
         self._shards: dict[int, Shard] = {}
         self.stopping = False
@@ -215,7 +242,7 @@
         if shard is None:
             take_over = TakeOver(part, self._peers, self._log_answers)
             shard = self._shards[part] = Shard(
-                part, self._log, self._settings, self._make_runner, take_over, self._decisions
+                part, self._log, self._settings, self._make_runner, take_over, self._decisions, self.bodies
             )
         return shard
 
@@ -243,6 +270,7 @@
             needed = part in held or shard.ownership.owns_any() or now_s < shard.needed_until_s
             shard.followed.set(needed)
             shard.choose_wait()
+            shard.read_bodies()
             if shard.current:
                 shard.ownership.tick(watching=self.watches(part))
                 shard.fold.prune(now_s, self._settings.retention_s)
--- a/passgate/jobs/waiting.py
+++ b/passgate/jobs/waiting.py
@@ -2,7 +2,8 @@
 
 A job is whole when its longest items are, so a short item may begin later by as much
 as the job's longest takes longer.  Items of an older job come first among those with
-equal slack.  Items of other models do not wait for each other.
+equal slack.  Items of other models do not wait for each other, nor do those of one model that
+are bound to other regions: the replicas that one may use may all be gone.
 
 >>> line = WaitingLine()
 >>> older, newer = Rank(start_s=1.0, fresh=True), Rank(start_s=2.0, fresh=False)
@@ -18,7 +19,7 @@
 
 import bisect
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 
 import msgspec
 
@@ -34,32 +35,40 @@
     """Tells entries apart."""
 
 
+class LineName(msgspec.Struct, frozen=True, kw_only=True):
+    """What the items of one line have in common."""
+
+    model: str
+    regions: frozenset[str] | None
+    """Regions that may serve them; None where any may."""
+
+
 class WaitingLine:
-    """All items of one daemon that wait, by model."""
+    """All items of one daemon that wait, by what they have in common."""
 
     def __init__(self) -> None:
-        self._lines: dict[str, list[Rank]] = {}
+        self._lines: dict[Hashable, list[Rank]] = {}
 
-    def enter(self, model: str, rank: Rank) -> None:
+    def enter(self, name: Hashable, rank: Rank) -> None:
         """Begin to wait."""
-        bisect.insort(self._lines.setdefault(model, []), rank)
+        bisect.insort(self._lines.setdefault(name, []), rank)
 
     @contextlib.contextmanager
-    def place(self, model: str, rank: Rank) -> Iterator[None]:
+    def place(self, name: Hashable, rank: Rank) -> Iterator[None]:
         """Wait within a ``with`` block."""
-        self.enter(model, rank)
+        self.enter(name, rank)
         try:
             yield
         finally:
-            self.leave(model, rank)
+            self.leave(name, rank)
 
-    def leave(self, model: str, rank: Rank) -> None:
+    def leave(self, name: Hashable, rank: Rank) -> None:
         """End waiting, with a replica or without."""
-        line = self._lines[model]
+        line = self._lines[name]
         line.remove(rank)
         if not line:
-            del self._lines[model]
+            del self._lines[name]
 
-    def is_first(self, model: str, rank: Rank) -> bool:
-        """Whether nobody of this model is before."""
-        return self._lines[model][0] == rank
+    def is_first(self, name: Hashable, rank: Rank) -> bool:
+        """Whether nobody of this line is before."""
+        return self._lines[name][0] == rank
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -10,11 +10,12 @@
 import contextlib
 import logging
 import random
+from collections.abc import Callable
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PartitionsHeld
 from passgate.errors import LogError
-from passgate.sharedlog.candidacy import Candidacy
+from passgate.sharedlog.candidacy import AMPLE_CORES, Candidacy
 from passgate.sharedlog.hedge import hedged
 from passgate.sharedlog.log import GroupPartition, GroupShare, SharedLog
 
@@ -193,3 +194,41 @@
             if members.get(partition) != member:
                 self._earlier[partition] = member
         self._members = members
+
+
+class OtherZones:
+    """Members of the groups of other zones, each read when it is asked for."""
+
+    def __init__(
+        self, log: SharedLog, watch_group: str, topic: str, nearest_first: Callable[[], list[str]]
+    ) -> None:
+        """Begin without any.
+
+        Args:
+            log: the log.
+            watch_group: name of the groups; that of a zone has the zone's name after a dot.
+            topic: topic whose partitions they deal.
+            nearest_first: returns the other zones, the nearest first.
+        """
+        self._log = log
+        self._watch_group = watch_group
+        self._topic = topic
+        self._nearest_first = nearest_first
+        self._directories: dict[str, GroupDirectory] = {}
+
+    def nearest_first(self) -> list[tuple[str, GroupDirectory]]:
+        """Return the other zones and who their members are, the nearest first."""
+        return [(zone, self._directory(zone)) for zone in self._nearest_first()]
+
+    def _directory(self, zone: str) -> GroupDirectory:
+        known = self._directories.get(zone)
+        if known is None:
+            group = group_of_zone(self._watch_group, zone)
+            known = GroupDirectory(self._log, group, self._topic, Candidacy(AMPLE_CORES))
+            self._directories[zone] = known
+        return known
+
+
+def group_of_zone(watch_group: str, zone: str) -> str:
+    """Return the group whose members watch partitions for a zone."""
+    return f"{watch_group}.{zone}"
--- a/tests/job_daemons.py
+++ b/tests/job_daemons.py
@@ -6,7 +6,10 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog
+from passgate.eligibility.places import Places
 from passgate.errors import NotReady
+from passgate.gateway.distance import Distances
+from passgate.jobs.bound_bodies import BoundBodies
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
@@ -26,7 +29,7 @@
 )
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.sharedlog.candidacy import Candidacy
-from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.group import GroupDirectory, GroupMember, OtherZones
 from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import KeyedTail, TailSettings
 from passgate.versions.control import ControlTopic
@@ -72,7 +75,8 @@
 class Daemon:
     """A daemon without replicas and callers; the rest is the product's own code."""
 
-    def __init__(self, log, name, life=0, zone="a", cores=2.0):
+    def __init__(self, log, name, life=0, zone="a", cores=2.0, config=None, regions=None):
+        """Make a daemon; ``config`` holds what binds jobs to the ``regions`` of zones, if anything does."""
         self.zone = zone
         self.client = log.client(name)
         self.network = networks.setdefault(log, MemoryNetwork(random.Random(1)))
@@ -87,7 +91,10 @@
         )
         sizes = {"record_bytes": 262_144, "append_bytes": 2_000_000}
         self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
-        self.peers = peers = JobPeers(self.transport, directory, member, decisions)
+        places = Places(zone=zone, regions=regions or {})
+        distances = Distances(places)
+        elsewhere = OtherZones(self.client, "watch", "jobs", distances.nearest_first)
+        self.peers = peers = JobPeers(self.transport, directory, member, decisions, distances, elsewhere)
         self.journal = Journal(self.client, "control", 0, self.name, **sizes)
         self.control = ControlTopic(
             self.client,
@@ -115,6 +122,9 @@
             decisions,
             may_own_new=lambda: candidacy.wanted,
             log_answers=self.member.answered,
+            bodies=BoundBodies(self.client, config.terms_for, places, settings, decisions)
+            if config
+            else None,
         )
         settings = TailSettings(topic="keyed.op", gap_s=0.05)
         self.operator = KeyedTail(self.client, settings, replace=_ignore_records, update=_ignore_records)
