--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -16,6 +16,7 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PeerFailed
 from passgate.eligibility.places import Places
+from passgate.eligibility.regions import may_be_in
 from passgate.errors import (
     BodiesElsewhere,
     ExecutionStatus,
@@ -198,6 +199,24 @@
             return ""
         return msgspec.json.decode(payload, type=JobTaken).writer
 
+    async def owner_in(self, part: int, regions: frozenset[str] | None) -> str:
+        """Return the writer of the nearest watcher in some regions that takes a new job, or nothing.
+
+        Such a watcher claims a job that nobody owns, but only once its view of the log is fresh.
+        """
+        question = OwnJob(part=part)
+        for zone, watcher in await self._watchers_elsewhere(part):
+            if not may_be_in(regions, self._distances.places.region_of(zone)):
+                continue
+            patience_s = self._distances.patience_s(OWN_S, zone)
+            try:
+                payload = await self._ask_member(watcher, part, OWN, question, patience_s)
+            except PeerError:
+                continue  # noted with its reason; the next one is asked
+            if writer := msgspec.json.decode(payload, type=JobTaken).writer:
+                return writer
+        return ""
+
     async def submit(self, part: int, spec: JobSpec, patience_s: float) -> None:
         """Let another daemon put a job on the log; raises PeerError when it may not stand there."""
         question = SubmitJob(spec=encode_spec(spec), patience_s=patience_s)
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -172,8 +172,8 @@
         nobody owns is claimed by any watcher as soon as it reads it.
         """
         if not self._may_hold(spec.host, spec.path, spec.tenant):
-            return NOBODY  # watchers in the regions that the job is bound to claim it
-        if shard.current and not self._is_bound(spec):
+            return await self._peers.owner_in(shard.part, self._regions_of(spec))
+        if shard.current and self._regions_of(spec) is None:  # the last owner may be in another region
             last = shard.fold.jobs.get(shard.fold.newest_job.get(spec.model, ""))
             heard_s = shard.fold.heard_s.get(last.owner) if last is not None else None
             if last is not None and heard_s is not None and monotonic_s() - heard_s < OWNER_HEARD_S:
@@ -185,8 +185,7 @@
 
     def _check_servable(self, spec: JobSpec) -> None:
         """Check that some region may serve a job; raises NoRegionAllowed."""
-        bodies = self._shards.bodies
-        if bodies is not None and bodies.regions_of(spec.host, spec.path, spec.tenant) == frozenset():
+        if self._regions_of(spec) == frozenset():
             raise NoRegionAllowed("route and tenant allow no region in common")
 
     def _may_hold(self, host: str, path: str, tenant: str | None) -> bool:
@@ -194,10 +193,10 @@
         bodies = self._shards.bodies
         return bodies is None or bodies.may_hold(host, path, tenant)
 
-    def _is_bound(self, spec: JobSpec) -> bool:
-        """Whether only some regions may hold the bodies of a job; the last owner may be in another one."""
+    def _regions_of(self, spec: JobSpec) -> frozenset[str] | None:
+        """Return the regions that a job is bound to; None where any may serve it."""
         bodies = self._shards.bodies
-        return bodies is not None and bodies.regions_of(spec.host, spec.path, spec.tenant) is not None
+        return bodies.regions_of(spec.host, spec.path, spec.tenant) if bodies is not None else None
 
     async def read(self, host: str, job_id: str, position: int, wait_s: float) -> ResultPage:
         """Return results from a position, waiting for one; raises NotFound or NotReady."""
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -14,7 +14,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -24,7 +24,7 @@
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
 from passgate.jobs.ownership import Ownership
-from passgate.jobs.records import WriterStopped, decode_batch
+from passgate.jobs.records import ItemBodies, WriterStopped, decode_batch
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.take_over import OwnerPeers, TakeOver
 from passgate.sharedlog.log import LogPage, SharedLog
@@ -78,7 +78,7 @@
         self._bodies = bodies
         self._decisions = decisions
         self.fold = JobFold()
-        self.bodies = BodiesReader(bodies, self.fold.take_bodies) if bodies is not None else None
+        self.bodies = BodiesReader(bodies, self._take_bodies) if bodies is not None else None
         """Reads the bodies of bound jobs; None where no job is bound."""
         self.journal = Journal(
             log,
@@ -127,6 +127,11 @@
                 self.bodies.want(job.bound)
         self.bodies.forget(frozenset(self.fold.jobs))
 
+    def _take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> None:
+        self.fold.take_bodies(job_id, bodies)
+        if self.current:
+            self.ownership.start_runners()
+
     def choose_wait(self) -> None:
         """Let long polls be short while a job is open, as its owner is judged by a fresh view only."""
         self.tail.wait_s = POLL_WAIT_S if self.fold.any_open() else IDLE_WAIT_S
