--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -209,10 +209,12 @@
             if not may_be_in(regions, self._distances.places.region_of(zone)):
                 continue
             patience_s = self._distances.patience_s(OWN_S, zone)
+            began_s = monotonic_s()
             try:
                 payload = await self._ask_member(watcher, part, OWN, question, patience_s)
             except PeerError:
                 continue  # noted with its reason; the next one is asked
+            self._distances.observe(zone, monotonic_s() - began_s, monotonic_s())
             if writer := msgspec.json.decode(payload, type=JobTaken).writer:
                 return writer
         return ""
@@ -224,18 +226,18 @@
 
     async def read(self, part: int, question: ReadJob) -> ResultPage:
         """Return results from a position on; raises PeerError or NotFound."""
-        payload = await self._ask_patiently(part, READ, question, question.wait_s + ANSWER_S)
+        payload = await self._ask_patiently(part, READ, question, question.wait_s + self._answer_s())
         return msgspec.json.decode(payload, type=ResultPage)
 
     async def read_anywhere(self, part: int, question: ReadJob) -> ResultPage:
         """Do the same for a daemon that can not reach the log, and so may not know who watches."""
         relayed = msgspec.structs.replace(question, relay=True)
-        payload = await self._ask_several(part, READ, relayed, question.wait_s + 2 * ANSWER_S)
+        payload = await self._ask_several(part, READ, relayed, question.wait_s + 2 * self._answer_s())
         return msgspec.json.decode(payload, type=ResultPage)
 
     async def body(self, part: int, question: ReadBody) -> bytes:
         """Return the body of an item; raises PeerError or NotFound."""
-        return await self._ask_patiently(part, BODY, question, ANSWER_S)
+        return await self._ask_patiently(part, BODY, question, self._answer_s())
 
     async def body_elsewhere(self, part: int, question: ReadBody) -> bytes:
         """Return the body of an item that other regions hold; raises PeerError or NotFound."""
@@ -256,6 +258,10 @@
         watchers = await asyncio.gather(*(directory.member_of(part) for _, directory in zones))
         return [(zone, watcher) for (zone, _), watcher in zip(zones, watchers, strict=True) if watcher]
 
+    def _answer_s(self) -> float:
+        """Return the time for an answer; the watcher may be in another zone when this one has none."""
+        return self._distances.patience_s(ANSWER_S)
+
     async def end(self, part: int, question: EndJob) -> None:
         """End a job and return once that stands on the log; raises PeerError or NotFound."""
         await self._ask(part, END, question, question.patience_s)
