Ask daemons of the own region, then of another one, when the own zone is cut off from the log

Cause: a daemon cut off from the log asked members of its own zone only, so a region cut off from the log accepted no job. Change: members of the nearest other zone of the region and of one other region are kept known (one read each 10 s and daemon, none where there is one region) and asked after those of the zone; a bound job only where it may be.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -137,8 +137,10 @@
         )
         self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
         distances = self.replicas.distances
-        elsewhere = OtherZones(log, topics.watch_group, topics.jobs, distances.nearest_first)
-        job_peers = JobPeers(peers, self._directory, member, self.decisions, distances, elsewhere)
+        self._elsewhere = OtherZones(
+            log, topics.watch_group, topics.jobs, distances.nearest_first, distances.fallback_zones
+        )
+        job_peers = JobPeers(peers, self._directory, member, self.decisions, distances, self._elsewhere)
         journal = Journal(
             log,
             topics.control,
@@ -347,6 +349,7 @@
             group.create_task(self._control.run())
             group.create_task(self.shards.run())
             group.create_task(self._directory.keep_known())
+            group.create_task(self._elsewhere.keep_known())
             group.create_task(self._loader.run())
             group.create_task(self._configuration_peers.run())
             group.create_task(self._crash_peers.run())
--- a/passgate/gateway/distance.py
+++ b/passgate/gateway/distance.py
@@ -93,6 +93,13 @@
         zones = [zone for zone in self.places.regions if zone != self.places.zone]
         return sorted(zones, key=lambda zone: (not self.is_home(zone), self.round_trip_s(zone), zone))
 
+    def fallback_zones(self) -> list[str]:
+        """Return zones whose daemons are asked when the own zone is cut off; none in one region."""
+        near = self.nearest_first() if self.several_regions else []
+        home = [zone for zone in near if self.is_home(zone)]
+        others = [zone for zone in near if not self.is_home(zone)]
+        return home[:1] + others[:1]
+
     def patience_s(self, floor_s: float, zone: str | None = None) -> float:
         """Return how long to wait for a short answer of a daemon.
 
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -47,6 +47,8 @@
 """Time for a daemon to answer before another one is asked as well."""
 MOST_ASKED = 3
 """Daemons that are asked by one that can not reach the log."""
+MOST_ASKED_ELSEWHERE = 2
+"""Daemons of other zones of the region, and of other regions, that are asked after those."""
 CATCH_UP_S = 3.0
 """Time for a zone to find a watcher (a lost one lapses after 1.2 s) and for it to read a partition."""
 CATCH_UP_STEP_S = 0.1
@@ -219,10 +221,12 @@
                 return writer
         return ""
 
-    async def submit(self, part: int, spec: JobSpec, patience_s: float) -> None:
-        """Let another daemon put a job on the log; raises PeerError when it may not stand there."""
+    async def submit(
+        self, part: int, spec: JobSpec, patience_s: float, regions: frozenset[str] | None = None
+    ) -> None:
+        """Let a daemon of some regions put a job on the log; raises PeerError when it may not stand there."""
         question = SubmitJob(spec=encode_spec(spec), patience_s=patience_s)
-        await self._ask_several(part, SUBMIT, question, patience_s)
+        await self._ask_several(part, SUBMIT, question, patience_s, regions)
 
     async def read(self, part: int, question: ReadJob) -> ResultPage:
         """Return results from a position on; raises PeerError or NotFound."""
@@ -314,9 +318,28 @@
         """Return the nearest watcher of another zone, as there is none in this one."""
         return next((watcher for _, watcher in await self._watchers_elsewhere(part)), None)
 
-    async def _ask_several(self, part: int, method: str, question: msgspec.Struct, timeout_s: float) -> bytes:
+    def _members_to_ask(self, regions: frozenset[str] | None) -> list[str]:
+        """Return members of some regions: those of the own zone last, as the last is asked first."""
+        places = self._distances.places
+        far = self._elsewhere.known_members() if self._elsewhere is not None else []
+        far = [(zone, member) for zone, member in far if may_be_in(regions, places.region_of(zone))]
+        home = [member for zone, member in far if self._distances.is_home(zone)][:MOST_ASKED_ELSEWHERE]
+        others = [member for zone, member in far if not self._distances.is_home(zone)]
+        members = [*home, *others[:MOST_ASKED_ELSEWHERE]][::-1]
+        if may_be_in(regions, places.region):
+            members += self._directory.others(self._member)[:MOST_ASKED]
+        return members
+
+    async def _ask_several(
+        self,
+        part: int,
+        method: str,
+        question: msgspec.Struct,
+        timeout_s: float,
+        regions: frozenset[str] | None = None,
+    ) -> bytes:
         """Ask members one after the other, without waiting long for each; return the first answer."""
-        members = self._directory.others(self._member)[:MOST_ASKED]
+        members = self._members_to_ask(regions)
         if not members:
             raise PeerUnreachable("no other daemon is known", part=part)
         waiting: set[asyncio.Task[bytes]] = set()
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -120,8 +120,6 @@
         here = asyncio.get_running_loop().create_task(self._append_here(shard, spec, deadline_s))
         try:
             async with asyncio.timeout_at(deadline_s):
-                if not self._may_hold(spec.host, spec.path, spec.tenant):
-                    return await here  # the other daemons of this region may not get the bodies
                 await asyncio.wait([here], timeout=0.0 if self._cut_off() else SILENCE_S)
                 if here.done() or not await self._append_elsewhere(shard, spec, deadline_s, here):
                     return await here
@@ -136,7 +134,8 @@
     ) -> bool:
         """Return whether another daemon put the job on the log before this one did."""
         patience_s = max(deadline_s - monotonic_s(), 0.0)
-        there = asyncio.get_running_loop().create_task(self._peers.submit(shard.part, spec, patience_s))
+        submit = self._peers.submit(shard.part, spec, patience_s, self._regions_of(spec))
+        there = asyncio.get_running_loop().create_task(submit)
         try:
             await asyncio.wait([here, there], return_when=asyncio.FIRST_COMPLETED)
             if not here.done():
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -39,6 +39,8 @@
 """Time between reads of the list, so that it is known when the log falls silent."""
 RETRY_S = 1.0
 """Time after a failed read of the list before the next."""
+KEEP_KNOWN_S = 10.0
+"""Time between reads of the lists of other zones, which are needed only when the own zone is cut off."""
 PATIENCE_S = 0.3
 """Longest time that a caller waits for the list; then the one known before must do."""
 
@@ -200,7 +202,12 @@
     """Members of the groups of other zones, each read when it is asked for."""
 
     def __init__(
-        self, log: SharedLog, watch_group: str, topic: str, nearest_first: Callable[[], list[str]]
+        self,
+        log: SharedLog,
+        watch_group: str,
+        topic: str,
+        nearest_first: Callable[[], list[str]],
+        kept_known: Callable[[], list[str]] = list,
     ) -> None:
         """Begin without any.
 
@@ -209,7 +216,9 @@
             watch_group: name of the groups; that of a zone has the zone's name after a dot.
             topic: topic whose partitions they deal.
             nearest_first: returns the other zones, the nearest first.
+            kept_known: returns the zones whose members are known also once the log falls silent.
         """
+        self._kept_known = kept_known
         self._log = log
         self._watch_group = watch_group
         self._topic = topic
@@ -220,6 +229,24 @@
         """Return the other zones and who their members are, the nearest first."""
         return [(zone, self._directory(zone)) for zone in self._nearest_first()]
 
+    def known_members(self) -> list[tuple[str, str]]:
+        """Return zones and members that are known without asking the log, nearest zones first.
+
+        Which zones are the nearest may have changed since their members were read.
+        """
+        zones = [
+            (zone, self._directories[zone]) for zone in self._nearest_first() if zone in self._directories
+        ]
+        return [(zone, member) for zone, directory in zones for member in directory.others("")]
+
+    async def keep_known(self) -> None:
+        """Keep the members of some zones known, until cancelled; there may be no such zone."""
+        while zones := self._kept_known():
+            for zone in zones:
+                await self._directory(zone).member_of(0)
+            all_known = all(self._directory(zone).others("") for zone in zones)
+            await asyncio.sleep(KEEP_KNOWN_S if all_known else RETRY_S)
+
     def _directory(self, zone: str) -> GroupDirectory:
         known = self._directories.get(zone)
         if known is None:
--- a/tests/job_daemons.py
+++ b/tests/job_daemons.py
@@ -93,7 +93,9 @@
         self.directory = directory = GroupDirectory(self.client, f"watch.{zone}", "jobs", candidacy)
         places = Places(zone=zone, regions=regions or {})
         distances = Distances(places)
-        elsewhere = OtherZones(self.client, "watch", "jobs", distances.nearest_first)
+        self.elsewhere = elsewhere = OtherZones(
+            self.client, "watch", "jobs", distances.nearest_first, distances.fallback_zones
+        )
         self.peers = peers = JobPeers(self.transport, directory, member, decisions, distances, elsewhere)
         self.journal = Journal(self.client, "control", 0, self.name, **sizes)
         self.control = ControlTopic(
@@ -149,6 +151,7 @@
             self.control.run(),
             self.shards.run(),
             self.directory.keep_known(),
+            self.elsewhere.keep_known(),
             self.operator.run(),
         )
         self.tasks = [loop.create_task(part) for part in parts]
--- a/tests/test_jobs_regions.py
+++ b/tests/test_jobs_regions.py
@@ -8,11 +8,12 @@
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.emulator.shared_log import MemorySharedLog
-from passgate.errors import NoRegionAllowed, NotReady
+from passgate.errors import DurabilityUnknown, LogUnavailable, NoRegionAllowed, NotReady
 from passgate.gateway.routes import ConfigHolder, GatewayConfig, Route, RoutePart
 from passgate.jobs.bound_bodies import topic_of
 from passgate.jobs.reader import find_job
 from passgate.jobs.records import RewardSpec
+from passgate.sharedlog.group import REFRESH_S
 from tests.job_daemons import HOST, TAKEN_OVER_SOON_S, Daemon, by_name, job_spec, networks, settle
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c"}
@@ -178,6 +179,36 @@
     assert sent == []
 
 
+def cut_off_from_the_log(fleet, region):
+    fleet.log.cut_off = {daemon.name.split(".")[0] for daemon in fleet.of(region)}
+
+
+@in_fleet()
+async def test_a_region_cut_off_from_the_log_accepts_jobs_through_another_region(fleet):
+    await asyncio.sleep(REFRESH_S)
+    cut_off_from_the_log(fleet, "a")
+    await asyncio.sleep(3.0)
+    began_s = monotonic_s()
+    await submit(fleet.of("a")[0], "j")
+    assert monotonic_s() - began_s < 1.5
+    await asyncio.sleep(SOON_S)
+    assert (await fleet.of("a")[0].service.read(HOST, "j", 0, 1.0)).total == 4
+    fleet.log.cut_off = set()
+    await settle(fleet.daemons, ["j"])
+
+
+@in_fleet("a")
+async def test_a_job_bound_to_a_region_cut_off_from_the_log_goes_to_no_other(fleet):
+    await asyncio.sleep(REFRESH_S)
+    cut_off_from_the_log(fleet, "a")
+    await asyncio.sleep(3.0)
+    with pytest.raises((LogUnavailable, DurabilityUnknown)):
+        await submit(fleet.of("a")[0], "j")
+    fleet.log.cut_off = set()
+    await asyncio.sleep(SOON_S)
+    assert fleet.holders("j") <= {"a"}
+
+
 def test_a_job_that_no_region_may_serve_is_refused():
     async def main():
         fleet = Fleet(MemorySharedLog(), "a")
