--- a/passgate/gateway/distance.py
+++ b/passgate/gateway/distance.py
@@ -53,6 +53,8 @@
         self.several_regions = len(set(places.regions.values())) > 1
         """Whether there is any other region than this daemon's."""
         self._measured: dict[str, _RoundTrip] = {}
+        self._costs: dict[str, float] = {}
+        """Cost by zone, as it is asked for each replica of each choice; emptied by each measurement."""
 
     def observe(self, zone: str, round_trip_s: float, now_s: float) -> None:
         """Count a measured round trip: a shorter one holds at once, longer ones when none was shorter."""
@@ -65,6 +67,7 @@
         if now_s - known.began_s >= WINDOW_S:
             known.value_s += RISE_SHARE * (known.lowest_s - known.value_s)
             known.lowest_s, known.began_s = round_trip_s, now_s
+        self._costs.clear()
 
     def round_trip_s(self, zone: str) -> float:
         """Return the round trip to a zone as measured lately, or as the layout lets expect."""
@@ -82,6 +85,12 @@
 
     def cost_s(self, zone: str) -> float:
         """Return what using a zone costs beyond using the own one, as time."""
+        cost_s = self._costs.get(zone)
+        if cost_s is None:
+            cost_s = self._costs[zone] = self._computed_cost_s(zone)
+        return cost_s
+
+    def _computed_cost_s(self, zone: str) -> float:
         if zone == self.places.zone:
             return 0.0
         if self.is_home(zone):
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -213,7 +213,8 @@
     def _score(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> float:
         load = state.load(now_s)
         score = (1.0 + load) * state.recent_latency_s(now_s) / ASSUMED_LATENCY_S + load
-        score += self.distances.cost_s(state.info.zone) / ASSUMED_LATENCY_S
+        if state.info.zone != self.places.zone:
+            score += self.distances.cost_s(state.info.zone) / ASSUMED_LATENCY_S
         if state.seems_loading(now_s):
             score += LOADING_COST
         if request.preferred == state.info.replica_id:
