--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -36,7 +36,7 @@
 REWARD_ANSWERED_500 = "the replica answered 500"
 REASONS = {
     "no_replica_available": "replicas were full, set aside or not known; nothing ran",
-    "no_replica_in_regions": "no replica of the allowed regions could take it, others were not asked; nothing ran",
+    "no_replica_in_regions": "no replica of the allowed regions could take it; nothing ran",
     "no_region_allowed": "its route and tenant allow no region in common; nothing ran",
     "not_ready": "the daemon did not know the configuration or could not read the log; nothing ran",
     "deadline_exceeded": "no replica answered within the time limit",
