Send to cold replicas only for permits that the leader of the control topic gives

Cause: the cold time in entries was not read, so a zone that comes back gets every daemon's requests at once. Change: what is cold is known from entries, from replicas that were out of reach and from ended evacuations; a rule lets a request to such a replica pass for a permit only; the daemon that leads grants within the bound over a second and a permit's life.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -10,9 +10,9 @@
 import secrets
 from collections.abc import Callable
 
-from passgate.clients.calls import HttpLimits
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
+from passgate.daemon.cold_sending import ColdSending
 from passgate.daemon.planned_stop import RELEASE_WAIT_S, PlannedStop
 from passgate.daemon.runners import RunnerMaker
 from passgate.daemon.topics import LogTopics
@@ -61,10 +61,6 @@
 from passgate.versions.control import ControlTopic
 from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
 
-UNACKNOWLEDGED_TIMEOUT_S = 2.0
-"""Time after which a connection whose bytes are not acknowledged is dead; two lost packets are borne."""
-MAX_BUFFERED_BYTES = 32 * 1024
-"""Unread bytes of one answer after which its connection is paused."""
 WATCH_S = 0.1
 """Time between looks at the log's freshness and the daemon's life."""
 FLUSH_S = 0.2
@@ -184,6 +180,16 @@
             self.put_config,
             self.decisions,
         )
+        self.cold = ColdSending(
+            lambda: self.settings,
+            self.config,
+            self.replicas,
+            self._control,
+            peers,
+            self._directory,
+            self._log_age_s,
+            self.decisions,
+        )
         self._crash_peers = CrashPeers(peers, lambda: self._directory.others(member), self._crashes.channel)
         counts_usage = settings.duties is not None and settings.duties.usage
         meter = self._duties.meter if self._duties is not None and counts_usage else None
@@ -344,6 +350,7 @@
             group.create_task(self._loader.run())
             group.create_task(self._configuration_peers.run())
             group.create_task(self._crash_peers.run())
+            group.create_task(self.cold.run())
             if self._duties is not None:
                 group.create_task(self._duties.run())
 
@@ -352,6 +359,8 @@
             return await self._duties.answer_peer(sender, method, payload)
         if method == CONFIGURATION_METHOD:
             return self._configuration_peers.answer(payload)
+        if method == self.cold.method:
+            return self.cold.answer(sender, payload)
         if method == CRASH_REPORTS_METHOD:
             return self._crash_peers.answer(payload)
         return await self.jobs.answer_peer(sender, method, payload)
@@ -389,15 +398,3 @@
 
 def _ignore_message(sender: str, payload: bytes) -> None:
     """Daemons of the platform ask questions only."""
-
-
-def make_http_client() -> HttpClient:
-    """Return the client that a daemon uses towards the log and the replicas."""
-    return HttpClient(
-        HttpLimits(
-            resolve_names=False,
-            connect_timeout_s=0.7,
-            unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
-            max_buffered_bytes=MAX_BUFFERED_BYTES,
-        )
-    )
--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -19,6 +19,7 @@
     Event,
     LinesDropped,
 )
+from passgate.decisions.cold_events import ColdReplicasChanged, PermitsBegan, PermitsCounted
 from passgate.decisions.daemon_events import (
     ConfigurationInForce,
     ConfigurationLearned,
@@ -73,6 +74,7 @@
 
 __all__ = [
     "AttemptFailed",
+    "ColdReplicasChanged",
     "ConfigurationInForce",
     "ConfigurationLearned",
     "ConfigurationRejected",
@@ -105,6 +107,8 @@
     "OrderSent",
     "PartitionsHeld",
     "PeerFailed",
+    "PermitsBegan",
+    "PermitsCounted",
     "RecordUnreadable",
     "RelayChanged",
     "ReplicaChanged",
--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -83,7 +83,7 @@
         if known is None or known.info.draining != news.info.draining:
             state = "draining" if news.info.draining else "ready"
             self._note(news.replica_id, news.info.service, state, True)
-        self._replicas.put(news.info)
+        self._replicas.entry_read(news.info, monotonic_s())
         return changed
 
     def _remove(self, replica_id: str) -> bool:
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -14,6 +14,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from passgate.decisions import (
+    ColdReplicasChanged,
     ConfigurationInForce,
     Event,
     ForwardEnded,
@@ -21,6 +22,7 @@
     ItemListed,
     JobAccepted,
     JobEnded,
+    PermitsCounted,
 )
 
 REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
@@ -92,6 +94,16 @@
         )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
+        self._cold = Gauge(
+            "passgate_cold_replicas", "Replicas that count as cold here.", registry=self.registry
+        )
+        self._permits = Counter(
+            "passgate_cold_permits",
+            "Permits to send to cold replicas, by what became of them.",
+            ("outcome",),
+            registry=self.registry,
+        )
+
     def count_log_call(self, call: str, subject: str, outcome: str) -> None:
         """Count a call to the log; see :mod:`passgate.sharedlog.counted`."""
         self._log_calls.labels(call, subject, outcome).inc()
@@ -111,6 +123,24 @@
             case ConfigurationInForce(version=version):
                 self._configuration.set(version)
 
+            case ColdReplicasChanged(cold=cold):
+                self._cold.set(cold)
+            case PermitsCounted():
+                self._count_permits(event)
+
+    def _count_permits(self, event: PermitsCounted) -> None:
+        counts = {
+            "given": event.given,
+            "refused": event.refused,
+            "got": event.got,
+            "used": event.used,
+            "expired": event.expired,
+            "wanting": event.wanting,
+            "unanswered": event.unanswered,
+        }
+        for outcome, count in counts.items():
+            self._permits.labels(outcome).inc(count)
+
     def exposition(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -223,6 +223,7 @@
             self._failed(unreachable=error.execution is ExecutionStatus.NOT_RUN)
             self._broke_off(error)
             raise
+        self._replicas.cold.reached(self._state.info, monotonic_s())
         answer = self._transfer.headers
         echoed = answer.get(self._names.request_id)
         if echoed is not None and echoed != self._request.request_id:
@@ -294,7 +295,10 @@
         self._crashes.broke_off(self._request.identity, replica, error)
 
     def _failed(self, *, unreachable: bool) -> None:
-        self._replicas.health.failed(self.replica_id, monotonic_s(), unreachable=unreachable)
+        if unreachable:
+            self._replicas.unreachable(self.replica_id, monotonic_s())
+        else:
+            self._replicas.health.failed(self.replica_id, monotonic_s())
 
     def too_slow(self) -> None:
         """Count an attempt that was given up because nothing came."""
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -13,6 +13,9 @@
 
 import msgspec
 
+from passgate.eligibility.cold_replicas import ColdReplicas
+from passgate.eligibility.cold_rule import ColdRule
+from passgate.eligibility.permits import PermitStock
 from passgate.eligibility.places import Places
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.rules import ANY_REQUEST, DrainingRule, SendRules, SendTerms
@@ -107,12 +110,22 @@
 
     def __init__(self, places: Places, seed: int | None = None) -> None:
         self.places = places
-        self.rules = SendRules([DrainingRule()])
+        self.cold = ColdReplicas()
+        """Which replicas are cold; none until it is told what services limit."""
+        self.permits = PermitStock()
+        """Permits to send to cold replicas."""
+        self._cold_rule = ColdRule(self.cold, self.permits)
+        self.rules = SendRules([DrainingRule(), self._cold_rule])
         """What keeps requests from replicas; see :mod:`passgate.eligibility.rules`."""
         self._states: dict[str, ReplicaState] = {}
         self._random = random.Random(seed)
         self.health = ReplicaHealth()
 
+    def entry_read(self, info: ReplicaInfo, now_s: float) -> None:
+        """Take an entry of discovery that was just read."""
+        self.cold.entry_read(info, now_s)
+        self.put(info)
+
     def put(self, info: ReplicaInfo) -> None:
         """Add or change a replica."""
         state = self._states.get(info.replica_id)
@@ -129,7 +142,14 @@
     def set_aside(self, replica_id: str, now_s: float) -> None:
         """Send nothing to a replica for a while at whose address nobody listens."""
         if replica_id in self._states:
-            self.health.failed(replica_id, now_s, unreachable=True)
+            self.unreachable(replica_id, now_s)
+
+    def unreachable(self, replica_id: str, now_s: float) -> None:
+        """Count a replica that could not be reached; it may be cold when it is back."""
+        self.health.failed(replica_id, now_s, unreachable=True)
+        state = self._states.get(replica_id)
+        if state is not None:
+            self.cold.unreachable(state.info, now_s)
 
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return a replica, or None."""
@@ -140,7 +160,28 @@
         return list(self._states.values())
 
     def choose(self, request: ChoiceRequest, now_s: float) -> ReplicaState | None:
-        """Return the best replica for a request, or None when none fits."""
+        """Return the best replica for a request, or None when none fits.
+
+        A cold replica counts as one with room for as many requests as there are permits.
+        """
+        best = self._best(request, now_s)
+        if best is None or best.load(now_s) >= FULL_LOAD:
+            self._want_permits(request, now_s)
+        if best is not None:
+            self._cold_rule.chosen(best.info, request.terms, now_s)
+        return best
+
+    def _want_permits(self, request: ChoiceRequest, now_s: float) -> None:
+        """Want permits for the cold replicas that would take a request for which there is no room."""
+        states = self._states.values()
+        cold = [state for state in states if self.cold.is_cold(state.info, now_s)]
+        wanted = [state.info for state in cold if self._suits(state, request, now_s)]
+        usable = self.health.usable([info.replica_id for info in wanted], now_s)
+        for info in wanted:
+            if info.replica_id in usable:
+                self.permits.want(info.replica_id, info.service)
+
+    def _best(self, request: ChoiceRequest, now_s: float) -> ReplicaState | None:
         candidates = [state for state in self._states.values() if self._fits(state, request, now_s)]
         usable = set(self.health.usable([state.info.replica_id for state in candidates], now_s))
         healthy = [state for state in candidates if state.info.replica_id in usable]
@@ -150,11 +191,17 @@
         return min(healthy, key=lambda state: self._score(state, request, now_s))
 
     def _fits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
+        if not self._suits(state, request, now_s):
+            return False
+        if not self.rules.allows(state.info, request.terms, now_s):
+            return False
+        return self._cold_rule.has_room(state.info, request.terms, now_s)
+
+    def _suits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
+        """Whether a replica will do, but for the rules for sending."""
         info = state.info
         if info.service not in request.services or info.replica_id in request.excluded:
             return False
-        if not self.rules.allows(info, request.terms, now_s):
-            return False
         if state.load(now_s) >= request.load_below:
             return False
         return not request.model or state.version_of(request.model) >= request.min_version
@@ -175,7 +222,7 @@
     ) -> bool:
         """Whether a replica that fits takes at most ``share`` of the time of the one a request is at."""
         state = self._states.get(replica_id)
-        other = self.choose(request, now_s)
+        other = self._best(request, now_s)
         if state is None or other is None:
             return False
         return other.recent_latency_s(now_s) < share * state.recent_latency_s(now_s)
--- a/passgate/platform/program.py
+++ b/passgate/platform/program.py
@@ -10,7 +10,8 @@
 
 from passgate.clients.curl import HttpClient
 from passgate.clock import DaemonEventLoop
-from passgate.daemon.gateway_daemon import GatewayDaemon, make_http_client
+from passgate.daemon.gateway_daemon import GatewayDaemon
+from passgate.daemon.http_client import make_http_client
 from passgate.daemon.topics import LogTopics
 from passgate.discovery.service import ReplicaTopics
 from passgate.gateway.settings import GatewaySettings
