--- a/passgate/eligibility/permits.py
+++ b/passgate/eligibility/permits.py
@@ -18,7 +18,7 @@
 
 import asyncio
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -64,11 +64,17 @@
             del self.demands[asker]
 
     def room(self, asker: str, limit: int) -> int:
-        """Return what one asker may get now, within the limit and beside the others' demand."""
-        left = limit - sum(grant.count for grant in self.grants)
-        own = sum(grant.count for grant in self.grants if grant.asker == asker)
-        share = fair_share(limit, [demand.count for demand in self.demands.values()])
-        return max(min(left, share - own), 0)
+        """Return what one asker may get now: its share, and what the others don't lack of theirs."""
+        granted: Counter[str] = Counter()
+        for grant in self.grants:
+            granted[grant.asker] += grant.count
+        left = limit - granted.total()
+        wants = {other: granted[other] + demand.count for other, demand in self.demands.items()}
+        share = fair_share(limit, wants.values())
+        others_lack = sum(
+            max(min(want, share) - granted[other], 0) for other, want in wants.items() if other != asker
+        )
+        return max(min(left, share - granted[asker]), left - others_lack, 0)
 
 
 class PermitGrants:
@@ -139,13 +145,15 @@
 def fair_share(limit: int, demands: Iterable[int]) -> int:
     """Return the most that one of several askers may get so that small demands are met in full.
 
+    It is rounded down; the rest goes to whoever asks next.
+
     >>> fair_share(29, [40, 40]), fair_share(29, [1, 1, 40]), fair_share(2, [1] * 84)
-    (15, 27, 1)
+    (14, 27, 1)
     """
     left = limit
     waiting = sorted(demands)
     for place, demand in enumerate(waiting):
-        share = max(math.ceil(left / (len(waiting) - place)), 1)
+        share = max(left // (len(waiting) - place), 1)
         left -= min(demand, share)
         if demand > share or left <= 0:
             return share
