--- a/passgate/daemon/cold_sending.py
+++ b/passgate/daemon/cold_sending.py
@@ -25,6 +25,8 @@
 """Partition whose watchers follow the control topic, and so know who leads."""
 REPORT_S = 1.0
 """Time between lines about permits and cold replicas."""
+UNBOUNDED_PER_S = 1_000_000.0
+"""Rate that no replica reaches."""
 NAMED_REPLICAS = 8
 """Replicas that a line names; the others are counted."""
 
@@ -55,7 +57,7 @@
             self._limits = {
                 each.name: ColdLimit(
                     lasts_s=each.cold_start.lasts_s,
-                    most_per_s=math.floor(each.cold_start.requests_per_s * overshoot + slack),
+                    most_per_s=_most_per_s(each.cold_start.requests_per_s * overshoot + slack),
                 )
                 for each in table.config.services
                 if each.cold_start is not None
@@ -69,6 +71,15 @@
         return bool(self._limits)
 
 
+def _most_per_s(bound: float) -> int:
+    """Return the whole requests within a bound, which an operator may have written in any way.
+
+    >>> _most_per_s(29.5), _most_per_s(-1.0), _most_per_s(math.nan), _most_per_s(math.inf)
+    (29, 0, 0, 1000000)
+    """
+    return math.floor(min(max(0.0, bound), UNBOUNDED_PER_S))
+
+
 class ColdSending:
     """One daemon's part in keeping cold replicas within what they bear."""
 
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -4,6 +4,7 @@
 
 import base64
 import logging
+import math
 
 import msgspec
 
@@ -114,7 +115,7 @@
     spot: bool = False
     models: list[_Model] = []
     born: int = 0
-    coldRemainingMs: int = 0
+    coldRemainingMs: float = 0.0
 
 
 class _NamedVersion(msgspec.Struct, frozen=True):
@@ -239,7 +240,7 @@
         spot=replica.spot,
         model_versions={model.name: model.version for model in replica.models},
         born_unix_ms=replica.born,
-        cold_ms=max(replica.coldRemainingMs, 0),
+        cold_ms=math.ceil(max(replica.coldRemainingMs, 0.0)),
     )
 
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -675,3 +675,33 @@
         with unittest.mock.patch(f"{__name__}.free_address", side_effect=addresses):
             await world.start()
         assert world.daemon.ready()
+
+
+@in_world
+async def test_a_cold_replica_gets_no_more_than_its_rate_and_all_once_it_is_warm(world):
+    per_s = 5
+    replica = world.replica("i-1", "app", cold_ms=30_000)
+    document = stand_ins.config_document(1, [stand_ins.safe_route()], ["app"])
+    document["services"][0] |= {"coldStartS": 30, "coldPerS": per_s}
+    world.log.put("keyed.op", "config", document)
+    await world.start()
+    for number in range(300):
+        await world.call("POST", "/call/x", b"", request_id=f"r{number}")
+        if len(replica.runs) >= 3 * per_s:
+            break
+    began_s = sorted(run.began_s for run in replica.runs)
+    assert len(began_s) >= 3 * per_s
+    assert all(later - first > 1.0 for first, later in zip(began_s, began_s[per_s:], strict=False))
+    replica.cold_ms = 0
+    replica.tell()
+    await world.until(lambda: not world.daemon.replicas.cold.is_cold(info_of(world, "i-1"), time_s()))
+    answers = [await world.call("POST", "/call/x", b"", request_id=f"w{number}") for number in range(20)]
+    assert {answer.status for answer in answers} == {200}
+
+
+def info_of(world, replica_id):
+    return world.daemon.replicas.get(replica_id).info
+
+
+def time_s():
+    return asyncio.get_running_loop().time()
