--- a/passgate/daemon/cold_sending.py
+++ b/passgate/daemon/cold_sending.py
@@ -133,11 +133,6 @@
         # A replica in doubt has no known end; what this daemon can not tell, it does not tell others.
         return {key: round(left * 1000) for key, left in left_s.items() if 0.0 < left < math.inf}
 
-    def turned_cold(self, zone: str, now_s: float) -> None:
-        """Take all replicas of a zone to be cold now, until their entries tell otherwise."""
-        infos = [state.info for state in self._replicas.all()]
-        self._replicas.cold.turned_cold([info for info in infos if info.zone == zone], now_s)
-
     async def run(self) -> None:
         """Ask for permits and keep the books, until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -151,6 +151,11 @@
         if state is not None:
             self.cold.unreachable(state.info, now_s)
 
+    def turned_cold(self, zone: str, now_s: float) -> None:
+        """Take all replicas of a zone to be cold from now on, until later entries tell otherwise."""
+        infos = [state.info for state in self._states.values() if state.info.zone == zone]
+        self.cold.turned_cold(infos, now_s)
+
     def get(self, replica_id: str) -> ReplicaState | None:
         """Return a replica, or None."""
         return self._states.get(replica_id)
