--- a/tests/cold_comparison.py
+++ b/tests/cold_comparison.py
@@ -2,7 +2,8 @@
 
 ``python -m tests.cold_comparison`` prints the table of docs/design/eligibility.md.  A zone of six replicas
 comes back and stays cold for eight seconds; three of 24 daemons run jobs, the others have nothing for it.
-With ``--all`` each of the others has one request waiting at all times.
+With ``--all`` each of the others has one request waiting at all times; ``--questions`` prints
+what the questions of many daemons with requests cost.
 """
 
 import asyncio
@@ -136,7 +137,30 @@
     return run_virtual(main())
 
 
+def questions(daemons, replicas=23, play_s=2.0):
+    """Return questions a second at the leader, and bytes a second of all daemons that want permits."""
+
+    async def main():
+        world = World(daemons=daemons, replicas=replicas)
+        world.lead(0, fence=1)
+        world.entries(60_000)
+        await asyncio.sleep(SPAN_S + 0.2)
+        counters = [daemon.transport.counters for daemon in world.daemons]
+        received = counters[0].frames_received
+        sent_bytes = sum(each.bytes_sent for each in counters)
+        world.load(2, world.daemons[1:])
+        await asyncio.sleep(play_s)
+        sent_bytes = sum(each.bytes_sent for each in counters) - sent_bytes
+        return (counters[0].frames_received - received) / play_s, sent_bytes / play_s
+
+    return run_virtual(main())
+
+
 def main():
+    if "--questions" in sys.argv:
+        for daemons in (21, 42, 84, 150, 300):
+            print(daemons, *questions(daemons), flush=True)
+        return
     others_waiting = int("--all" in sys.argv)
     print("| fault | " + " | ".join(f"{way.value}: served | worst second" for way in Way) + " |")
     print("|---|" + "---|---|" * len(Way))
