--- a/passgate/daemon/cold_sending.py
+++ b/passgate/daemon/cold_sending.py
@@ -45,15 +45,19 @@
     def __init__(self, config: ConfigHolder, overshoot_and_slack: Callable[[], tuple[float, float]]) -> None:
         self._config = config
         self._overshoot_and_slack = overshoot_and_slack
-        self._version = NO_VERSION
+        self._made_of: tuple[int, float, float] = (NO_VERSION, 0.0, 0.0)
+        """Version of the configuration, overshoot and slack that the limits come from."""
         self._limits: dict[str, ColdLimit] = {}
 
     def of(self, service: str) -> ColdLimit | None:
         """Return the limit of a service, or None."""
         table = self._config.table
-        if table is not None and table.config.version != self._version:
-            self._version = table.config.version
-            overshoot, slack = self._overshoot_and_slack()
+        if table is None:
+            return None
+        overshoot, slack = self._overshoot_and_slack()
+        made_of = (table.config.version, overshoot, slack)
+        if made_of != self._made_of:
+            self._made_of = made_of
             self._limits = {
                 each.name: ColdLimit(
                     lasts_s=each.cold_start.lasts_s,
