--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -14,6 +14,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from passgate.decisions import (
+    ColdReplicasChanged,
     ConfigurationInForce,
     Event,
     ForwardEnded,
@@ -22,6 +23,7 @@
     JobAccepted,
     JobAcceptFailed,
     JobEnded,
+    PermitsCounted,
 )
 from passgate.errors import NoRegionAllowed, NoReplicaInRegions
 
@@ -109,6 +111,16 @@
         )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
+        self._cold = Gauge(
+            "passgate_cold_replicas", "Replicas that count as cold here.", registry=self.registry
+        )
+        self._permits = Counter(
+            "passgate_cold_permits",
+            "Permits to send to cold replicas, by what became of them.",
+            ("outcome",),
+            registry=self.registry,
+        )
+
     def count_log_call(self, call: str, subject: str, outcome: str) -> None:
         """Count a call to the log; see :mod:`passgate.sharedlog.counted`."""
         self._log_calls.labels(call, subject, outcome).inc()
@@ -134,6 +146,24 @@
             case ConfigurationInForce(version=version):
                 self._configuration.set(version)
 
+            case ColdReplicasChanged(cold=cold):
+                self._cold.set(cold)
+            case PermitsCounted():
+                self._count_permits(event)
+
+    def _count_permits(self, event: PermitsCounted) -> None:
+        counts = {
+            "given": event.given,
+            "refused": event.refused,
+            "got": event.got,
+            "used": event.used,
+            "expired": event.expired,
+            "wanting": event.wanting,
+            "unanswered": event.unanswered,
+        }
+        for outcome, count in counts.items():
+            self._permits.labels(outcome).inc(count)
+
     def exposition(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
