--- a/passgate/check/specification/catalogue.py
+++ b/passgate/check/specification/catalogue.py
@@ -1,13 +1,14 @@
 """All specifications, by name.
 
 >>> sorted(SPECIFICATIONS)
-['claims', 'configuration', 'leadership', 'leases', 'lots', 'planned_stop', 'usage_reports']
+['claims', 'configuration', 'evacuation', 'leadership', 'leases', 'lots', 'planned_stop', 'usage_reports']
 """
 
 from __future__ import annotations
 
 from passgate.check.specification.claims import CLAIMS
 from passgate.check.specification.configuration import CONFIGURATION
+from passgate.check.specification.evacuation import EVACUATION
 from passgate.check.specification.kernel import Specification
 from passgate.check.specification.leadership import LEADERSHIP
 from passgate.check.specification.leases import LEASES
@@ -18,7 +19,16 @@
 
 SPECIFICATIONS: dict[str, Specification] = {
     specification.name: specification
-    for specification in (PLANNED_STOP, LEASES, LEADERSHIP, CLAIMS, CONFIGURATION, LOTS, USAGE_REPORTS)
+    for specification in (
+        PLANNED_STOP,
+        LEASES,
+        LEADERSHIP,
+        CLAIMS,
+        CONFIGURATION,
+        EVACUATION,
+        LOTS,
+        USAGE_REPORTS,
+    )
 }
 
 
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -10,7 +10,6 @@
 import secrets
 from collections.abc import Callable
 
-from passgate.clients.calls import HttpLimits
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
 from passgate.daemon.planned_stop import RELEASE_WAIT_S, PlannedStop
@@ -31,6 +30,7 @@
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
 from passgate.duties.usage_channel import CONTROL_PART
+from passgate.eligibility.evacuation import EvacuatedZones, EvacuationRule
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -61,10 +61,6 @@
 from passgate.versions.control import ControlTopic
 from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
 
-UNACKNOWLEDGED_TIMEOUT_S = 2.0
-"""Time after which a connection whose bytes are not acknowledged is dead; two lost packets are borne."""
-MAX_BUFFERED_BYTES = 32 * 1024
-"""Unread bytes of one answer after which its connection is paused."""
 WATCH_S = 0.1
 """Time between looks at the log's freshness and the daemon's life."""
 FLUSH_S = 0.2
@@ -105,6 +101,9 @@
         log = CountedLog(log, self.metrics.count_log_call)
         self.config = ConfigHolder()
         self.replicas = ReplicaTable(settings.places)
+        self.evacuated = EvacuatedZones(self.decisions)
+        self.replicas.rules.add(EvacuationRule(self.evacuated))
+        self.metrics.show_kept_back(self.replicas.rules.kept_back)
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -118,7 +117,7 @@
         self._log = log
         self._crashes = Crashes(log, topics.crashes, self.replicas.set_aside, self.decisions)
         caller = ReplicaCaller(http, self.replicas, names, self._crashes.guard)
-        runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions)
+        runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions, self.evacuated)
         self._peers = peers
         member = member_name(settings.daemon_id, peers.address, settings.cores)
         candidacy = Candidacy(settings.cores)
@@ -173,6 +172,7 @@
                 self.decisions,
                 config=self.config,
                 replicas=self.replicas,
+                evacuated=self.evacuated,
                 member=member,
                 holder=settings.daemon_id,
             )
@@ -180,6 +180,7 @@
             peers,
             lambda: self._directory.others(member),
             self.config,
+            self.evacuated,
             self._log_age_s,
             self.put_config,
             self.decisions,
@@ -327,6 +328,8 @@
 
     def _exposition(self) -> bytes:
         self.metrics.log_age.set(self._log_age_s())
+        self.metrics.evacuated_zones.set(len(self.evacuated))
+        self.metrics.evacuation_age.set(self._configuration_peers.evacuations_age_s())
         self.metrics.in_flight.set(self._front.in_flight)
         self.metrics.jobs_owned.set(self.shards.running)
         self.metrics.leads.set(self._control.leadership.leads)
@@ -389,15 +392,3 @@
 
 def _ignore_message(sender: str, payload: bytes) -> None:
     """Daemons of the platform ask questions only."""
-
-
-def make_http_client() -> HttpClient:
-    """Return the client that a daemon uses towards the log and the replicas."""
-    return HttpClient(
-        HttpLimits(
-            resolve_names=False,
-            connect_timeout_s=0.7,
-            unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
-            max_buffered_bytes=MAX_BUFFERED_BYTES,
-        )
-    )
--- a/passgate/daemon/runners.py
+++ b/passgate/daemon/runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Container
 
 from passgate.decisions import DecisionLog
 from passgate.gateway.dialect import HeaderNames
@@ -11,6 +12,7 @@
 from passgate.gateway.routes import ConfigHolder, WeightedChoice
 from passgate.jobs.durations import OutputDurations
 from passgate.jobs.fold import JobFold, JobState
+from passgate.jobs.group_replicas import GroupReplicas
 from passgate.jobs.item_run import ItemTools
 from passgate.jobs.journal import Journal
 from passgate.jobs.reward_call import RewardTools
@@ -29,12 +31,14 @@
         names: HeaderNames,
         config: ConfigHolder,
         decisions: DecisionLog,
+        evacuated: Container[str],
     ) -> None:
         self._caller = caller
         self._replicas = replicas
         self._names = names
         self._config = config
         self._decisions = decisions
+        self._evacuated = evacuated
         self._waiting = WaitingLine()
         self._durations = OutputDurations()
         self._silence = StreamSilence()
@@ -64,6 +68,6 @@
             durations=self._durations,
             rewards=self._rewards,
             silence=self._silence,
-            group_replica={},
+            group_replicas=GroupReplicas(self._replicas, self._evacuated),
         )
         return JobRunner(job, fold, journal, tools)
--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -29,12 +29,14 @@
     DependencyLost,
     DependencyRegained,
     DiscoveryLoaded,
+    EvacuationEnded,
     PartitionsHeld,
     PeerFailed,
     RecordUnreadable,
     RelayChanged,
     ReplicaChanged,
     SettingsReloaded,
+    ZoneEvacuated,
 )
 from passgate.decisions.job_events import (
     ItemFailed,
@@ -85,6 +87,7 @@
     "DependencyLost",
     "DependencyRegained",
     "DiscoveryLoaded",
+    "EvacuationEnded",
     "Event",
     "ForwardEnded",
     "ForwardSent",
@@ -117,4 +120,5 @@
     "UsageReportSent",
     "UsageWindowCommitted",
     "VersionWanted",
+    "ZoneEvacuated",
 ]
--- a/passgate/decisions/daemon_events.py
+++ b/passgate/decisions/daemon_events.py
@@ -78,6 +78,29 @@
     reason: str
 
 
+class ZoneEvacuated(Event, tag="zone_evacuated"):
+    """The operator has a zone evacuated: nothing more is sent to its replicas from here."""
+
+    zone: str
+    source: str
+    """ "log", or "peer" when another daemon told it."""
+    peer: str
+    age_ms: float
+    """Age of the other daemon's view; 0 for what was just read from the log."""
+    offset: int
+    """Offset up to which the operator's topic is known."""
+
+
+class EvacuationEnded(Event, tag="evacuation_ended"):
+    """A zone is no longer evacuated; the fields are those of ``zone_evacuated``."""
+
+    zone: str
+    source: str
+    peer: str
+    age_ms: float
+    offset: int
+
+
 class ReplicaChanged(Event, tag="replica_changed"):
     """Discovery tells of a replica otherwise than before."""
 
--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 import msgspec
 
@@ -59,6 +59,7 @@
         newest_jobs: Mapping[str, JobNoted],
         decisions: DecisionLog,
         *,
+        evacuated: Container[str],
         holder: str,
     ) -> None:
         """Make the scaler.
@@ -73,6 +74,7 @@
             replicas: the replicas that are there.
             newest_jobs: model to what its newest job asks for.
             decisions: where decisions are noted.
+            evacuated: zones in which no replica counts and none is ordered.
             holder: name of this daemon as the platform sees it.
         """
         self._fold = fold
@@ -84,6 +86,7 @@
         self._replicas = replicas
         self._newest_jobs = newest_jobs
         self._decisions = decisions
+        self._evacuated = evacuated
         self._holder = holder
         self._paces: dict[ReplicaPool, _Pace] = {}
 
@@ -109,7 +112,7 @@
         models = {model for state in states for model in state.info.model_versions}
         items = [job.items for model, job in self._newest_jobs.items() if model in models]
         wanted = replicas_for(items, max(state.info.slots for state in states))
-        present = _by_zone(states, rule.zone_prices)
+        present = self._present_by_zone(states, rule.zone_prices)
         for zone, replicas in spread_replicas(rule, present, wanted).items():
             pool = ReplicaPool(service=service.name, zone=zone, spot=True)
             self._decide_pool(pool, replicas.spot, present[zone].spot, rule)
@@ -134,6 +137,8 @@
         for decision in self._fold.unsent():
             pace = self._paces.setdefault(decision.pool, _Pace())
             now_s = monotonic_s()
+            if decision.pool.zone in self._evacuated:
+                continue  # sent when the evacuation has ended, unless it is decided anew
             if now_s < pace.next_s or not self._budget.take(now_s) or not self._leadership.may_order():
                 continue
             self._take(decision, pace, await self._order(decision))
@@ -188,11 +193,14 @@
             and not state.info.draining
         )
 
-
-def _by_zone(states: Iterable[ReplicaState], zones: Iterable[str]) -> dict[str, ZoneReplicas]:
-    """Return the replicas that stay, by zone and kind."""
-    counts = Counter((state.info.zone, state.info.spot) for state in states if not state.info.draining)
-    names = {*zones, *(zone for zone, _ in counts)}
-    return {
-        zone: ZoneReplicas(ordinary=counts[zone, False], spot=counts[zone, True]) for zone in sorted(names)
-    }
+    def _present_by_zone(
+        self, states: Iterable[ReplicaState], zones: Iterable[str]
+    ) -> dict[str, ZoneReplicas]:
+        """Return the replicas that stay, by kind, of each zone that is not evacuated."""
+        counts = Counter((state.info.zone, state.info.spot) for state in states if not state.info.draining)
+        names = {*zones, *(zone for zone, _ in counts)}
+        return {
+            zone: ZoneReplicas(ordinary=counts[zone, False], spot=counts[zone, True])
+            for zone in sorted(names)
+            if zone not in self._evacuated
+        }
--- a/passgate/duties/service.py
+++ b/passgate/duties/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Container
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog
@@ -43,6 +44,7 @@
         *,
         config: ConfigHolder,
         replicas: ReplicaTable,
+        evacuated: Container[str],
         member: str,
         holder: str,
     ) -> None:
@@ -58,6 +60,7 @@
             decisions: where decisions are noted.
             config: the configuration in force.
             replicas: the replicas that are there.
+            evacuated: zones in which no replica counts and none is ordered.
             member: this daemon's name in the directory.
             holder: this daemon's name towards the platform.
         """
@@ -93,6 +96,7 @@
                 replicas,
                 control.fold.newest_jobs,
                 decisions,
+                evacuated=evacuated,
                 holder=holder,
             )
 
--- a/passgate/eligibility/rules.py
+++ b/passgate/eligibility/rules.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -57,11 +58,30 @@
         ...
 
 
+class CheckedAt(enum.Enum):
+    """Where a rule kept something from a replica."""
+
+    CHOICE = "choice"
+    """The replica was passed over."""
+    SEND = "send"
+    """The replica had been chosen before, and nothing was sent."""
+
+
+class KeptBack(msgspec.Struct, frozen=True, kw_only=True):
+    """What kept something from a replica, as it is counted."""
+
+    rule: str
+    kind: SendKind
+    checked_at: CheckedAt
+
+
 class SendRules:
     """All rules in force."""
 
     def __init__(self, rules: Sequence[SendRule] = ()) -> None:
         self._rules = list(rules)
+        self.kept_back: Counter[KeptBack] = Counter()
+        """How often replicas were passed over, and sends stopped."""
 
     def add(self, rule: SendRule) -> None:
         """Put a further rule in force."""
@@ -69,18 +89,30 @@
 
     def allows(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> bool:
         """Whether all rules allow a send."""
-        return all(rule.allows(replica, terms, now_s) for rule in self._rules)
+        rule = self._forbidding(replica, terms, now_s)
+        if rule is None:
+            return True
+        self._count(rule, terms, CheckedAt.CHOICE)
+        return False
 
     def admit(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> None:
         """Let a send pass and note it with each rule; raises SendForbidden, not run."""
-        for rule in self._rules:
-            if not rule.allows(replica, terms, now_s):
-                raise SendForbidden(
-                    f"{rule.name} keeps requests from the replica", execution=ExecutionStatus.NOT_RUN
-                )
+        forbidding = self._forbidding(replica, terms, now_s)
+        if forbidding is not None:
+            self._count(forbidding, terms, CheckedAt.SEND)
+            raise SendForbidden(
+                f"{forbidding.name} keeps requests from the replica", execution=ExecutionStatus.NOT_RUN
+            )
         for rule in self._rules:
             rule.sent(replica, terms, now_s)
 
+    def _forbidding(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> SendRule | None:
+        """Return the first rule that forbids a send, or None."""
+        return next((rule for rule in self._rules if not rule.allows(replica, terms, now_s)), None)
+
+    def _count(self, rule: SendRule, terms: SendTerms, checked_at: CheckedAt) -> None:
+        self.kept_back[KeptBack(rule=rule.name, kind=terms.kind, checked_at=checked_at)] += 1
+
 
 class DrainingRule:
     """A replica that is leaving gets no new request; its loads need not end either."""
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -11,7 +11,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from passgate.decisions import (
     ConfigurationInForce,
@@ -22,6 +26,7 @@
     JobAccepted,
     JobEnded,
 )
+from passgate.eligibility.rules import KeptBack
 
 REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 """From a request's work of some 10 ms over its target latency (0.2 s) to its deadline."""
@@ -90,8 +95,20 @@
             "Requests counted after their window was committed, so that no report names them.",
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "passgate_evacuated_zones", "Zones to which nothing is sent.", registry=self.registry
+        )
+        self.evacuation_age = Gauge(
+            "passgate_evacuation_age_seconds",
+            "Time since it was last known that no zone more or less is evacuated.",
+            registry=self.registry,
+        )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
+    def show_kept_back(self, counts: Mapping[KeptBack, int]) -> None:
+        """Show, from now on, what rules keep from replicas; see :mod:`passgate.eligibility.rules`."""
+        self.registry.register(_KeptBackCollector(counts))
+
     def count_log_call(self, call: str, subject: str, outcome: str) -> None:
         """Count a call to the log; see :mod:`passgate.sharedlog.counted`."""
         self._log_calls.labels(call, subject, outcome).inc()
@@ -114,3 +131,22 @@
     def exposition(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
+
+
+class _KeptBackCollector(Collector):
+    """Counts of rules; they are kept where requests are sent, which takes no lock there."""
+
+    def __init__(self, counts: Mapping[KeptBack, int]) -> None:
+        self._counts = counts
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counts by rule, kind of send, and step."""
+        family = CounterMetricFamily(
+            "passgate_kept_back",
+            "Replicas passed over in choices, and sends stopped, by the rule that forbade it.",
+            labels=("rule", "kind", "step"),
+        )
+        for kept_back, count in self._counts.items():
+            labels = (kept_back.rule, kept_back.kind.value, kept_back.checked_at.value)
+            family.add_metric(labels, count)
+        yield family
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -28,6 +28,7 @@
 from passgate.jobs.checkpoint import ItemCheckpoint
 from passgate.jobs.durations import OutputDurations
 from passgate.jobs.event_stream import EventStream, KeptEvents
+from passgate.jobs.group_replicas import GroupReplicas
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.silence import FIRST_BYTES_PATIENCE_S, StreamSilence, patience_for
@@ -67,8 +68,7 @@
     durations: OutputDurations
     rewards: RewardTools
     silence: StreamSilence
-    group_replica: dict[str, str]
-    """Group to the replica that read its shared prompt last."""
+    group_replicas: GroupReplicas
 
     def expected_tokens(self, item: ItemSpec) -> float:
         """Return the caller's estimate of the output's length, or 0."""
@@ -140,14 +140,15 @@
             self._crashes.left(self._identity)
 
     def _wish(self, avoided: str) -> ChoiceRequest:
-        return ChoiceRequest(
+        wish = ChoiceRequest(
             services=self._tools.route.services,
             excluded=self._crashes.apart_from(self._identity) | {avoided},
             model=self._job.model,
             min_version=self._job.min_version,
-            preferred=self._tools.group_replica.get(self.item.group, ""),
             load_below=FULL_LOAD,
         )
+        preferred = self._tools.group_replicas.preferred(self.item.group, wish, monotonic_s())
+        return msgspec.structs.replace(wish, preferred=preferred)
 
     def _choose(self) -> ReplicaState | None:
         state = self._tools.replicas.choose(self._wish(self._avoided), monotonic_s())
@@ -201,21 +202,8 @@
 
     async def _attempt(self, state: ReplicaState) -> Result | None:
         replica_id = state.info.replica_id
-        self.attempts += 1
-        self.sent_s = monotonic_s()
-        self._times.sent(self.sent_s)
-        self._tools.group_replica[self.item.group] = replica_id
-        self._tools.decisions.write(
-            ItemSent(
-                job_id=self._job.job_id,
-                item_id=self.item.id,
-                replica_id=replica_id,
-                attempt=self.attempts,
-                events_kept=self._stream.count,
-            )
-        )
         try:
-            return await self._exchange(state)
+            return await self._exchange(self._open(state))
         except (BackendRefused, MovedElsewhere) as error:
             self._note_failure(replica_id, error)
         except PassgateError as error:
@@ -226,9 +214,8 @@
     def _note_failure(self, replica_id: str, error: PassgateError) -> None:
         self._avoided = replica_id
         self._timing.failures[error.code] += 1
-        group_replica = self._tools.group_replica
-        if isinstance(error, BackendRefused) and group_replica.get(self.item.group) == replica_id:
-            del group_replica[self.item.group]
+        if isinstance(error, BackendRefused):
+            self._tools.group_replicas.refused(self.item.group, replica_id)
         self._tools.decisions.write(
             ItemFailed(
                 job_id=self._job.job_id,
@@ -239,8 +226,25 @@
             )
         )
 
-    async def _exchange(self, state: ReplicaState) -> Result | None:
+    def _open(self, state: ReplicaState) -> ReplicaExchange:
+        """Send the item; nothing counts as sent that a rule keeps back."""
         exchange = self._tools.caller.open(state, self._request())
+        self.attempts += 1
+        self.sent_s = exchange.began_s
+        self._times.sent(self.sent_s)
+        self._tools.group_replicas.sent(self.item.group, exchange.replica_id)
+        self._tools.decisions.write(
+            ItemSent(
+                job_id=self._job.job_id,
+                item_id=self.item.id,
+                replica_id=exchange.replica_id,
+                attempt=self.attempts,
+                events_kept=self._stream.count,
+            )
+        )
+        return exchange
+
+    async def _exchange(self, exchange: ReplicaExchange) -> Result | None:
         try:
             status = await self._tools.silence.wait(
                 exchange.replica_id, exchange.head, FIRST_BYTES_PATIENCE_S
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -126,19 +126,18 @@
     async def _attempt(self, state: ReplicaState) -> str:
         """Send the call once; return the stamp of a success, or nothing after an answer of 500."""
         state.in_flight -= 1  # the exchange counts itself from here on
+        patience_s = self._patience_s(state)
+        exchange = self._tools.caller.open(state, self._request(patience_s))
         self._attempts += 1
-        replica_id = state.info.replica_id
         self._tools.decisions.write(
             RewardSent(
                 job_id=self._job_id,
                 item_id=self._item_id,
                 request_id=self._spec.id,
-                replica_id=replica_id,
+                replica_id=exchange.replica_id,
                 attempt=self._attempts,
             )
         )
-        patience_s = self._patience_s(state)
-        exchange = self._tools.caller.open(state, self._request(patience_s))
         try:
             async with asyncio.timeout(patience_s):
                 return self._stamp_of(await exchange.whole_answer())
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from passgate.eligibility.replica_info import ReplicaInfo
-from passgate.errors import ExecutionStatus, MalformedBody
+from passgate.errors import ExecutionStatus, InvalidConfiguration, MalformedBody
 from passgate.gateway.access import Caller, Tenant, scoped_id
 from passgate.gateway.routes import (
     ColdStart,
@@ -22,6 +22,7 @@
 )
 from passgate.jobs.reader import ResultPage
 from passgate.jobs.records import ItemSpec, JobSpec, RewardSpec
+from passgate.platform import names
 from passgate.versions.loader import ReplicaReport
 
 logger = logging.getLogger("passgate.platform")
@@ -249,6 +250,18 @@
     return named.model, named.version
 
 
+def evacuated_zone(key: str) -> str:
+    """Return the zone that a key of the operator's topic evacuates; raises InvalidConfiguration.
+
+    >>> evacuated_zone("evacuate/a1")
+    'a1'
+    """
+    zone = key.removeprefix(names.EVACUATION_KEY_PREFIX)
+    if not zone:
+        raise InvalidConfiguration("an evacuation names no zone", key=key)
+    return zone
+
+
 def decode_report(data: bytes) -> ReplicaReport:
     """Return a replica's report of itself."""
     report = msgspec.json.decode(data, type=_Report)
--- a/passgate/platform/names.py
+++ b/passgate/platform/names.py
@@ -54,6 +54,7 @@
 
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 SETTINGS_VARIABLE = "PASSGATE_BOOT"
 SETTINGS_PATH = "/etc/passgate/node.yaml"
--- a/passgate/platform/program.py
+++ b/passgate/platform/program.py
@@ -10,7 +10,8 @@
 
 from passgate.clients.curl import HttpClient
 from passgate.clock import DaemonEventLoop
-from passgate.daemon.gateway_daemon import GatewayDaemon, make_http_client
+from passgate.daemon.gateway_daemon import GatewayDaemon
+from passgate.daemon.http_client import make_http_client
 from passgate.daemon.topics import LogTopics
 from passgate.discovery.service import ReplicaTopics
 from passgate.gateway.settings import GatewaySettings
@@ -49,7 +50,7 @@
         settings, names.HEADERS, topics, http, log, control, PlatformReplicaDecoder(), peers, duty_calls
     )
     beliefs = Beliefs(daemon)
-    daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.take_operator, beliefs.take_operator)
+    daemon.follow(topics.operator, OPERATOR_GAP_S, beliefs.replace_operator, beliefs.update_operator)
     return daemon
 
 
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -15,6 +15,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, OrderSent, VersionWanted
+from passgate.eligibility.rules import CONTROL
 from passgate.errors import PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.jobs.records import JobNoted
@@ -146,9 +147,10 @@
 
     def _choices(self, now_s: float) -> list[LoadChoice]:
         """Return the loads that are wanted now, the most urgent first."""
+        rules = self._replicas.rules
         return plan_loads(
             [self._need(model, version) for model, version in self._wanted.versions.items()],
-            [state for state in self._replicas.all() if not state.info.draining],
+            [state for state in self._replicas.all() if rules.allows(state.info, CONTROL, now_s)],
             loading={replica_id: load.model for replica_id, load in self._loading.items()},
             waiting={replica_id for replica_id, at_s in self._retry_at_s.items() if now_s < at_s},
             now_s=now_s,
@@ -185,12 +187,14 @@
             self._retry_at_s[replica_id] = monotonic_s() + RETRY_S
 
     async def _report(self, state: ReplicaState) -> ReplicaReport:
+        self._replicas.rules.admit(state.info, CONTROL, monotonic_s())
         report = await self._control.report(state.info.replica_id, state.info.address)
         state.observed_versions.update(report.model_versions)
         return report
 
     async def _order(self, state: ReplicaState, model: str, report: ReplicaReport) -> bool:
         """Send an order; return whether the replica took it or already has the version."""
+        self._replicas.rules.admit(state.info, CONTROL, monotonic_s())
         order = LoadOrder(
             replica_id=state.info.replica_id,
             address=state.info.address,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from passgate.daemon.gateway_daemon import make_http_client
+from passgate.daemon.http_client import make_http_client
 from tests import platform_stand_ins as stand_ins
 from tests.duty_stand_in import DutyEndpoint
 from tests.soak.processes import DaemonProcess, Ports
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -11,6 +11,7 @@
 from passgate.duties.scaler import BOOT_MARGIN_S, Scaler
 from passgate.duties.scaling_fold import ScalingFold
 from passgate.duties.scaling_policy import ZoneReplicas, spread_replicas
+from passgate.eligibility.evacuation import EvacuatedZones
 from passgate.eligibility.places import Places
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.emulator.shared_log import MemorySharedLog
@@ -90,6 +91,7 @@
         decisions = DecisionLog(name, write=len)
         self.fold = ScalingFold()
         self.replicas = ReplicaTable(Places(zone="a"), seed=1)
+        self.evacuated = EvacuatedZones(decisions)
         config = ConfigHolder()
         config.offer(GatewayConfig(version=1, services=(Service(name="llm", scaling=RULE),)))
         journal = Journal(client, "control", 0, writer, **SIZES)
@@ -106,6 +108,7 @@
             self.replicas,
             self.control.fold.newest_jobs,
             decisions,
+            evacuated=self.evacuated,
             holder=name,
         )
         for zone in ("a", "b"):
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,317 @@
+"""Evacuated zones: what a daemon believes, from the log or from others, and what follows from it."""
+
+import asyncio
+import types
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passgate.clock import monotonic_s, run_virtual
+from passgate.decisions import DecisionLog, EvacuationEnded, ZoneEvacuated
+from passgate.eligibility.evacuation import EvacuatedZones, EvacuationChange, EvacuationRule, EvacuationView
+from passgate.eligibility.places import Places
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.errors import InvalidConfiguration
+from passgate.gateway.configuration_peers import ASK_AFTER_S, KnownConfiguration
+from passgate.gateway.replicas import ChoiceRequest, ReplicaTable
+from passgate.jobs.group_replicas import GroupReplicas
+from passgate.jobs.records import JobNoted
+from passgate.platform.beliefs import Beliefs
+from passgate.platform.documents import evacuated_zone
+from passgate.sharedlog.log import KeyedRecord
+from passgate.versions.loader import Loader, ReplicaReport, WantedVersions
+from tests import test_duties_scaling as scaling
+from tests import test_gateway_configuration_peers as peers
+
+EVACUATION_S = 5.0
+"""Time from an operator's record after which nothing may reach the zone, with the settings' default."""
+
+
+def decisions(events=None):
+    return DecisionLog("d", write=len, observe=events.append if events is not None else None)
+
+
+def table(evacuated, zones="ab", count=2, models=("m",)):
+    replicas = ReplicaTable(Places(zone="a"), seed=1)
+    replicas.rules.add(EvacuationRule(evacuated))
+    for zone in zones:
+        for number in range(count):
+            replicas.put(
+                ReplicaInfo(
+                    replica_id=f"{zone}{number}",
+                    service="llm",
+                    address="h:1",
+                    zone=zone,
+                    slots=8,
+                    model_versions=dict.fromkeys(models, 1),
+                )
+            )
+    return replicas
+
+
+# --- what is believed ---------------------------------------------------------------
+
+
+def test_each_change_is_told_once_with_its_source_and_its_age():
+    events, ended = [], []
+    zones = EvacuatedZones(decisions(events))
+    zones.on_ended.append(ended.append)
+    zones.replace({"a"}, next_offset=3)
+    zones.replace({"a"}, next_offset=4)
+    zones.learn(EvacuationView(offset=9, zones=frozenset({"b"})), peer="h:1", age_s=0.25)
+    assert events == [
+        ZoneEvacuated(zone="a", source="log", peer="", age_ms=0.0, offset=3),
+        ZoneEvacuated(zone="b", source="peer", peer="h:1", age_ms=250.0, offset=9),
+        EvacuationEnded(zone="a", source="peer", peer="h:1", age_ms=250.0, offset=9),
+    ]
+    assert ended == ["a"]
+
+
+def test_records_that_a_learned_view_contains_change_nothing():
+    zones = EvacuatedZones(decisions())
+    zones.learn(EvacuationView(offset=2), peer="h:1", age_s=0.0)
+    begun = EvacuationChange(offset=0, zone="a", evacuated=True)
+    zones.update([begun], next_offset=1)
+    assert "a" not in zones
+    zones.update([EvacuationChange(offset=2, zone="a", evacuated=True)], next_offset=3)
+    assert "a" in zones
+
+
+ZONES = st.sampled_from(["a", "b", "a/b", "\u00e5 \n", "z" * 300])
+KEYS = ZONES.map("evacuate/{}".format) | st.text() | st.sampled_from(["evacuate", "evacuate/", "config"])
+VALUES = st.just(b"") | st.just(b"{}") | st.binary()
+RECORDS = st.lists(st.builds(KeyedRecord, key=KEYS, value=VALUES))
+
+
+def beliefs():
+    def put_config(config):
+        raise msgspec.ValidationError("not looked at here")
+
+    zones = EvacuatedZones(decisions())
+    daemon = types.SimpleNamespace(evacuated=zones, put_config=put_config, wanted=WantedVersions(decisions()))
+    return Beliefs(daemon), zones
+
+
+def standing(records):
+    newest = {record.key: record.value for record in records}
+    keys = {key for key, value in newest.items() if key.startswith("evacuate/") and value}
+    return {key.removeprefix("evacuate/") for key in keys} - {""}
+
+
+@given(RECORDS, RECORDS)
+def test_any_records_leave_the_zones_that_their_keys_say(snapshot, further):
+    snapshot = list({record.key: record for record in snapshot}.values())
+    translation, zones = beliefs()
+    translation.replace_operator(tuple(snapshot), 7)
+    assert zones.view == EvacuationView(offset=7, zones=frozenset(standing(snapshot)))
+    translation.update_operator(tuple(further), 7)
+    together = frozenset(standing(snapshot + further))
+    assert zones.view == EvacuationView(offset=7 + len(further), zones=together)
+
+
+def test_a_key_without_a_zone_is_a_typed_error_that_is_logged(caplog):
+    with pytest.raises(InvalidConfiguration):
+        evacuated_zone("evacuate/")
+    translation, zones = beliefs()
+    translation.replace_operator((KeyedRecord(key="evacuate/", value=b"{}"),), 1)
+    assert len(zones) == 0
+    assert [record.message for record in caplog.records] == ["unreadable_record"]
+
+
+# --- other daemons ------------------------------------------------------------------
+
+
+def test_a_daemon_that_the_log_turns_away_learns_both_the_beginning_and_the_end():
+    async def main():
+        _, daemons = peers.world(6)
+        cut_off, reading = daemons[0], daemons[1:]
+        peers.put(daemons, peers.config(1))
+        tasks = [daemon.start() for daemon in daemons]
+        cut_off.turned_away_s = monotonic_s()
+        for offset, zones in ((4, {"a"}), (5, {"b"}), (9, set())):
+            for daemon in reading:
+                daemon.evacuated.replace(zones, offset)
+            await asyncio.sleep(EVACUATION_S)
+            assert cut_off.evacuated.view == EvacuationView(offset=offset, zones=frozenset(zones))
+            assert cut_off.peers.evacuations_age_s() < EVACUATION_S
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
+
+
+def test_an_older_view_of_others_ends_nothing():
+    async def main():
+        _, daemons = peers.world(3)
+        for daemon in daemons[1:]:
+            daemon.evacuated.replace(set(), 3)
+        daemons[0].evacuated.replace({"a"}, 4)
+        daemons[0].turned_away_s = monotonic_s()
+        task = daemons[0].start()
+        for daemon in daemons[1:]:
+            daemon.start()
+        await asyncio.sleep(ASK_AFTER_S + 4.0)
+        assert "a" in daemons[0].evacuated
+        assert daemons[0].peers.evacuations_age_s() > 4.0
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_messages_of_daemons_that_know_nothing_of_evacuations_are_read():
+    async def main():
+        _, (daemon, *_) = peers.world(2)
+        daemon.holder.offer(peers.config(3))
+        old = msgspec.json.decode(b'{"age_s":0.1,"config":null}', type=KnownConfiguration)
+        assert old.evacuations is None
+        known = msgspec.json.decode(daemon.peers.answer(b'{"version":3}'), type=KnownConfiguration)
+        assert (known.config, known.evacuations.view) == (None, EvacuationView(offset=0))
+
+    run_virtual(main())
+
+
+def test_a_daemon_that_has_read_nothing_yet_tells_nothing():
+    async def main():
+        _, (daemon, *_) = peers.world(2)
+        daemon.turned_away_s = float("-inf")
+        assert b'"evacuations":null' in daemon.peers.answer(b'{"version":0}')
+
+    run_virtual(main())
+
+
+# --- loads and orders ---------------------------------------------------------------
+
+
+class Control:
+    """Replicas that load at once; ``on_report`` is called while a report is read."""
+
+    def __init__(self, replicas):
+        self.replicas = replicas
+        self.calls = []
+        self.ordered = []
+        self.on_report = lambda zone: None
+
+    async def report(self, replica_id, address):
+        self.calls.append(("report", replica_id))
+        await asyncio.sleep(0.01)
+        self.on_report(replica_id[0])
+        state = self.replicas.get(replica_id)
+        versions = {model: state.version_of(model) for model in state.info.model_versions}
+        return ReplicaReport(orders_taken=0, busy=False, model_versions=versions)
+
+    async def order(self, order):
+        self.calls.append(("order", order.replica_id))
+        self.ordered.append(order)
+        await asyncio.sleep(0.1)
+        self.replicas.get(order.replica_id).observed_versions[order.model] = order.version
+        return 202
+
+    def to(self, zone, what="order"):
+        return [name for kind, name in self.calls if kind == what and name[0] == zone]
+
+    def models_ordered(self, zone):
+        return [order.model for order in self.ordered if order.replica_id[0] == zone]
+
+
+def loader(replicas, jobs=None):
+    leadership = types.SimpleNamespace(may_order=lambda: True, fence=1)
+    control, wanted = Control(replicas), WantedVersions(decisions())
+    return control, wanted, Loader(wanted, replicas, leadership, control, "d", jobs or {}, decisions())
+
+
+def test_a_load_that_is_about_to_be_ordered_is_not_ordered_into_an_evacuated_zone():
+    async def main():
+        zones = EvacuatedZones(decisions())
+        replicas = table(zones)
+        control, wanted, loads = loader(replicas)
+        control.on_report = lambda zone: zones.replace({"b"}, 1) if zone == "b" else None
+        wanted.offer("m", 2)
+        task = asyncio.get_running_loop().create_task(loads.run())
+        await asyncio.sleep(10.0)
+        assert len(control.to("b", "report")) == 1
+        assert (len(control.to("a")), control.to("b")) == (2, [])
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_after_an_evacuation_loads_follow_first_for_the_step_that_lacks_most_replicas():
+    async def main():
+        zones = EvacuatedZones(decisions())
+        replicas = table(zones, count=3, models=("m", "n"))
+        jobs = {model: JobNoted(model=model, lag=0, items=items) for model, items in (("m", 8), ("n", 48))}
+        control, wanted, loads = loader(replicas, jobs)
+        wanted.offer("m", 2)
+        wanted.offer("n", 2)
+        zones.replace({"b"}, 1)
+        task = asyncio.get_running_loop().create_task(loads.run())
+        await asyncio.sleep(10.0)
+        assert control.to("b", "report") == control.to("b") == []
+        assert all(replicas.get(f"a{n}").version_of("n") == 2 for n in range(3))
+        zones.replace(set(), 2)
+        await asyncio.sleep(10.0)
+        # The step of n lacks half of its six replicas, that of m one of three.
+        assert control.models_ordered("b")[0] == "n"
+        assert sorted(control.models_ordered("b")) == ["m", "n", "n", "n"]
+        task.cancel()
+
+    run_virtual(main())
+
+
+def test_the_scaler_neither_orders_into_an_evacuated_zone_nor_counts_it():
+    async def main():
+        _, platform, daemons = scaling.world()
+        for daemon in daemons:
+            daemon.evacuated.replace({"b"}, 1)
+        await asyncio.sleep(2.0)
+        scaling.note(daemons[0], items=16)
+        await asyncio.sleep(8.0)
+        assert {(order.zone, order.count) for _, order in platform.calls} == {("a", 1)}
+        scaling.note(daemons[0], items=36)
+        for daemon in daemons:
+            daemon.evacuated.replace(set(), 2)
+        await asyncio.sleep(8.0)
+        assert {order.zone for _, order in platform.calls} == {"a", "b"}
+
+    run_virtual(main())
+
+
+def test_a_decision_that_was_not_sent_waits_for_the_end_of_the_evacuation():
+    async def main():
+        _, platform, daemons = scaling.world(lost=1.0)
+        await asyncio.sleep(2.0)
+        scaling.note(daemons[0], items=36)
+        await asyncio.sleep(3.0)
+        for daemon in daemons:
+            daemon.evacuated.replace({"a", "b"}, 1)
+        platform.lost = 0.0
+        await asyncio.sleep(4.0)  # also for the late carrying out of calls made before
+        platform.calls.clear()
+        await asyncio.sleep(6.0)
+        assert platform.calls == []
+        for daemon in daemons:
+            daemon.evacuated.replace(set(), 2)
+        await asyncio.sleep(6.0)
+        assert {order.zone for _, order in platform.calls} == {"a", "b"}
+
+    run_virtual(main())
+
+
+# --- groups of items ----------------------------------------------------------------
+
+
+def test_groups_of_an_evacuated_zone_are_planned_apart_and_stay_where_they_are_planned():
+    zones = EvacuatedZones(decisions())
+    replicas = table(zones, count=6)
+    groups = GroupReplicas(replicas, zones)
+    wish = ChoiceRequest(services=frozenset({"llm"}), model="m", min_version=1)
+    for number in range(5):
+        groups.sent(f"g{number}", f"b{number}")
+    groups.sent("g5", "a0")
+    zones.replace({"b"}, 1)
+    planned = {f"g{number}": groups.preferred(f"g{number}", wish, 0.0) for number in range(6)}
+    assert planned["g5"] == "a0"
+    assert set(planned.values()) == {f"a{number}" for number in range(6)}
+    assert planned == {group: groups.preferred(group, wish, 1.0) for group in planned}
--- a/tests/test_gateway_configuration_peers.py
+++ b/tests/test_gateway_configuration_peers.py
@@ -8,6 +8,7 @@
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog
+from passgate.eligibility.evacuation import EvacuatedZones
 from passgate.gateway.access import Tenant
 from passgate.gateway.configuration_peers import (
     ASK_AFTER_S,
@@ -35,13 +36,16 @@
         self.name = f"d{number}@{self.transport.address}"
         self.holder = ConfigHolder()
         self.turned_away_s = None
+        decisions = DecisionLog("d", write=len)
+        self.evacuated = EvacuatedZones(decisions)
         self.peers = ConfigurationPeers(
             self.transport,
             self.others,
             self.holder,
+            self.evacuated,
             self.log_age_s,
             self.holder.offer,
-            DecisionLog("d", write=len),
+            decisions,
         )
 
     def others(self):
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -14,7 +14,7 @@
 
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.daemon import planned_stop
-from passgate.daemon.gateway_daemon import make_http_client
+from passgate.daemon.http_client import make_http_client
 from passgate.errors import PassgateError
 from passgate.jobs import item_run
 from passgate.platform.front import Front
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from passgate.daemon.gateway_daemon import make_http_client
+from passgate.daemon.http_client import make_http_client
 from passgate.jobs.records import decode_batch
 from passgate.platform.log_client import PlatformLog
 from passgate.platform.program import make_daemon
