Evacuate a zone in the fault soak

Cause: the soak knew nothing of evacuated zones. Change: its replicas lie in two zones, one of which is evacuated by turns; daemons in touch that send there later than 5 s after the record break the run.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 
 REVOKED_S = 4.0
 """Time after which a key that was taken away is refused, with a margin for a busy machine."""
+EVACUATED_FOR_S = (1.0, 12.0)
+"""Time for which a zone is evacuated; daemons have 5 s to learn of it."""
 PAUSE_S = (0.5, 4.0)
 FEW_S = (0.1, 1.5)
 
@@ -37,6 +39,7 @@
             self.change_configuration: 3,
             self.kill_all: 1,
             self.revoke_key: 2,
+            self.evacuate_zone: 2,
             self.harm_duties: 2,
         }
 
@@ -169,7 +172,7 @@
 
     async def replace_replica(self):
         old = self.random.choice(self.world.replicas)
-        self.world.add_replica(old.service)
+        self.world.add_replica(old.service, old.zone)
         self.world.retire(old)
         if self.random.random() < 0.4:
             await old.crash()
@@ -202,6 +205,12 @@
                 if answer.status == 200 and in_touch and key not in self.world.keys:
                     self.world.breach(f"{daemon.name} served a key that was taken away {REVOKED_S} s before")
 
+    async def evacuate_zone(self):
+        evacuation = self.world.evacuate()
+        if evacuation is not None:
+            await asyncio.sleep(self.random.uniform(*EVACUATED_FOR_S))
+            self.world.end_evacuation(evacuation)
+
     async def harm_duties(self):
         faults = self.world.duties.faults
         match self.random.choice(["silent", "busy", "slow"]):
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -13,6 +13,8 @@
 SETTLE_S = 30.0
 MOST_READ = 8
 """Daemons at which all jobs are read at the end; with a hundred, reading all would outlast the jobs."""
+EVACUATION_S = 5.0
+"""Time after which nothing reaches an evacuated zone any more from a daemon in touch."""
 LEAVING_S = 3.5
 """Time after which a leaving replica gets no new request, with a margin for a busy machine."""
 CUT_LATE_S = 0.5
@@ -72,6 +74,7 @@
         self._judge_orders()
         self._judge_tenants(runs)
         self._judge_leaving()
+        self._judge_evacuations()
         self._judge_crashes()
         self._judge_cuts(runs)
         self.world.broken += self.world.duties.breaches
@@ -127,6 +130,19 @@
                         f"{daemon} sent {run.request_id} to a replica that left {late_s:.1f} s before"
                     )
 
+    def _judge_evacuations(self):
+        """Daemons in touch send nothing to an evacuated zone; items may come from any daemon."""
+        for evacuation in self.world.evacuations:
+            known_s = evacuation.began_s + EVACUATION_S
+            replicas = [r for r in self.world.all_replicas() if r.zone == evacuation.zone]
+            late = [run for r in replicas for run in r.runs if known_s < run.began_s < evacuation.ended_s]
+            for run in late:
+                sender = self.callers.sent_to.get(run.request_id)
+                senders = [sender] if sender else [daemon.name for daemon in self.world.daemons]
+                if all(self.world.trouble.in_touch(name, known_s, run.began_s) for name in senders):
+                    late_s = run.began_s - evacuation.began_s
+                    self.breach(f"{run.request_id} reached a zone evacuated {late_s:.1f} s before")
+
     def _judge_crashes(self):
         """A request that has ended three replicas reaches hardly any more from daemons in touch."""
         for body in CRASHING_CALLS:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
 
 from passgate.daemon.http_client import make_http_client
 from tests import platform_stand_ins as stand_ins
@@ -19,6 +20,8 @@
 OTHER_KEY = "key-m1"
 MODEL = "m"
 APP_REPLICAS, MODEL_REPLICAS = 3, 5
+ZONES = ("a", "b")
+"""Zones of the replicas, dealt in turn; only the last is evacuated."""
 BACK_AFTER_S = (0.5, 1.5)
 """Time for which a replica is away that a request has ended."""
 CRASHING_CALLS = (b"crash 1", b"crash 2")
@@ -35,6 +38,15 @@
     return request.body in CRASHING_CALLS or request.body.startswith(stand_ins.item_body(CRASHING_ITEMS))
 
 
+@dataclass
+class Evacuation:
+    """One time for which nothing was to be sent to a zone."""
+
+    zone: str
+    began_s: float
+    ended_s: float = float("inf")
+
+
 class World:
     """All parts of a run."""
 
@@ -55,6 +67,7 @@
         """Replicas that have ended or left; their runs are judged too."""
         self.leaving_s = {}
         """When a replica said that it leaves."""
+        self.evacuations = []
         self.version = self.config_version = 1
         self.number = 0
         self.stopping = False
@@ -78,8 +91,9 @@
         return self.random.choice(self.daemons)
 
     async def start(self):
-        for service in ["app"] * APP_REPLICAS + ["llm"] * MODEL_REPLICAS:
-            self.add_replica(service)
+        for service, count in (("app", APP_REPLICAS), ("llm", MODEL_REPLICAS)):
+            for number in range(count):
+                self.add_replica(service, ZONES[number % len(ZONES)])
         self.configure()
         for daemon in self.daemons:
             await daemon.start()
@@ -95,10 +109,16 @@
 
     # --- replicas ----------------------------------------------------------------
 
-    def add_replica(self, service, port=0):
+    def add_replica(self, service, zone, port=0):
         models = {MODEL: self.version} if service == "llm" else {}
         replica = stand_ins.Replica(
-            self.log, f"i-{self.next_number()}", service, slots=8, models=models.items(), work_s=0.02
+            self.log,
+            f"i-{self.next_number()}",
+            service,
+            zone=zone,
+            slots=8,
+            models=models.items(),
+            work_s=0.02,
         )
         replica.crash_on = ends_replicas
         replica.on_end = self._note_end
@@ -117,7 +137,8 @@
         await asyncio.sleep(self.random.uniform(*BACK_AFTER_S))
         self.log.put("keyed.servers", replica.replica_id, None)
         if stays:
-            self.add_replica(replica.service, port=int(replica.address.rpartition(":")[2]))
+            port = int(replica.address.rpartition(":")[2])
+            self.add_replica(replica.service, replica.zone, port)
 
     def retire(self, replica):
         """Count a replica among those that are gone; return False if it already was."""
@@ -143,6 +164,18 @@
         document = stand_ins.config_document(self.config_version, routes, ["app", "llm"], tenants)
         self.log.put("keyed.op", "config", document)
 
+    def evacuate(self):
+        """Begin an evacuation; return it, or None while one stands."""
+        if self.evacuations and self.evacuations[-1].ended_s == float("inf"):
+            return None
+        self.evacuations.append(Evacuation(ZONES[-1], time.monotonic()))
+        self.log.put("keyed.op", f"evacuate/{ZONES[-1]}", {})
+        return self.evacuations[-1]
+
+    def end_evacuation(self, evacuation):
+        evacuation.ended_s = time.monotonic()
+        self.log.put("keyed.op", f"evacuate/{evacuation.zone}", None)
+
     def name_version(self):
         self.version += 1
         self.log.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": self.version})
