Keep the regions of accepted jobs when their route goes, and let waiting items change lines

Cause, found by review: without a route a bound job counted as unbound, and its bodies were read in all regions; an item whose bounds were tightened held up all behind it.

--- a/passgate/eligibility/regions.py
+++ b/passgate/eligibility/regions.py
@@ -51,7 +51,7 @@
 
     def allows(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> bool:
         """Whether the replica's region may serve the request; a zone of no known region may not."""
-        return may_be_in(terms.regions, self._places.region_of(replica.zone))
+        return terms.regions is None or may_be_in(terms.regions, self._places.region_of(replica.zone))
 
     def sent(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> None:
         """Count where the request went."""
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -164,7 +164,8 @@
     def _terms(self, forwarding: Forwarding) -> SendTerms:
         """Return what binds a request now; a changed configuration binds its further sends."""
         request, tenant = forwarding.request, forwarding.caller.tenant
-        return self._config.terms_for(request.host, request.path, tenant, forwarding.route)
+        begun = forwarding.route.allowed_regions
+        return self._config.terms_for(request.host, request.path, tenant, begun)
 
     def _check_regions(self, forwarding: Forwarding) -> None:
         """Check that some region may serve a request that has not run; raises NoRegionAllowed."""
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -18,7 +18,7 @@
 
 from passgate.eligibility.places import Places
 from passgate.eligibility.regions import common_regions
-from passgate.eligibility.rules import SendTerms
+from passgate.eligibility.rules import ANY_REQUEST, SendTerms
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.access import KeyIndex, Tenant
 
@@ -200,19 +200,22 @@
         """Return the route in force of a host and path, or None."""
         return self.table.match(host, path) if self.table is not None else None
 
-    def terms_for(self, host: str, path: str, tenant: str | None, begun: Route | None = None) -> SendTerms:
+    def terms_for(
+        self, host: str, path: str, tenant: str | None, begun: frozenset[str] = frozenset()
+    ) -> SendTerms:
         """Return what binds a request by the configuration in force, whenever it was accepted.
 
         Args:
             host: host of the request.
             path: its path.
             tenant: name of its tenant, if it has one.
-            begun: the route by which it was accepted; binds it when no route is in force any more.
+            begun: regions that bound it when it was accepted; they hold when no route is in force any more.
         """
-        route = self.find_route(host, path) or begun
-        of_route = route.allowed_regions if route is not None else frozenset()
+        route = self.find_route(host, path)
+        of_route = route.allowed_regions if route is not None else begun
         of_tenant = self.table.tenant_regions(tenant) if self.table is not None else frozenset()
-        return SendTerms(regions=common_regions(of_route, of_tenant))
+        regions = common_regions(of_route, of_tenant)
+        return ANY_REQUEST if regions is None else SendTerms(regions=regions)
 
     def offer(self, config: GatewayConfig) -> bool:
         """Put a configuration in force unless a newer one is; return whether it was.
--- a/passgate/jobs/bound_bodies.py
+++ b/passgate/jobs/bound_bodies.py
@@ -22,7 +22,7 @@
 import logging
 import secrets
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
 import msgspec
@@ -53,8 +53,8 @@
 PIECE_SHARE = 0.5
 """Share of a record's limit that one piece fills; its base64 form is a third longer."""
 
-TermsOf = Callable[[str, str, str | None], SendTerms]
-"""Returns what binds a request of a host, path and tenant by the configuration in force."""
+TermsOf = Callable[[str, str, str | None, frozenset[str]], SendTerms]
+"""Returns what binds a request of a host, path, tenant, and regions when it was accepted."""
 
 
 class BodiesSettings(Protocol):
@@ -116,11 +116,19 @@
 
     def regions_of(self, host: str, path: str, tenant: str | None) -> frozenset[str] | None:
         """Return the regions that a job is bound to by the configuration in force; None where any may."""
-        return self._terms_of(host, path, tenant).regions
+        return self._terms_of(host, path, tenant, frozenset()).regions
 
-    def may_hold(self, host: str, path: str, tenant: str | None) -> bool:
-        """Whether this daemon may hold the bodies of a job, and so own it, by the configuration in force."""
-        return may_be_in(self.regions_of(host, path, tenant), self._places.region)
+    def may_hold(self, host: str, path: str, tenant: str | None, place: BodiesPlace | None = None) -> bool:
+        """Whether this daemon may hold the bodies of a job, and so own it, by the configuration in force.
+
+        Args:
+            host: host of the job.
+            path: its path.
+            tenant: name of its tenant, if it has one.
+            place: where its bodies stand, if they stand apart from it.
+        """
+        begun = place.regions if place is not None else frozenset()
+        return may_be_in(self._terms_of(host, path, tenant, begun).regions, self._places.region)
 
     async def put_apart(self, spec: JobSpec, part: int, deadline_s: float) -> JobSpec:
         """Return a job as it may stand on the log; the bodies of a bound one stand elsewhere then.
@@ -132,7 +140,9 @@
             return spec
         topic, nonce = topic_of(self._topic, regions), secrets.token_hex(8)
         offsets = [await self._append(topic, part, piece, deadline_s) for piece in self._pieces(spec, nonce)]
-        place = BodiesPlace(topic=topic, part=part, first=offsets[0], last=offsets[-1], nonce=nonce)
+        place = BodiesPlace(
+            topic=topic, part=part, first=offsets[0], last=offsets[-1], nonce=nonce, regions=regions
+        )
         return without_bodies(spec, place)
 
     def _pieces(self, spec: JobSpec, nonce: str) -> list[bytes]:
@@ -207,7 +217,7 @@
         reading = self._reading.get(job.job_id)
         if reading is not None or job.job_id in self._lost:
             return reading
-        if not self._bodies.may_hold(job.host, job.path, job.tenant):
+        if not self._bodies.may_hold(job.host, job.path, job.tenant, job.place):
             return None
         task = asyncio.get_running_loop().create_task(self._read(job))
         self._reading[job.job_id] = task
@@ -229,9 +239,9 @@
         else:
             self._take(job.job_id, bodies)
 
-    def forget(self, job_ids: frozenset[str]) -> None:
+    def forget_all_but(self, job_ids: Collection[str]) -> None:
         """Keep nothing of jobs that are not among these."""
-        self._lost &= job_ids  # empty nearly always
+        self._lost = {job_id for job_id in self._lost if job_id in job_ids}
 
     def close(self) -> None:
         """Read nothing any more."""
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -65,16 +65,23 @@
     durations: OutputDurations
     rewards: RewardTools
     silence: StreamSilence
+<<<<<<< ours
     terms_for: Callable[[str, str, str | None], SendTerms]
     """Returns what binds a request of a host, path and tenant by the configuration in force."""
     group_replicas: GroupReplicas
+=======
+    terms_for: Callable[[str, str, str | None, frozenset[str]], SendTerms]
+    """Returns what binds a request of a host, path, tenant, and regions when it was accepted."""
+    group_replica: dict[str, str]
+    """Group to the replica that read its shared prompt last."""
+>>>>>>> theirs
 
     def terms_of(self, job: JobSpec) -> SendTerms:
         """Return what binds the items of a job now."""
-        return self.terms_for(job.host, job.path, job.tenant)
+        return self.terms_for(job.host, job.path, job.tenant, self.route.allowed_regions)
 
     def line_of(self, job: JobSpec) -> LineName:
-        """Return the line in which items of a job wait that begin to wait now."""
+        """Return the line in which items of a job wait that wait now."""
         return LineName(model=job.model, regions=self.terms_of(job).regions)
 
     def expected_tokens(self, item: ItemSpec) -> float:
@@ -127,6 +134,7 @@
             return False
         return min(kept.versions) >= self._job.min_version
 
+<<<<<<< ours
     async def wait_for_replica(self, line: LineName) -> None:
         """Wait until a replica has room for the item, and reserve the room.
 
@@ -144,10 +152,25 @@
         self._reserve(state)
 
     def _reserve(self, state: ReplicaState) -> None:
+=======
+    async def wait_for_replica(self) -> None:
+        """Wait in line until a replica has room for the item, and reserve the room."""
+        while (state := await self._wait_in(self._tools.line_of(self._job))) is None:
+            pass  # the configuration in force has put the item into another line
+>>>>>>> theirs
         self._state = state
         state.in_flight += 1
         self._crashes.placed(self._identity, state.info.replica_id)
 
+    async def _wait_in(self, line: LineName) -> ReplicaState | None:
+        """Wait in a line for a replica with room; return None once the item belongs into another line."""
+        with self._tools.waiting.place(line, self._rank):
+            while self._tools.line_of(self._job) == line:
+                if self._tools.waiting.is_first(line, self._rank) and (state := self._choose()) is not None:
+                    return state
+                await asyncio.sleep(ROOM_STEP_S)
+        return None
+
     def release(self) -> None:
         """Give back a reserved room that was not used."""
         if self._state is not None:
@@ -217,9 +240,7 @@
             await self._wait_apart()
             return
         self._rank = Rank(start_s=self._rank.start_s, fresh=False, number=id(self))
-        line = self._tools.line_of(self._job)
-        with self._tools.waiting.place(line, self._rank):
-            await self.wait_for_replica(line)
+        await self.wait_for_replica()
 
     async def _wait_while_held(self) -> None:
         """Wait while the item is held; its job gives it up when the route's time for it is over."""
--- a/passgate/jobs/records.py
+++ b/passgate/jobs/records.py
@@ -60,6 +60,8 @@
     """Offset of the last one."""
     nonce: str
     """Names the pieces that belong together."""
+    regions: frozenset[str] = frozenset()
+    """Regions that bound the job when it was accepted; they hold when its route is in force no more."""
 
 
 class ItemBodies(msgspec.Struct, frozen=True, array_like=True):
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -21,7 +21,7 @@
 from passgate.jobs.records import ItemsDone, ItemSpec, JobSpec, Result, ResultState, RewardSpec
 from passgate.jobs.reward_call import RewardCall
 from passgate.jobs.timing import JobTiming
-from passgate.jobs.waiting import LineName, Rank
+from passgate.jobs.waiting import Rank
 
 logger = logging.getLogger("passgate.jobs")
 
@@ -62,9 +62,7 @@
             checkpoints = tasks.create_task(self._checkpoint_often())
             async with asyncio.TaskGroup() as items:
                 for rank, item in self._in_order():
-                    line = self._tools.line_of(self._spec)
-                    with self._tools.waiting.place(line, rank):
-                        await self._start(item, rank, line, items)
+                    await self._start(item, rank, items)
             checkpoints.cancel()
 
     def _give_up(self) -> None:
@@ -105,15 +103,20 @@
         slack_s = 0.0 if self._is_known(item) else longest_s - self._expected_s(item)
         return Rank(start_s=self._job.folded_s + slack_s, fresh=True, number=id(item))
 
-    async def _start(self, item: ItemSpec, rank: Rank, line: LineName, items: asyncio.TaskGroup) -> None:
+    async def _start(self, item: ItemSpec, rank: Rank, items: asyncio.TaskGroup) -> None:
         earlier = self._known_text(item.id)
         if earlier is not None:
             items.create_task(self._score(item, earlier, attempts=0, began_s=monotonic_s()))
             return
         kept = self._fold.kept.get(self._key(item.id))
         run = ItemRun(self._spec, item, self._tools, kept, rank, self._timing)
+<<<<<<< ours
         if not run.waits_apart:
             await run.wait_for_replica(line)
+=======
+        if not run.held:
+            await run.wait_for_replica()
+>>>>>>> theirs
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
 
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -114,7 +114,7 @@
 
     def may_hold(self, job: JobState) -> bool:
         """Whether this daemon may hold a job's bodies, by the configuration in force."""
-        return self._bodies is None or self._bodies.may_hold(job.host, job.path, job.tenant)
+        return self._bodies is None or self._bodies.may_hold(job.host, job.path, job.tenant, job.bodies_at)
 
     def read_bodies(self) -> None:
         """Begin to read the bodies of open jobs that this daemon may hold, and drop those it may not."""
@@ -125,7 +125,7 @@
                 job.bodies = None
             elif job.open and job.bound is not None:
                 self.bodies.want(job.bound)
-        self.bodies.forget(frozenset(self.fold.jobs))
+        self.bodies.forget_all_but(self.fold.jobs)
 
     def _take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> None:
         self.fold.take_bodies(job_id, bodies)
--- a/tests/test_jobs_regions.py
+++ b/tests/test_jobs_regions.py
@@ -165,6 +165,15 @@
     await settle(fleet.daemons, ["j"])
 
 
+@in_fleet("b")
+async def test_bodies_stay_in_their_regions_when_the_route_of_their_job_is_removed(fleet):
+    await submit(fleet.of("b")[0], "j", count=30)
+    await asyncio.sleep(SOON_S)
+    fleet.config.offer(GatewayConfig(version=2, routes=()))
+    await asyncio.sleep(SOON_S)
+    assert fleet.holders("j") == {"b"}
+
+
 @in_fleet("b")
 async def test_a_daemon_cut_off_from_the_log_hands_no_bodies_to_neighbours_that_may_not_have_them(fleet):
     outside = fleet.of("a")[0]
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -163,6 +163,23 @@
     assert world.runs("i-west") == []
 
 
+@in_regions
+async def test_an_item_whose_bounds_are_tightened_holds_up_no_item_behind_it(world):
+    other = stand_ins.batch_route(name="o", pathPrefix="/other/")
+    world.configure(1, stand_ins.batch_route(), other)
+    await world.start()
+    assert (await world.submit(["aa1"])).status == 202
+    await asyncio.sleep(QUIET_S / 2)
+    body = stand_ins.job_body(["bb1"])
+    assert (await world.call("POST", "/other/j", body, request_id="job2")).status == 202
+    await asyncio.sleep(QUIET_S / 2)
+    world.configure(2, bound(stand_ins.batch_route(), "east"), other)
+    await world.until(lambda: world.daemon.config.version == 2)
+    world.replica("i-west", "llm", zone="b", models={"m": 1}.items())
+    assert [row["id"] for row in await world.all_results("job2")] == ["bb1"]
+    assert world.runs("i-west") == ["bb1"]
+
+
 @in_regions
 async def test_a_reward_call_is_bound_by_its_own_route(world):
     world.replica("i-llm", "llm", zone="b", models={"m": 1}.items())
