--- a/passgate/eligibility/cold_replicas.py
+++ b/passgate/eligibility/cold_replicas.py
@@ -93,11 +93,14 @@
             if limit is not None:
                 self._doubts[info.replica_id] = _Doubt(since_s=now_s, until_s=now_s + limit.lasts_s)
 
+    @property
+    def any(self) -> bool:
+        """Whether any replica may count as cold."""
+        return bool(self._until_s or self._doubts)
+
     def is_cold(self, info: ReplicaInfo, now_s: float) -> bool:
         """Whether a replica is cold or may be."""
-        if not self._until_s and not self._doubts:
-            return False
-        return self.left_s(info, now_s) > 0.0
+        return self.any and self.left_s(info, now_s) > 0.0
 
     def left_s(self, info: ReplicaInfo, now_s: float) -> float:
         """Return for how long a replica still counts as cold; 0 if it is warm."""
--- a/passgate/eligibility/permit_grantor.py
+++ b/passgate/eligibility/permit_grantor.py
@@ -81,17 +81,20 @@
     def tick(self) -> None:
         """Note whether this daemon leads; to be called often, as a new leader waits from when it is noted."""
         now_s = monotonic_s()
-        may_order = self._lead.may_order()
-        self._grants.lead(self._lead.fence if may_order else None, now_s)
         self._grants.forget_old(now_s)
-        if may_order and self._grants.ready(now_s) and self._began_fence != self._lead.fence:
+        if self._note_lead(now_s) and self._grants.ready(now_s) and self._began_fence != self._lead.fence:
             self._began_fence = self._lead.fence
             self._decisions.write(PermitsBegan(fence=self._lead.fence))
 
+    def _note_lead(self, now_s: float) -> bool:
+        """Note whether this daemon leads, and return it."""
+        may_order = self._lead.may_order()
+        self._grants.lead(self._lead.fence if may_order else None, now_s)
+        return may_order
+
     def answer(self, asker: str, question: AskPermits) -> PermitsGiven:
         """Answer a daemon, by its address."""
-        self.tick()
-        if not self._lead.may_order():
+        if not self._note_lead(monotonic_s()):
             return PermitsGiven(leader=self._leader())
         limits = {}
         for replica_id, service in question.replicas.items():
--- a/passgate/eligibility/permit_peers.py
+++ b/passgate/eligibility/permit_peers.py
@@ -29,9 +29,10 @@
 ASK_GAP_S = 0.05
 """Time between two questions that bring permits; a sixth of a permit's life, so that they follow use."""
 MOST_GAP_S = 0.4
-"""Time to which the pause grows, doubled, while questions bring none: 84 daemons ask 210 times a second."""
+"""Time to which the pause grows, doubled, while questions bring none; some permits' lives, so that a refused
+asker costs the leader two or three questions a second."""
 MOST_PERMITS = 64
-"""Permits asked for at once: what a zone of 23 replicas, 29 a second each, gets in a tenth of a second."""
+"""Permits asked for at once, so that one daemon can not take what many cold replicas bear for a while."""
 GROWTH = 2
 """Permits asked for by each that was used since the last question, so that few run out unused."""
 TICK_S = 0.1
--- a/passgate/eligibility/permits.py
+++ b/passgate/eligibility/permits.py
@@ -56,19 +56,24 @@
         self.grants: deque[_Grant] = deque()
         self.demands: dict[str, _Demand] = {}
 
-    def forget_old(self, now_s: float, span_s: float) -> None:
+    def forget_old_grants(self, now_s: float, span_s: float) -> None:
         while self.grants and now_s - self.grants[0].at_s > span_s:
             self.grants.popleft()
+
+    def forget_old_demands(self, now_s: float) -> None:
         old = [asker for asker, demand in self.demands.items() if now_s - demand.at_s > DEMAND_LIFE_S]
         for asker in old:
             del self.demands[asker]
 
-    def room(self, asker: str, limit: int) -> int:
+    def room(self, asker: str, limit: int, now_s: float) -> int:
         """Return what one asker may get now: its share, and what the others don't lack of theirs."""
+        left = limit - sum(grant.count for grant in self.grants)
+        if left <= 0:
+            return 0  # most questions of many askers end here, before all of them are looked at
+        self.forget_old_demands(now_s)
         granted: Counter[str] = Counter()
         for grant in self.grants:
             granted[grant.asker] += grant.count
-        left = limit - granted.total()
         wants = {other: granted[other] + demand.count for other, demand in self.demands.items()}
         share = fair_share(limit, wants.values())
         others_lack = sum(
@@ -118,9 +123,9 @@
 
     def _room(self, asker: str, replica_id: str, limit: int, count: int, now_s: float) -> int:
         replica = self._replicas.setdefault(replica_id, _ReplicaGrants())
-        replica.forget_old(now_s, self._span_s)
+        replica.forget_old_grants(now_s, self._span_s)
         replica.demands[asker] = _Demand(now_s, count)
-        return replica.room(asker, limit)
+        return replica.room(asker, limit, now_s)
 
     def _spread(self, asker: str, rooms: dict[str, int], count: int, now_s: float) -> dict[str, int]:
         granted: dict[str, int] = {}
@@ -137,7 +142,8 @@
     def forget_old(self, now_s: float) -> None:
         """Drop replicas of which nothing is left to know."""
         for replica_id, replica in list(self._replicas.items()):
-            replica.forget_old(now_s, self._span_s)
+            replica.forget_old_grants(now_s, self._span_s)
+            replica.forget_old_demands(now_s)
             if not replica.grants and not replica.demands:
                 del self._replicas[replica_id]
 
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -115,9 +115,7 @@
         if monotonic_s() < self._hedge_at_s(forwarding) or not self._may_send(forwarding):
             return False
         # A suspect that runs at two replicas may end both before either end tells anything.
-        if self._caller.crashes.is_suspect(forwarding.identity):
-            return False
-        return self._choose(forwarding) is not None
+        return not self._caller.crashes.is_suspect(forwarding.identity)
 
     def _hedge_at_s(self, forwarding: Forwarding) -> float:
         delay_s = HEDGE_SHARE * forwarding.route.target_latency_s
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -181,6 +181,8 @@
         A cold replica counts as one with room for as many requests as there are permits.
         """
         best = self._best(request, now_s)
+        if not self.cold.any:
+            return best
         if best is None or best.load(now_s) >= FULL_LOAD:
             self._want_permits(request, now_s)
         if best is not None:
@@ -251,7 +253,7 @@
             return False
         if not self.rules.allows(state.info, request.terms, now_s):
             return False
-        return self._cold_rule.has_room(state.info, request.terms, now_s)
+        return not self.cold.any or self._cold_rule.has_room(state.info, request.terms, now_s)
 
     def _suits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
         """Whether a replica will do, but for the rules for sending."""
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -65,16 +65,9 @@
     durations: OutputDurations
     rewards: RewardTools
     silence: StreamSilence
-<<<<<<< ours
-    terms_for: Callable[[str, str, str | None], SendTerms]
-    """Returns what binds a request of a host, path and tenant by the configuration in force."""
-    group_replicas: GroupReplicas
-=======
     terms_for: Callable[[str, str, str | None, frozenset[str]], SendTerms]
     """Returns what binds a request of a host, path, tenant, and regions when it was accepted."""
-    group_replica: dict[str, str]
-    """Group to the replica that read its shared prompt last."""
->>>>>>> theirs
+    group_replicas: GroupReplicas
 
     def terms_of(self, job: JobSpec) -> SendTerms:
         """Return what binds the items of a job now."""
@@ -134,15 +127,10 @@
             return False
         return min(kept.versions) >= self._job.min_version
 
-<<<<<<< ours
-    async def wait_for_replica(self, line: LineName) -> None:
-        """Wait until a replica has room for the item, and reserve the room.
-
-        The item's rank must have a place in the line.
-        """
-        waiting = self._tools.waiting
-        while not waiting.is_first(line, self._rank) or (state := self._choose()) is None:
-            await asyncio.sleep(ROOM_STEP_S)
+    async def wait_for_replica(self) -> None:
+        """Wait in line until a replica has room for the item, and reserve the room."""
+        while (state := await self._wait_in(self._tools.line_of(self._job))) is None:
+            pass  # the configuration in force has put the item into another line
         self._reserve(state)
 
     async def _wait_apart(self) -> None:
@@ -152,12 +140,6 @@
         self._reserve(state)
 
     def _reserve(self, state: ReplicaState) -> None:
-=======
-    async def wait_for_replica(self) -> None:
-        """Wait in line until a replica has room for the item, and reserve the room."""
-        while (state := await self._wait_in(self._tools.line_of(self._job))) is None:
-            pass  # the configuration in force has put the item into another line
->>>>>>> theirs
         self._state = state
         state.in_flight += 1
         self._crashes.placed(self._identity, state.info.replica_id)
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -110,13 +110,8 @@
             return
         kept = self._fold.kept.get(self._key(item.id))
         run = ItemRun(self._spec, item, self._tools, kept, rank, self._timing)
-<<<<<<< ours
         if not run.waits_apart:
-            await run.wait_for_replica(line)
-=======
-        if not run.held:
             await run.wait_for_replica()
->>>>>>> theirs
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
 
