--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -13,6 +13,7 @@
 from passgate.eligibility.evacuation import EvacuatedZones, EvacuationChange, EvacuationRule, EvacuationView
 from passgate.eligibility.places import Places
 from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import ASK_AFTER_S, KnownConfiguration
 from passgate.gateway.replicas import ChoiceRequest, ReplicaTable
@@ -20,6 +21,7 @@
 from passgate.jobs.records import JobNoted
 from passgate.platform.beliefs import Beliefs
 from passgate.platform.documents import evacuated_zone
+from passgate.quarantine.service import Crashes
 from passgate.sharedlog.log import KeyedRecord
 from passgate.versions.loader import Loader, ReplicaReport, WantedVersions
 from tests import test_duties_scaling as scaling
@@ -218,7 +220,8 @@
 def loader(replicas, jobs=None):
     leadership = types.SimpleNamespace(may_order=lambda: True, fence=1)
     control, wanted = Control(replicas), WantedVersions(decisions())
-    return control, wanted, Loader(wanted, replicas, leadership, control, "d", jobs or {}, decisions())
+    guard = Crashes(MemorySharedLog().client("d"), "crashes", replicas.set_aside, decisions()).guard
+    return control, wanted, Loader(wanted, replicas, leadership, control, "d", jobs or {}, guard, decisions())
 
 
 def test_a_load_that_is_about_to_be_ordered_is_not_ordered_into_an_evacuated_zone():
