--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from functools import partial
 
 from passgate.clients.calls import HttpLimits
 from passgate.clients.curl import HttpClient
@@ -31,6 +32,7 @@
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
 from passgate.duties.usage_channel import CONTROL_PART
+from passgate.eligibility.known_service import KnownServiceRule
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -59,7 +61,7 @@
 from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
 from passgate.statecharts import Machine
 from passgate.versions.control import ControlTopic
-from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
+from passgate.versions.loader import Loader, ReplicaControl, WantedVersions, read_life
 
 UNACKNOWLEDGED_TIMEOUT_S = 2.0
 """Time after which a connection whose bytes are not acknowledged is dead; two lost packets are borne."""
@@ -105,6 +107,7 @@
         log = CountedLog(log, self.metrics.count_log_call)
         self.config = ConfigHolder()
         self.replicas = ReplicaTable(settings.places)
+        self.replicas.rules.add(KnownServiceRule(self.config.names_service))
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -116,7 +119,9 @@
             self.decisions,
         )
         self._log = log
-        self._crashes = Crashes(log, topics.crashes, self.replicas.set_aside, self.decisions)
+        self._crashes = Crashes(
+            log, topics.crashes, self.replicas.set_aside, self.decisions, partial(read_life, control)
+        )
         caller = ReplicaCaller(http, self.replicas, names, self._crashes.guard)
         runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions)
         self._peers = peers
--- a/passgate/decisions/daemon_events.py
+++ b/passgate/decisions/daemon_events.py
@@ -86,6 +86,15 @@
     state: str
 
 
+class EntryUnusable(Event, tag="entry_unusable"):
+    """An entry of discovery names no replica to use."""
+
+    key: str
+    reason: str
+    entries: int
+    """Such entries since the last such line, this one among them."""
+
+
 class RelayChanged(Event, tag="relay_changed"):
     """This daemon begins or ends to read the list of replicas for others."""
 
--- a/passgate/discovery/records.py
+++ b/passgate/discovery/records.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import zlib
 from typing import TypeVar
 
@@ -35,6 +36,8 @@
     relay: str
     """The daemon that appended it."""
     changes: tuple[DiscoveryNews, ...] = ()
+    unreadable: int = 0
+    """Changes of the record that could not be read."""
 
 
 class ListPart(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,6 +49,20 @@
     changes_from: int
     """Offset in the topic of changes from which on they are not in the part."""
     replicas: tuple[DiscoveryNews, ...] = ()
+    unreadable: int = 0
+    """Replicas of the part that could not be read."""
+
+
+class _ChangesRecord(msgspec.Struct):
+    relay: str
+    changes: list[msgspec.Raw] = []
+
+
+class _PartRecord(msgspec.Struct):
+    part: int
+    at: int
+    changes_from: int
+    replicas: list[msgspec.Raw] = []
 
 
 def part_of(replica_id: str) -> int:
@@ -59,8 +76,16 @@
 
 
 def decode_part(record: KeyedRecord) -> ListPart:
-    """Return the part of a record; raises MalformedRecord."""
-    return _unpack(record.value, ListPart)
+    """Return the part of a record, without replicas that can't be read; raises MalformedRecord."""
+    part = _unpack(record.value, _PartRecord)
+    replicas = _readable(part.replicas)
+    return ListPart(
+        part=part.part,
+        at=part.at,
+        changes_from=part.changes_from,
+        replicas=replicas,
+        unreadable=len(part.replicas) - len(replicas),
+    )
 
 
 def encode_changes(changes: RelayedChanges) -> bytes:
@@ -69,8 +94,19 @@
 
 
 def decode_changes(record: bytes) -> RelayedChanges:
-    """Return the changes of a record; raises MalformedRecord."""
-    return _unpack(record, RelayedChanges)
+    """Return the changes of a record, without those that can't be read; raises MalformedRecord."""
+    told = _unpack(record, _ChangesRecord)
+    changes = _readable(told.changes)
+    return RelayedChanges(relay=told.relay, changes=changes, unreadable=len(told.changes) - len(changes))
+
+
+def _readable(rows: list[msgspec.Raw]) -> tuple[DiscoveryNews, ...]:
+    """Return the news that can be read; one that can't must not cost the others."""
+    news = []
+    for row in rows:
+        with contextlib.suppress(msgspec.DecodeError, RecursionError):  # the caller counts what is left out
+            news.append(msgspec.json.decode(row, type=DiscoveryNews))
+    return tuple(news)
 
 
 def _pack(content: msgspec.Struct) -> bytes:
@@ -80,5 +116,5 @@
 def _unpack(data: bytes, kind: type[Content]) -> Content:
     try:
         return msgspec.json.decode(zlib.decompress(data), type=kind)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise MalformedRecord(f"{kind.__name__} of the list of replicas: {error}") from error
--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -18,7 +18,7 @@
 )
 from passgate.discovery.view import DiscoveryNews, DiscoveryView
 from passgate.errors import LogError, MalformedRecord
-from passgate.sharedlog.log import LogPage, SharedLog
+from passgate.sharedlog.log import KeyedRecord, LogPage, SharedLog
 from passgate.sharedlog.tail import FollowedTail, RecordTail, TailSettings
 
 logger = logging.getLogger("passgate.discovery")
@@ -123,20 +123,34 @@
     async def _load(self) -> None:
         try:
             snapshot = await self._log.newest(self._list_topic, 0)
-            parts = [decode_part(record) for record in snapshot.records]
         except LogError as error:
             logger.info("replica_list_not_read", extra={"error": str(error)})
             return
-        if {part.part for part in parts} != set(range(PARTS)):
-            return
+        parts = [part for record in snapshot.records if (part := self._decode_part(record)) is not None]
         for part in parts:
             self._take_part(part)
+        if {part.part for part in parts} != set(range(PARTS)):
+            return  # the missing parts are read with a further try; relays write each again within 32 s
         self._load_s = monotonic_s() + self._rng.uniform(*RESYNC_S)
         # A part may list what a change since has taken away, so the changes are read again as well.
         self._tail.set(False)
         self._next_offset = self._tail.tail.next_offset = min(part.changes_from for part in parts)
         self.whole = True
 
+    def _decode_part(self, record: KeyedRecord) -> ListPart | None:
+        """Return the part of a record, or None when it can't be read."""
+        try:
+            part = decode_part(record)
+        except MalformedRecord as error:
+            self._view.unusable.note(f"list part {record.key}", str(error), monotonic_s())
+            return None
+        self._note_unreadable(f"list part {record.key}", part.unreadable)
+        return part
+
+    def _note_unreadable(self, key: str, count: int) -> None:
+        for _ in range(count):
+            self._view.unusable.note(key, "a replica in it can't be read", monotonic_s())
+
     def _take_part(self, part: ListPart) -> None:
         listed = {news.replica_id for news in part.replicas}
         for replica_id in self._view.replica_ids():
@@ -157,6 +171,7 @@
             except MalformedRecord as error:
                 self._decisions.write(RecordUnreadable(offset=page.start + index, reason=str(error)))
                 continue
+            self._note_unreadable(f"changes of {changes.relay}", changes.unreadable)
             for news in changes.changes:
                 self._view.take_relayed(news)
             self._take_changes(changes, fresh)
--- a/passgate/discovery/service.py
+++ b/passgate/discovery/service.py
@@ -16,7 +16,7 @@
 from passgate.discovery.relayed_list import RelayedList
 from passgate.discovery.view import DiscoveryNews, DiscoveryView
 from passgate.eligibility.replica_info import ReplicaInfo
-from passgate.errors import LogError
+from passgate.errors import LogError, MalformedRecord
 from passgate.sharedlog.log import KeyedRecord, SharedLog
 from passgate.sharedlog.tail import KeyedTail, TailSettings
 
@@ -39,10 +39,10 @@
 
 
 class ReplicaDecoder:
-    """How an adapter reads an entry of discovery; returns None for an unreadable one."""
+    """How an adapter reads an entry of discovery."""
 
-    def decode(self, record: KeyedRecord) -> ReplicaInfo | None:
-        """Return the replica of an entry."""
+    def decode(self, record: KeyedRecord) -> ReplicaInfo:
+        """Return the replica of an entry; raises MalformedRecord if it names none to use."""
         raise NotImplementedError
 
 
@@ -235,8 +235,11 @@
 
     def _take_list(self, records: tuple[KeyedRecord, ...], next_offset: int) -> None:
         self._note_log()
-        infos = [info for record in records if record.value and (info := self._decoder.decode(record))]
-        changes = self._view.take_all(infos, next_offset - 1)
+        listed = [record for record in records if record.value]
+        infos = {record.key: self._decode(record) for record in listed}
+        overwritten = frozenset(key for key, info in infos.items() if info is None)
+        usable = [info for info in infos.values() if info is not None]
+        changes = self._view.take_all(usable, next_offset - 1, overwritten)
         if self.relaying and self._relayed.whole:
             # Without a list on the log nobody follows the changes yet, and its parts will hold all.
             self._relay.changed(changes)
@@ -244,13 +247,24 @@
     def _take_entries(self, records: tuple[KeyedRecord, ...], start: int) -> None:
         self._note_log()
         for index, record in enumerate(records):
-            info = self._decoder.decode(record) if record.value else None
-            if record.value and info is None:
-                continue
-            news = DiscoveryNews(replica_id=record.key, at=start + index, info=info)
+            info = self._decode(record) if record.value else None
+            news = DiscoveryNews(
+                replica_id=record.key,
+                at=start + index,
+                info=info,
+                overwritten=bool(record.value) and info is None,
+            )
             if self._view.take(news) and self.relaying:
                 self._relay.changed([news])
 
+    def _decode(self, record: KeyedRecord) -> ReplicaInfo | None:
+        """Return the replica of an entry, or None when it names none to use."""
+        try:
+            return self._decoder.decode(record)
+        except MalformedRecord as error:
+            self._view.unusable.note(record.key, str(error), monotonic_s())
+            return None
+
     def _note_log(self) -> None:
         if self._direct is not None:
             self._view.note_log(self._direct[0].freshness)
--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -1,5 +1,8 @@
 """The replicas as a daemon knows them from discovery; older news never replaces newer.
 
+Discovery has one entry for each identifier, so news is ordered by identifier and offset.  A replica may
+start again under its identifier; what an older life of it wrote and what arrives late is passed over.
+
 >>> DiscoveryNews(replica_id="r", at=4).gone
 True
 """
@@ -10,8 +13,9 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ReplicaChanged
+from passgate.discovery.unusable import UnusableEntries
 from passgate.eligibility.replica_info import ReplicaInfo
-from passgate.gateway.replicas import ReplicaTable
+from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.sharedlog.tail import BEHIND_S, Freshness
 
 FORGET_GONE_S = 120.0
@@ -26,6 +30,8 @@
     replica_id: str
     at: int
     info: ReplicaInfo | None = None
+    overwritten: bool = False
+    """Whether an entry is there, but names no replica to use: it may come from another writer."""
 
     @property
     def gone(self) -> bool:
@@ -49,8 +55,15 @@
         self._replicas = replicas
         self._decisions = decisions
         self._known_at: dict[str, int] = {}
+        """Identifier to the offset of the newest news."""
+        self._newest_born: dict[str, int] = {}
+        """Identifier to the start of the newest life known."""
         self._gone_s: dict[str, float] = {}
         self._returned_s = float("-inf")
+        self._overwritten: set[str] = set()
+        """Identifiers whose entries name no replica to use now, after one that did."""
+        self.unusable = UnusableEntries(decisions)
+        """Entries that name no replica to use."""
         self._lapsed: dict[str, _Lapse] = {}
         """Replicas whose entries went while the log was away."""
 
@@ -71,8 +84,13 @@
             return False
         listed_at = self._listed_at(news.replica_id)
         self._known_at[news.replica_id] = news.at
+        if news.info is not None and self._is_outdated(news.info):
+            self.unusable.note(news.replica_id, "written by an older life", monotonic_s())
+            return False
         known = self._replicas.get(news.replica_id)
         came_back = self._lapsed.pop(news.replica_id, None) is not None
+        if news.overwritten:
+            return self._overwrite(news.replica_id)
         if news.info is None and known is not None and self._may_have_lapsed(known.info):
             self._lapsed[news.replica_id] = _Lapse(gone_at=news.at, listed_at=listed_at)
             self._note(news.replica_id, known.info.service, "lapsed", True)
@@ -80,19 +98,42 @@
         if news.info is None:
             return self._remove(news.replica_id)
         changed = came_back or known is None or known.info != news.info
-        if known is None or known.info.draining != news.info.draining:
-            state = "draining" if news.info.draining else "ready"
-            self._note(news.replica_id, news.info.service, state, True)
+        self._newest_born[news.replica_id] = news.info.born_unix_ms
+        self._note_listed(news.info, known)
         self._replicas.put(news.info)
         return changed
 
+    def _note_listed(self, info: ReplicaInfo, known: ReplicaState | None) -> None:
+        """Tell of a replica that is new, has started again, or changed its state."""
+        was_overwritten = info.replica_id in self._overwritten
+        self._overwritten.discard(info.replica_id)
+        restarted = known is not None and known.life != info.life
+        self._note(info.replica_id, info.service, "restarted", restarted)
+        if known is None and was_overwritten:
+            return  # told of as an entry that could not be used; it may be overwritten each second
+        if known is None or restarted or known.info.draining != info.draining:
+            self._note(info.replica_id, info.service, "draining" if info.draining else "ready", True)
+
+    def _is_outdated(self, info: ReplicaInfo) -> bool:
+        """Whether an older life wrote an entry, which arrived late."""
+        return info.born_unix_ms < self._newest_born.get(info.replica_id, 0)
+
+    def _overwrite(self, replica_id: str) -> bool:
+        """Use a replica no more whose entry was overwritten; return whether it was in use."""
+        self._overwritten.add(replica_id)
+        return self._forget(replica_id) is not None
+
     def _remove(self, replica_id: str) -> bool:
         """Forget a replica that is not listed any more; return whether it was known."""
+        known = self._forget(replica_id)
+        self._note(replica_id, known.info.service if known else "", "gone", known is not None)
+        return known is not None
+
+    def _forget(self, replica_id: str) -> ReplicaState | None:
         known = self._replicas.get(replica_id)
         self._gone_s[replica_id] = monotonic_s()
         self._replicas.remove(replica_id)
-        self._note(replica_id, known.info.service if known else "", "gone", known is not None)
-        return known is not None
+        return known
 
     def take_relayed(self, news: DiscoveryNews) -> None:
         """Take news from a relay, which has waited itself for an entry that may come back."""
@@ -101,13 +142,27 @@
         elif news.at > self._listed_at(news.replica_id):
             self._lapsed.pop(news.replica_id, None)
             self._known_at[news.replica_id] = max(news.at, self._known_at.get(news.replica_id, -1))
-            self._remove(news.replica_id)
-
-    def take_all(self, infos: list[ReplicaInfo], at: int) -> list[DiscoveryNews]:
-        """Take the whole list; ``at`` is the last offset that it holds.  Return what changed."""
+            if news.overwritten:
+                self._overwrite(news.replica_id)
+            else:
+                self._remove(news.replica_id)
+
+    def take_all(
+        self, infos: list[ReplicaInfo], at: int, overwritten: frozenset[str] = frozenset()
+    ) -> list[DiscoveryNews]:
+        """Take the whole list; return what changed.
+
+        Args:
+            infos: the replicas that are listed.
+            at: the last offset that the list holds.
+            overwritten: identifiers whose entries name no replica to use.
+        """
         listed = {info.replica_id for info in infos}
         gone = [replica_id for replica_id in self.replica_ids() if replica_id not in listed]
-        news = [DiscoveryNews(replica_id=replica_id, at=at) for replica_id in gone]
+        news = [
+            DiscoveryNews(replica_id=replica_id, at=at, overwritten=replica_id in overwritten)
+            for replica_id in gone
+        ]
         news += [DiscoveryNews(replica_id=info.replica_id, at=at, info=info) for info in infos]
         return [each for each in news if self.take(each)]
 
@@ -149,6 +204,8 @@
             del self._gone_s[replica_id]
             if self._replicas.get(replica_id) is None:
                 self._known_at.pop(replica_id, None)
+                self._newest_born.pop(replica_id, None)
+                self._overwritten.discard(replica_id)
 
     def _note(self, replica_id: str, service: str, state: str, wanted: bool) -> None:
         if wanted:
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import (
     BackendRefused,
     BackendUnreachable,
@@ -47,7 +48,7 @@
 class _Attempt(msgspec.Struct, frozen=True, kw_only=True):
     """One attempt that is under way."""
 
-    replica_id: str
+    replica: ReplicaLife
     began_s: float
     """Loop time at which it was sent."""
     sent_at_s: float
@@ -128,7 +129,7 @@
         self._note_sent(forwarding, state)
         call = self._caller.call(state, self._replica_request(forwarding))
         running[asyncio.get_running_loop().create_task(call)] = _Attempt(
-            replica_id=state.info.replica_id, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
+            replica=state.life, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
         )
 
     async def _wait(self, forwarding: Forwarding, running: Running) -> None:
@@ -151,7 +152,7 @@
                 outcome.fallback = answer
                 forwarding.may_have_run = True
             elif isinstance(error, PassgateError):
-                self._note_failed_attempt(forwarding, attempt.replica_id, error, attempt.began_s)
+                self._note_failed_attempt(forwarding, attempt.replica, error, attempt.began_s)
                 outcome.failure = error
             else:
                 raise error
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -8,6 +8,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import AttemptFailed, DecisionLog, ForwardEnded, ForwardSent
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import BackendUnreachable, NoReplicaAvailable, Unauthorized
 from passgate.errors.base import ExecutionStatus, PassgateError
 from passgate.gateway.access import Caller
@@ -36,7 +37,7 @@
     """Loop time at which the request is answered in any case."""
     deadline_s: float
     """Loop time at which the caller leaves."""
-    tried: list[str] = []
+    tried: list[ReplicaLife] = []
     never_reached: int = 0
     """Replicas among those tried to which no connection could be opened."""
     may_have_run: bool = False
@@ -178,7 +179,7 @@
         )
 
     def _note_sent(self, forwarding: Forwarding, state: ReplicaState) -> None:
-        forwarding.tried.append(state.info.replica_id)
+        forwarding.tried.append(state.life)
         self._decisions.write(
             ForwardSent(
                 request_id=forwarding.request_id,
@@ -190,7 +191,7 @@
         )
 
     def _note_failed_attempt(
-        self, forwarding: Forwarding, replica_id: str, error: PassgateError, began_s: float
+        self, forwarding: Forwarding, replica: ReplicaLife, error: PassgateError, began_s: float
     ) -> None:
         not_run = error.execution is ExecutionStatus.NOT_RUN
         forwarding.may_have_run |= not not_run
@@ -199,7 +200,7 @@
             AttemptFailed(
                 request_id=forwarding.request_id,
                 route=forwarding.route.name,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 fingerprint=forwarding.identity.fingerprint(),
                 reason=error.code,
                 execution=error.execution.value,
@@ -222,7 +223,7 @@
                 route=forwarding.route.name,
                 status=status,
                 reason=reason,
-                replicas=tuple(forwarding.tried),
+                replicas=tuple(life.replica_id for life in forwarding.tried),
                 elapsed_ms=round((monotonic_s() - forwarding.request.arrived_s) * 1000, 1),
             )
         )
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -15,6 +15,7 @@
 
 from passgate.decisions import (
     ConfigurationInForce,
+    EntryUnusable,
     Event,
     ForwardEnded,
     ItemFailed,
@@ -90,6 +91,11 @@
             "Requests counted after their window was committed, so that no report names them.",
             registry=self.registry,
         )
+        self._unusable_entries = Counter(
+            "passgate_unusable_entries",
+            "Entries of discovery that name no replica to use.",
+            registry=self.registry,
+        )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
     def count_log_call(self, call: str, subject: str, outcome: str) -> None:
@@ -110,6 +116,8 @@
                 self._accepts.observe(elapsed_ms / 1000)
             case ConfigurationInForce(version=version):
                 self._configuration.set(version)
+            case EntryUnusable(entries=entries):
+                self._unusable_entries.inc(entries)
 
     def exposition(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -16,6 +16,7 @@
 from passgate.clients.curl import HttpClient
 from passgate.clients.transfer import Transfer
 from passgate.clock import monotonic_s
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.eligibility.rules import ANY_REQUEST, SendTerms
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
 from passgate.gateway.access import headers_for_replica
@@ -91,7 +92,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    replica_id: str
+    replica: ReplicaLife
 
     def header(self, name: str) -> str:
         """Return the first header of this name, or nothing."""
@@ -173,10 +174,10 @@
         self.began_s = monotonic_s()
         """Loop time at which it was sent."""
         self._open = True
-        self.replica_id = state.info.replica_id
+        self.life = state.life
         self._transfer: Transfer = http.start(self._http_call())
         state.in_flight += 1
-        replicas.health.sent(self.replica_id, self.began_s)
+        replicas.health.sent(self.life, self.began_s)
 
     def _http_call(self) -> HttpCall:
         request = self._request
@@ -188,7 +189,7 @@
         headers["Host"] = request.host
         headers[self._names.request_id] = request.request_id
         headers[self._names.deadline_ms] = str(max(int(left_s * 1000), 1))
-        headers[self._names.expected_replica] = self.replica_id
+        headers[self._names.expected_replica] = self.life.replica_id
         if request.priority is not None:
             headers[self._names.priority] = str(request.priority)
         return HttpCall(
@@ -228,11 +229,11 @@
         if echoed is not None and echoed != self._request.request_id:
             self._transfer.abort()
             self._failed(unreachable=False)
-            raise AnswerMismatch("answer of another request", replica=self.replica_id)
+            raise AnswerMismatch("answer of another request", replica=self.life.text())
         self._note_load(answer)
         if status in NOT_RUN_STATUSES and self._names.not_executed in answer or status == WRONG_REPLICA:
             self._refused(status)
-        self._crashes.answered(self.replica_id, self.began_s)
+        self._crashes.answered(self._place(), self.began_s)
         self._state.accepted()
         return status
 
@@ -241,9 +242,9 @@
         self._transfer.finish_unread()
         if status in BUSY_STATUSES:
             self._state.refused(now_s)
-            self._replicas.health.hold_off(self.replica_id, now_s + BUSY_PAUSE_S)
+            self._replicas.health.hold_off(self.life, now_s + BUSY_PAUSE_S)
         if status == WRONG_REPLICA:
-            self._replicas.health.failed(self.replica_id, now_s, unreachable=True)
+            self._replicas.health.failed(self.life, now_s, unreachable=True)
         raise BackendRefused(
             f"replica refused with {status}", execution=ExecutionStatus.NOT_RUN, status=status
         )
@@ -272,34 +273,41 @@
             status=status,
             headers=tuple(self._transfer.headers.get_all()),
             body=answer.body,
-            replica_id=self.replica_id,
+            replica=self.life,
         )
 
     def succeeded(self) -> None:
         """Count an attempt whose answer is whole."""
         now_s = monotonic_s()
         self._crashes.succeeded(self._request.identity, self._state.info.service)
-        self._replicas.health.succeeded(self.replica_id)
-        self._replicas.observe_latency(self.replica_id, now_s - self.began_s, now_s)
+        self._replicas.health.succeeded(self.life)
+        self._replicas.observe_latency(self.life, now_s - self.began_s, now_s)
 
     def _broke_off(self, error: PassgateError) -> None:
         """Have it looked at whether the replica ended under the request.
 
         The end of one that was leaving says nothing of the requests that still ran there.
         """
-        info = self._state.info
-        if info.draining or self._replicas.get(self.replica_id) is None:
+        if self._state.info.draining or self._replicas.get(self.life.replica_id) is None:
             return
-        replica = ReplicaPlace(replica_id=self.replica_id, service=info.service, address=info.address)
-        self._crashes.broke_off(self._request.identity, replica, error)
+        self._crashes.broke_off(self._request.identity, self._place(), error)
+
+    def _place(self) -> ReplicaPlace:
+        listed = self._replicas.get(self.life.replica_id)
+        return ReplicaPlace(
+            life=self.life,
+            service=self._state.info.service,
+            address=self._state.info.address,
+            replaced=listed is not None and listed is not self._state,
+        )
 
     def _failed(self, *, unreachable: bool) -> None:
-        self._replicas.health.failed(self.replica_id, monotonic_s(), unreachable=unreachable)
+        self._replicas.health.failed(self.life, monotonic_s(), unreachable=unreachable)
 
     def too_slow(self) -> None:
         """Count an attempt that was given up because nothing came."""
         now_s = monotonic_s()
-        self._replicas.observe_latency(self.replica_id, now_s - self.began_s, now_s)
+        self._replicas.observe_latency(self.life, now_s - self.began_s, now_s)
 
     def fell_silent(self) -> None:
         """Count a stream that was left as its replica seems lost; it is set aside for some time."""
@@ -317,16 +325,16 @@
             return
         numbers = told.split(",")
         if len(numbers) >= 2 and all(number.strip().isdigit() for number in numbers):
-            self._replicas.observe_load(self.replica_id, int(numbers[0]) + int(numbers[1]), monotonic_s())
+            self._replicas.observe_load(self.life, int(numbers[0]) + int(numbers[1]), monotonic_s())
 
     def succeeded_stream(self) -> None:
         """Count a stream that came whole; its length says nothing of the replica's speed."""
         self._crashes.succeeded(self._request.identity, self._state.info.service)
-        self._replicas.health.succeeded(self.replica_id)
+        self._replicas.health.succeeded(self.life)
 
     def observe_pace(self, event_s: float) -> None:
         """Count the time that one event of the stream took."""
-        self._replicas.observe_latency(self.replica_id, event_s, monotonic_s())
+        self._replicas.observe_latency(self.life, event_s, monotonic_s())
 
     def observe_version(self, model: str, version: int) -> None:
         """Note the version of the weights that the replica has just named."""
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -2,6 +2,7 @@
 
 >>> replicas = ReplicaTable(Places(zone="z1"))
 >>> replicas.put(ReplicaInfo(replica_id="r", service="s", address="h:1", zone="z1", slots=4))
+True
 >>> replicas.choose(ChoiceRequest(services=frozenset({"s"})), now_s=0.0).info.replica_id
 'r'
 """
@@ -14,7 +15,7 @@
 import msgspec
 
 from passgate.eligibility.places import Places
-from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.eligibility.replica_info import ReplicaInfo, ReplicaLife
 from passgate.eligibility.rules import ANY_REQUEST, DrainingRule, SendRules, SendTerms
 from passgate.routing.replica_health import ReplicaHealth
 
@@ -46,11 +47,11 @@
     """What a request asks of a replica."""
 
     services: frozenset[str]
-    excluded: frozenset[str] = frozenset()
+    excluded: frozenset[ReplicaLife] = frozenset()
     """Replicas that were tried already."""
     model: str = ""
     min_version: int = 0
-    preferred: str = ""
+    preferred: ReplicaLife | None = None
     """Replica that holds the prompt's shared part, if any."""
     load_below: float = math.inf
     """Only replicas with a smaller load, in shares of their slots, will do."""
@@ -59,10 +60,11 @@
 
 
 class ReplicaState:
-    """What this daemon knows of one replica beyond discovery."""
+    """What this daemon knows of one life of a replica beyond discovery."""
 
     def __init__(self, info: ReplicaInfo) -> None:
         self.info = info
+        self.life = info.life
         self.in_flight = 0
         """Requests of this daemon at the replica."""
         self.latency_s = ASSUMED_LATENCY_S
@@ -109,31 +111,50 @@
         self.places = places
         self.rules = SendRules([DrainingRule()])
         """What keeps requests from replicas; see :mod:`passgate.eligibility.rules`."""
-        self._states: dict[str, ReplicaState] = {}
+        self._states: dict[ReplicaLife, ReplicaState] = {}
+        self._listed: dict[str, ReplicaLife] = {}
+        """Identifier to the newest life that discovery lists under it."""
+        self._in_use: dict[ReplicaLife, ReplicaState] = {}
+        """Replicas that are not listed any more, while they still work on requests of this daemon."""
         self._random = random.Random(seed)
-        self.health = ReplicaHealth()
+        self.health: ReplicaHealth[ReplicaLife] = ReplicaHealth()
 
-    def put(self, info: ReplicaInfo) -> None:
-        """Add or change a replica."""
-        state = self._states.get(info.replica_id)
-        if state is None:
-            self._states[info.replica_id] = ReplicaState(info)
-            return
-        state.info = info
+    def put(self, info: ReplicaInfo) -> bool:
+        """Add or change a replica; return False for news of a life that a newer one has replaced.
+
+        A replica that has started again begins with nothing of what was learnt before.
+        """
+        listed = self._listed.get(info.replica_id)
+        if listed is not None and listed.born_unix_ms > info.born_unix_ms:
+            return False
+        if listed != info.life:
+            self.remove(info.replica_id)
+            self._listed[info.replica_id] = info.life
+            self._states[info.life] = self._in_use.pop(info.life, None) or ReplicaState(info)
+        self._states[info.life].info = info
+        return True
 
     def remove(self, replica_id: str) -> None:
         """Forget a replica that discovery no longer lists."""
-        self._states.pop(replica_id, None)
-        self.health.succeeded(replica_id)
+        life = self._listed.pop(replica_id, None)
+        if life is not None:
+            self._in_use[life] = self._states.pop(life)
+        self._in_use = {life: state for life, state in self._in_use.items() if state.in_flight > 0}
+        self.health.retain(self._states)
 
-    def set_aside(self, replica_id: str, now_s: float) -> None:
+    def set_aside(self, life: ReplicaLife, now_s: float) -> None:
         """Send nothing to a replica for a while at whose address nobody listens."""
-        if replica_id in self._states:
-            self.health.failed(replica_id, now_s, unreachable=True)
+        if life in self._states:
+            self.health.failed(life, now_s, unreachable=True)
 
     def get(self, replica_id: str) -> ReplicaState | None:
-        """Return a replica, or None."""
-        return self._states.get(replica_id)
+        """Return the newest life that is listed under an identifier, or None."""
+        life = self._listed.get(replica_id)
+        return self.of(life) if life is not None else None
+
+    def of(self, life: ReplicaLife) -> ReplicaState | None:
+        """Return a life of a replica; None if it is not listed, or another one is by now."""
+        return self._states.get(life)
 
     def all(self) -> list[ReplicaState]:
         """Return all replicas."""
@@ -142,8 +163,8 @@
     def choose(self, request: ChoiceRequest, now_s: float) -> ReplicaState | None:
         """Return the best replica for a request, or None when none fits."""
         candidates = [state for state in self._states.values() if self._fits(state, request, now_s)]
-        usable = set(self.health.usable([state.info.replica_id for state in candidates], now_s))
-        healthy = [state for state in candidates if state.info.replica_id in usable]
+        usable = set(self.health.usable([state.life for state in candidates], now_s))
+        healthy = [state for state in candidates if state.life in usable]
         if not healthy:
             return None
         self._random.shuffle(healthy)
@@ -151,7 +172,7 @@
 
     def _fits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
         info = state.info
-        if info.service not in request.services or info.replica_id in request.excluded:
+        if info.service not in request.services or state.life in request.excluded:
             return False
         if not self.rules.allows(info, request.terms, now_s):
             return False
@@ -166,23 +187,23 @@
             score += OTHER_ZONE_COST
         if state.seems_loading(now_s):
             score += LOADING_COST
-        if request.preferred == state.info.replica_id:
+        if request.preferred == state.life:
             score -= 0.15
         return score
 
     def has_faster(
-        self, replica_id: str, request: ChoiceRequest, now_s: float, share: float = MUCH_FASTER
+        self, life: ReplicaLife, request: ChoiceRequest, now_s: float, share: float = MUCH_FASTER
     ) -> bool:
         """Whether a replica that fits takes at most ``share`` of the time of the one a request is at."""
-        state = self._states.get(replica_id)
+        state = self._states.get(life)
         other = self.choose(request, now_s)
         if state is None or other is None:
             return False
         return other.recent_latency_s(now_s) < share * state.recent_latency_s(now_s)
 
-    def observe_latency(self, replica_id: str, latency_s: float, now_s: float) -> None:
+    def observe_latency(self, life: ReplicaLife, latency_s: float, now_s: float) -> None:
         """Count how long a replica took for a request, or has already taken at least."""
-        state = self._states.get(replica_id)
+        state = self._states.get(life)
         if state is None:
             return
         current = state.recent_latency_s(now_s)
@@ -190,9 +211,9 @@
         state.latency_s = current + SMOOTHING * (observed_s - current)
         state.latency_at_s = now_s
 
-    def observe_load(self, replica_id: str, occupied: int, now_s: float) -> None:
+    def observe_load(self, life: ReplicaLife, occupied: int, now_s: float) -> None:
         """Count what a replica told of its running and waiting requests."""
-        state = self._states.get(replica_id)
+        state = self._states.get(life)
         if state is not None:
             state.others = max(occupied - state.in_flight, 0)
             state.reported_s = now_s
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -138,6 +138,9 @@
         """Compile a configuration; raises InvalidConfiguration."""
         self.config = config
         self.keys = KeyIndex(config.tenants)
+        routed = {part.service for route in config.routes for part in route.parts}
+        self.services = frozenset(routed | {service.name for service in config.services})
+        """Services that the configuration names."""
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(config.routes, key=lambda route: len(route.path_prefix), reverse=True):
             self._by_host.setdefault(route.host, []).append(route)
@@ -170,6 +173,10 @@
         """Return the route in force of a host and path, or None."""
         return self.table.match(host, path) if self.table is not None else None
 
+    def names_service(self, service: str) -> bool:
+        """Whether the configuration in force names a service."""
+        return self.table is not None and service in self.table.services
+
     def offer(self, config: GatewayConfig) -> bool:
         """Put a configuration in force unless a newer one is; return whether it was.
 
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -88,7 +88,7 @@
     def _note_failed_exchange(
         self, stream: Forwarding, exchange: ReplicaExchange, error: PassgateError
     ) -> None:
-        self._note_failed_attempt(stream, exchange.replica_id, error, exchange.began_s)
+        self._note_failed_attempt(stream, exchange.life, error, exchange.began_s)
 
     async def _send(self, stream: Forwarding) -> ReplicaExchange:
         try:
@@ -169,7 +169,7 @@
         wish = ChoiceRequest(
             services=frozenset({stream.service}), excluded=frozenset(stream.tried), load_below=FULL_LOAD
         )
-        return self._replicas.has_faster(exchange.replica_id, wish, monotonic_s())
+        return self._replicas.has_faster(exchange.life, wish, monotonic_s())
 
     def _patience_s(self, stream: Forwarding) -> float:
         left_s = max(stream.limit_s - monotonic_s(), 0.0)
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -13,6 +13,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ItemFailed, ItemHeld, ItemSent
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import (
     BackendRefused,
     ExecutionStatus,
@@ -67,7 +68,7 @@
     durations: OutputDurations
     rewards: RewardTools
     silence: StreamSilence
-    group_replica: dict[str, str]
+    group_replica: dict[str, ReplicaLife]
     """Group to the replica that read its shared prompt last."""
 
     def expected_tokens(self, item: ItemSpec) -> float:
@@ -110,7 +111,7 @@
         self.checkpoint = ItemCheckpoint(job.job_id, item.id, self._stream, usable)
         self._failures = 0
         self._moved_as_long = False
-        self._avoided = ""
+        self._avoided: ReplicaLife | None = None
         self._state: ReplicaState | None = None
         self._identity = self._request().identity
         self._crashes = tools.caller.crashes
@@ -130,7 +131,7 @@
             await asyncio.sleep(ROOM_STEP_S)
         self._state = state
         state.in_flight += 1
-        self._crashes.placed(self._identity, state.info.replica_id)
+        self._crashes.placed(self._identity, state.life)
 
     def release(self) -> None:
         """Give back a reserved room that was not used."""
@@ -139,20 +140,21 @@
             self._state = None
             self._crashes.left(self._identity)
 
-    def _wish(self, avoided: str) -> ChoiceRequest:
+    def _wish(self, avoided: ReplicaLife | None) -> ChoiceRequest:
+        avoids = frozenset() if avoided is None else frozenset({avoided})
         return ChoiceRequest(
             services=self._tools.route.services,
-            excluded=self._crashes.apart_from(self._identity) | {avoided},
+            excluded=self._crashes.apart_from(self._identity) | avoids,
             model=self._job.model,
             min_version=self._job.min_version,
-            preferred=self._tools.group_replica.get(self.item.group, ""),
+            preferred=self._tools.group_replica.get(self.item.group),
             load_below=FULL_LOAD,
         )
 
     def _choose(self) -> ReplicaState | None:
         state = self._tools.replicas.choose(self._wish(self._avoided), monotonic_s())
         if state is None:
-            self._avoided = ""
+            self._avoided = None
         return state
 
     @property
@@ -200,16 +202,15 @@
         await self._crashes.released(self._identity)
 
     async def _attempt(self, state: ReplicaState) -> Result | None:
-        replica_id = state.info.replica_id
         self.attempts += 1
         self.sent_s = monotonic_s()
         self._times.sent(self.sent_s)
-        self._tools.group_replica[self.item.group] = replica_id
+        self._tools.group_replica[self.item.group] = state.life
         self._tools.decisions.write(
             ItemSent(
                 job_id=self._job.job_id,
                 item_id=self.item.id,
-                replica_id=replica_id,
+                replica_id=state.life.replica_id,
                 attempt=self.attempts,
                 events_kept=self._stream.count,
             )
@@ -217,23 +218,23 @@
         try:
             return await self._exchange(state)
         except (BackendRefused, MovedElsewhere) as error:
-            self._note_failure(replica_id, error)
+            self._note_failure(state.life, error)
         except PassgateError as error:
-            self._note_failure(replica_id, error)
+            self._note_failure(state.life, error)
             await asyncio.sleep(RETRY_PAUSE_S)
         return None
 
-    def _note_failure(self, replica_id: str, error: PassgateError) -> None:
-        self._avoided = replica_id
+    def _note_failure(self, replica: ReplicaLife, error: PassgateError) -> None:
+        self._avoided = replica
         self._timing.failures[error.code] += 1
         group_replica = self._tools.group_replica
-        if isinstance(error, BackendRefused) and group_replica.get(self.item.group) == replica_id:
+        if isinstance(error, BackendRefused) and group_replica.get(self.item.group) == replica:
             del group_replica[self.item.group]
         self._tools.decisions.write(
             ItemFailed(
                 job_id=self._job.job_id,
                 item_id=self.item.id,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 reason=f"{error.code}: {error}",
                 events_kept=self._stream.count,
             )
@@ -242,9 +243,7 @@
     async def _exchange(self, state: ReplicaState) -> Result | None:
         exchange = self._tools.caller.open(state, self._request())
         try:
-            status = await self._tools.silence.wait(
-                exchange.replica_id, exchange.head, FIRST_BYTES_PATIENCE_S
-            )
+            status = await self._tools.silence.wait(exchange.life, exchange.head, FIRST_BYTES_PATIENCE_S)
             if status != OK:
                 return self._failed_run(status)
             self._begin(exchange)
@@ -266,11 +265,11 @@
         """Leave a replica that is much slower than another one with room."""
         if events_here < MIN_EVENTS_HERE or events_here % MIN_EVENTS_HERE:
             return
-        wish = self._wish(exchange.replica_id)
-        if self._tools.replicas.has_faster(exchange.replica_id, wish, now_s):
+        wish = self._wish(exchange.life)
+        if self._tools.replicas.has_faster(exchange.life, wish, now_s):
             raise MovedElsewhere("another replica is much faster")
         is_long = self._stream.count >= LONG_EVENTS and not self._moved_as_long
-        if is_long and self._tools.replicas.has_faster(exchange.replica_id, wish, now_s, LONG_SHARE):
+        if is_long and self._tools.replicas.has_faster(exchange.life, wish, now_s, LONG_SHARE):
             self._moved_as_long = True
             raise MovedElsewhere("another replica is faster for a long output")
 
@@ -315,19 +314,19 @@
         self._stream.begin_attempt(version)
 
     async def _read_events(self, exchange: ReplicaExchange) -> None:
-        silence, replica_id = self._tools.silence, exchange.replica_id
+        silence, replica = self._tools.silence, exchange.life
         patience_s = FIRST_BYTES_PATIENCE_S
         event_at_s: float | None = None
         first_count = self._stream.count
         while True:
-            data = await silence.wait(replica_id, exchange.read, patience_s)
+            data = await silence.wait(replica, exchange.read, patience_s)
             if not data:
                 break
             patience_s = patience_for(exchange.usual_pause_s)
             before = self._stream.count
             self._stream.feed(data)
             now_s = monotonic_s()
-            silence.heard(replica_id, now_s)
+            silence.heard(replica, now_s)
             if self._stream.count > before:
                 self._times.events(now_s, self._stream.count - before)
             if event_at_s is not None and self._stream.count > before:
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -17,6 +17,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, RewardFailed, RewardSent
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import AnswerMismatch, ExecutionStatus, IncompleteAnswer, PassgateError
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replica_call import ReplicaAnswer, ReplicaCaller, ReplicaRequest
@@ -68,7 +69,7 @@
         self._attempts = 0
         self._failures = 0
         self._silences = 0
-        self._avoided = ""
+        self._avoided: ReplicaLife | None = None
         self._pause_s = FIRST_PAUSE_S
 
     async def score(self, item_attempts: int) -> Score | None:
@@ -85,7 +86,7 @@
             try:
                 stamp = await self._attempt(state)
             except PassgateError as error:
-                self._note_failure(state.info.replica_id, error)
+                self._note_failure(state.life, error)
             else:
                 if stamp:
                     return Score(call_id=self._spec.id, stamp=stamp)
@@ -118,8 +119,8 @@
         return self._tools.find_route(self._spec.host, self._spec.path)
 
     def _choose(self, service: str) -> ReplicaState | None:
-        excluded = frozenset({self._avoided}) if self._avoided else frozenset()
-        self._avoided = ""  # the only replica of a service must get its second try
+        excluded = frozenset() if self._avoided is None else frozenset({self._avoided})
+        self._avoided = None  # the only replica of a service must get its second try
         request = ChoiceRequest(services=frozenset({service}), excluded=excluded, load_below=MOST_LOAD)
         return self._tools.replicas.choose(request, monotonic_s())
 
@@ -127,13 +128,12 @@
         """Send the call once; return the stamp of a success, or nothing after an answer of 500."""
         state.in_flight -= 1  # the exchange counts itself from here on
         self._attempts += 1
-        replica_id = state.info.replica_id
         self._tools.decisions.write(
             RewardSent(
                 job_id=self._job_id,
                 item_id=self._item_id,
                 request_id=self._spec.id,
-                replica_id=replica_id,
+                replica_id=state.life.replica_id,
                 attempt=self._attempts,
             )
         )
@@ -170,28 +170,28 @@
 
     def _stamp_of(self, answer: ReplicaAnswer) -> str:
         if answer.header(self._tools.names.request_id) != self._spec.id:
-            raise AnswerMismatch("answer of another request", replica=answer.replica_id)
+            raise AnswerMismatch("answer of another request", replica=answer.replica.text())
         if answer.status == FAILED:
             self._failures += 1
-            self._tell_failed(answer.replica_id, "the replica answered 500")
-            self._avoided = answer.replica_id
+            self._tell_failed(answer.replica, "the replica answered 500")
+            self._avoided = answer.replica
             return ""
         stamp = answer.header(self._tools.names.replica_stamp)
         if FIRST_SUCCESS <= answer.status < FIRST_REDIRECTION and stamp:
             return stamp
         raise IncompleteAnswer(f"replica answered {answer.status}", execution=ExecutionStatus.RAN)
 
-    def _note_failure(self, replica_id: str, error: PassgateError) -> None:
-        self._avoided = replica_id
-        self._tell_failed(replica_id, f"{error.code}: {error}")
+    def _note_failure(self, replica: ReplicaLife, error: PassgateError) -> None:
+        self._avoided = replica
+        self._tell_failed(replica, f"{error.code}: {error}")
 
-    def _tell_failed(self, replica_id: str, reason: str) -> None:
+    def _tell_failed(self, replica: ReplicaLife, reason: str) -> None:
         self._tools.decisions.write(
             RewardFailed(
                 job_id=self._job_id,
                 item_id=self._item_id,
                 request_id=self._spec.id,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 reason=reason,
                 failures=self._failures,
             )
--- a/passgate/platform/beliefs.py
+++ b/passgate/platform/beliefs.py
@@ -9,6 +9,7 @@
 from passgate.daemon.gateway_daemon import GatewayDaemon
 from passgate.discovery.service import ReplicaDecoder
 from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.errors import MalformedRecord
 from passgate.platform import documents, names
 from passgate.sharedlog.log import KeyedRecord
 
@@ -43,10 +44,9 @@
 class PlatformReplicaDecoder(ReplicaDecoder):
     """Reads entries of the platform's discovery."""
 
-    def decode(self, record: KeyedRecord) -> ReplicaInfo | None:
-        """Return the replica of an entry, or None when it can not be read."""
+    def decode(self, record: KeyedRecord) -> ReplicaInfo:
+        """Return the replica of an entry; raises MalformedRecord if it names none to use."""
         try:
             return documents.decode_replica(record.key, record.value)
-        except msgspec.DecodeError as error:
-            logger.warning("unreadable_record", extra={"key": record.key, "error": str(error)})
-            return None
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise MalformedRecord(str(error)) from error
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import base64
+import ipaddress
 import logging
+from typing import Annotated
 
 import msgspec
 
@@ -33,7 +35,11 @@
     "streaming": RouteKind.STREAMING,
     "rollout": RouteKind.BATCH,
 }
-DRAINING = "draining"
+READY, DRAINING = "ready", "draining"
+"""States of a replica that names itself; any other state names no replica to use."""
+MOST_SLOTS = 1_000_000
+"""Slots from which on an entry is taken for a mistake; replicas work on some 10 to 100 requests at once."""
+MOST_PORTS = 65_535
 
 # ruff: noqa: N815  (field names are the platform's)
 
@@ -106,14 +112,14 @@
 
 
 class _Replica(msgspec.Struct, frozen=True):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+    state: str
     spot: bool = False
     models: list[_Model] = []
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
     coldRemainingMs: int = 0
 
 
@@ -126,6 +132,7 @@
     seq: int = 0
     busy: bool = False
     models: list[_Model] = []
+    born: int = 0
 
 
 class _Scorer(msgspec.Struct, frozen=True):
@@ -227,8 +234,17 @@
 
 
 def decode_replica(replica_id: str, data: bytes) -> ReplicaInfo:
-    """Return the replica of a discovery entry; raises msgspec.DecodeError."""
+    """Return the replica of a discovery entry; raises msgspec.DecodeError if it names none to use.
+
+    Entries may come from other writers: each field that requests depend on has to be there, of its
+    type, and of a known state.
+    """
     replica = msgspec.json.decode(data, type=_Replica)
+    if not replica_id:
+        raise msgspec.ValidationError("an entry without identifier")
+    if replica.state not in (READY, DRAINING):
+        raise msgspec.ValidationError(f"unknown state {replica.state!r}")
+    _check_address(replica.address)
     return ReplicaInfo(
         replica_id=replica_id,
         service=replica.service,
@@ -243,6 +259,17 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise msgspec.ValidationError unless an address is ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError as error:
+        raise msgspec.ValidationError(f"no address: {address!r}") from error
+    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MOST_PORTS):
+        raise msgspec.ValidationError(f"no port: {address!r}")
+
+
 def decode_version(data: bytes) -> tuple[str, int]:
     """Return the model and the version that a trainer named."""
     named = msgspec.json.decode(data, type=_NamedVersion)
@@ -256,6 +283,7 @@
         orders_taken=report.seq,
         busy=report.busy,
         model_versions={model.name: model.version for model in report.models},
+        born_unix_ms=report.born,
     )
 
 
--- a/passgate/platform/front.py
+++ b/passgate/platform/front.py
@@ -4,6 +4,8 @@
 
 from urllib.parse import parse_qs
 
+import msgspec
+
 from passgate.clients.calls import HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
 from passgate.daemon.gateway_daemon import GatewayDaemon
@@ -160,7 +162,10 @@
         answer = await self._http.fetch(call)
         if answer.status != 200:
             raise NotReady("no report", execution=ExecutionStatus.NOT_RUN, status=answer.status)
-        return documents.decode_report(answer.body)
+        try:
+            return documents.decode_report(answer.body)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise NotReady("unreadable report", execution=ExecutionStatus.NOT_RUN) from error
 
     async def order(self, order: LoadOrder) -> int:
         """Send an order; return the status."""
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -18,7 +18,7 @@
 
 from passgate.clients.calls import HttpAnswer, HttpCall, SendPolicy
 from passgate.clients.curl import HttpClient
-from passgate.errors import ExecutionStatus, LogAppendUnknown, LogUnavailable, PassgateError
+from passgate.errors import ExecutionStatus, LogAppendUnknown, LogUnavailable, MalformedRecord, PassgateError
 from passgate.platform import names
 from passgate.sharedlog.log import (
     MAX_PAGE_BYTES,
@@ -226,9 +226,15 @@
         return answer
 
     def decode_keyed(self, record: bytes) -> KeyedRecord:
-        """Split a raw record of a keyed topic: length of the key, key, value."""
-        size = record[0]
-        return KeyedRecord(key=record[1 : 1 + size].decode(), value=record[1 + size :])
+        """Split a raw record of a keyed topic: length of the key, key, value; raises MalformedRecord."""
+        size = record[0] if record else 0
+        if len(record) < 1 + size:
+            raise MalformedRecord("a keyed record without its whole key")
+        try:
+            key = record[1 : 1 + size].decode()
+        except UnicodeDecodeError as error:
+            raise MalformedRecord("a key that is no text") from error
+        return KeyedRecord(key=key, value=record[1 + size :])
 
     def encode_keyed(self, record: KeyedRecord) -> bytes:
         """Return a raw record of a keyed topic."""
--- a/passgate/quarantine/channel.py
+++ b/passgate/quarantine/channel.py
@@ -15,6 +15,7 @@
 
 from passgate.clock import monotonic_s, unix_s
 from passgate.decisions import CrashReported, DecisionLog, RecordUnreadable
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import LogError
 from passgate.quarantine.ledger import CrashLedger, CrashReport
 from passgate.sharedlog.log import KeyedRecord, SharedLog
@@ -46,7 +47,7 @@
         log: SharedLog,
         topic: str,
         ledger: CrashLedger,
-        set_aside: Callable[[str, float], None],
+        set_aside: Callable[[ReplicaLife, float], None],
         decisions: DecisionLog,
     ) -> None:
         """Connect the parts.
@@ -93,7 +94,7 @@
     def learn(self, reports: Iterable[CrashReport]) -> None:
         """Take reports from another daemon, and write new ones to the log if it answers this daemon."""
         for report in reports:
-            if self._is_cleared(report) or self._ledger.knows(report.fingerprint, report.replica_id):
+            if self._is_cleared(report) or self._ledger.knows(report.fingerprint, report.life):
                 continue
             self._take(report, "peer")
             if self.is_current():
@@ -142,10 +143,10 @@
     def _replace(self, records: tuple[KeyedRecord, ...], next_offset: int) -> None:
         """Take the newest record of each key; what is not there was cleared."""
         listed = {record.key for record in records if record.value}
-        for fingerprint, replica_id in self._ledger.pairs():
-            key = KEY_SEPARATOR.join((fingerprint, replica_id))
+        for fingerprint, replica in self._ledger.pairs():
+            key = KEY_SEPARATOR.join((fingerprint, replica.text()))
             if key not in listed and key not in self._unwritten:
-                self._ledger.remove(fingerprint, replica_id)
+                self._ledger.remove(fingerprint, replica)
         self._update(records, next_offset)
 
     def _update(self, records: tuple[KeyedRecord, ...], start: int) -> None:
@@ -153,8 +154,8 @@
             if record.key in self._unwritten:
                 continue  # what this daemon is about to write is newer
             if not record.value:
-                fingerprint, _, replica_id = record.key.partition(KEY_SEPARATOR)
-                self._ledger.remove(fingerprint, replica_id)
+                fingerprint, _, replica = record.key.partition(KEY_SEPARATOR)
+                self._ledger.remove(fingerprint, ReplicaLife.from_text(replica))
                 continue
             try:
                 self._take(msgspec.json.decode(record.value, type=CrashReport), "log")
@@ -163,7 +164,7 @@
 
     def _take(self, report: CrashReport, source: str) -> None:
         if self._ledger.add(report, monotonic_s()):
-            self._set_aside(report.replica_id, monotonic_s())
+            self._set_aside(report.life, monotonic_s())
             self._decisions.write(
                 CrashReported(
                     replica_id=report.replica_id,
@@ -176,4 +177,4 @@
 
 
 def _key(report: CrashReport) -> str:
-    return KEY_SEPARATOR.join((report.fingerprint, report.replica_id))
+    return KEY_SEPARATOR.join((report.fingerprint, report.life.text()))
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -14,6 +14,7 @@
 
 from passgate.clock import monotonic_s, unix_s
 from passgate.decisions import CrashReportsCleared, DecisionLog, ReplicaCrashed
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import (
     BackendUnreachable,
     ExecutionStatus,
@@ -31,9 +32,11 @@
 class ReplicaPlace(msgspec.Struct, frozen=True, kw_only=True):
     """A replica, its service, and where it listened when an attempt was sent to it."""
 
-    replica_id: str
+    life: ReplicaLife
     service: str
     address: str
+    replaced: bool = False
+    """Whether a newer life of the replica is known, so that this one has ended."""
 
 
 class CrashReporter(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,8 +48,10 @@
     """Tells all daemons of a crash."""
     clear: Callable[[CrashReport], None]
     """Tells all daemons that a report no longer stands."""
-    set_aside: Callable[[str, float], None]
+    set_aside: Callable[[ReplicaLife, float], None]
     """Sends no further requests to a replica that has ended, from a loop time on."""
+    read_life: Callable[[ReplicaLife, str], Awaitable[ReplicaLife | None]]
+    """Asks the replica at an address, known so far as the given life, which life it is in."""
 
 
 class CrashGuard:
@@ -58,7 +63,9 @@
         self._decisions = decisions
         self._looks: dict[str, set[asyncio.Task[None]]] = {}
         """Looks at replicas that are under way, by the request that broke off there."""
-        self._last_chances: dict[str, str] = {}
+        self._confirming: dict[ReplicaLife, asyncio.Task[None]] = {}
+        """Questions under way to replicas that were reported and answer."""
+        self._last_chances: dict[str, ReplicaLife] = {}
         """Where requests run that one more crash would hold, by request."""
 
     def check(self, identity: RequestIdentity) -> None:
@@ -103,7 +110,7 @@
         """Whether one more crash would hold a request."""
         return bool(len(self._ledger)) and self._is_last_chance(identity.fingerprint(), identity.crash_limit)
 
-    def apart_from(self, identity: RequestIdentity) -> frozenset[str]:
+    def apart_from(self, identity: RequestIdentity) -> frozenset[ReplicaLife]:
         """Return the replicas that a request must not share, as one more crash would hold it.
 
         Requests that a crash took from one replica are sent on together, and the cause would take
@@ -114,12 +121,12 @@
             return frozenset()
         return frozenset(self._last_chances.values())
 
-    def placed(self, identity: RequestIdentity, replica_id: str) -> None:
+    def placed(self, identity: RequestIdentity, replica: ReplicaLife) -> None:
         """Note where a request is about to run, if one more crash would hold it."""
         if len(self._ledger) and self._is_last_chance(
             fingerprint := identity.fingerprint(), identity.crash_limit
         ):
-            self._last_chances[fingerprint] = replica_id
+            self._last_chances[fingerprint] = replica
 
     def left(self, identity: RequestIdentity) -> None:
         """Note that a request does not run any more where it was placed."""
@@ -136,10 +143,21 @@
         looks.add(look)
         look.add_done_callback(lambda done: self._forget_look(fingerprint, done))
 
-    def answered(self, replica_id: str, began_s: float) -> None:
-        """Take an answer's head, of an attempt begun at a loop time, as a proof that its replica lives."""
-        if len(self._ledger):
-            self._clear(self._ledger.clear_replica(replica_id, began_s), "the replica lives")
+    def answered(self, replica: ReplicaPlace, began_s: float) -> None:
+        """Take an answer's head, of an attempt begun at a loop time, as a proof that its replica lives.
+
+        A replica that has started again answers under the same identifier before discovery tells of
+        it, so one that tells its start is asked for it first.
+        """
+        life = replica.life
+        if not len(self._ledger) or not self._ledger.names(life, began_s):
+            return
+        if not life.born_unix_ms:
+            self._clear_replica(life, began_s)
+        elif life not in self._confirming:
+            task = asyncio.get_running_loop().create_task(self._confirm(replica, began_s))
+            self._confirming[life] = task
+            task.add_done_callback(lambda done: self._confirming.pop(life))
 
     def succeeded(self, identity: RequestIdentity, service: str) -> None:
         """Take a whole answer as a proof that the request does not crash replicas of a service."""
@@ -147,6 +165,13 @@
             cleared = self._ledger.clear_request(identity.fingerprint(), service)
             self._clear(cleared, "the request was answered")
 
+    async def _confirm(self, replica: ReplicaPlace, began_s: float) -> None:
+        if await self._reporter.read_life(replica.life, replica.address) == replica.life:
+            self._clear_replica(replica.life, began_s)
+
+    def _clear_replica(self, replica: ReplicaLife, began_s: float) -> None:
+        self._clear(self._ledger.clear_replica(replica, began_s), "the replica lives")
+
     def _is_last_chance(self, fingerprint: str, limit: int) -> bool:
         return self._ledger.crashes(fingerprint, unix_s()) >= limit - 1
 
@@ -156,12 +181,13 @@
         return self._ledger.held_for_s(identity.fingerprint(), unix_s())
 
     async def _look(self, identity: RequestIdentity, fingerprint: str, replica: ReplicaPlace) -> None:
-        if not await self._reporter.has_ended(replica.address):
+        if not replica.replaced and not await self._reporter.has_ended(replica.address):
             return
-        self._reporter.set_aside(replica.replica_id, monotonic_s())
+        self._reporter.set_aside(replica.life, monotonic_s())
         report = CrashReport(
             fingerprint=fingerprint,
-            replica_id=replica.replica_id,
+            replica_id=replica.life.replica_id,
+            born_unix_ms=replica.life.born_unix_ms,
             service=replica.service,
             limit=identity.crash_limit,
             at_unix_s=unix_s(),
@@ -171,7 +197,7 @@
         self._reporter.report(report)
         self._decisions.write(
             ReplicaCrashed(
-                replica_id=replica.replica_id,
+                replica_id=replica.life.replica_id,
                 fingerprint=fingerprint,
                 crashes=self._ledger.crashes(fingerprint, unix_s()),
             )
--- a/passgate/quarantine/ledger.py
+++ b/passgate/quarantine/ledger.py
@@ -20,9 +20,11 @@
 from __future__ import annotations
 
 import heapq
+from typing import TypeVar
 
 import msgspec
 
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 REPORT_LIFE_S = 600.0
@@ -32,6 +34,9 @@
 """Reports kept, about 1 MB; the oldest go first.  A crash makes one for each request that ran there."""
 
 
+Outer, Inner = TypeVar("Outer"), TypeVar("Inner")
+
+
 class CrashReport(msgspec.Struct, frozen=True, kw_only=True):
     """A replica ended while it ran a request."""
 
@@ -43,6 +48,13 @@
     """Replicas that may end under the request before it is held."""
     at_unix_s: float
     """Time of day at which the reporting daemon knew."""
+    born_unix_ms: int = 0
+    """Moment of the replica's start; 0 where it tells none."""
+
+    @property
+    def life(self) -> ReplicaLife:
+        """The life of the replica that ended."""
+        return ReplicaLife(self.replica_id, self.born_unix_ms)
 
 
 class _Known(msgspec.Struct, frozen=True):
@@ -55,9 +67,9 @@
     """All reports that stand."""
 
     def __init__(self) -> None:
-        self._by_request: dict[str, dict[str, _Known]] = {}
+        self._by_request: dict[str, dict[ReplicaLife, _Known]] = {}
         """Fingerprint to replica to report."""
-        self._by_replica: dict[str, dict[str, _Known]] = {}
+        self._by_replica: dict[ReplicaLife, dict[str, _Known]] = {}
         self._count = 0
 
     def __len__(self) -> int:
@@ -65,26 +77,26 @@
 
     def add(self, report: CrashReport, now_s: float) -> bool:
         """Take a report at a loop time; return whether it is new."""
-        if self.knows(report.fingerprint, report.replica_id):
+        if self.knows(report.fingerprint, report.life):
             return False
         if self._count >= MOST_REPORTS:
             self._drop_oldest()
         known = _Known(report, now_s)
-        self._by_request.setdefault(report.fingerprint, {})[report.replica_id] = known
-        self._by_replica.setdefault(report.replica_id, {})[report.fingerprint] = known
+        self._by_request.setdefault(report.fingerprint, {})[report.life] = known
+        self._by_replica.setdefault(report.life, {})[report.fingerprint] = known
         self._count += 1
         return True
 
-    def knows(self, fingerprint: str, replica_id: str) -> bool:
+    def knows(self, fingerprint: str, replica: ReplicaLife) -> bool:
         """Whether a report stands."""
-        return replica_id in self._by_request.get(fingerprint, {})
+        return replica in self._by_request.get(fingerprint, {})
 
-    def remove(self, fingerprint: str, replica_id: str) -> bool:
+    def remove(self, fingerprint: str, replica: ReplicaLife) -> bool:
         """Drop a report; return whether it stood."""
-        if not self.knows(fingerprint, replica_id):
+        if not self.knows(fingerprint, replica):
             return False
-        _drop(self._by_request, fingerprint, replica_id)
-        _drop(self._by_replica, replica_id, fingerprint)
+        _drop(self._by_request, fingerprint, replica)
+        _drop(self._by_replica, replica, fingerprint)
         self._count -= 1
         return True
 
@@ -96,12 +108,16 @@
         known = self._by_request.get(fingerprint, {}).values()
         return self._remove_all([each for each in known if each.report.service == service])
 
-    def clear_replica(self, replica_id: str, began_s: float) -> list[CrashReport]:
-        """Drop the reports of a replica that answered an attempt begun after them; return them.
+    def names(self, replica: ReplicaLife, before_s: float) -> bool:
+        """Whether a report that was known before a loop time tells of the end of a replica."""
+        return any(before_s > each.since_s for each in self._by_replica.get(replica, {}).values())
+
+    def clear_replica(self, replica: ReplicaLife, began_s: float) -> list[CrashReport]:
+        """Drop the reports of a life that answered an attempt begun after them; return them.
 
-        Such a replica has not ended: a restarted one has another identifier.
+        Such a replica has not ended: a restarted one has another life.
         """
-        known = self._by_replica.get(replica_id, {}).values()
+        known = self._by_replica.get(replica, {}).values()
         return self._remove_all([each for each in known if began_s > each.since_s])
 
     def clear_expired(self, unix_s: float) -> list[CrashReport]:
@@ -136,33 +152,31 @@
         machine 2 of 24 runs with 12 such jobs lost an item without it, 0 of 48 with it.
         """
         replicas = self._by_request[fingerprint]
-        if all(self._is_explained(fingerprint, replica_id) for replica_id in replicas):
+        if all(self._is_explained(fingerprint, replica) for replica in replicas):
             return True
         limit = next(iter(replicas.values())).report.limit
         may_run_apart = limit >= ITEM_CRASH_LIMIT and len(replicas) == limit
-        return may_run_apart and all(len(self._at_limit_at(replica_id)) > 1 for replica_id in replicas)
+        return may_run_apart and all(len(self._at_limit_at(replica)) > 1 for replica in replicas)
 
-    def _is_explained(self, fingerprint: str, replica_id: str) -> bool:
+    def _is_explained(self, fingerprint: str, replica: ReplicaLife) -> bool:
         """Whether a replica ended under another request that ends replicas alone."""
-        others = (other for other in self._at_limit_at(replica_id) if other != fingerprint)
+        others = (other for other in self._at_limit_at(replica) if other != fingerprint)
         return any(self._ended_alone(other) for other in others)
 
     def _ended_alone(self, fingerprint: str) -> bool:
         """Whether a replica ended under a request and under no other one at its limit."""
-        return any(
-            self._at_limit_at(replica_id) == [fingerprint] for replica_id in self._by_request[fingerprint]
-        )
+        return any(self._at_limit_at(replica) == [fingerprint] for replica in self._by_request[fingerprint])
 
-    def _at_limit_at(self, replica_id: str) -> list[str]:
+    def _at_limit_at(self, replica: ReplicaLife) -> list[str]:
         """Return the requests at their limit under which a replica ended."""
-        known = self._by_replica[replica_id].values()
+        known = self._by_replica[replica].values()
         return [
             each.report.fingerprint
             for each in known
             if len(self._by_request[each.report.fingerprint]) >= each.report.limit
         ]
 
-    def pairs(self) -> set[tuple[str, str]]:
+    def pairs(self) -> set[tuple[str, ReplicaLife]]:
         """Return fingerprint and replica of each report."""
         return {(request, replica) for request, known in self._by_request.items() for replica in known}
 
@@ -174,13 +188,13 @@
     def _remove_all(self, known: list[_Known]) -> list[CrashReport]:
         reports = [each.report for each in known]
         for report in reports:
-            self.remove(report.fingerprint, report.replica_id)
+            self.remove(report.fingerprint, report.life)
         return reports
 
     def _drop_oldest(self) -> None:
         known = (each.report for reports in self._by_request.values() for each in reports.values())
         oldest = min(known, key=lambda report: report.at_unix_s)
-        self.remove(oldest.fingerprint, oldest.replica_id)
+        self.remove(oldest.fingerprint, oldest.life)
 
 
 def _left_s(report: CrashReport, unix_s: float) -> float:
@@ -191,7 +205,7 @@
     return _left_s(report, unix_s) <= 0.0
 
 
-def _drop(index: dict[str, dict[str, _Known]], outer: str, inner: str) -> None:
+def _drop(index: dict[Outer, dict[Inner, _Known]], outer: Outer, inner: Inner) -> None:
     del index[outer][inner]
     if not index[outer]:
         del index[outer]
--- a/passgate/quarantine/service.py
+++ b/passgate/quarantine/service.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from passgate.decisions import DecisionLog
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.quarantine.channel import CrashChannel
 from passgate.quarantine.guard import CrashGuard, CrashReporter
 from passgate.quarantine.ledger import CrashLedger
@@ -19,8 +20,9 @@
         self,
         log: SharedLog,
         topic: str,
-        set_aside: Callable[[str, float], None],
+        set_aside: Callable[[ReplicaLife, float], None],
         decisions: DecisionLog,
+        read_life: Callable[[ReplicaLife, str], Awaitable[ReplicaLife | None]],
     ) -> None:
         """Connect the parts.
 
@@ -29,6 +31,8 @@
             topic: keyed topic of the reports.
             set_aside: sends nothing to a replica from a loop time on, as it has ended.
             decisions: where decisions are noted.
+            read_life: asks the replica at an address, known so far as the given life, which life it is
+                in; returns None when it does not tell.
         """
         ledger = CrashLedger()
         self.channel = CrashChannel(log, topic, ledger, set_aside, decisions)
@@ -37,6 +41,7 @@
             report=self.channel.report,
             clear=self.channel.clear,
             set_aside=set_aside,
+            read_life=read_life,
         )
         self.guard = CrashGuard(ledger, reporter, decisions)
 
--- a/passgate/routing/replica_health.py
+++ b/passgate/routing/replica_health.py
@@ -1,5 +1,7 @@
 """Which replicas are set aside after failures, and when they are tried again.
 
+The key of a replica is whatever tells it from all others, such as its identifier.
+
 A replica that can not be reached is set aside until a load report is read from
 it again or its time is over.  One whose requests fail is ejected after some
 consecutive failures.  Times double with each ejection, and afterwards one
@@ -18,10 +20,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Hashable, Sequence
+from typing import Generic, TypeVar
 
 import msgspec
 
+Key = TypeVar("Key", bound=Hashable)
+
 EJECT_AFTER_FAILURES = 3
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -42,15 +47,15 @@
         return now_s < self.until_s
 
 
-class ReplicaHealth:
+class ReplicaHealth(Generic[Key]):
     """Consecutive failures and ejections per replica."""
 
     def __init__(self) -> None:
-        self._states: dict[str, _Health] = {}
+        self._states: dict[Key, _Health] = {}
 
-    def failed(self, replica_id: str, now_s: float, *, unreachable: bool = False) -> None:
+    def failed(self, replica: Key, now_s: float, *, unreachable: bool = False) -> None:
         """Count a failure; one that shows that nobody listens there ejects at once."""
-        health = self._states.setdefault(replica_id, _Health())
+        health = self._states.setdefault(replica, _Health())
         health.failures += 1
         health.unreachable = health.unreachable or unreachable
         threshold = 1 if unreachable or health.ejections else EJECT_AFTER_FAILURES
@@ -59,24 +64,24 @@
             health.ejections = min(health.ejections + 1, MAX_EJECTIONS_COUNTED)
             health.until_s = now_s + ejection_s
 
-    def succeeded(self, replica_id: str) -> None:
+    def succeeded(self, replica: Key) -> None:
         """A request on the replica brought output."""
-        self._states.pop(replica_id, None)
+        self._states.pop(replica, None)
 
-    def reached(self, replica_id: str) -> None:
+    def reached(self, replica: Key) -> None:
         """A load report was read: the replica listens, which does not prove that it works."""
-        health = self._states.get(replica_id)
+        health = self._states.get(replica)
         if health is not None and health.unreachable:
-            del self._states[replica_id]
+            del self._states[replica]
 
-    def hold_off(self, replica_id: str, until_s: float) -> None:
+    def hold_off(self, replica: Key, until_s: float) -> None:
         """Send nothing until then, without counting a failure (the replica said it is busy)."""
-        health = self._states.setdefault(replica_id, _Health())
+        health = self._states.setdefault(replica, _Health())
         health.until_s = max(health.until_s, until_s)
 
-    def sent(self, replica_id: str, now_s: float) -> None:
+    def sent(self, replica: Key, now_s: float) -> None:
         """A request goes to the replica; after an ejection it is a probe, one at a time."""
-        health = self._states.get(replica_id)
+        health = self._states.get(replica)
         if health is not None and health.ejections:
             health.until_s = max(health.until_s, now_s + PROBE_S)
 
@@ -85,24 +90,24 @@
         times = [health.until_s for health in self._states.values() if health.is_out(now_s)]
         return min(times, default=None)
 
-    def usable(self, replica_ids: Sequence[str], now_s: float) -> list[str]:
+    def usable(self, replicas: Sequence[Key], now_s: float) -> list[Key]:
         """Return the replicas that may get work now."""
         if not self._states:
-            return list(replica_ids)
-        kept = [replica_id for replica_id in replica_ids if not self._is_out(replica_id, now_s)]
-        if len(kept) >= (1.0 - MAX_EJECTED_SHARE) * len(replica_ids):
+            return list(replicas)
+        kept = [replica for replica in replicas if not self._is_out(replica, now_s)]
+        if len(kept) >= (1.0 - MAX_EJECTED_SHARE) * len(replicas):
             return kept
-        return [replica_id for replica_id in replica_ids if not self._is_unreachable(replica_id, now_s)]
+        return [replica for replica in replicas if not self._is_unreachable(replica, now_s)]
 
-    def retain(self, replica_ids: set[str]) -> None:
+    def retain(self, replicas: Collection[Key]) -> None:
         """Forget replicas that no longer exist."""
-        for replica_id in self._states.keys() - replica_ids:
-            del self._states[replica_id]
+        for replica in self._states.keys() - set(replicas):
+            del self._states[replica]
 
-    def _is_out(self, replica_id: str, now_s: float) -> bool:
-        health = self._states.get(replica_id)
+    def _is_out(self, replica: Key, now_s: float) -> bool:
+        health = self._states.get(replica)
         return health is not None and health.is_out(now_s)
 
-    def _is_unreachable(self, replica_id: str, now_s: float) -> bool:
-        health = self._states.get(replica_id)
+    def _is_unreachable(self, replica: Key, now_s: float) -> bool:
+        health = self._states.get(replica)
         return health is not None and health.is_out(now_s) and (health.unreachable or not health.ejections)
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.errors import LogError
+from passgate.errors import LogError, MalformedRecord
 from passgate.sharedlog.hedge import hedged
 from passgate.sharedlog.log import (
     MAX_PAGE_BYTES,
@@ -327,6 +327,7 @@
         self._update = update
         self._next_offset: int | None = None
         self._reload = True
+        self._told_malformed = False
 
     @property
     def loaded(self) -> bool:
@@ -350,10 +351,20 @@
         began_s = monotonic_s()
         page = await self._read(self._next_offset or 0, self.wait_s)
         if page.records and page.start == self._next_offset:
-            self._update(tuple(self._log.decode_keyed(record) for record in page.records), page.start)
+            self._update(tuple(self._decode(record) for record in page.records), page.start)
             self._next_offset = page.next_offset
         return self._confirm_end(page, began_s, self.wait_s)
 
+    def _decode(self, record: bytes) -> KeyedRecord:
+        """Return a record; one that can't be read counts as an empty one, so that the others hold."""
+        try:
+            return self._log.decode_keyed(record)
+        except MalformedRecord as error:
+            if not self._told_malformed:  # once, as another writer may append any number of them
+                self._told_malformed = True
+                logger.warning("malformed_record", extra={"topic": self._settings.topic, "error": str(error)})
+            return KeyedRecord(key="", value=b"")
+
     def _skip_lost_history(self, first: int) -> None:
         self._reload = True
 
--- a/passgate/versions/load_plan.py
+++ b/passgate/versions/load_plan.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.gateway.replicas import ReplicaState
 
 MOST_SHARE = 0.4
@@ -73,8 +74,8 @@
     needs: Sequence[ModelNeed],
     replicas: Sequence[ReplicaState],
     *,
-    loading: Mapping[str, str],
-    waiting: Collection[str] = frozenset(),
+    loading: Mapping[ReplicaLife, str],
+    waiting: Collection[ReplicaLife] = frozenset(),
     now_s: float,
 ) -> list[LoadChoice]:
     """Return the loads that are wanted, the most urgent first.
@@ -96,9 +97,9 @@
     while wanting := [plan for plan in plans if plan.wants_more]:
         plan = min(wanting, key=lambda plan: (plan.served, plan.newest))
         state = plan.candidates.pop()
-        if state.info.replica_id in taken:
+        if state.life in taken:
             continue
-        taken.add(state.info.replica_id)
+        taken.add(state.life)
         plan.count_load(state)
         choices.append(LoadChoice(state=state, model=plan.need.model))
     return choices
@@ -111,7 +112,7 @@
         self,
         need: ModelNeed,
         replicas: Sequence[ReplicaState],
-        loading: Mapping[str, str],
+        loading: Mapping[ReplicaLife, str],
         now_s: float,
     ) -> None:
         self.need = need
@@ -119,8 +120,8 @@
         """Oldest version that may run new jobs."""
         self._now_s = now_s
         holders = [state for state in replicas if need.model in state.info.model_versions]
-        loaded = [state for state in holders if loading.get(state.info.replica_id) == need.model]
-        settled = [state for state in holders if loading.get(state.info.replica_id) != need.model]
+        loaded = [state for state in holders if loading.get(state.life) == need.model]
+        settled = [state for state in holders if loading.get(state.life) != need.model]
         self.candidates = [state for state in settled if state.version_of(need.model) < need.version]
         """Replicas behind the newest version, the first to load at the end."""
         self.newest = len(holders) - len(self.candidates)
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -2,12 +2,14 @@
 
 The replica's report is read before each order, so that an order that was answered
 late or not at all can not be carried out after a newer one: it names the number of
-orders that the replica has taken, and the replica compares.
+orders that the replica has taken, and the replica compares.  A replica that starts again
+counts from 0, so a number is only named to the life whose report told it.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -15,12 +17,16 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, OrderSent, VersionWanted
+from passgate.eligibility.replica_info import ReplicaLife
+from passgate.eligibility.rules import CONTROL
 from passgate.errors import PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.jobs.records import JobNoted
 from passgate.versions.leadership import Leadership
 from passgate.versions.load_plan import LoadChoice, LoadLimit, ModelNeed, plan_loads
 
+logger = logging.getLogger("passgate.versions")
+
 TICK_S = 0.05
 """Time between looks for loads to begin; a load takes 0.9 s."""
 LOAD_TIMEOUT_S = 6.0
@@ -39,6 +45,12 @@
     orders_taken: int
     busy: bool
     model_versions: dict[str, int]
+    born_unix_ms: int = 0
+    """Moment of its start; 0 where it tells none."""
+
+    def is_of(self, life: ReplicaLife) -> bool:
+        """Whether a life made this report, as far as both tell."""
+        return self.born_unix_ms == life.born_unix_ms or not (self.born_unix_ms and life.born_unix_ms)
 
 
 class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,6 +77,16 @@
         ...
 
 
+async def read_life(control: ReplicaControl, life: ReplicaLife, address: str) -> ReplicaLife | None:
+    """Return the life in which the replica at an address is; None when its report can't be read."""
+    try:
+        report = await control.report(life.replica_id, address)
+    except PassgateError as error:
+        logger.info("life_not_read", extra={"replica": life.text(), "error": str(error)})
+        return None
+    return ReplicaLife(life.replica_id, report.born_unix_ms)
+
+
 class RunningLoad(msgspec.Struct, frozen=True, kw_only=True):
     """A load under way."""
 
@@ -112,10 +134,10 @@
         self._decisions = decisions
         self._jobs = jobs
         """Model to what its newest job asks for."""
-        self._loading: dict[str, RunningLoad] = {}
+        self._loading: dict[ReplicaLife, RunningLoad] = {}
         """Replica to its load."""
         self._limits: dict[str, LoadLimit] = {}
-        self._retry_at_s: dict[str, float] = {}
+        self._retry_at_s: dict[ReplicaLife, float] = {}
 
     async def run(self) -> None:
         """Order until cancelled."""
@@ -133,6 +155,7 @@
         if not self._leadership.may_order():
             return
         now_s = monotonic_s()
+        self._retry_at_s = {life: at_s for life, at_s in self._retry_at_s.items() if now_s < at_s}
         for choice in self._choices(now_s):
             service = choice.state.info.service
             if self._loads_in(service) < self._limit(service).allowed(self._replicas_of(service)):
@@ -140,7 +163,7 @@
 
     def _start(self, choice: LoadChoice) -> None:
         task = asyncio.get_running_loop().create_task(self._load(choice.state, choice.model))
-        self._loading[choice.state.info.replica_id] = RunningLoad(
+        self._loading[choice.state.life] = RunningLoad(
             model=choice.model, service=choice.state.info.service, task=task
         )
 
@@ -148,9 +171,13 @@
         """Return the loads that are wanted now, the most urgent first."""
         return plan_loads(
             [self._need(model, version) for model, version in self._wanted.versions.items()],
-            [state for state in self._replicas.all() if not state.info.draining],
-            loading={replica_id: load.model for replica_id, load in self._loading.items()},
-            waiting={replica_id for replica_id, at_s in self._retry_at_s.items() if now_s < at_s},
+            [
+                state
+                for state in self._replicas.all()
+                if self._replicas.rules.allows(state.info, CONTROL, now_s)
+            ],
+            loading={life: load.model for life, load in self._loading.items()},
+            waiting=set(self._retry_at_s),
             now_s=now_s,
         )
 
@@ -170,23 +197,30 @@
         return sum(1 for state in self._replicas.all() if state.info.service == service)
 
     async def _load(self, state: ReplicaState, model: str) -> None:
-        replica_id = state.info.replica_id
+        life = state.life
         try:
             report = await self._report(state)
-            missing = report.model_versions.get(model, 0) < self._wanted.versions[model]
-            if report.busy or not missing or not self._leadership.may_order():
-                self._retry_at_s[replica_id] = monotonic_s() + POLL_S
+            if not self._may_order(state, model, report):
+                self._retry_at_s[life] = monotonic_s() + POLL_S
                 return
             if await self._order(state, model, report):
                 await self._wait_until_loaded(state, model)
             else:
-                self._retry_at_s[replica_id] = monotonic_s() + RETRY_S
+                self._retry_at_s[life] = monotonic_s() + RETRY_S
         except PassgateError:
-            self._retry_at_s[replica_id] = monotonic_s() + RETRY_S
+            self._retry_at_s[life] = monotonic_s() + RETRY_S
+
+    def _may_order(self, state: ReplicaState, model: str, report: ReplicaReport) -> bool:
+        """Whether a report calls for an order to the life of a replica that was chosen."""
+        if not report.is_of(state.life) or self._replicas.of(state.life) is not state:
+            return False
+        missing = report.model_versions.get(model, 0) < self._wanted.versions[model]
+        return missing and not report.busy and self._leadership.may_order()
 
     async def _report(self, state: ReplicaState) -> ReplicaReport:
         report = await self._control.report(state.info.replica_id, state.info.address)
-        state.observed_versions.update(report.model_versions)
+        if report.is_of(state.life):
+            state.observed_versions.update(report.model_versions)
         return report
 
     async def _order(self, state: ReplicaState, model: str, report: ReplicaReport) -> bool:
@@ -222,7 +256,7 @@
         target = self._wanted.versions[model]
         while monotonic_s() < began_s + LOAD_TIMEOUT_S:
             await asyncio.sleep(POLL_S)
-            if self._replicas.get(state.info.replica_id) is not state:
+            if self._replicas.of(state.life) is not state:
                 return
             if state.version_of(model) >= target:
                 self._limit(state.info.service).observe(monotonic_s() - began_s)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -7,6 +7,7 @@
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
 from passgate.errors import (
     BackendUnreachable,
@@ -36,7 +37,7 @@
 
 
 def replica(name):
-    return ReplicaPlace(replica_id=name, service=SERVICE, address=f"{name}:1")
+    return ReplicaPlace(life=ReplicaLife(name), service=SERVICE, address=f"{name}:1")
 
 
 class Daemon:
@@ -45,6 +46,8 @@
     def __init__(self, fleet, name):
         log, self.dead = fleet.log, fleet.dead
         self.set_aside = []
+        self.lives = {}
+        """Address to the life that answers there."""
         self.ledger = CrashLedger()
         decisions = DecisionLog(name, write=len)
         self.channel = CrashChannel(log.client(name), TOPIC, self.ledger, self.note_set_aside, decisions)
@@ -53,6 +56,7 @@
             report=self.channel.report,
             clear=self.channel.clear,
             set_aside=self.note_set_aside,
+            read_life=self.read_life,
         )
         self.guard = CrashGuard(self.ledger, reporter, decisions)
         self.transport = fleet.network.transport(f"{name}:7", "z")
@@ -65,8 +69,11 @@
     async def answer(self, sender, method, payload):
         return self.peers.answer(payload)
 
-    def note_set_aside(self, replica_id, now_s):
-        self.set_aside.append(replica_id)
+    def note_set_aside(self, replica, now_s):
+        self.set_aside.append(replica.replica_id)
+
+    async def read_life(self, life, address):
+        return self.lives.get(address)
 
     async def has_ended(self, address):
         await asyncio.sleep(LOOK_S)
@@ -231,9 +238,9 @@
     before_s = monotonic_s()
     await first.crash("r1", "r2")
     await asyncio.sleep(0.1)
-    second.guard.answered("r1", began_s=before_s)
+    second.guard.answered(replica("r1"), began_s=before_s)
     assert second.guard.is_held(request())
-    second.guard.answered("r1", began_s=monotonic_s())
+    second.guard.answered(replica("r1"), began_s=monotonic_s())
     await asyncio.sleep(0.1)
     assert not first.guard.is_held(request())
     assert first.guard.is_suspect(request())
@@ -399,5 +406,5 @@
             fingerprint=f"f{number}", replica_id="r", service=SERVICE, limit=2, at_unix_s=float(number)
         )
         assert ledger.add(report, now_s=0.0)
-    assert ledger.pairs() == {("f2", "r"), ("f3", "r"), ("f4", "r")}
+    assert ledger.pairs() == {(name, ReplicaLife("r")) for name in ("f2", "f3", "f4")}
     assert len(ledger) == 3
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -7,8 +7,8 @@
 
 PLATFORM_ORDER = [
     "sharedlog",
-    "quarantine",
     "eligibility",
+    "quarantine",
     "gateway",
     "discovery",
     "jobs",
--- a/tests/test_versions_load_plan.py
+++ b/tests/test_versions_load_plan.py
@@ -1,6 +1,6 @@
 """Which replicas load which version: turns of models, shares, limits."""
 
-from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.eligibility.replica_info import ReplicaInfo, ReplicaLife
 from passgate.gateway.replicas import ReplicaState
 from passgate.versions.load_plan import LoadLimit, ModelNeed, plan_loads
 
@@ -75,7 +75,9 @@
 def test_replicas_that_load_or_wait_get_no_second_order():
     states = replicas(3, "ab")
     needs = [ModelNeed(model="a", version=3, lag=1), ModelNeed(model="b", version=3, lag=1)]
-    choices = plan_loads(needs, states, loading={"r00": "a"}, waiting={"r01"}, now_s=0.0)
+    choices = plan_loads(
+        needs, states, loading={ReplicaLife("r00"): "a"}, waiting={ReplicaLife("r01")}, now_s=0.0
+    )
     assert [choice.state.info.replica_id for choice in choices] == ["r02"]
 
 
