--- a/passgate/check/specification/catalogue.py
+++ b/passgate/check/specification/catalogue.py
@@ -1,7 +1,7 @@
 """All specifications, by name.
 
 >>> sorted(SPECIFICATIONS)
-['claims', 'configuration', 'leadership', 'leases', 'lots', 'planned_stop', 'usage_reports']
+['claims', 'configuration', 'leadership', 'leases', 'lots', 'planned_stop', 'replica_lives', 'usage_reports']
 """
 
 from __future__ import annotations
@@ -13,12 +13,22 @@
 from passgate.check.specification.leases import LEASES
 from passgate.check.specification.lots import LOTS
 from passgate.check.specification.planned_stop import PLANNED_STOP
+from passgate.check.specification.replica_lives import REPLICA_LIVES
 from passgate.check.specification.usage_reports import USAGE_REPORTS
 from passgate.errors import NotFound
 
 SPECIFICATIONS: dict[str, Specification] = {
     specification.name: specification
-    for specification in (PLANNED_STOP, LEASES, LEADERSHIP, CLAIMS, CONFIGURATION, LOTS, USAGE_REPORTS)
+    for specification in (
+        PLANNED_STOP,
+        LEASES,
+        LEADERSHIP,
+        CLAIMS,
+        CONFIGURATION,
+        LOTS,
+        USAGE_REPORTS,
+        REPLICA_LIVES,
+    )
 }
 
 
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -288,17 +288,17 @@
 
         The end of one that was leaving says nothing of the requests that still ran there.
         """
-        if self._state.info.draining or self._replicas.get(self.life.replica_id) is None:
+        if self._state.info.draining or self._replicas.newest_of(self.life) is None:
             return
         self._crashes.broke_off(self._request.identity, self._place(), error)
 
     def _place(self) -> ReplicaPlace:
-        listed = self._replicas.get(self.life.replica_id)
+        newest = self._replicas.newest_of(self.life)
         return ReplicaPlace(
             life=self.life,
             service=self._state.info.service,
             address=self._state.info.address,
-            replaced=listed is not None and listed is not self._state,
+            replaced=newest is not None and newest.life != self.life,
         )
 
     def _failed(self, *, unreachable: bool) -> None:
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -156,6 +156,10 @@
         """Return a life of a replica; None if it is not listed, or another one is by now."""
         return self._states.get(life)
 
+    def newest_of(self, life: ReplicaLife) -> ReplicaState | None:
+        """Return the newest listed life of the replica that a life belongs to, or None."""
+        return self.get(life.replica_id)
+
     def all(self) -> list[ReplicaState]:
         """Return all replicas."""
         return list(self._states.values())
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -22,6 +22,7 @@
 from passgate.errors import PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.jobs.records import JobNoted
+from passgate.versions.doubtful_orders import DoubtfulOrders
 from passgate.versions.leadership import Leadership
 from passgate.versions.load_plan import LoadChoice, LoadLimit, ModelNeed, plan_loads
 
@@ -138,6 +139,7 @@
         """Replica to its load."""
         self._limits: dict[str, LoadLimit] = {}
         self._retry_at_s: dict[ReplicaLife, float] = {}
+        self._doubtful = DoubtfulOrders()
 
     async def run(self) -> None:
         """Order until cancelled."""
@@ -214,6 +216,8 @@
         """Whether a report calls for an order to the life of a replica that was chosen."""
         if not report.is_of(state.life) or self._replicas.of(state.life) is not state:
             return False
+        if not self._doubtful.may_follow(state.life, report.orders_taken, monotonic_s()):
+            return False
         missing = report.model_versions.get(model, 0) < self._wanted.versions[model]
         return missing and not report.busy and self._leadership.may_order()
 
@@ -239,6 +243,9 @@
             status = await self._control.order(order)
             outcome = str(status)
             return status in TAKEN
+        except PassgateError:
+            self._doubtful.note(state.life, order.expected, monotonic_s())
+            raise
         finally:
             self._decisions.write(
                 OrderSent(
--- a/tests/crashing_world.py
+++ b/tests/crashing_world.py
@@ -1,4 +1,4 @@
-"""Several daemons over one log, and replicas that a request can end; they come back under new ids."""
+"""Several daemons over one log, and replicas that a request can end; they come back, mostly under new ids."""
 
 import asyncio
 import contextlib
@@ -28,12 +28,15 @@
         """Replicas that a request has ended, in order."""
         self.started = 0
         self.crashing_bodies = {CRASHING_BODY}
+        self.same_ids = False
+        """Whether replicas start again under the identifier that they had, and tell when they started."""
 
-    def add_replica(self, service="app", port=0, **fields):
-        """Start a replica; every life has an id of its own."""
+    def add_replica(self, service="app", port=0, replica_id="", **fields):
+        """Start a replica; every life has an id of its own, or at least a start of its own."""
         self.started += 1
         fields.setdefault("work_s", 0.03)
-        replica = stand_ins.Replica(self.log, f"i-{self.started}", service, **fields)
+        born = 1_000 + self.started if self.same_ids else 0
+        replica = stand_ins.Replica(self.log, replica_id or f"i-{self.started}", service, born=born, **fields)
         replica.crash_on = lambda request: request.body in self.crashing_bodies
         replica.on_end = lambda ended: self._note_end(ended, fields)
         self.replicas[replica.replica_id] = replica.start(port)
@@ -46,8 +49,12 @@
 
     async def _restart(self, replica, fields):
         await asyncio.sleep(BACK_AFTER_S)
+        port = int(replica.address.rpartition(":")[2])
+        if self.same_ids:
+            self.add_replica(replica.service, port, replica.replica_id, **fields)
+            return
         self.log.put("keyed.servers", replica.replica_id, None)
-        self.add_replica(replica.service, port=int(replica.address.rpartition(":")[2]), **fields)
+        self.add_replica(replica.service, port, **fields)
 
     async def start_daemons(self, count):
         for _ in range(count):
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -266,8 +266,12 @@
 class Replica:
     """One replica of a service; streams on ``/stream``-paths, plain answers elsewhere."""
 
-    def __init__(self, log, replica_id, service, *, zone="a", slots=8, models=(), work_s=0.01, event_s=0.01):
+    def __init__(
+        self, log, replica_id, service, *, zone="a", slots=8, models=(), work_s=0.01, event_s=0.01, born=0
+    ):
         self.log = log
+        self.born = born
+        """Moment of its start in Unix milliseconds; with 0 it tells none, and identifiers are used once."""
         self.replica_id = replica_id
         self.service = service
         self.zone = zone
@@ -311,7 +315,10 @@
             "state": "draining" if self.draining else "ready",
             "models": [{"name": name, "version": version} for name, version in self.versions.items()],
         }
-        self.log.put("keyed.servers", self.replica_id, entry)
+        self.log.put("keyed.servers", self.replica_id, entry | self.told_of_its_start())
+
+    def told_of_its_start(self):
+        return {"born": self.born} if self.born else {}
 
     async def crash(self):
         """End without a word; the entry goes."""
@@ -372,7 +379,8 @@
     async def get(self):
         if self.request.path == "/-/report":
             models = [{"name": name, "version": version} for name, version in self.replica.versions.items()]
-            self.finish({"seq": self.replica.orders_taken, "busy": self.replica.busy, "models": models})
+            report = {"seq": self.replica.orders_taken, "busy": self.replica.busy, "models": models}
+            self.finish(report | self.replica.told_of_its_start())
             return
         await self.post()
 
--- a/tests/test_check_model.py
+++ b/tests/test_check_model.py
@@ -12,7 +12,7 @@
 
 MUTANTS = [(spec.name, mutant.name) for spec in SPECIFICATIONS.values() for mutant in spec.mutants]
 
-EXHAUSTIVE_IN_TESTS = ["planned_stop", "leases", "leadership"]
+EXHAUSTIVE_IN_TESTS = ["planned_stop", "leases", "leadership", "replica_lives"]
 """The others take longer; ``passgate check model`` checks them all."""
 
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
@@ -246,6 +247,65 @@
     assert first.guard.is_suspect(request())
 
 
+def lives(name, *born):
+    return [ReplicaPlace(life=ReplicaLife(name, each), service=SERVICE, address=f"{name}:1") for each in born]
+
+
+@virtually
+async def test_the_answer_of_a_later_life_clears_nothing_of_the_life_that_ended(fleet):
+    daemon = fleet.daemon()
+    old, new = lives("r1", 10, 20)
+    daemon.dead.add(old.address)
+    daemon.guard.broke_off(request(), old, BROKEN)
+    await asyncio.sleep(1.0)
+    daemon.dead.clear()
+    daemon.lives[old.address] = new.life
+    daemon.guard.answered(old, began_s=monotonic_s())  # discovery has not told of the new life yet
+    daemon.guard.answered(new, began_s=monotonic_s())
+    await asyncio.sleep(0.1)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+    daemon.lives[old.address] = old.life
+    daemon.guard.answered(old, began_s=monotonic_s())
+    await asyncio.sleep(0.1)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 0
+
+
+@virtually
+async def test_two_lives_of_one_replica_count_as_two_crashes_at_all_daemons(fleet):
+    first, second = fleet.daemon(), fleet.daemon()
+    await asyncio.sleep(0.5)
+    for place in lives("r1", 10, 20):
+        first.dead.add(place.address)
+        first.guard.broke_off(request(), place, BROKEN)
+        await asyncio.sleep(1.0)
+    assert first.guard.is_held(request())
+    assert second.guard.is_held(request())
+    assert second.ledger.pairs() == first.ledger.pairs()
+
+
+@virtually
+async def test_a_replica_that_is_back_before_the_look_has_ended_nonetheless(fleet):
+    daemon = fleet.daemon()
+    (old,) = lives("r1", 10)
+    daemon.guard.broke_off(request(), msgspec.structs.replace(old, replaced=True), BROKEN)
+    await asyncio.sleep(0.1)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+
+
+@virtually
+async def test_reports_of_before_replicas_told_their_start_still_count(fleet):
+    old = CrashReport(fingerprint="f", replica_id="r1", service=SERVICE, limit=1, at_unix_s=0.0)
+    document = msgspec.to_builtins(old)
+    del document["born_unix_ms"]
+    fleet.log.put_keyed(TOPIC, "f/r1", msgspec.json.encode(document))
+    daemon = fleet.daemon()
+    await asyncio.sleep(0.5)
+    assert daemon.ledger.pairs() == {("f", ReplicaLife("r1"))}
+    fleet.log.put_keyed(TOPIC, "f/r1", b"")
+    await asyncio.sleep(0.5)
+    assert not len(daemon.ledger)
+
+
 @virtually
 async def test_a_daemon_that_can_not_reach_the_log_holds_by_itself_and_reports_later(fleet):
     first, second = fleet.daemon(), fleet.daemon()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -35,6 +35,27 @@
     assert (await world.ask(world.daemons[0], b"ordinary", "ordinary")).status == 200
 
 
+@in_crashing_world
+async def test_a_request_that_ends_replicas_which_keep_their_identifiers_is_sent_no_more(world):
+    """A replica that is back answers others at once, under the identifier that was reported."""
+    world.same_ids = True
+    for _ in range(3):
+        world.add_replica()
+    world.configure(1, stand_ins.safe_route())
+    await world.start_daemons(3)
+    crashing = asyncio.create_task(world.crash_again_and_again(12, gap_s=0.3))
+    statuses = []
+    for number in range(80):
+        daemon = world.daemons[number % len(world.daemons)]
+        answer = await world.ask(daemon, b"ordinary", f"ordinary-{number}")
+        statuses.append(answer.status if answer is not None else None)
+        await asyncio.sleep(0.03)
+    answers = await crashing
+    assert len(world.ended) <= MOST_ENDED
+    assert {answer.status for answer in answers[MOST_ENDED:]} == {503}
+    assert statuses == [200] * 80
+
+
 @in_crashing_world
 async def test_ordinary_requests_are_served_while_the_crashing_one_comes_again(world):
     for _ in range(3):
