--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -40,6 +40,8 @@
 MOST_SLOTS = 1_000_000
 """Slots from which on an entry is taken for a mistake; replicas work on some 10 to 100 requests at once."""
 MOST_PORTS = 65_535
+MOST_MS = 2**53
+"""Milliseconds that every reader of JSON holds exactly."""
 
 # ruff: noqa: N815  (field names are the platform's)
 
@@ -119,7 +121,7 @@
     state: str
     spot: bool = False
     models: list[_Model] = []
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MOST_MS)] = 0
     coldRemainingMs: int = 0
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,7 @@
             self.harm_log: 4,
             self.harm_replica: 5,
             self.replace_replica: 2,
+            self.spoil_entries: 2,
             self.change_configuration: 3,
             self.kill_all: 1,
             self.revoke_key: 2,
@@ -179,6 +180,18 @@
         self.world.leaving_s[old.replica_id] = time.monotonic()
         await asyncio.sleep(2.0)
 
+    async def spoil_entries(self):
+        """Let another writer put entries beside those of the replicas, and over one of them."""
+        replica = self.random.choice(self.world.replicas)
+        spoilt = self.random.choice(
+            [b"\xff\x00", b"[]", b'{"service":"app"}', b'{"state":"ready","slots":[]}']
+        )
+        for key in (replica.replica_id, f"other-{self.world.next_number()}"):
+            self.world.log.put_bytes("keyed.servers", key, spoilt)
+        await asyncio.sleep(self.random.uniform(*FEW_S))
+        if replica in self.world.replicas:
+            replica.tell()
+
     async def change_configuration(self):
         for _ in range(self.series()):
             self.world.configure()
