--- a/passgate/duties/calls.py
+++ b/passgate/duties/calls.py
@@ -1,13 +1,14 @@
 """Calls of duties to the platform: what comes back, and how many may be made.
 
->>> budget = CallBudget(calls_per_s=2.0, now_s=0.0)
->>> [budget.take(0.0) for _ in range(3)], budget.take(0.5)
-([True, True, False], True)
+>>> budget = CallBudget(calls_per_s=2.0)
+>>> [budget.take(now_s) for now_s in (0.0, 0.9, 0.95, 1.0, 1.5)]
+[True, True, False, True, False]
 """
 
 from __future__ import annotations
 
 import enum
+from collections import deque
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -58,18 +59,18 @@
 
 
 class CallBudget:
-    """Token bucket over the calls of all duties of the holder."""
+    """Bounds the calls of all duties of the holder in any span of a second, wherever it begins."""
 
-    def __init__(self, calls_per_s: float, now_s: float) -> None:
-        self._rate = calls_per_s
-        self._tokens = calls_per_s
-        self._filled_s = now_s
+    def __init__(self, calls_per_s: float) -> None:
+        self._most = max(int(calls_per_s), 1)
+        self._span_s = max(self._most / calls_per_s, 1.0)
+        """A second; more where less than one call a second is granted."""
+        self._made_s: deque[float] = deque(maxlen=self._most)
+        """Loop times of the last calls."""
 
     def take(self, now_s: float) -> bool:
         """Return whether a call may be made now, and count it."""
-        self._tokens = min(self._rate, self._tokens + (now_s - self._filled_s) * self._rate)
-        self._filled_s = now_s
-        if self._tokens < 1.0:
+        if len(self._made_s) == self._most and now_s - self._made_s[0] < self._span_s:
             return False
-        self._tokens -= 1.0
+        self._made_s.append(now_s)
         return True
--- a/passgate/duties/service.py
+++ b/passgate/duties/service.py
@@ -24,8 +24,9 @@
 from passgate.sharedlog.group import GroupDirectory
 from passgate.versions.control import ControlTopic
 
-RATE_SHARE = 0.8
-"""Share of the calls that the platform takes; the rest is left to a holder that has just ended."""
+RATE_SHARE = 0.5
+"""Share of the calls that the platform takes; a holder that has just ended may have made as many in the
+same second."""
 
 
 class Duties:
@@ -68,7 +69,7 @@
         self._sync = ClockSync(clock, transport, lambda: directory.others(member))
         self._channel = UsageChannel(transport, journal, lambda: control.fold.leader, directory.member_of)
         self.meter = UsageMeter(journal.writer, windows, clock.now_s, self._channel.send)
-        budget = CallBudget(settings.calls_per_s * RATE_SHARE, 0.0)
+        budget = CallBudget(settings.calls_per_s * RATE_SHARE)
         self._reporter = UsageReporter(
             folds.usage,
             journal,
--- a/tests/test_discovery_other_writers.py
+++ b/tests/test_discovery_other_writers.py
@@ -54,7 +54,11 @@
 NEEDED = ["service", "address", "zone", "slots", "state"]
 OTHER_TYPES = [None, True, 7, -1, 1.5, "", "x", [], ["x"], {}, {"a": 1}, 10**400]
 JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False, allow_infinity=False) | st.text(max_size=8),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner, max_size=3),
     max_leaves=6,
 )
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -101,7 +101,7 @@
             journal,
             self.control.leadership,
             platform,
-            CallBudget(40.0, 0.0),
+            CallBudget(40.0),
             config,
             self.replicas,
             self.control.fold.newest_jobs,
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -84,7 +84,7 @@
             journal,
             self.control.leadership,
             platform,
-            CallBudget(40.0, 0.0),
+            CallBudget(40.0),
             WINDOWS,
             monotonic_s,
             decisions,
