--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -22,7 +22,7 @@
 )
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, answered_status
 from passgate.gateway.replica_call import ReplicaAnswer, cancel_all, forwarded_headers
 from passgate.gateway.replicas import ReplicaState
 from passgate.gateway.routes import Route
@@ -68,7 +68,7 @@
         try:
             answer = await self._run(forwarding)
         except PassgateError as error:
-            self._note_end(forwarding, error.http_status, error.code)
+            self._note_end(forwarding, answered_status(error), error.code)
             raise
         self._note_end(forwarding, answer.status, "")
         return GatewayAnswer(
--- a/passgate/gateway/messages.py
+++ b/passgate/gateway/messages.py
@@ -18,6 +18,10 @@
 CHALLENGE, CHALLENGE_SCHEME = "WWW-Authenticate", "Bearer"
 DEFAULT_DEADLINE_S = 30.0
 """Time that a caller is taken to wait when it does not say."""
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise the caller that its request has not run and never will."""
+BAD_GATEWAY = 502
+"""Given in place of such a status where the promise can't be made."""
 RETRY_AFTER_S = 0.2
 """When to come back after a refusal that names no time of its own."""
 
@@ -67,14 +71,23 @@
     return GatewayAnswer(status=status, headers=typed, body=msgspec.json.encode(document))
 
 
+def answered_status(error: PassgateError) -> int:
+    """Return the status that a caller is given for a failure.
+
+    >>> answered_status(PassgateError(execution=ExecutionStatus.NOT_RUN))
+    500
+    """
+    if error.http_status in PROMISES and error.execution is not ExecutionStatus.NOT_RUN:
+        return BAD_GATEWAY
+    return error.http_status
+
+
 def error_answer(error: PassgateError) -> GatewayAnswer:
     """Return the answer for a failure; a refusal says when to come back.
 
     A status that promises "not run" is only given when that is certain.
     """
-    status = error.http_status
-    if status in (408, 421, 429, 503) and error.execution is not ExecutionStatus.NOT_RUN:
-        status = 502
+    status = answered_status(error)
     headers: tuple[tuple[str, str], ...] = ()
     if status == UNAUTHORIZED:
         headers = ((CHALLENGE, CHALLENGE_SCHEME),)
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -18,9 +18,10 @@
 from passgate.clock import monotonic_s
 from passgate.eligibility.replica_info import ReplicaLife
 from passgate.eligibility.rules import ANY_REQUEST, SendTerms
-from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
+from passgate.errors import AnswerMismatch, BackendRefused, ExecutionFailed, ExecutionStatus, PassgateError
 from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
+from passgate.gateway.messages import PROMISES
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.quarantine.guard import CrashGuard, ReplicaPlace
 from passgate.quarantine.identity import CRASH_LIMIT, RequestIdentity
@@ -216,7 +217,7 @@
     async def head(self) -> int:
         """Wait for the head of the answer and check whose it is; return its status.
 
-        Raises BackendRefused, AnswerMismatch and the transport's failures.
+        Raises BackendRefused, ExecutionFailed, AnswerMismatch and the transport's failures.
         """
         try:
             status = await self._transfer.head()
@@ -233,6 +234,8 @@
         self._note_load(answer)
         if status in NOT_RUN_STATUSES and self._names.not_executed in answer or status == WRONG_REPLICA:
             self._refused(status)
+        if status in PROMISES:
+            self._promised_too_much(status)
         self._crashes.answered(self._place(), self.began_s)
         self._state.accepted()
         return status
@@ -249,6 +252,12 @@
             f"replica refused with {status}", execution=ExecutionStatus.NOT_RUN, status=status
         )
 
+    def _promised_too_much(self, status: int) -> None:
+        """Fail an answer whose status promises that nothing ran, while the replica does not say so."""
+        self._transfer.finish_unread()
+        self._failed(unreachable=False)
+        raise ExecutionFailed(f"replica answered {status} and may have run", status=status)
+
     async def read(self) -> bytes:
         """Return the next bytes of the body; empty at its end; raises when it broke off."""
         try:
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -22,7 +22,7 @@
 )
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, answered_status
 from passgate.gateway.replica_call import ReplicaExchange, forwarded_headers
 from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest
 from passgate.gateway.routes import Route
@@ -95,7 +95,7 @@
             if not await self._spares_replicas(stream):
                 raise self._failed(stream, "replicas ended under the request")
         except RequestQuarantined as error:
-            self._note_end(stream, error.http_status, error.code)
+            self._note_end(stream, answered_status(error), error.code)
             raise
         state = self._choose(stream)
         if state is None:
@@ -182,7 +182,7 @@
             error = BackendUnreachable(reason, execution=ExecutionStatus.UNKNOWN)
         else:
             error = refusal(reason)
-        self._note_end(stream, error.http_status, reason)
+        self._note_end(stream, answered_status(error), reason)
         return error
 
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -25,6 +25,7 @@
     PeerCatchingUp,
     PeerError,
 )
+from passgate.gateway.messages import answered_status
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import CUT_OFF_S, Alive
 from passgate.jobs.peers import (
@@ -99,7 +100,7 @@
                 offset = await self._append(shard, spec, deadline_s)
             except PassgateError as error:
                 self._decisions.write(
-                    JobAcceptFailed(job_id=spec.job_id, status=error.http_status, reason=error.code)
+                    JobAcceptFailed(job_id=spec.job_id, status=answered_status(error), reason=error.code)
                 )
                 raise
         self._decisions.write(
