--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -152,6 +152,16 @@
     assert (written, len(begun)) == ([502, 503], 1)
 
 
+@in_world
+async def test_an_end_in_doubt_promises_nothing(world):
+    world.configure(1, stand_ins.batch_route())
+    await world.start()
+    assert (await world.submit(["a"])).status == 202
+    world.log.faults.lost_appends = 1.0
+    answer = await world.call("DELETE", "/-/lots/job1", deadline_ms=800)
+    assert answer.status == 502
+
+
 @in_world
 async def test_the_log_says_which_status_a_caller_of_a_job_got(world):
     """A job in doubt is answered 502, and so it is told."""
