--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -24,7 +24,7 @@
 """Time after the log's return within which entries that lapsed meanwhile are written again."""
 
 
-class DiscoveryNews(msgspec.Struct, frozen=True, kw_only=True):
+class DiscoveryNews(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What discovery said of one replica at an offset."""
 
     replica_id: str
@@ -120,8 +120,10 @@
 
     def _overwrite(self, replica_id: str) -> bool:
         """Use a replica no more whose entry was overwritten; return whether it was in use."""
-        self._overwritten.add(replica_id)
-        return self._forget(replica_id) is not None
+        was_in_use = self._forget(replica_id) is not None
+        if was_in_use:
+            self._overwritten.add(replica_id)
+        return was_in_use
 
     def _remove(self, replica_id: str) -> bool:
         """Forget a replica that is not listed any more; return whether it was known."""
--- a/passgate/eligibility/replica_info.py
+++ b/passgate/eligibility/replica_info.py
@@ -15,7 +15,7 @@
 """Stands between the identifier and the moment of the start where a life is written as text."""
 
 
-class ReplicaLife(msgspec.Struct, frozen=True):
+class ReplicaLife(msgspec.Struct, frozen=True, cache_hash=True):
     """One run of a replica's process, from its start to its end.
 
     A replica that starts again may keep its identifier, but it holds and knows nothing of before, so
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -25,6 +25,11 @@
 from passgate.quarantine.identity import RequestIdentity
 from passgate.quarantine.ledger import CrashLedger, CrashReport
 
+ASK_AGAIN_S = 1.0
+"""Time between two questions to a replica which life it is in; answers may come by the hundred a second."""
+SETTLED_S = 5.0
+"""Time after a crash report within which discovery tells of the replica's next life, or of its end: an entry
+is written with each start, and goes after a silence of some 4 s."""
 RELEASE_STEP_S = 0.5
 """Time between looks whether a request is held still; holds last for minutes."""
 
@@ -51,7 +56,10 @@
     set_aside: Callable[[ReplicaLife, float], None]
     """Sends no further requests to a replica that has ended, from a loop time on."""
     read_life: Callable[[ReplicaLife, str], Awaitable[ReplicaLife | None]]
-    """Asks the replica at an address, known so far as the given life, which life it is in."""
+    """Asks the replica at an address, known so far as the given life, which life it is in; None if it does
+    not tell."""
+    is_current: Callable[[], bool]
+    """Returns whether the log answers this daemon, so that it knows what discovery tells."""
 
 
 class CrashGuard:
@@ -63,8 +71,9 @@
         self._decisions = decisions
         self._looks: dict[str, set[asyncio.Task[None]]] = {}
         """Looks at replicas that are under way, by the request that broke off there."""
-        self._confirming: dict[ReplicaLife, asyncio.Task[None]] = {}
-        """Questions under way to replicas that were reported and answer."""
+        self._asked_s: dict[ReplicaLife, float] = {}
+        """When replicas that were reported, and answer, were asked last which life they are in."""
+        self._questions: set[asyncio.Task[None]] = set()
         self._last_chances: dict[str, ReplicaLife] = {}
         """Where requests run that one more crash would hold, by request."""
 
@@ -147,17 +156,18 @@
         """Take an answer's head, of an attempt begun at a loop time, as a proof that its replica lives.
 
         A replica that has started again answers under the same identifier before discovery tells of
-        it, so one that tells its start is asked for it first.
+        it, so one that tells its start is asked for it first.  Where it does not tell, it is the same
+        life if discovery still lists that one when another would long be listed.
         """
         life = replica.life
         if not len(self._ledger) or not self._ledger.names(life, began_s):
             return
         if not life.born_unix_ms:
             self._clear_replica(life, began_s)
-        elif life not in self._confirming:
-            task = asyncio.get_running_loop().create_task(self._confirm(replica, began_s))
-            self._confirming[life] = task
-            task.add_done_callback(lambda done: self._confirming.pop(life))
+        elif not replica.replaced and self._may_ask(life, monotonic_s()):
+            question = asyncio.get_running_loop().create_task(self._confirm(replica, began_s))
+            self._questions.add(question)
+            question.add_done_callback(self._questions.discard)
 
     def succeeded(self, identity: RequestIdentity, service: str) -> None:
         """Take a whole answer as a proof that the request does not crash replicas of a service."""
@@ -165,9 +175,20 @@
             cleared = self._ledger.clear_request(identity.fingerprint(), service)
             self._clear(cleared, "the request was answered")
 
+    def _may_ask(self, life: ReplicaLife, now_s: float) -> bool:
+        """Return whether a replica may be asked now which life it is in, and note that it is."""
+        self._asked_s = {asked: at_s for asked, at_s in self._asked_s.items() if now_s - at_s < ASK_AGAIN_S}
+        if life in self._asked_s:
+            return False
+        self._asked_s[life] = now_s
+        return True
+
     async def _confirm(self, replica: ReplicaPlace, began_s: float) -> None:
-        if await self._reporter.read_life(replica.life, replica.address) == replica.life:
+        told = await self._reporter.read_life(replica.life, replica.address)
+        if told == replica.life:
             self._clear_replica(replica.life, began_s)
+        elif told is None and self._reporter.is_current():
+            self._clear_replica(replica.life, began_s - SETTLED_S)
 
     def _clear_replica(self, replica: ReplicaLife, began_s: float) -> None:
         self._clear(self._ledger.clear_replica(replica, began_s), "the replica lives")
--- a/passgate/quarantine/service.py
+++ b/passgate/quarantine/service.py
@@ -42,6 +42,7 @@
             clear=self.channel.clear,
             set_aside=set_aside,
             read_life=read_life,
+            is_current=self.channel.is_current,
         )
         self.guard = CrashGuard(ledger, reporter, decisions)
 
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -19,7 +19,7 @@
 from passgate.decisions import DecisionLog, OrderSent, VersionWanted
 from passgate.eligibility.replica_info import ReplicaLife
 from passgate.eligibility.rules import CONTROL
-from passgate.errors import PassgateError
+from passgate.errors import ExecutionStatus, PassgateError
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
 from passgate.jobs.records import JobNoted
 from passgate.versions.doubtful_orders import DoubtfulOrders
@@ -79,13 +79,13 @@
 
 
 async def read_life(control: ReplicaControl, life: ReplicaLife, address: str) -> ReplicaLife | None:
-    """Return the life in which the replica at an address is; None when its report can't be read."""
+    """Return the life in which the replica at an address is; None when it does not tell."""
     try:
         report = await control.report(life.replica_id, address)
     except PassgateError as error:
         logger.info("life_not_read", extra={"replica": life.text(), "error": str(error)})
         return None
-    return ReplicaLife(life.replica_id, report.born_unix_ms)
+    return ReplicaLife(life.replica_id, report.born_unix_ms) if report.born_unix_ms else None
 
 
 class RunningLoad(msgspec.Struct, frozen=True, kw_only=True):
@@ -243,8 +243,9 @@
             status = await self._control.order(order)
             outcome = str(status)
             return status in TAKEN
-        except PassgateError:
-            self._doubtful.note(state.life, order.expected, monotonic_s())
+        except PassgateError as error:
+            if error.execution is not ExecutionStatus.NOT_RUN:
+                self._doubtful.note(state.life, order.expected, monotonic_s())
             raise
         finally:
             self._decisions.write(
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -20,7 +20,7 @@
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.quarantine import ledger as ledgers
 from passgate.quarantine.channel import CURRENT_S, POLL_S, CrashChannel
-from passgate.quarantine.guard import CrashGuard, CrashReporter, ReplicaPlace
+from passgate.quarantine.guard import ASK_AGAIN_S, SETTLED_S, CrashGuard, CrashReporter, ReplicaPlace
 from passgate.quarantine.identity import CRASH_LIMIT, ITEM_CRASH_LIMIT, RequestIdentity
 from passgate.quarantine.ledger import REPORT_LIFE_S, CrashLedger, CrashReport
 from passgate.quarantine.peers import EXCHANGE_GAP_S, CrashPeers
@@ -47,6 +47,7 @@
     def __init__(self, fleet, name):
         log, self.dead = fleet.log, fleet.dead
         self.set_aside = []
+        self.asked = 0
         self.lives = {}
         """Address to the life that answers there."""
         self.ledger = CrashLedger()
@@ -58,6 +59,7 @@
             clear=self.channel.clear,
             set_aside=self.note_set_aside,
             read_life=self.read_life,
+            is_current=self.channel.is_current,
         )
         self.guard = CrashGuard(self.ledger, reporter, decisions)
         self.transport = fleet.network.transport(f"{name}:7", "z")
@@ -74,6 +76,7 @@
         self.set_aside.append(replica.replica_id)
 
     async def read_life(self, life, address):
+        self.asked += 1
         return self.lives.get(address)
 
     async def has_ended(self, address):
@@ -265,11 +268,51 @@
     await asyncio.sleep(0.1)
     assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
     daemon.lives[old.address] = old.life
+    await asyncio.sleep(ASK_AGAIN_S)
     daemon.guard.answered(old, began_s=monotonic_s())
     await asyncio.sleep(0.1)
     assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 0
 
 
+@virtually
+async def test_a_replica_that_tells_no_life_is_the_same_once_another_would_be_listed(fleet):
+    """As a plain service, which makes no reports; its replica was cut off and is back."""
+    daemon = fleet.daemon()
+    (place,) = lives("r1", 10)
+    await asyncio.sleep(0.5)
+    daemon.dead.add(place.address)
+    daemon.guard.broke_off(request(), place, BROKEN)
+    await asyncio.sleep(SETTLED_S - 1.0)
+    daemon.guard.answered(place, began_s=monotonic_s())
+    await asyncio.sleep(0.5)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+    await asyncio.sleep(2.0)
+    daemon.guard.answered(msgspec.structs.replace(place, replaced=True), began_s=monotonic_s())
+    fleet.log.faults = SharedLogFaults(refusing=True)
+    await asyncio.sleep(CURRENT_S + POLL_S)
+    daemon.guard.answered(place, began_s=monotonic_s())
+    await asyncio.sleep(1.5)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+    fleet.log.faults = SharedLogFaults()
+    await asyncio.sleep(POLL_S)
+    daemon.guard.answered(place, began_s=monotonic_s())
+    await asyncio.sleep(0.5)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 0
+
+
+@virtually
+async def test_a_replica_that_answers_by_the_hundred_is_asked_once_a_second(fleet):
+    daemon = fleet.daemon()
+    (place,) = lives("r1", 10)
+    daemon.dead.add(place.address)
+    daemon.guard.broke_off(request(), place, BROKEN)
+    await asyncio.sleep(0.1)
+    for _ in range(300):
+        daemon.guard.answered(place, began_s=monotonic_s())
+        await asyncio.sleep(0.01)
+    assert 2 <= daemon.asked <= 4
+
+
 @virtually
 async def test_two_lives_of_one_replica_count_as_two_crashes_at_all_daemons(fleet):
     first, second = fleet.daemon(), fleet.daemon()
