--- a/passgate/check/specification/catalogue.py
+++ b/passgate/check/specification/catalogue.py
@@ -2,7 +2,7 @@
 
 >>> first, *others = sorted(SPECIFICATIONS)
 >>> first, len(others)
-('claims', 8)
+('claims', 9)
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from passgate.check.specification.lots import LOTS
 from passgate.check.specification.permits import PERMITS
 from passgate.check.specification.planned_stop import PLANNED_STOP
+from passgate.check.specification.replica_lives import REPLICA_LIVES
 from passgate.check.specification.usage_reports import USAGE_REPORTS
 from passgate.errors import NotFound
 
@@ -31,6 +32,7 @@
         LOTS,
         USAGE_REPORTS,
         PERMITS,
+        REPLICA_LIVES,
     )
 }
 
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from functools import partial
 
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
@@ -32,6 +33,7 @@
 from passgate.duties.service import Duties
 from passgate.duties.usage_channel import CONTROL_PART
 from passgate.eligibility.evacuation import EvacuatedZones, EvacuationRule
+from passgate.eligibility.known_service import KnownServiceRule
 from passgate.eligibility.regions import RegionRule
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
@@ -62,7 +64,7 @@
 from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
 from passgate.statecharts import Machine
 from passgate.versions.control import ControlTopic
-from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
+from passgate.versions.loader import Loader, ReplicaControl, WantedVersions, read_life
 
 WATCH_S = 0.1
 """Time between looks at the log's freshness and the daemon's life."""
@@ -109,6 +111,7 @@
         self.evacuated.on_ended.append(lambda zone: self.replicas.turned_cold(zone, monotonic_s()))
         self.replicas.rules.add(EvacuationRule(self.evacuated))
         self.metrics.show_kept_back(self.replicas.rules.kept_back)
+        self.replicas.rules.add(KnownServiceRule(self.config.names_service))
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -120,7 +123,9 @@
             self.decisions,
         )
         self._log = log
-        self._crashes = Crashes(log, topics.crashes, self.replicas.set_aside, self.decisions)
+        self._crashes = Crashes(
+            log, topics.crashes, self.replicas.set_aside, self.decisions, partial(read_life, control)
+        )
         caller = ReplicaCaller(http, self.replicas, names, self._crashes.guard)
         runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions, self.evacuated)
         self._peers = peers
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import (
     BackendRefused,
     BackendUnreachable,
@@ -21,7 +22,7 @@
 )
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, answered_status
 from passgate.gateway.replica_call import ReplicaAnswer, cancel_all, forwarded_headers
 from passgate.gateway.replicas import ReplicaState
 from passgate.gateway.routes import Route
@@ -47,7 +48,7 @@
 class _Attempt(msgspec.Struct, frozen=True, kw_only=True):
     """One attempt that is under way."""
 
-    replica_id: str
+    replica: ReplicaLife
     began_s: float
     """Loop time at which it was sent."""
     sent_at_s: float
@@ -67,7 +68,7 @@
         try:
             answer = await self._run(forwarding)
         except PassgateError as error:
-            self._note_end(forwarding, error.http_status, error.code)
+            self._note_end(forwarding, answered_status(error), error.code)
             raise
         self._note_end(forwarding, answer.status, "")
         return GatewayAnswer(
@@ -127,7 +128,7 @@
         self._note_sent(forwarding, state)
         call = self._caller.call(state, self._replica_request(forwarding))
         running[asyncio.get_running_loop().create_task(call)] = _Attempt(
-            replica_id=state.info.replica_id, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
+            replica=state.life, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
         )
 
     async def _wait(self, forwarding: Forwarding, running: Running) -> None:
@@ -150,7 +151,7 @@
                 outcome.fallback = answer
                 forwarding.may_have_run = True
             elif isinstance(error, PassgateError):
-                self._note_failed_attempt(forwarding, attempt.replica_id, error, attempt.began_s)
+                self._note_failed_attempt(forwarding, attempt.replica, error, attempt.began_s)
                 outcome.failure = error
             else:
                 raise error
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -8,12 +8,14 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import AttemptFailed, DecisionLog, ForwardEnded, ForwardSent
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.eligibility.rules import SendTerms
 from passgate.errors import (
     BackendUnreachable,
     NoRegionAllowed,
     NoReplicaAvailable,
     NoReplicaInRegions,
+    ReplicaReplaced,
     Unauthorized,
 )
 from passgate.errors.base import ExecutionStatus, PassgateError
@@ -29,6 +31,10 @@
 """When a refused caller is asked to come back."""
 
 
+NEVER_REACHED = (BackendUnreachable, ReplicaReplaced)
+"""Failures of attempts that show, if they did not run, that the replica is not at its address any more."""
+
+
 class Forwarding(msgspec.Struct, kw_only=True):
     """One request while it is forwarded."""
 
@@ -43,9 +49,9 @@
     """Loop time at which the request is answered in any case."""
     deadline_s: float
     """Loop time at which the caller leaves."""
-    tried: list[str] = []
+    tried: list[ReplicaLife] = []
     never_reached: int = 0
-    """Replicas among those tried to which no connection could be opened."""
+    """Replicas among those tried that were not there any more; see NEVER_REACHED."""
     may_have_run: bool = False
     counted: bool = False
     """Whether usage counts the request already."""
@@ -207,7 +213,7 @@
         return NoReplicaInRegions(reason, execution=ExecutionStatus.NOT_RUN, retry_after_s=RETRY_AFTER_S)
 
     def _note_sent(self, forwarding: Forwarding, state: ReplicaState) -> None:
-        forwarding.tried.append(state.info.replica_id)
+        forwarding.tried.append(state.life)
         self._decisions.write(
             ForwardSent(
                 request_id=forwarding.request_id,
@@ -219,16 +225,16 @@
         )
 
     def _note_failed_attempt(
-        self, forwarding: Forwarding, replica_id: str, error: PassgateError, began_s: float
+        self, forwarding: Forwarding, replica: ReplicaLife, error: PassgateError, began_s: float
     ) -> None:
         not_run = error.execution is ExecutionStatus.NOT_RUN
         forwarding.may_have_run |= not not_run
-        forwarding.never_reached += not_run and isinstance(error, BackendUnreachable)
+        forwarding.never_reached += not_run and isinstance(error, NEVER_REACHED)
         self._decisions.write(
             AttemptFailed(
                 request_id=forwarding.request_id,
                 route=forwarding.route.name,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 fingerprint=forwarding.identity.fingerprint(),
                 reason=error.code,
                 execution=error.execution.value,
@@ -251,7 +257,7 @@
                 route=forwarding.route.name,
                 status=status,
                 reason=reason,
-                replicas=tuple(forwarding.tried),
+                replicas=tuple(life.replica_id for life in forwarding.tried),
                 elapsed_ms=round((monotonic_s() - forwarding.request.arrived_s) * 1000, 1),
             )
         )
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -20,6 +20,7 @@
 from passgate.decisions import (
     ColdReplicasChanged,
     ConfigurationInForce,
+    EntryUnusable,
     Event,
     ForwardEnded,
     ItemFailed,
@@ -122,6 +123,11 @@
             "Time since it was last known that no zone more or less is evacuated.",
             registry=self.registry,
         )
+        self._unusable_entries = Counter(
+            "passgate_unusable_entries",
+            "Entries of discovery that name no replica to use.",
+            registry=self.registry,
+        )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
         self._cold = Gauge(
@@ -162,6 +168,8 @@
                 self._accepts.observe(elapsed_ms / 1000)
             case ConfigurationInForce(version=version):
                 self._configuration.set(version)
+            case EntryUnusable(entries=entries):
+                self._unusable_entries.inc(entries)
 
             case ColdReplicasChanged(cold=cold):
                 self._cold.set(cold)
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -150,6 +150,9 @@
         self._tenants = {tenant.name: tenant for tenant in config.tenants}
         for holder in (*config.routes, *config.tenants):
             _check_regions(holder, places)
+        routed = {part.service for route in config.routes for part in route.parts}
+        self.services = frozenset(routed | {service.name for service in config.services})
+        """Services that the configuration names."""
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(config.routes, key=lambda route: len(route.path_prefix), reverse=True):
             self._by_host.setdefault(route.host, []).append(route)
@@ -217,6 +220,10 @@
         regions = common_regions(of_route, of_tenant)
         return ANY_REQUEST if regions is None else SendTerms(regions=regions)
 
+    def names_service(self, service: str) -> bool:
+        """Whether the configuration in force names a service."""
+        return self.table is not None and service in self.table.services
+
     def offer(self, config: GatewayConfig) -> bool:
         """Put a configuration in force unless a newer one is; return whether it was.
 
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -24,7 +24,7 @@
 )
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, answered_status
 from passgate.gateway.replica_call import ReplicaExchange, forwarded_headers
 from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest
 from passgate.gateway.routes import Route
@@ -90,7 +90,7 @@
     def _note_failed_exchange(
         self, stream: Forwarding, exchange: ReplicaExchange, error: PassgateError
     ) -> None:
-        self._note_failed_attempt(stream, exchange.replica_id, error, exchange.began_s)
+        self._note_failed_attempt(stream, exchange.life, error, exchange.began_s)
 
     async def _send(self, stream: Forwarding) -> ReplicaExchange:
         try:
@@ -98,7 +98,7 @@
             if not await self._spares_replicas(stream):
                 raise self._failed(stream, "replicas ended under the request")
         except (NoRegionAllowed, RequestQuarantined) as error:
-            self._note_end(stream, error.http_status, error.code)
+            self._note_end(stream, answered_status(error), error.code)
             raise
         state = self._choose(stream)
         if state is None:
@@ -175,7 +175,7 @@
             load_below=FULL_LOAD,
             terms=self._terms(stream),
         )
-        return self._replicas.has_faster(exchange.replica_id, wish, monotonic_s())
+        return self._replicas.has_faster(exchange.life, wish, monotonic_s())
 
     def _patience_s(self, stream: Forwarding) -> float:
         left_s = max(stream.limit_s - monotonic_s(), 0.0)
@@ -189,7 +189,7 @@
         else:
             error = self._refusal(stream, reason)
         reason = error.code if isinstance(error, NoReplicaInRegions) else reason
-        self._note_end(stream, error.http_status, reason)
+        self._note_end(stream, answered_status(error), reason)
         return error
 
 
--- a/passgate/jobs/group_replicas.py
+++ b/passgate/jobs/group_replicas.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.gateway.replicas import ChoiceRequest, ReplicaTable
 
 
@@ -19,31 +20,32 @@
     def __init__(self, replicas: ReplicaTable, evacuated: Container[str]) -> None:
         self._replicas = replicas
         self._evacuated = evacuated
-        self._replica_of: dict[str, str] = {}
+        self._replica_of: dict[str, ReplicaLife] = {}
         """Group to the replica that read its shared prompt last, or is to read it next."""
 
-    def of(self, group: str) -> str:
-        """Return the replica of a group, or nothing."""
-        return self._replica_of.get(group, "")
+    def of(self, group: str) -> ReplicaLife | None:
+        """Return the replica of a group, or None."""
+        return self._replica_of.get(group)
 
-    def sent(self, group: str, replica_id: str) -> None:
+    def sent(self, group: str, life: ReplicaLife) -> None:
         """Note that a replica reads the prompt of a group now."""
-        self._replica_of[group] = replica_id
+        self._replica_of[group] = life
 
-    def refused(self, group: str, replica_id: str) -> None:
+    def refused(self, group: str, life: ReplicaLife) -> None:
         """Forget the replica of a group if it is this one, which has no room."""
-        if self.of(group) == replica_id:
+        if self.of(group) == life:
             del self._replica_of[group]
 
-    def preferred(self, group: str, wish: ChoiceRequest, now_s: float) -> str:
-        """Return the replica that an item of a group should go to, or nothing.
+    def preferred(self, group: str, wish: ChoiceRequest, now_s: float) -> ReplicaLife | None:
+        """Return the replica that an item of a group should go to, or None.
 
         Args:
             group: the item's group.
             wish: what the item asks of any replica.
             now_s: loop time.
         """
-        state = self._replicas.get(self.of(group))
+        life = self.of(group)
+        state = self._replicas.of(life) if life is not None else None
         if state is not None and state.info.zone in self._evacuated:
             self._plan(group, wish, now_s)
         return self.of(group)
@@ -53,4 +55,4 @@
         apart = msgspec.structs.replace(wish, excluded=wish.excluded | set(self._replica_of.values()))
         state = self._replicas.choose(apart, now_s) or self._replicas.choose(wish, now_s)
         if state is not None:
-            self._replica_of[group] = state.info.replica_id
+            self._replica_of[group] = state.life
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -19,6 +19,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, RewardFailed, RewardSent
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.eligibility.rules import SendTerms
 from passgate.errors import AnswerMismatch, ExecutionStatus, IncompleteAnswer, PassgateError
 from passgate.gateway.dialect import HeaderNames
@@ -73,7 +74,7 @@
         self._attempts = 0
         self._failures = 0
         self._silences = 0
-        self._avoided = ""
+        self._avoided: ReplicaLife | None = None
         self._pause_s = FIRST_PAUSE_S
         self._identity = self._request(LEAST_PATIENCE_S).identity
         self._crashes = tools.caller.crashes
@@ -93,7 +94,7 @@
             try:
                 stamp = await self._attempt(state)
             except PassgateError as error:
-                self._note_failure(state.info.replica_id, error)
+                self._note_failure(state.life, error)
             else:
                 if stamp:
                     return Score(call_id=self._spec.id, stamp=stamp)
@@ -134,7 +135,7 @@
             state = self._choose(self._tools.parts.pick(route))
             if state is not None:
                 state.in_flight += 1
-                self._crashes.placed(self._identity, state.info.replica_id)
+                self._crashes.placed(self._identity, state.life)
                 return state
             await asyncio.sleep(ROOM_STEP_S)
         return None
@@ -147,8 +148,8 @@
         return self._tools.terms_for(self._spec.host, self._spec.path, self._tenant)
 
     def _choose(self, service: str) -> ReplicaState | None:
-        excluded = frozenset({self._avoided}) if self._avoided else frozenset()
-        self._avoided = ""  # the only replica of a service must get its second try
+        excluded = frozenset() if self._avoided is None else frozenset({self._avoided})
+        self._avoided = None  # the only replica of a service must get its second try
         excluded |= self._crashes.apart_from(self._identity)
         if spared := self._crashes.spared():
             state = self._choose_without(service, excluded | spared)
@@ -156,7 +157,7 @@
                 return state
         return self._choose_without(service, excluded)
 
-    def _choose_without(self, service: str, excluded: frozenset[str]) -> ReplicaState | None:
+    def _choose_without(self, service: str, excluded: frozenset[ReplicaLife]) -> ReplicaState | None:
         request = ChoiceRequest(
             services=frozenset({service}), excluded=excluded, load_below=MOST_LOAD, terms=self._terms()
         )
@@ -173,7 +174,7 @@
                 job_id=self._job_id,
                 item_id=self._item_id,
                 request_id=self._spec.id,
-                replica_id=exchange.replica_id,
+                replica_id=exchange.life.replica_id,
                 attempt=self._attempts,
             )
         )
@@ -209,28 +210,28 @@
 
     def _stamp_of(self, answer: ReplicaAnswer) -> str:
         if answer.header(self._tools.names.request_id) != self._spec.id:
-            raise AnswerMismatch("answer of another request", replica=answer.replica_id)
+            raise AnswerMismatch("answer of another request", replica=answer.replica.text())
         if answer.status == FAILED:
             self._failures += 1
-            self._tell_failed(answer.replica_id, "the replica answered 500")
-            self._avoided = answer.replica_id
+            self._tell_failed(answer.replica, "the replica answered 500")
+            self._avoided = answer.replica
             return ""
         stamp = answer.header(self._tools.names.replica_stamp)
         if FIRST_SUCCESS <= answer.status < FIRST_REDIRECTION and stamp:
             return stamp
         raise IncompleteAnswer(f"replica answered {answer.status}", execution=ExecutionStatus.RAN)
 
-    def _note_failure(self, replica_id: str, error: PassgateError) -> None:
-        self._avoided = replica_id
-        self._tell_failed(replica_id, f"{error.code}: {error}")
+    def _note_failure(self, replica: ReplicaLife, error: PassgateError) -> None:
+        self._avoided = replica
+        self._tell_failed(replica, f"{error.code}: {error}")
 
-    def _tell_failed(self, replica_id: str, reason: str) -> None:
+    def _tell_failed(self, replica: ReplicaLife, reason: str) -> None:
         self._tools.decisions.write(
             RewardFailed(
                 job_id=self._job_id,
                 item_id=self._item_id,
                 request_id=self._spec.id,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 reason=reason,
                 failures=self._failures,
             )
--- a/passgate/quarantine/channel.py
+++ b/passgate/quarantine/channel.py
@@ -15,6 +15,7 @@
 
 from passgate.clock import monotonic_s, unix_s
 from passgate.decisions import CrashReported, DecisionLog, RecordUnreadable
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import LogError
 from passgate.quarantine.last_chances import UNKNOWN_OFFSET, LastChance
 from passgate.quarantine.ledger import CrashLedger, CrashReport
@@ -51,7 +52,7 @@
         log: SharedLog,
         topic: str,
         ledger: CrashLedger,
-        set_aside: Callable[[str, float], None],
+        set_aside: Callable[[ReplicaLife, float], None],
         decisions: DecisionLog,
     ) -> None:
         """Connect the parts.
@@ -98,7 +99,7 @@
     def learn(self, reports: Iterable[CrashReport]) -> None:
         """Take reports from another daemon, and write new ones to the log if it answers this daemon."""
         for report in reports:
-            if self._is_cleared(report) or self._ledger.knows(report.fingerprint, report.replica_id):
+            if self._is_cleared(report) or self._ledger.knows(report.fingerprint, report.life):
                 continue
             self._take(report, "peer")
             if self.is_current():
@@ -153,10 +154,10 @@
     def _replace(self, records: tuple[KeyedRecord, ...], next_offset: int) -> None:
         """Take the newest record of each key; what is not there was cleared."""
         listed = {record.key for record in records if record.value}
-        for fingerprint, replica_id in self._ledger.pairs():
-            key = KEY_SEPARATOR.join((fingerprint, replica_id))
+        for fingerprint, replica in self._ledger.pairs():
+            key = KEY_SEPARATOR.join((fingerprint, replica.text()))
             if key not in listed and key not in self._unwritten:
-                self._ledger.remove(fingerprint, replica_id)
+                self._ledger.remove(fingerprint, replica)
         self._ledger.last_chances.keep_only(
             _pair_of(key) for key in listed if key.startswith(LAST_CHANCE_KEY)
         )
@@ -190,7 +191,7 @@
 
     def _take(self, report: CrashReport, source: str) -> None:
         if self._ledger.add(report, monotonic_s()):
-            self._set_aside(report.replica_id, monotonic_s())
+            self._set_aside(report.life, monotonic_s())
             self._decisions.write(
                 CrashReported(
                     replica_id=report.replica_id,
@@ -203,12 +204,12 @@
 
 
 def _key(record: Record) -> str:
-    pair = (record.fingerprint, record.replica_id)
+    pair = (record.fingerprint, record.life.text())
     prefix = (LAST_CHANCE_KEY,) if isinstance(record, LastChance) else ()
     return KEY_SEPARATOR.join(prefix + pair)
 
 
-def _pair_of(key: str) -> tuple[str, str]:
+def _pair_of(key: str) -> tuple[str, ReplicaLife]:
     """Return the fingerprint and the replica that a key names."""
-    fingerprint, _, replica_id = key.removeprefix(LAST_CHANCE_KEY + KEY_SEPARATOR).partition(KEY_SEPARATOR)
-    return fingerprint, replica_id
+    fingerprint, _, replica = key.removeprefix(LAST_CHANCE_KEY + KEY_SEPARATOR).partition(KEY_SEPARATOR)
+    return fingerprint, ReplicaLife.from_text(replica)
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -15,6 +15,7 @@
 
 from passgate.clock import monotonic_s, unix_s
 from passgate.decisions import CrashReportsCleared, DecisionLog, LastChanceBegun, ReplicaCrashed
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import (
     BackendUnreachable,
     ExecutionStatus,
@@ -26,6 +27,11 @@
 from passgate.quarantine.last_chances import LastChance
 from passgate.quarantine.ledger import CrashLedger, CrashReport
 
+ASK_AGAIN_S = 1.0
+"""Time between two questions to a replica which life it is in; answers may come by the hundred a second."""
+SETTLED_S = 5.0
+"""Time after a crash report within which discovery tells of the replica's next life, or of its end: an entry
+is written with each start, and goes after a silence of some 4 s."""
 RELEASE_STEP_S = 0.5
 """Time between looks whether a request is held still; holds last for minutes."""
 LAST_CHANCE_PAUSE_S = (0.5, 1.5)
@@ -42,9 +48,11 @@
 class ReplicaPlace(msgspec.Struct, frozen=True, kw_only=True):
     """A replica, its service, and where it listened when an attempt was sent to it."""
 
-    replica_id: str
+    life: ReplicaLife
     service: str
     address: str
+    replaced: bool = False
+    """Whether a newer life of the replica is known, so that this one has ended."""
 
 
 class CrashReporter(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,8 +64,13 @@
     """Tells all daemons of a crash, or of a last chance."""
     clear: Callable[[CrashReport | LastChance], None]
     """Tells all daemons that such a record no longer stands."""
-    set_aside: Callable[[str, float], None]
+    set_aside: Callable[[ReplicaLife, float], None]
     """Sends no further requests to a replica that has ended, from a loop time on."""
+    read_life: Callable[[ReplicaLife, str], Awaitable[ReplicaLife | None]]
+    """Asks the replica at an address, known so far as the given life, which life it is in; None if it does
+    not tell."""
+    is_current: Callable[[], bool]
+    """Returns whether the log answers this daemon, so that it knows what discovery tells."""
 
 
 class CrashGuard:
@@ -70,6 +83,9 @@
         self._looks: dict[str, set[asyncio.Task[None]]] = {}
         """Looks at replicas that are under way, by the request that broke off there."""
         self._last_chances = ledger.last_chances
+        self._asked_s: dict[ReplicaLife, float] = {}
+        """When replicas that were reported, and answer, were asked last which life they are in."""
+        self._questions: set[asyncio.Task[None]] = set()
 
     def check(self, identity: RequestIdentity) -> None:
         """Let a request pass; raises RequestQuarantined, not run, if it has ended too many replicas."""
@@ -121,7 +137,7 @@
         if self.is_last_chance(identity):
             await asyncio.sleep(random.uniform(*LAST_CHANCE_PAUSE_S))
 
-    def apart_from(self, identity: RequestIdentity) -> frozenset[str]:
+    def apart_from(self, identity: RequestIdentity) -> frozenset[ReplicaLife]:
         """Return the replicas that a request must not share, as one more crash would hold it.
 
         Requests that a crash took from one replica are sent on together, and the cause would take
@@ -132,18 +148,20 @@
             return frozenset()
         return self._last_chances.replicas(monotonic_s(), besides=identity.fingerprint())
 
-    def spared(self) -> frozenset[str]:
+    def spared(self) -> frozenset[ReplicaLife]:
         """Return the replicas that any request better leaves to a last chance while others have room.
 
         A cause ends its replica with all that runs there, and a further cause there hides it.
         """
         return self._last_chances.replicas(monotonic_s()) if len(self._ledger) else frozenset()
 
-    def placed(self, identity: RequestIdentity, replica_id: str) -> None:
+    def placed(self, identity: RequestIdentity, life: ReplicaLife) -> None:
         """Announce where a request is about to run, if one more crash would hold it."""
         if not self.is_last_chance(identity):
             return
-        chance = LastChance(fingerprint=identity.fingerprint(), replica_id=replica_id)
+        chance = LastChance(
+            fingerprint=identity.fingerprint(), replica_id=life.replica_id, born_unix_ms=life.born_unix_ms
+        )
         self._last_chances.begin(chance)
         self._reporter.report(chance)
 
@@ -152,16 +170,16 @@
         if not len(self._ledger) or (chance := self._last_chances.here(identity.fingerprint())) is None:
             return True
         until_s = monotonic_s() + ANNOUNCED_S
-        while not self._last_chances.is_heard(chance.fingerprint, chance.replica_id):
+        while not self._last_chances.is_heard(chance.fingerprint, chance.life):
             if monotonic_s() >= until_s:
                 break
             await asyncio.sleep(ANNOUNCED_STEP_S)
-        is_first = self._last_chances.is_first(chance.fingerprint, chance.replica_id, monotonic_s())
+        is_first = self._last_chances.is_first(chance.fingerprint, chance.life, monotonic_s())
         self._decisions.write(
             LastChanceBegun(
                 replica_id=chance.replica_id,
                 fingerprint=chance.fingerprint,
-                announced=self._last_chances.is_heard(chance.fingerprint, chance.replica_id),
+                announced=self._last_chances.is_heard(chance.fingerprint, chance.life),
                 is_first=is_first,
             )
         )
@@ -188,10 +206,22 @@
         looks.add(look)
         look.add_done_callback(lambda done: self._forget_look(fingerprint, done))
 
-    def answered(self, replica_id: str, began_s: float) -> None:
-        """Take an answer's head, of an attempt begun at a loop time, as a proof that its replica lives."""
-        if len(self._ledger):
-            self._clear(self._ledger.clear_replica(replica_id, began_s), "the replica lives")
+    def answered(self, replica: ReplicaPlace, began_s: float) -> None:
+        """Take an answer's head, of an attempt begun at a loop time, as a proof that its replica lives.
+
+        A replica that has started again answers under the same identifier before discovery tells of
+        it, so one that tells its start is asked for it first.  Where it does not tell, it is the same
+        life if discovery still lists that one when another would long be listed.
+        """
+        life = replica.life
+        if not len(self._ledger) or not self._ledger.names(life, began_s):
+            return
+        if not life.born_unix_ms:
+            self._clear_replica(life, began_s)
+        elif not replica.replaced and self._may_ask(life, monotonic_s()):
+            question = asyncio.get_running_loop().create_task(self._confirm(replica, began_s))
+            self._questions.add(question)
+            question.add_done_callback(self._questions.discard)
 
     def succeeded(self, identity: RequestIdentity, service: str) -> None:
         """Take a whole answer as a proof that the request does not crash replicas of a service."""
@@ -199,22 +229,41 @@
             cleared = self._ledger.clear_request(identity.fingerprint(), service)
             self._clear(cleared, "the request was answered")
 
+    def _may_ask(self, life: ReplicaLife, now_s: float) -> bool:
+        """Return whether a replica may be asked now which life it is in, and note that it is."""
+        self._asked_s = {asked: at_s for asked, at_s in self._asked_s.items() if now_s - at_s < ASK_AGAIN_S}
+        if life in self._asked_s:
+            return False
+        self._asked_s[life] = now_s
+        return True
+
+    async def _confirm(self, replica: ReplicaPlace, began_s: float) -> None:
+        told = await self._reporter.read_life(replica.life, replica.address)
+        if told == replica.life:
+            self._clear_replica(replica.life, began_s)
+        elif told is None and self._reporter.is_current():
+            self._clear_replica(replica.life, began_s - SETTLED_S)
+
+    def _clear_replica(self, replica: ReplicaLife, began_s: float) -> None:
+        self._clear(self._ledger.clear_replica(replica, began_s), "the replica lives")
+
     def _held_for_s(self, identity: RequestIdentity) -> float:
         if not len(self._ledger):
             return 0.0
         return self._ledger.held_for_s(identity.fingerprint(), unix_s())
 
     async def _look(self, identity: RequestIdentity, replica: ReplicaPlace) -> None:
-        if await self._reporter.has_ended(replica.address):
+        if replica.replaced or await self._reporter.has_ended(replica.address):
             self.ended(identity, replica)
 
     def ended(self, identity: RequestIdentity, replica: ReplicaPlace) -> None:
         """Report a replica that has certainly ended while it ran a request."""
         fingerprint = identity.fingerprint()
-        self._reporter.set_aside(replica.replica_id, monotonic_s())
+        self._reporter.set_aside(replica.life, monotonic_s())
         report = CrashReport(
             fingerprint=fingerprint,
-            replica_id=replica.replica_id,
+            replica_id=replica.life.replica_id,
+            born_unix_ms=replica.life.born_unix_ms,
             service=replica.service,
             limit=identity.crash_limit,
             at_unix_s=unix_s(),
@@ -224,7 +273,7 @@
         self._reporter.report(report)
         self._decisions.write(
             ReplicaCrashed(
-                replica_id=replica.replica_id,
+                replica_id=replica.life.replica_id,
                 fingerprint=fingerprint,
                 crashes=self._ledger.crashes(fingerprint, unix_s()),
             )
--- a/passgate/quarantine/last_chances.py
+++ b/passgate/quarantine/last_chances.py
@@ -7,10 +7,10 @@
 >>> first = LastChance(fingerprint="f1", replica_id="r")
 >>> chances.heard(first, offset=7, now_s=0.0)
 >>> chances.heard(LastChance(fingerprint="f2", replica_id="r"), offset=8, now_s=0.1)
->>> chances.is_first("f1", "r", now_s=0.2), chances.is_first("f2", "r", now_s=0.2)
+>>> chances.is_first("f1", first.life, now_s=0.2), chances.is_first("f2", first.life, now_s=0.2)
 (True, False)
->>> chances.drop("f1", "r")
->>> chances.is_first("f2", "r", now_s=0.3)
+>>> chances.drop("f1", first.life)
+>>> chances.is_first("f2", first.life, now_s=0.3)
 True
 """
 
@@ -20,6 +20,8 @@
 
 import msgspec
 
+from passgate.eligibility.replica_info import ReplicaLife
+
 LIFE_S = 10.0
 """Time after which an announcement counts no more, as its daemon may be lost; some of the longest runs."""
 UNKNOWN_OFFSET = -1
@@ -31,6 +33,13 @@
 
     fingerprint: str
     replica_id: str
+    born_unix_ms: int = 0
+    """Moment of the replica's start; 0 where it tells none."""
+
+    @property
+    def life(self) -> ReplicaLife:
+        """The life of the replica."""
+        return ReplicaLife(self.replica_id, self.born_unix_ms)
 
 
 class _Heard(msgspec.Struct, frozen=True):
@@ -45,7 +54,7 @@
     def __init__(self) -> None:
         self._here: dict[str, LastChance] = {}
         """Last chances of this daemon, by fingerprint."""
-        self._heard: dict[str, dict[str, _Heard]] = {}
+        self._heard: dict[ReplicaLife, dict[str, _Heard]] = {}
         """Replica to fingerprint to what was read."""
 
     def begin(self, chance: LastChance) -> None:
@@ -67,42 +76,42 @@
 
     def heard(self, chance: LastChance, offset: int, now_s: float) -> None:
         """Take an announcement that stands on the log at an offset."""
-        self._heard.setdefault(chance.replica_id, {})[chance.fingerprint] = _Heard(offset, now_s)
+        self._heard.setdefault(chance.life, {})[chance.fingerprint] = _Heard(offset, now_s)
 
-    def drop(self, fingerprint: str, replica_id: str) -> None:
+    def drop(self, fingerprint: str, life: ReplicaLife) -> None:
         """Take an announcement back."""
-        heard = self._heard.get(replica_id, {})
+        heard = self._heard.get(life, {})
         heard.pop(fingerprint, None)
         if not heard:
-            self._heard.pop(replica_id, None)
+            self._heard.pop(life, None)
 
-    def keep_only(self, pairs: Iterable[tuple[str, str]]) -> None:
+    def keep_only(self, pairs: Iterable[tuple[str, ReplicaLife]]) -> None:
         """Drop all but these pairs of fingerprint and replica."""
         kept = set(pairs)
-        for replica_id, heard in list(self._heard.items()):
+        for life, heard in list(self._heard.items()):
             for fingerprint in list(heard):
-                if (fingerprint, replica_id) not in kept:
-                    self.drop(fingerprint, replica_id)
+                if (fingerprint, life) not in kept:
+                    self.drop(fingerprint, life)
 
     def clear_expired(self, now_s: float) -> list[LastChance]:
         """Drop what is too old to count; return it."""
         expired = [
-            LastChance(fingerprint=fingerprint, replica_id=replica_id)
-            for replica_id, heard in self._heard.items()
+            LastChance(fingerprint=fingerprint, replica_id=life.replica_id, born_unix_ms=life.born_unix_ms)
+            for life, heard in self._heard.items()
             for fingerprint, each in heard.items()
             if now_s >= each.since_s + LIFE_S
         ]
         for chance in expired:
-            self.drop(chance.fingerprint, chance.replica_id)
+            self.drop(chance.fingerprint, chance.life)
         return expired
 
-    def is_heard(self, fingerprint: str, replica_id: str) -> bool:
+    def is_heard(self, fingerprint: str, life: ReplicaLife) -> bool:
         """Whether an announcement was read from the log."""
-        return fingerprint in self._heard.get(replica_id, {})
+        return fingerprint in self._heard.get(life, {})
 
-    def is_first(self, fingerprint: str, replica_id: str, now_s: float) -> bool:
+    def is_first(self, fingerprint: str, life: ReplicaLife, now_s: float) -> bool:
         """Whether no other request was announced at a replica before this one; true if it was not heard."""
-        heard = self._heard.get(replica_id, {})
+        heard = self._heard.get(life, {})
         if fingerprint not in heard:
             return True
         return all(
@@ -111,12 +120,12 @@
             if other != fingerprint and now_s < each.since_s + LIFE_S
         )
 
-    def replicas(self, now_s: float, besides: str = "") -> frozenset[str]:
+    def replicas(self, now_s: float, besides: str = "") -> frozenset[ReplicaLife]:
         """Return where last chances run, but for those of one request."""
-        here = {each.replica_id for each in self._here.values() if each.fingerprint != besides}
+        here = {each.life for each in self._here.values() if each.fingerprint != besides}
         heard = {
-            replica_id
-            for replica_id, requests in self._heard.items()
+            life
+            for life, requests in self._heard.items()
             if any(other != besides and now_s < each.since_s + LIFE_S for other, each in requests.items())
         }
         return frozenset(here | heard)
--- a/passgate/versions/load_crashes.py
+++ b/passgate/versions/load_crashes.py
@@ -64,7 +64,7 @@
 
 def _place(state: ReplicaState) -> ReplicaPlace:
     info = state.info
-    return ReplicaPlace(replica_id=info.replica_id, service=info.service, address=info.address)
+    return ReplicaPlace(life=info.life, service=info.service, address=info.address)
 
 
 def _identity(model: str, version: int) -> RequestIdentity:
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -212,7 +212,7 @@
 
 def unreachable(world):
     (info,) = world.infos
-    world.daemons[0].table.unreachable(info.replica_id, monotonic_s())
+    world.daemons[0].table.unreachable(info.life, monotonic_s())
     return info, world.daemons[0].table.cold
 
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
 from passgate.errors import (
     BackendUnreachable,
@@ -18,7 +20,7 @@
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.quarantine import ledger as ledgers
 from passgate.quarantine.channel import CURRENT_S, POLL_S, CrashChannel
-from passgate.quarantine.guard import CrashGuard, CrashReporter, ReplicaPlace
+from passgate.quarantine.guard import ASK_AGAIN_S, SETTLED_S, CrashGuard, CrashReporter, ReplicaPlace
 from passgate.quarantine.identity import CRASH_LIMIT, ITEM_CRASH_LIMIT, RequestIdentity
 from passgate.quarantine.ledger import REPORT_LIFE_S, CrashLedger, CrashReport
 from passgate.quarantine.peers import EXCHANGE_GAP_S, CrashPeers
@@ -36,7 +38,7 @@
 
 
 def replica(name):
-    return ReplicaPlace(replica_id=name, service=SERVICE, address=f"{name}:1")
+    return ReplicaPlace(life=ReplicaLife(name), service=SERVICE, address=f"{name}:1")
 
 
 class Daemon:
@@ -45,6 +47,9 @@
     def __init__(self, fleet, name):
         log, self.dead = fleet.log, fleet.dead
         self.set_aside = []
+        self.asked = 0
+        self.lives = {}
+        """Address to the life that answers there."""
         self.ledger = CrashLedger()
         decisions = DecisionLog(name, write=len)
         self.channel = CrashChannel(log.client(name), TOPIC, self.ledger, self.note_set_aside, decisions)
@@ -53,6 +58,8 @@
             report=self.channel.report,
             clear=self.channel.clear,
             set_aside=self.note_set_aside,
+            read_life=self.read_life,
+            is_current=self.channel.is_current,
         )
         self.guard = CrashGuard(self.ledger, reporter, decisions)
         self.transport = fleet.network.transport(f"{name}:7", "z")
@@ -65,8 +72,12 @@
     async def answer(self, sender, method, payload):
         return self.peers.answer(payload)
 
-    def note_set_aside(self, replica_id, now_s):
-        self.set_aside.append(replica_id)
+    def note_set_aside(self, replica, now_s):
+        self.set_aside.append(replica.replica_id)
+
+    async def read_life(self, life, address):
+        self.asked += 1
+        return self.lives.get(address)
 
     async def has_ended(self, address):
         await asyncio.sleep(LOOK_S)
@@ -231,14 +242,113 @@
     before_s = monotonic_s()
     await first.crash("r1", "r2")
     await asyncio.sleep(0.1)
-    second.guard.answered("r1", began_s=before_s)
+    second.guard.answered(replica("r1"), began_s=before_s)
     assert second.guard.is_held(request())
-    second.guard.answered("r1", began_s=monotonic_s())
+    second.guard.answered(replica("r1"), began_s=monotonic_s())
     await asyncio.sleep(0.1)
     assert not first.guard.is_held(request())
     assert first.guard.is_suspect(request())
 
 
+def lives(name, *born):
+    return [ReplicaPlace(life=ReplicaLife(name, each), service=SERVICE, address=f"{name}:1") for each in born]
+
+
+@virtually
+async def test_the_answer_of_a_later_life_clears_nothing_of_the_life_that_ended(fleet):
+    daemon = fleet.daemon()
+    old, new = lives("r1", 10, 20)
+    daemon.dead.add(old.address)
+    daemon.guard.broke_off(request(), old, BROKEN)
+    await asyncio.sleep(1.0)
+    daemon.dead.clear()
+    daemon.lives[old.address] = new.life
+    daemon.guard.answered(old, began_s=monotonic_s())  # discovery has not told of the new life yet
+    daemon.guard.answered(new, began_s=monotonic_s())
+    await asyncio.sleep(0.1)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+    daemon.lives[old.address] = old.life
+    await asyncio.sleep(ASK_AGAIN_S)
+    daemon.guard.answered(old, began_s=monotonic_s())
+    await asyncio.sleep(0.1)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 0
+
+
+@virtually
+async def test_a_replica_that_tells_no_life_is_the_same_once_another_would_be_listed(fleet):
+    """As a plain service, which makes no reports; its replica was cut off and is back."""
+    daemon = fleet.daemon()
+    (place,) = lives("r1", 10)
+    await asyncio.sleep(0.5)
+    daemon.dead.add(place.address)
+    daemon.guard.broke_off(request(), place, BROKEN)
+    await asyncio.sleep(SETTLED_S - 1.0)
+    daemon.guard.answered(place, began_s=monotonic_s())
+    await asyncio.sleep(0.5)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+    await asyncio.sleep(2.0)
+    daemon.guard.answered(msgspec.structs.replace(place, replaced=True), began_s=monotonic_s())
+    fleet.log.faults = SharedLogFaults(refusing=True)
+    await asyncio.sleep(CURRENT_S + POLL_S)
+    daemon.guard.answered(place, began_s=monotonic_s())
+    await asyncio.sleep(1.5)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+    fleet.log.faults = SharedLogFaults()
+    await asyncio.sleep(POLL_S)
+    daemon.guard.answered(place, began_s=monotonic_s())
+    await asyncio.sleep(0.5)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 0
+
+
+@virtually
+async def test_a_replica_that_answers_by_the_hundred_is_asked_once_a_second(fleet):
+    daemon = fleet.daemon()
+    (place,) = lives("r1", 10)
+    daemon.dead.add(place.address)
+    daemon.guard.broke_off(request(), place, BROKEN)
+    await asyncio.sleep(0.1)
+    for _ in range(300):
+        daemon.guard.answered(place, began_s=monotonic_s())
+        await asyncio.sleep(0.01)
+    assert 2 <= daemon.asked <= 4
+
+
+@virtually
+async def test_two_lives_of_one_replica_count_as_two_crashes_at_all_daemons(fleet):
+    first, second = fleet.daemon(), fleet.daemon()
+    await asyncio.sleep(0.5)
+    for place in lives("r1", 10, 20):
+        first.dead.add(place.address)
+        first.guard.broke_off(request(), place, BROKEN)
+        await asyncio.sleep(1.0)
+    assert first.guard.is_held(request())
+    assert second.guard.is_held(request())
+    assert second.ledger.pairs() == first.ledger.pairs()
+
+
+@virtually
+async def test_a_replica_that_is_back_before_the_look_has_ended_nonetheless(fleet):
+    daemon = fleet.daemon()
+    (old,) = lives("r1", 10)
+    daemon.guard.broke_off(request(), msgspec.structs.replace(old, replaced=True), BROKEN)
+    await asyncio.sleep(0.1)
+    assert daemon.ledger.crashes(request().fingerprint(), 0.0) == 1
+
+
+@virtually
+async def test_reports_of_before_replicas_told_their_start_still_count(fleet):
+    old = CrashReport(fingerprint="f", replica_id="r1", service=SERVICE, limit=1, at_unix_s=0.0)
+    document = msgspec.to_builtins(old)
+    del document["born_unix_ms"]
+    fleet.log.put_keyed(TOPIC, "f/r1", msgspec.json.encode(document))
+    daemon = fleet.daemon()
+    await asyncio.sleep(0.5)
+    assert daemon.ledger.pairs() == {("f", ReplicaLife("r1"))}
+    fleet.log.put_keyed(TOPIC, "f/r1", b"")
+    await asyncio.sleep(0.5)
+    assert not len(daemon.ledger)
+
+
 @virtually
 async def test_a_daemon_that_can_not_reach_the_log_holds_by_itself_and_reports_later(fleet):
     first, second = fleet.daemon(), fleet.daemon()
@@ -399,7 +509,7 @@
             fingerprint=f"f{number}", replica_id="r", service=SERVICE, limit=2, at_unix_s=float(number)
         )
         assert ledger.add(report, now_s=0.0)
-    assert ledger.pairs() == {("f2", "r"), ("f3", "r"), ("f4", "r")}
+    assert ledger.pairs() == {(name, ReplicaLife("r")) for name in ("f2", "f3", "f4")}
     assert len(ledger) == 3
 
 
@@ -414,9 +524,9 @@
     cause, beside = (request(body=body, crash_limit=ITEM_CRASH_LIMIT) for body in (b"cause", b"beside"))
     for identity in (cause, beside):
         await first.crash("r1", "r2", identity=identity)
-    first.guard.placed(cause, "r3")
+    first.guard.placed(cause, ReplicaLife("r3"))
     await asyncio.sleep(0.5)
-    assert second.guard.apart_from(beside) == {"r3"}
+    assert second.guard.apart_from(beside) == {ReplicaLife("r3")}
     first.guard.left(cause)
     await asyncio.sleep(0.5)
     assert second.guard.apart_from(beside) == frozenset()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -35,6 +35,27 @@
     assert (await world.ask(world.daemons[0], b"ordinary", "ordinary")).status == 200
 
 
+@in_crashing_world
+async def test_a_request_that_ends_replicas_which_keep_their_identifiers_is_sent_no_more(world):
+    """A replica that is back answers others at once, under the identifier that was reported."""
+    world.same_ids = True
+    for _ in range(3):
+        world.add_replica()
+    world.configure(1, stand_ins.safe_route())
+    await world.start_daemons(3)
+    crashing = asyncio.create_task(world.crash_again_and_again(12, gap_s=0.4))
+    await world.until(lambda: len(world.ended) == 2 and len(world.replicas) == 3)
+    number = 0
+    while not crashing.done():
+        asks = [world.ask(world.daemons[n % 3], b"ordinary", f"ordinary-{number}-{n}") for n in range(12)]
+        await asyncio.gather(*asks)
+        number += 1
+    assert len(world.ended) <= MOST_ENDED
+    assert {answer.status for answer in crashing.result()[MOST_ENDED:]} == {503}
+    back = [replica for replica in world.replicas.values() if replica.born > 1_003]
+    assert any(replica.runs for replica in back)
+
+
 @in_crashing_world
 async def test_ordinary_requests_are_served_while_the_crashing_one_comes_again(world):
     for _ in range(3):
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import types
+from functools import partial
 
 import msgspec
 import pytest
@@ -12,7 +13,7 @@
 from passgate.decisions import DecisionLog, EvacuationEnded, ZoneEvacuated
 from passgate.eligibility.evacuation import EvacuatedZones, EvacuationChange, EvacuationRule, EvacuationView
 from passgate.eligibility.places import Places
-from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.eligibility.replica_info import ReplicaInfo, ReplicaLife
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import ASK_AFTER_S, KnownConfiguration
@@ -23,7 +24,7 @@
 from passgate.platform.documents import evacuated_zone
 from passgate.quarantine.service import Crashes
 from passgate.sharedlog.log import KeyedRecord
-from passgate.versions.loader import Loader, ReplicaReport, WantedVersions
+from passgate.versions.loader import Loader, ReplicaReport, WantedVersions, read_life
 from tests import test_duties_scaling as scaling
 from tests import test_gateway_configuration_peers as peers
 
@@ -220,8 +221,14 @@
 def loader(replicas, jobs=None):
     leadership = types.SimpleNamespace(may_order=lambda: True, fence=1)
     control, wanted = Control(replicas), WantedVersions(decisions())
-    guard = Crashes(MemorySharedLog().client("d"), "crashes", replicas.set_aside, decisions()).guard
-    return control, wanted, Loader(wanted, replicas, leadership, control, "d", jobs or {}, guard, decisions())
+    crashes = Crashes(
+        MemorySharedLog().client("d"), "crashes", replicas.set_aside, decisions(), partial(read_life, control)
+    )
+    return (
+        control,
+        wanted,
+        Loader(wanted, replicas, leadership, control, "d", jobs or {}, crashes.guard, decisions()),
+    )
 
 
 def test_a_load_that_is_about_to_be_ordered_is_not_ordered_into_an_evacuated_zone():
@@ -311,10 +318,10 @@
     groups = GroupReplicas(replicas, zones)
     wish = ChoiceRequest(services=frozenset({"llm"}), model="m", min_version=1)
     for number in range(5):
-        groups.sent(f"g{number}", f"b{number}")
-    groups.sent("g5", "a0")
+        groups.sent(f"g{number}", ReplicaLife(f"b{number}"))
+    groups.sent("g5", ReplicaLife("a0"))
     zones.replace({"b"}, 1)
     planned = {f"g{number}": groups.preferred(f"g{number}", wish, 0.0) for number in range(6)}
-    assert planned["g5"] == "a0"
-    assert set(planned.values()) == {f"a{number}" for number in range(6)}
+    assert planned["g5"] == ReplicaLife("a0")
+    assert set(planned.values()) == {ReplicaLife(f"a{number}") for number in range(6)}
     assert planned == {group: groups.preferred(group, wish, 1.0) for group in planned}
--- a/tests/test_gateway_distance.py
+++ b/tests/test_gateway_distance.py
@@ -62,8 +62,8 @@
         await asyncio.sleep(way_s / 2)
         state.in_flight -= 1
         now_s = monotonic_s()
-        table.observe_load(state.info.replica_id, occupied, now_s)
-        table.observe_latency(state.info.replica_id, now_s - began_s, now_s)
+        table.observe_load(state.life, occupied, now_s)
+        table.observe_latency(state.life, now_s - began_s, now_s)
         self.times[region].append(now_s - began_s)
 
     async def _traffic(self, region, load, group):
