List items of a job that nobody may run as dead in time

Cause: only an owner's runner gives items up, and a bound job whose bounds leave no common region, whose region is lost or whose bodies are gone has no runner: it stayed open for ever, was never pruned, and kept long polls short. Change: past the items' time to live and GIVE_UP_MARGIN_S any watcher may claim a job that it can not run, only to list what has no result as dead; that needs no bodies. Without a route in force the default holds. Test: bounds become empty after 2 of 30 are listed; fails before (the job stays open), passes now. The loss of the region and of the bodies take the same way and have no test of their own.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -220,7 +220,14 @@
             self.decisions,
             may_own_new=lambda: candidacy.wanted,
             log_answers=self._member.answered,
-            bodies=BoundBodies(log, self.config.terms_for, settings.places, shard_settings, self.decisions),
+            bodies=BoundBodies(
+                log,
+                self.config.terms_for,
+                settings.places,
+                shard_settings,
+                self.decisions,
+                self.config.item_time_to_live_s,
+            ),
         )
         self.jobs = JobService(
             self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -27,6 +27,9 @@
 NO_VERSION = -1
 GOLDEN_RATIO = 0.6180339887498949
 
+ITEM_TIME_TO_LIVE_S = 60.0
+"""Time after which an item is given up where its route sets none: a step of training waits no longer."""
+
 
 class RouteKind(enum.Enum):
     """What may be repeated of a route's requests."""
@@ -63,7 +66,7 @@
     priority: int = 5
     """Rank; 0 is the most urgent."""
     resumable: bool = False
-    item_time_to_live_s: float = 60.0
+    item_time_to_live_s: float = ITEM_TIME_TO_LIVE_S
     """Time after which an item of a batch job may be given up."""
     result_deadline_s: float = 60.0
     """Time within which the results of a batch job are due."""
@@ -200,6 +203,11 @@
         """Return the route in force of a host and path, or None."""
         return self.table.match(host, path) if self.table is not None else None
 
+    def item_time_to_live_s(self, host: str, path: str) -> float:
+        """Return after which time items are given up, by the route in force or as where none is set."""
+        route = self.find_route(host, path)
+        return route.item_time_to_live_s if route is not None else ITEM_TIME_TO_LIVE_S
+
     def terms_for(
         self, host: str, path: str, tenant: str | None, begun: frozenset[str] = frozenset()
     ) -> SendTerms:
--- a/passgate/jobs/bound_bodies.py
+++ b/passgate/jobs/bound_bodies.py
@@ -106,7 +106,10 @@
         places: Places,
         settings: BodiesSettings,
         decisions: DecisionLog,
+        time_to_live_s: Callable[[str, str], float],
     ) -> None:
+        """Connect the parts; ``time_to_live_s`` tells when items of a host and path are given up."""
+        self.time_to_live_s = time_to_live_s
         self._log = log
         self._topic = settings.topic
         self._places = places
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -14,12 +14,12 @@
 from collections.abc import Callable
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, JobFreed, JobOwned
+from passgate.decisions import DecisionLog, ItemListed, JobFreed, JobOwned
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Sign
-from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, daemon_of
-from passgate.jobs.runner import JobRunner
+from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, Result, ResultState, daemon_of
+from passgate.jobs.runner import GIVE_UP_MARGIN_S, JobRunner
 from passgate.jobs.take_over import Handed, TakeOver
 from passgate.sharedlog.tail import FRESH_S, Freshness
 
@@ -41,6 +41,7 @@
 """Random part of the wait, so that few daemons claim at once."""
 
 NEVER_S = float("-inf")
+NEVER_GIVEN_UP_S = float("inf")
 NOBODY = ""
 """Owner of a job that any watcher may claim at once."""
 
@@ -60,9 +61,17 @@
         take_over: TakeOver,
         decisions: DecisionLog,
         may_own: Callable[[JobState], bool] = lambda job: True,
+        time_to_live_s: Callable[[JobState], float] = lambda job: NEVER_GIVEN_UP_S,
     ) -> None:
-        """Begin with no runner; ``may_own`` tells whether this daemon's region may hold a job's bodies."""
+        """Begin with no runner.
+
+        ``may_own`` tells whether this daemon's region may hold a job's bodies, ``time_to_live_s``
+        after which time its items may be given up.
+        """
         self._may_own = may_own
+        self._time_to_live_s = time_to_live_s
+        self._given_up: set[str] = set()
+        """Jobs whose items without a result were put on the log as dead."""
         self._fold = fold
         self._journal = journal
         self._freshness = freshness
@@ -119,19 +128,56 @@
         self.start_runners()
         for job in [job for job in self._fold.jobs.values() if job.open]:
             if job.owner == self.me:
-                self._free_if_barred(job)
+                if self._only_to_give_up(job, now_s):
+                    self._give_up(job, now_s)
+                else:
+                    self._free_if_barred(job)
             elif not self.stopping and self._may_claim(job, watching, now_s):
                 self._claim(job, now_s)
         self._stop_runners()
+        self._given_up.intersection_update(self._fold.jobs)
         if self._runners:
             self._journal.renew()
 
     def start_runners(self) -> None:
         """Run the open jobs that this daemon owns; called also as soon as records were read."""
         for job in [job for job in self._fold.jobs.values() if job.open and job.owner == self.me]:
-            if not self._is_handed_over(job.job_id) and self._may_own(job) and job.bound is None:
+            if not self._is_handed_over(job.job_id) and self._may_run(job):
                 self._ensure_runner(job)
 
+    def _may_run(self, job: JobState) -> bool:
+        """Whether this daemon may own a job and has its bodies."""
+        return self._may_own(job) and job.bound is None
+
+    def _only_to_give_up(self, job: JobState, now_s: float) -> bool:
+        """Whether a job that can't be run here is so old that its items are given up, without its bodies."""
+        age_s = now_s - job.folded_s
+        return not self._may_run(job) and age_s > self._time_to_live_s(job) + GIVE_UP_MARGIN_S
+
+    def _give_up(self, job: JobState, now_s: float) -> None:
+        """List what has no result as dead, once; whoever may run the job has not done so in time."""
+        if job.job_id in self._given_up:
+            return
+        self._given_up.add(job.job_id)
+        dead = tuple(
+            Result(item_id=item_id, state=ResultState.DEAD)
+            for item_id in sorted(job.item_ids - job.listed.keys())
+        )
+        elapsed_ms = round((now_s - job.folded_s) * 1000, 1)
+        for result in dead:
+            self._journal.put(ItemsDone(job_id=job.job_id, results=(result,)))
+            self._decisions.write(
+                ItemListed(
+                    job_id=job.job_id,
+                    item_id=result.item_id,
+                    state=result.state.value,
+                    versions=result.versions,
+                    attempts=0,
+                    elapsed_ms=elapsed_ms,
+                    scored=False,
+                )
+            )
+
     def _is_handed_over(self, job_id: str) -> bool:
         """Whether another daemon may have claimed a job, which is not known while the log is away."""
         handed_over_s = self._handed_over_s.get(job_id)
@@ -146,7 +192,7 @@
     def _may_claim(self, job: JobState, watching: bool, now_s: float) -> bool:
         if job.job_id in self._claiming or self._freshness.age_s(now_s) >= FRESH_S:
             return False
-        if not self._may_own(job) or job.bound is not None:
+        if not self._may_run(job) and not self._only_to_give_up(job, now_s):
             return False
         patience_s = 0.0 if watching else BYSTANDER_S + random.random()
         if not job.owner:
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -23,7 +23,7 @@
 from passgate.jobs.bound_bodies import BodiesReader, BoundBodies
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
-from passgate.jobs.ownership import Ownership
+from passgate.jobs.ownership import NEVER_GIVEN_UP_S, Ownership
 from passgate.jobs.records import ItemBodies, WriterStopped, decode_batch
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.take_over import OwnerPeers, TakeOver
@@ -98,6 +98,7 @@
             take_over,
             decisions,
             self.may_hold,
+            self._time_to_live_s,
         )
         self.needed_until_s = monotonic_s()
         self._writing = asyncio.get_running_loop().create_task(self.journal.run())
@@ -116,6 +117,12 @@
         """Whether this daemon may hold a job's bodies, by the configuration in force."""
         return self._bodies is None or self._bodies.may_hold(job.host, job.path, job.tenant, job.bodies_at)
 
+    def _time_to_live_s(self, job: JobState) -> float:
+        """Return after which time a job's items are given up; where no job is bound, runners alone do so."""
+        if self._bodies is None:
+            return NEVER_GIVEN_UP_S
+        return self._bodies.time_to_live_s(job.host, job.path)
+
     def read_bodies(self) -> None:
         """Begin to read the bodies of open jobs that this daemon may hold, and drop those it may not."""
         if self.bodies is None:
--- a/tests/job_daemons.py
+++ b/tests/job_daemons.py
@@ -124,7 +124,9 @@
             decisions,
             may_own_new=lambda: candidacy.wanted,
             log_answers=self.member.answered,
-            bodies=BoundBodies(self.client, config.terms_for, places, settings, decisions)
+            bodies=BoundBodies(
+                self.client, config.terms_for, places, settings, decisions, config.item_time_to_live_s
+            )
             if config
             else None,
         )
--- a/tests/test_jobs_regions.py
+++ b/tests/test_jobs_regions.py
@@ -9,10 +9,11 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import DurabilityUnknown, LogUnavailable, NoRegionAllowed, NotReady
-from passgate.gateway.routes import ConfigHolder, GatewayConfig, Route, RoutePart
+from passgate.gateway.routes import ITEM_TIME_TO_LIVE_S, ConfigHolder, GatewayConfig, Route, RoutePart
 from passgate.jobs.bound_bodies import topic_of
 from passgate.jobs.reader import find_job
-from passgate.jobs.records import RewardSpec
+from passgate.jobs.records import ResultState, RewardSpec
+from passgate.jobs.runner import GIVE_UP_MARGIN_S
 from passgate.sharedlog.group import REFRESH_S
 from tests.job_daemons import HOST, TAKEN_OVER_SOON_S, Daemon, by_name, job_spec, networks, settle
 
@@ -237,3 +238,24 @@
         return msgspec.structs.replace(terms_for(*told), regions=frozenset())
 
     return terms
+
+
+@in_fleet("a")
+async def test_items_of_a_job_that_no_daemon_may_own_any_more_are_listed_as_dead_in_time(fleet):
+    await submit(fleet.of("a")[0], "j", count=30)
+    shard = fleet.of("a")[0].shards.of(HOST)
+    while len((await find_job(shard, "j")).results) < 2:
+        await asyncio.sleep(0.05)
+    nowhere = _nowhere(fleet.config.terms_for)
+    for daemon in fleet.daemons:
+        daemon.shards.bodies._terms_of = nowhere
+    await asyncio.sleep(SOON_S)
+    listed = list((await find_job(shard, "j")).results)
+    assert 2 <= len(listed) < 5
+    await asyncio.sleep(ITEM_TIME_TO_LIVE_S - SOON_S)
+    assert (await find_job(shard, "j")).results == listed
+    await asyncio.sleep(GIVE_UP_MARGIN_S + SOON_S)
+    job = await find_job(shard, "j")
+    assert job.results[: len(listed)] == listed and not job.open
+    assert {result.state for result in job.results[len(listed) :]} == {ResultState.DEAD}
+    assert not any(daemon.shards.running for daemon in fleet.daemons)
