Keep a request back that leaves later than its permit allows

Cause: a permit was checked at the open of an attempt, but the request leaves only after the connect, or after a freeze, and so later than the grantor counted. Change: SendRules.admit returns the loop time after which the request must not leave (the permit's end plus the margin); HttpCall carries it, and Transfer aborts just before the send. The typed error SendTooLate is not run and counts against nobody: no ejection, no doubt. Tests with real sockets freeze the process between open and send; the one of the whole attempt fails without the change of replica_call.

--- a/passgate/clients/calls.py
+++ b/passgate/clients/calls.py
@@ -65,6 +65,8 @@
     """Whether it counts against the control calls instead of the requests to back ends."""
     connect_timeout_s: float | None = None
     """Time for a new connection; None means the client's limit."""
+    not_sent_after_s: float | None = None
+    """Loop time after which the request must not leave any more; None means no limit."""
     length_required: bool = True
     """Whether a whole answer must declare its length; else the end of its connection may end it."""
     stall_timeout_s: int | None = None
--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -25,6 +25,7 @@
     ExecutionStatus,
     IncompleteAnswer,
     PassgateError,
+    SendTooLate,
 )
 
 SIGNALS_OFF = 1
@@ -219,6 +220,10 @@
         # libcurl comes here each time that it is about to send the request, also the second time.
         if self.sends and self.call.send is not SendPolicy.REPEAT:
             return pycurl.PREREQFUNC_ABORT
+        last_s = self.call.not_sent_after_s
+        if last_s is not None and monotonic_s() > last_s:
+            self._error = SendTooLate("the time to send is over", execution=ExecutionStatus.NOT_RUN)
+            return pycurl.PREREQFUNC_ABORT
         ends = ConnectionEnds(remote_ip, local_ip, remote_port, local_port)
         if self._new_descriptor is not None:
             self._connections.remember(ends, self._new_descriptor)
--- a/passgate/eligibility/cold_rule.py
+++ b/passgate/eligibility/cold_rule.py
@@ -12,7 +12,8 @@
 >>> stock.add({"r": 1}, asked_s=0.1, now_s=0.2)
 >>> rule.allows(info, ANY_REQUEST, now_s=0.2)
 True
->>> rule.sent(info, ANY_REQUEST, now_s=0.2)
+>>> round(rule.sent(info, ANY_REQUEST, now_s=0.2), 3)
+0.5
 >>> rule.allows(info, ANY_REQUEST, now_s=0.2), rule.allows(info, ANY_REQUEST, now_s=3.0)
 (False, True)
 """
@@ -20,7 +21,7 @@
 from __future__ import annotations
 
 from passgate.eligibility.cold_replicas import ColdReplicas
-from passgate.eligibility.permits import PermitStock
+from passgate.eligibility.permits import SEND_MARGIN_S, PermitStock
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.rules import SendKind, SendTerms
 
@@ -38,10 +39,11 @@
         """Whether the replica is warm, or a permit is there."""
         return not self._limits(replica, terms, now_s) or self._stock.holds(replica.replica_id, now_s)
 
-    def sent(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> None:
-        """Use up a permit."""
+    def sent(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> float | None:
+        """Use up a permit; return until when the request may leave, None where no permit is asked."""
         if self._limits(replica, terms, now_s):
-            self._stock.use(replica.replica_id, now_s)
+            return self._stock.use(replica.replica_id, now_s) + SEND_MARGIN_S
+        return None
 
     def has_room(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> bool:
         """Whether a request may be sent beside those for which the replica was just chosen."""
--- a/passgate/eligibility/permits.py
+++ b/passgate/eligibility/permits.py
@@ -230,13 +230,14 @@
         """Keep a permit for a request that is about to be sent."""
         self._claims_s.setdefault(replica_id, deque()).append(now_s)
 
-    def use(self, replica_id: str, now_s: float) -> None:
-        """Use up a permit; there must be one."""
+    def use(self, replica_id: str, now_s: float) -> float:
+        """Use up a permit, of which there must be one; return its end."""
         self._valid(replica_id, now_s)
-        self._ends_s[replica_id].popleft()
+        end_s = self._ends_s[replica_id].popleft()
         self.tally.used += 1
         if self._claims(replica_id, now_s):
             self._claims_s[replica_id].popleft()
+        return end_s
 
     def forget_old(self, now_s: float) -> None:
         """Drop permits that have run out."""
--- a/passgate/eligibility/rules.py
+++ b/passgate/eligibility/rules.py
@@ -53,8 +53,8 @@
         """Whether something may be sent to a replica now; changes nothing."""
         ...
 
-    def sent(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> None:
-        """Note that it is sent now, after all rules have allowed it."""
+    def sent(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> float | None:
+        """Note that it is sent now, after all rules have allowed it; return until when it may leave."""
         ...
 
 
@@ -95,16 +95,20 @@
         self._count(rule, terms, CheckedAt.CHOICE)
         return False
 
-    def admit(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> None:
-        """Let a send pass and note it with each rule; raises SendForbidden, not run."""
+    def admit(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> float | None:
+        """Let a send pass and note it with each rule; raises SendForbidden, not run.
+
+        Returns:
+            Loop time after which it must not leave any more; None without a limit.
+        """
         forbidding = self._forbidding(replica, terms, now_s)
         if forbidding is not None:
             self._count(forbidding, terms, CheckedAt.SEND)
             raise SendForbidden(
                 f"{forbidding.name} keeps requests from the replica", execution=ExecutionStatus.NOT_RUN
             )
-        for rule in self._rules:
-            rule.sent(replica, terms, now_s)
+        ends_s = [rule.sent(replica, terms, now_s) for rule in self._rules]
+        return min((end_s for end_s in ends_s if end_s is not None), default=None)
 
     def _forbidding(self, replica: ReplicaInfo, terms: SendTerms, now_s: float) -> SendRule | None:
         """Return the first rule that forbids a send, or None."""
--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -194,6 +194,12 @@
     code = "send_forbidden"
 
 
+class SendTooLate(SendForbidden):
+    """The permission to send had run out when the connection was ready; nothing was sent."""
+
+    code = "send_too_late"
+
+
 class IncompleteAnswer(ExecutionFailed):
     """The answer ended without its finish mark or with a wrong length."""
 
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -17,7 +17,7 @@
 from passgate.clients.transfer import Transfer
 from passgate.clock import monotonic_s
 from passgate.eligibility.rules import ANY_REQUEST, SendTerms
-from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError
+from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, PassgateError, SendTooLate
 from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replicas import ReplicaState, ReplicaTable
@@ -136,8 +136,8 @@
         """
         # Every attempt passes here, so no way of sending a request can go round the checks.
         self.crashes.check(request.identity)
-        self._replicas.rules.admit(state.info, request.terms, monotonic_s())
-        return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request)
+        last_s = self._replicas.rules.admit(state.info, request.terms, monotonic_s())
+        return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request, last_s)
 
     async def call(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
         """Send a request and return its whole answer.
@@ -164,7 +164,9 @@
         crashes: CrashGuard,
         state: ReplicaState,
         request: ReplicaRequest,
+        not_sent_after_s: float | None = None,
     ) -> None:
+        self._not_sent_after_s = not_sent_after_s
         self._crashes = crashes
         self._replicas = replicas
         self._names = names
@@ -200,6 +202,7 @@
             timeout_s=left_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             length_required=False,
+            not_sent_after_s=self._not_sent_after_s,
         )
 
     @property
@@ -219,6 +222,8 @@
         """
         try:
             status = await self._transfer.head()
+        except SendTooLate:
+            raise  # the replica was reached, and is not to blame
         except PassgateError as error:
             self._failed(unreachable=error.execution is ExecutionStatus.NOT_RUN)
             self._broke_off(error)
--- a/tests/test_clients_curl.py
+++ b/tests/test_clients_curl.py
@@ -4,16 +4,26 @@
 import contextlib
 import logging
 import os
+import time
 
+import msgspec
 import pycurl
 import pytest
 
 from passgate.clients.calls import HttpCall, HttpLimits, SendPolicy
 from passgate.clients.curl import HttpClient
 from passgate.clients.transfer import classify_failure
-from passgate.errors import BackendUnreachable, DeadlineExceeded, ExecutionStatus, IncompleteAnswer
+from passgate.clock import monotonic_s
+from passgate.errors import (
+    BackendUnreachable,
+    DeadlineExceeded,
+    ExecutionStatus,
+    IncompleteAnswer,
+    SendTooLate,
+)
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+LAST_SEND_S = 0.1
 
 
 class RawServer:
@@ -392,3 +402,17 @@
         with pytest.raises(BackendUnreachable) as caught:
             http.start(post(url.replace("127.0.0.1", "engine.invalid"), SendPolicy.ONCE))
         assert caught.value.execution is ExecutionStatus.NOT_RUN
+
+
+async def test_what_comes_to_be_sent_too_late_does_not_leave():
+    async with raw_server(reply_ok) as (raw, http, url):
+        call = msgspec.structs.replace(
+            post(url, SendPolicy.ONCE), not_sent_after_s=monotonic_s() + LAST_SEND_S
+        )
+        assert (await http.fetch(call)).status == 200
+        transfer = http.start(call)
+        time.sleep(2 * LAST_SEND_S)  # noqa: ASYNC251 - a freeze of the whole process
+        with pytest.raises(SendTooLate) as caught:
+            await transfer.head()
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        assert len(raw.heads) == 1
--- /dev/null
+++ b/tests/test_cold_send.py
@@ -0,0 +1,58 @@
+"""A request to a cold replica leaves while its permit lasts or not at all, over real sockets."""
+
+import contextlib
+import time
+from unittest import mock
+
+import pytest
+
+from passgate.clock import monotonic_s
+from passgate.eligibility.cold_replicas import ColdLimit
+from passgate.eligibility.permits import PERMIT_LIFE_S, SEND_MARGIN_S
+from passgate.eligibility.places import Places
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.errors import ExecutionStatus, SendTooLate
+from passgate.gateway.dialect import HeaderNames
+from passgate.gateway.replica_call import ReplicaCaller, ReplicaRequest
+from passgate.gateway.replicas import ReplicaTable
+from tests.test_clients_curl import raw_server, reply_ok
+
+NAMES = HeaderNames(**{name: f"X-{name.replace('_', '-')}" for name in HeaderNames.__struct_fields__})
+
+
+@contextlib.asynccontextmanager
+async def cold_replica(answer=reply_ok):
+    """Yield a server, the table that knows it as a cold replica with a permit, and a caller."""
+    async with raw_server(answer) as (raw, http, url):
+        table = ReplicaTable(Places(zone="z"))
+        table.cold.limit_of = {"s": ColdLimit(lasts_s=8.0, most_per_s=29)}.get
+        address = url.removeprefix("http://").rstrip("/")
+        info = ReplicaInfo(replica_id="r", service="s", address=address, zone="z", slots=4, cold_ms=8000)
+        table.entry_read(info, monotonic_s())
+        table.permits.add({"r": 1}, monotonic_s(), monotonic_s())
+        yield raw, table, ReplicaCaller(http, table, NAMES, mock.Mock())
+
+
+def a_request():
+    return ReplicaRequest(
+        request_id="q",
+        method="POST",
+        path="/",
+        host="h",
+        headers=(),
+        body=b"b",
+        deadline_s=monotonic_s() + 5.0,
+    )
+
+
+async def test_a_request_that_leaves_later_than_its_permit_allows_is_not_sent():
+    async with cold_replica() as (raw, table, caller):
+        exchange = caller.open(table.get("r"), a_request())
+        time.sleep(PERMIT_LIFE_S + SEND_MARGIN_S + 0.05)  # noqa: ASYNC251 - a freeze of the whole process
+        with pytest.raises(SendTooLate) as caught:
+            await exchange.head()
+        exchange.close()
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        assert not raw.heads
+        assert table.health.usable(["r"], monotonic_s()) == ["r"]
+        assert not table.cold._doubts
