Let only a replica's own answer shorten a doubt

Cause: an attempt noted the replica as reached before the echo and the 421 were checked, so the answer of another replica ended the doubt after one spell. Change: it is noted below these checks. Test: an echo of another request and a 421; both fail without it.

--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -231,7 +231,6 @@
         if self._transfer.connect_s is not None:
             zone = self._state.info.zone
             self._replicas.distances.observe(zone, self._transfer.connect_s, monotonic_s())
-        self._replicas.cold.reached(self._state.info, monotonic_s())
         answer = self._transfer.headers
         echoed = answer.get(self._names.request_id)
         if echoed is not None and echoed != self._request.request_id:
@@ -241,6 +240,7 @@
         self._note_load(answer)
         if status in NOT_RUN_STATUSES and self._names.not_executed in answer or status == WRONG_REPLICA:
             self._refused(status)
+        self._replicas.cold.reached(self._state.info, monotonic_s())
         self._crashes.answered(self.replica_id, self.began_s)
         self._state.accepted()
         return status
--- a/tests/test_cold_send.py
+++ b/tests/test_cold_send.py
@@ -1,6 +1,7 @@
 """A request to a cold replica leaves while its permit lasts or not at all, over real sockets."""
 
 import contextlib
+import math
 import time
 from unittest import mock
 
@@ -11,7 +12,7 @@
 from passgate.eligibility.permits import PERMIT_LIFE_S, SEND_MARGIN_S
 from passgate.eligibility.places import Places
 from passgate.eligibility.replica_info import ReplicaInfo
-from passgate.errors import ExecutionStatus, SendTooLate
+from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, SendTooLate
 from passgate.gateway.dialect import HeaderNames
 from passgate.gateway.replica_call import ReplicaCaller, ReplicaRequest
 from passgate.gateway.replicas import ReplicaTable
@@ -56,3 +57,18 @@
         assert not raw.heads
         assert table.health.usable(["r"], monotonic_s()) == ["r"]
         assert not table.cold._doubts
+
+
+@pytest.mark.parametrize(("stamp", "status"), [("other", 200), ("q", 421)])
+async def test_the_answer_of_another_replica_does_not_shorten_a_doubt(stamp, status):
+    async def answer(connection, nth, head, writer):
+        head = f"HTTP/1.1 {status} X\r\n{NAMES.request_id}: {stamp}\r\nContent-Length: 0\r\n\r\n"
+        writer.write(head.encode())
+
+    async with cold_replica(answer) as (raw, table, caller):
+        table.cold.unreachable(table.get("r").info, monotonic_s())
+        exchange = caller.open(table.get("r"), a_request())
+        with pytest.raises((AnswerMismatch, BackendRefused)):
+            await exchange.head()
+        exchange.close()
+        assert table.cold.left_s(table.get("r").info, monotonic_s()) == math.inf
