End a doubt only by an entry that came by itself

Cause: any entry read a second or more after a failure ended the doubt, but a whole list that is read again holds entries that may be older than the fault. Change: DiscoveryNews says whether it came in a whole list, on the wire as well; such news ends no doubt. Test: a list and a relay's list read after two seconds leave the replica cold, an entry of its own ends the doubt; the first fails without the change.

--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -26,6 +26,8 @@
     replica_id: str
     at: int
     info: ReplicaInfo | None = None
+    listed: bool = False
+    """Whether it came in a whole list, so that it may have been written long before ``at``."""
 
     @property
     def gone(self) -> bool:
@@ -83,7 +85,7 @@
         if known is None or known.info.draining != news.info.draining:
             state = "draining" if news.info.draining else "ready"
             self._note(news.replica_id, news.info.service, state, True)
-        self._replicas.entry_read(news.info, monotonic_s())
+        self._replicas.entry_read(news.info, monotonic_s(), listed=news.listed)
         return changed
 
     def _remove(self, replica_id: str) -> bool:
@@ -108,7 +110,7 @@
         listed = {info.replica_id for info in infos}
         gone = [replica_id for replica_id in self.replica_ids() if replica_id not in listed]
         news = [DiscoveryNews(replica_id=replica_id, at=at) for replica_id in gone]
-        news += [DiscoveryNews(replica_id=info.replica_id, at=at, info=info) for info in infos]
+        news += [DiscoveryNews(replica_id=info.replica_id, at=at, info=info, listed=True) for info in infos]
         return [each for each in news if self.take(each)]
 
     def replica_ids(self) -> list[str]:
@@ -119,7 +121,9 @@
         """Return each known replica, with the offset at which it was last known to be listed."""
         infos = [state.info for state in self._replicas.all()]
         return [
-            DiscoveryNews(replica_id=info.replica_id, at=self._listed_at(info.replica_id), info=info)
+            DiscoveryNews(
+                replica_id=info.replica_id, at=self._listed_at(info.replica_id), info=info, listed=True
+            )
             for info in infos
         ]
 
--- a/passgate/eligibility/cold_replicas.py
+++ b/passgate/eligibility/cold_replicas.py
@@ -59,11 +59,17 @@
         """Replica to the end of the cold spell that its last entry told of."""
         self._doubts: dict[str, _Doubt] = {}
 
-    def entry_read(self, info: ReplicaInfo, now_s: float) -> None:
-        """Take an entry of discovery that was just read."""
+    def entry_read(self, info: ReplicaInfo, now_s: float, *, listed: bool = False) -> None:
+        """Take an entry of discovery that was just read.
+
+        Args:
+            info: the entry.
+            now_s: loop time.
+            listed: whether it came in a whole list; it may then be older than a doubt, and ends none.
+        """
         replica_id = info.replica_id
         doubt = self._doubts.get(replica_id)
-        if doubt is not None and now_s - doubt.since_s >= ENTRY_LAG_S:
+        if doubt is not None and not listed and now_s - doubt.since_s >= ENTRY_LAG_S:
             del self._doubts[replica_id]
         if info.cold_ms > 0:
             self._until_s[replica_id] = now_s + info.cold_ms / 1000
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -132,9 +132,9 @@
         self._random = random.Random(seed)
         self.health = ReplicaHealth()
 
-    def entry_read(self, info: ReplicaInfo, now_s: float) -> None:
-        """Take an entry of discovery that was just read."""
-        self.cold.entry_read(info, now_s)
+    def entry_read(self, info: ReplicaInfo, now_s: float, *, listed: bool = False) -> None:
+        """Take an entry of discovery that was just read, by itself or in a whole list."""
+        self.cold.entry_read(info, now_s, listed=listed)
         self.put(info)
 
     def put(self, info: ReplicaInfo) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,13 +6,14 @@
 import msgspec
 import pytest
 
-from passgate.clock import run_virtual
+from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog
 from passgate.discovery.records import PARTS
 from passgate.discovery.relay import PART_GAP_S
 from passgate.discovery.relayed_list import RESYNC_S
 from passgate.discovery.service import Discovery, ReplicaDecoder, ReplicaTopics
 from passgate.discovery.view import DiscoveryNews, DiscoveryView
+from passgate.eligibility.cold_replicas import ColdLimit
 from passgate.eligibility.places import Places
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
@@ -326,3 +327,24 @@
             await node.kill()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("own_record", [False, True])
+def test_only_an_entry_that_came_by_itself_ends_a_doubt(own_record):
+    table = ReplicaTable(Places(zone="z"))
+    table.cold.limit_of = {"s": ColdLimit(lasts_s=8.0, most_per_s=29)}.get
+
+    async def main():
+        view = DiscoveryView(table, DecisionLog("d", write=len))
+        view.take_all([info(1)], 5)
+        table.unreachable("r1", monotonic_s())
+        await asyncio.sleep(2.0)
+        if own_record:
+            view.take(DiscoveryNews(replica_id="r1", at=6, info=info(1)))
+        else:
+            view.take_all([info(1)], 6)
+            for news in view.news():
+                view.take(msgspec.structs.replace(news, at=7))
+        assert table.cold.is_cold(info(1), monotonic_s()) is not own_record
+
+    run_virtual(main())
