--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -32,6 +32,8 @@
     info: ReplicaInfo | None = None
     overwritten: bool = False
     """Whether an entry is there, but names no replica to use: it may come from another writer."""
+    listed: bool = False
+    """Whether it came in a whole list, so that it may have been written long before ``at``."""
 
     @property
     def gone(self) -> bool:
@@ -100,7 +102,7 @@
         changed = came_back or known is None or known.info != news.info
         self._newest_born[news.replica_id] = news.info.born_unix_ms
         self._note_listed(news.info, known)
-        self._replicas.entry_read(news.info, monotonic_s())
+        self._replicas.entry_read(news.info, monotonic_s(), listed=news.listed)
         return changed
 
     def _note_listed(self, info: ReplicaInfo, known: ReplicaState | None) -> None:
@@ -165,7 +167,7 @@
             DiscoveryNews(replica_id=replica_id, at=at, overwritten=replica_id in overwritten)
             for replica_id in gone
         ]
-        news += [DiscoveryNews(replica_id=info.replica_id, at=at, info=info) for info in infos]
+        news += [DiscoveryNews(replica_id=info.replica_id, at=at, info=info, listed=True) for info in infos]
         return [each for each in news if self.take(each)]
 
     def replica_ids(self) -> list[str]:
@@ -176,7 +178,9 @@
         """Return each known replica, with the offset at which it was last known to be listed."""
         infos = [state.info for state in self._replicas.all()]
         return [
-            DiscoveryNews(replica_id=info.replica_id, at=self._listed_at(info.replica_id), info=info)
+            DiscoveryNews(
+                replica_id=info.replica_id, at=self._listed_at(info.replica_id), info=info, listed=True
+            )
             for info in infos
         ]
 
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -25,6 +25,7 @@
     ExecutionStatus,
     PassgateError,
     ReplicaReplaced,
+    SendTooLate,
 )
 from passgate.gateway.access import headers_for_replica
 from passgate.gateway.dialect import HeaderNames
@@ -145,8 +146,8 @@
         """
         # Every attempt passes here, so no way of sending a request can go round the checks.
         self.crashes.check(request.identity)
-        self._replicas.rules.admit(state.info, request.terms, monotonic_s())
-        return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request)
+        last_s = self._replicas.rules.admit(state.info, request.terms, monotonic_s())
+        return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request, last_s)
 
     async def call(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
         """Send a request and return its whole answer.
@@ -173,7 +174,9 @@
         crashes: CrashGuard,
         state: ReplicaState,
         request: ReplicaRequest,
+        not_sent_after_s: float | None = None,
     ) -> None:
+        self._not_sent_after_s = not_sent_after_s
         self._crashes = crashes
         self._replicas = replicas
         self._names = names
@@ -209,6 +212,7 @@
             timeout_s=left_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             length_required=False,
+            not_sent_after_s=self._not_sent_after_s,
         )
 
     @property
@@ -228,6 +232,8 @@
         """
         try:
             status = await self._transfer.head()
+        except SendTooLate:
+            raise  # the replica was reached, and is not to blame
         except PassgateError as error:
             self._failed(unreachable=error.execution is ExecutionStatus.NOT_RUN)
             self._broke_off(error)
@@ -235,7 +241,6 @@
         if self._transfer.connect_s is not None:
             zone = self._state.info.zone
             self._replicas.distances.observe(zone, self._transfer.connect_s, monotonic_s())
-        self._replicas.cold.reached(self._state.info, monotonic_s())
         answer = self._transfer.headers
         echoed = answer.get(self._names.request_id)
         if echoed is not None and echoed != self._request.request_id:
@@ -245,6 +250,7 @@
         self._note_load(answer)
         if status in NOT_RUN_STATUSES and self._names.not_executed in answer or status == WRONG_REPLICA:
             self._refused(status)
+        self._replicas.cold.reached(self._state.info, monotonic_s())
         if status in PROMISES:
             self._promised_too_much(status)
         self._crashes.answered(self._place(), self.began_s)
