--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -47,6 +47,7 @@
     "durability_unknown": "the answer of the log was lost; the job may run",
     "malformed_body": "the body is no batch job",
     "backend_refused": "the replica was full, loading or another one",
+    "send_forbidden": "nothing was sent: the replica leaves, or its zone is evacuated",
     "incomplete_answer": "the stream broke off or fell silent",
     "version_too_old": "the replica's weights were older than the job allows",
     "moved_elsewhere": "another replica was much faster",
