--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -42,6 +42,7 @@
 
 NEVER_S = float("-inf")
 NEVER_GIVEN_UP_S = float("inf")
+"""Time to live of a job that is listed by its runner only, however long that takes."""
 NOBODY = ""
 """Owner of a job that any watcher may claim at once."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -337,7 +337,7 @@
     async def main():
         view = DiscoveryView(table, DecisionLog("d", write=len))
         view.take_all([info(1)], 5)
-        table.unreachable("r1", monotonic_s())
+        table.unreachable(info(1).life, monotonic_s())
         await asyncio.sleep(2.0)
         if own_record:
             view.take(DiscoveryNews(replica_id="r1", at=6, info=info(1)))
