--- a/passgate/check/specification/catalogue.py
+++ b/passgate/check/specification/catalogue.py
@@ -1,24 +1,39 @@
 """All specifications, by name.
 
->>> sorted(SPECIFICATIONS)
-['claims', 'configuration', 'leadership', 'leases', 'lots', 'planned_stop', 'usage_reports']
+>>> first, *others = sorted(SPECIFICATIONS)
+>>> first, len(others)
+('claims', 9)
 """
 
 from __future__ import annotations
 
 from passgate.check.specification.claims import CLAIMS
 from passgate.check.specification.configuration import CONFIGURATION
+from passgate.check.specification.evacuation import EVACUATION
 from passgate.check.specification.kernel import Specification
 from passgate.check.specification.leadership import LEADERSHIP
 from passgate.check.specification.leases import LEASES
 from passgate.check.specification.lots import LOTS
+from passgate.check.specification.permits import PERMITS
 from passgate.check.specification.planned_stop import PLANNED_STOP
+from passgate.check.specification.replica_lives import REPLICA_LIVES
 from passgate.check.specification.usage_reports import USAGE_REPORTS
 from passgate.errors import NotFound
 
 SPECIFICATIONS: dict[str, Specification] = {
     specification.name: specification
-    for specification in (PLANNED_STOP, LEASES, LEADERSHIP, CLAIMS, CONFIGURATION, LOTS, USAGE_REPORTS)
+    for specification in (
+        PLANNED_STOP,
+        LEASES,
+        LEADERSHIP,
+        CLAIMS,
+        CONFIGURATION,
+        EVACUATION,
+        LOTS,
+        USAGE_REPORTS,
+        PERMITS,
+        REPLICA_LIVES,
+    )
 }
 
 
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -9,10 +9,11 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from functools import partial
 
-from passgate.clients.calls import HttpLimits
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
+from passgate.daemon.cold_sending import ColdSending
 from passgate.daemon.planned_stop import RELEASE_WAIT_S, PlannedStop
 from passgate.daemon.runners import RunnerMaker
 from passgate.daemon.topics import LogTopics
@@ -31,6 +32,9 @@
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
 from passgate.duties.usage_channel import CONTROL_PART
+from passgate.eligibility.evacuation import EvacuatedZones, EvacuationRule
+from passgate.eligibility.known_service import KnownServiceRule
+from passgate.eligibility.regions import RegionRule
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -42,6 +46,7 @@
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
 from passgate.gateway.stream_forwarder import StreamForwarder
+from passgate.jobs.bound_bodies import BoundBodies
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
@@ -53,18 +58,14 @@
 from passgate.quarantine.service import Crashes
 from passgate.sharedlog.candidacy import Candidacy
 from passgate.sharedlog.counted import CountedLog
-from passgate.sharedlog.group import GroupDirectory, GroupMember
+from passgate.sharedlog.group import GroupDirectory, GroupMember, OtherZones, group_of_zone
 from passgate.sharedlog.log import SharedLog
 from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
 from passgate.statecharts import Machine
 from passgate.versions.control import ControlTopic
-from passgate.versions.loader import Loader, ReplicaControl, WantedVersions
+from passgate.versions.loader import Loader, ReplicaControl, WantedVersions, read_life
 
-UNACKNOWLEDGED_TIMEOUT_S = 2.0
-"""Time after which a connection whose bytes are not acknowledged is dead; two lost packets are borne."""
-MAX_BUFFERED_BYTES = 32 * 1024
-"""Unread bytes of one answer after which its connection is paused."""
 WATCH_S = 0.1
 """Time between looks at the log's freshness and the daemon's life."""
 FLUSH_S = 0.2
@@ -103,8 +104,14 @@
         self.metrics = GatewayMetrics()
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         log = CountedLog(log, self.metrics.count_log_call)
-        self.config = ConfigHolder()
+        self.config = ConfigHolder(settings.places)
         self.replicas = ReplicaTable(settings.places)
+        self.replicas.rules.add(RegionRule(settings.places, self.metrics.count_region_send))
+        self.evacuated = EvacuatedZones(self.decisions)
+        self.evacuated.on_ended.append(lambda zone: self.replicas.turned_cold(zone, monotonic_s()))
+        self.replicas.rules.add(EvacuationRule(self.evacuated))
+        self.metrics.show_kept_back(self.replicas.rules.kept_back)
+        self.replicas.rules.add(KnownServiceRule(self.config.names_service))
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -116,13 +123,15 @@
             self.decisions,
         )
         self._log = log
-        self._crashes = Crashes(log, topics.crashes, self.replicas.set_aside, self.decisions)
+        self._crashes = Crashes(
+            log, topics.crashes, self.replicas.set_aside, self.decisions, partial(read_life, control)
+        )
         caller = ReplicaCaller(http, self.replicas, names, self._crashes.guard)
-        runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions)
+        runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions, self.evacuated)
         self._peers = peers
         member = member_name(settings.daemon_id, peers.address, settings.cores)
         candidacy = Candidacy(settings.cores)
-        group = f"{topics.watch_group}.{settings.zone}"
+        group = group_of_zone(topics.watch_group, settings.zone)
         self._member = GroupMember(
             log,
             group,
@@ -133,7 +142,11 @@
             least_lifetime_s=settings.group_lifetime_s,
         )
         self._directory = GroupDirectory(log, group, topics.jobs, candidacy)
-        job_peers = JobPeers(peers, self._directory, member, self.decisions)
+        distances = self.replicas.distances
+        self._elsewhere = OtherZones(
+            log, topics.watch_group, topics.jobs, distances.nearest_first, distances.fallback_zones
+        )
+        job_peers = JobPeers(peers, self._directory, member, self.decisions, distances, self._elsewhere)
         journal = Journal(
             log,
             topics.control,
@@ -173,6 +186,7 @@
                 self.decisions,
                 config=self.config,
                 replicas=self.replicas,
+                evacuated=self.evacuated,
                 member=member,
                 holder=settings.daemon_id,
             )
@@ -180,10 +194,21 @@
             peers,
             lambda: self._directory.others(member),
             self.config,
+            self.evacuated,
             self._log_age_s,
             self.put_config,
             self.decisions,
         )
+        self.cold = ColdSending(
+            lambda: self.settings,
+            self.config,
+            self.replicas,
+            self._control,
+            peers,
+            self._directory,
+            self._log_age_s,
+            self.decisions,
+        )
         self._crash_peers = CrashPeers(peers, lambda: self._directory.others(member), self._crashes.channel)
         counts_usage = settings.duties is not None and settings.duties.usage
         meter = self._duties.meter if self._duties is not None and counts_usage else None
@@ -200,6 +225,14 @@
             self.decisions,
             may_own_new=lambda: candidacy.wanted,
             log_answers=self._member.answered,
+            bodies=BoundBodies(
+                log,
+                self.config.terms_for,
+                settings.places,
+                shard_settings,
+                self.decisions,
+                self.config.item_time_to_live_s,
+            ),
         )
         self.jobs = JobService(
             self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
@@ -211,6 +244,7 @@
             control,
             settings.daemon_id,
             self._control.fold.newest_jobs,
+            self._crashes.guard,
             self.decisions,
         )
         self._keyed_tails: list[KeyedTail] = []
@@ -327,6 +361,8 @@
 
     def _exposition(self) -> bytes:
         self.metrics.log_age.set(self._log_age_s())
+        self.metrics.evacuated_zones.set(len(self.evacuated))
+        self.metrics.evacuation_age.set(self._configuration_peers.evacuations_age_s())
         self.metrics.in_flight.set(self._front.in_flight)
         self.metrics.jobs_owned.set(self.shards.running)
         self.metrics.leads.set(self._control.leadership.leads)
@@ -341,9 +377,11 @@
             group.create_task(self._control.run())
             group.create_task(self.shards.run())
             group.create_task(self._directory.keep_known())
+            group.create_task(self._elsewhere.keep_known())
             group.create_task(self._loader.run())
             group.create_task(self._configuration_peers.run())
             group.create_task(self._crash_peers.run())
+            group.create_task(self.cold.run())
             if self._duties is not None:
                 group.create_task(self._duties.run())
 
@@ -352,6 +390,8 @@
             return await self._duties.answer_peer(sender, method, payload)
         if method == CONFIGURATION_METHOD:
             return self._configuration_peers.answer(payload)
+        if method == self.cold.method:
+            return self.cold.answer(sender, payload)
         if method == CRASH_REPORTS_METHOD:
             return self._crash_peers.answer(payload)
         return await self.jobs.answer_peer(sender, method, payload)
@@ -389,15 +429,3 @@
 
 def _ignore_message(sender: str, payload: bytes) -> None:
     """Daemons of the platform ask questions only."""
-
-
-def make_http_client() -> HttpClient:
-    """Return the client that a daemon uses towards the log and the replicas."""
-    return HttpClient(
-        HttpLimits(
-            resolve_names=False,
-            connect_timeout_s=0.7,
-            unacknowledged_timeout_s=UNACKNOWLEDGED_TIMEOUT_S,
-            max_buffered_bytes=MAX_BUFFERED_BYTES,
-        )
-    )
--- a/passgate/decisions/daemon_events.py
+++ b/passgate/decisions/daemon_events.py
@@ -78,6 +78,29 @@
     reason: str
 
 
+class ZoneEvacuated(Event, tag="zone_evacuated"):
+    """The operator has a zone evacuated: nothing more is sent to its replicas from here."""
+
+    zone: str
+    source: str
+    """ "log", or "peer" when another daemon told it."""
+    peer: str
+    age_ms: float
+    """Age of the other daemon's view; 0 for what was just read from the log."""
+    offset: int
+    """Offset up to which the operator's topic is known."""
+
+
+class EvacuationEnded(Event, tag="evacuation_ended"):
+    """A zone is no longer evacuated; the fields are those of ``zone_evacuated``."""
+
+    zone: str
+    source: str
+    peer: str
+    age_ms: float
+    offset: int
+
+
 class ReplicaChanged(Event, tag="replica_changed"):
     """Discovery tells of a replica otherwise than before."""
 
@@ -86,6 +109,15 @@
     state: str
 
 
+class EntryUnusable(Event, tag="entry_unusable"):
+    """An entry of discovery names no replica to use."""
+
+    key: str
+    reason: str
+    entries: int
+    """Such entries since the last such line, this one among them."""
+
+
 class RelayChanged(Event, tag="relay_changed"):
     """This daemon begins or ends to read the list of replicas for others."""
 
--- a/passgate/duties/service.py
+++ b/passgate/duties/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Container
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog
@@ -24,8 +25,9 @@
 from passgate.sharedlog.group import GroupDirectory
 from passgate.versions.control import ControlTopic
 
-RATE_SHARE = 0.8
-"""Share of the calls that the platform takes; the rest is left to a holder that has just ended."""
+RATE_SHARE = 0.5
+"""Share of the calls that the platform takes; a holder that has just ended may have made as many in the
+same second."""
 
 
 class Duties:
@@ -43,6 +45,7 @@
         *,
         config: ConfigHolder,
         replicas: ReplicaTable,
+        evacuated: Container[str],
         member: str,
         holder: str,
     ) -> None:
@@ -58,6 +61,7 @@
             decisions: where decisions are noted.
             config: the configuration in force.
             replicas: the replicas that are there.
+            evacuated: zones in which no replica counts and none is ordered.
             member: this daemon's name in the directory.
             holder: this daemon's name towards the platform.
         """
@@ -68,7 +72,7 @@
         self._sync = ClockSync(clock, transport, lambda: directory.others(member))
         self._channel = UsageChannel(transport, journal, lambda: control.fold.leader, directory.member_of)
         self.meter = UsageMeter(journal.writer, windows, clock.now_s, self._channel.send)
-        budget = CallBudget(settings.calls_per_s * RATE_SHARE, 0.0)
+        budget = CallBudget(settings.calls_per_s * RATE_SHARE)
         self._reporter = UsageReporter(
             folds.usage,
             journal,
@@ -93,6 +97,7 @@
                 replicas,
                 control.fold.newest_jobs,
                 decisions,
+                evacuated=evacuated,
                 holder=holder,
             )
 
--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -36,6 +36,8 @@
 REWARD_ANSWERED_500 = "the replica answered 500"
 REASONS = {
     "no_replica_available": "replicas were full, set aside or not known; nothing ran",
+    "no_replica_in_regions": "no replica of the allowed regions could take it; nothing ran",
+    "no_region_allowed": "its route and tenant allow no region in common; nothing ran",
     "not_ready": "the daemon did not know the configuration or could not read the log; nothing ran",
     "deadline_exceeded": "no replica answered within the time limit",
     "backend_unreachable": "connections to replicas failed after the request was sent",
@@ -46,7 +48,13 @@
     "log_unavailable": "the log refused or could not be reached; the job never runs",
     "durability_unknown": "the answer of the log was lost; the job may run",
     "malformed_body": "the body is no batch job",
+<<<<<<< HEAD
+    "backend_refused": "the replica was full or loading",
+    "replica_replaced": "another replica listens at the address of the one that was asked",
+=======
     "backend_refused": "the replica was full, loading or another one",
+    "send_forbidden": "nothing was sent: the replica leaves, or its zone is evacuated",
+>>>>>>> part-evacuation
     "incomplete_answer": "the stream broke off or fell silent",
     "version_too_old": "the replica's weights were older than the job allows",
     "moved_elsewhere": "another replica was much faster",
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
+from passgate.eligibility.replica_info import ReplicaLife
 from passgate.errors import (
     BackendRefused,
     BackendUnreachable,
@@ -21,7 +22,7 @@
 )
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarding import ForwarderBase, Forwarding, refusal
-from passgate.gateway.messages import GatewayAnswer, IncomingRequest
+from passgate.gateway.messages import GatewayAnswer, IncomingRequest, answered_status
 from passgate.gateway.replica_call import ReplicaAnswer, cancel_all, forwarded_headers
 from passgate.gateway.replicas import ReplicaState
 from passgate.gateway.routes import Route
@@ -47,7 +48,7 @@
 class _Attempt(msgspec.Struct, frozen=True, kw_only=True):
     """One attempt that is under way."""
 
-    replica_id: str
+    replica: ReplicaLife
     began_s: float
     """Loop time at which it was sent."""
     sent_at_s: float
@@ -67,7 +68,7 @@
         try:
             answer = await self._run(forwarding)
         except PassgateError as error:
-            self._note_end(forwarding, error.http_status, error.code)
+            self._note_end(forwarding, answered_status(error), error.code)
             raise
         self._note_end(forwarding, answer.status, "")
         return GatewayAnswer(
@@ -95,6 +96,7 @@
 
     async def _send_next(self, forwarding: Forwarding, running: Running) -> bool:
         """Send to the next replica, waiting shortly for one; return False to give up."""
+        self._check_regions(forwarding)
         if not forwarding.may_go_on or not await self._spares_replicas(forwarding):
             return False
         patience_s = monotonic_s() + WAIT_SHARE * forwarding.route.target_latency_s
@@ -114,9 +116,7 @@
         if monotonic_s() < self._hedge_at_s(forwarding) or not self._may_send(forwarding):
             return False
         # A suspect that runs at two replicas may end both before either end tells anything.
-        if self._caller.crashes.is_suspect(forwarding.identity):
-            return False
-        return self._choose(forwarding) is not None
+        return not self._caller.crashes.is_suspect(forwarding.identity)
 
     def _hedge_at_s(self, forwarding: Forwarding) -> float:
         delay_s = HEDGE_SHARE * forwarding.route.target_latency_s
@@ -128,7 +128,7 @@
         self._note_sent(forwarding, state)
         call = self._caller.call(state, self._replica_request(forwarding))
         running[asyncio.get_running_loop().create_task(call)] = _Attempt(
-            replica_id=state.info.replica_id, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
+            replica=state.life, began_s=monotonic_s(), sent_at_s=self._usage_now_s()
         )
 
     async def _wait(self, forwarding: Forwarding, running: Running) -> None:
@@ -151,7 +151,7 @@
                 outcome.fallback = answer
                 forwarding.may_have_run = True
             elif isinstance(error, PassgateError):
-                self._note_failed_attempt(forwarding, attempt.replica_id, error, attempt.began_s)
+                self._note_failed_attempt(forwarding, attempt.replica, error, attempt.began_s)
                 outcome.failure = error
             else:
                 raise error
@@ -176,7 +176,7 @@
             raise BackendUnreachable("no replica gave a whole answer", execution=ExecutionStatus.UNKNOWN)
         if isinstance(outcome.failure, BackendRefused):
             raise refusal("replicas are full")
-        raise refusal("no replica can be reached")
+        raise self._refusal(forwarding, "no replica can be reached")
 
     def _out_of_time(self, forwarding: Forwarding, running: bool) -> PassgateError:
         if running or forwarding.may_have_run:
--- a/passgate/gateway/forwarding.py
+++ b/passgate/gateway/forwarding.py
@@ -8,7 +8,16 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import AttemptFailed, DecisionLog, ForwardEnded, ForwardSent
-from passgate.errors import BackendUnreachable, NoReplicaAvailable, Unauthorized
+from passgate.eligibility.replica_info import ReplicaLife
+from passgate.eligibility.rules import SendTerms
+from passgate.errors import (
+    BackendUnreachable,
+    NoRegionAllowed,
+    NoReplicaAvailable,
+    NoReplicaInRegions,
+    ReplicaReplaced,
+    Unauthorized,
+)
 from passgate.errors.base import ExecutionStatus, PassgateError
 from passgate.gateway.access import Caller
 from passgate.gateway.dialect import HeaderNames
@@ -22,6 +31,10 @@
 """When a refused caller is asked to come back."""
 
 
+NEVER_REACHED = (BackendUnreachable, ReplicaReplaced)
+"""Failures of attempts that show, if they did not run, that the replica is not at its address any more."""
+
+
 class Forwarding(msgspec.Struct, kw_only=True):
     """One request while it is forwarded."""
 
@@ -36,9 +49,9 @@
     """Loop time at which the request is answered in any case."""
     deadline_s: float
     """Loop time at which the caller leaves."""
-    tried: list[str] = []
+    tried: list[ReplicaLife] = []
     never_reached: int = 0
-    """Replicas among those tried to which no connection could be opened."""
+    """Replicas among those tried that were not there any more; see NEVER_REACHED."""
     may_have_run: bool = False
     counted: bool = False
     """Whether usage counts the request already."""
@@ -154,8 +167,23 @@
             return False
         return True
 
+    def _terms(self, forwarding: Forwarding) -> SendTerms:
+        """Return what binds a request now; a changed configuration binds its further sends."""
+        request, tenant = forwarding.request, forwarding.caller.tenant
+        begun = forwarding.route.allowed_regions
+        return self._config.terms_for(request.host, request.path, tenant, begun)
+
+    def _check_regions(self, forwarding: Forwarding) -> None:
+        """Check that some region may serve a request that has not run; raises NoRegionAllowed."""
+        if self._terms(forwarding).regions == frozenset() and not forwarding.may_have_run:
+            raise NoRegionAllowed("route and tenant allow no region in common")
+
     def _choose(self, forwarding: Forwarding) -> ReplicaState | None:
-        choice = ChoiceRequest(services=frozenset({forwarding.service}), excluded=frozenset(forwarding.tried))
+        choice = ChoiceRequest(
+            services=frozenset({forwarding.service}),
+            excluded=frozenset(forwarding.tried),
+            terms=self._terms(forwarding),
+        )
         return self._replicas.choose(choice, monotonic_s())
 
     def _replica_request(self, forwarding: Forwarding) -> ReplicaRequest:
@@ -175,10 +203,17 @@
             priority=forwarding.route.priority if forwarding.route.kind is RouteKind.STREAMING else None,
             repeatable=forwarding.repeatable,
             tenant=forwarding.caller.tenant,
+            terms=self._terms(forwarding),
         )
 
+    def _refusal(self, forwarding: Forwarding, reason: str) -> PassgateError:
+        """Return the answer for a request that did not run; tells of bounds that left no replica."""
+        if forwarding.tried or self._terms(forwarding).regions is None:
+            return refusal(reason)
+        return NoReplicaInRegions(reason, execution=ExecutionStatus.NOT_RUN, retry_after_s=RETRY_AFTER_S)
+
     def _note_sent(self, forwarding: Forwarding, state: ReplicaState) -> None:
-        forwarding.tried.append(state.info.replica_id)
+        forwarding.tried.append(state.life)
         self._decisions.write(
             ForwardSent(
                 request_id=forwarding.request_id,
@@ -190,16 +225,16 @@
         )
 
     def _note_failed_attempt(
-        self, forwarding: Forwarding, replica_id: str, error: PassgateError, began_s: float
+        self, forwarding: Forwarding, replica: ReplicaLife, error: PassgateError, began_s: float
     ) -> None:
         not_run = error.execution is ExecutionStatus.NOT_RUN
         forwarding.may_have_run |= not not_run
-        forwarding.never_reached += not_run and isinstance(error, BackendUnreachable)
+        forwarding.never_reached += not_run and isinstance(error, NEVER_REACHED)
         self._decisions.write(
             AttemptFailed(
                 request_id=forwarding.request_id,
                 route=forwarding.route.name,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 fingerprint=forwarding.identity.fingerprint(),
                 reason=error.code,
                 execution=error.execution.value,
@@ -222,7 +257,7 @@
                 route=forwarding.route.name,
                 status=status,
                 reason=reason,
-                replicas=tuple(forwarding.tried),
+                replicas=tuple(life.replica_id for life in forwarding.tried),
                 elapsed_ms=round((monotonic_s() - forwarding.request.arrived_s) * 1000, 1),
             )
         )
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -11,23 +11,36 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from passgate.decisions import (
+    ColdReplicasChanged,
     ConfigurationInForce,
+    EntryUnusable,
     Event,
     ForwardEnded,
     ItemFailed,
     ItemListed,
     JobAccepted,
+    JobAcceptFailed,
     JobEnded,
+    PermitsCounted,
 )
+from passgate.eligibility.rules import KeptBack
+from passgate.errors import NoRegionAllowed, NoReplicaInRegions
 
 REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 """From a request's work of some 10 ms over its target latency (0.2 s) to its deadline."""
 ITEM_BUCKETS_S = (0.25, 0.5, 1, 2, 4, 6, 8, 12, 20, 40)
 """From a short output to the time for which items are kept; steps are due after some 7 s."""
 
+REGION_CODES = frozenset({NoRegionAllowed.code, NoReplicaInRegions.code})
+"""Reasons of refusals that bounds on regions cause."""
+
 __all__ = ["GatewayMetrics", "JobEnded"]
 
 
@@ -74,6 +87,18 @@
             ("call", "subject", "outcome"),
             registry=self.registry,
         )
+        self._region_sends = Counter(
+            "passgate_region_sends",
+            "Requests sent to replicas, by the replicas' region: kept at home, or spilled to another.",
+            ("region", "outcome"),
+            registry=self.registry,
+        )
+        self._region_refusals = Counter(
+            "passgate_region_refusals",
+            "Requests and jobs refused as no region, or no replica in the allowed regions, may serve them.",
+            ("code",),
+            registry=self.registry,
+        )
         self.log_age = Gauge(
             "passgate_log_age_seconds",
             "Time since the jobs' topic was last known to be read to its end.",
@@ -90,15 +115,48 @@
             "Requests counted after their window was committed, so that no report names them.",
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "passgate_evacuated_zones", "Zones to which nothing is sent.", registry=self.registry
+        )
+        self.evacuation_age = Gauge(
+            "passgate_evacuation_age_seconds",
+            "Time since it was last known that no zone more or less is evacuated.",
+            registry=self.registry,
+        )
+        self._unusable_entries = Counter(
+            "passgate_unusable_entries",
+            "Entries of discovery that name no replica to use.",
+            registry=self.registry,
+        )
         self.leads = Gauge("passgate_leads", "1 while this daemon gives orders.", registry=self.registry)
 
+        self._cold = Gauge(
+            "passgate_cold_replicas", "Replicas that count as cold here.", registry=self.registry
+        )
+        self._permits = Counter(
+            "passgate_cold_permits",
+            "Permits to send to cold replicas, by what became of them.",
+            ("outcome",),
+            registry=self.registry,
+        )
+
+    def show_kept_back(self, counts: Mapping[KeptBack, int]) -> None:
+        """Show, from now on, what rules keep from replicas; see :mod:`passgate.eligibility.rules`."""
+        self.registry.register(_KeptBackCollector(counts))
+
     def count_log_call(self, call: str, subject: str, outcome: str) -> None:
         """Count a call to the log; see :mod:`passgate.sharedlog.counted`."""
         self._log_calls.labels(call, subject, outcome).inc()
 
+    def count_region_send(self, region: str, spilled: bool) -> None:
+        """Count a request that was sent to a replica of a region."""
+        self._region_sends.labels(region, "spilled" if spilled else "kept").inc()
+
     def observe(self, event: Event) -> None:
         """Count an event."""
         self._decisions.labels(event.name).inc()
+        if isinstance(event, ForwardEnded | JobAcceptFailed) and event.reason in REGION_CODES:
+            self._region_refusals.labels(event.reason).inc()
         match event:
             case ForwardEnded(status=status, elapsed_ms=elapsed_ms):
                 self._requests.labels(str(status)).observe(elapsed_ms / 1000)
@@ -110,7 +168,46 @@
                 self._accepts.observe(elapsed_ms / 1000)
             case ConfigurationInForce(version=version):
                 self._configuration.set(version)
+            case EntryUnusable(entries=entries):
+                self._unusable_entries.inc(entries)
+
+            case ColdReplicasChanged(cold=cold):
+                self._cold.set(cold)
+            case PermitsCounted():
+                self._count_permits(event)
+
+    def _count_permits(self, event: PermitsCounted) -> None:
+        counts = {
+            "given": event.given,
+            "refused": event.refused,
+            "got": event.got,
+            "used": event.used,
+            "expired": event.expired,
+            "wanting": event.wanting,
+            "unanswered": event.unanswered,
+        }
+        for outcome, count in counts.items():
+            self._permits.labels(outcome).inc(count)
 
     def exposition(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
+
+
+class _KeptBackCollector(Collector):
+    """Counts of rules; they are kept where requests are sent, which takes no lock there."""
+
+    def __init__(self, counts: Mapping[KeptBack, int]) -> None:
+        self._counts = counts
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counts by rule, kind of send, and step."""
+        family = CounterMetricFamily(
+            "passgate_kept_back",
+            "Replicas passed over in choices, and sends stopped, by the rule that forbade it.",
+            labels=("rule", "kind", "step"),
+        )
+        for kept_back, count in self._counts.items():
+            labels = (kept_back.rule, kept_back.kind.value, kept_back.checked_at.value)
+            family.add_metric(labels, count)
+        yield family
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -2,6 +2,7 @@
 
 >>> replicas = ReplicaTable(Places(zone="z1"))
 >>> replicas.put(ReplicaInfo(replica_id="r", service="s", address="h:1", zone="z1", slots=4))
+True
 >>> replicas.choose(ChoiceRequest(services=frozenset({"s"})), now_s=0.0).info.replica_id
 'r'
 """
@@ -10,12 +11,18 @@
 
 import math
 import random
+from collections.abc import Hashable
 
 import msgspec
 
+from passgate.eligibility.cold_replicas import ColdReplicas
+from passgate.eligibility.cold_rule import ColdRule
+from passgate.eligibility.permits import PermitStock
 from passgate.eligibility.places import Places
-from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.eligibility.replica_info import ReplicaInfo, ReplicaLife
 from passgate.eligibility.rules import ANY_REQUEST, DrainingRule, SendRules, SendTerms
+from passgate.gateway.distance import Distances
+from passgate.gateway.spill import HomeFull, share_spilled
 from passgate.routing.replica_health import ReplicaHealth
 
 SMOOTHING = 0.2
@@ -24,8 +31,8 @@
 """Latency of a replica of which nothing has been seen: about that of a plain request or one event."""
 REPORT_LIFE_S = 1.5
 """Age after which what a replica told of its load counts no longer."""
-OTHER_ZONE_COST = 0.05
-"""Added to the score of a replica in another zone, in shares of its slots."""
+CHOICES_AWAY = 2
+"""Replicas of other regions that are compared; all daemons of a region would else pick the same one."""
 MAX_LATENCY_STEP = 6.0
 """One observation counts for at most this many times the present latency."""
 MUCH_FASTER = 0.5
@@ -46,11 +53,11 @@
     """What a request asks of a replica."""
 
     services: frozenset[str]
-    excluded: frozenset[str] = frozenset()
+    excluded: frozenset[ReplicaLife] = frozenset()
     """Replicas that were tried already."""
     model: str = ""
     min_version: int = 0
-    preferred: str = ""
+    preferred: ReplicaLife | None = None
     """Replica that holds the prompt's shared part, if any."""
     load_below: float = math.inf
     """Only replicas with a smaller load, in shares of their slots, will do."""
@@ -59,10 +66,11 @@
 
 
 class ReplicaState:
-    """What this daemon knows of one replica beyond discovery."""
+    """What this daemon knows of one life of a replica beyond discovery."""
 
     def __init__(self, info: ReplicaInfo) -> None:
         self.info = info
+        self.life = info.life
         self.in_flight = 0
         """Requests of this daemon at the replica."""
         self.latency_s = ASSUMED_LATENCY_S
@@ -97,6 +105,12 @@
         age = (now_s - self.latency_at_s) / LATENCY_FORGET_S
         return ASSUMED_LATENCY_S + (self.latency_s - ASSUMED_LATENCY_S) * 0.5 ** max(age, 0.0)
 
+    def expected_s(self, now_s: float) -> float:
+        """Return the time until a request sent now is answered; it waits only once all slots are taken."""
+        waits = max(self.load(now_s) + 1.0 / max(self.info.slots, 1) - FULL_LOAD, 0.0)
+        loading_s = LOADING_S if self.seems_loading(now_s) else 0.0
+        return (1.0 + waits) * self.recent_latency_s(now_s) + loading_s
+
     def version_of(self, model: str) -> int:
         """Return the version of a model's weights that the replica is known to hold."""
         return max(self.info.model_versions.get(model, 0), self.observed_versions.get(model, 0))
@@ -107,53 +121,169 @@
 
     def __init__(self, places: Places, seed: int | None = None) -> None:
         self.places = places
-        self.rules = SendRules([DrainingRule()])
+        self.distances = Distances(places)
+        self._home_full = HomeFull()
+        self.cold = ColdReplicas()
+        """Which replicas are cold; none until it is told what services limit."""
+        self.permits = PermitStock()
+        """Permits to send to cold replicas."""
+        self._cold_rule = ColdRule(self.cold, self.permits)
+        self.rules = SendRules([DrainingRule(), self._cold_rule])
         """What keeps requests from replicas; see :mod:`passgate.eligibility.rules`."""
-        self._states: dict[str, ReplicaState] = {}
+        self._states: dict[ReplicaLife, ReplicaState] = {}
+        self._listed: dict[str, ReplicaLife] = {}
+        """Identifier to the newest life that discovery lists under it."""
+        self._in_use: dict[ReplicaLife, ReplicaState] = {}
+        """Replicas that are not listed any more, while they still work on requests of this daemon."""
         self._random = random.Random(seed)
-        self.health = ReplicaHealth()
+        self.health: ReplicaHealth[ReplicaLife] = ReplicaHealth()
 
-    def put(self, info: ReplicaInfo) -> None:
-        """Add or change a replica."""
-        state = self._states.get(info.replica_id)
-        if state is None:
-            self._states[info.replica_id] = ReplicaState(info)
-            return
-        state.info = info
+    def entry_read(self, info: ReplicaInfo, now_s: float, *, listed: bool = False) -> None:
+        """Take an entry of discovery that was just read, by itself or in a whole list."""
+        self.cold.entry_read(info, now_s, listed=listed)
+        self.put(info)
+
+    def put(self, info: ReplicaInfo) -> bool:
+        """Add or change a replica; return False for news of a life that a newer one has replaced.
+
+        A replica that has started again begins with nothing of what was learnt before.
+        """
+        listed = self._listed.get(info.replica_id)
+        if listed is not None and listed.born_unix_ms > info.born_unix_ms:
+            return False
+        if listed != info.life:
+            self.remove(info.replica_id)
+            self._listed[info.replica_id] = info.life
+            self._states[info.life] = self._in_use.pop(info.life, None) or ReplicaState(info)
+        self._states[info.life].info = info
+        return True
 
     def remove(self, replica_id: str) -> None:
         """Forget a replica that discovery no longer lists."""
-        self._states.pop(replica_id, None)
-        self.health.succeeded(replica_id)
+        life = self._listed.pop(replica_id, None)
+        if life is not None:
+            self._in_use[life] = self._states.pop(life)
+        self._in_use = {life: state for life, state in self._in_use.items() if state.in_flight > 0}
+        self.health.retain(self._states)
 
-    def set_aside(self, replica_id: str, now_s: float) -> None:
+    def set_aside(self, life: ReplicaLife, now_s: float) -> None:
         """Send nothing to a replica for a while at whose address nobody listens."""
-        if replica_id in self._states:
-            self.health.failed(replica_id, now_s, unreachable=True)
+        if life in self._states:
+            self.unreachable(life, now_s)
+
+    def unreachable(self, life: ReplicaLife, now_s: float) -> None:
+        """Count a replica that could not be reached; it may be cold when it is back."""
+        self.health.failed(life, now_s, unreachable=True)
+        state = self._states.get(life)
+        if state is not None:
+            self.cold.unreachable(state.info, now_s)
+
+    def turned_cold(self, zone: str, now_s: float) -> None:
+        """Take all replicas of a zone to be cold from now on, until later entries tell otherwise."""
+        infos = [state.info for state in self._states.values() if state.info.zone == zone]
+        self.cold.turned_cold(infos, now_s)
 
     def get(self, replica_id: str) -> ReplicaState | None:
-        """Return a replica, or None."""
-        return self._states.get(replica_id)
+        """Return the newest life that is listed under an identifier, or None."""
+        life = self._listed.get(replica_id)
+        return self.of(life) if life is not None else None
+
+    def of(self, life: ReplicaLife) -> ReplicaState | None:
+        """Return a life of a replica; None if it is not listed, or another one is by now."""
+        return self._states.get(life)
+
+    def newest_of(self, life: ReplicaLife) -> ReplicaState | None:
+        """Return the newest listed life of the replica that a life belongs to, or None."""
+        return self.get(life.replica_id)
 
     def all(self) -> list[ReplicaState]:
         """Return all replicas."""
         return list(self._states.values())
 
     def choose(self, request: ChoiceRequest, now_s: float) -> ReplicaState | None:
-        """Return the best replica for a request, or None when none fits."""
+        """Return the best replica for a request, or None when none fits.
+
+        A cold replica counts as one with room for as many requests as there are permits.
+        """
+        best = self._best(request, now_s)
+        if not self.cold.any:
+            return best
+        if best is None or best.load(now_s) >= FULL_LOAD:
+            self._want_permits(request, now_s)
+        if best is not None:
+            self._cold_rule.chosen(best.info, request.terms, now_s)
+        return best
+
+    def _want_permits(self, request: ChoiceRequest, now_s: float) -> None:
+        """Want permits for the cold replicas that would take a request for which there is no room."""
+        states = self._states.values()
+        cold = [state for state in states if self.cold.is_cold(state.info, now_s)]
+        wanted = [state.info for state in cold if self._suits(state, request, now_s)]
+        usable = self.health.usable([info.life for info in wanted], now_s)
+        for info in wanted:
+            if info.life in usable:
+                self.permits.want(info.replica_id, info.service)
+
+    def _best(self, request: ChoiceRequest, now_s: float) -> ReplicaState | None:
         candidates = [state for state in self._states.values() if self._fits(state, request, now_s)]
-        usable = set(self.health.usable([state.info.replica_id for state in candidates], now_s))
-        healthy = [state for state in candidates if state.info.replica_id in usable]
+        usable = set(self.health.usable([state.life for state in candidates], now_s))
+        healthy = [state for state in candidates if state.life in usable]
         if not healthy:
             return None
         self._random.shuffle(healthy)
-        return min(healthy, key=lambda state: self._score(state, request, now_s))
+        if not self.distances.several_regions:
+            return min(healthy, key=lambda state: self._score(state, request, now_s))
+        return self._choose_region(healthy, request, now_s)
+
+    def _choose_region(
+        self, healthy: list[ReplicaState], request: ChoiceRequest, now_s: float
+    ) -> ReplicaState | None:
+        """Return the best replica at home unless another region is worth the way."""
+        home = [state for state in healthy if self.distances.is_home(state.info.zone)]
+        away = [state for state in healthy if not self.distances.is_home(state.info.zone)][:CHOICES_AWAY]
+        kind = (request.services, request.model, request.terms.regions)
+        here = min(home, key=lambda state: self._score(state, request, now_s), default=None)
+        there = min(away, key=lambda state: self._score(state, request, now_s), default=None)
+        if here is not None:
+            self._home_full.has_room(kind)
+        if here is None or there is None:
+            return here or self._spilled(there, kind, request, now_s)
+        way_s = self.distances.cost_s(there.info.zone)
+        share = share_spilled(here.expected_s(now_s) - there.expected_s(now_s) - way_s, way_s)
+        return there if self._random.random() < share else here
+
+    def _spilled(
+        self, there: ReplicaState | None, kind: Hashable, request: ChoiceRequest, now_s: float
+    ) -> ReplicaState | None:
+        """Return a replica of another region for what has found none at home, unless it soon may.
+
+        What only waits for room at home waits there for as long as the way takes.
+        """
+        if there is None or not self._is_served_at_home(request, now_s):
+            return there
+        way_s = self.distances.cost_s(there.info.zone)
+        return there if self._home_full.may_spill(kind, way_s, now_s) else None
+
+    def _is_served_at_home(self, request: ChoiceRequest, now_s: float) -> bool:
+        """Whether a replica at home would serve a request if it had room."""
+        if request.load_below == math.inf:
+            return False
+        anyhow = msgspec.structs.replace(request, load_below=math.inf)
+        home = [state for state in self._states.values() if self.distances.is_home(state.info.zone)]
+        fitting = [state.life for state in home if self._fits(state, anyhow, now_s)]
+        return bool(self.health.usable(fitting, now_s)) if fitting else False
 
     def _fits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
-        info = state.info
-        if info.service not in request.services or info.replica_id in request.excluded:
+        if not self._suits(state, request, now_s):
+            return False
+        if not self.rules.allows(state.info, request.terms, now_s):
             return False
-        if not self.rules.allows(info, request.terms, now_s):
+        return not self.cold.any or self._cold_rule.has_room(state.info, request.terms, now_s)
+
+    def _suits(self, state: ReplicaState, request: ChoiceRequest, now_s: float) -> bool:
+        """Whether a replica will do, but for the rules for sending."""
+        info = state.info
+        if info.service not in request.services or state.life in request.excluded:
             return False
         if state.load(now_s) >= request.load_below:
             return False
@@ -163,26 +293,26 @@
         load = state.load(now_s)
         score = (1.0 + load) * state.recent_latency_s(now_s) / ASSUMED_LATENCY_S + load
         if state.info.zone != self.places.zone:
-            score += OTHER_ZONE_COST
+            score += self.distances.cost_s(state.info.zone) / ASSUMED_LATENCY_S
         if state.seems_loading(now_s):
             score += LOADING_COST
-        if request.preferred == state.info.replica_id:
+        if request.preferred == state.life:
             score -= 0.15
         return score
 
     def has_faster(
-        self, replica_id: str, request: ChoiceRequest, now_s: float, share: float = MUCH_FASTER
+        self, life: ReplicaLife, request: ChoiceRequest, now_s: float, share: float = MUCH_FASTER
     ) -> bool:
         """Whether a replica that fits takes at most ``share`` of the time of the one a request is at."""
-        state = self._states.get(replica_id)
-        other = self.choose(request, now_s)
+        state = self._states.get(life)
+        other = self._best(request, now_s)
         if state is None or other is None:
             return False
         return other.recent_latency_s(now_s) < share * state.recent_latency_s(now_s)
 
-    def observe_latency(self, replica_id: str, latency_s: float, now_s: float) -> None:
+    def observe_latency(self, life: ReplicaLife, latency_s: float, now_s: float) -> None:
         """Count how long a replica took for a request, or has already taken at least."""
-        state = self._states.get(replica_id)
+        state = self._states.get(life)
         if state is None:
             return
         current = state.recent_latency_s(now_s)
@@ -190,9 +320,9 @@
         state.latency_s = current + SMOOTHING * (observed_s - current)
         state.latency_at_s = now_s
 
-    def observe_load(self, replica_id: str, occupied: int, now_s: float) -> None:
+    def observe_load(self, life: ReplicaLife, occupied: int, now_s: float) -> None:
         """Count what a replica told of its running and waiting requests."""
-        state = self._states.get(replica_id)
+        state = self._states.get(life)
         if state is not None:
             state.others = max(occupied - state.in_flight, 0)
             state.reported_s = now_s
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
+from collections.abc import Callable
 
 import msgspec
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, ItemFailed, ItemHeld, ItemSent
+from passgate.eligibility.replica_info import ReplicaLife
+from passgate.eligibility.rules import SendTerms
 from passgate.errors import (
     BackendRefused,
     ExecutionStatus,
@@ -28,11 +30,12 @@
 from passgate.jobs.checkpoint import ItemCheckpoint
 from passgate.jobs.durations import OutputDurations
 from passgate.jobs.event_stream import EventStream, KeptEvents
+from passgate.jobs.group_replicas import GroupReplicas
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardTools
 from passgate.jobs.silence import FIRST_BYTES_PATIENCE_S, StreamSilence, patience_for
 from passgate.jobs.timing import JobTiming
-from passgate.jobs.waiting import Rank, WaitingLine
+from passgate.jobs.waiting import LineName, Rank, WaitingLine
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 ROOM_STEP_S = 0.01
@@ -45,10 +48,6 @@
 """A long output moves once, to a replica that takes at most this share of the time."""
 RETRY_PAUSE_S = 0.02
 """Pause after a failed attempt, but for those that say at once that another replica will do."""
-LAST_CHANCE_PAUSE_S = (0.5, 1.5)
-"""Random pause, about the length of a run, before an item is sent that one more crash would hold.  When
-several items end replicas, all others crowd at the few that live, the causes among them; sent apart,
-9 of 180 jobs lost an item instead of 23 (8 causes, 3 replicas, 4 daemons, 15 runs)."""
 ITEM_DEADLINE_S = 30.0
 """Time for which a replica may work on one attempt."""
 FAILED, IMPOSSIBLE = 500, 422
@@ -67,8 +66,17 @@
     durations: OutputDurations
     rewards: RewardTools
     silence: StreamSilence
-    group_replica: dict[str, str]
-    """Group to the replica that read its shared prompt last."""
+    terms_for: Callable[[str, str, str | None, frozenset[str]], SendTerms]
+    """Returns what binds a request of a host, path, tenant, and regions when it was accepted."""
+    group_replicas: GroupReplicas
+
+    def terms_of(self, job: JobSpec) -> SendTerms:
+        """Return what binds the items of a job now."""
+        return self.terms_for(job.host, job.path, job.tenant, self.route.allowed_regions)
+
+    def line_of(self, job: JobSpec) -> LineName:
+        """Return the line in which items of a job wait that wait now."""
+        return LineName(model=job.model, regions=self.terms_of(job).regions)
 
     def expected_tokens(self, item: ItemSpec) -> float:
         """Return the caller's estimate of the output's length, or 0."""
@@ -110,7 +118,7 @@
         self.checkpoint = ItemCheckpoint(job.job_id, item.id, self._stream, usable)
         self._failures = 0
         self._moved_as_long = False
-        self._avoided = ""
+        self._avoided: ReplicaLife | None = None
         self._state: ReplicaState | None = None
         self._identity = self._request().identity
         self._crashes = tools.caller.crashes
@@ -121,16 +129,30 @@
         return min(kept.versions) >= self._job.min_version
 
     async def wait_for_replica(self) -> None:
-        """Wait until a replica has room for the item, and reserve the room.
-
-        The item's rank must have a place in the line.
-        """
-        line, model = self._tools.waiting, self._job.model
-        while not line.is_first(model, self._rank) or (state := self._choose()) is None:
+        """Wait in line until a replica has room for the item, and reserve the room."""
+        while (state := await self._wait_in(self._tools.line_of(self._job))) is None:
+            pass  # the configuration in force has put the item into another line
+        self._reserve(state)
+
+    async def _wait_apart(self) -> None:
+        """Wait for a replica without last chances; out of the line, as others need no such replica."""
+        while (state := self._choose()) is None:
             await asyncio.sleep(ROOM_STEP_S)
+        self._reserve(state)
+
+    def _reserve(self, state: ReplicaState) -> None:
         self._state = state
         state.in_flight += 1
-        self._crashes.placed(self._identity, state.info.replica_id)
+        self._crashes.placed(self._identity, state.life)
+
+    async def _wait_in(self, line: LineName) -> ReplicaState | None:
+        """Wait in a line for a replica with room; return None once the item belongs into another line."""
+        with self._tools.waiting.place(line, self._rank):
+            while self._tools.line_of(self._job) == line:
+                if self._tools.waiting.is_first(line, self._rank) and (state := self._choose()) is not None:
+                    return state
+                await asyncio.sleep(ROOM_STEP_S)
+        return None
 
     def release(self) -> None:
         """Give back a reserved room that was not used."""
@@ -139,20 +161,30 @@
             self._state = None
             self._crashes.left(self._identity)
 
-    def _wish(self, avoided: str) -> ChoiceRequest:
-        return ChoiceRequest(
+    def _wish(
+        self, avoided: ReplicaLife | None, spared: frozenset[ReplicaLife] = frozenset()
+    ) -> ChoiceRequest:
+        avoids = frozenset() if avoided is None else frozenset({avoided})
+        wish = ChoiceRequest(
             services=self._tools.route.services,
-            excluded=self._crashes.apart_from(self._identity) | {avoided},
+            excluded=self._crashes.apart_from(self._identity) | spared | avoids,
             model=self._job.model,
             min_version=self._job.min_version,
-            preferred=self._tools.group_replica.get(self.item.group, ""),
             load_below=FULL_LOAD,
+            terms=self._tools.terms_of(self._job),
         )
+        preferred = self._tools.group_replicas.preferred(self.item.group, wish, monotonic_s())
+        return msgspec.structs.replace(wish, preferred=preferred)
 
     def _choose(self) -> ReplicaState | None:
-        state = self._tools.replicas.choose(self._wish(self._avoided), monotonic_s())
+        replicas, now_s = self._tools.replicas, monotonic_s()
+        if spared := self._crashes.spared():
+            state = replicas.choose(self._wish(self._avoided, spared), now_s)
+            if state is not None:
+                return state
+        state = replicas.choose(self._wish(self._avoided), now_s)
         if state is None:
-            self._avoided = ""
+            self._avoided = None
         return state
 
     @property
@@ -160,14 +192,22 @@
         """Whether replicas have ended under the item, so that it must not be sent."""
         return self._crashes.is_held(self._identity)
 
+    @property
+    def waits_apart(self) -> bool:
+        """Whether replicas have ended under the item, so that it does not wait in line with others."""
+        return self.held or self._crashes.is_last_chance(self._identity)
+
     async def result(self) -> Result:
         """Run the item to its end, over as many attempts as it takes.
 
-        It needs no reserved room if it is held.
+        It needs no reserved room if it waits apart.
         """
         while True:
             if self._state is None:
                 await self._wait_again()
+            if not await self._crashes.has_place(self._identity):
+                self.release()
+                continue
             state = self._state
             assert state is not None
             self._state = None
@@ -182,15 +222,15 @@
     async def _wait_again(self) -> None:
         """Wait for a replica after an attempt, or until the item may be sent at all."""
         await self._wait_while_held()
+        if self._crashes.is_last_chance(self._identity):
+            await self._wait_apart()
+            return
         self._rank = Rank(start_s=self._rank.start_s, fresh=False, number=id(self))
-        with self._tools.waiting.place(self._job.model, self._rank):
-            await self.wait_for_replica()
+        await self.wait_for_replica()
 
     async def _wait_while_held(self) -> None:
         """Wait while the item is held; its job gives it up when the route's time for it is over."""
-        await self._crashes.settled(self._identity)
-        if self._crashes.is_last_chance(self._identity):
-            await asyncio.sleep(random.uniform(*LAST_CHANCE_PAUSE_S))
+        await self._crashes.paused(self._identity)
         if not self.held:
             return
         fingerprint = self._identity.fingerprint()
@@ -200,51 +240,51 @@
         await self._crashes.released(self._identity)
 
     async def _attempt(self, state: ReplicaState) -> Result | None:
-        replica_id = state.info.replica_id
-        self.attempts += 1
-        self.sent_s = monotonic_s()
-        self._times.sent(self.sent_s)
-        self._tools.group_replica[self.item.group] = replica_id
-        self._tools.decisions.write(
-            ItemSent(
-                job_id=self._job.job_id,
-                item_id=self.item.id,
-                replica_id=replica_id,
-                attempt=self.attempts,
-                events_kept=self._stream.count,
-            )
-        )
         try:
-            return await self._exchange(state)
+            return await self._exchange(self._open(state))
         except (BackendRefused, MovedElsewhere) as error:
-            self._note_failure(replica_id, error)
+            self._note_failure(state.life, error)
         except PassgateError as error:
-            self._note_failure(replica_id, error)
+            self._note_failure(state.life, error)
             await asyncio.sleep(RETRY_PAUSE_S)
         return None
 
-    def _note_failure(self, replica_id: str, error: PassgateError) -> None:
-        self._avoided = replica_id
+    def _note_failure(self, replica: ReplicaLife, error: PassgateError) -> None:
+        self._avoided = replica
         self._timing.failures[error.code] += 1
-        group_replica = self._tools.group_replica
-        if isinstance(error, BackendRefused) and group_replica.get(self.item.group) == replica_id:
-            del group_replica[self.item.group]
+        if isinstance(error, BackendRefused):
+            self._tools.group_replicas.refused(self.item.group, replica)
         self._tools.decisions.write(
             ItemFailed(
                 job_id=self._job.job_id,
                 item_id=self.item.id,
-                replica_id=replica_id,
+                replica_id=replica.replica_id,
                 reason=f"{error.code}: {error}",
                 events_kept=self._stream.count,
             )
         )
 
-    async def _exchange(self, state: ReplicaState) -> Result | None:
+    def _open(self, state: ReplicaState) -> ReplicaExchange:
+        """Send the item; nothing counts as sent that a rule keeps back."""
         exchange = self._tools.caller.open(state, self._request())
-        try:
-            status = await self._tools.silence.wait(
-                exchange.replica_id, exchange.head, FIRST_BYTES_PATIENCE_S
+        self.attempts += 1
+        self.sent_s = exchange.began_s
+        self._times.sent(self.sent_s)
+        self._tools.group_replicas.sent(self.item.group, exchange.life)
+        self._tools.decisions.write(
+            ItemSent(
+                job_id=self._job.job_id,
+                item_id=self.item.id,
+                replica_id=exchange.life.replica_id,
+                attempt=self.attempts,
+                events_kept=self._stream.count,
             )
+        )
+        return exchange
+
+    async def _exchange(self, exchange: ReplicaExchange) -> Result | None:
+        try:
+            status = await self._tools.silence.wait(exchange.life, exchange.head, FIRST_BYTES_PATIENCE_S)
             if status != OK:
                 return self._failed_run(status)
             self._begin(exchange)
@@ -266,11 +306,11 @@
         """Leave a replica that is much slower than another one with room."""
         if events_here < MIN_EVENTS_HERE or events_here % MIN_EVENTS_HERE:
             return
-        wish = self._wish(exchange.replica_id)
-        if self._tools.replicas.has_faster(exchange.replica_id, wish, now_s):
+        wish = self._wish(exchange.life)
+        if self._tools.replicas.has_faster(exchange.life, wish, now_s):
             raise MovedElsewhere("another replica is much faster")
         is_long = self._stream.count >= LONG_EVENTS and not self._moved_as_long
-        if is_long and self._tools.replicas.has_faster(exchange.replica_id, wish, now_s, LONG_SHARE):
+        if is_long and self._tools.replicas.has_faster(exchange.life, wish, now_s, LONG_SHARE):
             self._moved_as_long = True
             raise MovedElsewhere("another replica is faster for a long output")
 
@@ -289,6 +329,7 @@
             priority=self._priority,
             tenant=self._job.tenant,
             crash_limit=ITEM_CRASH_LIMIT,
+            terms=self._tools.terms_of(self._job),
         )
 
     @property
@@ -315,19 +356,19 @@
         self._stream.begin_attempt(version)
 
     async def _read_events(self, exchange: ReplicaExchange) -> None:
-        silence, replica_id = self._tools.silence, exchange.replica_id
+        silence, replica = self._tools.silence, exchange.life
         patience_s = FIRST_BYTES_PATIENCE_S
         event_at_s: float | None = None
         first_count = self._stream.count
         while True:
-            data = await silence.wait(replica_id, exchange.read, patience_s)
+            data = await silence.wait(replica, exchange.read, patience_s)
             if not data:
                 break
             patience_s = patience_for(exchange.usual_pause_s)
             before = self._stream.count
             self._stream.feed(data)
             now_s = monotonic_s()
-            silence.heard(replica_id, now_s)
+            silence.heard(replica, now_s)
             if self._stream.count > before:
                 self._times.events(now_s, self._stream.count - before)
             if event_at_s is not None and self._stream.count > before:
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -14,12 +14,12 @@
 from collections.abc import Callable
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, JobOwned
+from passgate.decisions import DecisionLog, ItemListed, JobFreed, JobOwned
 from passgate.jobs.fold import JobFold, JobState
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import Sign
-from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, daemon_of
-from passgate.jobs.runner import JobRunner
+from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, Result, ResultState, daemon_of
+from passgate.jobs.runner import GIVE_UP_MARGIN_S, JobRunner
 from passgate.jobs.take_over import Handed, TakeOver
 from passgate.sharedlog.tail import FRESH_S, Freshness
 
@@ -41,6 +41,10 @@
 """Random part of the wait, so that few daemons claim at once."""
 
 NEVER_S = float("-inf")
+NEVER_GIVEN_UP_S = float("inf")
+"""Time to live of a job that is listed by its runner only, however long that takes."""
+NOBODY = ""
+"""Owner of a job that any watcher may claim at once."""
 
 RunnerFactory = Callable[[JobState], JobRunner | None]
 """Makes a job's runner; None while no route fits."""
@@ -57,7 +61,18 @@
         make_runner: RunnerFactory,
         take_over: TakeOver,
         decisions: DecisionLog,
+        may_own: Callable[[JobState], bool] = lambda job: True,
+        time_to_live_s: Callable[[JobState], float] = lambda job: NEVER_GIVEN_UP_S,
     ) -> None:
+        """Begin with no runner.
+
+        ``may_own`` tells whether this daemon's region may hold a job's bodies, ``time_to_live_s``
+        after which time its items may be given up.
+        """
+        self._may_own = may_own
+        self._time_to_live_s = time_to_live_s
+        self._given_up: set[str] = set()
+        """Jobs whose items without a result were put on the log as dead."""
         self._fold = fold
         self._journal = journal
         self._freshness = freshness
@@ -112,19 +127,58 @@
         """
         now_s = monotonic_s()
         self.start_runners()
-        for job in [job for job in self._fold.jobs.values() if job.open and job.owner != self.me]:
-            if not self.stopping and self._may_claim(job, watching, now_s):
+        for job in [job for job in self._fold.jobs.values() if job.open]:
+            if job.owner == self.me:
+                if self._only_to_give_up(job, now_s):
+                    self._give_up(job, now_s)
+                else:
+                    self._free_if_barred(job)
+            elif not self.stopping and self._may_claim(job, watching, now_s):
                 self._claim(job, now_s)
         self._stop_runners()
+        self._given_up.intersection_update(self._fold.jobs)
         if self._runners:
             self._journal.renew()
 
     def start_runners(self) -> None:
         """Run the open jobs that this daemon owns; called also as soon as records were read."""
         for job in [job for job in self._fold.jobs.values() if job.open and job.owner == self.me]:
-            if not self._is_handed_over(job.job_id):
+            if not self._is_handed_over(job.job_id) and self._may_run(job):
                 self._ensure_runner(job)
 
+    def _may_run(self, job: JobState) -> bool:
+        """Whether this daemon may own a job and has its bodies."""
+        return self._may_own(job) and job.bound is None
+
+    def _only_to_give_up(self, job: JobState, now_s: float) -> bool:
+        """Whether a job that can't be run here is so old that its items are given up, without its bodies."""
+        age_s = now_s - job.folded_s
+        return not self._may_run(job) and age_s > self._time_to_live_s(job) + GIVE_UP_MARGIN_S
+
+    def _give_up(self, job: JobState, now_s: float) -> None:
+        """List what has no result as dead, once; whoever may run the job has not done so in time."""
+        if job.job_id in self._given_up:
+            return
+        self._given_up.add(job.job_id)
+        dead = tuple(
+            Result(item_id=item_id, state=ResultState.DEAD)
+            for item_id in sorted(job.item_ids - job.listed.keys())
+        )
+        elapsed_ms = round((now_s - job.folded_s) * 1000, 1)
+        for result in dead:
+            self._journal.put(ItemsDone(job_id=job.job_id, results=(result,)))
+            self._decisions.write(
+                ItemListed(
+                    job_id=job.job_id,
+                    item_id=result.item_id,
+                    state=result.state.value,
+                    versions=result.versions,
+                    attempts=0,
+                    elapsed_ms=elapsed_ms,
+                    scored=False,
+                )
+            )
+
     def _is_handed_over(self, job_id: str) -> bool:
         """Whether another daemon may have claimed a job, which is not known while the log is away."""
         handed_over_s = self._handed_over_s.get(job_id)
@@ -139,6 +193,8 @@
     def _may_claim(self, job: JobState, watching: bool, now_s: float) -> bool:
         if job.job_id in self._claiming or self._freshness.age_s(now_s) >= FRESH_S:
             return False
+        if not self._may_run(job) and not self._only_to_give_up(job, now_s):
+            return False
         patience_s = 0.0 if watching else BYSTANDER_S + random.random()
         if not job.owner:
             return now_s - job.freed_s >= patience_s
@@ -195,6 +251,16 @@
             )
         )
 
+    def _free_if_barred(self, job: JobState) -> None:
+        """Leave a job to others once a changed configuration keeps it from this daemon's region."""
+        if self._may_own(job) or job.job_id in self._claiming:
+            return
+        self._claiming.add(job.job_id)
+        freed = JobClaimed(job_id=job.job_id, owner=NOBODY, epoch=job.epoch + 1)
+        stands = self._journal.put(freed)
+        stands.add_done_callback(lambda _: self._claiming.discard(job.job_id))
+        self._decisions.write(JobFreed(job_id=job.job_id, epoch=job.epoch + 1))
+
     def _ensure_runner(self, job: JobState) -> None:
         if job.job_id in self._runners:
             return
@@ -208,7 +274,7 @@
     def _stop_runners(self) -> None:
         for job_id, (runner, task) in list(self._runners.items()):
             job = self._fold.jobs.get(job_id)
-            if job is None or not job.open or job.owner != self.me:
+            if job is None or not job.open or job.owner != self.me or not self._may_own(job):
                 runner.save()
                 task.cancel()
                 del self._runners[job_id]
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -62,8 +62,7 @@
             checkpoints = tasks.create_task(self._checkpoint_often())
             async with asyncio.TaskGroup() as items:
                 for rank, item in self._in_order():
-                    with self._tools.waiting.place(self._spec.model, rank):
-                        await self._start(item, rank, items)
+                    await self._start(item, rank, items)
             checkpoints.cancel()
 
     def _give_up(self) -> None:
@@ -111,7 +110,7 @@
             return
         kept = self._fold.kept.get(self._key(item.id))
         run = ItemRun(self._spec, item, self._tools, kept, rank, self._timing)
-        if not run.held:
+        if not run.waits_apart:
             await run.wait_for_replica()
         task = items.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release())
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import base64
+import ipaddress
 import logging
+import math
+from typing import Annotated
 
 import msgspec
 
 from passgate.eligibility.replica_info import ReplicaInfo
-from passgate.errors import ExecutionStatus, MalformedBody
+from passgate.errors import ExecutionStatus, InvalidConfiguration, MalformedBody
 from passgate.gateway.access import Caller, Tenant, scoped_id
 from passgate.gateway.routes import (
     ColdStart,
@@ -22,6 +25,7 @@
 )
 from passgate.jobs.reader import ResultPage
 from passgate.jobs.records import ItemSpec, JobSpec, RewardSpec
+from passgate.platform import names
 from passgate.versions.loader import ReplicaReport
 
 logger = logging.getLogger("passgate.platform")
@@ -33,7 +37,13 @@
     "streaming": RouteKind.STREAMING,
     "rollout": RouteKind.BATCH,
 }
-DRAINING = "draining"
+READY, DRAINING = "ready", "draining"
+"""States of a replica that names itself; any other state names no replica to use."""
+MOST_SLOTS = 1_000_000
+"""Slots from which on an entry is taken for a mistake; replicas work on some 10 to 100 requests at once."""
+MOST_PORTS = 65_535
+MOST_MS = 2**53
+"""Milliseconds that every reader of JSON holds exactly."""
 
 # ruff: noqa: N815  (field names are the platform's)
 
@@ -106,15 +116,15 @@
 
 
 class _Replica(msgspec.Struct, frozen=True):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+    state: str
     spot: bool = False
     models: list[_Model] = []
-    born: int = 0
-    coldRemainingMs: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MOST_MS)] = 0
+    coldRemainingMs: float = 0.0
 
 
 class _NamedVersion(msgspec.Struct, frozen=True):
@@ -126,6 +136,7 @@
     seq: int = 0
     busy: bool = False
     models: list[_Model] = []
+    born: int = 0
 
 
 class _Scorer(msgspec.Struct, frozen=True):
@@ -227,8 +238,17 @@
 
 
 def decode_replica(replica_id: str, data: bytes) -> ReplicaInfo:
-    """Return the replica of a discovery entry; raises msgspec.DecodeError."""
+    """Return the replica of a discovery entry; raises msgspec.DecodeError if it names none to use.
+
+    Entries may come from other writers: each field that requests depend on has to be there, of its
+    type, and of a known state.
+    """
     replica = msgspec.json.decode(data, type=_Replica)
+    if not replica_id:
+        raise msgspec.ValidationError("an entry without identifier")
+    if replica.state not in (READY, DRAINING):
+        raise msgspec.ValidationError(f"unknown state {replica.state!r}")
+    _check_address(replica.address)
     return ReplicaInfo(
         replica_id=replica_id,
         service=replica.service,
@@ -239,16 +259,39 @@
         spot=replica.spot,
         model_versions={model.name: model.version for model in replica.models},
         born_unix_ms=replica.born,
-        cold_ms=max(replica.coldRemainingMs, 0),
+        cold_ms=math.ceil(max(replica.coldRemainingMs, 0.0)),
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise msgspec.ValidationError unless an address is ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError as error:
+        raise msgspec.ValidationError(f"no address: {address!r}") from error
+    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MOST_PORTS):
+        raise msgspec.ValidationError(f"no port: {address!r}")
+
+
 def decode_version(data: bytes) -> tuple[str, int]:
     """Return the model and the version that a trainer named."""
     named = msgspec.json.decode(data, type=_NamedVersion)
     return named.model, named.version
 
 
+def evacuated_zone(key: str) -> str:
+    """Return the zone that a key of the operator's topic evacuates; raises InvalidConfiguration.
+
+    >>> evacuated_zone("evacuate/a1")
+    'a1'
+    """
+    zone = key.removeprefix(names.EVACUATION_KEY_PREFIX)
+    if not zone:
+        raise InvalidConfiguration("an evacuation names no zone", key=key)
+    return zone
+
+
 def decode_report(data: bytes) -> ReplicaReport:
     """Return a replica's report of itself."""
     report = msgspec.json.decode(data, type=_Report)
@@ -256,6 +299,7 @@
         orders_taken=report.seq,
         busy=report.busy,
         model_versions={model.name: model.version for model in report.models},
+        born_unix_ms=report.born,
     )
 
 
--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -10,11 +10,12 @@
 import contextlib
 import logging
 import random
+from collections.abc import Callable
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PartitionsHeld
 from passgate.errors import LogError
-from passgate.sharedlog.candidacy import Candidacy
+from passgate.sharedlog.candidacy import AMPLE_CORES, Candidacy
 from passgate.sharedlog.hedge import hedged
 from passgate.sharedlog.log import GroupPartition, GroupShare, SharedLog
 
@@ -38,6 +39,8 @@
 """Time between reads of the list, so that it is known when the log falls silent."""
 RETRY_S = 1.0
 """Time after a failed read of the list before the next."""
+KEEP_KNOWN_S = 10.0
+"""Time between reads of the lists of other zones, which are needed only when the own zone is cut off."""
 PATIENCE_S = 0.3
 """Longest time that a caller waits for the list; then the one known before must do."""
 
@@ -193,3 +196,66 @@
             if members.get(partition) != member:
                 self._earlier[partition] = member
         self._members = members
+
+
+class OtherZones:
+    """Members of the groups of other zones, each read when it is asked for."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        watch_group: str,
+        topic: str,
+        nearest_first: Callable[[], list[str]],
+        kept_known: Callable[[], list[str]] = list,
+    ) -> None:
+        """Begin without any.
+
+        Args:
+            log: the log.
+            watch_group: name of the groups; that of a zone has the zone's name after a dot.
+            topic: topic whose partitions they deal.
+            nearest_first: returns the other zones, the nearest first.
+            kept_known: returns the zones whose members are known also once the log falls silent.
+        """
+        self._kept_known = kept_known
+        self._log = log
+        self._watch_group = watch_group
+        self._topic = topic
+        self._nearest_first = nearest_first
+        self._directories: dict[str, GroupDirectory] = {}
+
+    def nearest_first(self) -> list[tuple[str, GroupDirectory]]:
+        """Return the other zones and who their members are, the nearest first."""
+        return [(zone, self._directory(zone)) for zone in self._nearest_first()]
+
+    def known_members(self) -> list[tuple[str, str]]:
+        """Return zones and members that are known without asking the log, nearest zones first.
+
+        Which zones are the nearest may have changed since their members were read.
+        """
+        zones = [
+            (zone, self._directories[zone]) for zone in self._nearest_first() if zone in self._directories
+        ]
+        return [(zone, member) for zone, directory in zones for member in directory.others("")]
+
+    async def keep_known(self) -> None:
+        """Keep the members of some zones known, until cancelled; there may be no such zone."""
+        while zones := self._kept_known():
+            for zone in zones:
+                await self._directory(zone).member_of(0)
+            all_known = all(self._directory(zone).others("") for zone in zones)
+            await asyncio.sleep(KEEP_KNOWN_S if all_known else RETRY_S)
+
+    def _directory(self, zone: str) -> GroupDirectory:
+        known = self._directories.get(zone)
+        if known is None:
+            group = group_of_zone(self._watch_group, zone)
+            known = GroupDirectory(self._log, group, self._topic, Candidacy(AMPLE_CORES))
+            self._directories[zone] = known
+        return known
+
+
+def group_of_zone(watch_group: str, zone: str) -> str:
+    """Return the group whose members watch partitions for a zone."""
+    return f"{watch_group}.{zone}"
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -86,7 +86,10 @@
 
     def put(self, topic, key, value):
         """Write a key of a keyed topic; an empty value drops it."""
-        data = json.dumps(value).encode() if value is not None else b""
+        self.put_bytes(topic, key, json.dumps(value).encode() if value is not None else b"")
+
+    def put_bytes(self, topic, key, data):
+        """Write a key of a keyed topic as another writer may, with any bytes."""
         self.partition(topic).append([bytes([len(key)]) + key.encode() + data])
 
     def newest(self, topic):
@@ -266,8 +269,23 @@
 class Replica:
     """One replica of a service; streams on ``/stream``-paths, plain answers elsewhere."""
 
-    def __init__(self, log, replica_id, service, *, zone="a", slots=8, models=(), work_s=0.01, event_s=0.01):
+    def __init__(
+        self,
+        log,
+        replica_id,
+        service,
+        *,
+        zone="a",
+        slots=8,
+        models=(),
+        work_s=0.01,
+        event_s=0.01,
+        cold_ms=0,
+        born=0,
+    ):
         self.log = log
+        self.born = born
+        """Moment of its start in Unix milliseconds; with 0 it tells none, and identifiers are used once."""
         self.replica_id = replica_id
         self.service = service
         self.zone = zone
@@ -283,11 +301,14 @@
         self.busy = False
         self.running = 0
         self.draining = False
+        self.cold_ms = cold_ms
         self.server = None
         self.address = ""
         self.beating = None
         self.crash_on = lambda request: False
         """Whether a request ends this replica while it runs; the replica then is down until restarted."""
+        self.crash_on_load = lambda model, version: False
+        """Whether the load of a version ends this replica."""
         self.work_of = lambda request: self.work_s
         """Time that a plain request takes."""
         self.ended = False
@@ -310,8 +331,12 @@
             "slots": self.slots,
             "state": "draining" if self.draining else "ready",
             "models": [{"name": name, "version": version} for name, version in self.versions.items()],
+            "coldRemainingMs": self.cold_ms,
         }
-        self.log.put("keyed.servers", self.replica_id, entry)
+        self.log.put("keyed.servers", self.replica_id, entry | self.told_of_its_start())
+
+    def told_of_its_start(self):
+        return {"born": self.born} if self.born else {}
 
     async def crash(self):
         """End without a word; the entry goes."""
@@ -339,6 +364,9 @@
     async def load(self, model, version):
         self.busy = True
         await asyncio.sleep(0.1)
+        if self.crash_on_load(model, version):
+            self.end()
+            return
         self.versions[model] = version
         self.busy = False
         self.tell()
@@ -372,7 +400,8 @@
     async def get(self):
         if self.request.path == "/-/report":
             models = [{"name": name, "version": version} for name, version in self.replica.versions.items()]
-            self.finish({"seq": self.replica.orders_taken, "busy": self.replica.busy, "models": models})
+            report = {"seq": self.replica.orders_taken, "busy": self.replica.busy, "models": models}
+            self.finish(report | self.replica.told_of_its_start())
             return
         await self.post()
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,8 +6,9 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
 
-from passgate.daemon.gateway_daemon import make_http_client
+from passgate.daemon.http_client import make_http_client
 from tests import platform_stand_ins as stand_ins
 from tests.duty_stand_in import DutyEndpoint
 from tests.soak.processes import DaemonProcess, Ports
@@ -19,8 +20,12 @@
 OTHER_KEY = "key-m1"
 MODEL = "m"
 APP_REPLICAS, MODEL_REPLICAS = 3, 5
+ZONES = ("a", "b")
+"""Zones of the replicas, dealt in turn; only the last is evacuated."""
 BACK_AFTER_S = (0.5, 1.5)
 """Time for which a replica is away that a request has ended."""
+SAME_ID_SHARE = 0.5
+"""Share of the replicas that start again under the identifier that they had."""
 CRASHING_CALLS = (b"crash 1", b"crash 2")
 """Bodies of calls that end each replica that begins them."""
 CRASHING_ITEMS = "crash-item"
@@ -35,6 +40,15 @@
     return request.body in CRASHING_CALLS or request.body.startswith(stand_ins.item_body(CRASHING_ITEMS))
 
 
+@dataclass
+class Evacuation:
+    """One time for which nothing was to be sent to a zone."""
+
+    zone: str
+    began_s: float
+    ended_s: float = float("inf")
+
+
 class World:
     """All parts of a run."""
 
@@ -55,6 +69,7 @@
         """Replicas that have ended or left; their runs are judged too."""
         self.leaving_s = {}
         """When a replica said that it leaves."""
+        self.evacuations = []
         self.version = self.config_version = 1
         self.number = 0
         self.stopping = False
@@ -78,8 +93,9 @@
         return self.random.choice(self.daemons)
 
     async def start(self):
-        for service in ["app"] * APP_REPLICAS + ["llm"] * MODEL_REPLICAS:
-            self.add_replica(service)
+        for service, count in (("app", APP_REPLICAS), ("llm", MODEL_REPLICAS)):
+            for number in range(count):
+                self.add_replica(service, ZONES[number % len(ZONES)])
         self.configure()
         for daemon in self.daemons:
             await daemon.start()
@@ -95,10 +111,17 @@
 
     # --- replicas ----------------------------------------------------------------
 
-    def add_replica(self, service, port=0):
+    def add_replica(self, service, zone, port=0, replica_id=""):
         models = {MODEL: self.version} if service == "llm" else {}
         replica = stand_ins.Replica(
-            self.log, f"i-{self.next_number()}", service, slots=8, models=models.items(), work_s=0.02
+            self.log,
+            replica_id or f"i-{self.next_number()}",
+            service,
+            zone=zone,
+            slots=8,
+            models=models.items(),
+            work_s=0.02,
+            born=time.time_ns() // 1_000_000,
         )
         replica.crash_on = ends_replicas
         replica.on_end = self._note_end
@@ -115,9 +138,15 @@
     async def _restart(self, replica):
         stays = self.retire(replica)
         await asyncio.sleep(self.random.uniform(*BACK_AFTER_S))
+        port = int(replica.address.rpartition(":")[2])
+        if stays and self.random.random() < SAME_ID_SHARE:
+            self.note("replica started again under its identifier")
+            self.add_replica(replica.service, port, replica.replica_id)
+            return
         self.log.put("keyed.servers", replica.replica_id, None)
         if stays:
-            self.add_replica(replica.service, port=int(replica.address.rpartition(":")[2]))
+            port = int(replica.address.rpartition(":")[2])
+            self.add_replica(replica.service, replica.zone, port)
 
     def retire(self, replica):
         """Count a replica among those that are gone; return False if it already was."""
@@ -143,6 +172,18 @@
         document = stand_ins.config_document(self.config_version, routes, ["app", "llm"], tenants)
         self.log.put("keyed.op", "config", document)
 
+    def evacuate(self):
+        """Begin an evacuation; return it, or None while one stands."""
+        if self.evacuations and self.evacuations[-1].ended_s == float("inf"):
+            return None
+        self.evacuations.append(Evacuation(ZONES[-1], time.monotonic()))
+        self.log.put("keyed.op", f"evacuate/{ZONES[-1]}", {})
+        return self.evacuations[-1]
+
+    def end_evacuation(self, evacuation):
+        evacuation.ended_s = time.monotonic()
+        self.log.put("keyed.op", f"evacuate/{evacuation.zone}", None)
+
     def name_version(self):
         self.version += 1
         self.log.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": self.version})
