--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -48,13 +48,10 @@
     "log_unavailable": "the log refused or could not be reached; the job never runs",
     "durability_unknown": "the answer of the log was lost; the job may run",
     "malformed_body": "the body is no batch job",
-<<<<<<< HEAD
     "backend_refused": "the replica was full or loading",
     "replica_replaced": "another replica listens at the address of the one that was asked",
-=======
-    "backend_refused": "the replica was full, loading or another one",
-    "send_forbidden": "nothing was sent: the replica leaves, or its zone is evacuated",
->>>>>>> part-evacuation
+    "send_forbidden": "nothing was sent: the replica leaves, or a rule keeps requests from it",
+    "send_too_late": "nothing was sent: the permit for a cold replica ran out while the connection opened",
     "incomplete_answer": "the stream broke off or fell silent",
     "version_too_old": "the replica's weights were older than the job allows",
     "moved_elsewhere": "another replica was much faster",
