--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -14,7 +14,10 @@
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s
 from passgate.daemon.cold_sending import ColdSending
+from passgate.daemon.control_topic import make_control_topic
+from passgate.daemon.job_partitions import make_shards
 from passgate.daemon.planned_stop import RELEASE_WAIT_S, PlannedStop
+from passgate.daemon.replica_rules import make_replicas
 from passgate.daemon.runners import RunnerMaker
 from passgate.daemon.topics import LogTopics
 from passgate.decisions import (
@@ -31,10 +34,7 @@
 from passgate.duties.calls import DutyCalls
 from passgate.duties.folds import DutyFolds
 from passgate.duties.service import Duties
-from passgate.duties.usage_channel import CONTROL_PART
-from passgate.eligibility.evacuation import EvacuatedZones, EvacuationRule
-from passgate.eligibility.known_service import KnownServiceRule
-from passgate.eligibility.regions import RegionRule
+from passgate.eligibility.evacuation import EvacuatedZones
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.configuration_peers import CONFIGURATION_METHOD, ConfigurationPeers
 from passgate.gateway.dialect import HeaderNames
@@ -42,17 +42,12 @@
 from passgate.gateway.ingress import Handler, Ingress, probe_handler
 from passgate.gateway.metrics import GatewayMetrics
 from passgate.gateway.replica_call import ReplicaCaller
-from passgate.gateway.replicas import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
 from passgate.gateway.stream_forwarder import StreamForwarder
-from passgate.jobs.bound_bodies import BoundBodies
-from passgate.jobs.journal import Journal
-from passgate.jobs.liveness import Liveness
 from passgate.jobs.peers import JobPeers
 from passgate.jobs.records import writer_name
 from passgate.jobs.service import JobService
-from passgate.jobs.shards import JobShards, ShardSettings
 from passgate.peers.transport import PeerTransport
 from passgate.quarantine.peers import CRASH_REPORTS_METHOD, CrashPeers
 from passgate.quarantine.service import Crashes
@@ -63,7 +58,6 @@
 from passgate.sharedlog.member_names import member_name
 from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
 from passgate.statecharts import Machine
-from passgate.versions.control import ControlTopic
 from passgate.versions.loader import Loader, ReplicaControl, WantedVersions, read_life
 
 WATCH_S = 0.1
@@ -72,8 +66,6 @@
 """Time between writes of decision lines."""
 LOG_LOST_S = 2.5
 """Age of the view of the log from which it counts as lost: two long polls and a half."""
-LEADING_PARTS = 3
-"""Daemons that watch one of the first partitions may lead: so many in each zone."""
 RELAYING_PART = 0
 """The daemon of a zone that watches this partition relays a long list of replicas."""
 CONFIGURED_STEP_S = 0.05
@@ -105,13 +97,8 @@
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         log = CountedLog(log, self.metrics.count_log_call)
         self.config = ConfigHolder(settings.places)
-        self.replicas = ReplicaTable(settings.places)
-        self.replicas.rules.add(RegionRule(settings.places, self.metrics.count_region_send))
         self.evacuated = EvacuatedZones(self.decisions)
-        self.evacuated.on_ended.append(lambda zone: self.replicas.turned_cold(zone, monotonic_s()))
-        self.replicas.rules.add(EvacuationRule(self.evacuated))
-        self.metrics.show_kept_back(self.replicas.rules.kept_back)
-        self.replicas.rules.add(KnownServiceRule(self.config.names_service))
+        self.replicas = make_replicas(settings, self.config, self.evacuated, self.metrics)
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -147,32 +134,9 @@
             log, topics.watch_group, topics.jobs, distances.nearest_first, distances.fallback_zones
         )
         job_peers = JobPeers(peers, self._directory, member, self.decisions, distances, self._elsewhere)
-        journal = Journal(
-            log,
-            topics.control,
-            0,
-            writer,
-            record_bytes=settings.max_record_bytes,
-            append_bytes=settings.max_append_bytes,
-        )
         self._duty_folds = duty_folds = DutyFolds()
-        self._control = ControlTopic(
-            log,
-            topics.control,
-            journal,
-            lambda: any(part < LEADING_PARTS for part in self._member.held()),
-            self.decisions,
-            lease_s=settings.lease_s,
-            folds=(duty_folds,),
-            sign_of=Liveness(lambda writer: job_peers.life_at(writer, CONTROL_PART)).sign_of,
-        )
-        shard_settings = ShardSettings(
-            topic=topics.jobs,
-            parts=settings.log_parts,
-            writer=writer,
-            record_bytes=settings.max_record_bytes,
-            append_bytes=settings.max_append_bytes,
-            retention_s=settings.job_retention_s,
+        self._control = make_control_topic(
+            log, settings, topics, writer, self._member, job_peers, duty_folds, self.decisions
         )
         self._duties: Duties | None = None
         if settings.duties is not None and duty_calls is not None:
@@ -216,26 +180,20 @@
         self.stream_forwarder = StreamForwarder(
             caller, self.replicas, names, self.decisions, self.config, meter
         )
-        self.shards = JobShards(
+        self.shards = make_shards(
             log,
-            shard_settings,
-            self._member.held,
-            runners.make,
+            settings,
+            topics,
+            writer,
+            self.config,
+            self._member,
+            candidacy,
+            runners,
             job_peers,
             self.decisions,
-            may_own_new=lambda: candidacy.wanted,
-            log_answers=self._member.answered,
-            bodies=BoundBodies(
-                log,
-                self.config.terms_for,
-                settings.places,
-                shard_settings,
-                self.decisions,
-                self.config.item_time_to_live_s,
-            ),
         )
         self.jobs = JobService(
-            self.shards, job_peers, journal, self.wanted.newest, self._log_age_s, self.decisions
+            self.shards, job_peers, self._control.journal, self.wanted.newest, self._log_age_s, self.decisions
         )
         self._loader = Loader(
             self.wanted,
--- /dev/null
+++ b/passgate/daemon/job_partitions.py
@@ -0,0 +1,65 @@
+"""The partitions of batch jobs of one daemon, put together from its settings."""
+
+from __future__ import annotations
+
+from passgate.daemon.runners import RunnerMaker
+from passgate.daemon.topics import LogTopics
+from passgate.decisions import DecisionLog
+from passgate.gateway.routes import ConfigHolder
+from passgate.gateway.settings import GatewaySettings
+from passgate.jobs.bound_bodies import BoundBodies
+from passgate.jobs.peers import JobPeers
+from passgate.jobs.shards import JobShards, ShardSettings
+from passgate.sharedlog.candidacy import Candidacy
+from passgate.sharedlog.group import GroupMember
+from passgate.sharedlog.log import SharedLog
+
+
+def make_shards(
+    log: SharedLog,
+    settings: GatewaySettings,
+    topics: LogTopics,
+    writer: str,
+    config: ConfigHolder,
+    member: GroupMember,
+    candidacy: Candidacy,
+    runners: RunnerMaker,
+    peers: JobPeers,
+    decisions: DecisionLog,
+) -> JobShards:
+    """Return the partitions; none is followed before they run.
+
+    Args:
+        log: keeps the jobs.
+        settings: the daemon's settings.
+        topics: names of the topics.
+        writer: name of the daemon's present life on the log.
+        config: the configuration in force.
+        member: the daemon's membership in the group that watches partitions.
+        candidacy: whether the machine is large enough for jobs that no watcher takes.
+        runners: makes the runners of jobs.
+        peers: asks other daemons about jobs.
+        decisions: where decisions are noted.
+    """
+    shard_settings = ShardSettings(
+        topic=topics.jobs,
+        parts=settings.log_parts,
+        writer=writer,
+        record_bytes=settings.max_record_bytes,
+        append_bytes=settings.max_append_bytes,
+        retention_s=settings.job_retention_s,
+    )
+    bodies = BoundBodies(
+        log, config.terms_for, settings.places, shard_settings, decisions, config.item_time_to_live_s
+    )
+    return JobShards(
+        log,
+        shard_settings,
+        member.held,
+        runners.make,
+        peers,
+        decisions,
+        may_own_new=lambda: candidacy.wanted,
+        log_answers=member.answered,
+        bodies=bodies,
+    )
