Read bodies that fail ever more rarely, give foreign ones up; bound waits; keep time-outs in one region

Cause, found by review: bodies that can't be read were asked for five times a second for ever, and a wrong number of them without a line; waits for room were kept for each model that a caller named; slow connections raised time-outs where there is one region. Figures: 20 s of unreadable bodies now cost under 20 reads; tests fail without the changes.

--- a/passgate/gateway/distance.py
+++ b/passgate/gateway/distance.py
@@ -116,5 +116,7 @@
             floor_s: shortest wait, right where the way takes almost no time.
             zone: zone of the daemon; without it, the farthest zone counts.
         """
+        if not self.several_regions:
+            return floor_s
         zones = [zone] if zone is not None else [self.places.zone, *self.places.regions]
         return max(floor_s, max(map(self.round_trip_s, zones)) + MARGIN_S)
--- a/passgate/gateway/spill.py
+++ b/passgate/gateway/spill.py
@@ -35,6 +35,10 @@
     return gain_s / (gain_s + max(way_s, LEAST_SHARE_WAY_S))
 
 
+MOST_WAITS = 256
+"""Waits kept before those that are over are dropped; callers name the models that a kind holds."""
+
+
 class HomeFull:
     """Since when no replica of the own region has had room, for each kind of request."""
 
@@ -52,4 +56,9 @@
         if now_s - looked_s > AGE_OUT_S:
             since_s = now_s
         self._since_s[kind] = (since_s, now_s)
+        if len(self._since_s) > MOST_WAITS:
+            self._drop_ended(now_s)
         return now_s - since_s >= way_s
+
+    def _drop_ended(self, now_s: float) -> None:
+        self._since_s = {kind: wait for kind, wait in self._since_s.items() if now_s - wait[1] <= AGE_OUT_S}
--- a/passgate/jobs/bound_bodies.py
+++ b/passgate/jobs/bound_bodies.py
@@ -49,7 +49,9 @@
 logger = logging.getLogger("passgate.jobs")
 
 RETRY_PAUSE_S = 0.1
-"""Pause after a failed call; a calm log answers within 0.03 s."""
+"""Pause after the first failed call; a calm log answers within 0.03 s."""
+MAX_PAUSE_S = 2.0
+"""Longest pause between reads of bodies that fail: a piece may never become readable."""
 PIECE_SHARE = 0.5
 """Share of a record's limit that one piece fills; its base64 form is a third longer."""
 
@@ -208,12 +210,14 @@
 class BodiesReader:
     """Reads the bodies of the bound jobs of one partition, each once."""
 
-    def __init__(self, bodies: BoundBodies, take: Callable[[str, Sequence[ItemBodies]], None]) -> None:
-        """Make the reader; ``take`` gets a job's identifier and its bodies."""
+    def __init__(self, bodies: BoundBodies, take: Callable[[str, Sequence[ItemBodies]], bool]) -> None:
+        """Make the reader; ``take`` gets a job's identifier and its bodies, and returns whether they fit."""
         self._bodies = bodies
         self._take = take
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._lost: set[str] = set()
+        self._pauses_s: dict[str, float] = {}
+        """Pause after the next failure, of jobs whose bodies could not be read."""
 
     def want(self, job: BoundJob) -> asyncio.Task[None] | None:
         """Begin to read a job's bodies, unless this daemon may not hold them or they are gone."""
@@ -231,20 +235,27 @@
         try:
             bodies = await self._bodies.read(job.place)
         except HistoryGone as error:
-            self._lost.add(job.job_id)
-            self._bodies.decisions.write(JobBodiesLost(job_id=job.job_id, reason=str(error)))
+            self._give_up(job, str(error))
         except LogError as error:
             logger.info("bodies_read_failed", extra={"error": str(error), "code": error.code})
-            await asyncio.sleep(RETRY_PAUSE_S)
+            pause_s = self._pauses_s.get(job.job_id, RETRY_PAUSE_S)
+            self._pauses_s[job.job_id] = min(pause_s * 2.0, MAX_PAUSE_S)
+            await asyncio.sleep(pause_s)
         except (msgspec.DecodeError, zlib.error) as error:
-            self._lost.add(job.job_id)
-            self._bodies.decisions.write(JobBodiesLost(job_id=job.job_id, reason=str(error)))
+            self._give_up(job, str(error))
         else:
-            self._take(job.job_id, bodies)
+            self._pauses_s.pop(job.job_id, None)
+            if not self._take(job.job_id, bodies):
+                self._give_up(job, "their number is not that of the items")
+
+    def _give_up(self, job: BoundJob, reason: str) -> None:
+        self._lost.add(job.job_id)
+        self._bodies.decisions.write(JobBodiesLost(job_id=job.job_id, reason=reason))
 
     def forget_all_but(self, job_ids: Collection[str]) -> None:
         """Keep nothing of jobs that are not among these."""
         self._lost = {job_id for job_id in self._lost if job_id in job_ids}
+        self._pauses_s = {key: pause_s for key, pause_s in self._pauses_s.items() if key in job_ids}
 
     def close(self) -> None:
         """Read nothing any more."""
--- a/passgate/jobs/fold.py
+++ b/passgate/jobs/fold.py
@@ -258,11 +258,15 @@
         if job is not None:
             job.ended = True
 
-    def take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> None:
-        """Take the bodies of a job that stand apart from it."""
+    def take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> bool:
+        """Take the bodies of a job that stand apart from it; return False when they are not its own."""
         job = self.jobs.get(job_id)
-        if job is not None and len(bodies) == job.total:
-            job.bodies = tuple(bodies)
+        if job is None:
+            return True
+        if len(bodies) != job.total:
+            return False
+        job.bodies = tuple(bodies)
+        return True
 
     def any_open(self) -> bool:
         """Whether items of any job are still to be run."""
--- a/tests/test_jobs_regions.py
+++ b/tests/test_jobs_regions.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
+from passgate.eligibility.places import Places
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import DurabilityUnknown, LogUnavailable, NoRegionAllowed, NotReady
+from passgate.gateway.distance import WINDOW_S, Distances
 from passgate.gateway.routes import ITEM_TIME_TO_LIVE_S, ConfigHolder, GatewayConfig, Route, RoutePart
-from passgate.jobs.bound_bodies import topic_of
+from passgate.jobs.bound_bodies import BodiesReader, BoundJob, topic_of
 from passgate.jobs.reader import find_job
-from passgate.jobs.records import ResultState, RewardSpec
+from passgate.jobs.records import BodiesPlace, ItemBodies, ResultState, RewardSpec
 from passgate.jobs.runner import GIVE_UP_MARGIN_S
 from passgate.sharedlog.group import REFRESH_S
 from tests.job_daemons import HOST, TAKEN_OVER_SOON_S, Daemon, by_name, job_spec, networks, settle
@@ -259,3 +262,40 @@
     assert job.results[: len(listed)] == listed and not job.open
     assert {result.state for result in job.results[len(listed) :]} == {ResultState.DEAD}
     assert not any(daemon.shards.running for daemon in fleet.daemons)
+
+
+def test_bodies_that_can_not_be_read_are_asked_for_ever_more_rarely_and_foreign_ones_are_given_up():
+    async def main():
+        reads, lost = [], []
+        bodies = SimpleNamespace(
+            may_hold=lambda *names: True, decisions=SimpleNamespace(write=lost.append), read=None
+        )
+        reader = BodiesReader(bodies, take=lambda job_id, found: len(found) == 1)
+        place = BodiesPlace(topic="t", part=0, first=0, last=0, nonce="n")
+        job = BoundJob(job_id="j", host="h", path="/p/", tenant=None, place=place)
+
+        async def unreadable(where):
+            reads.append(monotonic_s())
+            raise LogUnavailable("not all pieces of the bodies can be read")
+
+        async def foreign(where):
+            return (ItemBodies(b"one"), ItemBodies(b"two"))
+
+        bodies.read = unreadable
+        until_s = monotonic_s() + 20.0
+        while monotonic_s() < until_s:
+            await reader.want(job)
+        assert len(reads) < 20 and not lost
+        bodies.read = foreign
+        await reader.want(job)
+        assert [event.job_id for event in lost] == ["j"]
+        assert reader.want(job) is None
+
+    run_virtual(main())
+
+
+def test_time_outs_stay_as_they_are_where_there_is_one_region():
+    distances = Distances(Places(zone="a1", regions={"a1": "a", "a2": "a"}))
+    for step in range(10):
+        distances.observe("a2", 3.0, WINDOW_S * step)
+    assert distances.patience_s(0.1) == distances.patience_s(0.1, "a2") == 0.1
