--- a/passgate/eligibility/permit_peers.py
+++ b/passgate/eligibility/permit_peers.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections import deque
 from collections.abc import Awaitable, Callable
 
@@ -23,6 +24,8 @@
 from passgate.peers.transport import PeerTransport
 from passgate.sharedlog.member_names import address_of
 
+logger = logging.getLogger("passgate.eligibility")
+
 PERMITS_METHOD = "cold.permits"
 ANSWER_S = PERMIT_LIFE_S * 0.8
 """Time for an answer; permits that come later have all but run out."""
@@ -151,8 +154,11 @@
                 payload = msgspec.json.encode(question)
                 reply = await self._transport.call(address, PERMITS_METHOD, payload, ANSWER_S)
                 answer = msgspec.json.decode(reply, type=PermitsGiven)
-            except (PeerError, msgspec.DecodeError):
+            except PeerError:
                 return None  # counted as unanswered, unless the next one answers
+            except msgspec.DecodeError as error:
+                logger.info("permits_unreadable", extra={"peer": address, "error": str(error)})
+                return None
         now_s = monotonic_s()
         self._stock.add(answer.granted or {}, asked_s, now_s)
         for replica_id, left_ms in answer.cold_ms.items():
