Prefer replicas to which a connection lies idle, and count new connections by use

Change: the client knows which connections lie idle and for how long their server keeps them; a replica without one scores as if it ran about one request more. Requests are counted by use and connection.

--- a/passgate/clients/curl.py
+++ b/passgate/clients/curl.py
@@ -22,7 +22,9 @@
 
 from passgate.clients.calls import HttpAnswer, HttpCall, HttpLimits
 from passgate.clients.connections import KeptConnections
+from passgate.clients.idle_connections import IdleConnections
 from passgate.clients.transfer import Transfer
+from passgate.clock import monotonic_s
 from passgate.errors import BackendUnreachable, ExecutionStatus
 
 NO_TIMEOUT_S = 0.0
@@ -85,6 +87,7 @@
         self.limits = limits or HttpLimits()
         self._client = _Client(force_instance=True, limits=self.limits)
         self._connections = KeptConnections()
+        self._idle = IdleConnections()
         self._requests: set[Transfer] = set()
         self._control: set[Transfer] = set()
 
@@ -100,7 +103,7 @@
                 "host is not an IP number", execution=ExecutionStatus.NOT_RUN, url=call.url
             )
         group = self._group_with_room(call)
-        transfer = Transfer(self._client, self._connections, self.limits, call)
+        transfer = Transfer(self._client, self._connections, self._idle, self.limits, call)
         group.add(transfer)
         self._client.keep_connections(self.running + self.limits.max_idle_connections)
 
@@ -122,6 +125,10 @@
         finally:
             transfer.abort()
 
+    def has_idle_connection(self, address: str) -> bool:
+        """Whether a request to an ``IP:PORT`` would find a connection that lies idle."""
+        return self._idle.has(address, monotonic_s())
+
     def close(self) -> None:
         """Abort all transfers and free the handles."""
         for transfer in [*self._requests, *self._control]:
--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import re
 from typing import Protocol
 
 import pycurl
@@ -18,6 +19,8 @@
 
 from passgate.clients.calls import HttpAnswer, HttpCall, HttpLimits, SendPolicy
 from passgate.clients.connections import ConnectionEnds, KeptConnections, set_unacknowledged_timeout
+from passgate.clients.idle_connections import IdleConnections
+from passgate.clock import monotonic_s
 from passgate.errors import (
     BackendUnreachable,
     DeadlineExceeded,
@@ -40,6 +43,8 @@
 REJECT_DATA = -1
 """Returned from a callback; libcurl then fails the transfer."""
 STATUS_LINE_PREFIX = b"HTTP/"
+KEPT_FOR = re.compile(r"timeout=(\d+)")
+"""What a server tells of the time for which it keeps an idle connection, in whole seconds."""
 TRUNCATED_ERRNOS = frozenset({pycurl.E_PARTIAL_FILE, pycurl.E_BAD_CONTENT_ENCODING})
 """The server ended a body before its declared end."""
 
@@ -65,7 +70,12 @@
     """
 
     def __init__(
-        self, client: HandleControl, connections: KeptConnections, limits: HttpLimits, call: HttpCall
+        self,
+        client: HandleControl,
+        connections: KeptConnections,
+        idle: IdleConnections,
+        limits: HttpLimits,
+        call: HttpCall,
     ) -> None:
         self.call = call
         self.sends = 0
@@ -75,6 +85,8 @@
         self.received_bytes = 0
         self._client = client
         self._connections = connections
+        self._idle = idle
+        self._ends: ConnectionEnds | None = None
         self._new_descriptor: int | None = None
         self._found_closed = False
         self._restarted = False
@@ -136,6 +148,11 @@
         if not self._ended:
             asyncio.get_running_loop().call_later(FINISH_UNREAD_S, self.abort)
 
+    @property
+    def on_new_connection(self) -> bool:
+        """Whether the request went out on a connection that was opened for it."""
+        return self.sends > 0 and self._new_descriptor is not None
+
     @property
     def ended(self) -> bool:
         """Whether nothing more will arrive."""
@@ -215,12 +232,14 @@
         if self.sends and self.call.send is not SendPolicy.REPEAT:
             return pycurl.PREREQFUNC_ABORT
         ends = ConnectionEnds(remote_ip, local_ip, remote_port, local_port)
+        self._idle.take(ends)
         if self._new_descriptor is not None:
             self._connections.remember(ends, self._new_descriptor)
         elif self._connections.is_closed(ends):
             self._found_closed = True
             return pycurl.PREREQFUNC_ABORT
         self.sends += 1
+        self._ends = ends
         return pycurl.PREREQFUNC_OK
 
     def take_restart(self) -> bool:
@@ -266,8 +285,20 @@
         self._ended = True
         if self._error is None:
             self._error = self._failure_of(response)
+        if self._error is None and not self._aborted:
+            self._note_idle()
         self._wake()
 
+    def _note_idle(self) -> None:
+        """Note the connection as idle, unless one of both ends closes it."""
+        own_connection = self.call.send is SendPolicy.ONCE_ON_FRESH_CONNECTION
+        closes = self.headers.get("Connection", "").lower() == "close"
+        if self._ends is None or own_connection or closes:
+            return
+        told = KEPT_FOR.search(self.headers.get("Keep-Alive", ""))
+        kept_s = int(told[1]) if told is not None else self._limits.max_connection_idle_s
+        self._idle.put(self._ends, monotonic_s() + kept_s)
+
     def _failure_of(self, response: HTTPResponse) -> PassgateError | None:
         error = response.error
         if isinstance(error, CurlError):
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -104,7 +104,7 @@
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         log = CountedLog(log, self.metrics.count_log_call)
         self.config = ConfigHolder()
-        self.replicas = ReplicaTable(settings.places)
+        self.replicas = ReplicaTable(settings.places, has_idle_connection=http.has_idle_connection)
         self.wanted = WantedVersions(self.decisions)
         self._discovery = Discovery(
             log,
@@ -117,7 +117,7 @@
         )
         self._log = log
         self._crashes = Crashes(log, topics.crashes, self.replicas.set_aside, self.decisions)
-        caller = ReplicaCaller(http, self.replicas, names, self._crashes.guard)
+        caller = ReplicaCaller(http, self.replicas, names, self._crashes.guard, self.metrics.count_connection)
         runners = RunnerMaker(caller, self.replicas, names, self.config, self.decisions)
         self._peers = peers
         member = member_name(settings.daemon_id, peers.address, settings.cores)
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -22,6 +22,7 @@
     JobAccepted,
     JobEnded,
 )
+from passgate.gateway.replica_call import RequestUse
 
 REQUEST_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12)
 """From a request's work of some 10 ms over its target latency (0.2 s) to its deadline."""
@@ -74,6 +75,12 @@
             ("call", "subject", "outcome"),
             registry=self.registry,
         )
+        self._connections = Counter(
+            "passgate_replica_requests",
+            "Requests sent to replicas, by use and whether a connection was opened for them.",
+            ("use", "connection"),
+            registry=self.registry,
+        )
         self.log_age = Gauge(
             "passgate_log_age_seconds",
             "Time since the jobs' topic was last known to be read to its end.",
@@ -96,6 +103,10 @@
         """Count a call to the log; see :mod:`passgate.sharedlog.counted`."""
         self._log_calls.labels(call, subject, outcome).inc()
 
+    def count_connection(self, use: RequestUse, opened: bool) -> None:
+        """Count a request to a replica, and whether a connection was opened for it."""
+        self._connections.labels(use.value, "new" if opened else "kept").inc()
+
     def observe(self, event: Event) -> None:
         """Count an event."""
         self._decisions.labels(event.name).inc()
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+import enum
+from collections.abc import Callable, Iterable
 
 import msgspec
 from tornado.httputil import HTTPHeaders
@@ -51,6 +52,14 @@
 """Time for which a replica that said it is full gets nothing."""
 
 
+class RequestUse(enum.Enum):
+    """What a request to a replica is for."""
+
+    FORWARDED = "forwarded"
+    ITEM = "item"
+    REWARD = "reward"
+
+
 class ReplicaRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request for a replica."""
 
@@ -69,6 +78,7 @@
     """Tenant to be named to the replica; see :func:`passgate.gateway.access.headers_for_replica`."""
     crash_limit: int = CRASH_LIMIT
     """Replicas that may end under the request before it is held."""
+    use: RequestUse = RequestUse.FORWARDED
     terms: SendTerms = ANY_REQUEST
     """What the rules for sending need to know of it."""
 
@@ -119,8 +129,23 @@
     """Makes attempts and keeps the replicas' books."""
 
     def __init__(
-        self, http: HttpClient, replicas: ReplicaTable, headers: HeaderNames, crashes: CrashGuard
+        self,
+        http: HttpClient,
+        replicas: ReplicaTable,
+        headers: HeaderNames,
+        crashes: CrashGuard,
+        count_connection: Callable[[RequestUse, bool], None] = lambda use, opened: None,
     ) -> None:
+        """Connect the parts.
+
+        Args:
+            http: makes the transfers.
+            replicas: what this daemon knows of the replicas.
+            headers: names of the headers.
+            crashes: keeps requests away that crash replicas.
+            count_connection: counts a request that was sent, and whether a connection was opened for it.
+        """
+        self._count_connection = count_connection
         self._http = http
         self._replicas = replicas
         self._names = headers
@@ -137,7 +162,9 @@
         # Every attempt passes here, so no way of sending a request can go round the checks.
         self.crashes.check(request.identity)
         self._replicas.rules.admit(state.info, request.terms, monotonic_s())
-        return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request)
+        return ReplicaExchange(
+            self._http, self._replicas, self._names, self.crashes, state, request, self._count_connection
+        )
 
     async def call(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
         """Send a request and return its whole answer.
@@ -164,7 +191,9 @@
         crashes: CrashGuard,
         state: ReplicaState,
         request: ReplicaRequest,
+        count_connection: Callable[[RequestUse, bool], None],
     ) -> None:
+        self._count_connection = count_connection
         self._crashes = crashes
         self._replicas = replicas
         self._names = names
@@ -345,6 +374,8 @@
             return
         self._open = False
         self._state.in_flight -= 1
+        if self._transfer.sends:
+            self._count_connection(self._request.use, self._transfer.on_new_connection)
         self._transfer.abort()
 
 
--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -10,6 +10,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -34,6 +35,8 @@
 """Time after which an old latency counts half."""
 LOADING_S = 1.0
 """Time for which a replica that refused with room is taken to load weights; a load takes about 0.9 s."""
+NEW_CONNECTION_COST = 0.25
+"""Added to the score of a replica to which no connection lies idle: about one request more there."""
 LOADING_COST = 3.0
 """Added to the score of a replica that loads, so that it comes after all others with room."""
 
@@ -105,8 +108,22 @@
 class ReplicaTable:
     """All known replicas and the choice among them."""
 
-    def __init__(self, places: Places, seed: int | None = None) -> None:
+    def __init__(
+        self,
+        places: Places,
+        seed: int | None = None,
+        *,
+        has_idle_connection: Callable[[str], bool] = lambda address: True,
+    ) -> None:
+        """Begin without replicas.
+
+        Args:
+            places: where this daemon is.
+            seed: seeds the choice among equals; drawn if None.
+            has_idle_connection: whether a request to an address would open no connection.
+        """
         self.places = places
+        self._has_idle_connection = has_idle_connection
         self.rules = SendRules([DrainingRule()])
         """What keeps requests from replicas; see :mod:`passgate.eligibility.rules`."""
         self._states: dict[str, ReplicaState] = {}
@@ -164,6 +181,8 @@
         score = (1.0 + load) * state.recent_latency_s(now_s) / ASSUMED_LATENCY_S + load
         if state.info.zone != self.places.zone:
             score += OTHER_ZONE_COST
+        if not self._has_idle_connection(state.info.address):
+            score += NEW_CONNECTION_COST
         if state.seems_loading(now_s):
             score += LOADING_COST
         if request.preferred == state.info.replica_id:
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -22,7 +22,7 @@
     VersionTooOld,
 )
 from passgate.gateway.dialect import HeaderNames
-from passgate.gateway.replica_call import ReplicaCaller, ReplicaExchange, ReplicaRequest
+from passgate.gateway.replica_call import ReplicaCaller, ReplicaExchange, ReplicaRequest, RequestUse
 from passgate.gateway.replicas import FULL_LOAD, ChoiceRequest, ReplicaState, ReplicaTable
 from passgate.gateway.routes import Route
 from passgate.jobs.checkpoint import ItemCheckpoint
@@ -289,6 +289,7 @@
             priority=self._priority,
             tenant=self._job.tenant,
             crash_limit=ITEM_CRASH_LIMIT,
+            use=RequestUse.ITEM,
         )
 
     @property
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -19,7 +19,7 @@
 from passgate.decisions import DecisionLog, RewardFailed, RewardSent
 from passgate.errors import AnswerMismatch, ExecutionStatus, IncompleteAnswer, PassgateError
 from passgate.gateway.dialect import HeaderNames
-from passgate.gateway.replica_call import ReplicaAnswer, ReplicaCaller, ReplicaRequest
+from passgate.gateway.replica_call import ReplicaAnswer, ReplicaCaller, ReplicaRequest, RequestUse
 from passgate.gateway.replicas import ChoiceRequest, ReplicaState, ReplicaTable
 from passgate.gateway.routes import Route, WeightedChoice
 from passgate.jobs.records import RewardSpec, Score
@@ -166,6 +166,7 @@
             deadline_s=monotonic_s() + patience_s,
             tenant=self._tenant,
             crash_limit=ITEM_CRASH_LIMIT,
+            use=RequestUse.REWARD,
         )
 
     def _stamp_of(self, answer: ReplicaAnswer) -> str:
