--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -35,8 +35,9 @@
 """Time after which an old latency counts half."""
 LOADING_S = 1.0
 """Time for which a replica that refused with room is taken to load weights; a load takes about 0.9 s."""
-NEW_CONNECTION_COST = 0.25
-"""Added to the score of a replica to which no connection lies idle: about one request more there."""
+NEW_CONNECTION_COST = 1.0
+"""Added to the score of a replica to which no connection lies idle: as if half of its slots were taken
+beyond what is, or its latency were twice the usual one, which single slow requests make it seem."""
 LOADING_COST = 3.0
 """Added to the score of a replica that loads, so that it comes after all others with room."""
 
