--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -70,8 +70,6 @@
     """Processor time that the daemon may use, in cores of ordinary speed."""
     regions: dict[str, str] = {}
     """Zone to its region."""
-    evacuation_s: float = 5.0
-    """Time after which a zone's evacuation must be in force everywhere."""
     cold_overshoot: float = 1.0
     """Times the rate of a cold replica that may reach it in a second."""
     cold_slack: float = 0.0
--- a/passgate/platform/settings.py
+++ b/passgate/platform/settings.py
@@ -37,7 +37,6 @@
     revokeMs: float = 5000.0  # noqa: N815
     usageWindowS: float = 5.0  # noqa: N815
     usageLateS: float = 10.0  # noqa: N815
-    evacuateMs: float = 5000.0  # noqa: N815
     coldOvershoot: float = 1.0  # noqa: N815
     coldSlack: float = 0.0  # noqa: N815
 
@@ -116,7 +115,6 @@
         configuration_age_s=node.bounds.revokeMs / 1000,
         duties=_duties(node),
         regions=node.zones,
-        evacuation_s=node.bounds.evacuateMs / 1000,
         cold_overshoot=node.bounds.coldOvershoot,
         cold_slack=node.bounds.coldSlack,
     )
