--- a/passgate/daemon/cold_sending.py
+++ b/passgate/daemon/cold_sending.py
@@ -10,6 +10,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import ColdReplicasChanged, DecisionLog, PermitsCounted
+from passgate.duties.usage_channel import CONTROL_PART
 from passgate.eligibility.cold_replicas import ColdLimit
 from passgate.eligibility.permit_grantor import PermitGrantor
 from passgate.eligibility.permit_peers import PERMITS_METHOD, TICK_S, PermitPeers
@@ -21,8 +22,6 @@
 from passgate.sharedlog.group import GroupDirectory
 from passgate.versions.control import ControlTopic
 
-CONTROL_PART = 0
-"""Partition whose watchers follow the control topic, and so know who leads."""
 REPORT_S = 1.0
 """Time between lines about permits and cold replicas."""
 UNBOUNDED_PER_S = 1_000_000.0
@@ -98,7 +97,18 @@
         log_age_s: Callable[[], float],
         decisions: DecisionLog,
     ) -> None:
-        """Connect the parts; the settings are asked for anew as they may be reloaded."""
+        """Connect the parts.
+
+        Args:
+            settings: returns the daemon's settings, which may be reloaded.
+            config: the configuration in force.
+            replicas: the replicas that are known, with their permits.
+            control: tells who leads.
+            transport: carries questions to other daemons.
+            directory: the members of this daemon's zone.
+            log_age_s: returns the age of this daemon's view of the log.
+            decisions: where decisions are noted.
+        """
         self._replicas = replicas
         self._log_age_s = log_age_s
         self._decisions = decisions
@@ -106,23 +116,25 @@
         replicas.cold.limit_of = self._limits.of
         self._grantor = PermitGrantor(
             control.leadership,
-            lambda: control.fold.leader,
-            self._limits.of,
-            self._cold_ms,
-            replicas.permits.tally,
-            decisions,
+            leader=lambda: control.fold.leader,
+            limit_of=self._limits.of,
+            cold_ms=self._cold_ms,
+            tally=replicas.permits.tally,
+            decisions=decisions,
         )
         self._peers = PermitPeers(
             transport,
             self._grantor,
-            replicas.permits,
-            replicas.cold,
-            lambda: directory.member_of(CONTROL_PART),
-            lambda: directory.others(""),
-            lambda: log_age_s() if self._limits.any else 0.0,
+            stock=replicas.permits,
+            cold=replicas.cold,
+            watcher=lambda: directory.member_of(CONTROL_PART),
+            others=lambda: directory.others(""),
+            log_age_s=lambda: log_age_s() if self._limits.any else 0.0,
         )
-        self._known: list[str] = []
-        self._counted = PermitTally()
+        self._reported_cold: list[str] = []
+        """Cold replicas of the last line about them."""
+        self._reported_tally = PermitTally()
+        """Counts of permits up to the last line about them."""
         self._reported_s = 0.0
         self.method = PERMITS_METHOD
         """Name of the questions that :attr:`answer` takes."""
@@ -162,15 +174,15 @@
         """Write what has changed since the last look."""
         infos = [state.info for state in self._replicas.all()]
         cold = sorted(info.replica_id for info in infos if self._replicas.cold.is_cold(info, now_s))
-        if cold != self._known:
-            self._known = cold
+        if cold != self._reported_cold:
+            self._reported_cold = cold
             age_ms = round(self._log_age_s() * 1000, 1)
             names = tuple(cold[:NAMED_REPLICAS])
             self._decisions.write(ColdReplicasChanged(cold=len(cold), replicas=names, log_age_ms=age_ms))
         tally = self._replicas.permits.tally
-        if tally != self._counted:
+        if tally != self._reported_tally:
             fields = msgspec.structs.asdict(tally)
-            before = msgspec.structs.asdict(self._counted)
-            self._counted = msgspec.structs.replace(tally)
+            before = msgspec.structs.asdict(self._reported_tally)
+            self._reported_tally = msgspec.structs.replace(tally)
             risen = {name: count - before[name] for name, count in fields.items()}
             self._decisions.write(PermitsCounted(leader=self._peers.leader, **risen))
--- a/passgate/daemon/control_topic.py
+++ b/passgate/daemon/control_topic.py
@@ -28,7 +28,20 @@
     duty_folds: DutyFolds,
     decisions: DecisionLog,
 ) -> ControlTopic:
-    """Return the daemon's writer and follower of the control topic; it may lead while it watches for all."""
+    """Return the daemon's writer and follower of the control topic.
+
+    The daemon may lead while it watches one of the first partitions.
+
+    Args:
+        log: keeps the topic.
+        settings: the daemon's settings.
+        topics: names of the topics.
+        writer: name of the daemon's present life on the log.
+        member: the daemon's membership in the group that watches partitions.
+        peers: asks other daemons whether the leader lives.
+        duty_folds: what the duties read from the topic.
+        decisions: where decisions are noted.
+    """
     journal = Journal(
         log,
         topics.control,
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -136,7 +136,14 @@
         job_peers = JobPeers(peers, self._directory, member, self.decisions, distances, self._elsewhere)
         self._duty_folds = duty_folds = DutyFolds()
         self._control = make_control_topic(
-            log, settings, topics, writer, self._member, job_peers, duty_folds, self.decisions
+            log,
+            settings,
+            topics,
+            writer,
+            member=self._member,
+            peers=job_peers,
+            duty_folds=duty_folds,
+            decisions=self.decisions,
         )
         self._duties: Duties | None = None
         if settings.duties is not None and duty_calls is not None:
@@ -167,11 +174,11 @@
             lambda: self.settings,
             self.config,
             self.replicas,
-            self._control,
-            peers,
-            self._directory,
-            self._log_age_s,
-            self.decisions,
+            control=self._control,
+            transport=peers,
+            directory=self._directory,
+            log_age_s=self._log_age_s,
+            decisions=self.decisions,
         )
         self._crash_peers = CrashPeers(peers, lambda: self._directory.others(member), self._crashes.channel)
         counts_usage = settings.duties is not None and settings.duties.usage
@@ -185,12 +192,12 @@
             settings,
             topics,
             writer,
-            self.config,
-            self._member,
-            candidacy,
-            runners,
-            job_peers,
-            self.decisions,
+            config=self.config,
+            member=self._member,
+            candidacy=candidacy,
+            runners=runners,
+            peers=job_peers,
+            decisions=self.decisions,
         )
         self.jobs = JobService(
             self.shards, job_peers, self._control.journal, self.wanted.newest, self._log_age_s, self.decisions
--- a/passgate/decisions/cold_events.py
+++ b/passgate/decisions/cold_events.py
@@ -12,6 +12,7 @@
     replicas: tuple[str, ...]
     """The first few by name."""
     log_age_ms: float
+    """Age of this daemon's view of the log."""
 
 
 class PermitsBegan(Event, tag="permits_began"):
@@ -31,6 +32,7 @@
     """Permits that this daemon was granted."""
     used: int
     expired: int
+    """Permits that ran out before a request was sent."""
     wanting: int
     """Its questions that brought none."""
     unanswered: int
--- a/passgate/decisions/request_events.py
+++ b/passgate/decisions/request_events.py
@@ -98,14 +98,14 @@
 
 
 class LastChanceBegun(Event, tag="last_chance_begun"):
-    """A request that one more crash would hold is about to run, or leaves the replica to another such one."""
+    """A request that one more crash would hold is about to run at a replica, or gives way to another one."""
 
     replica_id: str
     fingerprint: str
     announced: bool
     """Whether all daemons know of it; if not, the log is slow or away."""
     is_first: bool
-    """Whether it runs there."""
+    """Whether it runs there; if not, the other one was announced first."""
 
 
 class ItemHeld(Event, tag="item_held"):
--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -130,7 +130,7 @@
         for part in parts:
             self._take_part(part)
         if {part.part for part in parts} != set(range(PARTS)):
-            return  # the missing parts are read with a further try; relays write each again within 32 s
+            return  # the missing parts are read with a further try, once relays have written them again
         self._load_s = monotonic_s() + self._rng.uniform(*RESYNC_S)
         # A part may list what a change since has taken away, so the changes are read again as well.
         self._tail.set(False)
--- a/passgate/duties/usage_channel.py
+++ b/passgate/duties/usage_channel.py
@@ -26,6 +26,7 @@
 APPEND_S = 2.0
 """Time for an append of one's own before the counts are handed on another way as well."""
 CONTROL_PART = 0
+"""Partition whose watchers follow the control topic, and so know who leads."""
 
 
 class CountUsage(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/eligibility/permit_peers.py
+++ b/passgate/eligibility/permit_peers.py
@@ -82,10 +82,10 @@
         self.leader = ""
         """Address that granted last."""
         self._used = 0
-        """Permits used until the last question."""
+        """Permits used up to the last question."""
         self._gap_s = ASK_GAP_S
-        self._told_s = float("-inf")
-        """When it was last asked what is cold."""
+        self._asked_cold_s = float("-inf")
+        """Loop time of the last question which replicas are cold."""
 
     async def run(self) -> None:
         """Ask as permits are wanted, until cancelled."""
@@ -98,7 +98,7 @@
                 await asyncio.sleep(self._gap_s)
 
     def _must_be_told(self) -> bool:
-        return self._log_age_s() >= STALE_S and monotonic_s() - self._told_s >= KNOW_GAP_S
+        return self._log_age_s() >= STALE_S and monotonic_s() - self._asked_cold_s >= KNOW_GAP_S
 
     async def _ask_once(self) -> None:
         question = self._question()
@@ -113,7 +113,7 @@
     def _question(self) -> AskPermits:
         tell_cold = self._log_age_s() >= STALE_S
         if tell_cold:
-            self._told_s = monotonic_s()
+            self._asked_cold_s = monotonic_s()
         wanted = self._stock.take_wanted()
         used = self._stock.tally.used
         count = min(GROWTH * (used - self._used) + 1, MOST_PERMITS) if wanted else 0
--- a/passgate/eligibility/rules.py
+++ b/passgate/eligibility/rules.py
@@ -41,6 +41,7 @@
 ANY_REQUEST = SendTerms()
 """A request that any region may serve."""
 CONTROL = SendTerms(kind=SendKind.CONTROL)
+"""A report that is read, or an order; no region is barred to it."""
 
 
 class SendRule(Protocol):
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -170,7 +170,6 @@
                 self._configuration.set(version)
             case EntryUnusable(entries=entries):
                 self._unusable_entries.inc(entries)
-
             case ColdReplicasChanged(cold=cold):
                 self._cold.set(cold)
             case PermitsCounted():
--- a/passgate/gateway/replica_call.py
+++ b/passgate/gateway/replica_call.py
@@ -146,8 +146,10 @@
         """
         # Every attempt passes here, so no way of sending a request can go round the checks.
         self.crashes.check(request.identity)
-        last_s = self._replicas.rules.admit(state.info, request.terms, monotonic_s())
-        return ReplicaExchange(self._http, self._replicas, self._names, self.crashes, state, request, last_s)
+        not_sent_after_s = self._replicas.rules.admit(state.info, request.terms, monotonic_s())
+        return ReplicaExchange(
+            self._http, self._replicas, self._names, self.crashes, state, request, not_sent_after_s
+        )
 
     async def call(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
         """Send a request and return its whole answer.
--- a/passgate/gateway/settings.py
+++ b/passgate/gateway/settings.py
@@ -79,5 +79,5 @@
 
     @property
     def places(self) -> Places:
-        """Where the daemon is."""
+        """Where the daemon is, and the regions of all zones."""
         return Places(zone=self.zone, regions=self.regions)
--- a/passgate/gateway/spill.py
+++ b/passgate/gateway/spill.py
@@ -21,6 +21,8 @@
 """Way that counts at least, so that a share is defined where regions lie next to each other."""
 AGE_OUT_S = 1.0
 """Time without a question after which a wait for room at home counts as over."""
+MOST_WAITS = 256
+"""Waits kept before those that are over are dropped; callers name the models, so there may be any number."""
 
 
 def share_spilled(gain_s: float, way_s: float) -> float:
@@ -35,10 +37,6 @@
     return gain_s / (gain_s + max(way_s, LEAST_SHARE_WAY_S))
 
 
-MOST_WAITS = 256
-"""Waits kept before those that are over are dropped; callers name the models that a kind holds."""
-
-
 class HomeFull:
     """Since when no replica of the own region has had room, for each kind of request."""
 
--- a/passgate/jobs/bound_bodies.py
+++ b/passgate/jobs/bound_bodies.py
@@ -4,6 +4,7 @@
 do not stand with the job on the log.  They stand on a topic of that set of regions, which only
 daemons there read: each of them that follows the job's partition, as soon as it reads the job.
 
+>>> from passgate.jobs.records import RewardSpec
 >>> reward = RewardSpec(id="r", host="h", path="/", body=b"score")
 >>> item = ItemSpec(id="i", path="/p", body=b"secret", reward=reward)
 >>> spec = JobSpec(job_id="j", host="h", path="/p", items=(item,))
@@ -40,12 +41,9 @@
     ItemBodies,
     ItemSpec,
     JobSpec,
-    RewardSpec,
 )
 from passgate.sharedlog.log import HistoryGone, SharedLog
 
-__all__ = ["BoundBodies", "ItemSpec", "RewardSpec"]
-
 logger = logging.getLogger("passgate.jobs")
 
 RETRY_PAUSE_S = 0.1
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -75,7 +75,7 @@
         return self.terms_for(job.host, job.path, job.tenant, self.route.allowed_regions)
 
     def line_of(self, job: JobSpec) -> LineName:
-        """Return the line in which items of a job wait that wait now."""
+        """Return the line in which items of a job wait, by the configuration in force."""
         return LineName(model=job.model, regions=self.terms_of(job).regions)
 
     def expected_tokens(self, item: ItemSpec) -> float:
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -5,8 +5,9 @@
 read from a replica.  Attempts follow each other, so nothing is counted twice.
 
 Calls wait in line for a replica with room, and leave one place in some at each replica
-to callers of the same service.  Only the first in line looks for room; calls that are bound
-to other regions stand in another line, as all replicas that one may use may be gone.
+to callers of the same service.  Only the first in line looks for room.  Calls that are bound to
+different sets of regions stand in different lines: one whose regions have no replica left would
+else hold up all others.
 """
 
 from __future__ import annotations
--- a/passgate/jobs/waiting.py
+++ b/passgate/jobs/waiting.py
@@ -2,8 +2,9 @@
 
 A job is whole when its longest items are, so a short item may begin later by as much
 as the job's longest takes longer.  Items of an older job come first among those with
-equal slack.  Items of other models do not wait for each other, nor do those of one model that
-are bound to other regions: the replicas that one may use may all be gone.
+equal slack.  Items of different models do not wait for each other, nor do those of one model
+that are bound to different sets of regions: one whose regions have no replica left would else hold
+up all others.
 
 >>> line = WaitingLine()
 >>> older, newer = Rank(start_s=1.0, fresh=True), Rank(start_s=2.0, fresh=False)
--- a/passgate/platform/beliefs.py
+++ b/passgate/platform/beliefs.py
@@ -28,6 +28,7 @@
 
     def replace_operator(self, records: Records, next_offset: int) -> None:
         """Take the newest record of every key; an evacuation that is not among them has ended."""
+        # The records of a snapshot don't tell their offsets, and only their zones are used.
         evacuations = _evacuations(records, next_offset)
         zones = [change.zone for change in evacuations if change.evacuated]
         self._daemon.evacuated.replace(zones, next_offset)
--- a/passgate/platform/documents.py
+++ b/passgate/platform/documents.py
@@ -41,7 +41,8 @@
 """States of a replica that names itself; any other state names no replica to use."""
 MOST_SLOTS = 1_000_000
 """Slots from which on an entry is taken for a mistake; replicas work on some 10 to 100 requests at once."""
-MOST_PORTS = 65_535
+HIGHEST_PORT = 65_535
+"""Highest port of TCP."""
 MOST_MS = 2**53
 """Milliseconds that every reader of JSON holds exactly."""
 
@@ -270,7 +271,7 @@
         ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError as error:
         raise msgspec.ValidationError(f"no address: {address!r}") from error
-    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MOST_PORTS):
+    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= HIGHEST_PORT):
         raise msgspec.ValidationError(f"no port: {address!r}")
 
 
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -37,7 +37,7 @@
 LAST_CHANCE_PAUSE_S = (0.5, 1.5)
 """Random pause, about the length of an item's run, before a request is sent that one more crash would hold.
 When several requests end replicas, all others crowd at the few that live, the causes among them; sent apart,
-9 of 180 jobs lost an item instead of 23 (8 causes, 3 replicas, 4 daemons, 15 runs)."""
+fewer of the others are held for crashes that they did not cause."""
 ANNOUNCED_S = 0.3
 """Time for an announcement to be read back from the log, which takes some 20 ms.  A log that is slower leaves
 last chances apart from those of the same daemon only."""
