Read bodies again that were dropped while the bounds were others

Cause: a partition's taker of bodies returned nothing, which its reader took for bodies that don't fit, so it never read them again.

--- a/passgate/gateway/replicas.py
+++ b/passgate/gateway/replicas.py
@@ -245,7 +245,7 @@
         here = min(home, key=lambda state: self._score(state, request, now_s), default=None)
         there = min(away, key=lambda state: self._score(state, request, now_s), default=None)
         if here is not None:
-            self._home_full.has_room(kind)
+            self._home_full.note_room(kind)
         if here is None or there is None:
             return here or self._spilled(there, kind, request, now_s)
         way_s = self.distances.cost_s(there.info.zone)
--- a/passgate/gateway/spill.py
+++ b/passgate/gateway/spill.py
@@ -8,7 +8,7 @@
 >>> full = HomeFull()
 >>> full.may_spill(("llm",), way_s=0.02, now_s=5.0), full.may_spill(("llm",), way_s=0.02, now_s=5.03)
 (False, True)
->>> full.has_room(("llm",))
+>>> full.note_room(("llm",))
 >>> full.may_spill(("llm",), way_s=0.02, now_s=5.04)
 False
 """
@@ -44,7 +44,7 @@
         self._since_s: dict[Hashable, tuple[float, float]] = {}
         """First and last look of a wait that goes on."""
 
-    def has_room(self, kind: Hashable) -> None:
+    def note_room(self, kind: Hashable) -> None:
         """Note that a replica at home has room for a kind of request."""
         self._since_s.pop(kind, None)
 
--- a/passgate/jobs/shards.py
+++ b/passgate/jobs/shards.py
@@ -134,10 +134,12 @@
                 self.bodies.want(job.bound)
         self.bodies.forget_all_but(self.fold.jobs)
 
-    def _take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> None:
-        self.fold.take_bodies(job_id, bodies)
-        if self.current:
+    def _take_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> bool:
+        """Take the bodies of a job and run it if it is this daemon's; return False when they don't fit."""
+        fit = self.fold.take_bodies(job_id, bodies)
+        if fit and self.current:
             self.ownership.start_runners()
+        return fit
 
     def choose_wait(self) -> None:
         """Let long polls be short while a job is open, as its owner is judged by a fresh view only."""
--- a/tests/test_jobs_regions.py
+++ b/tests/test_jobs_regions.py
@@ -299,3 +299,16 @@
     for step in range(10):
         distances.observe("a2", 3.0, WINDOW_S * step)
     assert distances.patience_s(0.1) == distances.patience_s(0.1, "a2") == 0.1
+
+
+@in_fleet("b")
+async def test_bodies_that_were_dropped_for_a_while_are_read_again(fleet):
+    await submit(fleet.of("b")[0], "j", count=400)
+    await asyncio.sleep(SOON_S)
+    assert fleet.holders("j") == {"b"}
+    fleet.config.offer(configuration(2, "a"))
+    await asyncio.sleep(SOON_S)
+    assert fleet.holders("j") == {"a"}
+    fleet.config.offer(configuration(3, "b"))
+    await asyncio.sleep(SOON_S)
+    assert fleet.holders("j") == {"b"}
