soak: start from an earlier build and replace its daemons one by one

What callers saw: nothing yet.

Python runs with PYTHONPATH and PYTHONSAFEPATH, and the soak refuses to start if a process with this environment imports passgate from anywhere else. Daemons are replaced in random order over 5 % to 95 % of the run, three in ten by SIGKILL, the others by a graceful shutdown whose exit code is checked as in stop_daemon; traffic and faults go on. At the end a daemon of an earlier build is a violation. No check was changed. The report lists which build each daemon ran when.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(BIN)/pytest -n 4
 
 soak: setup
-	$(BIN)/python -m tests.soak --seconds $(or $(SECONDS),60) --seed $(or $(SEED),0) --daemons $(or $(DAEMONS),4)
+	$(BIN)/python -m tests.soak --seconds $(or $(SECONDS),60) --seed $(or $(SEED),0) --daemons $(or $(DAEMONS),4) $(addprefix --from-build ,$(FROM))
 
 clean:
 	rm -rf $(VENV) build *.egg-info .pytest_cache .ruff_cache .hypothesis out
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,8 @@
 daemons; test doubles of external systems return errors or nothing; some requests crash
 every replica that runs them.  Faults overlap.  The answers are compared with what the
 replicas recorded.  Suspended machines and changed clocks are not covered.
+
+``--from-build COMMIT`` starts all daemons from an earlier build and replaces them during the run.
 The exit code is 1 if a guarantee was violated.
 """
 
@@ -18,9 +20,11 @@
 
 import fire
 
+from tests.soak.builds import PRESENT_BUILD, extract_build
 from tests.soak.callers import Callers
 from tests.soak.faults import Faults
 from tests.soak.result_checker import ResultChecker
+from tests.soak.upgrade import RollingUpgrade
 from tests.soak.world import World
 
 DAEMONS = 4
@@ -30,9 +34,9 @@
 """Time without faults before the callers stop."""
 
 
-async def run_soak(seconds, seed, folder, log_file, daemons=DAEMONS, lanes=LANES):
+async def run_soak(seconds, seed, folder, log_file, daemons=DAEMONS, lanes=LANES, first_build=PRESENT_BUILD):
     """Run a soak and return its world; no daemon is left running."""
-    world = World(seed, folder, log_file, daemons)
+    world = World(seed, folder, log_file, daemons, first_build)
     try:
         await run_phases(world, seconds, lanes)
     finally:
@@ -47,8 +51,10 @@
     checker = ResultChecker(world, callers)
     await world.start()
     tasks = callers.start()
-    await faults.run(seconds, lanes)
+    upgrade = RollingUpgrade(world, faults)
+    await asyncio.gather(faults.run(seconds, lanes), upgrade.run(seconds))
     await faults.end_all()
+    upgrade.check_all_replaced()
     await asyncio.sleep(FAULT_FREE_S)
     world.stopping = True
     world.log_phase("callers end")
@@ -64,8 +70,14 @@
     checker.check_all()
 
 
+@fire.decorators.SetParseFns(from_build=str)
 def main(
-    seconds: int = 60, seed: int = 0, daemons: int = DAEMONS, lanes: int = LANES, log: str = "soak.log"
+    seconds: int = 60,
+    seed: int = 0,
+    daemons: int = DAEMONS,
+    lanes: int = LANES,
+    log: str = "soak.log",
+    from_build: str = "",
 ) -> None:
     """Run the soak.
 
@@ -75,11 +87,13 @@
         daemons: number of daemon processes.
         lanes: number of faults that are injected at the same time.
         log: file for the output of the daemons.
+        from_build: commit whose build all daemons run at first; empty for this build.
     """
     seed = seed or int(time.time()) % 1_000_000
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     with tempfile.TemporaryDirectory() as folder, open(log, "wb") as log_file:
-        world = asyncio.run(run_soak(seconds, seed, folder, log_file, daemons, lanes))
+        first_build = extract_build(from_build, folder) if from_build else PRESENT_BUILD
+        world = asyncio.run(run_soak(seconds, seed, folder, log_file, daemons, lanes, first_build))
     print(world.report(seed))
     sys.exit(1 if world.violations else 0)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -65,8 +65,9 @@
 
     # --- daemons -----------------------------------------------------------------
 
-    async def kill_daemon(self):
-        daemon = self.world.random_daemon()
+    async def kill_daemon(self, daemon=None):
+        """Kill a daemon, or a random one, and start it again."""
+        daemon = daemon or self.world.random_daemon()
         with self.world.disturbances.record("kill", daemon.name):
             daemon.incarnation.send_signal(signal.SIGKILL)
             await daemon.incarnation.wait_for_exit()
@@ -88,13 +89,13 @@
             await asyncio.sleep(self.random.uniform(*FAULT_DURATION_S))
             incarnation.send_signal(signal.SIGCONT)
 
-    async def stop_daemon(self):
-        """Shut a daemon down gracefully and start it again.
+    async def stop_daemon(self, daemon=None):
+        """Shut a daemon, or a random one, down gracefully and start it again.
 
         SIGTERM may be sent several times, with SIGHUP in between.  If the daemon had started and
         no other fault disturbs it, it must exit with 0 before ``wait_for_exit`` kills it.
         """
-        daemon = self.world.random_daemon()
+        daemon = daemon or self.world.random_daemon()
         with self.world.disturbances.record("stop", daemon.name, planned=True):
             incarnation, was_up = daemon.incarnation, await daemon.accepts_callers()
             started_s = time.monotonic()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import pathlib
 import signal
 import socket
@@ -13,7 +12,6 @@
 from tests import fake_platform
 from tests.fault_proxy import FaultProxy
 
-ROOT = pathlib.Path(__file__).parent.parent.parent
 SHUTDOWN_GRACE_S = 6
 """Setting of the daemons: time for a graceful shutdown."""
 EXIT_TIMEOUT_S = 8.0
@@ -49,8 +47,9 @@
     an exited process, and the watcher then reports the exit code 255.
     """
 
-    def __init__(self, process):
+    def __init__(self, process, build):
         self._process = process
+        self.build = build
         self.was_killed = False
         """Whether SIGKILL was sent."""
 
@@ -85,6 +84,10 @@
         self.duties = world.duties
         self.log_file = world.log_file
         self.settings_path = pathlib.Path(world.folder, f"{self.name}.yaml")
+        self.build = world.first_build
+        """Build from which the next process is started."""
+        self.builds = []
+        """Times of all starts and the builds that were started."""
         self.incarnation = None
         self._start_lock = asyncio.Lock()
 
@@ -100,12 +103,13 @@
         self.write_settings()
         process = subprocess.Popen(
             [sys.executable, "-m", "passgate.platform"],
-            cwd=ROOT,
-            env=os.environ | {"PASSGATE_BOOT": str(self.settings_path)},
+            cwd=self.build.folder,
+            env=self.build.environment() | {"PASSGATE_BOOT": str(self.settings_path)},
             stdout=self.log_file,
             stderr=self.log_file,
         )
-        self.incarnation = DaemonIncarnation(process)
+        self.incarnation = DaemonIncarnation(process, self.build)
+        self.builds.append((time.monotonic(), self.build))
 
     def write_settings(self):
         self.settings_path.write_text(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 from passgate.daemon.http_client import make_http_client
 from tests import fake_platform
 from tests.duty_stand_in import DutyEndpoint
+from tests.soak.builds import PRESENT_BUILD
 from tests.soak.disturbances import DisturbanceLog
 from tests.soak.processes import DaemonProcess, PortAllocator
 
@@ -54,8 +55,10 @@
 class World:
     """Daemons and external systems of a run, with their state and the violations found."""
 
-    def __init__(self, seed, folder, log_file, daemons):
+    def __init__(self, seed, folder, log_file, daemons, first_build=PRESENT_BUILD):
         self.random = random.Random(seed)
+        self.first_build = first_build
+        """Build that all daemons run at first."""
         self.folder, self.log_file = folder, log_file
         self.started_s = time.monotonic()
         self.disturbances = DisturbanceLog()
@@ -201,4 +204,9 @@
             "counts": self.count_by_kind,
             "broken": self.violations,
         }
+        if self.first_build is not PRESENT_BUILD:
+            outcome["builds"] = {
+                daemon.name: [f"{at_s - self.started_s:.2f} s: {build.name}" for at_s, build in daemon.builds]
+                for daemon in self.daemons
+            }
         return json.dumps(outcome, indent=1)
