Log when and on which view of the log a job's run starts and stops

What could not be told from the logs of the incident: when the runner of a job was started, by which ownership and on a view of which age, and when and why it was stopped. job_run_started and job_run_stopped say so, one line each a run; passgate explain JOB names the last run.

No change of behaviour. tests/test_jobs_*.py, test_explain.py and test_encoded_messages.py pass.

--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -52,6 +52,8 @@
     JobOwnershipClaimed,
     JobOwnershipReleased,
     JobResultsRead,
+    JobRunStarted,
+    JobRunStopped,
     RewardFailed,
     RewardSent,
 )
@@ -111,6 +113,8 @@
     "JobOwnershipReleased",
     "JobOwnershipClaimed",
     "JobResultsRead",
+    "JobRunStarted",
+    "JobRunStopped",
     "JobGroupsCompleted",
     "LeadershipLost",
     "LeadershipTaken",
--- a/passgate/decisions/job_events.py
+++ b/passgate/decisions/job_events.py
@@ -4,6 +4,9 @@
 
 from passgate.decisions.base import Event
 
+MAX_LOGGED_AGE_S = 1e6
+"""Age that stands for an infinite one, which JSON can't express."""
+
 
 class JobAccepted(Event, tag="job_accepted"):
     """A batch job was accepted, as it is on the log."""
@@ -53,6 +56,32 @@
     """Time without a record of the previous owner, since its ownership began at the earliest."""
 
 
+class JobRunStarted(Event, tag="job_run_started"):
+    """This daemon starts to run a job that it owns by its view of the log."""
+
+    job_id: str
+    epoch: int
+    """Number of the ownership by which the job is run."""
+    open_items: int
+    """Number of items without a result."""
+    view_age_s: float
+    """Age of the view of the job's partition; at most MAX_LOGGED_AGE_S."""
+
+
+class JobRunStopped(Event, tag="job_run_stopped"):
+    """This daemon stops to run a job before all its results were queued, or after the job has ended."""
+
+    job_id: str
+    epoch: int
+    """Number of the present ownership by this daemon's view; 0 if the job is not known any more."""
+    reason: str
+    """Why the job is not run here any more."""
+    running_s: float
+    """Time since the start of the run."""
+    view_age_s: float
+    """Age of the view of the job's partition; at most MAX_LOGGED_AGE_S."""
+
+
 class ItemSent(Event, tag="item_sent"):
     """An attempt of an item was started at a replica."""
 
--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -184,12 +184,18 @@
     if failed and not accepted:
         return f"not accepted ({failed[-1]['reason']}): {_describe_code(failed[-1]['reason'])}"
     takeovers = [line for line in matching if line["event"] == "job_owned"]
+    runs = [line for line in matching if line["event"] == "job_run_started"]
     dead = [line for line in matching if line["event"] == "item_listed" and line["state"] == "dead"]
     ends = [line for line in matching if line["event"] == "job_ended"]
     unconfirmed = [line for line in matching if line["event"] == "job_end_failed"]
     parts = [f"accepted {len(accepted)} times" if accepted else "its acceptance is not in these logs"]
     if takeovers:
         parts.append(f"taken over {len(takeovers)} times, last by {takeovers[-1].get('daemon')}")
+    if runs:
+        last = runs[-1]
+        parts.append(
+            f"run {len(runs)} times, last by {last.get('daemon')} on a view {last['view_age_s']} s old"
+        )
     if dead:
         parts.append(f"{len(dead)} items dead")
     if ends:
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -10,12 +10,23 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, ItemResultRecorded, JobOwnershipClaimed, JobOwnershipReleased
+from passgate.decisions import (
+    DecisionLog,
+    ItemResultRecorded,
+    JobOwnershipClaimed,
+    JobOwnershipReleased,
+    JobRunStarted,
+    JobRunStopped,
+)
+from passgate.decisions.job_events import MAX_LOGGED_AGE_S
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import WriterStatus
 from passgate.jobs.partition_owners import PartitionOwners, UnappendedEntries
@@ -48,6 +59,30 @@
 NO_OWNER = ""
 """Owner of a job that has none; any watcher may claim the job at once."""
 
+
+class StopReason(enum.StrEnum):
+    """Why a job is not run by this daemon any more."""
+
+    ENDED = "ended"
+    """The job was cancelled, or all its items have results."""
+    TAKEN_OVER = "taken_over"
+    """Another writer owns the job, or none."""
+    NOT_ALLOWED = "not_allowed"
+    """The active configuration excludes this daemon's region."""
+    UNKNOWN_JOB = "unknown_job"
+    """The job is not known any more."""
+    RELEASED = "released"
+    """Another daemon was asked to claim the job, or this one closes the partition."""
+
+
+class _Run(msgspec.Struct):
+    """The run of a job by this daemon."""
+
+    runner: JobRunner
+    task: asyncio.Task[None]
+    started_s: float
+
+
 MakeJobRunner = Callable[[JobState], JobRunner | None]
 """Makes a job's runner; returns None while the job matches no route."""
 
@@ -89,7 +124,7 @@
         self._make_runner = make_runner
         self._owners = owners
         self._decisions = decisions
-        self._runner_by_job: dict[str, tuple[JobRunner, asyncio.Task[None]]] = {}
+        self._run_by_job: dict[str, _Run] = {}
         self._jobs_being_claimed: set[str] = set()
         """Jobs for which this daemon has queued a claim or a release that it may not have read yet."""
         self._released_since_s_by_job: dict[str, float] = {}
@@ -105,7 +140,7 @@
     @property
     def running_jobs(self) -> int:
         """Number of this partition's jobs that this daemon runs."""
-        return len(self._runner_by_job)
+        return len(self._run_by_job)
 
     def owns_open_job(self) -> bool:
         """Whether this daemon owns an open job of the partition."""
@@ -113,8 +148,8 @@
 
     def record_all_progress(self) -> None:
         """Queue the events of all running items for the log, so that other daemons can resume the items."""
-        for runner, _ in self._runner_by_job.values():
-            runner.record_progress()
+        for run in self._run_by_job.values():
+            run.runner.record_progress()
 
     def release_jobs(self) -> UnappendedEntries:
         """Stop all runs of the partition, so that another daemon can claim the jobs.
@@ -124,7 +159,7 @@
         """
         now_s = monotonic_s()
         self.record_all_progress()
-        for job_id in self._runner_by_job:
+        for job_id in self._run_by_job:
             self._released_since_s_by_job[job_id] = now_s
         self.cancel_runners()
         return [
@@ -135,9 +170,8 @@
 
     def cancel_runners(self) -> None:
         """Cancel all runners; progress that was not recorded is lost."""
-        for _, task in self._runner_by_job.values():
-            task.cancel()
-        self._runner_by_job.clear()
+        for job_id in list(self._run_by_job):
+            self._stop_run(job_id, StopReason.RELEASED)
 
     def update(self, *, is_watcher: bool) -> None:
         """Start and stop runners; claim, release or expire jobs; renew the leases while any job runs here.
@@ -157,7 +191,7 @@
                 self._start_claim(job, now_s)
         self._stop_runners()
         self._expired_jobs.intersection_update(self._projection.jobs)
-        if self._runner_by_job:
+        if self._run_by_job:
             self._journal.renew_lease()
 
     def start_runners(self) -> None:
@@ -297,24 +331,61 @@
         self._decisions.write(JobOwnershipReleased(job_id=job.job_id, epoch=job.epoch + 1))
 
     def _ensure_runner(self, job: JobState) -> None:
-        if job.job_id in self._runner_by_job:
+        if job.job_id in self._run_by_job:
             return
         runner = self._make_runner(job)
         if runner is None:
             return
         task = asyncio.get_running_loop().create_task(runner.run())
         task.add_done_callback(_log_task_failure)
-        self._runner_by_job[job.job_id] = (runner, task)
+        now_s = monotonic_s()
+        self._run_by_job[job.job_id] = _Run(runner, task, now_s)
+        self._decisions.write(
+            JobRunStarted(
+                job_id=job.job_id,
+                epoch=job.epoch,
+                open_items=job.item_count - len(job.results),
+                view_age_s=self._logged_view_age_s(now_s),
+            )
+        )
+
+    def _logged_view_age_s(self, now_s: float) -> float:
+        return round(min(self._freshness.age_s(now_s), MAX_LOGGED_AGE_S), 3)
 
     def _stop_runners(self) -> None:
-        for job_id, (runner, task) in list(self._runner_by_job.items()):
-            job = self._projection.jobs.get(job_id)
-            if job is None or not job.is_open or job.owner != self.writer or not self._may_own(job):
-                runner.record_progress()
-                task.cancel()
-                del self._runner_by_job[job_id]
-            elif task.done() and task.exception() is not None:
-                del self._runner_by_job[job_id]
+        for job_id, run in list(self._run_by_job.items()):
+            reason = self._reason_to_stop(job_id)
+            if reason is not None:
+                run.runner.record_progress()
+                self._stop_run(job_id, reason)
+            elif run.task.done() and run.task.exception() is not None:
+                del self._run_by_job[job_id]
+
+    def _reason_to_stop(self, job_id: str) -> StopReason | None:
+        """Return why a job must not be run here any more; None if it may be."""
+        job = self._projection.jobs.get(job_id)
+        if job is None:
+            return StopReason.UNKNOWN_JOB
+        if not job.is_open:
+            return StopReason.ENDED
+        if job.owner != self.writer:
+            return StopReason.TAKEN_OVER
+        return None if self._may_own(job) else StopReason.NOT_ALLOWED
+
+    def _stop_run(self, job_id: str, reason: StopReason) -> None:
+        run = self._run_by_job.pop(job_id)
+        run.task.cancel()
+        now_s = monotonic_s()
+        job = self._projection.jobs.get(job_id)
+        self._decisions.write(
+            JobRunStopped(
+                job_id=job_id,
+                epoch=job.epoch if job is not None else 0,
+                reason=reason.value,
+                running_s=round(now_s - run.started_s, 3),
+                view_age_s=self._logged_view_age_s(now_s),
+            )
+        )
 
 
 def _log_task_failure(task: asyncio.Task[None]) -> None:
