--- a/passgate/emulator/shared_log.py
+++ b/passgate/emulator/shared_log.py
@@ -60,6 +60,8 @@
     """Range of the delay after which an append whose answer is lost takes effect."""
     slow_s: float = 0.0
     """Added to the duration of each call."""
+    records_per_page: int | None = None
+    """Maximum number of records in a page; None for no limit."""
     read_bytes_per_s: float = math.inf
     """Bandwidth that all reads share; bytes for a reader that has stopped waiting use it as well."""
 
@@ -215,7 +217,8 @@
                 break
         if start < partition.first:
             raise HistoryGone(partition.first)
-        records = _take_up_to(partition.records[start - partition.first :], max_bytes)
+        kept = partition.records[start - partition.first :]
+        records = _take_up_to(kept[: self._log.faults.records_per_page], max_bytes)
         await self._log.transfer(sum(len(record) for record in records))
         page = LogPage(start=start, end=partition.end, records=records, first=partition.first)
         await self._send_answer(LogUnavailable)
--- a/tests/job_daemons.py
+++ b/tests/job_daemons.py
@@ -70,6 +70,7 @@
     async def run(self):
         for item in self.job.spec().items:
             if item.id not in self.job.position_by_item:
+                self.daemon.sends.append((monotonic_s(), item.id))
                 await asyncio.sleep(ITEM_S)
                 text = f"{item.id} by {self.daemon.name}"
                 result = Result(item_id=item.id, state=ResultState.SUCCEEDED, text=text, versions=(1,))
@@ -163,6 +164,8 @@
             decisions,
         )
         self.tasks = []
+        self.sends = []
+        """Loop time and item of each send by this daemon's runners."""
 
     def make_runner(self, projection, journal, job):
         return FakeRunner(self, journal, job)
