Stop a job's run as soon as the record that ends it is applied

What callers saw: replicas got items of jobs that another daemon had taken over or that had ended, for as long as the old owner had items to send.

Cause: runs were stopped only by the periodic update of the ownership, which is skipped for a partition that is not followed. A partition stops to be followed in the same update, first, when the daemon neither watches it nor owns an open job there. So the record that takes the last job away also ends the updates that would stop its run. The state is closed, and the run with it, 30 s later.

Now each applied page stops the runs that it ends, and a partition is followed while a job runs here.

--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -189,7 +189,7 @@
                     self._release_if_not_allowed(job)
             elif not self.stopping and self._may_claim(job, is_watcher, now_s):
                 self._start_claim(job, now_s)
-        self._stop_runners()
+        self.stop_lost_runs()
         self._expired_jobs.intersection_update(self._projection.jobs)
         if self._run_by_job:
             self._journal.renew_lease()
@@ -352,7 +352,12 @@
     def _logged_view_age_s(self, now_s: float) -> float:
         return round(min(self._freshness.age_s(now_s), MAX_LOGGED_AGE_S), 3)
 
-    def _stop_runners(self) -> None:
+    def stop_lost_runs(self) -> None:
+        """Stop the runs of jobs that ended or that this daemon does not own any more, and forget failed runs.
+
+        Called for each page of the log, whether or not it reaches the end: a record that ends a run is true
+        at any age.
+        """
         for job_id, run in list(self._run_by_job.items()):
             reason = self._reason_to_stop(job_id)
             if reason is not None:
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -2,8 +2,8 @@
 
 All records of a job are in the partition of its host, except the bodies of region-restricted jobs, which may
 be stored and served in some regions only.  In each zone, one daemon is the watcher of a partition; the zone's
-group on the log assigns the partitions.  A daemon follows a partition while it is the watcher or owns open
-jobs there, and for some time after a request needed the partition.  Other daemons call the watcher.
+group on the log assigns the partitions.  A daemon follows a partition while it is the watcher or
+owns or runs open jobs there, and for some time after a request needed it.  Other daemons call the watcher.
 
 >>> partition_of("h.example", 12) == partition_of("h.example", 12)
 True
@@ -192,6 +192,7 @@
                 self.journal.take_send_time_s(batch)
         self.choose_poll_wait()
         self.read_bodies()
+        self.ownership.stop_lost_runs()
         if self.is_current:
             self.ownership.start_runners()
 
@@ -299,7 +300,10 @@
         for number, partition in list(self._partition_by_number.items()):
             partition.ownership.stopping = self.stopping
             needed = (
-                number in watched or partition.ownership.owns_open_job() or now_s < partition.needed_until_s
+                number in watched
+                or partition.ownership.owns_open_job()
+                or partition.ownership.running_jobs > 0
+                or now_s < partition.needed_until_s
             )
             partition.followed_tail.set_following(needed)
             partition.choose_poll_wait()
