Start the run of a job only on a fresh view of its partition

Cause: runs were started after each page if the partition was 'current', which means read to its end once since it is followed, and stays true while the daemon is cut off from the log. The first page after the cut may name this daemon as the owner of a job and end before the claim and the end that follow.

So that a new job in an idle partition does not wait for the end of a long poll, the next read after an old page does not wait for records while a job is open.

RUN_START_LIMIT_S (0.05 s from the acceptance of a job to its run) holds as before in tests/test_jobs_*.py.

--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -37,6 +37,9 @@
 
 logger = logging.getLogger("passgate.jobs")
 
+MAX_VIEW_AGE_S = 2.0
+"""Age of the view of the partition up to which jobs are run.  A send that waits for a connection still
+arrives within 3 s, the time after which a cancelled job must not reach replicas."""
 TAKEOVER_AFTER_S = 1.5
 """Silence of an owner after which the watcher takes over its jobs whatever a probe says; jitter is added."""
 PROBE_AFTER_S = 0.55
@@ -195,7 +198,12 @@
             self._journal.renew_lease()
 
     def start_runners(self) -> None:
-        """Start the missing runners of open jobs that this daemon owns and may run."""
+        """Start the missing runners of open jobs that this daemon owns and may run.
+
+        Starts none on an old view of the partition, as the jobs may have ended or been taken over since.
+        """
+        if self._freshness.age_s(monotonic_s()) >= MAX_VIEW_AGE_S:
+            return
         for job in [
             job for job in self._projection.jobs.values() if job.is_open and job.owner == self.writer
         ]:
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import zlib
 from collections.abc import Callable, Sequence
 
@@ -35,6 +36,9 @@
 """Pause between reads, so that small records arrive in batches."""
 IDLE_POLL_WAIT_S = 3.0
 """Longest wait of a long poll while no job of the partition is open."""
+MAX_AGE_TO_WAIT_S = 0.4
+"""Age of the view from which a read does not wait while a job is open.  With a long poll and the pause added,
+the age stays below MAX_CURRENT_AGE_S while the log answers."""
 FOLLOW_AFTER_USE_S = 4.0
 """Time for which a partition is followed after its last use by a request, or after this daemon watched it."""
 STATE_TTL_S = 30.0
@@ -95,7 +99,9 @@
             append_bytes=settings.append_bytes,
         )
         tail_settings = TailSettings(topic=settings.topic, partition=number, gap_s=READ_PAUSE_S)
-        self.followed_tail = OnDemandTail(RecordTail(log, tail_settings, self._apply))
+        self.followed_tail = OnDemandTail(
+            RecordTail(log, tail_settings, self._apply, on_current=self._start_runners)
+        )
         self.ownership = Ownership(
             self.projection,
             self.journal,
@@ -151,8 +157,10 @@
         return matches
 
     def choose_poll_wait(self) -> None:
-        """Shorten the long polls while a job is open, because takeovers require a fresh view."""
-        self.tail.wait_s = POLL_WAIT_S if self.projection.has_open_jobs() else IDLE_POLL_WAIT_S
+        """While a job is open, poll so that the view stays fresh, as runs and takeovers require."""
+        has_open_jobs = self.projection.has_open_jobs()
+        self.tail.wait_s = POLL_WAIT_S if has_open_jobs else IDLE_POLL_WAIT_S
+        self.tail.max_age_to_wait_s = MAX_AGE_TO_WAIT_S if has_open_jobs else math.inf
 
     def keep_following(self) -> None:
         """Follow the partition for at least FOLLOW_AFTER_USE_S from now."""
@@ -193,8 +201,9 @@
         self.choose_poll_wait()
         self.read_bodies()
         self.ownership.stop_lost_runs()
-        if self.is_current:
-            self.ownership.start_runners()
+
+    def _start_runners(self) -> None:
+        self.ownership.start_runners()
 
 
 class JobPartitions:
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -229,9 +229,28 @@
     Records that the log removes before they are read are skipped.
     """
 
-    def __init__(self, log: SharedLog, settings: TailSettings, apply: Callable[[LogPage], None]) -> None:
+    def __init__(
+        self,
+        log: SharedLog,
+        settings: TailSettings,
+        apply: Callable[[LogPage], None],
+        *,
+        on_current: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Create a tail that reads nothing before :meth:`run`.
+
+        Args:
+            log: the log.
+            settings: the partition, and the pace of the reads.
+            apply: takes each page with records.
+            on_current: called after each read that reached the end of the partition.
+        """
         super().__init__(log, settings)
         self._apply = apply
+        self._on_current = on_current
+        self.max_age_to_wait_s = float("inf")
+        """Age of the view from which the next read does not wait for records, so that it confirms the view at
+        once; may be changed at any time."""
         self._advanced = asyncio.Event()
         self.next_offset = 0
         """Offset of the next record to read."""
@@ -242,11 +261,14 @@
 
     async def _read_once(self) -> bool:
         started_at_s = monotonic_s()
-        wait_s = self.wait_s if self.caught_up else 0.0
+        may_wait = self.caught_up and self.freshness.age_s(started_at_s) < self.max_age_to_wait_s
+        wait_s = self.wait_s if may_wait else 0.0
         page = await self._read_page(self.next_offset, wait_s)
         self._apply_page(page)
         at_end = self._confirm_if_at_end(page, started_at_s, wait_s)
         self.caught_up = self.caught_up or at_end
+        if at_end:
+            self._on_current()
         return at_end
 
     def _skip_removed_records(self, first: int) -> None:
