Take a job over from a cut-off owner only if its partition answers here

What callers would see: when one partition of the log answers nobody, the runs of all its jobs stop, and nobody can go on with them until it answers again.

Cause: a daemon that finds an owner with an unacknowledged append asked whether the log answers here, by its membership of the group, and not whether the partition does. Its view, at most 1.6 s old, was from before the outage. It made the owner release its jobs, and its own claim then waited for the same partition.

Now it reads the partition to its end first, one call a takeover.

Evidence: test_an_outage_of_one_partition_leaves_its_jobs_with_their_owners failed without the read ('assert 0 == 1', no runner left at the owner) and passes with it; tests/test_jobs_*.py pass, the limits of takeovers (RELEASE_LIMIT_S, TAKEOVER_LIMIT_S) among them.

--- a/passgate/emulator/shared_log.py
+++ b/passgate/emulator/shared_log.py
@@ -104,6 +104,10 @@
         self.groups = LogGroups(monotonic_s)
         self.cut_off_clients: set[str] = set()
         """Names of the clients whose calls get no answer."""
+        self.clients_without_reads: set[str] = set()
+        """Names of the clients whose reads of records get no answer, although other calls do."""
+        self.silent_partitions: set[tuple[str, int]] = set()
+        """Topics and numbers of partitions whose appends and reads of records get no answer."""
         self.call_count = 0
         self.bytes_read = 0
         self._bandwidth_free_s = 0.0
@@ -184,6 +188,7 @@
     async def append(self, topic: str, part: int, records: Sequence[bytes], *, at: int | None = None) -> int:
         """Append all records or none; see :class:`SharedLog`."""
         await self._send_call(LogAppendUnknown)
+        await self._raise_if_silent(topic, part, LogAppendUnknown)
         faults = self._log.faults
         if faults.lost_answers and self._log.random.random() < faults.lost_answers:
             late_s = self._log.random.uniform(*faults.late_s)
@@ -222,6 +227,9 @@
         await self._log.transfer(sum(len(record) for record in records))
         page = LogPage(start=start, end=partition.end, records=records, first=partition.first)
         await self._send_answer(LogUnavailable)
+        if self._name in self._log.clients_without_reads:
+            await self._time_out(LogUnavailable)
+        await self._raise_if_silent(topic, part, LogUnavailable)
         return page
 
     async def newest(self, topic: str, part: int, *, most_pages: int | None = None) -> KeyedSnapshot:
@@ -285,5 +293,16 @@
 
     async def _raise_if_unanswered(self, failure: type[LogUnavailable] | type[LogAppendUnknown]) -> None:
         if self._log.faults.silent or self._name in self._log.cut_off_clients:
-            await asyncio.sleep(ANSWER_TIMEOUT_S)
-            raise failure("the log did not answer the call")
+            await self._time_out(failure)
+
+    async def _raise_if_silent(
+        self, topic: str, part: int, failure: type[LogUnavailable] | type[LogAppendUnknown]
+    ) -> None:
+        """Raise ``failure`` if the partition is silent."""
+        if (topic, part) in self._log.silent_partitions:
+            await self._time_out(failure)
+
+    @staticmethod
+    async def _time_out(failure: type[LogUnavailable] | type[LogAppendUnknown]) -> None:
+        await asyncio.sleep(ANSWER_TIMEOUT_S)
+        raise failure("the log did not answer the call")
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -13,7 +13,7 @@
 import enum
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -101,6 +101,7 @@
         make_runner: MakeJobRunner,
         owners: PartitionOwners,
         decisions: DecisionLog,
+        confirm_view: Callable[[], Awaitable[bool]],
         may_own: Callable[[JobState], bool] = lambda job: True,
         time_to_live_s: Callable[[JobState], float] = lambda job: UNLIMITED_TIME_TO_LIVE_S,
     ) -> None:
@@ -113,6 +114,7 @@
             make_runner: makes the runner of a job.
             owners: contact with the owners of jobs.
             decisions: decision log.
+            confirm_view: reads the partition to its present end; returns False if that fails.
             may_own: returns whether a job's bodies may be held in this daemon's region.
             time_to_live_s: returns the time after which a job's items may be expired by a daemon that can't
                 run the job.
@@ -127,6 +129,7 @@
         self._make_runner = make_runner
         self._owners = owners
         self._decisions = decisions
+        self._confirm_view = confirm_view
         self._run_by_job: dict[str, _Run] = {}
         self._jobs_being_claimed: set[str] = set()
         """Jobs for which this daemon has queued a claim or a release that it may not have read yet."""
@@ -307,13 +310,17 @@
         task.add_done_callback(_log_task_failure)
 
     async def _append_claim(self, job: JobState, silent_s: float) -> None:
-        """Claim a job; if its owner is cut off from the log, append the owner's released progress first."""
+        """Claim a job; if its owner is cut off from the log, append the owner's released progress first.
+
+        Does nothing if the owner's partition does not answer this daemon either.
+        """
         previous, epoch = job.owner, job.epoch
-        last_contact_s = self._projection.last_contact_s_by_writer.get(previous, NEVER_S)
-        if previous and self._owners.liveness.status_of(previous, last_contact_s) is WriterStatus.CUT_OFF:
-            for entry in await self._owners.release_jobs(previous):
-                self._journal.put(entry)
         try:
+            if self._is_cut_off(previous):
+                if not await self._confirm_view():
+                    return
+                for entry in await self._owners.release_jobs(previous):
+                    self._journal.put(entry)
             await self._journal.put(JobClaimed(job_id=job.job_id, owner=self.writer, epoch=epoch + 1))
         finally:
             asyncio.get_running_loop().call_later(
@@ -328,6 +335,13 @@
             )
         )
 
+    def _is_cut_off(self, owner: str) -> bool:
+        """Whether an owner responds, but waits for the log to acknowledge an append."""
+        last_contact_s = self._projection.last_contact_s_by_writer.get(owner, NEVER_S)
+        return owner != NO_OWNER and (
+            self._owners.liveness.status_of(owner, last_contact_s) is WriterStatus.CUT_OFF
+        )
+
     def _release_if_not_allowed(self, job: JobState) -> None:
         """Give up the ownership of a job when the active configuration excludes this daemon's region."""
         if self._may_own(job) or job.job_id in self._jobs_being_claimed:
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -41,6 +41,8 @@
 the age stays below MAX_CURRENT_AGE_S while the log answers."""
 FOLLOW_AFTER_USE_S = 4.0
 """Time for which a partition is followed after its last use by a request, or after this daemon watched it."""
+CONFIRM_TIMEOUT_S = 0.5
+"""Longest wait, before a takeover, until records up to the partition's present end are applied."""
 STATE_TTL_S = 30.0
 """Minimum time for which the state of a partition is kept after it was last needed."""
 
@@ -109,6 +111,7 @@
             lambda job: make_runner(self.projection, self.journal, job),
             owners,
             decisions,
+            lambda: self.tail.read_to_current_end(CONFIRM_TIMEOUT_S),
             self.may_hold,
             self._time_to_live_s,
         )
--- a/tests/test_jobs_takeover.py
+++ b/tests/test_jobs_takeover.py
@@ -140,6 +140,24 @@
     run_virtual(main())
 
 
+def test_an_outage_of_one_partition_leaves_its_jobs_with_their_owners():
+    """Guards against daemons that take an owner for cut off because its partition answers nobody."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await start_daemons(log, 3, zones=3)
+        await daemons[0].service.submit(job_spec("j", 40), monotonic_s() + 2)
+        await asyncio.sleep(1.0)
+        log.silent_partitions.add(("jobs", partition_number(daemons[0], HOST)))
+        owner = daemon_of_writer(daemons, await daemons[0].read_owner("j"))
+        await asyncio.sleep(4.0)
+        assert owner.job_partitions.running_jobs == 1
+        for daemon in daemons:
+            await daemon.kill()
+
+    run_virtual(main())
+
+
 def test_a_graceful_shutdown_releases_jobs_at_once():
     async def main():
         daemons = await start_daemons(MemorySharedLog(), 3)
