Ask before each send of a run whether its job may still be this daemon's

What callers would see: replicas get items, moves, retries and reward calls of jobs that ended or were taken over while the daemon that runs them is cut off from the log, for as long as the cut lasts and the job has items; a daemon whose appends succeed while its reads fail keeps its jobs for ever, as it renews its leases.

Cause: a run that began rightly was never asked again how old the view is on which it goes on.

Now each attempt of an item or reward call, and each start of a run, needs a permission of the partition: its view is at most 2 s old, or other daemons confirm an outage, in which nobody can take jobs over. Unread records that are known to exist forbid a send in any case. Without the permission leases are not renewed.

--- a/passgate/daemon/job_runner_factory.py
+++ b/passgate/daemon/job_runner_factory.py
@@ -18,6 +18,7 @@
 from passgate.jobs.projection import JobProjection, JobState
 from passgate.jobs.reward_call import RewardCallContext
 from passgate.jobs.runner import JobRunner
+from passgate.jobs.send_permission import SendPermission
 from passgate.jobs.stall_detector import StallDetector
 from passgate.jobs.wait_queues import WaitQueues
 
@@ -64,13 +65,16 @@
             slot_lock_by_regions=defaultdict(asyncio.Lock),
         )
 
-    def make(self, projection: JobProjection, journal: Journal, job: JobState) -> JobRunner | None:
+    def make(
+        self, projection: JobProjection, journal: Journal, job: JobState, send_permission: SendPermission
+    ) -> JobRunner | None:
         """Return a runner of a job, not started; None if no active route matches the job's host and path.
 
         Args:
             projection: state of the job's partition.
             journal: writer to the job's partition.
             job: the job.
+            send_permission: permission of the partition's runs to send.
         """
         spec = job.spec()
         route = self._config_holder.find_route(spec.host, spec.path)
@@ -86,6 +90,7 @@
             durations=self._output_durations,
             reward_context=self._reward_context,
             stall_detector=self._stall_detector,
+            send_permission=send_permission,
             find_send_context=self._config_holder.send_context_for,
             group_affinity=GroupAffinity(self._replicas, self._evacuated_zones),
         )
--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -54,6 +54,8 @@
     JobResultsRead,
     JobRunStarted,
     JobRunStopped,
+    JobSendsPaused,
+    JobSendsResumed,
     RewardFailed,
     RewardSent,
 )
@@ -115,6 +117,8 @@
     "JobResultsRead",
     "JobRunStarted",
     "JobRunStopped",
+    "JobSendsPaused",
+    "JobSendsResumed",
     "JobGroupsCompleted",
     "LeadershipLost",
     "LeadershipTaken",
--- a/passgate/decisions/job_events.py
+++ b/passgate/decisions/job_events.py
@@ -82,6 +82,26 @@
     """Age of the view of the job's partition; at most MAX_LOGGED_AGE_S."""
 
 
+class JobSendsPaused(Event, tag="job_sends_paused"):
+    """This daemon sends nothing for the jobs of a partition, as its view of the partition is old."""
+
+    part: int
+    """Number of the partition."""
+    view_age_s: float
+    """Age of the view; at most MAX_LOGGED_AGE_S."""
+    reason: str
+    """Why the view can't be trusted: ``catching_up``, ``cut_off``, or ``unknown`` without answers yet."""
+
+
+class JobSendsResumed(Event, tag="job_sends_resumed"):
+    """This daemon sends for the jobs of a partition again, after a pause."""
+
+    part: int
+    """Number of the partition."""
+    paused_s: float
+    """Length of the pause."""
+
+
 class ItemSent(Event, tag="item_sent"):
     """An attempt of an item was started at a replica."""
 
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -35,6 +35,7 @@
 from passgate.jobs.job_timing import JobTiming
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardCallContext
+from passgate.jobs.send_permission import SendPermission
 from passgate.jobs.stall_detector import FIRST_BYTES_LIMIT_S, StallDetector, silence_limit_s
 from passgate.jobs.wait_queues import QueueKey, Rank, WaitQueues
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
@@ -67,6 +68,8 @@
     durations: OutputDurations
     reward_context: RewardCallContext
     stall_detector: StallDetector
+    send_permission: SendPermission
+    """Permission to send for the job, which each attempt needs."""
     find_send_context: Callable[[str, str, str | None, frozenset[str]], SendContext]
     """Returns the restrictions on a request, from its host, path and tenant, and the regions that apply if
     its route no longer exists."""
@@ -139,8 +142,10 @@
 
     async def wait_for_replica(self) -> None:
         """Wait in the queue until a replica has a free slot for the item, and reserve it."""
-        while (state := await self._wait_in_queue(self._context.queue_key(self._spec))) is None:
-            pass  # a new configuration has moved the item to another queue
+        state = None
+        while state is None:
+            await self._context.send_permission.wait_until_granted()
+            state = await self._wait_in_queue(self._context.queue_key(self._spec))
         self._reserve_slot(state)
 
     async def _wait_outside_queue(self) -> None:
@@ -148,7 +153,7 @@
 
         Waiting in the queue would block its other items, which may use more replicas.
         """
-        while (state := self._choose_replica()) is None:
+        while not self._may_send or (state := self._choose_replica()) is None:
             await asyncio.sleep(SLOT_POLL_INTERVAL_S)
         self._reserve_slot(state)
 
@@ -158,9 +163,12 @@
         self._crash_guard.announce_run(self._identity, state.incarnation)
 
     async def _wait_in_queue(self, queue_key: QueueKey) -> ReplicaState | None:
-        """Wait in a queue for a replica with a free slot; return None if the item gets another queue."""
+        """Wait in a queue for a replica with a free slot.
+
+        Returns None if the item gets another queue by a new configuration, or may not be sent any more.
+        """
         with self._context.wait_queues.queued(queue_key, self._rank):
-            while self._context.queue_key(self._spec) == queue_key:
+            while self._may_send and self._context.queue_key(self._spec) == queue_key:
                 if (
                     self._context.wait_queues.is_first(queue_key, self._rank)
                     and (state := self._choose_replica()) is not None
@@ -206,6 +214,11 @@
             self._avoided_replica = None  # the replica of the last failure may be used if no other can
         return state
 
+    @property
+    def _may_send(self) -> bool:
+        """Whether the job's runs may send now."""
+        return self._context.send_permission.is_granted()
+
     @property
     def is_quarantined(self) -> bool:
         """Whether the item must not be sent now, because replicas crashed while running it."""
@@ -225,7 +238,7 @@
         while True:
             if self._reserved_replica is None:
                 await self._wait_for_next_attempt()
-            if not await self._crash_guard.confirm_run(self._identity):
+            if not await self._crash_guard.confirm_run(self._identity) or not self._may_send:
                 self.release_slot()
                 continue
             state = self._reserved_replica
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -33,13 +33,11 @@
 from passgate.jobs.projection import JobProjection, JobState
 from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, Result, ResultState, daemon_of
 from passgate.jobs.runner import EXPIRY_MARGIN_S, JobRunner
+from passgate.jobs.send_permission import SendPermission
 from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, Freshness
 
 logger = logging.getLogger("passgate.jobs")
 
-MAX_VIEW_AGE_S = 2.0
-"""Age of the view of the partition up to which jobs are run.  A send that waits for a connection still
-arrives within 3 s, the time after which a cancelled job must not reach replicas."""
 TAKEOVER_AFTER_S = 1.5
 """Silence of an owner after which the watcher takes over its jobs whatever a probe says; jitter is added."""
 PROBE_AFTER_S = 0.55
@@ -98,6 +96,7 @@
         projection: JobProjection,
         journal: Journal,
         freshness: Freshness,
+        send_permission: SendPermission,
         make_runner: MakeJobRunner,
         owners: PartitionOwners,
         decisions: DecisionLog,
@@ -111,6 +110,7 @@
             projection: state of the partition's jobs.
             journal: appends to the partition.
             freshness: age of this daemon's view of the partition.
+            send_permission: whether runs may send, which depends on that age.
             make_runner: makes the runner of a job.
             owners: contact with the owners of jobs.
             decisions: decision log.
@@ -126,6 +126,7 @@
         self._projection = projection
         self._journal = journal
         self._freshness = freshness
+        self._send_permission = send_permission
         self._make_runner = make_runner
         self._owners = owners
         self._decisions = decisions
@@ -198,14 +199,17 @@
         self.stop_lost_runs()
         self._expired_jobs.intersection_update(self._projection.jobs)
         if self._run_by_job:
-            self._journal.renew_lease()
+            self._send_permission.update()
+            # Without the permission the jobs make no progress here, so others should claim them.
+            if self._send_permission.is_granted():
+                self._journal.renew_lease()
 
     def start_runners(self) -> None:
         """Start the missing runners of open jobs that this daemon owns and may run.
 
-        Starts none on an old view of the partition, as the jobs may have ended or been taken over since.
+        Starts none without the permission to send, as the jobs may have ended or been taken over.
         """
-        if self._freshness.age_s(monotonic_s()) >= MAX_VIEW_AGE_S:
+        if not self._send_permission.is_granted():
             return
         for job in [
             job for job in self._projection.jobs.values() if job.is_open and job.owner == self.writer
--- a/passgate/jobs/partition_owners.py
+++ b/passgate/jobs/partition_owners.py
@@ -1,4 +1,4 @@
-"""Contact with the owners of a partition's jobs, to decide on and carry out takeovers."""
+"""Contact with the owners of a partition's jobs and with other daemons, to decide on takeovers and sends."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from passgate.jobs.liveness import AliveResponse, LivenessProber
+from passgate.jobs.log_access import LogAccess
 from passgate.jobs.records import ItemProgressed, ItemsDone
 
 UnappendedEntries = Sequence[ItemsDone | ItemProgressed]
@@ -18,6 +19,13 @@
         """Return the response of the daemon at a writer's address; None without a valid response."""
         ...
 
+    async def find_log_access(self, partition: int, writers: Sequence[str]) -> LogAccess:
+        """Ask other daemons, ``writers`` among them, whether the log answers them.
+
+        Returns why it does not answer this one.
+        """
+        ...
+
     async def release_jobs(self, writer: str, partition: int) -> UnappendedEntries:
         """Make a writer that is cut off from the log stop its runs of the partition's jobs.
 
@@ -45,6 +53,10 @@
     async def _probe(self, writer: str) -> AliveResponse | None:
         return await self._peers.probe(writer, self._partition)
 
+    async def find_log_access(self, writers: Sequence[str]) -> LogAccess:
+        """Return why the log does not answer this daemon; see :meth:`OwnerClient.find_log_access`."""
+        return await self._peers.find_log_access(self._partition, writers)
+
     async def release_jobs(self, writer: str) -> UnappendedEntries:
         """Make an owner that is cut off from the log stop its runs; see :meth:`OwnerClient.release_jobs`."""
         return await self._peers.release_jobs(writer, self._partition)
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -27,6 +27,7 @@
 from passgate.jobs.records import ItemBodies, WriterStopped, decode_batch
 from passgate.jobs.restricted_bodies import BodiesReader, RestrictedBodies
 from passgate.jobs.runner import JobRunner
+from passgate.jobs.send_permission import SendPermission
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import POLL_WAIT_S, OnDemandTail, RecordTail, TailSettings
 
@@ -43,10 +44,12 @@
 """Time for which a partition is followed after its last use by a request, or after this daemon watched it."""
 CONFIRM_TIMEOUT_S = 0.5
 """Longest wait, before a takeover, until records up to the partition's present end are applied."""
+MAX_RECENT_WRITERS = 3
+"""Maximum number of writers that are asked whether the log answers them."""
 STATE_TTL_S = 30.0
 """Minimum time for which the state of a partition is kept after it was last needed."""
 
-MakePartitionJobRunner = Callable[[JobProjection, Journal, JobState], JobRunner | None]
+MakePartitionJobRunner = Callable[[JobProjection, Journal, JobState, SendPermission], JobRunner | None]
 """Makes a job's runner; returns None while the job matches no route."""
 
 
@@ -104,11 +107,16 @@
         self.followed_tail = OnDemandTail(
             RecordTail(log, tail_settings, self._apply, on_current=self._start_runners)
         )
+        self.send_permission = SendPermission(
+            number, self.tail, lambda: owners.find_log_access(self._recent_writers()), decisions
+        )
+        """Permission of the runs of the partition's jobs to send to replicas."""
         self.ownership = Ownership(
             self.projection,
             self.journal,
             self.tail.freshness,
-            lambda job: make_runner(self.projection, self.journal, job),
+            self.send_permission,
+            lambda job: make_runner(self.projection, self.journal, job, self.send_permission),
             owners,
             decisions,
             lambda: self.tail.read_to_current_end(CONFIRM_TIMEOUT_S),
@@ -129,6 +137,21 @@
         """Whether the partition is followed, and was read to its end since this daemon began to follow it."""
         return self.followed_tail.current
 
+    def _recent_writers(self) -> list[str]:
+        """Return the writers, at most MAX_RECENT_WRITERS, of the newest records in the partition."""
+        contact_s_by_writer = self.projection.last_contact_s_by_writer
+        writers = sorted(contact_s_by_writer, key=contact_s_by_writer.__getitem__, reverse=True)
+        return writers[:MAX_RECENT_WRITERS]
+
+    def view_age_s(self) -> float:
+        """Return the age of this daemon's view of the partition.
+
+        Infinite if the partition is not followed, was not read to its end yet, or has known unread records.
+        """
+        if not self.is_current or self.tail.has_unread_records:
+            return math.inf
+        return self.tail.freshness.age_s(monotonic_s())
+
     def may_hold(self, job: JobState) -> bool:
         """Whether the active configuration allows this daemon to hold a job's bodies."""
         return self._restricted_bodies is None or self._restricted_bodies.may_hold(
@@ -186,6 +209,7 @@
         if self.bodies_reader is not None:
             self.bodies_reader.close()
         self.ownership.cancel_runners()
+        self.send_permission.close()
         self._append_task.cancel()
 
     def _apply(self, page: LogPage) -> None:
--- a/passgate/jobs/peers.py
+++ b/passgate/jobs/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import msgspec
 
@@ -28,6 +29,7 @@
 )
 from passgate.gateway.zone_distances import ZoneDistances
 from passgate.jobs.liveness import AliveResponse
+from passgate.jobs.log_access import LogAccess, judge_log_access
 from passgate.jobs.partition_owners import UnappendedEntries
 from passgate.jobs.reader import ResultPage
 from passgate.jobs.records import ItemProgressed, ItemsDone, JobSpec, encode_spec
@@ -182,7 +184,12 @@
         return self._distances.topology.zone
 
     async def probe(self, writer: str, partition: int) -> AliveResponse | None:
-        """Return the response of the daemon at a writer's address; None without a valid response."""
+        """Return the response of the daemon at the address in a name; None without a valid response.
+
+        Args:
+            writer: name of a writer, or of a member of a zone's group.
+            partition: partition that the response is about.
+        """
         request = msgspec.json.encode(AliveRequest(partition=partition))
         try:
             started_s = monotonic_s()
@@ -195,6 +202,21 @@
         except (PeerError, msgspec.DecodeError):
             return None  # expected of a writer that has ended, so no decision line is written
 
+    async def find_log_access(self, partition: int, writers: Sequence[str]) -> LogAccess:
+        """Ask other daemons whether the log answers them; return why it does not answer this one.
+
+        Asks the partition's watchers, as far as they are known, some members of this daemon's zone, and
+        ``writers``, which have appended to the partition.
+        """
+        watchers = [await self._directory.holder_of(partition)]
+        watchers += [watcher for _, watcher in await self._watchers_in_other_zones(partition)]
+        names = [*watchers, *self._members_to_call(None)[::-1], *writers]
+        name_by_address = {address_of(name): name for name in names if name}
+        name_by_address.pop(address_of(self._member_name), None)
+        probes = [self.probe(name, partition) for name in name_by_address.values()]
+        responses = [response for response in await asyncio.gather(*probes) if response is not None]
+        return judge_log_access(responses, len(probes))
+
     async def release_jobs(self, writer: str, partition: int) -> UnappendedEntries:
         """Make a writer that is cut off from the log stop its runs of a partition's jobs.
 
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -25,6 +25,7 @@
 from passgate.gateway.replica_table import ReplicaQuery, ReplicaState, ReplicaTable
 from passgate.gateway.routes import Route, WeightedServicePicker
 from passgate.jobs.records import RewardSpec, Score
+from passgate.jobs.send_permission import SendPermission
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 MAX_LOAD = 0.7
@@ -70,8 +71,10 @@
         item_id: str,
         spec: RewardSpec,
         context: RewardCallContext,
+        send_permission: SendPermission,
         tenant: str | None = None,
     ) -> None:
+        self._send_permission = send_permission
         self._job_id = job_id
         self._tenant = tenant
         self._item_id = item_id
@@ -116,6 +119,7 @@
     async def _wait_for_slot(self) -> tuple[Route, ReplicaState]:
         """Wait for a route and a replica with a free slot; return them with the slot reserved."""
         while True:
+            await self._send_permission.wait_until_granted()
             while (route := self._find_route()) is None:
                 await asyncio.sleep(POLL_INTERVAL_S)
             if self._crash_guard.needs_isolated_run(self._identity):
@@ -131,7 +135,8 @@
         """Return whether the call may run in its reserved slot; release the slot if not."""
         may_run = False
         try:
-            may_run = await self._crash_guard.confirm_run(self._identity)
+            is_confirmed = await self._crash_guard.confirm_run(self._identity)
+            may_run = is_confirmed and self._send_permission.is_granted()
         finally:
             if not may_run:
                 state.in_flight -= 1
@@ -139,8 +144,11 @@
         return may_run
 
     async def _poll_for_slot(self, route: Route) -> ReplicaState | None:
-        """Wait for a free slot and reserve it; return None if a new configuration replaces the route."""
-        while self._find_route() is route:
+        """Wait for a free slot and reserve it.
+
+        Returns None if a new configuration replaces the route, or the call may not be sent any more.
+        """
+        while self._find_route() is route and self._send_permission.is_granted():
             state = self._choose_replica(self._context.service_picker.pick(route))
             if state is not None:
                 state.in_flight += 1
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -184,7 +184,14 @@
     async def _score_result(self, item: ItemSpec, reward: RewardSpec, result: Result) -> Result:
         if result.score is not None and result.score.call_id == reward.id:
             return result
-        call = RewardCall(self._spec.job_id, item.id, reward, self._context.reward_context, self._spec.tenant)
+        call = RewardCall(
+            self._spec.job_id,
+            item.id,
+            reward,
+            self._context.reward_context,
+            self._context.send_permission,
+            self._spec.tenant,
+        )
         score = await call.request_score(self._context.route.max_attempts)
         if score is None:
             return Result(item_id=item.id, state=ResultState.DEAD)
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -256,9 +256,16 @@
         """Offset of the next record to read."""
         self.first_kept_offset = 0
         """Offset of the oldest record that the log kept at the last read."""
+        self._known_end = 0
+        """Highest end of the partition that a read has reported."""
         self.caught_up = False
         """Whether the end of the partition has been reached since the start; see :class:`OnDemandTail`."""
 
+    @property
+    def has_unread_records(self) -> bool:
+        """Whether the log is known to hold records that were not applied yet."""
+        return self.next_offset < self._known_end
+
     async def _read_once(self) -> bool:
         started_at_s = monotonic_s()
         may_wait = self.caught_up and self.freshness.age_s(started_at_s) < self.max_age_to_wait_s
@@ -276,6 +283,7 @@
 
     def _apply_page(self, page: LogPage) -> None:
         self.first_kept_offset = max(self.first_kept_offset, page.first)
+        self._known_end = max(self._known_end, page.end)
         if page.records and page.start == self.next_offset:
             self._apply(page)
             self.next_offset = page.next_offset
--- a/tests/job_daemons.py
+++ b/tests/job_daemons.py
@@ -62,7 +62,8 @@
 class FakeRunner:
     """Replaces the runner of a job: each item takes some time, and its text names the daemon."""
 
-    def __init__(self, daemon, journal, job):
+    def __init__(self, daemon, journal, job, send_permission):
+        self.send_permission = send_permission
         self.daemon = daemon
         self.journal = journal
         self.job = job
@@ -70,6 +71,7 @@
     async def run(self):
         for item in self.job.spec().items:
             if item.id not in self.job.position_by_item:
+                await self.send_permission.wait_until_granted()
                 self.daemon.sends.append((monotonic_s(), item.id))
                 await asyncio.sleep(ITEM_S)
                 text = f"{item.id} by {self.daemon.name}"
@@ -167,8 +169,8 @@
         self.sends = []
         """Loop time and item of each send by this daemon's runners."""
 
-    def make_runner(self, projection, journal, job):
-        return FakeRunner(self, journal, job)
+    def make_runner(self, projection, journal, job, send_permission):
+        return FakeRunner(self, journal, job, send_permission)
 
     def start(self):
         loop = asyncio.get_running_loop()
--- a/tests/test_jobs_reader.py
+++ b/tests/test_jobs_reader.py
@@ -29,7 +29,7 @@
 class IdleDaemon(Daemon):
     """Daemon whose runners run no items."""
 
-    def make_runner(self, projection, journal, job):
+    def make_runner(self, projection, journal, job, send_permission):
         return IdleRunner()
 
 
