Forget the jobs of a partition whose records were removed before they were read

What callers would see: replicas get items of an ended job from a daemon that was cut off while the log removed the record of the end.

Cause: a tail that finds its next records removed went on at the oldest kept one, and its view then counted as fresh: the state from before the gap was never questioned.

Now a gap empties the partition's state, as if the daemon had just begun to follow it, and stops its runs. job_history_lost says so.

Evidence: test_an_owner_forgets_a_job_whose_end_the_log_removed_before_it_was_read failed before ('assert [10.924, 11.324, ... 12.924, ...] == []') and passes.

--- a/passgate/decisions/job_events.py
+++ b/passgate/decisions/job_events.py
@@ -82,6 +82,17 @@
     """Age of the view of the job's partition; at most MAX_LOGGED_AGE_S."""
 
 
+class JobHistoryLost(Event, tag="job_history_lost"):
+    """The log has removed records of a partition that this daemon had not read, so it forgets the jobs there."""
+
+    part: int
+    """Number of the partition."""
+    first: int
+    """Offset of the oldest record that the log has kept."""
+    jobs: int
+    """Number of jobs that were known."""
+
+
 class JobSendsPaused(Event, tag="job_sends_paused"):
     """This daemon sends nothing for the jobs of a partition, as its view of the partition is old."""
 
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, RecordUnreadable
+from passgate.decisions import DecisionLog, JobHistoryLost, RecordUnreadable
 from passgate.jobs.journal import Journal
 from passgate.jobs.ownership import UNLIMITED_TIME_TO_LIVE_S, Ownership
 from passgate.jobs.partition_owners import OwnerClient, PartitionOwners
@@ -105,7 +105,9 @@
         )
         tail_settings = TailSettings(topic=settings.topic, partition=number, gap_s=READ_PAUSE_S)
         self.followed_tail = OnDemandTail(
-            RecordTail(log, tail_settings, self._apply, on_current=self._start_runners)
+            RecordTail(
+                log, tail_settings, self._apply, on_current=self._start_runners, on_gap=self._forget_jobs
+            )
         )
         self.send_permission = SendPermission(
             number, self.tail, lambda: owners.find_log_access(self._recent_writers()), decisions
@@ -229,6 +231,12 @@
         self.read_bodies()
         self.ownership.stop_lost_runs()
 
+    def _forget_jobs(self, first: int) -> None:
+        """Forget the state from before a gap: the log may have removed the end of a job, or a claim to it."""
+        self._decisions.write(JobHistoryLost(part=self.number, first=first, jobs=len(self.projection.jobs)))
+        self.projection.forget_jobs()
+        self.ownership.stop_lost_runs()
+
     def _start_runners(self) -> None:
         self.ownership.start_runners()
 
--- a/passgate/jobs/projection.py
+++ b/passgate/jobs/projection.py
@@ -295,6 +295,14 @@
         """Whether any job is open."""
         return any(job.is_open for job in self.jobs.values())
 
+    def forget_jobs(self) -> None:
+        """Remove all jobs and what is known of their items; writers stay known."""
+        self.jobs.clear()
+        self.newest_job_by_model.clear()
+        self.recorded_events_by_item.clear()
+        self.newest_result_by_item.clear()
+        self._pending_jobs.clear()
+
     def prune(self, now_s: float, retention_s: float) -> None:
         """Remove jobs that are not open and that this daemon read more than ``retention_s`` ago."""
         for job in list(self.jobs.values()):
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -226,7 +226,7 @@
 class RecordTail(_Follower):
     """Follows one partition from its oldest kept record; passes each page with records to ``apply`` in order.
 
-    Records that the log removes before they are read are skipped.
+    Records that the log removes before they are read are skipped, which ``on_gap`` is told.
     """
 
     def __init__(
@@ -236,6 +236,7 @@
         apply: Callable[[LogPage], None],
         *,
         on_current: Callable[[], None] = lambda: None,
+        on_gap: Callable[[int], None] = lambda first: None,
     ) -> None:
         """Create a tail that reads nothing before :meth:`run`.
 
@@ -244,10 +245,13 @@
             settings: the partition, and the pace of the reads.
             apply: takes each page with records.
             on_current: called after each read that reached the end of the partition.
+            on_gap: called with the offset of the oldest kept record when records after the last one that was
+                read are gone.
         """
         super().__init__(log, settings)
         self._apply = apply
         self._on_current = on_current
+        self._on_gap = on_gap
         self.max_age_to_wait_s = float("inf")
         """Age of the view from which the next read does not wait for records, so that it confirms the view at
         once; may be changed at any time."""
@@ -279,7 +283,10 @@
         return at_end
 
     def _skip_removed_records(self, first: int) -> None:
+        was_read_before = self.next_offset > 0
         self.next_offset = first
+        if was_read_before:
+            self._on_gap(first)
 
     def _apply_page(self, page: LogPage) -> None:
         self.first_kept_offset = max(self.first_kept_offset, page.first)
--- a/tests/test_jobs_old_views.py
+++ b/tests/test_jobs_old_views.py
@@ -173,3 +173,24 @@
         await close_all(daemons)
 
     run_virtual(main())
+
+
+def test_an_owner_forgets_a_job_whose_end_the_log_removed_before_it_was_read():
+    """Guards against views that count as fresh although records between two reads are gone."""
+
+    async def main():
+        log = MemorySharedLog()
+        owner, other, _ = daemons = await start_job(log, LONG_JOB_ITEMS)
+        partition = log.partition("jobs", owner.job_partitions.of_host(HOST).number)
+        log.cut_off_clients.add(client_name(owner))
+        await asyncio.sleep(1.0)
+        await other.service.cancel(HOST, "j", monotonic_s() + 1.0)
+        partition.drop_before(partition.end)
+        log.cut_off_clients.clear()
+        await asyncio.sleep(2.0)
+        healed_s = monotonic_s()
+        await asyncio.sleep(OBSERVED_S)
+        assert sends_after(owner, healed_s) == []
+        await close_all(daemons)
+
+    run_virtual(main())
