Keep the cancellation of a job that is not known yet

What callers would see: a job runs although its end was acknowledged, when the append of its record got no answer and takes effect seconds later.

Cause: a cancellation was ignored unless its job was read before. Daemons append a cancellation without knowing the job when they can't check it, and an append without an answer may take effect late.

Evidence: test_a_job_whose_cancellation_was_read_first_is_cancelled failed before ('assert False') and passes.

--- a/passgate/decisions/job_events.py
+++ b/passgate/decisions/job_events.py
@@ -83,7 +83,7 @@
 
 
 class JobHistoryLost(Event, tag="job_history_lost"):
-    """The log has removed records of a partition that this daemon had not read, so it forgets the jobs there."""
+    """The log has removed records that this daemon had not read, so it forgets the partition's jobs."""
 
     part: int
     """Number of the partition."""
--- a/passgate/jobs/projection.py
+++ b/passgate/jobs/projection.py
@@ -48,6 +48,8 @@
 FIRST_EPOCH = 1
 MAX_PENDING_JOBS = 256
 """Maximum number of submissions with missing pieces that are remembered; the oldest are dropped first."""
+MAX_EARLY_CANCELLATIONS = 1024
+"""Maximum number of cancellations that are remembered until their job is read."""
 MAX_STOPPED_WRITERS = 1024
 """Maximum number of stopped writers that are remembered, as later records may still assign them jobs."""
 
@@ -156,6 +158,8 @@
         self.newest_result_by_item: dict[str, Result] = {}
         """Newest result, for later jobs with the same item, by :meth:`JobState.item_key`."""
         self._pending_jobs: dict[tuple[str, str], _PendingJob] = {}
+        self._early_cancellations: dict[str, None] = {}
+        """Identifiers of jobs whose cancellation was read before the job, in order."""
         self._stopped_writers: dict[str, None] = {}
         """Writers that shut down gracefully, in order; a dict serves as an ordered set."""
 
@@ -203,6 +207,7 @@
             except (zlib.error, msgspec.DecodeError):
                 return
             self.jobs[spec.job_id] = JobState(spec, self._owner_unless_stopped(piece.owner), now_s, data)
+            self.jobs[spec.job_id].cancelled = spec.job_id in self._early_cancellations
             self.newest_job_by_model[spec.model] = spec.job_id
         while len(self._pending_jobs) > MAX_PENDING_JOBS:
             del self._pending_jobs[next(iter(self._pending_jobs))]
@@ -274,9 +279,14 @@
         return by_owner and entry.run != recorded.run_id and entry.run not in recorded.replaced_run_ids
 
     def _cancel_job(self, entry: JobCancelled) -> None:
+        """Cancel a job, also one that is not known yet: an append without an answer may take effect late."""
         job = self.jobs.get(entry.job_id)
         if job is not None:
             job.cancelled = True
+            return
+        self._early_cancellations[entry.job_id] = None
+        while len(self._early_cancellations) > MAX_EARLY_CANCELLATIONS:
+            del self._early_cancellations[next(iter(self._early_cancellations))]
 
     def set_bodies(self, job_id: str, bodies: Sequence[ItemBodies]) -> bool:
         """Set the separately stored bodies of a job; return False if their number differs from the items'.
--- a/tests/test_jobs_projection.py
+++ b/tests/test_jobs_projection.py
@@ -137,6 +137,14 @@
     assert [result.item_id for result in job.results] == ["a"]
 
 
+def test_a_job_whose_cancellation_was_read_first_is_cancelled():
+    """Guards against runs of a job whose record takes effect late, after its end was acknowledged."""
+    late_log = ProjectedLog()
+    late_log.add("d1.a", JobCancelled(job_id="j"))
+    late_log.add("d1.a", *job_pieces(job_spec(), "n", 1000, "d1.a"))
+    assert late_log.projection.jobs["j"].cancelled
+
+
 def progress_entry(run, after, data, parent="", item="a"):
     return events_entry(item, run, after, *data, parent=parent)
 
