--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -10,18 +10,30 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+
+import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, ItemResultRecorded, JobOwnershipClaimed, JobOwnershipReleased
+from passgate.decisions import (
+    DecisionLog,
+    ItemResultRecorded,
+    JobOwnershipClaimed,
+    JobOwnershipReleased,
+    JobRunStarted,
+    JobRunStopped,
+)
+from passgate.decisions.job_events import MAX_LOGGED_AGE_S
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import WriterStatus
 from passgate.jobs.partition_owners import PartitionOwners, UnappendedEntries
 from passgate.jobs.projection import JobProjection, JobState
 from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, Result, ResultState, daemon_of
 from passgate.jobs.runner import EXPIRY_MARGIN_S, JobRunner
+from passgate.jobs.send_permission import SendPermission
 from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, Freshness
 
 logger = logging.getLogger("passgate.jobs")
@@ -48,6 +60,30 @@
 NO_OWNER = ""
 """Owner of a job that has none; any watcher may claim the job at once."""
 
+
+class StopReason(enum.StrEnum):
+    """Why a job is not run by this daemon any more."""
+
+    ENDED = "ended"
+    """The job was cancelled, or all its items have results."""
+    TAKEN_OVER = "taken_over"
+    """Another writer owns the job, or none."""
+    NOT_ALLOWED = "not_allowed"
+    """The active configuration excludes this daemon's region."""
+    UNKNOWN_JOB = "unknown_job"
+    """The job is not known any more."""
+    RELEASED = "released"
+    """Another daemon was asked to claim the job, or this one closes the partition."""
+
+
+class _Run(msgspec.Struct):
+    """The run of a job by this daemon."""
+
+    runner: JobRunner
+    task: asyncio.Task[None]
+    started_s: float
+
+
 MakeJobRunner = Callable[[JobState], JobRunner | None]
 """Makes a job's runner; returns None while the job matches no route."""
 
@@ -60,9 +96,11 @@
         projection: JobProjection,
         journal: Journal,
         freshness: Freshness,
+        send_permission: SendPermission,
         make_runner: MakeJobRunner,
         owners: PartitionOwners,
         decisions: DecisionLog,
+        confirm_view: Callable[[], Awaitable[bool]],
         may_own: Callable[[JobState], bool] = lambda job: True,
         time_to_live_s: Callable[[JobState], float] = lambda job: UNLIMITED_TIME_TO_LIVE_S,
     ) -> None:
@@ -72,9 +110,11 @@
             projection: state of the partition's jobs.
             journal: appends to the partition.
             freshness: age of this daemon's view of the partition.
+            send_permission: whether runs may send, which depends on that age.
             make_runner: makes the runner of a job.
             owners: contact with the owners of jobs.
             decisions: decision log.
+            confirm_view: reads the partition to its present end; returns False if that fails.
             may_own: returns whether a job's bodies may be held in this daemon's region.
             time_to_live_s: returns the time after which a job's items may be expired by a daemon that can't
                 run the job.
@@ -86,10 +126,12 @@
         self._projection = projection
         self._journal = journal
         self._freshness = freshness
+        self._send_permission = send_permission
         self._make_runner = make_runner
         self._owners = owners
         self._decisions = decisions
-        self._runner_by_job: dict[str, tuple[JobRunner, asyncio.Task[None]]] = {}
+        self._confirm_view = confirm_view
+        self._run_by_job: dict[str, _Run] = {}
         self._jobs_being_claimed: set[str] = set()
         """Jobs for which this daemon has queued a claim or a release that it may not have read yet."""
         self._released_since_s_by_job: dict[str, float] = {}
@@ -105,7 +147,7 @@
     @property
     def running_jobs(self) -> int:
         """Number of this partition's jobs that this daemon runs."""
-        return len(self._runner_by_job)
+        return len(self._run_by_job)
 
     def owns_open_job(self) -> bool:
         """Whether this daemon owns an open job of the partition."""
@@ -113,8 +155,8 @@
 
     def record_all_progress(self) -> None:
         """Queue the events of all running items for the log, so that other daemons can resume the items."""
-        for runner, _ in self._runner_by_job.values():
-            runner.record_progress()
+        for run in self._run_by_job.values():
+            run.runner.record_progress()
 
     def release_jobs(self) -> UnappendedEntries:
         """Stop all runs of the partition, so that another daemon can claim the jobs.
@@ -124,7 +166,7 @@
         """
         now_s = monotonic_s()
         self.record_all_progress()
-        for job_id in self._runner_by_job:
+        for job_id in self._run_by_job:
             self._released_since_s_by_job[job_id] = now_s
         self.cancel_runners()
         return [
@@ -135,9 +177,8 @@
 
     def cancel_runners(self) -> None:
         """Cancel all runners; progress that was not recorded is lost."""
-        for _, task in self._runner_by_job.values():
-            task.cancel()
-        self._runner_by_job.clear()
+        for job_id in list(self._run_by_job):
+            self._stop_run(job_id, StopReason.RELEASED)
 
     def update(self, *, is_watcher: bool) -> None:
         """Start and stop runners; claim, release or expire jobs; renew the leases while any job runs here.
@@ -155,13 +196,21 @@
                     self._release_if_not_allowed(job)
             elif not self.stopping and self._may_claim(job, is_watcher, now_s):
                 self._start_claim(job, now_s)
-        self._stop_runners()
+        self.stop_lost_runs()
         self._expired_jobs.intersection_update(self._projection.jobs)
-        if self._runner_by_job:
-            self._journal.renew_lease()
+        if self._run_by_job:
+            self._send_permission.update()
+            # Without the permission the jobs make no progress here, so others should claim them.
+            if self._send_permission.is_granted():
+                self._journal.renew_lease()
 
     def start_runners(self) -> None:
-        """Start the missing runners of open jobs that this daemon owns and may run."""
+        """Start the missing runners of open jobs that this daemon owns and may run.
+
+        Starts none without the permission to send, as the jobs may have ended or been taken over.
+        """
+        if not self._send_permission.is_granted():
+            return
         for job in [
             job for job in self._projection.jobs.values() if job.is_open and job.owner == self.writer
         ]:
@@ -265,13 +314,17 @@
         task.add_done_callback(_log_task_failure)
 
     async def _append_claim(self, job: JobState, silent_s: float) -> None:
-        """Claim a job; if its owner is cut off from the log, append the owner's released progress first."""
+        """Claim a job; if its owner is cut off from the log, append the owner's released progress first.
+
+        Does nothing if the owner's partition does not answer this daemon either.
+        """
         previous, epoch = job.owner, job.epoch
-        last_contact_s = self._projection.last_contact_s_by_writer.get(previous, NEVER_S)
-        if previous and self._owners.liveness.status_of(previous, last_contact_s) is WriterStatus.CUT_OFF:
-            for entry in await self._owners.release_jobs(previous):
-                self._journal.put(entry)
         try:
+            if self._is_cut_off(previous):
+                if not await self._confirm_view():
+                    return
+                for entry in await self._owners.release_jobs(previous):
+                    self._journal.put(entry)
             await self._journal.put(JobClaimed(job_id=job.job_id, owner=self.writer, epoch=epoch + 1))
         finally:
             asyncio.get_running_loop().call_later(
@@ -286,6 +339,13 @@
             )
         )
 
+    def _is_cut_off(self, owner: str) -> bool:
+        """Whether an owner responds, but waits for the log to acknowledge an append."""
+        last_contact_s = self._projection.last_contact_s_by_writer.get(owner, NEVER_S)
+        return owner != NO_OWNER and (
+            self._owners.liveness.status_of(owner, last_contact_s) is WriterStatus.CUT_OFF
+        )
+
     def _release_if_not_allowed(self, job: JobState) -> None:
         """Give up the ownership of a job when the active configuration excludes this daemon's region."""
         if self._may_own(job) or job.job_id in self._jobs_being_claimed:
@@ -297,24 +357,66 @@
         self._decisions.write(JobOwnershipReleased(job_id=job.job_id, epoch=job.epoch + 1))
 
     def _ensure_runner(self, job: JobState) -> None:
-        if job.job_id in self._runner_by_job:
+        if job.job_id in self._run_by_job:
             return
         runner = self._make_runner(job)
         if runner is None:
             return
         task = asyncio.get_running_loop().create_task(runner.run())
         task.add_done_callback(_log_task_failure)
-        self._runner_by_job[job.job_id] = (runner, task)
-
-    def _stop_runners(self) -> None:
-        for job_id, (runner, task) in list(self._runner_by_job.items()):
-            job = self._projection.jobs.get(job_id)
-            if job is None or not job.is_open or job.owner != self.writer or not self._may_own(job):
-                runner.record_progress()
-                task.cancel()
-                del self._runner_by_job[job_id]
-            elif task.done() and task.exception() is not None:
-                del self._runner_by_job[job_id]
+        now_s = monotonic_s()
+        self._run_by_job[job.job_id] = _Run(runner, task, now_s)
+        self._decisions.write(
+            JobRunStarted(
+                job_id=job.job_id,
+                epoch=job.epoch,
+                open_items=job.item_count - len(job.results),
+                view_age_s=self._logged_view_age_s(now_s),
+            )
+        )
+
+    def _logged_view_age_s(self, now_s: float) -> float:
+        return round(min(self._freshness.age_s(now_s), MAX_LOGGED_AGE_S), 3)
+
+    def stop_lost_runs(self) -> None:
+        """Stop the runs of jobs that ended or that this daemon does not own any more, and forget failed runs.
+
+        Called for each page of the log, whether or not it reaches the end: a record that ends a run is true
+        at any age.
+        """
+        for job_id, run in list(self._run_by_job.items()):
+            reason = self._reason_to_stop(job_id)
+            if reason is not None:
+                run.runner.record_progress()
+                self._stop_run(job_id, reason)
+            elif run.task.done() and run.task.exception() is not None:
+                del self._run_by_job[job_id]
+
+    def _reason_to_stop(self, job_id: str) -> StopReason | None:
+        """Return why a job must not be run here any more; None if it may be."""
+        job = self._projection.jobs.get(job_id)
+        if job is None:
+            return StopReason.UNKNOWN_JOB
+        if not job.is_open:
+            return StopReason.ENDED
+        if job.owner != self.writer:
+            return StopReason.TAKEN_OVER
+        return None if self._may_own(job) else StopReason.NOT_ALLOWED
+
+    def _stop_run(self, job_id: str, reason: StopReason) -> None:
+        run = self._run_by_job.pop(job_id)
+        run.task.cancel()
+        now_s = monotonic_s()
+        job = self._projection.jobs.get(job_id)
+        self._decisions.write(
+            JobRunStopped(
+                job_id=job_id,
+                epoch=job.epoch if job is not None else 0,
+                reason=reason.value,
+                running_s=round(now_s - run.started_s, 3),
+                view_age_s=self._logged_view_age_s(now_s),
+            )
+        )
 
 
 def _log_task_failure(task: asyncio.Task[None]) -> None:
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -2,8 +2,8 @@
 
 All records of a job are in the partition of its host, except the bodies of region-restricted jobs, which may
 be stored and served in some regions only.  In each zone, one daemon is the watcher of a partition; the zone's
-group on the log assigns the partitions.  A daemon follows a partition while it is the watcher or owns open
-jobs there, and for some time after a request needed the partition.  Other daemons call the watcher.
+group on the log assigns the partitions.  A daemon follows a partition while it is the watcher or
+owns or runs open jobs there, and for some time after a request needed it.  Other daemons call the watcher.
 
 >>> partition_of("h.example", 12) == partition_of("h.example", 12)
 True
@@ -12,13 +12,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import zlib
 from collections.abc import Callable, Sequence
 
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, RecordUnreadable
+from passgate.decisions import DecisionLog, JobHistoryLost, RecordUnreadable
 from passgate.jobs.journal import Journal
 from passgate.jobs.ownership import UNLIMITED_TIME_TO_LIVE_S, Ownership
 from passgate.jobs.partition_owners import OwnerClient, PartitionOwners
@@ -26,6 +27,7 @@
 from passgate.jobs.records import ItemBodies, WriterStopped, decode_batch
 from passgate.jobs.restricted_bodies import BodiesReader, RestrictedBodies
 from passgate.jobs.runner import JobRunner
+from passgate.jobs.send_permission import SendPermission
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import POLL_WAIT_S, OnDemandTail, RecordTail, TailSettings
 
@@ -35,12 +37,19 @@
 """Pause between reads, so that small records arrive in batches."""
 IDLE_POLL_WAIT_S = 3.0
 """Longest wait of a long poll while no job of the partition is open."""
+MAX_AGE_TO_WAIT_S = 0.4
+"""Age of the view from which a read does not wait while a job is open.  With a long poll and the pause added,
+the age stays below MAX_CURRENT_AGE_S while the log answers."""
 FOLLOW_AFTER_USE_S = 4.0
 """Time for which a partition is followed after its last use by a request, or after this daemon watched it."""
+CONFIRM_TIMEOUT_S = 0.5
+"""Longest wait, before a takeover, until records up to the partition's present end are applied."""
+MAX_RECENT_WRITERS = 3
+"""Maximum number of writers that are asked whether the log answers them."""
 STATE_TTL_S = 30.0
 """Minimum time for which the state of a partition is kept after it was last needed."""
 
-MakePartitionJobRunner = Callable[[JobProjection, Journal, JobState], JobRunner | None]
+MakePartitionJobRunner = Callable[[JobProjection, Journal, JobState, SendPermission], JobRunner | None]
 """Makes a job's runner; returns None while the job matches no route."""
 
 
@@ -95,14 +104,24 @@
             append_bytes=settings.append_bytes,
         )
         tail_settings = TailSettings(topic=settings.topic, partition=number, gap_s=READ_PAUSE_S)
-        self.followed_tail = OnDemandTail(RecordTail(log, tail_settings, self._apply))
+        self.followed_tail = OnDemandTail(
+            RecordTail(
+                log, tail_settings, self._apply, on_current=self._start_runners, on_gap=self._forget_jobs
+            )
+        )
+        self.send_permission = SendPermission(
+            number, self.tail, lambda: owners.find_log_access(self._recent_writers()), decisions
+        )
+        """Permission of the runs of the partition's jobs to send to replicas."""
         self.ownership = Ownership(
             self.projection,
             self.journal,
             self.tail.freshness,
-            lambda job: make_runner(self.projection, self.journal, job),
+            self.send_permission,
+            lambda job: make_runner(self.projection, self.journal, job, self.send_permission),
             owners,
             decisions,
+            lambda: self.tail.read_to_current_end(CONFIRM_TIMEOUT_S),
             self.may_hold,
             self._time_to_live_s,
         )
@@ -120,6 +139,21 @@
         """Whether the partition is followed, and was read to its end since this daemon began to follow it."""
         return self.followed_tail.current
 
+    def _recent_writers(self) -> list[str]:
+        """Return the writers, at most MAX_RECENT_WRITERS, of the newest records in the partition."""
+        contact_s_by_writer = self.projection.last_contact_s_by_writer
+        writers = sorted(contact_s_by_writer, key=contact_s_by_writer.__getitem__, reverse=True)
+        return writers[:MAX_RECENT_WRITERS]
+
+    def view_age_s(self) -> float:
+        """Return the age of this daemon's view of the partition.
+
+        Infinite if the partition is not followed, was not read to its end yet, or has known unread records.
+        """
+        if not self.is_current or self.tail.has_unread_records:
+            return math.inf
+        return self.tail.freshness.age_s(monotonic_s())
+
     def may_hold(self, job: JobState) -> bool:
         """Whether the active configuration allows this daemon to hold a job's bodies."""
         return self._restricted_bodies is None or self._restricted_bodies.may_hold(
@@ -151,8 +185,10 @@
         return matches
 
     def choose_poll_wait(self) -> None:
-        """Shorten the long polls while a job is open, because takeovers require a fresh view."""
-        self.tail.wait_s = POLL_WAIT_S if self.projection.has_open_jobs() else IDLE_POLL_WAIT_S
+        """While a job is open, poll so that the view stays fresh, as runs and takeovers require."""
+        has_open_jobs = self.projection.has_open_jobs()
+        self.tail.wait_s = POLL_WAIT_S if has_open_jobs else IDLE_POLL_WAIT_S
+        self.tail.max_age_to_wait_s = MAX_AGE_TO_WAIT_S if has_open_jobs else math.inf
 
     def keep_following(self) -> None:
         """Follow the partition for at least FOLLOW_AFTER_USE_S from now."""
@@ -175,6 +211,7 @@
         if self.bodies_reader is not None:
             self.bodies_reader.close()
         self.ownership.cancel_runners()
+        self.send_permission.close()
         self._append_task.cancel()
 
     def _apply(self, page: LogPage) -> None:
@@ -192,8 +229,16 @@
                 self.journal.take_send_time_s(batch)
         self.choose_poll_wait()
         self.read_bodies()
-        if self.is_current:
-            self.ownership.start_runners()
+        self.ownership.stop_lost_runs()
+
+    def _forget_jobs(self, first: int) -> None:
+        """Forget the state from before a gap: the log may have removed the end of a job, or a claim to it."""
+        self._decisions.write(JobHistoryLost(part=self.number, first=first, jobs=len(self.projection.jobs)))
+        self.projection.forget_jobs()
+        self.ownership.stop_lost_runs()
+
+    def _start_runners(self) -> None:
+        self.ownership.start_runners()
 
 
 class JobPartitions:
@@ -299,7 +344,10 @@
         for number, partition in list(self._partition_by_number.items()):
             partition.ownership.stopping = self.stopping
             needed = (
-                number in watched or partition.ownership.owns_open_job() or now_s < partition.needed_until_s
+                number in watched
+                or partition.ownership.owns_open_job()
+                or partition.ownership.running_jobs > 0
+                or now_s < partition.needed_until_s
             )
             partition.followed_tail.set_following(needed)
             partition.choose_poll_wait()
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -226,34 +226,71 @@
 class RecordTail(_Follower):
     """Follows one partition from its oldest kept record; passes each page with records to ``apply`` in order.
 
-    Records that the log removes before they are read are skipped.
+    Records that the log removes before they are read are skipped, which ``on_gap`` is told.
     """
 
-    def __init__(self, log: SharedLog, settings: TailSettings, apply: Callable[[LogPage], None]) -> None:
+    def __init__(
+        self,
+        log: SharedLog,
+        settings: TailSettings,
+        apply: Callable[[LogPage], None],
+        *,
+        on_current: Callable[[], None] = lambda: None,
+        on_gap: Callable[[int], None] = lambda first: None,
+    ) -> None:
+        """Create a tail that reads nothing before :meth:`run`.
+
+        Args:
+            log: the log.
+            settings: the partition, and the pace of the reads.
+            apply: takes each page with records.
+            on_current: called after each read that reached the end of the partition.
+            on_gap: called with the offset of the oldest kept record when records after the last one that was
+                read are gone.
+        """
         super().__init__(log, settings)
         self._apply = apply
+        self._on_current = on_current
+        self._on_gap = on_gap
+        self.max_age_to_wait_s = float("inf")
+        """Age of the view from which the next read does not wait for records, so that it confirms the view at
+        once; may be changed at any time."""
         self._advanced = asyncio.Event()
         self.next_offset = 0
         """Offset of the next record to read."""
         self.first_kept_offset = 0
         """Offset of the oldest record that the log kept at the last read."""
+        self._known_end = 0
+        """Highest end of the partition that a read has reported."""
         self.caught_up = False
         """Whether the end of the partition has been reached since the start; see :class:`OnDemandTail`."""
 
+    @property
+    def has_unread_records(self) -> bool:
+        """Whether the log is known to hold records that were not applied yet."""
+        return self.next_offset < self._known_end
+
     async def _read_once(self) -> bool:
         started_at_s = monotonic_s()
-        wait_s = self.wait_s if self.caught_up else 0.0
+        may_wait = self.caught_up and self.freshness.age_s(started_at_s) < self.max_age_to_wait_s
+        wait_s = self.wait_s if may_wait else 0.0
         page = await self._read_page(self.next_offset, wait_s)
         self._apply_page(page)
         at_end = self._confirm_if_at_end(page, started_at_s, wait_s)
         self.caught_up = self.caught_up or at_end
+        if at_end:
+            self._on_current()
         return at_end
 
     def _skip_removed_records(self, first: int) -> None:
+        was_read_before = self.next_offset > 0
         self.next_offset = first
+        if was_read_before:
+            self._on_gap(first)
 
     def _apply_page(self, page: LogPage) -> None:
         self.first_kept_offset = max(self.first_kept_offset, page.first)
+        self._known_end = max(self._known_end, page.end)
         if page.records and page.start == self.next_offset:
             self._apply(page)
             self.next_offset = page.next_offset
