soak: start a crashed replica again in its zone

What the soak saw: results missing or dead at the end, and at last "IndexError: Cannot choose from an empty sequence".

Cause: World._restart passed the port as the zone, and the identifier as the port, of a replica that starts again under its identifier. Listening failed, the exception was lost with its task, and the replica stayed away until a service had none left. Replicas also listened on ports of the kernel's range for outgoing connections, which may take the port of a crashed replica before it starts again.

The restart now passes zone, port and identifier; a restart that fails is a violation; replicas get their ports from the allocator below that range.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -25,21 +25,24 @@
 
 
 FIRST_PORT, LAST_PORT = 10_000, 30_000
-"""Below the kernel's range for outgoing connections, which could take the port of a stopped daemon."""
+"""Below the kernel's range for outgoing connections, which could take the port of a stopped process."""
 
 
 class PortAllocator:
-    """Allocates addresses of 127.0.0.1 at which nothing listens."""
+    """Allocates ports of 127.0.0.1 at which nothing listens."""
 
     def __init__(self, random):
         self._next = random.randrange(FIRST_PORT, LAST_PORT)
 
-    def allocate_address(self):
+    def allocate_port(self):
         while True:
             self._next = self._next + 1 if self._next < LAST_PORT else FIRST_PORT
             with socket.socket() as sock, contextlib.suppress(OSError):
                 sock.bind(("127.0.0.1", self._next))
-                return f"127.0.0.1:{self._next}"
+                return self._next
+
+    def allocate_address(self):
+        return f"127.0.0.1:{self.allocate_port()}"
 
 
 class DaemonIncarnation:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -76,7 +76,8 @@
         self._last_number = 0
         self.stopping = False
         self.violations, self.count_by_kind = [], {}
-        self._restarts = set()
+        self.restarts = set()
+        """Tasks that start crashed replicas again."""
 
     def count(self, kind):
         """Count an event of the run by its kind, for the report."""
@@ -131,14 +132,19 @@
         replica.crashes_on = crashes_replicas
         replica.on_crash = self._on_replica_crash
         replica.work_s_of = lambda request: SLOW_S if SLOW_CALL in request.path else replica.work_s
-        self.replicas.append(replica.start(port))
+        self.replicas.append(replica.start(port or self.ports.allocate_port()))
         return replica
 
     def _on_replica_crash(self, replica):
         self.count("replica ended")
         task = asyncio.get_running_loop().create_task(self._restart(replica))
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
+        self.restarts.add(task)
+        task.add_done_callback(self._end_restart)
+
+    def _end_restart(self, task):
+        self.restarts.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.report_violation(f"a replica did not start again: {task.exception()}")
 
     async def _restart(self, replica):
         stays = self.remove_replica(replica)
@@ -146,11 +152,10 @@
         port = int(replica.address.rpartition(":")[2])
         if stays and self.random.random() < SAME_ID_SHARE:
             self.count("replica started again under its identifier")
-            self.add_replica(replica.service, port, replica.replica_id)
+            self.add_replica(replica.service, replica.zone, port, replica.replica_id)
             return
         self.log.put("keyed.servers", replica.replica_id, None)
         if stays:
-            port = int(replica.address.rpartition(":")[2])
             self.add_replica(replica.service, replica.zone, port)
 
     def remove_replica(self, replica):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,15 @@
 """Checks of the soak itself: what its callers may conclude from answers."""
 
+import asyncio
 import random
 import types
 
+import pytest
+
+from tests.soak import world as world_module
 from tests.soak.callers import Callers, SubmittedJob
 from tests.soak.result_checker import ResultChecker
+from tests.soak.world import World
 
 
 class WorldStub:
@@ -43,3 +48,33 @@
     callers.jobs["j"].is_cancelled = False
     await ResultChecker(world, callers).wait_for_results()
     assert not world.violations
+
+
+@pytest.mark.parametrize("keeps_identifier", [True, False])
+async def test_a_crashed_replica_starts_again_in_its_zone(tmp_path, monkeypatch, keeps_identifier):
+    """A replica whose restart failed was missed until its service had none left."""
+    monkeypatch.setattr(world_module, "RESTART_DELAY_S", (0.0, 0.0))
+    monkeypatch.setattr(world_module, "SAME_ID_SHARE", float(keeps_identifier))
+    world = World(1, tmp_path, None, 0)
+    replica = world.add_replica("app", "b")
+    replica.crash()
+    await asyncio.gather(*world.restarts)
+    (restarted,) = world.replicas
+    assert (restarted.service, restarted.zone, restarted.address) == ("app", "b", replica.address)
+    assert (restarted.replica_id == replica.replica_id) == keeps_identifier
+    assert restarted.replica_id in world.log.newest_values("keyed.servers")
+
+
+async def test_a_failed_restart_of_a_replica_is_reported(tmp_path, monkeypatch):
+    """The exception of a failed restart was lost with its task."""
+    monkeypatch.setattr(world_module, "RESTART_DELAY_S", (0.0, 0.0))
+    world = World(1, tmp_path, None, 0)
+    replica = world.add_replica("app", "a")
+
+    def fail(*arguments):
+        raise OSError("address in use")
+
+    monkeypatch.setattr(world, "add_replica", fail)
+    replica.crash()
+    await asyncio.gather(*world.restarts, return_exceptions=True)
+    assert len(world.violations) == 1 and "address in use" in world.violations[0]
