soak: give each soak its own ports

Cause: the ports came from the run's seed, so both soaks used the same ones. A daemon that started again found its port taken by the other soak's, and callers reached the daemons of the other soak.

Each soak now reserves a block of ports by the name of an abstract socket, which ends with its process. The ports no longer depend on the seed, and nothing that a seed decides depends on them. The test takes two allocators at the same time; two allocators of one seed returned equal ports before.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -26,17 +26,31 @@
 
 FIRST_PORT, LAST_PORT = 10_000, 30_000
 """Below the kernel's range for outgoing connections, which could take the port of a stopped process."""
+PORT_BLOCK_SIZE = 500
+"""Ports that one soak uses; others on the machine use other blocks."""
 
 
 class PortAllocator:
-    """Allocates ports of 127.0.0.1 at which nothing listens."""
+    """Allocates ports of 127.0.0.1 at which nothing listens, and which no other soak uses.
 
-    def __init__(self, random):
-        self._next = random.randrange(FIRST_PORT, LAST_PORT)
+    A process that is restarted leaves its port free for a moment, in which another soak could take it.
+    """
+
+    def __init__(self):
+        self._reservation = socket.socket(socket.AF_UNIX)
+        self._first = self._next = self._reserve_block()
+
+    def _reserve_block(self):
+        """Return the first port of a block; a socket's name reserves it until the process ends."""
+        for first_port in range(FIRST_PORT, LAST_PORT, PORT_BLOCK_SIZE):
+            with contextlib.suppress(OSError):
+                self._reservation.bind(f"\0passgate-soak-ports-{first_port}")
+                return first_port
+        raise RuntimeError("all blocks of ports are used by other soaks")
 
     def allocate_port(self):
         while True:
-            self._next = self._next + 1 if self._next < LAST_PORT else FIRST_PORT
+            self._next = self._first + (self._next + 1 - self._first) % PORT_BLOCK_SIZE
             with socket.socket() as sock, contextlib.suppress(OSError):
                 sock.bind(("127.0.0.1", self._next))
                 return self._next
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -64,7 +64,7 @@
         self.http = make_http_client()
         self.tenant_keys = list(KEYS)
         """Keys of the calling tenant in the newest configuration."""
-        self.ports = PortAllocator(self.random)
+        self.ports = PortAllocator()
         self.daemons = [DaemonProcess(number, self) for number in range(daemons)]
         self.replicas = []
         self.removed_replicas = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 from tests.soak import world as world_module
 from tests.soak.callers import Callers, SubmittedJob
+from tests.soak.processes import PORT_BLOCK_SIZE, PortAllocator
 from tests.soak.result_checker import ResultChecker
 from tests.soak.world import World
 
@@ -50,6 +51,13 @@
     assert not world.violations
 
 
+def test_soaks_at_the_same_time_use_different_ports():
+    """Soaks of one seed used the same ports: a daemon that started again found its port taken."""
+    allocators = [PortAllocator(), PortAllocator()]
+    ports = [allocator.allocate_port() for allocator in allocators for _ in range(PORT_BLOCK_SIZE // 2)]
+    assert len(set(ports)) == len(ports)
+
+
 @pytest.mark.parametrize("keeps_identifier", [True, False])
 async def test_a_crashed_replica_starts_again_in_its_zone(tmp_path, monkeypatch, keeps_identifier):
     """A replica whose restart failed was missed until its service had none left."""
