soak: check that items of ended jobs reach no replica later

A daemon that was cut off from the log ran the items of a job seconds after the job's end had been confirmed; no check of the soak could report that.

Replicas now record when each request arrived and, for items and reward calls of ended jobs, which daemon sent it, found by the socket of the connection as requests do not name their sender. The end of a job is the confirmation of its cancellation or the read of its last result. An arrival later than 3 s after it is a violation if the sender had no disturbance in the RECOVERY_S before the arrival, whether it was disturbed when the job ended or not; if the sender is unknown, if no daemon had one. The tests of the check cover a late send, a send in time, a disturbed daemon, and a sender that is unknown.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -285,6 +285,10 @@
     """Whether the replica finished the run, even if its response was lost."""
     crashed_replica: bool = False
     """Whether this run crashed its replica."""
+    sender: str = ""
+    """What the replica's ``find_sender`` returned for the request."""
+    received_s: float = 0.0
+    """When the request arrived; before ``started_s`` if the replica was unresponsive."""
     started_s: float = 0.0
     ended_s: float = 0.0
 
@@ -368,6 +372,8 @@
         """Returns whether the load of a version of a model crashes this replica."""
         self.work_s_of = lambda request: self.work_s
         """Returns the time of a plain request in seconds."""
+        self.find_sender = lambda request: ""
+        """Returns who sent a request, if that is to be recorded; called when it arrives."""
         self.has_crashed = False
         self.on_crash = lambda replica: None
         """Called once when this replica has crashed."""
@@ -452,6 +458,8 @@
     def initialize(self, replica):
         self.replica = replica
         self.client_has_gone = False
+        self.received_s = time.monotonic()
+        self.sender = replica.find_sender(self.request)
 
     def on_connection_close(self):
         self.client_has_gone = True
@@ -508,6 +516,8 @@
             last_event_id=headers.get("Last-Event-Id", ""),
             tenants=headers.get_list("X-Tenant"),
             credentials=headers.get_list("Authorization"),
+            sender=self.sender,
+            received_s=self.received_s,
             started_s=time.monotonic(),
         )
         replica.runs.append(run)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -263,7 +263,9 @@
             with contextlib.suppress(PassgateError):
                 answer = await self.send(self.world.random_daemon(), "DELETE", f"/-/lots/{job_id}")
                 self.world.count(f"end {answer.status}")
-                job.is_cancelled = answer.status == 200
+                if answer.status == 200:
+                    job.is_cancelled = True
+                    self.note_end(job)
             await asyncio.sleep(0.2)
 
     async def read_jobs(self):
@@ -297,6 +299,14 @@
             elif index == len(job.results):
                 job.results.append(result)
                 self.check_result(job_id, result)
+        if len(job.results) == len(job.items):
+            self.note_end(job)
+
+    def note_end(self, job):
+        """Note that a job has ended, from which time its items and reward calls must not be sent."""
+        for item_id in job.items:
+            for request_id in (item_id, fake_platform.reward_id(item_id)):
+                self.world.ended_s_by_request.setdefault(request_id, time.monotonic())
 
     def check_result(self, job_id, result):
         job, report_violation = self.jobs[job_id], self.world.report_violation
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -71,6 +71,10 @@
         self.was_killed = False
         """Whether SIGKILL was sent."""
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     def send_signal(self, number):
         self.was_killed |= number == signal.SIGKILL
         self._process.send_signal(number)
--- a/tests/soak/result_checker.py
+++ b/tests/soak/result_checker.py
@@ -20,6 +20,8 @@
 """Time after which a leaving replica gets no new request, with a margin for a busy machine."""
 LATE_CUT_OFF_S = 0.5
 """A shutdown that closes a connection later than this after a request was sent has cut it off."""
+ENDED_JOB_GRACE_S = 3.0
+"""Time after the confirmed end of a job in which its items may still reach replicas (users' ``cancelMs``)."""
 KNOWN_CRASHES = 3
 """Number of replicas that a request crashed when daemons must recognize it."""
 MAX_LATE_SENDS = 3
@@ -75,6 +77,7 @@
         self._check_scores(runs)
         self._check_orders()
         self._check_tenants(runs)
+        self._check_ended_jobs(runs)
         self._check_leaving_replicas()
         self._check_evacuations()
         self._check_crashes()
@@ -121,6 +124,23 @@
             if len(names) > 1:
                 self.report_violation(f"fence {fence} was used by {sorted(names)}")
 
+    def _check_ended_jobs(self, runs):
+        """Check that undisturbed daemons send no item and no reward call of a job that has ended.
+
+        A daemon must meet the limit ``RECOVERY_S`` after its last disturbance, whether the job ended before,
+        in or after that.  If the sender is unknown, the run counts only if no daemon was disturbed.
+        """
+        for request_id, ended_s in self.world.ended_s_by_request.items():
+            for run in runs.get(request_id, []):
+                if run.received_s <= ended_s + ENDED_JOB_GRACE_S:
+                    continue
+                senders = [run.sender] if run.sender else [daemon.name for daemon in self.world.daemons]
+                if all(self._was_undisturbed_at(name, run.received_s) for name in senders):
+                    late_s = run.received_s - ended_s
+                    self.report_violation(
+                        f"{run.sender or 'a daemon'} sent {request_id} {late_s:.1f} s after its job ended"
+                    )
+
     def _check_leaving_replicas(self):
         """Check that undisturbed daemons send no new request to a leaving replica."""
         for replica in self.world.removed_replicas:
@@ -173,8 +193,11 @@
                 )
 
     def _is_from_undisturbed_daemon(self, run):
-        daemon = self.callers.daemon_by_request[run.request_id]
-        return self.world.disturbances.was_undisturbed(daemon, run.started_s, run.started_s)
+        return self._was_undisturbed_at(self.callers.daemon_by_request[run.request_id], run.started_s)
+
+    def _was_undisturbed_at(self, daemon, time_s):
+        """Return whether a daemon had no disturbance in the ``RECOVERY_S`` before a time."""
+        return self.world.disturbances.was_undisturbed(daemon, time_s, time_s)
 
     def _check_cut_offs(self, runs):
         """Check that graceful shutdowns cut no request off that had started or was sent long before."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 from tests.duty_stand_in import DutyEndpoint
 from tests.soak.disturbances import DisturbanceLog
 from tests.soak.processes import DaemonProcess, PortAllocator
+from tests.soak.senders import find_client
 
 TENANT, OTHER_TENANT = "orchard", "mill"
 KEYS = ("key-o1", "key-o2", "key-o3")
@@ -72,6 +73,8 @@
         self.leaving_s_by_replica = {}
         """Time since which a replica reports that it leaves, by its identifier."""
         self.evacuations = []
+        self.ended_s_by_request = {}
+        """When the end of its job was confirmed, by identifier of an item or reward call."""
         self.target_version = self.config_version = 1
         self._last_number = 0
         self.stopping = False
@@ -131,10 +134,17 @@
         )
         replica.crashes_on = crashes_replicas
         replica.on_crash = self._on_replica_crash
+        replica.find_sender = self._find_sender
         replica.work_s_of = lambda request: SLOW_S if SLOW_CALL in request.path else replica.work_s
         self.replicas.append(replica.start(port or self.ports.allocate_port()))
         return replica
 
+    def _find_sender(self, request):
+        """Return the daemon that sent a request of an ended job; empty for other requests."""
+        if request.headers.get("X-Attempt-Id") not in self.ended_s_by_request:
+            return ""
+        return find_client(self.daemons, request.connection.stream)
+
     def _on_replica_crash(self, replica):
         self.count("replica ended")
         task = asyncio.get_running_loop().create_task(self._restart(replica))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,15 +1,20 @@
 """Checks of the soak itself: what its callers may conclude from answers."""
 
 import asyncio
+import os
 import random
+import time
 import types
 
 import pytest
 
+from passgate.clients.http_call import HttpCall
+from tests import fake_platform
 from tests.soak import world as world_module
 from tests.soak.callers import Callers, SubmittedJob
+from tests.soak.disturbances import RECOVERY_S, DisturbanceLog
 from tests.soak.processes import PORT_BLOCK_SIZE, PortAllocator
-from tests.soak.result_checker import ResultChecker
+from tests.soak.result_checker import ENDED_JOB_GRACE_S, ResultChecker
 from tests.soak.world import World
 
 
@@ -20,6 +25,8 @@
         self.random = random.Random(1)
         self.daemons = []
         self.stopping = False
+        self.disturbances = DisturbanceLog()
+        self.ended_s_by_request = {}
         self.violations = []
 
     def random_daemon(self):
@@ -86,3 +93,96 @@
     replica.crash()
     await asyncio.gather(*world.restarts, return_exceptions=True)
     assert len(world.violations) == 1 and "address in use" in world.violations[0]
+
+
+class EndedJob:
+    """A job "j" with the item "a" that ended long before ``now_s``, in a world with the daemons d0 and d1."""
+
+    def __init__(self):
+        self.world = WorldStub()
+        self.world.daemons = [types.SimpleNamespace(name="d0"), types.SimpleNamespace(name="d1")]
+        self.callers = Callers(self.world)
+        self.now_s = time.monotonic()
+        self.world.ended_s_by_request = {
+            "a": self.now_s - 60.0,
+            fake_platform.reward_id("a"): self.now_s - 60.0,
+        }
+
+    def violations_of(self, request_id, sender, received_s):
+        """Return the violations that the check reports for one run."""
+        run = types.SimpleNamespace(request_id=request_id, sender=sender, received_s=received_s)
+        self.world.violations.clear()
+        ResultChecker(self.world, self.callers)._check_ended_jobs({request_id: [run]})
+        return list(self.world.violations)
+
+
+@pytest.mark.parametrize("request_id", ["a", fake_platform.reward_id("a")])
+async def test_an_undisturbed_daemon_must_not_send_items_of_an_ended_job(request_id):
+    job = EndedJob()
+    (violation,) = job.violations_of(request_id, "d0", job.now_s)
+    assert violation == f"d0 sent {request_id} 60.0 s after its job ended"
+    in_time_s = job.now_s - 60.0 + ENDED_JOB_GRACE_S
+    assert not job.violations_of(request_id, "d0", in_time_s)
+    assert job.violations_of(request_id, "d0", in_time_s + 0.01)
+
+
+@pytest.mark.parametrize("target", ["d0", "everywhere"])
+async def test_a_disturbance_excuses_late_items_until_the_recovery_time(target):
+    job = EndedJob()
+    with job.world.disturbances.record("cut", target):
+        pass
+    assert not job.violations_of("a", "d0", job.now_s + RECOVERY_S)
+    assert job.violations_of("a", "d0", job.now_s + RECOVERY_S + 0.1)
+    assert bool(job.violations_of("a", "d1", job.now_s + RECOVERY_S)) == (target == "d0")
+
+
+async def test_a_late_item_of_an_unknown_sender_counts_if_no_daemon_was_disturbed():
+    job = EndedJob()
+    assert job.violations_of("a", "", job.now_s)
+    with job.world.disturbances.record("kill", "d1"):
+        pass
+    assert not job.violations_of("a", "", job.now_s + 1.0)
+
+
+async def test_a_job_has_ended_when_all_its_results_were_read_or_its_cancellation_was_confirmed():
+    world = WorldStub()
+    callers = Callers(world)
+    for job_id in ("j1", "j2"):
+        callers.jobs[job_id] = SubmittedJob(items=[f"{job_id}-0", f"{job_id}-1"], min_version=1)
+    results = [
+        {
+            "id": f"j1-{n}",
+            "state": "succeeded",
+            "text": fake_platform.complete_output(f"j1-{n}"),
+            "versions": [1],
+        }
+        for n in range(2)
+    ]
+    callers.record_results("j1", 0, {"total": 2, "results": results[:1]})
+    assert not world.ended_s_by_request
+    callers.record_results("j1", 1, {"total": 2, "results": results[1:]})
+    assert set(world.ended_s_by_request) == {"j1-0", "j1-1", "score-j1-0", "score-j1-1"}
+
+    async def send(daemon, method, path):
+        return types.SimpleNamespace(status=200)
+
+    callers.send = send
+    await callers.cancel_job("j2")
+    assert {"j2-0", "score-j2-1"} < set(world.ended_s_by_request)
+    assert not world.violations
+
+
+@pytest.mark.parametrize("pid_is_sender", [True, False])
+async def test_the_sender_of_an_ended_jobs_item_is_found_by_its_socket(tmp_path, pid_is_sender):
+    world = World(1, tmp_path, None, 0)
+    pid = os.getpid() if pid_is_sender else os.getppid()
+    world.daemons = [types.SimpleNamespace(name="d0", incarnation=types.SimpleNamespace(pid=pid))]
+    replica = world.add_replica("app", "a")
+    world.ended_s_by_request["late"] = time.monotonic()
+    for request_id in ("early", "late"):
+        url = f"http://{replica.address}/call/x"
+        await world.http.fetch(
+            HttpCall(method="POST", url=url, body=b"", headers={"X-Attempt-Id": request_id})
+        )
+    assert [run.sender for run in replica.runs] == ["", "d0" if pid_is_sender else ""]
+    assert all(run.received_s <= run.started_s for run in replica.runs)
