--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Checks of the soak itself: what its callers may conclude from answers."""
 
 import asyncio
+import json
 import os
 import random
 import time
@@ -9,10 +10,14 @@
 import pytest
 
 from passgate.clients.http_call import HttpCall
+from passgate.daemon.http_client import make_http_client
 from tests import fake_platform
+from tests.fault_proxy import FaultProxy
+from tests.soak import faults as faults_module
 from tests.soak import world as world_module
 from tests.soak.callers import Callers, SubmittedJob
 from tests.soak.disturbances import RECOVERY_S, DisturbanceLog
+from tests.soak.faults import Faults
 from tests.soak.processes import PORT_BLOCK_SIZE, PortAllocator
 from tests.soak.result_checker import ENDED_JOB_GRACE_S, ResultChecker
 from tests.soak.world import World
@@ -186,3 +191,55 @@
         )
     assert [run.sender for run in replica.runs] == ["", "d0" if pid_is_sender else ""]
     assert all(run.received_s <= run.started_s for run in replica.runs)
+
+
+async def test_the_cancellation_of_an_unknown_job_that_was_not_accepted_ends():
+    """The cancellation was repeated for the rest of the run."""
+    callers = Callers(WorldStub())
+    callers.jobs["j"] = SubmittedJob(items=["a"], min_version=1)
+
+    async def send(daemon, method, path):
+        return types.SimpleNamespace(status=404)
+
+    callers.send = send
+    await asyncio.wait_for(callers.cancel_job("j"), 5.0)
+    assert not callers.jobs["j"].is_cancelled and not callers.world.ended_s_by_request
+
+
+async def test_the_log_answers_chosen_clients_with_one_record_a_page():
+    log = fake_platform.FakeLogService().start()
+    proxies = [await FaultProxy(log.address, source_host=host).start() for host in ("127.1.0.1", "127.1.0.2")]
+    log.single_record_clients.add("127.1.0.1")
+    for key in ("a", "b", "c"):
+        log.put("keyed.t", key, key)
+    http = make_http_client()
+    page_sizes = []
+    for proxy in proxies:
+        url = f"http://{proxy.address}/-/log-read?topic=keyed.t&part=0&from=1"
+        body = (await http.fetch(HttpCall(method="GET", url=url))).body
+        assert fake_platform.READ_HEADER.unpack(body[:16]) == (3, 0)
+        url = f"http://{proxy.address}/-/log-newest?topic=keyed.t&part=0"
+        newest = json.loads((await http.fetch(HttpCall(method="GET", url=url))).body)
+        page_sizes.append(
+            (len(fake_platform.decode_records(body[16:])), len(newest["requests"]), newest["more"])
+        )
+        await proxy.stop()
+    assert page_sizes == [(1, 1, True), (2, 3, False)]
+
+
+async def test_a_series_of_cuts_is_recorded_and_ends_whole(tmp_path, monkeypatch):
+    monkeypatch.setattr(faults_module, "CUT_DURATION_S", (0.0, 0.0))
+    monkeypatch.setattr(faults_module, "GAP_S", (0.0, 0.0))
+    monkeypatch.setattr(faults_module, "SINGLE_RECORDS_MAX_S", 0.0)
+    world = World(1, tmp_path, None, 1)
+    callers = Callers(world)
+    faults = Faults(world, callers)
+    (daemon,) = world.daemons
+    for _ in range(20):
+        await faults.cut_owner_off_repeatedly()
+    now_s = time.monotonic()
+    assert not world.disturbances.was_undisturbed(daemon.name, now_s, now_s)
+    assert world.disturbances.was_undisturbed(daemon.name, now_s + RECOVERY_S + 0.1, now_s + RECOVERY_S + 0.1)
+    proxy = daemon.proxy
+    assert not (proxy.drops_to_target or proxy.drops_from_target or proxy.refuses_connections)
+    assert not world.log.single_record_clients
