--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -23,6 +23,10 @@
 """Length of the record that follows, in bodies of the log service."""
 READ_HEADER = struct.Struct(">QQ")
 """End offset and first offset of a partition, at the beginning of the response to a read."""
+SINGLE_RECORD_DELAY_S = 0.005
+"""Time that a page with a single record takes."""
+NEWEST_PAGE_SIZE = 500
+"""Most keys in a page of the newest values of a topic."""
 HEARTBEAT_S = 0.5
 PARTITION_COUNT = 4
 """Partitions of each topic that the members of a group share."""
@@ -92,6 +96,8 @@
         self.partitions = {}
         self.groups = LogGroups(time.monotonic)
         self.faults = LogServiceFaults()
+        self.single_record_clients = set()
+        """Hosts of clients that get a single record in each page, after ``SINGLE_RECORD_DELAY_S``."""
         self.call_count = 0
         self.random = random.Random(1)
         self.server = None
@@ -165,6 +171,13 @@
             self.set_status(503 if faults.refusing else 429)
             self.finish()
 
+    async def limit_page(self, records, limit=None):
+        """Return the records that fit into a page for this client."""
+        if self.request.remote_ip not in self.service.single_record_clients:
+            return records[:limit]
+        await asyncio.sleep(SINGLE_RECORD_DELAY_S)
+        return records[:1]
+
     def topic_and_partition(self):
         return self.get_query_argument("topic"), int(self.get_query_argument("part"))
 
@@ -208,16 +221,17 @@
             self.set_status(410)
             self.finish({"first": partition.first_offset})
             return
-        records = partition.records[start_offset - partition.first_offset :]
+        header = READ_HEADER.pack(partition.end_offset, partition.first_offset)
+        records = await self.limit_page(partition.records[start_offset - partition.first_offset :])
         body = b"".join(RECORD_LENGTH.pack(len(record)) + record for record in records)
         with contextlib.suppress(Exception):
-            self.finish(READ_HEADER.pack(partition.end_offset, partition.first_offset) + body)
+            self.finish(header + body)
 
 
 class NewestHandler(LogHandler):
-    """Returns the newest value of each key in pages of 500, by key from ``afterRev`` on."""
+    """Returns the newest value of each key in pages of ``NEWEST_PAGE_SIZE``, by key from ``afterRev`` on."""
 
-    def get(self):
+    async def get(self):
         topic, number = self.topic_and_partition()
         rows = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
@@ -226,7 +240,8 @@
         last_key = self.get_query_argument("afterRev", "")
         rows = [row for row in rows if row["key"] > last_key]
         end = self.service.partition(topic, number).end_offset
-        self.finish({"requests": rows[:500], "more": len(rows) > 500, "end": end})
+        page = await self.limit_page(rows, NEWEST_PAGE_SIZE)
+        self.finish({"requests": page, "more": len(rows) > len(page), "end": end})
 
 
 class JoinHandler(LogHandler):
@@ -285,6 +300,10 @@
     """Whether the replica finished the run, even if its response was lost."""
     crashed_replica: bool = False
     """Whether this run crashed its replica."""
+    sender: str = ""
+    """What the replica's ``find_sender`` returned for the request."""
+    received_s: float = 0.0
+    """When the request arrived; before ``started_s`` if the replica was unresponsive."""
     started_s: float = 0.0
     ended_s: float = 0.0
 
@@ -368,6 +387,10 @@
         """Returns whether the load of a version of a model crashes this replica."""
         self.work_s_of = lambda request: self.work_s
         """Returns the time of a plain request in seconds."""
+        self.event_s_of = lambda request: self.event_s
+        """Returns the time between two events of a stream in seconds."""
+        self.find_sender = lambda request: ""
+        """Returns who sent a request, if that is to be recorded; called when it arrives."""
         self.has_crashed = False
         self.on_crash = lambda replica: None
         """Called once when this replica has crashed."""
@@ -452,6 +475,8 @@
     def initialize(self, replica):
         self.replica = replica
         self.client_has_gone = False
+        self.received_s = time.monotonic()
+        self.sender = replica.find_sender(self.request)
 
     def on_connection_close(self):
         self.client_has_gone = True
@@ -508,6 +533,8 @@
             last_event_id=headers.get("Last-Event-Id", ""),
             tenants=headers.get_list("X-Tenant"),
             credentials=headers.get_list("Authorization"),
+            sender=self.sender,
+            received_s=self.received_s,
             started_s=time.monotonic(),
         )
         replica.runs.append(run)
@@ -545,7 +572,7 @@
         self.set_header("X-Weight-Versions", str(replica.version_by_model.get(model, 1)))
         first_number = int(run.last_event_id or 0) + 1
         for sent_count, number in enumerate(range(first_number, event_count(run.request_id) + 1)):
-            await asyncio.sleep(replica.event_s * replica.faults.slowdown_factor)
+            await asyncio.sleep(replica.event_s_of(self.request) * replica.faults.slowdown_factor)
             if self.client_has_gone:
                 return
             if (
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,6 +14,7 @@
 from tests.soak.builds import PRESENT_BUILD
 from tests.soak.disturbances import DisturbanceLog
 from tests.soak.processes import DaemonProcess, PortAllocator
+from tests.soak.senders import find_client
 
 TENANT, OTHER_TENANT = "orchard", "mill"
 KEYS = ("key-o1", "key-o2", "key-o3")
@@ -27,13 +28,20 @@
 """Range of the time until a replica that a request crashed starts again."""
 SAME_ID_SHARE = 0.5
 """Share of the crashed replicas that start again under the same identifier."""
+SENDER_SAMPLING_S = 0.5
+"""Minimum time between two lookups of the senders of items of open jobs."""
+OWNER_SHARE = 0.7
+"""Share of the faults against owners of jobs that hit the sender of a recent item."""
 CRASHING_BODIES = (b"crash 1", b"crash 2")
 """Bodies of calls that crash each replica that runs them."""
 CRASHING_ITEM_PREFIX = "crash-item"
 """Prefix of the identifiers of items that crash each replica that runs them."""
 SLOW_CALL = "/slow"
-"""Part of the path of calls that take ``SLOW_S`` on a replica."""
+"""Part of the path of slow calls and items."""
 SLOW_S = 0.5
+"""Time that a slow call takes on a replica."""
+SLOW_EVENT_S = 0.15
+"""Time that each event of a slow item takes on a replica."""
 
 
 def crashes_replicas(request):
@@ -67,7 +75,7 @@
         self.http = make_http_client()
         self.tenant_keys = list(KEYS)
         """Keys of the calling tenant in the newest configuration."""
-        self.ports = PortAllocator(self.random)
+        self.ports = PortAllocator()
         self.daemons = [DaemonProcess(number, self) for number in range(daemons)]
         self.replicas = []
         self.removed_replicas = []
@@ -75,11 +83,17 @@
         self.leaving_s_by_replica = {}
         """Time since which a replica reports that it leaves, by its identifier."""
         self.evacuations = []
+        self.requests_of_ended_jobs = set()
+        """Identifiers of requests whose senders replicas record."""
+        self.recent_item_sender = ""
+        """Name of the daemon that sent an item recently, and so may own the newest jobs."""
+        self._next_sample_s = 0.0
         self.target_version = self.config_version = 1
         self._last_number = 0
         self.stopping = False
         self.violations, self.count_by_kind = [], {}
-        self._restarts = set()
+        self.restarts = set()
+        """Tasks that start crashed replicas again."""
 
     def count(self, kind):
         """Count an event of the run by its kind, for the report."""
@@ -133,15 +147,43 @@
         )
         replica.crashes_on = crashes_replicas
         replica.on_crash = self._on_replica_crash
+        replica.find_sender = self._find_sender
         replica.work_s_of = lambda request: SLOW_S if SLOW_CALL in request.path else replica.work_s
-        self.replicas.append(replica.start(port))
+        replica.event_s_of = lambda request: SLOW_EVENT_S if SLOW_CALL in request.path else replica.event_s
+        self.replicas.append(replica.start(port or self.ports.allocate_port()))
         return replica
 
+    def _find_sender(self, request):
+        """Return the daemon that sent a request of an ended job; empty for other requests.
+
+        Of the items of open jobs, one in ``SENDER_SAMPLING_S`` is looked up, as a lookup takes long.
+        """
+        now_s = time.monotonic()
+        is_sample = request.path.startswith("/stream") and now_s >= self._next_sample_s
+        if request.headers.get("X-Attempt-Id") not in self.requests_of_ended_jobs and not is_sample:
+            return ""
+        sender = find_client(self.daemons, request.connection.stream)
+        if is_sample:
+            self._next_sample_s = now_s + SENDER_SAMPLING_S
+            self.recent_item_sender = sender
+        return sender
+
+    def random_job_owner(self):
+        """Return the daemon that sent an item recently, or at times any other."""
+        daemon = self.random_daemon()
+        owners = [daemon for daemon in self.daemons if daemon.name == self.recent_item_sender]
+        return owners[0] if owners and self.random.random() < OWNER_SHARE else daemon
+
     def _on_replica_crash(self, replica):
         self.count("replica ended")
         task = asyncio.get_running_loop().create_task(self._restart(replica))
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
+        self.restarts.add(task)
+        task.add_done_callback(self._end_restart)
+
+    def _end_restart(self, task):
+        self.restarts.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.report_violation(f"a replica did not start again: {task.exception()}")
 
     async def _restart(self, replica):
         stays = self.remove_replica(replica)
@@ -149,11 +191,10 @@
         port = int(replica.address.rpartition(":")[2])
         if stays and self.random.random() < SAME_ID_SHARE:
             self.count("replica started again under its identifier")
-            self.add_replica(replica.service, port, replica.replica_id)
+            self.add_replica(replica.service, replica.zone, port, replica.replica_id)
             return
         self.log.put("keyed.servers", replica.replica_id, None)
         if stays:
-            port = int(replica.address.rpartition(":")[2])
             self.add_replica(replica.service, replica.zone, port)
 
     def remove_replica(self, replica):
