gateway: no request is sent once its time is over

Callers saw requests run at replicas after they had given up: a retry that was held back for a crash probe (up to 0.4 s) was sent after its deadline or its route's timeout, and its answer came that much late. A request whose deadline had passed on arrival was sent with a deadline of 1 ms. After a suspension of the process a request that waited for a replica, or for its connection, was sent with the time that had been left before.

Cause: the forwarders asked for the time only between attempts, and ReplicaClient.start_attempt, through which all sends pass, did not ask.

start_attempt now refuses with SendTooLate when the time is over, and hands the same limit to the HTTP client, which asks again just before the bytes leave (after the connect, also after a suspension). The wait for probes ends with the request's time. A stream that can't be started is answered as one that did not run (503), no longer with 502.

--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -201,7 +201,7 @@
 
 
 class SendTooLate(SendForbidden):
-    """The latest time to send, set by a permit, passed before the connection was ready; nothing was sent."""
+    """The latest time to send, set by a permit or the request's deadline, has passed; nothing was sent."""
 
     code = "send_too_late"
 
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -88,12 +88,14 @@
         try:
             while True:
                 if not running and not await self._start_next_attempt(forwarding, running):
+                    if forwarding.is_time_over:
+                        raise self._time_limit_error(forwarding, running=False)
                     return self._answer_without_success(forwarding, results)
                 await self._wait_for_attempts(forwarding, running)
                 answer = self._collect_finished(forwarding, running, results)
                 if answer is not None:
                     return answer
-                if monotonic_s() >= forwarding.answer_by_s:
+                if forwarding.is_time_over:
                     raise self._time_limit_error(forwarding, bool(running))
                 if running and self._may_hedge(forwarding):
                     self._start_attempt(forwarding, running, self._choose_replica(forwarding))
@@ -104,23 +106,31 @@
     async def _start_next_attempt(self, forwarding: ForwardedRequest, running: RunningAttempts) -> bool:
         """Start the first or a further attempt, after a short wait if no replica is usable.
 
-        Returns False if no attempt is permitted any more or no replica became usable.  Raises
-        NoRegionAllowed, RequestQuarantined or Unauthorized only for a request that has not run.
+        Returns False if no attempt is permitted any more, the time is over or no replica became usable.
+        Raises NoRegionAllowed, RequestQuarantined or Unauthorized only for a request that has not run.
         """
         self._check_regions(forwarding)
         if not forwarding.may_be_sent_again or not await self._passes_quarantine(forwarding):
             return False
-        wait_until_s = monotonic_s() + REPLICA_WAIT_SHARE * forwarding.route.target_latency_s
-        while (state := self._choose_replica(forwarding)) is None:
-            if monotonic_s() >= min(wait_until_s, forwarding.answer_by_s):
-                return False
-            await asyncio.sleep(REPLICA_POLL_INTERVAL_S)
+        state = await self._wait_for_replica(forwarding)
+        if state is None:
+            return False
         if forwarding.may_have_run and not self._is_still_authorized(forwarding):
             return False
         self._recheck_api_key(forwarding)
         self._start_attempt(forwarding, running, state)
         return True
 
+    async def _wait_for_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
+        """Return a usable replica; None if there is none in a short wait or the time is over."""
+        wait_until_s = monotonic_s() + REPLICA_WAIT_SHARE * forwarding.route.target_latency_s
+        while not forwarding.is_time_over:
+            state = self._choose_replica(forwarding)
+            if state is not None or monotonic_s() >= wait_until_s:
+                return state
+            await asyncio.sleep(REPLICA_POLL_INTERVAL_S)
+        return None
+
     def _may_hedge(self, forwarding: ForwardedRequest) -> bool:
         if not forwarding.repeatable or not forwarding.has_attempts_left:
             return False
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import Protocol
 
 import msgspec
@@ -92,6 +94,11 @@
         """Whether another attempt is permitted; a request that may have run also has to be repeatable."""
         return self.has_attempts_left and (self.repeatable or not self.may_have_run)
 
+    @property
+    def is_time_over(self) -> bool:
+        """Whether the answer had to end by now, so that nothing is sent for the request any more."""
+        return monotonic_s() >= self.answer_by_s
+
 
 class UsageRecorder(Protocol):
     """Counts the runs of requests by tenant, for the usage report."""
@@ -153,11 +160,14 @@
     async def _passes_quarantine(self, forwarding: ForwardedRequest) -> bool:
         """Wait for probes that may quarantine the request; return whether the request is not quarantined.
 
-        A quarantined request has crashed replicas and is not sent for a while.  If this request has not run
-        yet, RequestQuarantined is raised instead of returning False.
+        The wait ends at the latest when the answer has to end.  A quarantined request has crashed replicas
+        and is not sent for a while.  If this request has not run yet, RequestQuarantined is raised instead of
+        returning False.
         """
         crash_guard = self._replica_client.crash_guard
-        await crash_guard.wait_for_probes(forwarding.identity)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(forwarding.answer_by_s):
+                await crash_guard.wait_for_probes(forwarding.identity)
         if forwarding.may_have_run:
             return not crash_guard.is_quarantined(forwarding.identity)
         crash_guard.raise_if_quarantined(forwarding.identity)
@@ -207,6 +217,7 @@
             headers=tuple(headers),
             body=request.body,
             deadline_s=forwarding.caller_deadline_s,
+            send_before_s=forwarding.answer_by_s,
             priority=forwarding.route.priority if forwarding.route.kind is RouteKind.STREAMING else None,
             repeatable=forwarding.repeatable,
             tenant=forwarding.caller.tenant,
--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -76,6 +77,8 @@
     body: bytes
     deadline_s: float
     """Loop time at which the attempt times out; the time left is sent to the replica."""
+    send_before_s: float = math.inf
+    """Loop time from which on the request is not sent any more; ``deadline_s`` also limits this."""
     priority: int | None = None
     """Value of the priority header; None leaves out the header."""
     repeatable: bool = True
@@ -87,6 +90,11 @@
     send_context: SendContext = ANY_REGION_REQUEST
     """What the send rules need to know of the request."""
 
+    @property
+    def latest_send_s(self) -> float:
+        """Loop time from which on nobody waits for the answer, so that the request must not be sent."""
+        return min(self.deadline_s, self.send_before_s)
+
     @property
     def identity(self) -> RequestIdentity:
         """Content of the request, by which crashes of replicas are attributed to it."""
@@ -145,13 +153,22 @@
         """Send a request to a replica; the caller must close the returned attempt.
 
         Raises:
+            SendTooLate: the time in which the request may be sent is over; nothing was sent.
             RequestQuarantined: replicas crashed while they ran this content; nothing was sent.
             SendForbidden: a send rule excludes the replica now; nothing was sent.
             BackendUnreachable: the HTTP client can not start the transfer; nothing was sent.
         """
         # Checked here, and not only before the choice of a replica, so that no attempt bypasses the checks.
+        now_s = monotonic_s()
+        if now_s >= request.latest_send_s:
+            raise SendTooLate("the request's time is over", execution=ExecutionStatus.NOT_RUN)
         self.crash_guard.raise_if_quarantined(request.identity)
-        not_sent_after_s = self._replicas.send_rules.admit(state.info, request.send_context, monotonic_s())
+        admitted_until_s = self._replicas.send_rules.admit(state.info, request.send_context, now_s)
+        not_sent_after_s = (
+            request.latest_send_s
+            if admitted_until_s is None
+            else min(admitted_until_s, request.latest_send_s)
+        )
         return ReplicaAttempt(
             self._http, self._replicas, self._header_names, self.crash_guard, state, request, not_sent_after_s
         )
@@ -183,7 +200,7 @@
         crash_guard: CrashGuard,
         state: ReplicaState,
         request: ReplicaRequest,
-        not_sent_after_s: float | None = None,
+        not_sent_after_s: float,
     ) -> None:
         self._not_sent_after_s = not_sent_after_s
         self._crash_guard = crash_guard
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -84,7 +84,7 @@
                 self._record_failed_stream(
                     stream, attempt, DeadlineExceeded("no answer head within the time limit")
                 )
-                if not stream.may_be_sent_again or monotonic_s() >= stream.answer_by_s:
+                if not stream.may_be_sent_again or stream.is_time_over:
                     raise self._end_with_error(stream, "no answer head within the time limit") from error
             except PassgateError as error:
                 attempt.close()
@@ -112,6 +112,8 @@
         except (NoRegionAllowed, RequestQuarantined) as error:
             self._record_end(stream, error_status(error), error.code)
             raise
+        if stream.is_time_over:
+            raise self._end_with_error(stream, "the time limit has passed")
         state = self._choose_replica(stream)
         if state is None:
             raise self._end_with_error(stream, "no replica is available")
@@ -120,7 +122,10 @@
         elif not self._is_still_authorized(stream):
             raise self._end_with_error(stream, "the API key was revoked")
         self._record_sent(stream, state)
-        return self._replica_client.start_attempt(state, self._replica_request(stream))
+        try:
+            return self._replica_client.start_attempt(state, self._replica_request(stream))
+        except PassgateError as error:
+            raise self._end_with_error(stream, error.code) from error
 
     async def _stream_events(
         self, stream: ForwardedRequest, attempt: ReplicaAttempt
@@ -143,7 +148,7 @@
                         error if isinstance(error, PassgateError) else IncompleteAnswer("no data in time")
                     )
                     self._record_failed_stream(stream, attempt, failure)
-                    if not stream.may_be_sent_again or monotonic_s() >= stream.answer_by_s:
+                    if not stream.may_be_sent_again or stream.is_time_over:
                         raise self._end_with_error(stream, "the stream broke off") from error
                 attempt = await self._open_stream(stream)
                 if attempt.status != OK_STATUS:
@@ -209,7 +214,7 @@
 
     def _end_with_error(self, stream: ForwardedRequest, reason: str) -> PassgateError:
         """Write the decision line of the request's end and return the error to raise."""
-        if monotonic_s() >= stream.answer_by_s and stream.may_have_run:
+        if stream.is_time_over and stream.may_have_run:
             error: PassgateError = DeadlineExceeded(
                 "the stream did not end within the time limit", execution=ExecutionStatus.UNKNOWN
             )
