gateway: no request is sent for a caller that has left

Callers that gave up while the daemon was suspended or its event loop was blocked had closed their connections, but their requests were sent all the same when it went on: over kept connections they left before the loop had seen the close, and a replica worked for nobody.

Cause: the only sign of a caller that left was the cancellation of its task, which comes some rounds of the event loop after the send.

Now ReplicaClient.start_attempt, through which all sends pass, asks whether the request is still wanted. For a caller's request the ingress looks at the socket itself: a peek tells of a close that the loop has not read yet.

--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -218,6 +218,7 @@
             body=request.body,
             deadline_s=forwarding.caller_deadline_s,
             send_before_s=forwarding.answer_by_s,
+            is_wanted=request.is_caller_connected,
             priority=forwarding.route.priority if forwarding.route.kind is RouteKind.STREAMING else None,
             repeatable=forwarding.repeatable,
             tenant=forwarding.caller.tenant,
--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -9,9 +9,12 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from http.client import responses
 
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -21,7 +24,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from passgate.clock import monotonic_s
 from passgate.errors import Draining, ExecutionStatus, NotReady, PassgateError
@@ -177,6 +180,7 @@
             headers=tuple(self._headers.get_all()),
             body=b"".join(self._body_chunks),
             received_s=monotonic_s(),
+            is_caller_connected=partial(_is_connected, self._connection),
         )
         self._ingress.start_handling(request, self._connection)
 
@@ -184,6 +188,24 @@
         self._body_chunks.clear()
 
 
+def _is_connected(connection: HTTPConnection) -> bool:
+    """Whether the client has not closed its connection, also if the event loop has not seen the close yet.
+
+    The loop sees it late if it was blocked or suspended.
+    """
+    stream = connection.stream if isinstance(connection, HTTP1Connection) else None
+    if not isinstance(stream, IOStream):
+        return True
+    if stream.closed():
+        return False
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
 def make_probe_handler(is_ready: Callable[[], bool], render_metrics: Callable[[], bytes]) -> RequestHandler:
     """Return a handler that serves METRICS_PATH, and answers any other path by the daemon's readiness.
 
--- a/passgate/gateway/messages.py
+++ b/passgate/gateway/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 
 import msgspec
 
@@ -26,6 +26,11 @@
 """Value of ``Retry-After`` for a refusal that has none of its own."""
 
 
+def always_wanted() -> bool:
+    """Return True: whether somebody still waits for the answer is not known."""
+    return True
+
+
 class IncomingRequest(msgspec.Struct, frozen=True, kw_only=True):
     """One complete request of a caller."""
 
@@ -37,6 +42,8 @@
     body: bytes
     received_s: float
     """Loop time at which the request was complete."""
+    is_caller_connected: Callable[[], bool] = always_wanted
+    """Returns whether the caller has not closed its connection, as far as this machine knows."""
 
     def header(self, name: str, default: str = "") -> str:
         """Return the value of the first header with a name, ignoring case, or the default."""
--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from tornado.httputil import HTTPHeaders
@@ -22,6 +22,7 @@
 from passgate.errors import (
     AnswerMismatch,
     BackendRefused,
+    Cancelled,
     ExecutionFailed,
     ExecutionStatus,
     PassgateError,
@@ -30,7 +31,7 @@
 )
 from passgate.gateway.access import replica_headers
 from passgate.gateway.header_names import HeaderNames
-from passgate.gateway.messages import GUARANTEED_NOT_RUN_STATUSES
+from passgate.gateway.messages import GUARANTEED_NOT_RUN_STATUSES, always_wanted
 from passgate.gateway.replica_table import ReplicaState, ReplicaTable
 from passgate.quarantine.guard import CrashGuard, ReplicaEndpoint
 from passgate.quarantine.identity import CRASH_LIMIT, RequestIdentity
@@ -79,6 +80,8 @@
     """Loop time at which the attempt times out; the time left is sent to the replica."""
     send_before_s: float = math.inf
     """Loop time from which on the request is not sent any more; ``deadline_s`` also limits this."""
+    is_wanted: Callable[[], bool] = always_wanted
+    """Returns whether somebody still waits for the answer; asked at the moment of the send."""
     priority: int | None = None
     """Value of the priority header; None leaves out the header."""
     repeatable: bool = True
@@ -154,6 +157,7 @@
 
         Raises:
             SendTooLate: the time in which the request may be sent is over; nothing was sent.
+            Cancelled: nobody waits for the answer any more; nothing was sent.
             RequestQuarantined: replicas crashed while they ran this content; nothing was sent.
             SendForbidden: a send rule excludes the replica now; nothing was sent.
             BackendUnreachable: the HTTP client can not start the transfer; nothing was sent.
@@ -162,6 +166,8 @@
         now_s = monotonic_s()
         if now_s >= request.latest_send_s:
             raise SendTooLate("the request's time is over", execution=ExecutionStatus.NOT_RUN)
+        if not request.is_wanted():
+            raise Cancelled("nobody waits for the answer", execution=ExecutionStatus.NOT_RUN)
         self.crash_guard.raise_if_quarantined(request.identity)
         admitted_until_s = self._replicas.send_rules.admit(state.info, request.send_context, now_s)
         not_sent_after_s = (
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -1,6 +1,7 @@
 """A request is sent only while its caller still waits for it, which is checked at the moment of each send."""
 
 import asyncio
+import socket
 import time
 from unittest import mock
 
@@ -13,8 +14,10 @@
 from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import RouteKind
+from tests import fake_platform
 from tests.gateway_world import NAMES, GatewayWorld, Script, connection_lost
 from tests.test_clients_curl import raw_server, reply_ok
+from tests.test_platform_daemon import HOST, in_world
 from tests.test_suspended_machine import run_on_suspendable_loop
 
 STREAM = {"kind": RouteKind.STREAMING, "resumable": True}
@@ -91,3 +94,46 @@
         attempt.close()
         assert caught.value.execution is ExecutionStatus.NOT_RUN
         assert not raw.heads
+
+
+@pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
+def test_a_request_is_not_sent_after_its_caller_has_left(fields):
+    """Guards against retries and resumed streams for callers whose close the event loop has not seen."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1", Script(answer_s=0.5, error=connection_lost()))
+        world.add_replica("r2", Script(answer_s=0.5, error=connection_lost()))
+        route = world.configure(**fields, target_latency_s=10.0)
+        with pytest.raises(PassgateError):
+            await world.forward(route, is_caller_connected=lambda: monotonic_s() < 0.4)
+        assert [sent.at_s for sent in world.sent] == [0.0]
+
+    run_virtual(main())
+
+
+CALLER_COUNT = 5
+
+
+@in_world
+async def test_a_daemon_that_was_suspended_sends_no_request_of_callers_that_left_meanwhile(world):
+    """Guards against requests sent over kept connections before the loop sees that their callers left."""
+    app = world.replica("i-1", "app", work_s=0.1)
+    world.configure(1, fake_platform.safe_route())
+    await world.start()
+    await world.until(lambda: world.daemon.replicas.get("i-1"))
+    calls = [world.call("POST", "/call/w", b"x", request_id=f"w{number}") for number in range(CALLER_COUNT)]
+    await asyncio.gather(*calls)
+    app.runs.clear()
+    host, _, port = world.daemon.settings.front_address.rpartition(":")
+    callers = [socket.create_connection((host, int(port))) for _ in range(CALLER_COUNT)]
+    await asyncio.sleep(0.1)
+    for number, caller in enumerate(callers):
+        head = (
+            f"POST /call/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: q{number}\r\nContent-Length: 1\r\n\r\n"
+        )
+        caller.sendall(head.encode() + b"x")
+        caller.close()
+    time.sleep(0.6)  # noqa: ASYNC251 - blocks the event loop as a suspension would
+    await asyncio.sleep(0.3)
+    assert not app.runs
