gateway: an error answer of a streaming route ends at the route's timeout

Callers of a streaming route whose replica sent the head of an error answer and then nothing more waited until their own deadline, 30 s by default, instead of the route's timeout.

Cause: the rest of such an answer was awaited without a limit of its own.

Test seen failing before (still waiting after 60 s of virtual time): FAILED test_an_answer_that_stalls_after_its_head_ends_at_the_timeout_of_the_route[streamed] TimeoutError

The wait now ends with the request's time, with 504, and the end of the request is written to the decision log in this case as well.

--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -25,7 +25,7 @@
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarder_base import ForwardedRequest, ForwarderBase
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_status
-from passgate.gateway.replica_client import ReplicaAttempt, end_to_end_headers
+from passgate.gateway.replica_client import ReplicaAnswer, ReplicaAttempt, end_to_end_headers
 from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery
 from passgate.gateway.routes import Route
 
@@ -55,10 +55,7 @@
         stream = self._begin_forwarding(request, route, caller)
         attempt = await self._open_stream(stream)
         if attempt.status != OK_STATUS:
-            try:
-                answer = await attempt.read_answer()
-            finally:
-                attempt.close()
+            answer = await self._read_complete_answer(stream, attempt)
             self._record_end(stream, answer.status, "")
             return GatewayAnswer(
                 status=answer.status, headers=tuple(end_to_end_headers(answer.headers)), body=answer.body
@@ -66,6 +63,17 @@
         headers = tuple(end_to_end_headers(attempt.headers.get_all()))
         return StreamAnswer(status=OK_STATUS, headers=headers, chunks=self._stream_events(stream, attempt))
 
+    async def _read_complete_answer(self, stream: ForwardedRequest, attempt: ReplicaAttempt) -> ReplicaAnswer:
+        """Return the answer of an attempt whose head has arrived, and close it; raises PassgateError."""
+        try:
+            async with asyncio.timeout_at(stream.answer_by_s):
+                return await attempt.read_answer()
+        except (PassgateError, TimeoutError) as error:
+            stream.may_have_run = True
+            raise self._end_with_error(stream, "the answer broke off") from error
+        finally:
+            attempt.close()
+
     async def _open_stream(self, stream: ForwardedRequest) -> ReplicaAttempt:
         """Return an attempt whose head has arrived; raises PassgateError if no replica sends one."""
         while True:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -63,6 +63,8 @@
 
     async def wait_for_head(self):
         script, call = self._script, self._call
+        if self.status:
+            return self.status
         await asyncio.sleep(script.connect_s)
         if call.not_sent_after_s is not None and monotonic_s() > call.not_sent_after_s:
             raise SendTooLate("too late", execution=ExecutionStatus.NOT_RUN)
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -10,7 +10,7 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
-from passgate.errors import ExecutionStatus, PassgateError, SendTooLate
+from passgate.errors import DeadlineExceeded, ExecutionStatus, PassgateError, SendTooLate
 from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import RouteKind
@@ -48,6 +48,22 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
+def test_an_answer_that_stalls_after_its_head_ends_at_the_timeout_of_the_route(fields):
+    """Guards against error answers of streaming routes that were awaited until the caller's deadline."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1", Script(status=500, body_stalls=True))
+        route = world.configure(**fields, timeout_s=1.0, max_attempts=1)
+        with pytest.raises(DeadlineExceeded) as caught:
+            await asyncio.wait_for(world.forward(route, deadline_s=30.0), timeout=60.0)
+        assert caught.value.execution is ExecutionStatus.UNKNOWN
+        assert monotonic_s() <= 1.01
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
 def test_a_request_whose_deadline_has_passed_on_arrival_is_not_sent(fields):
     async def main():
