quarantine: a daemon that is cut off no longer brings back withdrawn reports

Callers were refused with 503 (request_quarantined, for up to 600 s) although their request had been answered since: a daemon without the log still held the cleared crash reports and passed them to its peers, and a peer with a current view took them for new, ejected the replicas again and published them for all.

Cause: a report carries no sign of whether it is still in effect, and nobody asked for the age of the view from which it came.

Tests seen failing before (tests/test_crash_guard.py, virtual time): FAILED test_withdrawn_reports_are_not_brought_back_by_a_daemon_that_is_cut_off FAILED test_withdrawn_reports_are_not_brought_back_through_a_daemon_that_started_later FAILED test_withdrawn_reports_are_not_adopted_from_a_peer_by_a_daemon_that_lost_the_log_later AssertionError: assert not True (is_suspect)

Each daemon remembers which reports were removed, and until which time of report, so a later crash still counts. The exchange says which reports were on the log: of these a daemon with a current view knows by itself whether they are in effect.

--- a/passgate/quarantine/crash_report_exchange.py
+++ b/passgate/quarantine/crash_report_exchange.py
@@ -2,14 +2,14 @@
 
 A daemon whose view of the crash-report topic is stale calls a few other daemons.  Each call passes the newest
 reports of both daemons to each other.  A daemon with a current view appends to the topic those reports that
-it did not know.
+it did not know and that were never on the topic; any other report that it lacks was withdrawn.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -36,6 +36,13 @@
     """The newest reports that a daemon knows; the content of both the request and the response of a call."""
 
     reports: tuple[CrashReport, ...] = ()
+    on_log: tuple[bool, ...] = ()
+    """For each of the reports, whether it is or was on the topic; empty from a release without this field."""
+
+    def with_marks(self) -> Iterable[tuple[CrashReport, bool]]:
+        """Return each report with its mark; without a mark it counts as never seen on the topic."""
+        marks = self.on_log if len(self.on_log) == len(self.reports) else (False,) * len(self.reports)
+        return zip(self.reports, marks, strict=True)
 
 
 class CrashReportExchange:
@@ -78,7 +85,7 @@
         except (PeerError, msgspec.DecodeError) as error:
             logger.info("crash_reports_not_exchanged", extra={"peer": member, "error": str(error)})
             return
-        self._report_log.merge_reports(received.reports)
+        self._report_log.merge_reports(received.with_marks())
 
     def handle_request(self, payload: bytes) -> bytes:
         """Merge another daemon's reports, and return the newest ones that this daemon knew before.
@@ -87,8 +94,11 @@
             msgspec.DecodeError: the payload is not a batch of reports.
         """
         known = msgspec.json.encode(self._newest_reports())
-        self._report_log.merge_reports(msgspec.json.decode(payload, type=CrashReportBatch).reports)
+        self._report_log.merge_reports(msgspec.json.decode(payload, type=CrashReportBatch).with_marks())
         return known
 
     def _newest_reports(self) -> CrashReportBatch:
-        return CrashReportBatch(reports=self._report_log.newest_reports())
+        reports = self._report_log.newest_reports()
+        return CrashReportBatch(
+            reports=reports, on_log=tuple(self._report_log.is_on_log(report) for report in reports)
+        )
--- a/passgate/quarantine/crash_report_log.py
+++ b/passgate/quarantine/crash_report_log.py
@@ -98,18 +98,36 @@
         """Return the newest stored reports, at most MAX_EXCHANGED_REPORTS."""
         return self._reports.newest(MAX_EXCHANGED_REPORTS)
 
-    def merge_reports(self, reports: Iterable[CrashReport]) -> None:
+    def is_on_log(self, report: CrashReport) -> bool:
+        """Whether a stored report is or was on the topic, as far as this daemon knows."""
+        return self._reports.is_on_log(report)
+
+    def merge_reports(self, reports: Iterable[tuple[CrashReport, bool]]) -> None:
         """Add another daemon's reports that are new here; publish them if the view of the topic is current.
 
-        Reports whose withdrawal by this daemon is still to be appended are ignored.
+        The other daemon's view may be old, so its copies of withdrawn reports are ignored: those of which
+        this daemon knows that they were removed, and, while the view is current, those that were on the
+        topic.
+
+        Args:
+            reports: the reports, each with whether it is or was on the topic according to the other daemon.
         """
-        for report in reports:
-            if self._is_withdrawn(report) or self._reports.contains(report.fingerprint, report.incarnation):
+        is_current = self.is_current()
+        for report, on_log in reports:
+            if self._is_removed(report) or self._reports.contains(report.fingerprint, report.incarnation):
                 continue
-            self._add_report(report, "peer")
-            if self.is_current():
+            if on_log and is_current:
+                continue
+            self._add_report(report, "peer", on_log=on_log)
+            if is_current:
                 self.publish(report)
 
+    def _is_removed(self, report: CrashReport) -> bool:
+        """Whether this daemon knows that a report was withdrawn or has expired."""
+        return self._is_withdrawn(report) or self._reports.removed.covers(
+            report.fingerprint, report.incarnation, report.reported_unix_s
+        )
+
     def _is_withdrawn(self, report: CrashReport) -> bool:
         """Whether this daemon has withdrawn a report and has still to append the withdrawal."""
         return self._pending_by_key.get(_key_of(report)) == TOMBSTONE
@@ -192,18 +210,18 @@
                 run = msgspec.json.decode(record.value, type=IsolatedRun)
                 self._reports.isolated_runs.record_announcement(run, offset, monotonic_s())
             else:
-                self._add_report(msgspec.json.decode(record.value, type=CrashReport), "log")
+                self._add_report(msgspec.json.decode(record.value, type=CrashReport), "log", on_log=True)
         except msgspec.DecodeError as error:
             self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
 
     def _remove(self, key: str) -> None:
         if key.startswith(ISOLATED_RUN_PREFIX):
             self._reports.isolated_runs.remove_announcement(*_parse_key(key))
-        else:
-            self._reports.remove(*_parse_key(key))
+        elif not self._reports.remove(*_parse_key(key)):
+            self._reports.removed.record(*_parse_key(key), before_unix_s=unix_s())
 
-    def _add_report(self, report: CrashReport, source: str) -> None:
-        if self._reports.add(report, monotonic_s()):
+    def _add_report(self, report: CrashReport, source: str, *, on_log: bool) -> None:
+        if self._reports.add(report, monotonic_s(), on_log=on_log):
             self._eject(report.incarnation, monotonic_s())
             self._decisions.write(
                 CrashReportReceived(
--- a/passgate/quarantine/crash_reports.py
+++ b/passgate/quarantine/crash_reports.py
@@ -29,6 +29,7 @@
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 from passgate.quarantine.isolated_runs import IsolatedRuns
+from passgate.quarantine.removed_reports import RemovedReports
 
 REPORT_LIFETIME_S = 600.0
 """Age at which a report expires, so that a request is run again after the replicas have been fixed."""
@@ -63,6 +64,8 @@
     report: CrashReport
     since_s: float
     """Loop time at which this daemon learned of the report."""
+    on_log: bool
+    """Whether the report is or was on the log, so that only the log tells whether it is still in effect."""
 
 
 class CrashReportStore:
@@ -76,33 +79,53 @@
         self._count = 0
         self.isolated_runs = IsolatedRuns()
         """Isolated runs: attempts of requests that one more crash would quarantine."""
+        self.removed = RemovedReports()
+        """Reports that were removed here or withdrawn on the log."""
 
     def __len__(self) -> int:
         return self._count
 
-    def add(self, report: CrashReport, now_s: float) -> bool:
+    def add(self, report: CrashReport, now_s: float, *, on_log: bool = False) -> bool:
         """Add a report, known from a loop time on, and return whether it is new.
 
         With MAX_REPORTS stored, the oldest of them is dropped first.
+
+        Args:
+            report: the report; ignored, except for ``on_log``, if one of its request and incarnation is
+                stored.
+            now_s: loop time.
+            on_log: whether the report is or was on the log.
         """
-        if self.contains(report.fingerprint, report.incarnation):
+        known = self._reports_by_fingerprint.get(report.fingerprint, {}).get(report.incarnation)
+        if known is not None:
+            if on_log and not known.on_log:
+                self._set(msgspec.structs.replace(known, on_log=True))
             return False
         if self._count >= MAX_REPORTS:
             self._remove_oldest()
-        known = _KnownReport(report, now_s)
-        self._reports_by_fingerprint.setdefault(report.fingerprint, {})[report.incarnation] = known
-        self._reports_by_incarnation.setdefault(report.incarnation, {})[report.fingerprint] = known
+        self._set(_KnownReport(report, now_s, on_log))
         self._count += 1
         return True
 
+    def _set(self, known: _KnownReport) -> None:
+        report = known.report
+        self._reports_by_fingerprint.setdefault(report.fingerprint, {})[report.incarnation] = known
+        self._reports_by_incarnation.setdefault(report.incarnation, {})[report.fingerprint] = known
+
     def contains(self, fingerprint: str, incarnation: ReplicaIncarnation) -> bool:
         """Whether a report of a request and an incarnation is stored; it may have expired."""
         return incarnation in self._reports_by_fingerprint.get(fingerprint, {})
 
+    def is_on_log(self, report: CrashReport) -> bool:
+        """Whether the stored report of a report's request and incarnation is or was on the log."""
+        return self._reports_by_fingerprint[report.fingerprint][report.incarnation].on_log
+
     def remove(self, fingerprint: str, incarnation: ReplicaIncarnation) -> bool:
-        """Remove a report; return whether it was stored."""
-        if not self.contains(fingerprint, incarnation):
+        """Remove a report, and remember the removal; return whether it was stored."""
+        known = self._reports_by_fingerprint.get(fingerprint, {}).get(incarnation)
+        if known is None:
             return False
+        self.removed.record(fingerprint, incarnation, known.report.reported_unix_s)
         _remove_from_index(self._reports_by_fingerprint, fingerprint, incarnation)
         _remove_from_index(self._reports_by_incarnation, incarnation, fingerprint)
         self._count -= 1
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -446,6 +446,65 @@
     assert not second.guard.is_suspect(request())
 
 
+@in_virtual_time
+async def test_withdrawn_reports_are_not_brought_back_by_a_daemon_that_is_cut_off(fleet):
+    """Guards against a request that is refused again because a peer still holds its cleared reports."""
+    daemons = [fleet.daemon() for _ in range(4)]
+    await asyncio.sleep(1.0)
+    await daemons[0].crash("r1", "r2")
+    await asyncio.sleep(0.5)
+    fleet.log.cut_off_clients.add("d3")
+    daemons[0].guard.record_success(request(), SERVICE)
+    await asyncio.sleep(MAX_CURRENT_AGE_S + 8 * EXCHANGE_INTERVAL_S)
+    assert not any(daemon.guard.is_suspect(request()) for daemon in daemons[:3])
+    assert not fleet.log.newest_values(TOPIC)
+
+
+@in_virtual_time
+async def test_withdrawn_reports_are_not_brought_back_through_a_daemon_that_started_later(fleet):
+    daemons = [fleet.daemon() for _ in range(2)]
+    await asyncio.sleep(1.0)
+    await daemons[0].crash("r1", "r2")
+    await asyncio.sleep(0.5)
+    fleet.log.cut_off_clients.add("d1")
+    daemons[0].guard.record_success(request(), SERVICE)
+    await asyncio.sleep(0.5)
+    daemons.append(fleet.daemon())
+    await asyncio.sleep(MAX_CURRENT_AGE_S + 8 * EXCHANGE_INTERVAL_S)
+    assert not daemons[2].guard.is_suspect(request())
+    assert not fleet.log.newest_values(TOPIC)
+
+
+@in_virtual_time
+async def test_withdrawn_reports_are_not_adopted_from_a_peer_by_a_daemon_that_lost_the_log_later(fleet):
+    """The first daemon is cut off before the withdrawal, the second one only after it has read it."""
+    daemons = [fleet.daemon() for _ in range(3)]
+    await asyncio.sleep(1.0)
+    await daemons[0].crash("r1", "r2")
+    await asyncio.sleep(0.5)
+    fleet.log.cut_off_clients.add("d1")
+    daemons[0].guard.record_success(request(), SERVICE)
+    await asyncio.sleep(0.5)
+    fleet.log.cut_off_clients.add("d2")
+    await asyncio.sleep(MAX_CURRENT_AGE_S + 8 * EXCHANGE_INTERVAL_S)
+    assert not daemons[2].guard.is_suspect(request())
+
+
+@in_virtual_time
+async def test_a_crash_after_a_withdrawal_is_published_through_peers(fleet):
+    """A report that was withdrawn as wrong must not hide a later crash of the same replica."""
+    daemons = [fleet.daemon() for _ in range(3)]
+    await asyncio.sleep(1.0)
+    await daemons[0].crash("r1")
+    await asyncio.sleep(0.5)
+    daemons[0].guard.record_success(request(), SERVICE)
+    await asyncio.sleep(0.5)
+    fleet.log.cut_off_clients.add("d0")
+    await daemons[0].crash("r1")
+    await asyncio.sleep(MAX_CURRENT_AGE_S + 4 * EXCHANGE_INTERVAL_S)
+    assert all(daemon.guard.is_suspect(request()) for daemon in daemons)
+
+
 def store_of(limit=2, **crashes):
     """Return a store; each argument is a request, its value the replicas that crashed under it."""
     store = CrashReportStore()
