quarantine: pending reports are appended only on a current view of the topic

Callers were refused (request_quarantined) after an outage although their request had been answered: a daemon that was cut off had reported a crash, its peers had published the report for it and then withdrawn it, and when the log returned, the daemon appended its pending copy once more for all.

Cause: the retry of the append did not ask for the age of the view, and a withdrawal that was read while a report of the same key was pending was ignored.

Test seen failing before (tests/test_crash_guard.py, virtual time): FAILED test_a_report_that_was_withdrawn_meanwhile_is_not_appended_when_the_log_returns AssertionError: assert not True (is_suspect)

The append now waits until the topic was read to its end, and a withdrawal read from the topic also drops the pending report. Until then the exchange between daemons carries the report, as before.

--- a/passgate/quarantine/crash_report_log.py
+++ b/passgate/quarantine/crash_report_log.py
@@ -37,6 +37,8 @@
 confirms the view."""
 MAX_EXCHANGED_REPORTS = 256
 """Maximum number of reports, the newest ones, that a daemon passes to another in one call."""
+VIEW_CHECK_INTERVAL_S = 0.05
+"""Interval of the checks whether the view of the topic is current, while records are pending."""
 KEY_SEPARATOR = "/"
 ISOLATED_RUN_PREFIX = "last-chance"
 """First part of the keys of announcements; the keys of reports start with a fingerprint."""
@@ -143,10 +145,15 @@
         self._has_pending.set()
 
     async def _append_pending(self) -> None:
-        """Append pending records until cancelled; delete expired records from the topic with each append."""
+        """Append pending records until cancelled; delete expired records from the topic with each append.
+
+        Nothing is appended while the view is old, as another daemon may have withdrawn a pending report.
+        """
         retry_delay_s = MIN_RETRY_DELAY_S
         while True:
             await self._has_pending.wait()
+            while not self.is_current():
+                await asyncio.sleep(VIEW_CHECK_INTERVAL_S)
             self._has_pending.clear()
             for record in self._remove_expired():
                 self._pending_by_key[_key_of(record)] = TOMBSTONE
@@ -200,13 +207,16 @@
             self._apply_record(record, start + index)
 
     def _apply_record(self, record: KeyedRecord, offset: int) -> None:
+        is_announcement = record.key.startswith(ISOLATED_RUN_PREFIX)
+        if not record.value and not is_announcement:
+            self._pending_by_key.pop(record.key, None)  # withdrawn after another daemon had published it
         if self._pending_by_key.get(record.key, record.value) != record.value:
             return  # a different value of this daemon is still to be appended
         if not record.value:
             self._remove(record.key)
             return
         try:
-            if record.key.startswith(ISOLATED_RUN_PREFIX):
+            if is_announcement:
                 run = msgspec.json.decode(record.value, type=IsolatedRun)
                 self._reports.isolated_runs.record_announcement(run, offset, monotonic_s())
             else:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -490,6 +490,23 @@
     assert not daemons[2].guard.is_suspect(request())
 
 
+@in_virtual_time
+async def test_a_report_that_was_withdrawn_meanwhile_is_not_appended_when_the_log_returns(fleet):
+    """Another daemon has published the report for the one that is cut off, and then withdrawn it."""
+    daemons = [fleet.daemon() for _ in range(3)]
+    await asyncio.sleep(1.0)
+    fleet.log.cut_off_clients.add("d0")
+    await daemons[0].crash("r1")
+    await asyncio.sleep(MAX_CURRENT_AGE_S + 2 * EXCHANGE_INTERVAL_S)
+    assert daemons[1].guard.is_suspect(request())
+    daemons[1].guard.record_success(request(), SERVICE)
+    await asyncio.sleep(2 * EXCHANGE_INTERVAL_S)
+    fleet.log.cut_off_clients.clear()
+    await asyncio.sleep(POLL_WAIT_S + 2.0)
+    assert not any(daemon.guard.is_suspect(request()) for daemon in daemons)
+    assert not fleet.log.newest_values(TOPIC)
+
+
 @in_virtual_time
 async def test_a_crash_after_a_withdrawal_is_published_through_peers(fleet):
     """A report that was withdrawn as wrong must not hide a later crash of the same replica."""
