discovery: a lapsed entry keeps its replica in use for 4 s at most

While a daemon was catching up with discovery without reaching its end (a slow log that answers pages of one record), replicas whose entries were gone kept getting requests without limit.

Cause: the grace of 2 s in which an entry may return after an outage counted from the last page that was read late, so each such page began it anew.

Test seen failing before (tests/test_discovery.py, virtual time): FAILED test_a_replica_that_is_gone_is_removed_in_time_by_a_reader_that_does_not_reach_the_end AssertionError: assert <...ReplicaState object ...> is None (get('r0'))

Each lapsed entry now also has a limit that counts from the reading of its removal. An entry that is read later is listed again as before.

--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -25,6 +25,11 @@
 """Time that replicas have after an outage of the log to write entries again that expired meanwhile."""
 
 
+MAX_LAPSE_S = 4.0
+"""Longest time for which a replica stays in use after the removal of its entry was read; limits the grace
+while a reader does not reach the end of discovery, so that the log does not count as returned."""
+
+
 class ReplicaUpdate(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The entry of one replica in discovery as of an offset."""
 
@@ -51,6 +56,8 @@
     """Offset of the removal."""
     listed_offset: int
     """Offset at which the replica was last known to be listed."""
+    since_s: float
+    """Loop time at which the removal was read."""
 
 
 class DiscoveryView:
@@ -99,7 +106,7 @@
             return self._mark_overwritten(update.replica_id)
         if update.info is None and known is not None and self._may_have_lapsed(known.info):
             self._lapsed_by_replica_id[update.replica_id] = _LapsedEntry(
-                gone_offset=update.at, listed_offset=listed_offset
+                gone_offset=update.at, listed_offset=listed_offset, since_s=monotonic_s()
             )
             self._log_change(update.replica_id, known.info.service, "lapsed", True)
             return False
@@ -207,18 +214,20 @@
         return not info.draining and monotonic_s() - self._log_returned_s < RETURN_GRACE_S
 
     def remove_lapsed(self) -> list[ReplicaUpdate]:
-        """Remove replicas whose entries did not return within RETURN_GRACE_S after an outage of the log.
+        """Remove replicas whose entries did not return in time.
 
+        That is RETURN_GRACE_S after an outage of the log, but at most MAX_LAPSE_S after the removal was read.
         Returns the removals as updates, which a relay has to append as changes.
         """
-        if not self._lapsed_by_replica_id or monotonic_s() - self._log_returned_s < RETURN_GRACE_S:
-            return []
+        now_s = monotonic_s()
+        grace_is_over = now_s - self._log_returned_s >= RETURN_GRACE_S
         removals = [
             ReplicaUpdate(replica_id=replica_id, at=lapse.gone_offset)
             for replica_id, lapse in self._lapsed_by_replica_id.items()
+            if grace_is_over or now_s - lapse.since_s >= MAX_LAPSE_S
         ]
-        self._lapsed_by_replica_id.clear()
         for update in removals:
+            del self._lapsed_by_replica_id[update.replica_id]
             self._remove(update.replica_id)
         return removals
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,11 +12,12 @@
 from passgate.discovery.relay import PART_REWRITE_INTERVAL_S
 from passgate.discovery.relayed_list import RESYNC_INTERVAL_RANGE_S
 from passgate.discovery.service import Discovery, ReplicaDecoder, ReplicaTopics
-from passgate.discovery.view import DiscoveryView, ReplicaUpdate
+from passgate.discovery.view import MAX_LAPSE_S, DiscoveryView, ReplicaUpdate
 from passgate.eligibility.cold_replicas import ColdLimit
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
+from passgate.errors import LogUnavailable
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.sharedlog.group import GroupMember
 from passgate.sharedlog.group_membership_policy import GroupMembershipPolicy
@@ -44,9 +45,9 @@
 
 
 class Node:
-    def __init__(self, log, number, *, relays=True):
+    def __init__(self, log, number, *, relays=True, wrap_client=lambda client: client):
         name = f"d{number}"
-        client = log.client(name)
+        client = wrap_client(log.client(name))
         decisions = DecisionLog(name, write=len)
         self.replica_table = ReplicaTable(Topology(zone="z"))
         group = f"watch.{number % ZONES}"
@@ -355,3 +356,48 @@
         assert table.cold_replicas.is_cold(make_info(1), monotonic_s()) is not own_record
 
     run_virtual(main())
+
+
+class WrappedClient:
+    """A log client that returns one record in each page, and does not answer reads of some topics."""
+
+    def __init__(self, client, *, unanswered_topics=(), single_records=False):
+        self._client = client
+        self.unanswered_topics = set(unanswered_topics)
+        self.single_records = single_records
+
+    def __getattr__(self, name):
+        return getattr(self._client, name)
+
+    async def read(self, topic, part, start, *, wait_s, max_bytes):
+        if topic in self.unanswered_topics:
+            await asyncio.sleep(1.0)
+            raise LogUnavailable("the log did not answer the read")
+        max_bytes = 1 if self.single_records else max_bytes
+        return await self._client.read(topic, part, start, wait_s=wait_s, max_bytes=max_bytes)
+
+
+def test_a_replica_that_is_gone_is_removed_in_time_by_a_reader_that_does_not_reach_the_end():
+    """Guards against lapsed entries whose grace period began anew with each page that was read late."""
+
+    async def main():
+        log = MemorySharedLog()
+        gone = set()
+        writing = asyncio.create_task(rewrite_entries(log, 15, set(), gone))
+        node = Node(log, 0, wrap_client=lambda client: WrappedClient(client, single_records=True))
+        await asyncio.sleep(3.0)
+        log.faults = SharedLogFaults(slow_s=0.1)
+        await asyncio.sleep(10.0)
+        gone.add(0)
+        log.put_keyed(ENTRIES_TOPIC, "r0", b"")
+        removal_offset = log.partition(ENTRIES_TOPIC, 0).end - 1
+        while node.discovery._direct_tail[0].next_offset <= removal_offset:
+            await asyncio.sleep(0.05)
+        assert node.discovery._direct_tail[0].freshness.age_s(monotonic_s()) > 3.0
+        await asyncio.sleep(MAX_LAPSE_S + 0.5)
+        assert node.replica_table.get("r0") is None
+        assert len(node.replica_table.all()) == 14
+        writing.cancel()
+        await node.kill()
+
+    run_virtual(main())
