discovery: records of relays that are read late are no sign of life

A daemon that returned from an outage of the log took the relays' records from during the outage for new: for 1.5 s it counted relays as alive that had ended meanwhile, and held its own changes of the list back for one of them.

Cause: a record counted as new if the end of the changes had been reached once since the start, which stays true through an outage.

Test seen failing before (tests/test_discovery.py, virtual time): At index 1 diff: ('during', True) != ('during', False)

--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -22,7 +22,7 @@
 from passgate.discovery.view import DiscoveryView, ReplicaUpdate
 from passgate.errors import LogError, MalformedRecord
 from passgate.sharedlog.log import KeyedRecord, LogPage, SharedLog
-from passgate.sharedlog.tail import OnDemandTail, RecordTail, TailSettings
+from passgate.sharedlog.tail import BEHIND_AFTER_S, OnDemandTail, RecordTail, TailSettings
 
 logger = logging.getLogger("passgate.discovery")
 
@@ -170,7 +170,7 @@
             self.is_complete = False
             self._next_load_s = monotonic_s() + RELOAD_INTERVAL_S
         self._next_offset = page.next_offset
-        is_new = self._tail.current
+        is_new = self._is_reading_live()
         for index, record in enumerate(page.records):
             try:
                 changes = decode_changes(record)
@@ -184,6 +184,11 @@
             if is_new:
                 self._record_relay_alive(changes.relay)
 
+    def _is_reading_live(self) -> bool:
+        """Whether records that are read now were appended just now, not during an outage of the log."""
+        age_s = self._tail.tail.freshness.age_s(monotonic_s())
+        return self._tail.current and age_s <= BEHIND_AFTER_S
+
     def _record_relay_alive(self, relay: str) -> None:
         """Record a contact with a relay; if it isn't the one of the last record, read the list again soon."""
         self._last_contact_s = monotonic_s()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,9 +8,9 @@
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog
-from passgate.discovery.records import LIST_PARTS
+from passgate.discovery.records import LIST_PARTS, RelayedChanges, encode_changes
 from passgate.discovery.relay import PART_REWRITE_INTERVAL_S
-from passgate.discovery.relayed_list import RESYNC_INTERVAL_RANGE_S
+from passgate.discovery.relayed_list import RESYNC_INTERVAL_RANGE_S, RelayedList
 from passgate.discovery.service import Discovery, ReplicaDecoder, ReplicaTopics
 from passgate.discovery.view import MAX_LAPSE_S, DiscoveryView, ReplicaUpdate
 from passgate.eligibility.cold_replicas import ColdLimit
@@ -401,3 +401,35 @@
         await node.kill()
 
     run_virtual(main())
+
+
+def test_a_relay_record_that_is_read_late_does_not_show_that_its_relay_is_alive():
+    """Guards against a daemon that, back from an outage, takes records from during the outage for new."""
+
+    async def main():
+        log = MemorySharedLog()
+        read = []
+        relayed_list = RelayedList(
+            log.client("d1"),
+            TOPICS.changes,
+            TOPICS.parts,
+            DiscoveryView(ReplicaTable(Topology(zone="z")), DecisionLog("d1", write=len)),
+            lambda changes, is_new: read.append((changes.relay, is_new)),
+            DecisionLog("d1", write=len),
+            random.Random(1),
+        )
+        await relayed_list.follow()
+        await asyncio.sleep(2.0)
+        log.append_now(TOPICS.changes, 0, [encode_changes(RelayedChanges(relay="before"))])
+        await asyncio.sleep(1.0)
+        log.cut_off_clients.add("d1")
+        log.append_now(TOPICS.changes, 0, [encode_changes(RelayedChanges(relay="during"))])
+        await asyncio.sleep(6.0)
+        log.cut_off_clients.clear()
+        await asyncio.sleep(3.0)
+        log.append_now(TOPICS.changes, 0, [encode_changes(RelayedChanges(relay="after"))])
+        await asyncio.sleep(2.0)
+        assert read == [("before", True), ("during", False), ("after", True)]
+        relayed_list.stop()
+
+    run_virtual(main())
