discovery: a relay whose own view is old appends no heartbeats and no parts

Requests went to replicas that had said that they leave, from daemons that could read the log: the relay of their list could append but no longer read discovery (reads that time out, or are throttled on their own), and its heartbeats kept the others from reading discovery themselves. It also overwrote parts of the list with older ones, by turns with other relays.

Cause: a heartbeat stood for a process that runs, not for a view that is current; nobody asked for the age of that view.

Tests seen failing before (tests/test_discovery.py, virtual time): FAILED test_a_relay_that_can_not_read_discovery_does_not_keep_others_from_reading_it assert False (r7 not draining at the others 18 s after its entry) FAILED test_a_relay_with_an_old_view_does_not_overwrite_newer_parts_of_the_list assert 599 >= 780

Changes that such a relay does read are appended as before, so daemons do not begin to read discovery while one is catching up.

--- a/passgate/discovery/relay.py
+++ b/passgate/discovery/relay.py
@@ -43,6 +43,9 @@
 class ReadProgress(msgspec.Struct, frozen=True, kw_only=True):
     """How far a relay has read discovery and the topic of changes."""
 
+    is_current: bool
+    """Whether the relay has read discovery to its end recently."""
+
     last_entry_offset: int
     """Offset of the last entry of discovery that the relay's view contains."""
     next_change_offset: int
@@ -131,16 +134,20 @@
         return bool(self._live_relays(monotonic_s()))
 
     async def append_due(self, progress: ReadProgress) -> None:
-        """Append due changes or a heartbeat, and as primary relay due parts; a failure is only logged."""
+        """Append due changes or a heartbeat, and as primary relay due parts; a failure is only logged.
+
+        Without a current view, only changes are appended: a heartbeat would keep other daemons from reading
+        discovery themselves, and parts would overwrite newer ones of other relays.
+        """
         now_s = monotonic_s()
         is_primary = self._is_primary(now_s)
         due = self._due_changes(now_s if is_primary else now_s - BACKUP_DELAY_S)
         try:
-            if due or now_s - self._last_record_s >= (
-                HEARTBEAT_INTERVAL_S if is_primary else RELAY_TIMEOUT_S
-            ):
+            heartbeat_interval_s = HEARTBEAT_INTERVAL_S if is_primary else RELAY_TIMEOUT_S
+            needs_heartbeat = now_s - self._last_record_s >= heartbeat_interval_s
+            if due or (progress.is_current and needs_heartbeat):
                 await self._append_changes(due)
-            if is_primary:
+            if progress.is_current and is_primary:
                 await self._write_due_parts(now_s, progress)
         except LogError as error:
             logger.info("relay_failed", extra={"error": str(error)})
--- a/passgate/discovery/service.py
+++ b/passgate/discovery/service.py
@@ -21,7 +21,7 @@
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.errors import LogError, MalformedRecord
 from passgate.sharedlog.log import KeyedRecord, SharedLog
-from passgate.sharedlog.tail import KeyedTail, TailSettings
+from passgate.sharedlog.tail import BEHIND_AFTER_S, KeyedTail, TailSettings
 
 logger = logging.getLogger("passgate.discovery")
 
@@ -201,9 +201,11 @@
         elif self._relayed_list.loaded:
             self._stop_direct()
         if self.is_relaying and self._direct_tail is not None and self._direct_tail[0].loaded:
+            entries = self._direct_tail[0]
             await self._relay.append_due(
                 ReadProgress(
-                    last_entry_offset=self._direct_tail[0].next_offset - 1,
+                    is_current=entries.freshness.age_s(monotonic_s()) <= BEHIND_AFTER_S,
+                    last_entry_offset=entries.next_offset - 1,
                     next_change_offset=self._relayed_list.next_change_offset,
                     first_kept_change_offset=self._relayed_list.first_kept_change_offset,
                 )
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,10 +8,10 @@
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog
-from passgate.discovery.records import LIST_PARTS, RelayedChanges, encode_changes
+from passgate.discovery.records import LIST_PARTS, RelayedChanges, decode_part, encode_changes
 from passgate.discovery.relay import PART_REWRITE_INTERVAL_S
 from passgate.discovery.relayed_list import RESYNC_INTERVAL_RANGE_S, RelayedList
-from passgate.discovery.service import Discovery, ReplicaDecoder, ReplicaTopics
+from passgate.discovery.service import FALLBACK_SILENCE_RANGE_S, Discovery, ReplicaDecoder, ReplicaTopics
 from passgate.discovery.view import MAX_LAPSE_S, DiscoveryView, ReplicaUpdate
 from passgate.eligibility.cold_replicas import ColdLimit
 from passgate.eligibility.replica_info import ReplicaInfo
@@ -21,6 +21,7 @@
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.sharedlog.group import GroupMember
 from passgate.sharedlog.group_membership_policy import GroupMembershipPolicy
+from passgate.sharedlog.log import KeyedRecord
 
 DIRECT_LIMIT = 20
 ENTRIES_TOPIC = "keyed.raw"
@@ -433,3 +434,63 @@
         relayed_list.stop()
 
     run_virtual(main())
+
+
+def test_a_relay_that_can_not_read_discovery_does_not_keep_others_from_reading_it():
+    """Guards against heartbeats of a relay whose own view is old: all others would keep an old list."""
+
+    async def main():
+        log = MemorySharedLog()
+        clients = []
+
+        def wrap(client):
+            clients.append(WrappedClient(client))
+            return clients[-1]
+
+        drained = set()
+        writing = asyncio.create_task(rewrite_entries(log, 60, drained, set()))
+        nodes = [Node(log, number * ZONES, wrap_client=wrap) for number in range(3)]
+        await asyncio.sleep(10.0)
+        (relay,) = [node for node in nodes if node.discovery.is_relaying]
+        clients[nodes.index(relay)].unanswered_topics.add(ENTRIES_TOPIC)
+        await asyncio.sleep(6.0)
+        drained.add(7)
+        await asyncio.sleep(FALLBACK_SILENCE_RANGE_S[1] + MAX_PROPAGATION_S)
+        others = [node for node in nodes if node is not relay]
+        assert all(node.replica_table.get("r7").info.draining for node in others)
+        writing.cancel()
+        for node in nodes:
+            await node.kill()
+
+    run_virtual(main())
+
+
+def test_a_relay_with_an_old_view_does_not_overwrite_newer_parts_of_the_list():
+    async def main():
+        log = MemorySharedLog()
+        clients = []
+
+        def wrap(client):
+            clients.append(WrappedClient(client))
+            return clients[-1]
+
+        writing = asyncio.create_task(rewrite_entries(log, 60, set(), set()))
+        nodes = [Node(log, number, wrap_client=wrap) for number in range(ZONES)]
+        await asyncio.sleep(10.0)
+        assert all(node.discovery.is_relaying for node in nodes)
+        (primary,) = [node for node in nodes if node.discovery._relay._is_primary(monotonic_s())]
+        clients[nodes.index(primary)].unanswered_topics.add(ENTRIES_TOPIC)
+        await asyncio.sleep(5.0)
+        start_offset = log.partition(ENTRIES_TOPIC, 0).end
+        await asyncio.sleep(PART_REWRITE_INTERVAL_S * LIST_PARTS + 2.0)
+        parts = [
+            decode_part(KeyedRecord(key=key, value=value))
+            for key, value in log.newest_values(TOPICS.parts).items()
+        ]
+        assert len(parts) == LIST_PARTS
+        assert min(part.at for part in parts) >= start_offset
+        writing.cancel()
+        for node in nodes:
+            await node.kill()
+
+    run_virtual(main())
