--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -25,7 +25,7 @@
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarder_base import ForwardedRequest, ForwarderBase
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_status
-from passgate.gateway.replica_client import ReplicaAttempt, end_to_end_headers
+from passgate.gateway.replica_client import ReplicaAnswer, ReplicaAttempt, end_to_end_headers
 from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery
 from passgate.gateway.routes import Route
 
@@ -55,10 +55,7 @@
         stream = self._begin_forwarding(request, route, caller)
         attempt = await self._open_stream(stream)
         if attempt.status != OK_STATUS:
-            try:
-                answer = await attempt.read_answer()
-            finally:
-                attempt.close()
+            answer = await self._read_complete_answer(stream, attempt)
             self._record_end(stream, answer.status, "")
             return GatewayAnswer(
                 status=answer.status, headers=tuple(end_to_end_headers(answer.headers)), body=answer.body
@@ -66,6 +63,17 @@
         headers = tuple(end_to_end_headers(attempt.headers.get_all()))
         return StreamAnswer(status=OK_STATUS, headers=headers, chunks=self._stream_events(stream, attempt))
 
+    async def _read_complete_answer(self, stream: ForwardedRequest, attempt: ReplicaAttempt) -> ReplicaAnswer:
+        """Return the answer of an attempt whose head has arrived, and close it; raises PassgateError."""
+        try:
+            async with asyncio.timeout_at(stream.answer_by_s):
+                return await attempt.read_answer()
+        except (PassgateError, TimeoutError) as error:
+            stream.may_have_run = True
+            raise self._end_with_error(stream, "the answer broke off") from error
+        finally:
+            attempt.close()
+
     async def _open_stream(self, stream: ForwardedRequest) -> ReplicaAttempt:
         """Return an attempt whose head has arrived; raises PassgateError if no replica sends one."""
         while True:
@@ -84,7 +92,7 @@
                 self._record_failed_stream(
                     stream, attempt, DeadlineExceeded("no answer head within the time limit")
                 )
-                if not stream.may_be_sent_again or monotonic_s() >= stream.answer_by_s:
+                if not stream.may_be_sent_again or stream.is_time_over:
                     raise self._end_with_error(stream, "no answer head within the time limit") from error
             except PassgateError as error:
                 attempt.close()
@@ -112,6 +120,8 @@
         except (NoRegionAllowed, RequestQuarantined) as error:
             self._record_end(stream, error_status(error), error.code)
             raise
+        if stream.is_time_over:
+            raise self._end_with_error(stream, "the time limit has passed")
         state = self._choose_replica(stream)
         if state is None:
             raise self._end_with_error(stream, "no replica is available")
@@ -120,7 +130,10 @@
         elif not self._is_still_authorized(stream):
             raise self._end_with_error(stream, "the API key was revoked")
         self._record_sent(stream, state)
-        return self._replica_client.start_attempt(state, self._replica_request(stream))
+        try:
+            return self._replica_client.start_attempt(state, self._replica_request(stream))
+        except PassgateError as error:
+            raise self._end_with_error(stream, error.code) from error
 
     async def _stream_events(
         self, stream: ForwardedRequest, attempt: ReplicaAttempt
@@ -143,7 +156,7 @@
                         error if isinstance(error, PassgateError) else IncompleteAnswer("no data in time")
                     )
                     self._record_failed_stream(stream, attempt, failure)
-                    if not stream.may_be_sent_again or monotonic_s() >= stream.answer_by_s:
+                    if not stream.may_be_sent_again or stream.is_time_over:
                         raise self._end_with_error(stream, "the stream broke off") from error
                 attempt = await self._open_stream(stream)
                 if attempt.status != OK_STATUS:
@@ -209,7 +222,7 @@
 
     def _end_with_error(self, stream: ForwardedRequest, reason: str) -> PassgateError:
         """Write the decision line of the request's end and return the error to raise."""
-        if monotonic_s() >= stream.answer_by_s and stream.may_have_run:
+        if stream.is_time_over and stream.may_have_run:
             error: PassgateError = DeadlineExceeded(
                 "the stream did not end within the time limit", execution=ExecutionStatus.UNKNOWN
             )
