duties: a leader sends no order of a former leader's decision

Seen: two daemons sent the platform one fencing token for one service and zone. A leader decided a number of replicas, got no answer to its order and was cut off from the log; the next leader found the decision without an answer and sent it again, under the former leader's token and its own name.

Cause: the projection kept a decision's offset, which is its token, but not its writer, so "unanswered" was taken for "mine to send again".

Fix: a decision keeps its writer, and only that writer sends its order. A leader that finds another writer's unanswered decision decides the same number again, which has a token of its own. Records are unchanged; an older build beside a newer one still repeats such an order.

--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -1,8 +1,9 @@
 """Decides the number of replicas of each pool and orders them, while this daemon is the leader.
 
 A decision is committed to the control topic before its order is sent.  An order whose outcome is unknown is
-sent again with the same fencing token.  After a refusal, normally because no replica is available, missing
-replicas are ordered again after a pause that grows with each refusal.
+sent again with the same fencing token; a later leader decides again instead.  After a refusal, normally
+because no replica is available, missing replicas are ordered again after a pause, which grows with each
+refusal.
 """
 
 from __future__ import annotations
@@ -118,14 +119,24 @@
             self._decide_pool(pool, replicas.spot, present[zone].spot, rule)
 
     def _decide_pool(self, pool: ReplicaPool, count: int, present: int, rule: ScalingRule) -> None:
-        """Commit a pool's number if it grows, or once more if replicas are overdue; it never shrinks."""
+        """Commit a pool's number if it grows; it never shrinks.
+
+        Commit the same number once more if replicas are overdue, or if a former leader's order may not have
+        been sent.
+        """
         now_s = monotonic_s()
         pacing = self._pacing_by_pool.setdefault(pool, _PoolPacing())
         decision = self._projection.decision_by_pool.get(pool)
         decided_count = decision.count if decision is not None else 0
         overdue = present < decided_count and now_s - pacing.last_decision_s > rule.boot_s + BOOT_MARGIN_S
         grows = count > decided_count
-        if now_s < pacing.next_action_s or not (grows or (overdue and count > 0)):
+        left_by_former_leader = (
+            decision is not None
+            and decision.writer != self._journal.writer
+            and self._projection.is_unanswered(decision)
+        )
+        must_decide = grows or left_by_former_leader or (overdue and count > 0)
+        if now_s < pacing.next_action_s or not must_decide:
             return
         pacing.last_decision_s = now_s
         pacing.next_action_s = now_s + DECISION_INTERVAL_S  # time to read the decision back
@@ -136,7 +147,7 @@
         )
 
     async def _send_unanswered_orders(self) -> None:
-        for decision in self._projection.unanswered_decisions():
+        for decision in self._projection.unanswered_decisions(self._journal.writer):
             pacing = self._pacing_by_pool.setdefault(decision.pool, _PoolPacing())
             now_s = monotonic_s()
             if decision.pool.zone in self._evacuated_zones:
--- a/passgate/duties/scaling_projection.py
+++ b/passgate/duties/scaling_projection.py
@@ -2,17 +2,20 @@
 
 A projection is state built by applying the log's records in order.  The offset of a decision is the fencing
 token of its order.  Every later decision, by any leader, has a higher token, so the platform refuses an
-older order that arrives after a newer one.
+older order that arrives after a newer one.  Only the writer of a decision sends its order, as a token must
+not have two senders; a later leader decides again.
 
 >>> from passgate.jobs.records import ReplicasDecided, ReplicasOrdered
 >>> projection = ScalingProjection()
 >>> decided = ReplicasDecided(service="s", zone="z", spot=True, count=3)
 >>> projection.apply(7, "d1.a", decided, by_leader=True)
->>> projection.unanswered_decisions()
-[ScalingDecision(pool=ReplicaPool(service='s', zone='z', spot=True), count=3, fence=7)]
+>>> [(decision.count, decision.fence) for decision in projection.unanswered_decisions("d1.a")]
+[(3, 7)]
+>>> projection.unanswered_decisions("d2.a")
+[]
 >>> ordered = ReplicasOrdered(service="s", zone="z", spot=True, decided=7)
 >>> projection.apply(8, "d1.a", ordered, by_leader=True)
->>> projection.unanswered_decisions()
+>>> projection.unanswered_decisions("d1.a")
 []
 """
 
@@ -38,6 +41,8 @@
     count: int
     fence: int
     """Offset of the decision, used as the fencing token of its order."""
+    writer: str
+    """Leader that made the decision, and the only daemon that may send the order."""
 
 
 class ScalingProjection:
@@ -56,19 +61,25 @@
         match entry:
             case ReplicasDecided() if by_leader:
                 pool = _pool_of(entry)
-                self.decision_by_pool[pool] = ScalingDecision(pool=pool, count=entry.count, fence=offset)
+                self.decision_by_pool[pool] = ScalingDecision(
+                    pool=pool, count=entry.count, fence=offset, writer=writer
+                )
             case ReplicasOrdered():
                 pool = _pool_of(entry)
                 self._answered_fence_by_pool[pool] = max(
                     self._answered_fence_by_pool.get(pool, -1), entry.decided
                 )
 
-    def unanswered_decisions(self) -> list[ScalingDecision]:
-        """Return the newest decision of each pool if its order was not answered, the oldest one first."""
+    def is_unanswered(self, decision: ScalingDecision) -> bool:
+        """Return whether no answer of the platform to the order of a decision is known."""
+        return decision.fence > self._answered_fence_by_pool.get(decision.pool, -1)
+
+    def unanswered_decisions(self, writer: str) -> list[ScalingDecision]:
+        """Return the pools' newest decisions that a writer made and that are unanswered, oldest first."""
         unanswered = [
             decision
-            for pool, decision in self.decision_by_pool.items()
-            if decision.fence > self._answered_fence_by_pool.get(pool, -1)
+            for decision in self.decision_by_pool.values()
+            if decision.writer == writer and self.is_unanswered(decision)
         ]
         return sorted(unanswered, key=lambda decision: decision.fence)
 
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -38,6 +38,8 @@
         self.holders = {}
         self.counts = {}
         self.calls = []
+        self.shared_fences = []
+        """Pools and fences that two holders sent; an assertion here would only end a daemon's task."""
 
     async def order_replicas(self, order):
         if self.random.random() < self.unanswered_share:
@@ -50,8 +52,8 @@
     def handle_order(self, order):
         pool = (order.service, order.zone, order.spot)
         self.calls.append((monotonic_s(), order))
-        holder = self.holders.setdefault((pool, order.fence), order.holder)
-        assert holder == order.holder, "two holders sent one fence"
+        if self.holders.setdefault((pool, order.fence), order.holder) != order.holder:
+            self.shared_fences.append((pool, order.fence))
         if order.fence < self.fences.get(pool, -1) or monotonic_s() < self.refusing_until_s:
             return DutyOutcome.REFUSED
         self.fences[pool] = order.fence
@@ -127,6 +129,7 @@
                 model_versions={"m": 1},
             )
             self.replicas.put(info)
+        self.name = name
         self.tasks = []
 
     def start(self):
@@ -200,6 +203,28 @@
             zone: count for (_, zone, _), count in platform.counts.items()
         }
         assert sum(platform.counts.values()) == 4
+        assert platform.shared_fences == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_new_leader_does_not_repeat_an_order_under_the_fence_of_the_former_one(seed):
+    """Guards against two holders that send one fence, after a leader that got no answer was cut off."""
+
+    async def main():
+        log, platform, daemons = start_daemons(seed, unanswered_share=1.0)
+        await asyncio.sleep(2.0)
+        submit_job(daemons[0], items=36)
+        await asyncio.sleep(1.0)
+        former = next(daemon for daemon in daemons if daemon.control.leadership.leads)
+        log.cut_off_clients.add(former.name)
+        await asyncio.sleep(8.0)
+        platform.unanswered_share = 0.0
+        await asyncio.sleep(10.0)
+        assert len({order.holder for _, order in platform.calls}) == 2
+        assert platform.shared_fences == []
+        assert former.present() == 5
 
     run_virtual(main())
 
