versions: a leader that can't read the log lets its lease expire

Seen: while the log took a leader's appends but did not answer its reads, no daemon loaded weights, reported usage or granted permits, for as long as that lasted.

Cause: the leader renewed its lease on the belief that it leads, which only a read can end, and whose age it did not ask. It may start orders only after it has read a batch back, so it could do nothing itself, and its renewals, usage counts and demands kept all others from claiming.

Fix: once its view, which a read to the end or a batch read back renews, is older than the lease, the leader appends nothing for a lease, the margin of takeovers and 2 s. Others then claim as after any silence. After that it appends its queued entries again, as they renew nothing once another daemon leads. It renews again only after its reads do. A planned stop releases the lead at once all the same. Records and rules of claims are unchanged, so older builds see an ordinary silence. The decision log says leadership_lost with the age of the view.

--- a/passgate/versions/control_topic.py
+++ b/passgate/versions/control_topic.py
@@ -17,7 +17,7 @@
 from passgate.decisions import DecisionLog, RecordUnreadable
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import WriterStatus
-from passgate.jobs.records import Batch, WriterStopped, decode_batch
+from passgate.jobs.records import Batch, WriterAlive, WriterStopped, decode_batch
 from passgate.sharedlog.log import LogPage, SharedLog
 from passgate.sharedlog.tail import OnDemandTail, RecordTail, TailSettings
 from passgate.versions.leadership import Leadership
@@ -60,6 +60,8 @@
         self._has_started = False
         self.leadership_projection = LeadershipProjection()
         self.journal = journal
+        self._append_task: asyncio.Task[None] | None = None
+        """Appends the journal's entries; None before the start and while this daemon must be silent."""
         self._may_lead = may_lead
         self._decisions = decisions
         self._tail = OnDemandTail(
@@ -73,14 +75,24 @@
     async def run(self) -> None:
         """Append this daemon's entries, follow the topic and claim leadership as needed, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self.journal.run())
             try:
                 while True:
                     self._update_leadership()
+                    self._set_appending(tasks, should_append=not self.leadership.must_be_silent())
                     await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
             finally:
                 self._tail.set_following(False)
 
+    def _set_appending(self, tasks: asyncio.TaskGroup, *, should_append: bool) -> None:
+        """Start or stop the appends; entries stay queued while they are stopped."""
+        if should_append and self._append_task is None:
+            self._append_task = tasks.create_task(self.journal.run())
+            if not self.journal.has_no_pending_entries:
+                self.journal.put(WriterAlive())  # the journal appends what is queued once an entry is put
+        elif not should_append and self._append_task is not None:
+            self._append_task.cancel()
+            self._append_task = None
+
     def _update_leadership(self) -> None:
         self._tail.set_following(self._may_lead() or self.leadership.leads)
         if self._tail.current:
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -3,7 +3,8 @@
 A claim on the log is accepted if it names the last accepted claim and the leader's last record; its offset
 is the fencing token.  Each batch that the leader appends renews the lease.  The leader starts orders only
 for a part of the lease after sending a batch that it has read back.  Other daemons claim if the leadership
-was released, after a longer silence, or once the leader's process is known to have been replaced.
+was released, after a longer silence, or once the leader's process is known to have been replaced.  A leader
+that has not been able to read the log for a whole lease falls silent, so that its lease expires.
 """
 
 from __future__ import annotations
@@ -26,6 +27,9 @@
 """Shortest time between two claims; the first has normally been read back by then."""
 PROBE_AFTER_S = 0.55
 """Silence after which the leader's address is probed; longer than the leader's renewal interval of 0.4 s."""
+HANDOVER_RESERVE_S = 2.0
+"""Time of silence for appends that are still under way and for another daemon's claim, in addition to the
+silence after which other daemons claim leadership."""
 NEVER_S = float("-inf")
 
 
@@ -64,6 +68,8 @@
         self._logged_fence: int | None = None
         self._confirmed_sent_s = float("-inf")
         """Loop time at which this daemon sent the newest batch that it read back as leader."""
+        self._view_lost_s: float | None = None
+        """Loop time since which this daemon leads by a view that is older than the lease; None if not."""
 
     @property
     def leads(self) -> bool:
@@ -80,6 +86,28 @@
         age_s = monotonic_s() - self._confirmed_sent_s
         return self.leads and age_s < self.lease_s * ORDER_LEASE_SHARE and not self.stopping
 
+    def must_be_silent(self) -> bool:
+        """Return whether this daemon must append nothing now, so that the lease that it holds expires.
+
+        That is so if it leads by a view of the log that is older than the lease.  Every batch of it would
+        renew the lease, also one with other entries, and nobody could start orders.  It ends once others have
+        had time to take over, as the other entries must not be withheld longer; the batches renew nothing
+        then.
+
+        Must be called at intervals much shorter than the lease.
+        """
+        now_s = monotonic_s()
+        if not self.leads or self.stopping or self._view_age_s(now_s) < self.lease_s:
+            self._view_lost_s = None
+            return False
+        if self._view_lost_s is None:
+            self._view_lost_s = now_s
+        return now_s - self._view_lost_s < self.lease_s + TAKEOVER_MARGIN_S + HANDOVER_RESERVE_S
+
+    def _view_age_s(self, now_s: float) -> float:
+        """Return an upper bound of the age of this daemon's view of the leadership."""
+        return min(self._freshness.age_s(now_s), now_s - self._confirmed_sent_s)
+
     def confirm_batch(self, batch: Batch) -> None:
         """Extend the time for orders after a batch of this daemon was read back, if this daemon leads."""
         sent_s = self._journal.take_send_time_s(batch)
@@ -89,12 +117,14 @@
     def renew_or_claim(self) -> None:
         """Renew the lease as leader; otherwise claim it if it is free or has expired.
 
-        Must be called at intervals much shorter than the lease.
+        A leader whose view is older than the lease renews nothing, as it may have been replaced.  Must be
+        called at intervals much shorter than the lease.
         """
         now_s = monotonic_s()
-        self._log_change()
+        self._log_change(now_s)
         if self.leads:
-            self._journal.renew_lease(self.fence)
+            if self._view_age_s(now_s) < self.lease_s:
+                self._journal.renew_lease(self.fence)
         elif not self.stopping and now_s >= self._next_claim_s and self._may_claim(now_s):
             self._next_claim_s = now_s + CLAIM_RETRY_S
             claim = LeaderClaimed(
@@ -124,14 +154,17 @@
         last_contact_s = self._projection.last_contact_s_by_writer.get(leader, NEVER_S)
         return self._status_of(leader, last_contact_s) is WriterStatus.REPLACED
 
-    def _log_change(self) -> None:
-        fence = self.fence if self.leads else None
+    def _log_change(self, now_s: float) -> None:
+        """Write a decision line if this daemon began to lead, or lost the lead or its view of it."""
+        view_age_s = self._view_age_s(now_s)
+        fence = self.fence if self.leads and view_age_s < self.lease_s else None
         if fence == self._logged_fence:
             return
         if fence is None:
-            self._decisions.write(
-                LeadershipLost(fence=self._logged_fence or 0, reason=f"held by {self._projection.leader}")
+            reason = (
+                f"log not read for {view_age_s:.1f} s" if self.leads else f"held by {self._projection.leader}"
             )
+            self._decisions.write(LeadershipLost(fence=self._logged_fence or 0, reason=reason))
         else:
             self._decisions.write(LeadershipTaken(fence=fence, previous=""))
         self._logged_fence = fence
--- /dev/null
+++ b/tests/leader_daemons.py
@@ -0,0 +1,104 @@
+"""Daemons that take part in the election of the leader, each with faults of its own towards the log."""
+
+import asyncio
+
+import msgspec
+
+from passgate.clock import monotonic_s
+from passgate.decisions import DecisionLog
+from passgate.emulator.shared_log import ANSWER_TIMEOUT_S, MemorySharedLog
+from passgate.errors import LogAppendUnknown, LogUnavailable
+from passgate.jobs.journal import Journal
+from passgate.jobs.records import writer_name
+from passgate.versions.control_topic import ControlTopic
+
+CONTROL_TOPIC = "control"
+JOURNAL_LIMITS = {"record_bytes": 262_144, "append_bytes": 2_000_000}
+LEASE_S = 3.0
+OBSERVATION_STEP_S = 0.02
+
+
+class FaultyLogClient:
+    """A daemon's client of the log, whose reads and appends can fail independently of each other."""
+
+    def __init__(self, client):
+        self._client = client
+        self.reads_fail = False
+        self.appends_fail = False
+        self.one_record_a_page = False
+
+    async def read(self, topic, part, start, *, wait_s, max_bytes):
+        if self.reads_fail:
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            raise LogUnavailable("the log did not answer the read")
+        page = await self._client.read(topic, part, start, wait_s=wait_s, max_bytes=max_bytes)
+        if self.reads_fail:
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            raise LogUnavailable("the log did not answer the read")
+        if self.one_record_a_page:
+            return msgspec.structs.replace(page, records=page.records[:1])
+        return page
+
+    async def append(self, topic, part, records, *, at=None):
+        if self.appends_fail:
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
+            raise LogAppendUnknown("the log did not answer the append")
+        return await self._client.append(topic, part, records, at=at)
+
+
+class LeaderDaemon:
+    """The control topic of one daemon."""
+
+    def __init__(self, log, name, projections=()):
+        self.name = name
+        self.log = FaultyLogClient(log.client(name))
+        writer = writer_name(name, "0", f"{name}:7720")
+        self.journal = Journal(self.log, CONTROL_TOPIC, 0, writer, **JOURNAL_LIMITS)
+        self.events = []
+        """Decision events of the daemon."""
+        self.may_lead = True
+        self.control = ControlTopic(
+            self.log,
+            CONTROL_TOPIC,
+            self.journal,
+            lambda: self.may_lead,
+            DecisionLog(name, write=len, observe=self.events.append),
+            lease_s=LEASE_S,
+            projections=projections,
+        )
+        self.task = asyncio.get_running_loop().create_task(self.control.run())
+
+    @property
+    def leadership(self):
+        return self.control.leadership
+
+    def cut_off(self, *, is_cut):
+        self.log.reads_fail = self.log.appends_fail = is_cut
+
+
+class LeaderFleet:
+    """Daemons on one log, and a record of the moments at which two of them could have sent orders."""
+
+    def __init__(self, count=3):
+        self.log = MemorySharedLog()
+        self.daemons = [LeaderDaemon(self.log, f"d{number}") for number in range(count)]
+        self.rivals = []
+        """Loop times at which more than one daemon could send orders, with the daemons' names."""
+        self._observer = asyncio.get_running_loop().create_task(self._observe())
+
+    async def _observe(self):
+        while True:
+            ordering = {daemon.name for daemon in self.daemons if daemon.leadership.may_order()}
+            if len(ordering) > 1:
+                self.rivals.append((monotonic_s(), sorted(ordering)))
+            await asyncio.sleep(OBSERVATION_STEP_S)
+
+    async def leader(self, timeout_s=8.0):
+        """Return the daemon that may send orders, once there is one; None if there is none in time."""
+        deadline_s = monotonic_s() + timeout_s
+        while monotonic_s() < deadline_s:
+            for daemon in self.daemons:
+                if daemon.leadership.may_order():
+                    return daemon
+            await asyncio.sleep(OBSERVATION_STEP_S)
+        return None
--- /dev/null
+++ b/tests/test_versions_leadership.py
@@ -0,0 +1,123 @@
+"""Leadership while a daemon can't read the log, can't append to it, or is far behind, in virtual time."""
+
+import asyncio
+import itertools
+
+from passgate.clock import monotonic_s, run_virtual
+from passgate.decisions import LeadershipLost
+from passgate.duties.meter import FLUSH_INTERVAL_S
+from passgate.jobs.records import UsageCounted, WeightDemand
+from passgate.versions.leadership import ORDER_LEASE_SHARE, TAKEOVER_MARGIN_S
+from tests.leader_daemons import LEASE_S, LeaderFleet
+
+CUT_S = 6.0
+MAX_TAKEOVER_S = 2 * LEASE_S + TAKEOVER_MARGIN_S
+"""A former leader notices the cut within a lease, and is silent for a lease before others take over."""
+
+
+def in_fleet(test):
+    """Decorate a coroutine test: run it in virtual time; its argument is a fleet that has a leader."""
+
+    def run():
+        async def main():
+            fleet = LeaderFleet()
+            await fleet.leader()
+            await test(fleet)
+            assert fleet.rivals == []
+
+        run_virtual(main())
+
+    run.__name__ = test.__name__
+    run.__doc__ = test.__doc__
+    return run
+
+
+async def append_counts(journal):
+    """Append usage counts as a leader that batches the counts of other daemons does."""
+    for number in itertools.count():
+        journal.put(UsageCounted(meter="d", number=number, window=1, counts={"orchard": 1}))
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+
+
+@in_fleet
+async def test_another_daemon_takes_over_from_a_leader_that_appends_but_can_not_read(fleet):
+    """Guards against a leader that renews its lease for as long as its reads fail, and can do nothing.
+
+    Each record of the leader renews its lease, also one with usage counts.
+    """
+    former = await fleet.leader()
+    counting = asyncio.create_task(append_counts(former.journal))
+    former.log.reads_fail = True
+    await asyncio.sleep(LEASE_S)
+    assert not former.leadership.may_order()
+    successor = await fleet.leader(MAX_TAKEOVER_S)
+    assert successor not in (None, former)
+    (lost,) = [event for event in former.events if isinstance(event, LeadershipLost)]
+    assert lost.reason.startswith("log not read for")
+    former.log.reads_fail = False
+    await asyncio.sleep(1.0)
+    assert not former.leadership.leads
+    counting.cancel()
+    await asyncio.sleep(1.0)
+    assert former.journal.has_no_pending_entries
+
+
+@in_fleet
+async def test_a_leader_that_can_not_read_appends_again_once_others_could_take_over(fleet):
+    """Guards against counts and demands that are withheld for as long as the reads of a leader fail."""
+    former = await fleet.leader()
+    former.log.reads_fail = True
+    await asyncio.sleep(LEASE_S + 1.0)
+    demand = former.journal.put(WeightDemand(model="m", lag=0, items=4))
+    await asyncio.sleep(2 * MAX_TAKEOVER_S)
+    assert demand.done()
+    successor = await fleet.leader()
+    assert successor.control.leadership_projection.newest_demand_by_model["m"].items == 4
+
+
+@in_fleet
+async def test_a_leader_that_can_not_read_releases_its_lead_when_it_stops(fleet):
+    """Guards against a graceful shutdown whose release is withheld."""
+    former = await fleet.leader()
+    former.log.reads_fail = True
+    await asyncio.sleep(LEASE_S + 0.5)
+    released = former.control.release_leadership()
+    await asyncio.sleep(0.5)
+    assert released.done()
+    assert await fleet.leader(1.0) not in (None, former)
+
+
+@in_fleet
+async def test_a_leader_that_can_not_append_loses_the_lease(fleet):
+    former = await fleet.leader()
+    former.log.appends_fail = True
+    await asyncio.sleep(LEASE_S * ORDER_LEASE_SHARE + 0.1)
+    assert not former.leadership.may_order()
+    assert await fleet.leader(MAX_TAKEOVER_S) not in (None, former)
+
+
+@in_fleet
+async def test_a_leader_that_was_cut_off_does_not_order_before_it_has_read_its_replacement(fleet):
+    """Guards against orders on the records before the takeover, if the log answers one record a page."""
+    former = await fleet.leader()
+    former.log.one_record_a_page = True
+    former.cut_off(is_cut=True)
+    await asyncio.sleep(CUT_S)
+    assert await fleet.leader() not in (None, former)
+    former.cut_off(is_cut=False)
+    for _ in range(200):
+        assert not former.leadership.may_order()
+        await asyncio.sleep(0.02)
+    assert not former.leadership.leads
+
+
+@in_fleet
+async def test_the_leader_keeps_leading_after_an_outage_of_the_log(fleet):
+    leader = await fleet.leader()
+    fleet.log.faults.silent = True
+    await asyncio.sleep(CUT_S)
+    assert not leader.leadership.may_order()
+    fleet.log.faults.silent = False
+    returned_s = monotonic_s()
+    assert await fleet.leader() is leader
+    assert monotonic_s() - returned_s < 1.5
