--- a/tests/leader_daemons.py
+++ b/tests/leader_daemons.py
@@ -56,13 +56,14 @@
         self.journal = Journal(self.log, CONTROL_TOPIC, 0, writer, **JOURNAL_LIMITS)
         self.events = []
         """Decision events of the daemon."""
+        self.decisions = DecisionLog(name, write=len, observe=self.events.append)
         self.may_lead = True
         self.control = ControlTopic(
             self.log,
             CONTROL_TOPIC,
             self.journal,
             lambda: self.may_lead,
-            DecisionLog(name, write=len, observe=self.events.append),
+            self.decisions,
             lease_s=LEASE_S,
             projections=projections,
         )
--- a/tests/test_replica_incarnations.py
+++ b/tests/test_replica_incarnations.py
@@ -2,6 +2,7 @@
 
 import ast
 import asyncio
+import contextlib
 import pathlib
 from functools import partial
 
@@ -18,6 +19,7 @@
 from passgate.jobs.stall_detector import StallDetector
 from passgate.platform.documents import decode_replica, decode_report
 from passgate.quarantine.crash_quarantine import CrashQuarantine
+from passgate.versions.leadership import OrderTerms
 from passgate.versions.loader import Loader, ReplicaReport, TargetVersions, read_incarnation
 from passgate.versions.unconfirmed_orders import UNCONFIRMED_LIFETIME_S
 
@@ -174,12 +176,13 @@
 
 
 class LeaderStub:
-    fence = 3
-    orders_until_s = float("inf")
-
     def may_order(self):
         return True
 
+    @contextlib.contextmanager
+    def sending_order(self):
+        yield OrderTerms(fence=3, not_sent_after_s=float("inf"))
+
 
 class ReplicaControlStub:
     """Answers with a settable report and records the orders."""
