--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -1,14 +1,22 @@
 """Lease-based leadership: one daemon at a time, the leader, starts orders to replicas.
 
 A claim on the log is accepted if it names the last accepted claim and the leader's last record; its offset
-is the fencing token.  Each batch that the leader appends renews the lease.  The leader starts orders only
-for a part of the lease after sending a batch that it has read back.  Other daemons claim if the leadership
-was released, after a longer silence, or once the leader's process is known to have been replaced.
+is the fencing token.  Each batch that the leader appends renews the lease.  The leader's orders leave only
+within a part of the lease after the sending of a batch that it has read back.  Each order carries this limit,
+which is checked once its connection is ready.
+
+Other daemons claim if the leadership was released, after a longer silence, or once the leader's process is
+known to have been replaced.  A leader that has not been able to read the log for a whole lease falls silent,
+so that its lease expires.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+import msgspec
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, LeadershipLost, LeadershipTaken
@@ -21,14 +29,26 @@
 TAKEOVER_MARGIN_S = 0.5
 """Silence beyond the lease after which other daemons claim leadership."""
 ORDER_LEASE_SHARE = 0.6
-"""Share of the lease, counted from the sending of a batch that was read back, in which orders may start."""
+"""Share of the lease, counted from the sending of a batch that was read back, in which orders may leave."""
 CLAIM_RETRY_S = 0.7
 """Shortest time between two claims; the first has normally been read back by then."""
 PROBE_AFTER_S = 0.55
 """Silence after which the leader's address is probed; longer than the leader's renewal interval of 0.4 s."""
+HANDOVER_RESERVE_S = 2.0
+"""Time of silence for appends that are still under way and for another daemon's claim, in addition to the
+silence after which other daemons claim leadership."""
 NEVER_S = float("-inf")
 
 
+class OrderTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """What an order carries of the leadership under which it was decided."""
+
+    fence: int
+    """Fencing token of the leadership."""
+    not_sent_after_s: float
+    """Loop time after which the order must not leave this daemon any more, as another may lead."""
+
+
 class Leadership:
     """One daemon's part in the leadership: renews the lease as leader, and claims it once it has expired."""
 
@@ -62,8 +82,13 @@
         self.stopping = False
         self._next_claim_s = 0.0
         self._logged_fence: int | None = None
+        self._orders_under_way = 0
+        self._no_order_under_way = asyncio.Event()
+        self._no_order_under_way.set()
         self._confirmed_sent_s = float("-inf")
         """Loop time at which this daemon sent the newest batch that it read back as leader."""
+        self._view_lost_s: float | None = None
+        """Loop time since which this daemon leads by a view that is older than the lease; None if not."""
 
     @property
     def leads(self) -> bool:
@@ -75,10 +100,68 @@
         """Fencing token of the last accepted claim; the leader sends it with its orders."""
         return self._projection.leader_fence
 
+    def known_leader(self) -> str:
+        """Return the writer that leads; empty if none does, or if this daemon's view is too old to tell.
+
+        A view is too old once another daemon may have taken over since.
+        """
+        if self._view_age_s(monotonic_s()) > self.lease_s + TAKEOVER_MARGIN_S:
+            return ""
+        return self._projection.leader
+
     def may_order(self) -> bool:
         """Return whether this daemon may start an order now: it leads and confirmed its lease recently."""
-        age_s = monotonic_s() - self._confirmed_sent_s
-        return self.leads and age_s < self.lease_s * ORDER_LEASE_SHARE and not self.stopping
+        return self.leads and monotonic_s() < self._orders_until_s() and not self.stopping
+
+    def _orders_until_s(self) -> float:
+        """Return the loop time until which orders of this leadership may leave, by what is confirmed now."""
+        return self._confirmed_sent_s + self.lease_s * ORDER_LEASE_SHARE
+
+    @contextlib.contextmanager
+    def sending_order(self) -> Iterator[OrderTerms]:
+        """Send an order in this context, with the terms that it yields.
+
+        Must be entered without an await after :meth:`may_order` returned true.  The leadership is not
+        released before the context ends.
+        """
+        self._orders_under_way += 1
+        self._no_order_under_way.clear()
+        try:
+            yield OrderTerms(fence=self.fence, not_sent_after_s=self._orders_until_s())
+        finally:
+            self._orders_under_way -= 1
+            if not self._orders_under_way:
+                self._no_order_under_way.set()
+
+    async def stop(self) -> None:
+        """Start no more orders and never claim again; return once no order is under way."""
+        self.stopping = True
+        await self._no_order_under_way.wait()
+
+    def must_be_silent(self) -> bool:
+        """Return whether this daemon must append nothing now, so that the lease that it holds expires.
+
+        That is so if it leads by a view of the log that is older than the lease.  Every batch of it would
+        renew the lease, also one with other entries, and nobody could start orders.  It ends once others have
+        had time to take over, as the other entries must not be withheld longer; the batches renew nothing
+        then.
+
+        Must be called at intervals much shorter than the lease.
+        """
+        now_s = monotonic_s()
+        if not self.leads or self.stopping or self._view_age_s(now_s) < self.lease_s:
+            self._view_lost_s = None
+            return False
+        if self._view_lost_s is None:
+            self._view_lost_s = now_s
+        return now_s - self._view_lost_s < self.lease_s + TAKEOVER_MARGIN_S + HANDOVER_RESERVE_S
+
+    def _view_age_s(self, now_s: float) -> float:
+        """Return an upper bound of the age of this daemon's view of the leadership.
+
+        It grows while this daemon does not follow the topic.
+        """
+        return min(self._freshness.age_s(now_s), now_s - self._confirmed_sent_s)
 
     def confirm_batch(self, batch: Batch) -> None:
         """Extend the time for orders after a batch of this daemon was read back, if this daemon leads."""
@@ -89,12 +172,14 @@
     def renew_or_claim(self) -> None:
         """Renew the lease as leader; otherwise claim it if it is free or has expired.
 
-        Must be called at intervals much shorter than the lease.
+        A leader whose view is older than the lease renews nothing, as it may have been replaced.  Must be
+        called at intervals much shorter than the lease.
         """
         now_s = monotonic_s()
-        self._log_change()
+        self._log_change(now_s)
         if self.leads:
-            self._journal.renew_lease(self.fence)
+            if self._view_age_s(now_s) < self.lease_s:
+                self._journal.renew_lease(self.fence)
         elif not self.stopping and now_s >= self._next_claim_s and self._may_claim(now_s):
             self._next_claim_s = now_s + CLAIM_RETRY_S
             claim = LeaderClaimed(
@@ -124,14 +209,17 @@
         last_contact_s = self._projection.last_contact_s_by_writer.get(leader, NEVER_S)
         return self._status_of(leader, last_contact_s) is WriterStatus.REPLACED
 
-    def _log_change(self) -> None:
-        fence = self.fence if self.leads else None
+    def _log_change(self, now_s: float) -> None:
+        """Write a decision line if this daemon began to lead, or lost the lead or its view of it."""
+        view_age_s = self._view_age_s(now_s)
+        fence = self.fence if self.leads and view_age_s < self.lease_s else None
         if fence == self._logged_fence:
             return
         if fence is None:
-            self._decisions.write(
-                LeadershipLost(fence=self._logged_fence or 0, reason=f"held by {self._projection.leader}")
+            reason = (
+                f"log not read for {view_age_s:.1f} s" if self.leads else f"held by {self._projection.leader}"
             )
+            self._decisions.write(LeadershipLost(fence=self._logged_fence or 0, reason=reason))
         else:
             self._decisions.write(LeadershipTaken(fence=fence, previous=""))
         self._logged_fence = fence
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -17,7 +17,7 @@
 from passgate.duties.usage_reporter import UsageReporter
 from passgate.duties.wall_clock import SynchronizedWallClock
 from passgate.duties.windows import UsageWindows
-from passgate.emulator.shared_log import MemorySharedLog
+from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import UsageCommitted, UsageCounted, writer_name
 from passgate.peers.memory_transport import MemoryNetwork
@@ -77,13 +77,17 @@
             self.client,
             "control",
             journal,
-            lambda: True,
+            lambda: self.may_lead,
             decisions,
             lease_s=LEASE_S,
             projections=(self.usage_projection,),
         )
         self.usage_forwarder = UsageForwarder(
-            self.transport, journal, lambda: self.control.leadership_projection.leader, self.find_watcher
+            self.transport,
+            journal,
+            self.control.leadership.known_leader,
+            self.find_watcher,
+            lambda: self.other_members,
         )
         self.meter = UsageMeter(writer, WINDOWS, monotonic_s, self.usage_forwarder.send)
         self.reporter = UsageReporter(
@@ -99,10 +103,16 @@
             due_s=DUE_S,
         )
         self.name = name
+        self.writer = writer
+        self.other_members = []
+        """Other daemons that this one knows."""
+        self.knows_watcher = False
+        """Whether the first of them is the watcher of the control partition; otherwise none is known."""
+        self.may_lead = True
         self.tasks = []
 
     async def find_watcher(self, part):
-        return None
+        return self.other_members[0] if self.knows_watcher else None
 
     def start(self):
         self.transport.start(lambda sender, payload: None, self.answer)
@@ -197,6 +207,97 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("knows_watcher", [True, False])
+@pytest.mark.parametrize("cut_at_s", [13.5, 14.5])
+def test_counts_are_reported_although_the_leader_is_cut_off_from_the_log(cut_at_s, knows_watcher):
+    """Guards against counts that wait in a daemon which believes that it still leads."""
+
+    async def main():
+        log, network, platform, expected = (
+            MemorySharedLog(),
+            MemoryNetwork(random.Random(1)),
+            PlatformStub(),
+            {},
+        )
+        daemons = [Daemon(log, network, platform, f"d{number}").start() for number in range(4)]
+        for daemon in daemons:
+            daemon.other_members = [other.writer for other in daemons if other is not daemon]
+            daemon.knows_watcher = knows_watcher
+        await asyncio.sleep(5.0)
+        requests = asyncio.get_running_loop().create_task(generate_requests(daemons, expected, 40.0))
+        await asyncio.sleep(cut_at_s - monotonic_s())
+        (leader,) = [daemon for daemon in daemons if daemon.control.leadership.leads]
+        log.cut_off_clients.add(leader.name)
+        await asyncio.sleep(6.0)
+        log.cut_off_clients.clear()
+        await requests
+        await asyncio.sleep(15.0)
+        for window in complete_windows(expected):
+            assert (window, platform.accepted[window]) == (window, expected[window])
+        assert platform.conflicts == []
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "faults", [{"refusing": True}, {"slow_s": 0.8}, {"silent": True}], ids=lambda faults: next(iter(faults))
+)
+@pytest.mark.parametrize("starts_s", [12.5, 13.5, 14.5])
+def test_counts_that_a_disturbance_of_the_log_delays_are_reported_in_time(starts_s, faults):
+    """Guards against a commit that is due when the log returns, on counts as they were before."""
+
+    async def main():
+        log, network, platform, expected = (
+            MemorySharedLog(),
+            MemoryNetwork(random.Random(1)),
+            PlatformStub(),
+            {},
+        )
+        daemons = [Daemon(log, network, platform, f"d{number}").start() for number in range(4)]
+        for daemon in daemons:
+            daemon.other_members = [other.writer for other in daemons if other is not daemon]
+            daemon.knows_watcher = True
+        await asyncio.sleep(5.0)
+        requests = asyncio.get_running_loop().create_task(generate_requests(daemons, expected, 40.0))
+        await asyncio.sleep(starts_s - monotonic_s())
+        log.faults = SharedLogFaults(**faults)
+        await asyncio.sleep(6.0)
+        log.faults = SharedLogFaults()
+        await requests
+        await asyncio.sleep(15.0)
+        for window in complete_windows(expected):
+            assert (window, platform.accepted[window]) == (window, expected[window])
+            assert platform.accepted_s[window] <= WINDOWS.end_s(window) + DUE_S
+
+    run_virtual(main())
+
+
+def test_a_daemon_that_follows_the_topic_no_more_does_not_call_the_leader_of_that_time():
+    """Guards against a belief about the leader that lasts as long as the process."""
+
+    async def main():
+        log, network, platform = MemorySharedLog(), MemoryNetwork(random.Random(1)), PlatformStub()
+        daemons = [Daemon(log, network, platform, f"d{number}").start() for number in range(3)]
+        await asyncio.sleep(4.0)
+        (leader,) = [daemon for daemon in daemons if daemon.control.leadership.leads]
+        observer = next(daemon for daemon in daemons if daemon is not leader)
+        observer.may_lead = False
+        await leader.kill()
+        await asyncio.sleep(10.0)
+        called = []
+        call = observer.transport.call
+
+        async def record_call(address, *arguments):
+            called.append(address)
+            return await call(address, *arguments)
+
+        observer.transport.call = record_call
+        await generate_requests([observer], {}, monotonic_s() + 5.0)
+        assert leader.transport.address not in called
+
+    run_virtual(main())
+
+
 def test_a_repeated_count_is_added_once():
     projection = UsageProjection()
     entry = UsageCounted(meter="d1.a", number=4, window=9, counts={"orchard": 3})
