jobs: an item leaves only as long as the view allows on which it was sent

What callers would see: an item that waits for a connection to its replica (a lost SYN takes a second) reaches it when the view by which it was sent is old.

Now each item and reward call carries the time until which the permission stands, which the HTTP client asks once the connection is ready.

--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -369,6 +369,7 @@
             headers=tuple(headers),
             body=self.item.body,
             deadline_s=monotonic_s() + ATTEMPT_DEADLINE_S,
+            send_before_s=self._context.send_permission.granted_until_s(),
             priority=self._priority,
             tenant=self._spec.tenant,
             crash_limit=ITEM_CRASH_LIMIT,
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -228,6 +228,7 @@
             headers=(),
             body=self._spec.body,
             deadline_s=monotonic_s() + timeout_s,
+            send_before_s=self._send_permission.granted_until_s(),
             tenant=self._tenant,
             crash_limit=ITEM_CRASH_LIMIT,
             send_context=self._find_send_context(),
--- a/passgate/jobs/send_permission.py
+++ b/passgate/jobs/send_permission.py
@@ -18,8 +18,8 @@
 from passgate.sharedlog.tail import RecordTail
 
 MAX_VIEW_AGE_S = 2.0
-"""Age of the partition's view up to which runs may send.  A send that waits for a connection still arrives
-within 3 s, the time after which a cancelled job must not reach replicas."""
+"""Age of the partition's view up to which runs may send.  The request then reaches its replica within 3 s of
+the view, the time after which a cancelled job must not be sent."""
 ASK_FROM_AGE_S = 1.2
 """Age of the view from which other daemons are asked; longer than a long poll that is answered in time."""
 ASK_INTERVAL_S = 0.4
@@ -59,7 +59,15 @@
 
     def is_granted(self) -> bool:
         """Return whether runs may send now."""
-        return self._reason_to_wait() is None
+        return monotonic_s() < self.granted_until_s()
+
+    def granted_until_s(self) -> float:
+        """Return the loop time until which a send may leave by what is known now; past if none may."""
+        view_until_s = monotonic_s() - self.view_age_s() + MAX_VIEW_AGE_S
+        self._take_answers()
+        if self._tail.has_unread_records or self._access is not LogAccess.OUTAGE:
+            return view_until_s
+        return max(view_until_s, self._access_as_of_s + OUTAGE_TTL_S)
 
     async def wait_until_granted(self) -> None:
         """Wait until runs may send."""
@@ -96,14 +104,11 @@
 
     def _reason_to_wait(self) -> str | None:
         """Return why runs may not send now; None if they may."""
-        if self.view_age_s() < MAX_VIEW_AGE_S:
+        if self.is_granted():
             return None
         if self._tail.has_unread_records:
             return CATCHING_UP
-        self._take_answers()
-        if self._access is None or monotonic_s() - self._access_as_of_s >= OUTAGE_TTL_S:
-            return UNKNOWN
-        return None if self._access is LogAccess.OUTAGE else self._access.value
+        return LogAccess.CUT_OFF.value if self._access is LogAccess.CUT_OFF else UNKNOWN
 
     def _start_round(self, now_s: float) -> None:
         if self._round is not None and not self._round.done():
--- a/tests/test_jobs_send_permission.py
+++ b/tests/test_jobs_send_permission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from passgate.clock import run_virtual
+from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import DecisionLog, JobSendsPaused, JobSendsResumed
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.jobs.liveness import AliveResponse
@@ -102,6 +102,19 @@
     assert world.events == []
 
 
+@in_permission_world
+async def test_a_send_may_not_leave_later_than_its_view_allows(world):
+    """Guards against requests that wait for a connection until the view on which they were sent is old."""
+    await world.start()
+    world.log.cut_off_clients.add("d")
+    await asyncio.sleep(MAX_VIEW_AGE_S / 2)
+    until_s = world.permission.granted_until_s()
+    assert world.permission.is_granted()
+    assert until_s <= monotonic_s() + MAX_VIEW_AGE_S / 2
+    await asyncio.sleep(until_s - monotonic_s())
+    assert not world.permission.is_granted()
+
+
 @in_permission_world
 async def test_a_daemon_that_is_cut_off_alone_pauses_until_its_view_is_fresh(world):
     await world.start()
