--- a/tests/test_jobs_mixed_builds.py
+++ b/tests/test_jobs_mixed_builds.py
@@ -11,7 +11,7 @@
 from passgate.jobs.peers import METHOD_ALIVE
 from passgate.jobs.send_permission import MAX_VIEW_AGE_S
 from passgate.sharedlog.group import DIRECTORY_REFRESH_S
-from tests.job_daemons import Daemon, job_spec
+from tests.job_daemons import Daemon, job_spec, wait_until_complete
 from tests.test_jobs_old_views import APPLIED_S, LONG_JOB_ITEMS, client_name, close_all, sends_after
 
 NEWER_FIELDS = ("log_answers", "partition_answers")
@@ -77,3 +77,20 @@
         await close_all(daemons)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("earlier", [1, 2])
+def test_a_job_that_paused_in_an_outage_beside_an_earlier_build_is_completed_by_its_owner(earlier):
+    """Guards against a pause that outlasts the outage, or a job that two daemons run after it."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons, host = await start_daemons(log, [Daemon] * (3 - earlier) + [EarlierDaemon] * earlier)
+        log.faults.silent = True
+        await asyncio.sleep(OBSERVED_S)
+        log.faults.silent = False
+        await wait_until_complete(daemons, ["j"], host=host)
+        assert [len(daemon.sends) for daemon in daemons] == [LONG_JOB_ITEMS, 0, 0]
+        await close_all(daemons)
+
+    run_virtual(main())
