jobs: a daemon that stops runs nothing that it has released, and releases late claims

What callers would see: two daemons run the same job after a planned stop, for as long as the stopping one can't read the log; a job that is claimed in the moment of a stop waits until its daemon's process has ended.

Cause: the runs went on until the release was read back, although its acknowledgement is enough; and only partitions with runs or owned jobs were released, not those with a claim that was still queued.

--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -138,6 +138,8 @@
         """Loop time of the release, by job whose runs were stopped so that another daemon can claim it."""
         self.stopping = False
         """Whether the daemon shuts down; it claims no jobs then."""
+        self._has_ended = False
+        """Whether this daemon's release of its jobs is on the log, so that it runs none any more."""
 
     @property
     def writer(self) -> str:
@@ -175,6 +177,11 @@
             if isinstance(entry, ItemsDone | ItemProgressed)
         ]
 
+    def end_runs(self) -> None:
+        """Stop all runs for good, as the log holds this daemon's release of its jobs."""
+        self._has_ended = True
+        self.cancel_runners()
+
     def cancel_runners(self) -> None:
         """Cancel all runners; progress that was not recorded is lost."""
         for job_id in list(self._run_by_job):
@@ -209,7 +216,7 @@
 
         Starts none without the permission to send, as the jobs may have ended or been taken over.
         """
-        if not self._send_permission.is_granted():
+        if self._has_ended or not self._send_permission.is_granted():
             return
         for job in [
             job for job in self._projection.jobs.values() if job.is_open and job.owner == self.writer
@@ -325,6 +332,8 @@
                     return
                 for entry in await self._owners.release_jobs(previous):
                     self._journal.put(entry)
+                if self.stopping:
+                    return
             await self._journal.put(JobClaimed(job_id=job.job_id, owner=self.writer, epoch=epoch + 1))
         finally:
             asyncio.get_running_loop().call_later(
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -207,6 +207,16 @@
         if self.is_current:
             self.keep_following()
 
+    def release(self) -> asyncio.Future[int]:
+        """Release this daemon's jobs; return a future that finishes once that is on the log.
+
+        The runs go on until then, as no other daemon can claim the jobs before.
+        """
+        self.ownership.record_all_progress()
+        released = self.journal.put(WriterStopped())
+        released.add_done_callback(lambda _: self.ownership.end_runs())
+        return released
+
     def close(self) -> None:
         """Stop following, and cancel all runners, reads and appends of this partition."""
         self.followed_tail.set_following(False)
@@ -370,8 +380,11 @@
         self.stopping = True
         appended = []
         for partition in self._partition_by_number.values():
-            if partition.ownership.running_jobs or partition.ownership.owns_open_job():
-                partition.ownership.stopping = True
-                partition.ownership.record_all_progress()
-                appended.append(partition.journal.put(WriterStopped()))
+            partition.ownership.stopping = True
+            if (
+                partition.ownership.running_jobs
+                or partition.ownership.owns_open_job()
+                or not partition.journal.has_no_pending_entries  # a claim may be among them
+            ):
+                appended.append(partition.release())
         return appended
