versions, duties: what a leader sends carries the end of its lease

Seen: a leader that is suspended between its decision and the connection to the replica or the platform sends the load order, usage report or order of replicas when it wakes, under its old fence, though another daemon may lead by then.

Cause: the lease was checked when the call was decided. The connection is set up after that, and libcurl's own timeouts do not count a suspension.

Fix: Leadership.orders_until_s is the one limit. Each order and report takes it over together with its fence, and the HTTP client asks the clock, which counts suspensions, once the connection is ready, as it does for permits. What is too late was not sent; it is decided anew.

--- a/passgate/duties/calls.py
+++ b/passgate/duties/calls.py
@@ -22,7 +22,7 @@
     REFUSED = "refused"
     """The platform has seen a higher fencing token, or can't do what was requested."""
     UNKNOWN = "unknown"
-    """Throttled, failed or unanswered; the call may have taken effect or may still do so."""
+    """Not sent in time, throttled, failed or unanswered; it may have taken effect or may still do so."""
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,6 +35,8 @@
     """Name of the daemon that sends the report."""
     fence: int
     """Fencing token of the sender's leadership."""
+    not_sent_after_s: float
+    """Loop time after which the report must not leave this daemon, as another may lead."""
 
 
 class ReplicaOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,6 +51,8 @@
     """Name of the daemon that sends the order."""
     fence: int
     """Fencing token; rises with each decision on the number of replicas."""
+    not_sent_after_s: float
+    """Loop time after which the order must not leave this daemon, as another may lead."""
 
 
 class DutyClient(Protocol):
--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -170,6 +170,7 @@
                 count=decision.count,
                 holder=self._daemon_id,
                 fence=decision.fence,
+                not_sent_after_s=self._leadership.orders_until_s,
             )
         )
         self._decisions.write(
--- a/passgate/duties/usage_reporter.py
+++ b/passgate/duties/usage_reporter.py
@@ -129,6 +129,7 @@
             counts=self._projection.unreported_counts_by_window[window],
             holder=self._daemon_id,
             fence=fence,
+            not_sent_after_s=self._leadership.orders_until_s,
         )
         outcome = await self._client.report_usage(report)
         self._decisions.write(UsageReportSent(window=window, fence=fence, outcome=outcome.value))
--- a/passgate/platform/duty_calls.py
+++ b/passgate/platform/duty_calls.py
@@ -11,7 +11,7 @@
 from passgate.platform import names
 
 CALL_TIMEOUT_S = 1.0
-"""Timeout of a call.  A leader starts calls only within 0.6 of its lease, so with the default lease of 3 s
+"""Timeout of a call.  A leader's calls leave only within 0.6 of its lease, so with the default lease of 3 s
 its last call normally ends before another daemon takes over."""
 OUTCOME_BY_STATUS = {200: DutyOutcome.ACCEPTED, 409: DutyOutcome.REFUSED}
 
@@ -42,26 +42,29 @@
     async def report_usage(self, report: UsageReport) -> DutyOutcome:
         """Report the usage counts of one window."""
         document = _Usage(window=report.window, counts=dict(report.counts))
-        return await self._call(names.USAGE_PATH, document, report.holder, report.fence)
+        return await self._call(names.USAGE_PATH, document, report)
 
     async def order_replicas(self, order: ReplicaOrder) -> DutyOutcome:
         """Order the number of spot or on-demand replicas that a service shall have in a zone."""
         document = _Scale(service=order.service, zone=order.zone, desired=order.count, spot=order.spot)
-        return await self._call(names.SCALE_PATH, document, order.holder, order.fence)
+        return await self._call(names.SCALE_PATH, document, order)
 
-    async def _call(self, path: str, document: msgspec.Struct, holder: str, fence: int) -> DutyOutcome:
+    async def _call(
+        self, path: str, document: msgspec.Struct, duty: UsageReport | ReplicaOrder
+    ) -> DutyOutcome:
         call = HttpCall(
             method="POST",
             url=f"http://{self._address}{path}",
             headers={
-                names.DUTY_HOLDER_HEADER: holder,
-                names.DUTY_FENCE_HEADER: str(fence),
+                names.DUTY_HOLDER_HEADER: duty.holder,
+                names.DUTY_FENCE_HEADER: str(duty.fence),
                 "Content-Type": "application/json",
             },
             body=msgspec.json.encode(document),
             send=SendPolicy.ONCE,
             timeout_s=CALL_TIMEOUT_S,
             control=True,
+            not_sent_after_s=duty.not_sent_after_s,
         )
         try:
             answer = await self._http.fetch(call)
--- a/passgate/platform/http_api.py
+++ b/passgate/platform/http_api.py
@@ -33,8 +33,8 @@
 REPORT_TIMEOUT_S = 1.0
 """Timeout of reading a replica's report."""
 ORDER_TIMEOUT_S = 1.5
-"""Timeout of a load order.  With the default lease, an order that the leader sends at the last moment (0.6 of
-the lease) normally ends before another daemon takes over (after the lease plus TAKEOVER_MARGIN_S)."""
+"""Timeout of a load order.  With the default lease, an order that leaves at the last moment (0.6 of the
+lease) normally ends before another daemon takes over (after the lease plus TAKEOVER_MARGIN_S)."""
 NO_ROUTE = "no_route"
 LOGGED_PATH_CHARACTERS = 80
 BINARY_HEADERS = (("Content-Type", "application/octet-stream"),)
@@ -195,7 +195,10 @@
             raise NotReady("the replica's report is not valid", execution=ExecutionStatus.NOT_RUN) from error
 
     async def order(self, order: LoadOrder) -> int:
-        """Send a load order and return the HTTP status; raises PassgateError without a complete answer."""
+        """Send a load order and return the HTTP status; raises PassgateError without a complete answer.
+
+        Raises SendTooLate if ``not_sent_after_s`` has passed when the connection is ready.
+        """
         document = {
             "op": "version",
             "model": order.model,
@@ -214,5 +217,6 @@
             send=SendPolicy.ONCE,
             timeout_s=ORDER_TIMEOUT_S,
             control=True,
+            not_sent_after_s=order.not_sent_after_s,
         )
         return (await self._http.fetch(call)).status
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -1,10 +1,13 @@
 """Lease-based leadership: one daemon at a time, the leader, starts orders to replicas.
 
 A claim on the log is accepted if it names the last accepted claim and the leader's last record; its offset
-is the fencing token.  Each batch that the leader appends renews the lease.  The leader starts orders only
-for a part of the lease after sending a batch that it has read back.  Other daemons claim if the leadership
-was released, after a longer silence, or once the leader's process is known to have been replaced.  A leader
-that has not been able to read the log for a whole lease falls silent, so that its lease expires.
+is the fencing token.  Each batch that the leader appends renews the lease.  The leader's orders leave only
+within a part of the lease after the sending of a batch that it has read back.  Each order carries this limit,
+which is checked once its connection is ready.
+
+Other daemons claim if the leadership was released, after a longer silence, or once the leader's process is
+known to have been replaced.  A leader that has not been able to read the log for a whole lease falls silent,
+so that its lease expires.
 """
 
 from __future__ import annotations
@@ -22,7 +25,7 @@
 TAKEOVER_MARGIN_S = 0.5
 """Silence beyond the lease after which other daemons claim leadership."""
 ORDER_LEASE_SHARE = 0.6
-"""Share of the lease, counted from the sending of a batch that was read back, in which orders may start."""
+"""Share of the lease, counted from the sending of a batch that was read back, in which orders may leave."""
 CLAIM_RETRY_S = 0.7
 """Shortest time between two claims; the first has normally been read back by then."""
 PROBE_AFTER_S = 0.55
@@ -81,10 +84,17 @@
         """Fencing token of the last accepted claim; the leader sends it with its orders."""
         return self._projection.leader_fence
 
+    @property
+    def orders_until_s(self) -> float:
+        """Loop time after which no order that was decided by now may leave this daemon any more."""
+        return self._confirmed_sent_s + self.lease_s * ORDER_LEASE_SHARE
+
     def may_order(self) -> bool:
-        """Return whether this daemon may start an order now: it leads and confirmed its lease recently."""
-        age_s = monotonic_s() - self._confirmed_sent_s
-        return self.leads and age_s < self.lease_s * ORDER_LEASE_SHARE and not self.stopping
+        """Return whether this daemon may decide on an order now: it leads and confirmed its lease recently.
+
+        The order must carry :attr:`fence` and :attr:`orders_until_s` as of the decision.
+        """
+        return self.leads and monotonic_s() < self.orders_until_s and not self.stopping
 
     def must_be_silent(self) -> bool:
         """Return whether this daemon must append nothing now, so that the lease that it holds expires.
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -77,6 +77,8 @@
     """Fencing token of the sender's leadership."""
     expected: int
     """Number of orders that the replica has accepted before; it rejects the order if the number differs."""
+    not_sent_after_s: float
+    """Loop time after which the order must not leave this daemon, as another may lead."""
 
 
 class ReplicaControl(Protocol):
@@ -87,7 +89,10 @@
         ...
 
     async def order(self, order: LoadOrder) -> int:
-        """Send an order and return the HTTP status; raises PassgateError if there was no answer."""
+        """Send an order and return the HTTP status; raises PassgateError if there was no answer.
+
+        Raises SendTooLate if the order could not leave in time.
+        """
         ...
 
 
@@ -288,6 +293,7 @@
             holder=self._daemon_id,
             fence=self._leadership.fence,
             expected=report.orders_taken,
+            not_sent_after_s=self._leadership.orders_until_s,
         )
         outcome = "unanswered"
         try:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -224,7 +224,7 @@
 
 
 def make_loader(replicas, jobs=None):
-    leadership = types.SimpleNamespace(may_order=lambda: True, fence=1)
+    leadership = types.SimpleNamespace(may_order=lambda: True, fence=1, orders_until_s=float("inf"))
     control, targets = Control(replicas), TargetVersions(decision_log())
     quarantine = CrashQuarantine(
         MemorySharedLog().client("d"),
--- a/tests/test_replica_incarnations.py
+++ b/tests/test_replica_incarnations.py
@@ -175,6 +175,7 @@
 
 class LeaderStub:
     fence = 3
+    orders_until_s = float("inf")
 
     def may_order(self):
         return True
