versions: a daemon names the leader only by a recent view

Seen: a daemon that was eligible once and is no more goes on sending each batch of usage counts to the leader of that time, and names it to daemons that ask for permits, for as long as its process lives. Each flush waits for the call's timeout if that machine is gone, and a chain of such names can use up the four calls that a request for permits has.

Cause: it stops following the control topic, and its last state answers who leads, whatever its age.

Evidence: test_duties_usage.py, 10 s after the leader was killed, before: AssertionError: assert 'd1:7720' not in ['d1:7720', 'd1:7720', ...]

Fix: Leadership.known_leader() is the one answer for the forwarder of counts and for the permit issuer. It names nobody once the view is older than the lease and the margin of takeovers, after which another daemon may lead. Callers then ask the watcher of the control partition, as they do when they never knew a leader.

--- a/passgate/daemon/cold_permits.py
+++ b/passgate/daemon/cold_permits.py
@@ -137,7 +137,7 @@
         replicas.cold_replicas.limit_of = self._limits.limit_for
         self._issuer = PermitIssuer(
             control.leadership,
-            find_leader=lambda: control.leadership_projection.leader,
+            find_leader=control.leadership.known_leader,
             limit_of=self._limits.limit_for,
             list_cold_ms=self._remaining_cold_ms,
             counters=replicas.permit_pool.counters,
--- a/passgate/duties/usage_forwarder.py
+++ b/passgate/duties/usage_forwarder.py
@@ -59,7 +59,7 @@
         Args:
             transport: carries requests to other daemons.
             journal: this daemon's writer of the control topic.
-            find_leader: returns the name of the leader; empty if this daemon does not know it.
+            find_leader: returns the name of the leader; empty if none is known by a recent view.
             find_watcher: returns the watcher of a partition in this zone, None if unknown.
         """
         self._transport = transport
--- a/passgate/eligibility/permit_issuer.py
+++ b/passgate/eligibility/permit_issuer.py
@@ -66,7 +66,7 @@
 
         Args:
             lease: the leader's lease.
-            find_leader: returns the name of the last known leader; empty if none is known.
+            find_leader: returns the name of the leader; empty if none is known by a recent view.
             limit_of: returns the limit of a service, None if it has none.
             list_cold_ms: returns the milliseconds for which each cold replica stays cold, by replica ID.
             counters: counters of permits.
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -89,6 +89,15 @@
         """Loop time after which no order that was decided by now may leave this daemon any more."""
         return self._confirmed_sent_s + self.lease_s * ORDER_LEASE_SHARE
 
+    def known_leader(self) -> str:
+        """Return the writer that leads; empty if none does, or if this daemon's view is too old to tell.
+
+        A view is too old once another daemon may have taken over since.
+        """
+        if self._view_age_s(monotonic_s()) > self.lease_s + TAKEOVER_MARGIN_S:
+            return ""
+        return self._projection.leader
+
     def may_order(self) -> bool:
         """Return whether this daemon may decide on an order now: it leads and confirmed its lease recently.
 
@@ -115,7 +124,10 @@
         return now_s - self._view_lost_s < self.lease_s + TAKEOVER_MARGIN_S + HANDOVER_RESERVE_S
 
     def _view_age_s(self, now_s: float) -> float:
-        """Return an upper bound of the age of this daemon's view of the leadership."""
+        """Return an upper bound of the age of this daemon's view of the leadership.
+
+        It grows while this daemon does not follow the topic.
+        """
         return min(self._freshness.age_s(now_s), now_s - self._confirmed_sent_s)
 
     def confirm_batch(self, batch: Batch) -> None:
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -77,13 +77,13 @@
             self.client,
             "control",
             journal,
-            lambda: True,
+            lambda: self.may_lead,
             decisions,
             lease_s=LEASE_S,
             projections=(self.usage_projection,),
         )
         self.usage_forwarder = UsageForwarder(
-            self.transport, journal, lambda: self.control.leadership_projection.leader, self.find_watcher
+            self.transport, journal, self.control.leadership.known_leader, self.find_watcher
         )
         self.meter = UsageMeter(writer, WINDOWS, monotonic_s, self.usage_forwarder.send)
         self.reporter = UsageReporter(
@@ -99,6 +99,7 @@
             due_s=DUE_S,
         )
         self.name = name
+        self.may_lead = True
         self.tasks = []
 
     async def find_watcher(self, part):
@@ -197,6 +198,32 @@
     run_virtual(main())
 
 
+def test_a_daemon_that_follows_the_topic_no_more_does_not_call_the_leader_of_that_time():
+    """Guards against a belief about the leader that lasts as long as the process."""
+
+    async def main():
+        log, network, platform = MemorySharedLog(), MemoryNetwork(random.Random(1)), PlatformStub()
+        daemons = [Daemon(log, network, platform, f"d{number}").start() for number in range(3)]
+        await asyncio.sleep(4.0)
+        (leader,) = [daemon for daemon in daemons if daemon.control.leadership.leads]
+        observer = next(daemon for daemon in daemons if daemon is not leader)
+        observer.may_lead = False
+        await leader.kill()
+        await asyncio.sleep(10.0)
+        called = []
+        call = observer.transport.call
+
+        async def record_call(address, *arguments):
+            called.append(address)
+            return await call(address, *arguments)
+
+        observer.transport.call = record_call
+        await generate_requests([observer], {}, monotonic_s() + 5.0)
+        assert leader.transport.address not in called
+
+    run_virtual(main())
+
+
 def test_a_repeated_count_is_added_once():
     projection = UsageProjection()
     entry = UsageCounted(meter="d1.a", number=4, window=9, counts={"orchard": 3})
