duties: counts of a daemon that the log does not acknowledge go elsewhere

Seen: while the leader is cut off from the log for 6 s, the report of the window that ends in that time lacks up to 9 of 100 runs, and is committed without them by the next leader.

Cause: the leader that is cut off goes on as leader: it appends its counts itself, waits, and hands them to nobody, though other daemons reach the log. It also lets the daemons that still take it for the leader wait out the timeout of each call.

Evidence: test_duties_usage.py, before: AssertionError: assert (2, {'t0': 30...31, 't2': 30}) == (2, {'t1': 34...33, 't0': 33})

Fix: the age of the oldest unacknowledged append bounds the belief that the log is reachable from here. Beyond 1 s the daemon sends its counts to the watcher and to one more daemon before it appends them itself, and refuses the counts of others at once.

--- a/passgate/duties/service.py
+++ b/passgate/duties/service.py
@@ -75,7 +75,11 @@
         journal = control.journal
         self._clock_sync = ClockSync(clock, transport, lambda: directory.other_members(member))
         self._usage_forwarder = UsageForwarder(
-            transport, journal, control.leadership.known_leader, directory.holder_of
+            transport,
+            journal,
+            control.leadership.known_leader,
+            directory.holder_of,
+            lambda: directory.other_members(member),
         )
         self.meter = UsageMeter(journal.writer, windows, clock.now_s, self._usage_forwarder.send)
         rate_limiter = CallRateLimiter(settings.calls_per_s * RATE_LIMIT_SHARE)
--- a/passgate/duties/usage_forwarder.py
+++ b/passgate/duties/usage_forwarder.py
@@ -2,7 +2,8 @@
 
 The leader batches the counts of many daemons into few appends, which saves calls to the log.  A daemon that
 does not know the leader, or gets no confirmation from it, sends its counts to the watcher of the control
-partition in its zone.  Without a confirmation from there, it appends them itself.
+partition in its zone.  Without a confirmation from there, it appends them itself.  A daemon whose appends the
+log does not acknowledge, even if it leads, first sends its counts to another one.
 """
 
 from __future__ import annotations
@@ -23,8 +24,12 @@
 """Timeout of a request that another daemon append counts; leaves time for a slow append."""
 FORWARD_TIMEOUT_S = 0.8
 """Timeout of a forwarded request; shorter, so that the original sender can still get its response."""
+MAX_UNACKNOWLEDGED_S = 1.0
+"""Time without an acknowledgement of an append after which the log counts as unreachable from this daemon."""
 APPEND_TIMEOUT_S = 2.0
 """Time after which an append by this daemon counts as failed, so that the counts are sent again."""
+MAX_MEMBERS_ASKED = 1
+"""Number of daemons asked besides the leader and the watcher; few, as the log may be unreachable for all."""
 CONTROL_PARTITION = 0
 """Partition of the jobs topic whose watchers follow the control topic, and so normally know the leader."""
 
@@ -53,6 +58,7 @@
         journal: Journal,
         find_leader: Callable[[], str],
         find_watcher: Callable[[int], Awaitable[str | None]],
+        list_other_members: Callable[[], Sequence[str]],
     ) -> None:
         """Connect the forwarder.
 
@@ -61,11 +67,13 @@
             journal: this daemon's writer of the control topic.
             find_leader: returns the name of the leader; empty if none is known by a recent view.
             find_watcher: returns the watcher of a partition in this zone, None if unknown.
+            list_other_members: returns the names of other daemons that watch partitions, in any order.
         """
         self._transport = transport
         self._journal = journal
         self._find_leader = find_leader
         self._find_watcher = find_watcher
+        self._list_other_members = list_other_members
         self._reported_leader = ""
         """Name of the leader as of the last response; empty once a request to the leader has failed."""
 
@@ -73,19 +81,27 @@
         """Put counts on the log in the cheapest way that works; return whether that is confirmed."""
         request = RecordCountsRequest(entries=tuple(entries))
         leader = self._find_leader() or self._reported_leader
-        if leader == self._journal.writer:
+        log_is_unreachable = self._is_log_unreachable()
+        if leader == self._journal.writer and not log_is_unreachable:
             return await self._append(entries)
-        if leader and await self._request_append(address_of(leader), request, REQUEST_TIMEOUT_S):
+        if await self._request_append(leader, request, REQUEST_TIMEOUT_S):
             return True
         self._reported_leader = ""
-        watcher = await self._find_watcher(CONTROL_PARTITION)
-        if watcher is not None and await self._request_append(
-            address_of(watcher), request, REQUEST_TIMEOUT_S
-        ):
-            return True
+        others = [await self._find_watcher(CONTROL_PARTITION) or ""]
+        if log_is_unreachable:
+            others += self._list_other_members()[:MAX_MEMBERS_ASKED]
+        for other in others:
+            if await self._request_append(other, request, REQUEST_TIMEOUT_S):
+                return True
         return await self._append(entries)
 
-    async def _request_append(self, address: str, request: RecordCountsRequest, timeout_s: float) -> bool:
+    def _is_log_unreachable(self) -> bool:
+        """Whether the log has not acknowledged an append of this daemon for MAX_UNACKNOWLEDGED_S."""
+        return self._journal.unacknowledged_for_s >= MAX_UNACKNOWLEDGED_S
+
+    async def _request_append(self, daemon: str, request: RecordCountsRequest, timeout_s: float) -> bool:
+        """Ask another daemon, by name, to append counts; return False at once for this one and for none."""
+        address = address_of(daemon)
         if not address or address == self._transport.address:
             return False
         payload = msgspec.json.encode(request)
@@ -109,14 +125,16 @@
         """Append another daemon's counts, if possible through the leader; return the encoded confirmation.
 
         Raises PeerCallFailed if the counts may not be on the log, and msgspec.DecodeError for a malformed
-        request.
+        request.  If the log is unreachable from here, the call fails at once.
         """
         request = msgspec.json.decode(payload, type=RecordCountsRequest)
+        if self._is_log_unreachable():
+            raise PeerCallFailed("the log is unreachable from this daemon", peer_code="not_ready")
         leader = self._find_leader()
         should_forward = leader and leader != self._journal.writer and not request.forwarded
         if should_forward:
             forwarded = msgspec.structs.replace(request, forwarded=True)
-            if await self._request_append(address_of(leader), forwarded, FORWARD_TIMEOUT_S):
+            if await self._request_append(leader, forwarded, FORWARD_TIMEOUT_S):
                 return msgspec.json.encode(CountsRecorded(leader=leader))
         if not await self._append(request.entries):
             raise PeerCallFailed("the usage counts could not be appended to the log", peer_code="not_ready")
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -83,7 +83,11 @@
             projections=(self.usage_projection,),
         )
         self.usage_forwarder = UsageForwarder(
-            self.transport, journal, self.control.leadership.known_leader, self.find_watcher
+            self.transport,
+            journal,
+            self.control.leadership.known_leader,
+            self.find_watcher,
+            lambda: self.other_members,
         )
         self.meter = UsageMeter(writer, WINDOWS, monotonic_s, self.usage_forwarder.send)
         self.reporter = UsageReporter(
@@ -99,11 +103,16 @@
             due_s=DUE_S,
         )
         self.name = name
+        self.writer = writer
+        self.other_members = []
+        """Other daemons that this one knows."""
+        self.knows_watcher = False
+        """Whether the first of them is the watcher of the control partition; otherwise none is known."""
         self.may_lead = True
         self.tasks = []
 
     async def find_watcher(self, part):
-        return None
+        return self.other_members[0] if self.knows_watcher else None
 
     def start(self):
         self.transport.start(lambda sender, payload: None, self.answer)
@@ -198,6 +207,38 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("knows_watcher", [True, False])
+@pytest.mark.parametrize("cut_at_s", [13.5, 14.5])
+def test_counts_are_reported_although_the_leader_is_cut_off_from_the_log(cut_at_s, knows_watcher):
+    """Guards against counts that wait in a daemon which believes that it still leads."""
+
+    async def main():
+        log, network, platform, expected = (
+            MemorySharedLog(),
+            MemoryNetwork(random.Random(1)),
+            PlatformStub(),
+            {},
+        )
+        daemons = [Daemon(log, network, platform, f"d{number}").start() for number in range(4)]
+        for daemon in daemons:
+            daemon.other_members = [other.writer for other in daemons if other is not daemon]
+            daemon.knows_watcher = knows_watcher
+        await asyncio.sleep(5.0)
+        requests = asyncio.get_running_loop().create_task(generate_requests(daemons, expected, 40.0))
+        await asyncio.sleep(cut_at_s - monotonic_s())
+        (leader,) = [daemon for daemon in daemons if daemon.control.leadership.leads]
+        log.cut_off_clients.add(leader.name)
+        await asyncio.sleep(6.0)
+        log.cut_off_clients.clear()
+        await requests
+        await asyncio.sleep(15.0)
+        for window in complete_windows(expected):
+            assert (window, platform.accepted[window]) == (window, expected[window])
+        assert platform.conflicts == []
+
+    run_virtual(main())
+
+
 def test_a_daemon_that_follows_the_topic_no_more_does_not_call_the_leader_of_that_time():
     """Guards against a belief about the leader that lasts as long as the process."""
 
