duties: a clock reading that is processed late does not set the clock

Seen: a daemon that is suspended for 8 s while it asks others for the time of day sets its clock back by 4 s, until it asks again 10 s later. Runs then count in the wrong usage window, and the leader commits windows late.

Cause: the answers, which had arrived, are processed when the process wakes, before the timeout of the call that is due at the same moment. The reading counts as taken halfway between the request and that moment, in all answers alike, so that the median gives no protection.

Fix: a reading whose age is over the timeout of the request is ignored.

--- a/passgate/duties/clock_sync.py
+++ b/passgate/duties/clock_sync.py
@@ -60,14 +60,21 @@
             await asyncio.sleep(SYNC_INTERVAL_S)
 
     async def _read_offset_s(self, member: str) -> float | None:
-        """Return a daemon's time of day minus the monotonic time here; None without a valid response."""
+        """Return a daemon's time of day minus the monotonic time here; None without a valid response in time.
+
+        After a suspension of this process, a response and its timeout are due at the same moment, and the
+        response may be processed first.
+        """
         sent_s = monotonic_s()
         try:
             payload = await self._transport.call(address_of(member), CLOCK_METHOD, b"{}", RESPONSE_TIMEOUT_S)
             response = msgspec.json.decode(payload, type=ClockResponse)
         except (PeerError, msgspec.DecodeError):
             return None  # the median is taken over the daemons that answer
-        return response.wall_s - (sent_s + monotonic_s()) / 2
+        received_s = monotonic_s()
+        if received_s - sent_s > RESPONSE_TIMEOUT_S:
+            return None
+        return response.wall_s - (sent_s + received_s) / 2
 
     def encode_response(self) -> bytes:
         """Return the encoded response to another daemon's request for the time of day."""
--- a/tests/test_suspended_machine.py
+++ b/tests/test_suspended_machine.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog
+from passgate.duties.clock_sync import FIRST_SYNC_DELAY_S, ClockResponse, ClockSync
 from passgate.duties.wall_clock import SynchronizedWallClock
 from passgate.platform import program
 from passgate.sharedlog.log import LogPage
@@ -115,3 +117,24 @@
     clock = SynchronizedWallClock(lambda: 1000.0, monotonic_s)
     loop.suspended_s += SUSPENDED_S
     assert clock.now_s() >= 1000.0 + SUSPENDED_S
+
+
+@run_on_suspendable_loop
+async def test_clock_readings_that_are_processed_after_a_suspension_are_ignored(loop):
+    """Guards against a clock set back by half the suspension: the answers had arrived before it."""
+    started_s = monotonic_s()
+
+    class Transport:
+        async def call(self, address, method, payload, timeout_s):
+            answer = ClockResponse(wall_s=1000.0 + monotonic_s() - started_s)
+            await asyncio.sleep(0.01)
+            loop.suspended_s = SUSPENDED_S
+            return msgspec.json.encode(answer)
+
+    clock = SynchronizedWallClock(lambda: 1000.0, monotonic_s)
+    sync = ClockSync(clock, Transport(), lambda: ["d1@h:1", "d2@h:2", "d3@h:3"])
+    running = loop.create_task(sync.run())
+    await asyncio.sleep(FIRST_SYNC_DELAY_S + 0.1)
+    running.cancel()
+    assert loop.suspended_s
+    assert abs(clock.now_s() - (1000.0 + monotonic_s() - started_s)) < 1.0
