versions: a leader that stops is replaced after its orders have left

Seen: a planned stop of the leader while an order waits for its connection to a replica: the next leader claims and orders at once, and the former one's order leaves after that, under its lower fence.

Cause: a release says that nothing of this leadership is under way, but only new orders were stopped; what was decided before was not asked for.

--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -162,17 +162,18 @@
 
     async def _send_order(self, decision: ScalingDecision) -> DutyOutcome:
         pool = decision.pool
-        outcome = await self._client.order_replicas(
-            ReplicaOrder(
-                service=pool.service,
-                zone=pool.zone,
-                spot=pool.spot,
-                count=decision.count,
-                holder=self._daemon_id,
-                fence=decision.fence,
-                not_sent_after_s=self._leadership.orders_until_s,
+        with self._leadership.sending_order() as terms:
+            outcome = await self._client.order_replicas(
+                ReplicaOrder(
+                    service=pool.service,
+                    zone=pool.zone,
+                    spot=pool.spot,
+                    count=decision.count,
+                    holder=self._daemon_id,
+                    fence=decision.fence,  # of the decision, which is newer than the claim of the leader
+                    not_sent_after_s=terms.not_sent_after_s,
+                )
             )
-        )
         self._decisions.write(
             ReplicaCountOrderSent(
                 service=pool.service,
--- a/passgate/duties/usage_reporter.py
+++ b/passgate/duties/usage_reporter.py
@@ -130,26 +130,26 @@
     async def _send_oldest_report(self) -> None:
         """Send the oldest report that is not known to be accepted, unless a pause or a limit forbids it."""
         now_s = monotonic_s()
-        fence = self._leadership.fence
         if (
             not self._projection.unreported_counts_by_window
             or now_s < self._next_send_s
-            or fence == self._refused_fence
+            or self._leadership.fence == self._refused_fence
         ):
             return
         if not self._rate_limiter.try_acquire(now_s):
             return
         window = min(self._projection.unreported_counts_by_window)
-        report = UsageReport(
-            window=window,
-            counts=self._projection.unreported_counts_by_window[window],
-            holder=self._daemon_id,
-            fence=fence,
-            not_sent_after_s=self._leadership.orders_until_s,
-        )
-        outcome = await self._client.report_usage(report)
-        self._decisions.write(UsageReportSent(window=window, fence=fence, outcome=outcome.value))
-        self._handle_outcome(window, fence, outcome)
+        with self._leadership.sending_order() as terms:
+            report = UsageReport(
+                window=window,
+                counts=self._projection.unreported_counts_by_window[window],
+                holder=self._daemon_id,
+                fence=terms.fence,
+                not_sent_after_s=terms.not_sent_after_s,
+            )
+            outcome = await self._client.report_usage(report)
+        self._decisions.write(UsageReportSent(window=window, fence=report.fence, outcome=outcome.value))
+        self._handle_outcome(window, report.fence, outcome)
 
     def _handle_outcome(self, window: int, fence: int, outcome: DutyOutcome) -> None:
         match outcome:
--- a/passgate/versions/control_topic.py
+++ b/passgate/versions/control_topic.py
@@ -99,9 +99,16 @@
             self.leadership.renew_or_claim()
 
     def release_leadership(self) -> asyncio.Future[int]:
-        """Release leadership and never claim it again; the future is done once the log has the release."""
+        """Release leadership and never claim it again; the future is done once the log has the release.
+
+        Orders that are under way end first, as the next leader may send orders as soon as it has claimed.
+        """
         self.leadership.stopping = True
-        return self.journal.put(WriterStopped())
+        return asyncio.get_running_loop().create_task(self._release())
+
+    async def _release(self) -> int:
+        await self.leadership.stop()
+        return await self.journal.put(WriterStopped())
 
     def _apply_page(self, page: LogPage) -> None:
         now_s = monotonic_s()
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -12,7 +12,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+import msgspec
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, LeadershipLost, LeadershipTaken
@@ -36,6 +40,15 @@
 NEVER_S = float("-inf")
 
 
+class OrderTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """What an order carries of the leadership under which it was decided."""
+
+    fence: int
+    """Fencing token of the leadership."""
+    not_sent_after_s: float
+    """Loop time after which the order must not leave this daemon any more, as another may lead."""
+
+
 class Leadership:
     """One daemon's part in the leadership: renews the lease as leader, and claims it once it has expired."""
 
@@ -69,6 +82,9 @@
         self.stopping = False
         self._next_claim_s = 0.0
         self._logged_fence: int | None = None
+        self._orders_under_way = 0
+        self._no_order_under_way = asyncio.Event()
+        self._no_order_under_way.set()
         self._confirmed_sent_s = float("-inf")
         """Loop time at which this daemon sent the newest batch that it read back as leader."""
         self._view_lost_s: float | None = None
@@ -84,11 +100,6 @@
         """Fencing token of the last accepted claim; the leader sends it with its orders."""
         return self._projection.leader_fence
 
-    @property
-    def orders_until_s(self) -> float:
-        """Loop time after which no order that was decided by now may leave this daemon any more."""
-        return self._confirmed_sent_s + self.lease_s * ORDER_LEASE_SHARE
-
     def known_leader(self) -> str:
         """Return the writer that leads; empty if none does, or if this daemon's view is too old to tell.
 
@@ -99,11 +110,33 @@
         return self._projection.leader
 
     def may_order(self) -> bool:
-        """Return whether this daemon may decide on an order now: it leads and confirmed its lease recently.
+        """Return whether this daemon may start an order now: it leads and confirmed its lease recently."""
+        return self.leads and monotonic_s() < self._orders_until_s() and not self.stopping
+
+    def _orders_until_s(self) -> float:
+        """Return the loop time until which orders of this leadership may leave, by what is confirmed now."""
+        return self._confirmed_sent_s + self.lease_s * ORDER_LEASE_SHARE
+
+    @contextlib.contextmanager
+    def sending_order(self) -> Iterator[OrderTerms]:
+        """Send an order in this context, with the terms that it yields.
 
-        The order must carry :attr:`fence` and :attr:`orders_until_s` as of the decision.
+        Must be entered without an await after :meth:`may_order` returned true.  The leadership is not
+        released before the context ends.
         """
-        return self.leads and monotonic_s() < self.orders_until_s and not self.stopping
+        self._orders_under_way += 1
+        self._no_order_under_way.clear()
+        try:
+            yield OrderTerms(fence=self.fence, not_sent_after_s=self._orders_until_s())
+        finally:
+            self._orders_under_way -= 1
+            if not self._orders_under_way:
+                self._no_order_under_way.set()
+
+    async def stop(self) -> None:
+        """Start no more orders and never claim again; return once no order is under way."""
+        self.stopping = True
+        await self._no_order_under_way.wait()
 
     def must_be_silent(self) -> bool:
         """Return whether this daemon must append nothing now, so that the lease that it holds expires.
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -285,16 +285,21 @@
         did not run.
         """
         self._replicas.send_rules.admit(state.info, CONTROL_MESSAGE, monotonic_s())
-        order = LoadOrder(
-            replica_id=state.info.replica_id,
-            address=state.info.address,
-            model=model,
-            version=self._targets.version_by_model[model],
-            holder=self._daemon_id,
-            fence=self._leadership.fence,
-            expected=report.orders_taken,
-            not_sent_after_s=self._leadership.orders_until_s,
-        )
+        with self._leadership.sending_order() as terms:
+            order = LoadOrder(
+                replica_id=state.info.replica_id,
+                address=state.info.address,
+                model=model,
+                version=self._targets.version_by_model[model],
+                holder=self._daemon_id,
+                fence=terms.fence,
+                expected=report.orders_taken,
+                not_sent_after_s=terms.not_sent_after_s,
+            )
+            return await self._send(order, state)
+
+    async def _send(self, order: LoadOrder, state: ReplicaState) -> bool:
+        """Send an order to a replica and write a decision line with its outcome; see :meth:`_send_order`."""
         outcome = "unanswered"
         try:
             status = await self._control.order(order)
@@ -308,7 +313,7 @@
             self._decisions.write(
                 LoadOrderSent(
                     replica_id=order.replica_id,
-                    model=model,
+                    model=order.model,
                     version=order.version,
                     fence=order.fence,
                     expected=order.expected,
--- a/tests/leader_daemons.py
+++ b/tests/leader_daemons.py
@@ -1,6 +1,7 @@
 """Daemons that take part in the election of the leader, each with faults of its own towards the log."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import writer_name
 from passgate.versions.control_topic import ControlTopic
+from passgate.versions.leadership import OrderTerms
 
 CONTROL_TOPIC = "control"
 JOURNAL_LIMITS = {"record_bytes": 262_144, "append_bytes": 2_000_000}
@@ -18,6 +20,19 @@
 OBSERVATION_STEP_S = 0.02
 
 
+class LeaderStub:
+    """The lease of a leader that never loses it."""
+
+    fence = 3
+
+    def may_order(self):
+        return True
+
+    @contextlib.contextmanager
+    def sending_order(self):
+        yield OrderTerms(fence=self.fence, not_sent_after_s=float("inf"))
+
+
 class FaultyLogClient:
     """A daemon's client of the log, whose reads and appends can fail independently of each other."""
 
@@ -56,13 +71,14 @@
         self.journal = Journal(self.log, CONTROL_TOPIC, 0, writer, **JOURNAL_LIMITS)
         self.events = []
         """Decision events of the daemon."""
+        self.decisions = DecisionLog(name, write=len, observe=self.events.append)
         self.may_lead = True
         self.control = ControlTopic(
             self.log,
             CONTROL_TOPIC,
             self.journal,
             lambda: self.may_lead,
-            DecisionLog(name, write=len, observe=self.events.append),
+            self.decisions,
             lease_s=LEASE_S,
             projections=projections,
         )
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -27,6 +27,7 @@
 from passgate.versions.loader import Loader, ReplicaReport, TargetVersions, read_incarnation
 from tests import test_duties_scaling as scaling
 from tests import test_gateway_peer_configuration as peers
+from tests.leader_daemons import LeaderStub
 
 EVACUATION_S = 5.0
 """Time after an operator's record by which nothing may reach the zone any more, with default settings."""
@@ -224,7 +225,6 @@
 
 
 def make_loader(replicas, jobs=None):
-    leadership = types.SimpleNamespace(may_order=lambda: True, fence=1, orders_until_s=float("inf"))
     control, targets = Control(replicas), TargetVersions(decision_log())
     quarantine = CrashQuarantine(
         MemorySharedLog().client("d"),
@@ -236,7 +236,7 @@
     return (
         control,
         targets,
-        Loader(targets, replicas, leadership, control, "d", jobs or {}, quarantine.guard, decision_log()),
+        Loader(targets, replicas, LeaderStub(), control, "d", jobs or {}, quarantine.guard, decision_log()),
     )
 
 
--- a/tests/test_leader_sends.py
+++ b/tests/test_leader_sends.py
@@ -25,6 +25,7 @@
 from passgate.platform.duty_calls import PlatformDutyClient
 from passgate.platform.http_api import PlatformReplicaControl
 from passgate.quarantine.crash_quarantine import CrashQuarantine
+from passgate.versions.leadership import OrderTerms
 from passgate.versions.loader import Loader, TargetVersions
 from tests.test_clients_curl import raw_server
 
@@ -44,6 +45,10 @@
     def may_order(self):
         return monotonic_s() < self.orders_until_s
 
+    @contextlib.contextmanager
+    def sending_order(self):
+        yield OrderTerms(fence=self.fence, not_sent_after_s=self.orders_until_s)
+
 
 class JournalStub:
     writer = "d.a"
--- a/tests/test_replica_incarnations.py
+++ b/tests/test_replica_incarnations.py
@@ -20,6 +20,7 @@
 from passgate.quarantine.crash_quarantine import CrashQuarantine
 from passgate.versions.loader import Loader, ReplicaReport, TargetVersions, read_incarnation
 from passgate.versions.unconfirmed_orders import UNCONFIRMED_LIFETIME_S
+from tests.leader_daemons import LeaderStub
 
 QUERY = ReplicaQuery(services=frozenset({"s"}), model="m")
 PACKAGE_ROOT = pathlib.Path(__file__).parent.parent / "passgate"
@@ -173,14 +174,6 @@
 # --- load orders -----------------------------------------------------------------------
 
 
-class LeaderStub:
-    fence = 3
-    orders_until_s = float("inf")
-
-    def may_order(self):
-        return True
-
-
 class ReplicaControlStub:
     """Answers with a settable report and records the orders."""
 
--- a/tests/test_versions_leadership.py
+++ b/tests/test_versions_leadership.py
@@ -6,11 +6,17 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import LeadershipLost
 from passgate.duties.meter import FLUSH_INTERVAL_S
+from passgate.eligibility.replica_info import ReplicaInfo
+from passgate.eligibility.topology import Topology
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.jobs.records import UsageCounted, WeightDemand
+from passgate.quarantine.crash_quarantine import CrashQuarantine
 from passgate.versions.leadership import ORDER_LEASE_SHARE, TAKEOVER_MARGIN_S
+from passgate.versions.loader import Loader, ReplicaReport, TargetVersions
 from tests.leader_daemons import LEASE_S, LeaderFleet
 
 CUT_S = 6.0
+CONNECT_S = 1.0
 MAX_TAKEOVER_S = 2 * LEASE_S + TAKEOVER_MARGIN_S
 """A former leader notices the cut within a lease, and is silent for a lease before others take over."""
 
@@ -111,6 +117,45 @@
     assert not former.leadership.leads
 
 
+class SlowReplica:
+    """A replica to which an order leaves only once its connection is ready, after CONNECT_S."""
+
+    def __init__(self):
+        self.left_s = []
+
+    async def report(self, replica_id, address):
+        return ReplicaReport(orders_taken=0, busy=False, model_versions={"m": 1})
+
+    async def order(self, order):
+        await asyncio.sleep(CONNECT_S)
+        self.left_s.append(monotonic_s())
+        return 202
+
+
+@in_fleet
+async def test_a_leader_that_stops_is_replaced_only_after_its_last_order_has_left(fleet):
+    """Guards against an order under the former fence that arrives after one under the next."""
+    former = await fleet.leader()
+    replica = SlowReplica()
+    replicas, targets = ReplicaTable(Topology(zone="z"), seed=1), TargetVersions(former.decisions)
+    replicas.put(
+        ReplicaInfo(replica_id="r", service="s", address="h:1", zone="z", slots=4, model_versions={"m": 1})
+    )
+    targets.offer("m", 2)
+    guard = CrashQuarantine(former.log, "crashes", replicas.eject, former.decisions, None).guard
+    loader = Loader(targets, replicas, former.leadership, replica, former.name, {}, guard, former.decisions)
+    loading = asyncio.create_task(loader.run())
+    await asyncio.sleep(CONNECT_S / 2)
+    released = former.control.release_leadership()
+    assert await fleet.leader() not in (None, former)
+    successor_s = monotonic_s()
+    await released
+    await asyncio.sleep(CONNECT_S)
+    loading.cancel()
+    (left_s,) = replica.left_s
+    assert left_s < successor_s
+
+
 @in_fleet
 async def test_the_leader_keeps_leading_after_an_outage_of_the_log(fleet):
     leader = await fleet.leader()
