sharedlog: a member that has left its group does not join again

Seen: a daemon that stops while the answer to a join is lost is back in its zone's group after the leave, and holds its share of the partitions for 1.2 s, until the membership expires.

Cause: a join is repeated after 0.35 s without an answer; whether the member still wants to join was asked before the first one only.

Evidence: test_sharedlog_silence.py, before: AssertionError: assert 'd' not in dict_values(['d', 'd', 'd', 'd'])

Fix: each send of a join asks it.

--- a/passgate/sharedlog/group.py
+++ b/passgate/sharedlog/group.py
@@ -14,7 +14,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, PartitionsAssigned
-from passgate.errors import LogError
+from passgate.errors import LogError, LogUnavailable
 from passgate.sharedlog.group_membership_policy import ALWAYS_MEMBER_CORES, GroupMembershipPolicy
 from passgate.sharedlog.hedge import call_hedged
 from passgate.sharedlog.log import GroupAssignment, GroupPartition, SharedLog
@@ -122,6 +122,9 @@
         self._assigned_partitions = assigned
 
     async def _send_join(self) -> GroupAssignment:
+        """Send one join; raises LogUnavailable once this member has left, as a join may be repeated later."""
+        if self._has_left:
+            raise LogUnavailable("the member has left the group")
         return await self._log.join(
             self._group,
             self._member,
--- a/tests/test_sharedlog_silence.py
+++ b/tests/test_sharedlog_silence.py
@@ -9,7 +9,7 @@
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import JobCancelled
-from passgate.sharedlog.group import GroupMember
+from passgate.sharedlog.group import JOIN_INTERVAL_S, GroupMember
 from passgate.sharedlog.group_membership_policy import GroupMembershipPolicy
 from passgate.sharedlog.hedge import HEDGE_DELAY_S
 from passgate.sharedlog.tail import RecordTail, TailSettings
@@ -81,3 +81,30 @@
         task.cancel()
 
     run_virtual(main())
+
+
+def test_a_member_that_leaves_while_a_join_is_unanswered_does_not_join_again():
+    """Guards against a hedged join that is sent after the leave and holds partitions for its lifetime."""
+
+    async def main():
+        log = MemorySharedLog()
+        client = log.client("d")
+        member = GroupMember(
+            client,
+            "g",
+            "d",
+            "t",
+            DecisionLog("d", write=len),
+            membership_policy=GroupMembershipPolicy(2.0),
+        )
+        task = asyncio.get_running_loop().create_task(member.run())
+        await asyncio.sleep(1.0)
+        log.faults.silent = True
+        await asyncio.sleep(JOIN_INTERVAL_S + 0.1)  # a join is under way, and its answer is lost
+        log.faults.silent = False
+        await member.leave()
+        await asyncio.sleep(HEDGE_DELAY_S + 0.1)
+        assert "d" not in (await client.members("g")).values()
+        task.cancel()
+
+    run_virtual(main())
