tests: leadership under random faults of single daemons

Each daemon's reads and appends fail independently, pages hold one record, appends take effect up to 5 s late.

--- a/tests/leader_daemons.py
+++ b/tests/leader_daemons.py
@@ -95,8 +95,8 @@
 class LeaderFleet:
     """Daemons on one log, and a record of the moments at which two of them could have sent orders."""
 
-    def __init__(self, count=3):
-        self.log = MemorySharedLog()
+    def __init__(self, count=3, seed=0):
+        self.log = MemorySharedLog(seed)
         self.daemons = [LeaderDaemon(self.log, f"d{number}") for number in range(count)]
         self.rivals = []
         """Loop times at which more than one daemon could send orders, with the daemons' names."""
--- a/tests/test_versions_leadership.py
+++ b/tests/test_versions_leadership.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import itertools
+import random
+
+import pytest
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.decisions import LeadershipLost
 from passgate.duties.meter import FLUSH_INTERVAL_S
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
+from passgate.emulator.shared_log import SharedLogFaults
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.jobs.records import UsageCounted, WeightDemand
 from passgate.quarantine.crash_quarantine import CrashQuarantine
@@ -17,6 +21,8 @@
 
 CUT_S = 6.0
 CONNECT_S = 1.0
+RECOVERY_S = 2.0
+"""Time until appends and reads that were under way during a fault have ended."""
 MAX_TAKEOVER_S = 2 * LEASE_S + TAKEOVER_MARGIN_S
 """A former leader notices the cut within a lease, and is silent for a lease before others take over."""
 
@@ -166,3 +172,47 @@
     returned_s = monotonic_s()
     assert await fleet.leader() is leader
     assert monotonic_s() - returned_s < 1.5
+
+
+def disturb(fleet, rng):
+    """Change the faults of one daemon, or of the log for all."""
+    daemon = rng.choice(fleet.daemons)
+    daemon.log.reads_fail = rng.random() < 0.4
+    daemon.log.appends_fail = rng.random() < 0.3
+    daemon.log.one_record_a_page = rng.random() < 0.5
+    daemon.may_lead = rng.random() < 0.8
+    fleet.log.faults = SharedLogFaults(
+        lost_answers=rng.choice([0.0, 0.0, 0.3]),
+        late_s=(0.0, 5.0),
+        slow_s=rng.choice([0.0, 0.0, 0.3]),
+        refusing=rng.random() < 0.1,
+        silent=rng.random() < 0.1,
+    )
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_random_faults_leave_at_most_one_daemon_that_may_order_and_one_after_they_end(seed):
+    """Guards against two leaders, and against a leadership or entries that nobody can use afterwards."""
+
+    async def main():
+        rng = random.Random(seed)
+        fleet = LeaderFleet(seed=seed)
+        await fleet.leader()
+        counting = [asyncio.create_task(append_counts(daemon.journal)) for daemon in fleet.daemons]
+        for _ in range(20):
+            disturb(fleet, rng)
+            await asyncio.sleep(rng.uniform(0.2, 6.0))
+        fleet.log.faults = SharedLogFaults()
+        for daemon in fleet.daemons:
+            daemon.log.reads_fail = daemon.log.appends_fail = daemon.log.one_record_a_page = False
+            daemon.may_lead = True
+        assert await fleet.leader(MAX_TAKEOVER_S + RECOVERY_S) is not None
+        for task in counting:
+            task.cancel()
+        async with asyncio.timeout(2 * MAX_TAKEOVER_S):
+            for daemon in fleet.daemons:
+                while not daemon.journal.has_no_pending_entries:
+                    await asyncio.sleep(0.01)
+        assert fleet.rivals == []
+
+    run_virtual(main())
