--- a/tests/leader_daemons.py
+++ b/tests/leader_daemons.py
@@ -11,6 +11,7 @@
 from passgate.errors import LogAppendUnknown, LogUnavailable
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import writer_name
+from passgate.sharedlog.log import MAX_PAGE_BYTES
 from passgate.versions.control_topic import ControlTopic
 from passgate.versions.leadership import OrderTerms
 
@@ -42,7 +43,10 @@
         self.appends_fail = False
         self.one_record_a_page = False
 
-    async def read(self, topic, part, start, *, wait_s, max_bytes):
+    def __getattr__(self, name):
+        return getattr(self._client, name)
+
+    async def read(self, topic, part, start, *, wait_s, max_bytes=MAX_PAGE_BYTES):
         if self.reads_fail:
             await asyncio.sleep(ANSWER_TIMEOUT_S)
             raise LogUnavailable("the log did not answer the read")
@@ -61,12 +65,23 @@
         return await self._client.append(topic, part, records, at=at)
 
 
+class FaultyLog(MemorySharedLog):
+    """A log whose clients have faults of their own."""
+
+    def __init__(self, seed=0):
+        super().__init__(seed)
+        self.client_by_name = {}
+
+    def client(self, name):
+        return self.client_by_name.setdefault(name, FaultyLogClient(super().client(name)))
+
+
 class LeaderDaemon:
     """The control topic of one daemon."""
 
     def __init__(self, log, name, projections=()):
         self.name = name
-        self.log = FaultyLogClient(log.client(name))
+        self.log = log.client(name)
         writer = writer_name(name, "0", f"{name}:7720")
         self.journal = Journal(self.log, CONTROL_TOPIC, 0, writer, **JOURNAL_LIMITS)
         self.events = []
@@ -96,7 +111,7 @@
     """Daemons on one log, and a record of the moments at which two of them could have sent orders."""
 
     def __init__(self, count=3, seed=0):
-        self.log = MemorySharedLog(seed)
+        self.log = FaultyLog(seed)
         self.daemons = [LeaderDaemon(self.log, f"d{number}") for number in range(count)]
         self.rivals = []
         """Loop times at which more than one daemon could send orders, with the daemons' names."""
