versions: the decision log tells orders that were not sent from unanswered ones

An order that could not leave, for want of a connection or because its lease had ended, was logged as unanswered, which says that the replica may be loading. It is not_sent now; test_leader_sends.py, before: AssertionError: assert 'unanswered' == 'not_sent'

--- a/passgate/decisions/leader_events.py
+++ b/passgate/decisions/leader_events.py
@@ -40,7 +40,7 @@
     expected: int
     """Number of orders that the replica must have taken so far; prevents that it applies an order twice."""
     outcome: str
-    """HTTP status of the answer, or ``unanswered``."""
+    """HTTP status of the answer, ``unanswered``, or ``not_sent`` if the order certainly did not arrive."""
 
 
 class VersionLoadsSuspended(Event, tag="load_held"):
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -306,7 +306,9 @@
             outcome = str(status)
             return status in ACCEPTED_STATUSES
         except PassgateError as error:
-            if error.execution is not ExecutionStatus.NOT_RUN:
+            if error.execution is ExecutionStatus.NOT_RUN:
+                outcome = "not_sent"
+            else:
                 self._unconfirmed_orders.record(state.incarnation, order.expected, monotonic_s())
             raise
         finally:
--- a/tests/test_leader_sends.py
+++ b/tests/test_leader_sends.py
@@ -92,12 +92,12 @@
 
 @contextlib.asynccontextmanager
 async def run_until_event(event_type, make):
-    """Run what ``make`` returns until it has written a decision event; yield the heads that arrived."""
-    written = asyncio.Event()
+    """Run what ``make`` returns until its first event; yield the heads that arrived and the event."""
+    written = asyncio.get_running_loop().create_future()
 
     def observe(event):
-        if isinstance(event, event_type):
-            written.set()
+        if isinstance(event, event_type) and not written.done():
+            written.set_result(event)
 
     async with raw_server(answer_and_close) as (raw, http, url):
         lease = EndingLease()
@@ -105,8 +105,8 @@
         address = url.removeprefix("http://").rstrip("/")
         running = asyncio.create_task(make(http, address, lease, decisions).run())
         async with asyncio.timeout(10.0):
-            await written.wait()
-        yield raw.heads
+            event = await written
+        yield raw.heads, event
         running.cancel()
 
 
@@ -164,15 +164,16 @@
 
 
 async def test_a_load_order_does_not_leave_after_the_end_of_the_lease():
-    async with run_until_event(LoadOrderSent, make_loader) as heads:
+    async with run_until_event(LoadOrderSent, make_loader) as (heads, event):
         assert [head for head in heads if head.startswith(b"POST")] == []
+        assert event.outcome == "not_sent"
 
 
 async def test_a_usage_report_does_not_leave_after_the_end_of_the_lease():
-    async with run_until_event(UsageReportSent, make_reporter) as heads:
+    async with run_until_event(UsageReportSent, make_reporter) as (heads, _):
         assert heads == []
 
 
 async def test_an_order_of_replicas_does_not_leave_after_the_end_of_the_lease():
-    async with run_until_event(ReplicaCountOrderSent, make_scaler) as heads:
+    async with run_until_event(ReplicaCountOrderSent, make_scaler) as (heads, _):
         assert heads == []
