daemon: a stop leaves the group without waiting for orders under way

Since the release of the leadership waits for orders that are under way, a leader that stops while a replica does not answer an order left its zone's group up to 1.5 s later, and nobody watched its partitions meanwhile.

The group is left when the release of the jobs is on the log, as the two have nothing to do with each other.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -463,13 +463,17 @@
             self.decisions.write(DependencyRegained(dependency="log"))
 
     async def _release_ownership(self) -> None:
-        """Release jobs and leadership on the log, then leave the group that watches partitions.
+        """Release jobs and leadership on the log, and leave the group that watches partitions.
 
-        Waits for at most RELEASE_TIMEOUT_S until the release is on the log.
+        Leaves the group once the release of the jobs is on the log, or after RELEASE_TIMEOUT_S; that of the
+        leadership may take longer, as orders that are under way end first.
         """
-        confirmations = [*self.job_partitions.stop(), self._control_topic.release_leadership()]
-        await asyncio.wait(confirmations, timeout=RELEASE_TIMEOUT_S)
+        leadership_released = self._control_topic.release_leadership()
+        jobs_released = self.job_partitions.stop()
+        if jobs_released:
+            await asyncio.wait(jobs_released, timeout=RELEASE_TIMEOUT_S)
         await self._group_member.leave()
+        await asyncio.wait([leadership_released], timeout=RELEASE_TIMEOUT_S)
 
     async def _flush_usage(self) -> None:
         if self._duties is not None:
--- a/tests/test_stop_release.py
+++ b/tests/test_stop_release.py
@@ -1,10 +1,14 @@
-"""A planned stop while the log takes a daemon's appends but does not answer its reads, in virtual time."""
+"""What a daemon that stops releases, and when, while the log or a replica is hard to reach."""
 
 import asyncio
 
 from passgate.clock import monotonic_s, run_virtual
+from passgate.errors import BackendUnreachable, ExecutionStatus
+from passgate.platform.http_api import ORDER_TIMEOUT_S
+from tests import fake_platform
 from tests.job_daemons import ITEM_S, TAKEOVER_LIMIT_S, job_spec, start_daemons
 from tests.leader_daemons import FaultyLog
+from tests.test_platform_daemon import in_world
 
 CLAIM_S = 3.5
 """Time until the watcher has found the owner dead and has queued its claim."""
@@ -50,3 +54,25 @@
         assert claimer.job_partitions.running_jobs == 0
 
     run_virtual(main())
+
+
+@in_world
+async def test_a_leader_that_stops_leaves_its_group_without_waiting_for_its_orders(world):
+    """Guards against jobs that no daemon watches while an order waits for a replica that does not answer."""
+    world.replica("i-1", "llm", models={"m": 1}.items())
+    world.configure(1, fake_platform.batch_route())
+    await world.start()
+    order_started, order_ended = asyncio.Event(), asyncio.Event()
+
+    async def wait_for_replica(order):
+        order_started.set()
+        await asyncio.sleep(ORDER_TIMEOUT_S)
+        order_ended.set()
+        raise BackendUnreachable("no answer", execution=ExecutionStatus.UNKNOWN)
+
+    world.daemon._version_loader._control.order = wait_for_replica
+    world.log.put("keyed.op", "version/m", {"model": "m", "version": 2})
+    await asyncio.wait_for(order_started.wait(), 8.0)
+    world.daemon.stop()
+    await world.until(lambda: not world.log.groups.holders(world.daemon._group_member._group))
+    assert not order_ended.is_set()
