--- a/tests/leader_daemons.py
+++ b/tests/leader_daemons.py
@@ -1,6 +1,7 @@
 """Daemons that take part in the election of the leader, each with faults of its own towards the log."""
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from passgate.jobs.records import writer_name
 from passgate.sharedlog.log import MAX_PAGE_BYTES
 from passgate.versions.control_topic import ControlTopic
+from passgate.versions.leadership import OrderTerms
 
 CONTROL_TOPIC = "control"
 JOURNAL_LIMITS = {"record_bytes": 262_144, "append_bytes": 2_000_000}
@@ -19,6 +21,19 @@
 OBSERVATION_STEP_S = 0.02
 
 
+class LeaderStub:
+    """The lease of a leader that never loses it."""
+
+    fence = 3
+
+    def may_order(self):
+        return True
+
+    @contextlib.contextmanager
+    def sending_order(self):
+        yield OrderTerms(fence=self.fence, not_sent_after_s=float("inf"))
+
+
 class FaultyLogClient:
     """A daemon's client of the log, whose reads and appends can fail independently of each other."""
 
