gateway: reject a plain request at once if no listed replica may serve it

Callers whose request no listed replica could serve were held for a fifth of the route's target latency before the 503: no replica of the service was listed, or all were leaving, in evacuated zones, outside the allowed regions, ejected for longer than the wait, or had refused this very request.

Cause: the wait for a usable replica did not ask whether one may become usable in that time.

Tests seen failing before (tests/test_gateway_refusals.py, virtual time): assert 0.4 == 0.0 (no replica listed, and five more cases) assert 0.43 <= 0.02 (the only replica refused) assert 0.58 <= 0.5 (callers of a daemon without replicas, served elsewhere)

What may still change in the wait is waited for as before: a replica held off after a refusal, and a cold one without a permit. Streams were rejected at once before.

--- a/passgate/eligibility/rules.py
+++ b/passgate/eligibility/rules.py
@@ -101,6 +101,12 @@
         self._count_exclusion(rule, context, CheckStage.CHOICE)
         return False
 
+    def allows_apart_from(
+        self, ignored: SendRule, replica: ReplicaInfo, context: SendContext, now_s: float
+    ) -> bool:
+        """Whether all rules but ``ignored`` allow a send; counts no exclusion."""
+        return all(rule is ignored or rule.allows(replica, context, now_s) for rule in self._rules)
+
     def admit(self, replica: ReplicaInfo, context: SendContext, now_s: float) -> float | None:
         """Check a send just before it happens, and record it with each rule if all allow it.
 
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -122,12 +122,18 @@
         return True
 
     async def _wait_for_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
-        """Return a usable replica; None if there is none in a short wait or the time is over."""
+        """Return a usable replica; None if there is none in a short wait or the time is over.
+
+        Does not wait if no listed replica may become usable in that time.
+        """
         wait_until_s = monotonic_s() + REPLICA_WAIT_SHARE * forwarding.route.target_latency_s
         while not forwarding.is_time_over:
             state = self._choose_replica(forwarding)
-            if state is not None or monotonic_s() >= wait_until_s:
+            now_s = monotonic_s()
+            if state is not None or now_s >= wait_until_s:
                 return state
+            if not self._replicas.may_become_usable(self._replica_query(forwarding), now_s, wait_until_s):
+                return None
             await asyncio.sleep(REPLICA_POLL_INTERVAL_S)
         return None
 
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -195,13 +195,15 @@
         if self._send_context(forwarding).allowed_regions == frozenset() and not forwarding.may_have_run:
             raise NoRegionAllowed("route and tenant allow no region in common")
 
-    def _choose_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
-        query = ReplicaQuery(
+    def _replica_query(self, forwarding: ForwardedRequest) -> ReplicaQuery:
+        return ReplicaQuery(
             services=frozenset({forwarding.service}),
             excluded=frozenset(forwarding.tried_replicas),
             send_context=self._send_context(forwarding),
         )
-        return self._replicas.choose(query, monotonic_s())
+
+    def _choose_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
+        return self._replicas.choose(self._replica_query(forwarding), monotonic_s())
 
     def _replica_request(self, forwarding: ForwardedRequest) -> ReplicaRequest:
         request = forwarding.request
--- a/passgate/gateway/replica_table.py
+++ b/passgate/gateway/replica_table.py
@@ -244,6 +244,19 @@
             self._cold_rule.claim_permit(best.info, query.send_context, now_s)
         return best
 
+    def may_become_usable(self, query: ReplicaQuery, now_s: float, until_s: float) -> bool:
+        """Whether a listed replica that matches a query may become usable before a loop time.
+
+        A replica may, if it only lacks a permit or if its exclusion for failures or refusals ends in time.
+        """
+        candidates = [
+            state.incarnation
+            for state in self._state_by_incarnation.values()
+            if self._matches(state, query, now_s)
+            and self.send_rules.allows_apart_from(self._cold_rule, state.info, query.send_context, now_s)
+        ]
+        return bool(self.health.filter_usable(candidates, until_s))
+
     def _request_permits(self, query: ReplicaQuery, now_s: float) -> None:
         """Request permits for the cold replicas that match a query and are not ejected."""
         states = self._state_by_incarnation.values()
