gateway: no retry or resumed stream on a configuration that has expired

A daemon that is set to fail closed refused new requests once its configuration was unconfirmed for too long, but went on to send accepted ones again: retries, hedges and resumed streams, whose keys might have been revoked minutes before.

Cause: the age of the configuration was asked on arrival only; before further sends the key was looked up again only if a newer configuration had arrived.

The check before each attempt now asks for the age as well: 503 for a request that has not run, otherwise the answer that the attempts so far allow.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -111,6 +111,7 @@
         self.decisions = DecisionLog(settings.daemon_id, observe=self.metrics.observe)
         log = InstrumentedLog(log, self.metrics.count_log_call)
         self.config_holder = ConfigHolder(settings.topology)
+        self.config_holder.is_expired = lambda: self.configuration_expired
         self.evacuated_zones = EvacuatedZones(self.decisions)
         self.replicas = make_replica_table(settings, self.config_holder, self.evacuated_zones, self.metrics)
         self.target_versions = TargetVersions(self.decisions)
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -17,6 +17,7 @@
     NoRegionAllowed,
     NoReplicaAvailable,
     NoReplicaInRegions,
+    NotReady,
     ReplicaReplaced,
     Unauthorized,
 )
@@ -147,10 +148,16 @@
         )
 
     def _recheck_api_key(self, forwarding: ForwardedRequest) -> None:
-        """Authenticate the caller again if the configuration has changed; raises Unauthorized.
+        """Check the caller's API key and the age of the configuration; called before each attempt.
 
-        Called before each attempt, so that no run starts with a key that was revoked meanwhile.
+        So no run starts with a key that was revoked meanwhile, or that may have been.
+
+        Raises:
+            Unauthorized: the key is no longer valid.
+            NotReady: the configuration has expired.
         """
+        if self._config_holder.is_expired():
+            raise NotReady("the configuration is too old to be used", execution=ExecutionStatus.NOT_RUN)
         table = self._config_holder.table
         if table is None or table.config.version == forwarding.configuration_version:
             return
@@ -174,13 +181,13 @@
         return True
 
     def _is_still_authorized(self, forwarding: ForwardedRequest) -> bool:
-        """Whether the caller's API key is still valid.
+        """Whether :meth:`_recheck_api_key` finds nothing.
 
-        Used for a request that may have run, for which Unauthorized would falsely claim "not run".
+        Used for a request that may have run, for which its errors would falsely claim "not run".
         """
         try:
             self._recheck_api_key(forwarding)
-        except Unauthorized:
+        except (NotReady, Unauthorized):
             return False
         return True
 
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -13,6 +13,7 @@
 import enum
 import itertools
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -198,12 +199,19 @@
             raise InvalidConfiguration("an allowed region is not known", holder=owner.name, region=region)
 
 
+def never_expires() -> bool:
+    """Return False: the configuration may be used whatever its age."""
+    return False
+
+
 class ConfigHolder:
     """Holds the active configuration; its version never decreases."""
 
     def __init__(self, topology: Topology | None = None) -> None:
         """Start without a configuration; ``topology`` is passed to each :class:`RouteTable`."""
         self.table: RouteTable | None = None
+        self.is_expired: Callable[[], bool] = never_expires
+        """Returns whether the configuration is too old to be used for a send; the daemon sets it."""
         self._topology = topology
 
     @property
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -11,7 +11,7 @@
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
 from passgate.errors import BackendUnreachable, ExecutionStatus, PassgateError, SendTooLate
-from passgate.gateway.access import Caller
+from passgate.gateway.access import Caller, Tenant
 from passgate.gateway.forwarder import Forwarder
 from passgate.gateway.header_names import HeaderNames
 from passgate.gateway.messages import IncomingRequest
@@ -21,6 +21,7 @@
 from passgate.gateway.stream_forwarder import StreamForwarder
 
 HOST, SERVICE, ZONE = "h", "s", "z"
+KEY = "key"
 NAMES = HeaderNames(**{name: f"X-{name.replace('_', '-')}" for name in HeaderNames.__struct_fields__})
 TARGET_LATENCY_S = 2.0
 
@@ -173,27 +174,34 @@
         if script is not None:
             self.http.script_by_address[f"{name}:1"] = script
 
-    def configure(self, **fields):
-        """Apply a configuration with one route and return the route."""
+    def configure(self, *, version=1, tenants=(), **fields):
+        """Apply a configuration with one route, and tenants that all have the key KEY; return the route."""
         fields = {"kind": RouteKind.SAFE, "target_latency_s": TARGET_LATENCY_S, "max_attempts": 4} | fields
         route = Route(name="r", host=HOST, path_prefix="/", parts=(WeightedService(SERVICE, 1),), **fields)
-        self.config_holder.apply_if_newer(GatewayConfig(version=1, routes=(route,)))
+        configured = tuple(Tenant(name=name, api_keys=(KEY,)) for name in tenants)
+        config = GatewayConfig(version=version, routes=(route,), tenants=configured)
+        self.config_holder.apply_if_newer(config)
         return route
 
-    async def forward(self, route, *, deadline_s=3.0, **fields):
+    async def forward(self, route, *, deadline_s=3.0, tenant=None, **fields):
         """Forward a request that has just arrived; return the answer, whose stream is not read yet."""
+        headers = {
+            NAMES.deadline_ms: str(int(deadline_s * 1000)),
+            NAMES.request_id: "q",
+            "Authorization": f"Bearer {KEY}",
+        }
         request = IncomingRequest(
             method="POST",
             path="/a",
             host=HOST,
-            headers=((NAMES.deadline_ms, str(int(deadline_s * 1000))), (NAMES.request_id, "q")),
+            headers=tuple(headers.items()),
             body=b"b",
             received_s=monotonic_s(),
             **fields,
         )
         streaming = route.kind is RouteKind.STREAMING
         forwarder = self.stream_forwarder if streaming else self.forwarder
-        return await forwarder.forward(request, route, Caller())
+        return await forwarder.forward(request, route, Caller(tenant=tenant))
 
 
 def connection_lost():
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -5,6 +5,7 @@
 import time
 from unittest import mock
 
+import msgspec
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
@@ -128,6 +129,35 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
+def test_a_request_is_not_sent_again_once_the_configuration_has_expired(fields):
+    """Guards against retries and resumed streams with a key that may have been revoked meanwhile."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1", Script(answer_s=0.5, error=connection_lost()))
+        world.add_replica("r2", Script(answer_s=0.5, error=connection_lost()))
+        world.config_holder.is_expired = lambda: monotonic_s() > 0.4
+        with pytest.raises(PassgateError) as caught:
+            await world.forward(world.configure(**fields, target_latency_s=10.0))
+        assert caught.value.http_status == 502
+        assert [sent.at_s for sent in world.sent] == [0.0]
+
+    run_virtual(main())
+
+
+@in_world
+async def test_a_daemon_that_fails_closed_lets_its_configuration_expire_for_sends(world):
+    world.configure(1, fake_platform.safe_route())
+    await world.start(ready=False)
+    await world.until(lambda: world.daemon.config_holder.table)
+    settings = world.daemon.settings
+    world.daemon.settings = msgspec.structs.replace(settings, fail_closed=True, configuration_age_s=1.5)
+    assert not world.daemon.config_holder.is_expired()
+    world.log.faults.silent = True
+    await world.until(world.daemon.config_holder.is_expired, timeout_s=5.0)
+
+
 CALLER_COUNT = 5
 
 
