gateway: a key that has passed to another tenant runs nothing for the former

When the operator gave an API key to another tenant while a request of it was under way, its retries, hedges and resumed streams ran for the former tenant, with its name and regions.

Cause: the key was looked up again before each attempt, but only whether it is valid, not whose it is.

Test seen failing before (tests/test_gateway_sends.py, virtual time): assert [0.0, 0.5] == [0.0]

Such a request is answered 503 if it has not run, so its caller comes back and is served as the tenant that the key belongs to now.

--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -154,14 +154,16 @@
 
         Raises:
             Unauthorized: the key is no longer valid.
-            NotReady: the configuration has expired.
+            NotReady: the configuration has expired, or the key belongs to another tenant by now.
         """
         if self._config_holder.is_expired():
             raise NotReady("the configuration is too old to be used", execution=ExecutionStatus.NOT_RUN)
         table = self._config_holder.table
         if table is None or table.config.version == forwarding.configuration_version:
             return
-        table.api_key_index.authenticate(forwarding.request.headers, public=forwarding.route.public)
+        caller = table.api_key_index.authenticate(forwarding.request.headers, public=forwarding.route.public)
+        if caller.tenant != forwarding.caller.tenant:
+            raise NotReady("the API key belongs to another tenant now", execution=ExecutionStatus.NOT_RUN)
         forwarding.configuration_version = table.config.version
 
     async def _passes_quarantine(self, forwarding: ForwardedRequest) -> bool:
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -11,7 +11,7 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
-from passgate.errors import DeadlineExceeded, ExecutionStatus, PassgateError, SendTooLate
+from passgate.errors import BackendRefused, DeadlineExceeded, ExecutionStatus, PassgateError, SendTooLate
 from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import RouteKind
@@ -146,6 +146,25 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
+def test_a_request_is_not_sent_again_for_the_former_tenant_of_its_key(fields):
+    async def main():
+        world = GatewayWorld()
+        refusal = BackendRefused("full", execution=ExecutionStatus.NOT_RUN, status=503)
+        world.add_replica("r1", Script(answer_s=0.5, error=refusal))
+        world.add_replica("r2", Script(answer_s=0.5, error=refusal))
+        route = world.configure(**fields, target_latency_s=10.0, tenants=("orchard",))
+        call = asyncio.create_task(world.forward(route, tenant="orchard"))
+        await asyncio.sleep(0.1)
+        world.configure(**fields, target_latency_s=10.0, tenants=("mill",), version=2)
+        with pytest.raises(PassgateError) as caught:
+            await call
+        assert caught.value.http_status == 503
+        assert [sent.at_s for sent in world.sent] == [0.0]
+
+    run_virtual(main())
+
+
 @in_world
 async def test_a_daemon_that_fails_closed_lets_its_configuration_expire_for_sends(world):
     world.configure(1, fake_platform.safe_route())
