gateway: test that daemons without the log do not confirm each other's views

The ages of configurations and evacuated zones that pass through several daemons were sound: each answer is dated back to its query and the age that the peer names. Until now no test showed it; this one passed at once.

--- a/tests/test_gateway_peer_configuration.py
+++ b/tests/test_gateway_peer_configuration.py
@@ -140,3 +140,28 @@
             assert (answer.config.version if answer.config else None) == expected
 
     run_virtual(main())
+
+
+def test_daemons_without_the_log_do_not_confirm_each_others_views():
+    """Guards against ages that count from an answer or restart at a hop: old views would stay young."""
+
+    async def main():
+        _, daemons = make_daemons(4)
+        publish(daemons, make_config(1))
+        for daemon in daemons:
+            daemon.evacuated_zones.apply_snapshot(set(), next_offset=1)
+        tasks = [daemon.start() for daemon in daemons]
+        cut_off_s = monotonic_s()
+        for delay_s, daemon in enumerate(daemons):
+            daemon.cut_off_s = cut_off_s + 0.5 * delay_s
+        last_cut_off_s = daemons[-1].cut_off_s
+        for _ in range(40):
+            await asyncio.sleep(0.5)
+            for daemon in daemons:
+                true_age_s = monotonic_s() - last_cut_off_s
+                assert daemon.peers.configuration_age_s() >= true_age_s
+                assert daemon.peers.evacuations_age_s() >= true_age_s
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(main())
