discovery: parts of the list are applied after the changes since them

A daemon that had just started could send to replicas that had said that they leave up to 32 s before: between the reading of the list's parts and of the changes since they were written, they stood in its table as ready. That was milliseconds on a fast log, and 10 s or more on one that answers slowly with pages of one record. Such a daemon is not ready, but it may own jobs, and the platform uses daemons that are not ready when most of a zone's are not.

Cause: parts were applied as soon as they were read. Parts and changes name their offsets, so their order does not matter for the result.

Test seen failing before (tests/test_discovery.py, virtual time), here shortened: AssertionError: assert not ({'r0', 'r1', ...} & {'r0', 'r12', 'r15', ...})

The parts now wait until the changes were read to their end.

--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -76,6 +76,8 @@
         """Whether the list was read and no change has been missed since."""
         self._next_load_s = NEVER_S
         """Loop time at which the list is read next."""
+        self._unapplied_parts: list[ListPart] = []
+        """Parts that were read, but not yet the changes since they were written."""
         self._last_relay = ""
         """The relay that appended the last record."""
         self._next_offset = 0
@@ -115,10 +117,13 @@
             self._next_load_s = now_s + RELOAD_INTERVAL_S
             await self._load_parts()
         self._tail.set_following(True)
+        if self._is_reading_live():
+            self._apply_parts()
 
     def stop(self) -> None:
         """Stop following; the list is read again when following resumes."""
         self._tail.set_following(False)
+        self._unapplied_parts.clear()
         self.is_complete = False
         self._next_load_s = self._last_contact_s = NEVER_S
 
@@ -133,8 +138,7 @@
             logger.info("replica_list_not_read", extra={"error": str(error)})
             return
         parts = [part for record in snapshot.records if (part := self._decode_part(record)) is not None]
-        for part in parts:
-            self._apply_part(part)
+        self._unapplied_parts = parts
         if {part.part for part in parts} != set(range(LIST_PARTS)):
             return  # the next attempt is made after RELOAD_INTERVAL_S
         self._next_load_s = monotonic_s() + self._rng.uniform(*RESYNC_INTERVAL_RANGE_S)
@@ -157,6 +161,15 @@
         for _ in range(count):
             self._view.unusable_entries.record(key, "a replica in it could not be decoded", monotonic_s())
 
+    def _apply_parts(self) -> None:
+        """Apply the parts that were read; called once all changes since they were written are applied.
+
+        Otherwise replicas that are draining or gone by a change would be in use until it is read.
+        """
+        for part in self._unapplied_parts:
+            self._apply_part(part)
+        self._unapplied_parts.clear()
+
     def _apply_part(self, part: ListPart) -> None:
         listed = {update.replica_id for update in part.replicas}
         for replica_id in self._view.replica_ids():
@@ -168,6 +181,7 @@
     def _apply_page(self, page: LogPage) -> None:
         if page.start != self._next_offset:
             self.is_complete = False
+            self._unapplied_parts.clear()
             self._next_load_s = monotonic_s() + RELOAD_INTERVAL_S
         self._next_offset = page.next_offset
         is_new = self._is_reading_live()
@@ -183,6 +197,8 @@
             self._on_changes(changes, is_new)
             if is_new:
                 self._record_relay_alive(changes.relay)
+        if page.next_offset >= page.end:
+            self._apply_parts()
 
     def _is_reading_live(self) -> bool:
         """Whether records that are read now were appended just now, not during an outage of the log."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -494,3 +494,34 @@
             await node.kill()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(("slow_s", "single_records"), [(0.0, False), (0.0, True), (0.2, True)])
+def test_a_daemon_that_starts_lists_no_replica_as_ready_that_is_draining(slow_s, single_records):
+    """Guards against sends after the list's parts were read and before the changes since then were."""
+
+    async def main():
+        log = MemorySharedLog()
+        drained = set()
+        writing = asyncio.create_task(rewrite_entries(log, 60, drained, set()))
+        nodes = [Node(log, number) for number in range(ZONES)]
+        await asyncio.sleep(40.0)
+        drained.update(range(0, 60, 3))
+        await asyncio.sleep(MAX_PROPAGATION_S)
+        log.faults = SharedLogFaults(slow_s=slow_s)
+        started = Node(
+            log,
+            50,
+            relays=False,
+            wrap_client=lambda client: WrappedClient(client, single_records=single_records),
+        )
+        while not started.discovery.loaded:
+            await asyncio.sleep(0.001)
+            ready = [state for state in started.replica_table.all() if not state.info.draining]
+            assert not {state.info.replica_id for state in ready} & {f"r{number}" for number in drained}
+        assert len(started.replica_table.all()) == 60
+        writing.cancel()
+        for node in [*nodes, started]:
+            await node.kill()
+
+    run_virtual(main())
