gateway: a stream's own silence is not judged by the daemon's suspension

After a suspension, or a pause of the event loop, of 1.2 s or more, every resumable stream of a daemon was run again at another replica, whose prompt had to be read anew, and a stream whose head had arrived past the route's timeout got a 504 although its caller still waited.

Cause: when the loop goes on, the timer and the data that arrived meanwhile are due in the same round; the timer cancels the wait for data that is there.

wait_until looks once more, without waiting, for what has arrived when the timer fires.

--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -28,6 +28,7 @@
 from passgate.gateway.replica_client import ReplicaAnswer, ReplicaAttempt, end_to_end_headers
 from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery
 from passgate.gateway.routes import Route
+from passgate.gateway.timeouts import wait_until
 
 OK_STATUS = 200
 HEAD_TIMEOUT_FACTOR = 3.0
@@ -78,12 +79,12 @@
         """Return an attempt whose head has arrived; raises PassgateError if no replica sends one."""
         while True:
             attempt = await self._start_attempt(stream)
-            timeout_s = stream.answer_by_s - monotonic_s()
+            head_by_s = stream.answer_by_s
             if stream.route.resumable and stream.may_be_sent_again:
-                timeout_s = min(timeout_s, HEAD_TIMEOUT_FACTOR * stream.route.target_latency_s)
+                head_timeout_s = HEAD_TIMEOUT_FACTOR * stream.route.target_latency_s
+                head_by_s = min(head_by_s, monotonic_s() + head_timeout_s)
             try:
-                async with asyncio.timeout(max(timeout_s, 0.0)):
-                    await attempt.wait_for_head()
+                await wait_until(head_by_s, attempt.wait_for_head)
                 return attempt
             except TimeoutError as error:
                 attempt.record_timeout()
@@ -177,8 +178,7 @@
         count = 0
         last_event_s = 0.0
         while True:
-            async with asyncio.timeout(self._read_timeout_s(stream)):
-                data = await attempt.read()
+            data = await wait_until(self._read_by_s(stream), attempt.read)
             if not data:
                 break
             *complete, pending = (pending + data.replace(b"\r\n", b"\n")).split(EVENT_SEPARATOR)
@@ -216,9 +216,11 @@
         )
         return self._replicas.has_faster(attempt.incarnation, query, monotonic_s())
 
-    def _read_timeout_s(self, stream: ForwardedRequest) -> float:
-        left_s = max(stream.answer_by_s - monotonic_s(), 0.0)
-        return min(left_s, EVENT_TIMEOUT_S) if stream.may_be_sent_again and stream.route.resumable else left_s
+    def _read_by_s(self, stream: ForwardedRequest) -> float:
+        """Return the loop time until which the next data of a stream is awaited."""
+        if not stream.may_be_sent_again or not stream.route.resumable:
+            return stream.answer_by_s
+        return min(stream.answer_by_s, monotonic_s() + EVENT_TIMEOUT_S)
 
     def _end_with_error(self, stream: ForwardedRequest, reason: str) -> PassgateError:
         """Write the decision line of the request's end and return the error to raise."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -154,11 +154,15 @@
     """A plain and a streaming forwarder with their replica table."""
 
     def __init__(self):
-        self.http = ScriptedHttp()
         self.replicas = ReplicaTable(Topology(zone=ZONE), seed=1)
         self.crash_guard = ScriptedCrashGuard()
         self.config_holder = ConfigHolder(Topology(zone=ZONE))
-        client = ReplicaClient(self.http, self.replicas, NAMES, self.crash_guard)
+        self.use_http(ScriptedHttp())
+
+    def use_http(self, http):
+        """Send requests through another HTTP client."""
+        self.http = http
+        client = ReplicaClient(http, self.replicas, NAMES, self.crash_guard)
         parts = (client, self.replicas, NAMES, DecisionLog("d", write=len), self.config_holder)
         self.forwarder = Forwarder(*parts)
         self.stream_forwarder = StreamForwarder(*parts)
