gateway: the types of a request to a replica get a module of their own

Nothing changes; jobs may go on importing ReplicaRequest and ReplicaAnswer from replica_client, which uses them.

--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -24,7 +24,8 @@
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarder_base import ForwardedRequest, ForwarderBase, no_replica_error
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, error_status
-from passgate.gateway.replica_client import ReplicaAnswer, cancel_and_wait, end_to_end_headers
+from passgate.gateway.replica_client import cancel_and_wait
+from passgate.gateway.replica_request import ReplicaAnswer, end_to_end_headers
 from passgate.gateway.replica_table import ReplicaState
 from passgate.gateway.routes import Route
 
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -25,7 +25,8 @@
 from passgate.gateway.access import Caller
 from passgate.gateway.header_names import HeaderNames
 from passgate.gateway.messages import IncomingRequest
-from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
+from passgate.gateway.replica_client import ReplicaClient
+from passgate.gateway.replica_request import ReplicaRequest
 from passgate.gateway.replica_table import ReplicaQuery, ReplicaState, ReplicaTable
 from passgate.gateway.routes import ConfigHolder, Route, RouteKind, WeightedServicePicker
 from passgate.quarantine.identity import RequestIdentity
--- a/passgate/gateway/replica_table.py
+++ b/passgate/gateway/replica_table.py
@@ -48,8 +48,6 @@
 when an answer of the replica arrives."""
 LOADING_SCORE_PENALTY = 3.0
 """Added to the score of a replica that is probably loading weights."""
-
-
 FULL_LOAD = 1.0
 """Load of a replica whose slots are all occupied."""
 
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -25,7 +25,8 @@
 from passgate.gateway.access import Caller
 from passgate.gateway.forwarder_base import ForwardedRequest, ForwarderBase
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_status
-from passgate.gateway.replica_client import ReplicaAnswer, ReplicaAttempt, end_to_end_headers
+from passgate.gateway.replica_client import ReplicaAttempt
+from passgate.gateway.replica_request import ReplicaAnswer, end_to_end_headers
 from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery
 from passgate.gateway.routes import Route
 from passgate.gateway.timeouts import wait_until
--- a/tests/test_cold_send.py
+++ b/tests/test_cold_send.py
@@ -14,7 +14,8 @@
 from passgate.eligibility.topology import Topology
 from passgate.errors import AnswerMismatch, BackendRefused, ExecutionStatus, SendTooLate
 from passgate.gateway.header_names import HeaderNames
-from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
+from passgate.gateway.replica_client import ReplicaClient
+from passgate.gateway.replica_request import ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
 from tests.test_clients_curl import raw_server, reply_ok
 
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -12,7 +12,8 @@
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
 from passgate.errors import BackendRefused, DeadlineExceeded, ExecutionStatus, PassgateError, SendTooLate
-from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
+from passgate.gateway.replica_client import ReplicaClient
+from passgate.gateway.replica_request import ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import RouteKind
 from tests import fake_platform
