gateway: a connect that times out while the daemon pauses ejects no replica

After a suspension or a blocked event loop of 0.6 s or more, a daemon held each replica to which it had just been connecting for unreachable: it sent nothing there for a second and counted it as possibly cold, and refused its callers with 503 if that were all.

Cause: the HTTP client's timeout of a connect counts the daemon's own pause; when it goes on, a connection that the kernel has opened counts as timed out. Seen with a raw server and a loop blocked for 0.8 s in the middle of the connect: BackendUnreachable "Connection timed out after 803 milliseconds", usable [].

Test seen failing before (tests/test_gateway_suspension.py): FAILED test_a_replica_is_not_ejected_for_a_connection_that_timed_out_during_a_suspension assert False

A failed connect that is noticed more than 0.15 s after its timeout is no longer taken as a failure of the replica. The request goes on elsewhere as before, as it certainly did not run.

--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -35,6 +35,8 @@
 CONNECT_TIMEOUT_S = 0.6
 """Timeout of a new connection; below the 1 s after which TCP repeats a lost SYN, so a new attempt is
 faster."""
+MAX_LOOP_DELAY_S = 0.15
+"""Delay beyond CONNECT_TIMEOUT_S from which on a failed connect is put down to a pause of this daemon."""
 REPLICA_REFUSAL_STATUSES = frozenset({421, 429, 503, 400})
 """Statuses that count as a refusal if the header ``not_executed`` confirms that the request did not run."""
 MISDIRECTED_STATUS = 421
@@ -176,8 +178,7 @@
         except SendTooLate:
             raise  # the replica was reached, so this counts neither as its failure nor as a crash
         except PassgateError as error:
-            self._record_failure(unreachable=error.execution is ExecutionStatus.NOT_RUN)
-            self._report_possible_crash(error)
+            self._record_missing_head(error)
             raise
         if self._transfer.connect_duration_s is not None:
             zone = self._state.info.zone
@@ -202,6 +203,19 @@
         self._state.record_answer_start()
         return status
 
+    def _record_missing_head(self, error: PassgateError) -> None:
+        """Record the failure of an attempt without a head, unless it says nothing about the replica.
+
+        If a connection could not be opened and this is noticed too late, the event loop was blocked or the
+        machine suspended meanwhile.
+        """
+        unreachable = error.execution is ExecutionStatus.NOT_RUN
+        elapsed_s = monotonic_s() - self.started_s
+        if unreachable and elapsed_s > CONNECT_TIMEOUT_S + MAX_LOOP_DELAY_S:
+            return
+        self._record_failure(unreachable=unreachable)
+        self._report_possible_crash(error)
+
     def _raise_refusal(self, status: int) -> None:
         """Raise BackendRefused, or ReplicaReplaced for status 421; both say that the request did not run.
 
--- a/tests/test_gateway_suspension.py
+++ b/tests/test_gateway_suspension.py
@@ -9,8 +9,12 @@
 import pytest
 
 from passgate.clients.curl import HttpClient
+from passgate.clock import monotonic_s, run_virtual
+from passgate.errors import BackendUnreachable, ExecutionStatus, PassgateError
+from passgate.gateway.replica_client import CONNECT_TIMEOUT_S
 from passgate.gateway.routes import RouteKind
-from tests.gateway_world import NAMES, GatewayWorld
+from tests.gateway_world import NAMES, GatewayWorld, Script
+from tests.test_suspended_machine import run_on_suspendable_loop
 
 SUSPENDED_S = 1.5
 """Longer than any timeout of the forwarders in these tests."""
@@ -96,3 +100,34 @@
         asyncio.get_running_loop().call_later(0.2, time.sleep, SUSPENDED_S)
         assert (await call).status == 200
         assert sum(replica.request_count for replica in replicas) == 1
+
+
+def connect_timeout():
+    return BackendUnreachable("connection timed out", execution=ExecutionStatus.NOT_RUN)
+
+
+async def is_usable_after_failed_connect(connect_s, suspend):
+    """Send a request whose connection times out, and return whether its replica is still usable."""
+    world = GatewayWorld()
+    world.add_replica("r1", Script(answer_s=connect_s, error=connect_timeout()))
+    call = asyncio.create_task(world.forward(world.configure(kind=RouteKind.UNSAFE)))
+    await asyncio.sleep(connect_s / 2)
+    suspend()
+    with pytest.raises(PassgateError):
+        await call
+    incarnation = world.replicas.get("r1").incarnation
+    return bool(world.replicas.health.filter_usable([incarnation], monotonic_s()))
+
+
+@run_on_suspendable_loop
+async def test_a_replica_is_not_ejected_for_a_connection_that_timed_out_during_a_suspension(loop):
+    """Guards against a daemon that refuses all requests after its own pause."""
+
+    def suspend():
+        loop.suspended_s += CONNECT_TIMEOUT_S + 0.3
+
+    assert await is_usable_after_failed_connect(0.05, suspend)
+
+
+def test_a_replica_is_ejected_for_a_connection_that_timed_out():
+    assert not run_virtual(is_usable_after_failed_connect(CONNECT_TIMEOUT_S, lambda: None))
