gateway: a replica that is gone since it was chosen gets no request

An item that waited between the choice of its replica and the send (for the announcement of its run, or as the daemon was suspended) was sent although the replica's entry had gone meanwhile, or another incarnation had taken its identifier.

Cause: the send rules ask for what the entry says, and the entry of a replica that is no longer listed goes on saying what it said last.

Test seen failing before (tests/test_gateway_sends.py, virtual time): Failed: DID NOT RAISE SendForbidden (gone, restarted)

ReplicaClient.start_attempt, through which all sends pass, now asks whether the chosen incarnation is still listed. Nothing was sent, so the request chooses another replica.

--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -23,6 +23,7 @@
     ExecutionStatus,
     PassgateError,
     ReplicaReplaced,
+    SendForbidden,
     SendTooLate,
 )
 from passgate.gateway.access import replica_headers
@@ -64,7 +65,7 @@
             SendTooLate: the time in which the request may be sent is over; nothing was sent.
             Cancelled: nobody waits for the answer any more; nothing was sent.
             RequestQuarantined: replicas crashed while they ran this content; nothing was sent.
-            SendForbidden: a send rule excludes the replica now; nothing was sent.
+            SendForbidden: a send rule excludes the replica now, or it is no longer listed; nothing was sent.
             BackendUnreachable: the HTTP client can not start the transfer; nothing was sent.
         """
         # Checked here, and not only before the choice of a replica, so that no attempt bypasses the checks.
@@ -74,6 +75,8 @@
         if not request.is_wanted():
             raise Cancelled("nobody waits for the answer", execution=ExecutionStatus.NOT_RUN)
         self.crash_guard.raise_if_quarantined(request.identity)
+        if self._replicas.find_incarnation(state.incarnation) is not state:
+            raise SendForbidden("the replica is no longer listed", execution=ExecutionStatus.NOT_RUN)
         admitted_until_s = self._replicas.send_rules.admit(state.info, request.send_context, now_s)
         not_sent_after_s = (
             request.latest_send_s
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -162,8 +162,8 @@
     def use_http(self, http):
         """Send requests through another HTTP client."""
         self.http = http
-        client = ReplicaClient(http, self.replicas, NAMES, self.crash_guard)
-        parts = (client, self.replicas, NAMES, DecisionLog("d", write=len), self.config_holder)
+        self.replica_client = ReplicaClient(http, self.replicas, NAMES, self.crash_guard)
+        parts = (self.replica_client, self.replicas, NAMES, DecisionLog("d", write=len), self.config_holder)
         self.forwarder = Forwarder(*parts)
         self.stream_forwarder = StreamForwarder(*parts)
 
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -11,7 +11,14 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
-from passgate.errors import BackendRefused, DeadlineExceeded, ExecutionStatus, PassgateError, SendTooLate
+from passgate.errors import (
+    BackendRefused,
+    DeadlineExceeded,
+    ExecutionStatus,
+    PassgateError,
+    SendForbidden,
+    SendTooLate,
+)
 from passgate.gateway.replica_client import ReplicaClient
 from passgate.gateway.replica_request import ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
@@ -130,6 +137,38 @@
     run_virtual(main())
 
 
+def restart(world):
+    world.add_replica("r1", started_unix_ms=7)
+
+
+@pytest.mark.parametrize(
+    "change", [lambda world: world.replicas.remove("r1"), restart], ids=["gone", "restarted"]
+)
+def test_a_replica_that_is_gone_since_it_was_chosen_gets_no_request(change):
+    """Guards against items that wait between the choice of their replica and the send."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1")
+        chosen = world.replicas.get("r1")
+        change(world)
+        request = ReplicaRequest(
+            request_id="q",
+            method="POST",
+            path="/",
+            host="h",
+            headers=(),
+            body=b"b",
+            deadline_s=monotonic_s() + 5.0,
+        )
+        with pytest.raises(SendForbidden) as caught:
+            await world.replica_client.fetch(chosen, request)
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        assert not world.sent
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
 def test_a_request_is_not_sent_again_once_the_configuration_has_expired(fields):
     """Guards against retries and resumed streams with a key that may have been revoked meanwhile."""
