--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -5,13 +5,22 @@
 import time
 from unittest import mock
 
+import msgspec
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
-from passgate.errors import DeadlineExceeded, ExecutionStatus, PassgateError, SendTooLate
-from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
+from passgate.errors import (
+    BackendRefused,
+    DeadlineExceeded,
+    ExecutionStatus,
+    PassgateError,
+    SendForbidden,
+    SendTooLate,
+)
+from passgate.gateway.replica_client import ReplicaClient
+from passgate.gateway.replica_request import ReplicaRequest
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import RouteKind
 from tests import fake_platform
@@ -128,6 +137,86 @@
     run_virtual(main())
 
 
+def restart(world):
+    world.add_replica("r1", started_unix_ms=7)
+
+
+@pytest.mark.parametrize(
+    "change", [lambda world: world.replicas.remove("r1"), restart], ids=["gone", "restarted"]
+)
+def test_a_replica_that_is_gone_since_it_was_chosen_gets_no_request(change):
+    """Guards against items that wait between the choice of their replica and the send."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1")
+        chosen = world.replicas.get("r1")
+        change(world)
+        request = ReplicaRequest(
+            request_id="q",
+            method="POST",
+            path="/",
+            host="h",
+            headers=(),
+            body=b"b",
+            deadline_s=monotonic_s() + 5.0,
+        )
+        with pytest.raises(SendForbidden) as caught:
+            await world.replica_client.fetch(chosen, request)
+        assert caught.value.execution is ExecutionStatus.NOT_RUN
+        assert not world.sent
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
+def test_a_request_is_not_sent_again_once_the_configuration_has_expired(fields):
+    """Guards against retries and resumed streams with a key that may have been revoked meanwhile."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1", Script(answer_s=0.5, error=connection_lost()))
+        world.add_replica("r2", Script(answer_s=0.5, error=connection_lost()))
+        world.config_holder.is_expired = lambda: monotonic_s() > 0.4
+        with pytest.raises(PassgateError) as caught:
+            await world.forward(world.configure(**fields, target_latency_s=10.0))
+        assert caught.value.http_status == 502
+        assert [sent.at_s for sent in world.sent] == [0.0]
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("fields", [{}, STREAM], ids=["plain", "streamed"])
+def test_a_request_is_not_sent_again_for_the_former_tenant_of_its_key(fields):
+    async def main():
+        world = GatewayWorld()
+        refusal = BackendRefused("full", execution=ExecutionStatus.NOT_RUN, status=503)
+        world.add_replica("r1", Script(answer_s=0.5, error=refusal))
+        world.add_replica("r2", Script(answer_s=0.5, error=refusal))
+        route = world.configure(**fields, target_latency_s=10.0, tenants=("orchard",))
+        call = asyncio.create_task(world.forward(route, tenant="orchard"))
+        await asyncio.sleep(0.1)
+        world.configure(**fields, target_latency_s=10.0, tenants=("mill",), version=2)
+        with pytest.raises(PassgateError) as caught:
+            await call
+        assert caught.value.http_status == 503
+        assert [sent.at_s for sent in world.sent] == [0.0]
+
+    run_virtual(main())
+
+
+@in_world
+async def test_a_daemon_that_fails_closed_lets_its_configuration_expire_for_sends(world):
+    world.configure(1, fake_platform.safe_route())
+    await world.start(ready=False)
+    await world.until(lambda: world.daemon.config_holder.table)
+    settings = world.daemon.settings
+    world.daemon.settings = msgspec.structs.replace(settings, fail_closed=True, configuration_age_s=1.5)
+    assert not world.daemon.config_holder.is_expired()
+    world.log.faults.silent = True
+    await world.until(world.daemon.config_holder.is_expired, timeout_s=5.0)
+
+
 CALLER_COUNT = 5
 
 
