--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -39,6 +39,10 @@
         finally:
             disturbance.ended_s = time.monotonic()
 
+    def record_past(self, kind, started_s, ended_s):
+        """Record a disturbance of all daemons that is over."""
+        self._disturbances.append(Disturbance(kind, ALL_TARGETS, False, started_s, ended_s))
+
     def was_undisturbed(self, daemon, since_s, until_s):
         """Return whether no disturbance of a daemon overlaps a time span or the ``RECOVERY_S`` before it."""
         return not self._find_overlapping(daemon, since_s, until_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -242,3 +242,18 @@
     proxy = daemon.proxy
     assert not (proxy.drops_to_target or proxy.drops_from_target or proxy.refuses_connections)
     assert not world.log.single_record_clients
+
+
+async def test_a_stall_of_the_soaks_own_loop_disturbs_all_daemons(tmp_path, monkeypatch):
+    monkeypatch.setattr(world_module, "STALL_CHECK_INTERVAL_S", 0.0)
+    monkeypatch.setattr(world_module, "MIN_STALL_S", 0.02)
+    world = World(1, tmp_path, None, 0)
+    monitor = asyncio.create_task(world._monitor_stalls())
+    await asyncio.sleep(0)
+    before_s = time.monotonic()
+    time.sleep(0.05)  # blocks the loop
+    while not world.longest_stall_s >= 0.02:
+        await asyncio.sleep(0)
+    monitor.cancel()
+    assert not world.disturbances.was_undisturbed("d0", before_s, time.monotonic())
+    assert world.count_by_kind["stall of the soak"] >= 1
