discovery: slow reads are no outage, so that all daemons don't read the list

Cause: records that were read late no longer counted as a contact that keeps a daemon from reading discovery; and a relay that reads slowly fell silent.

Test seen failing before (tests/test_discovery.py, virtual time): assert 7 <= (2 * 3) (daemons that read directly, limit now ZONES)

Only among relays, and for a relay's own view, the age counts, with a limit of 5.5 s: two reads that take until their timeout, and the pauses between.

--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -22,7 +22,7 @@
 from passgate.discovery.view import DiscoveryView, ReplicaUpdate
 from passgate.errors import LogError, MalformedRecord
 from passgate.sharedlog.log import KeyedRecord, LogPage, SharedLog
-from passgate.sharedlog.tail import BEHIND_AFTER_S, OnDemandTail, RecordTail, TailSettings
+from passgate.sharedlog.tail import OnDemandTail, RecordTail, TailSettings
 
 logger = logging.getLogger("passgate.discovery")
 
@@ -36,6 +36,8 @@
 RELAY_CHANGE_RESYNC_RANGE_S = (1.0, 4.0)
 """Bounds of the random time until the list is read again after records begin to come from another relay: the
 previous one may have lost a change when it stopped."""
+MAX_SLOW_READ_AGE_S = 5.5
+"""Age up to which a view may be read without an outage of the log: each read may take until its timeout."""
 NEVER_S = float("-inf")
 """Loop time before any other."""
 
@@ -195,7 +197,7 @@
             for update in changes.changes:
                 self._view.apply_relayed(update)
             self._on_changes(changes, is_new)
-            if is_new:
+            if self._tail.current:
                 self._record_relay_alive(changes.relay)
         if page.next_offset >= page.end:
             self._apply_parts()
@@ -203,10 +205,14 @@
     def _is_reading_live(self) -> bool:
         """Whether records that are read now were appended just now, not during an outage of the log."""
         age_s = self._tail.tail.freshness.age_s(monotonic_s())
-        return self._tail.current and age_s <= BEHIND_AFTER_S
+        return self._tail.current and age_s <= MAX_SLOW_READ_AGE_S
 
     def _record_relay_alive(self, relay: str) -> None:
-        """Record a contact with a relay; if it isn't the one of the last record, read the list again soon."""
+        """Record a contact with a relay, which keeps this daemon from reading discovery itself.
+
+        Records that are read late count as well: on a slow log, daemons must not add to its load.  If the
+        relay isn't the one of the last record, the list is read again soon.
+        """
         self._last_contact_s = monotonic_s()
         if relay != self._last_relay:
             self._last_relay = relay
--- a/passgate/discovery/service.py
+++ b/passgate/discovery/service.py
@@ -16,12 +16,12 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DecisionLog, DiscoveryLoaded, RelayRoleChanged
 from passgate.discovery.relay import ReadProgress, Relay
-from passgate.discovery.relayed_list import RelayedList
+from passgate.discovery.relayed_list import MAX_SLOW_READ_AGE_S, RelayedList
 from passgate.discovery.view import DiscoveryView, ReplicaUpdate
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.errors import LogError, MalformedRecord
 from passgate.sharedlog.log import KeyedRecord, SharedLog
-from passgate.sharedlog.tail import BEHIND_AFTER_S, KeyedTail, TailSettings
+from passgate.sharedlog.tail import KeyedTail, TailSettings
 
 logger = logging.getLogger("passgate.discovery")
 
@@ -204,7 +204,7 @@
             entries = self._direct_tail[0]
             await self._relay.append_due(
                 ReadProgress(
-                    is_current=entries.freshness.age_s(monotonic_s()) <= BEHIND_AFTER_S,
+                    is_current=entries.freshness.age_s(monotonic_s()) <= MAX_SLOW_READ_AGE_S,
                     last_entry_offset=entries.next_offset - 1,
                     next_change_offset=self._relayed_list.next_change_offset,
                     first_kept_change_offset=self._relayed_list.first_kept_change_offset,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 from passgate.decisions import DecisionLog
 from passgate.discovery.records import LIST_PARTS, RelayedChanges, decode_part, encode_changes
 from passgate.discovery.relay import PART_REWRITE_INTERVAL_S
-from passgate.discovery.relayed_list import RESYNC_INTERVAL_RANGE_S, RelayedList
+from passgate.discovery.relayed_list import MAX_SLOW_READ_AGE_S, RESYNC_INTERVAL_RANGE_S, RelayedList
 from passgate.discovery.service import FALLBACK_SILENCE_RANGE_S, Discovery, ReplicaDecoder, ReplicaTopics
 from passgate.discovery.view import MAX_LAPSE_S, DiscoveryView, ReplicaUpdate
 from passgate.eligibility.cold_replicas import ColdLimit
@@ -480,7 +480,7 @@
         assert all(node.discovery.is_relaying for node in nodes)
         (primary,) = [node for node in nodes if node.discovery._relay._is_primary(monotonic_s())]
         clients[nodes.index(primary)].unanswered_topics.add(ENTRIES_TOPIC)
-        await asyncio.sleep(5.0)
+        await asyncio.sleep(MAX_SLOW_READ_AGE_S + 2.0)
         start_offset = log.partition(ENTRIES_TOPIC, 0).end
         await asyncio.sleep(PART_REWRITE_INTERVAL_S * LIST_PARTS + 2.0)
         parts = [
@@ -525,3 +525,23 @@
             await node.kill()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("slow_s", [0.6, 0.8, 1.0, 1.1])
+def test_a_slow_log_does_not_make_more_daemons_read_the_long_list(slow_s):
+    """Guards against daemons that take slow reads for silent relays, and load the log even more."""
+
+    async def main():
+        log = MemorySharedLog()
+        writing = asyncio.create_task(rewrite_entries(log, 60, set(), set()))
+        nodes = [Node(log, number) for number in range(8)]
+        await asyncio.sleep(10.0)
+        log.faults = SharedLogFaults(slow_s=slow_s)
+        for _ in range(80):
+            await asyncio.sleep(0.5)
+            assert sum(node.discovery.reads_directly for node in nodes) <= ZONES
+        writing.cancel()
+        for node in nodes:
+            await node.kill()
+
+    run_virtual(main())
