gateway: a connect that times out late counts as one failure of its replica

Test seen failing before (tests/test_gateway_suspension.py, virtual time): FAILED test_a_replica_that_never_accepts_a_connection_is_ejected_by_a_slow_daemon

--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -207,16 +207,14 @@
         return status
 
     def _record_missing_head(self, error: PassgateError) -> None:
-        """Record the failure of an attempt without a head, unless it says nothing about the replica.
+        """Record the failure of an attempt without a head.
 
-        If a connection could not be opened and this is noticed too late, the event loop was blocked or the
-        machine suspended meanwhile.
+        If a connection could not be opened and this is noticed late, the event loop was blocked or the
+        machine suspended meanwhile; it then does not show that the replica is unreachable, but counts as one
+        failure, as the replica of a busy daemon may have ended all the same.
         """
-        unreachable = error.execution is ExecutionStatus.NOT_RUN
-        elapsed_s = monotonic_s() - self.started_s
-        if unreachable and elapsed_s > CONNECT_TIMEOUT_S + MAX_LOOP_DELAY_S:
-            return
-        self._record_failure(unreachable=unreachable)
+        in_time = monotonic_s() - self.started_s <= CONNECT_TIMEOUT_S + MAX_LOOP_DELAY_S
+        self._record_failure(unreachable=error.execution is ExecutionStatus.NOT_RUN and in_time)
         self._report_possible_crash(error)
 
     def _raise_refusal(self, status: int) -> None:
--- a/tests/test_gateway_suspension.py
+++ b/tests/test_gateway_suspension.py
@@ -10,9 +10,11 @@
 
 from passgate.clients.curl import HttpClient
 from passgate.clock import monotonic_s, run_virtual
+from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.errors import BackendUnreachable, ExecutionStatus, PassgateError
 from passgate.gateway.replica_client import CONNECT_TIMEOUT_S
 from passgate.gateway.routes import RouteKind
+from passgate.routing.replica_health import EJECT_AFTER_FAILURES
 from tests.gateway_world import NAMES, GatewayWorld, Script
 from tests.test_suspended_machine import run_on_suspendable_loop
 
@@ -129,5 +131,22 @@
     assert await is_usable_after_failed_connect(0.05, suspend)
 
 
+def test_a_replica_that_never_accepts_a_connection_is_ejected_by_a_slow_daemon():
+    """Guards against a busy daemon whose late time-outs would never eject a machine that is down."""
+
+    async def main():
+        world = GatewayWorld()
+        world.add_replica("r1", Script(answer_s=CONNECT_TIMEOUT_S + 0.3, error=connect_timeout()))
+        route = world.configure(kind=RouteKind.UNSAFE)
+        for _ in range(EJECT_AFTER_FAILURES):
+            with pytest.raises(PassgateError):
+                await world.forward(route)
+        incarnation = world.replicas.get("r1").incarnation
+        others = [ReplicaIncarnation(f"other{number}") for number in range(2)]
+        assert world.replicas.health.filter_usable([incarnation, *others], monotonic_s()) == others
+
+    run_virtual(main())
+
+
 def test_a_replica_is_ejected_for_a_connection_that_timed_out():
     assert not run_virtual(is_usable_after_failed_connect(CONNECT_TIMEOUT_S, lambda: None))
