--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -51,12 +51,13 @@
 from passgate.peers.transport import PeerTransport
 from passgate.quarantine.crash_quarantine import CrashQuarantine
 from passgate.quarantine.crash_report_exchange import CRASH_REPORTS_METHOD, CrashReportExchange
+from passgate.sharedlog.freshness import Freshness
 from passgate.sharedlog.group import GroupDirectory, GroupMember, OtherZoneDirectories, group_of_zone
 from passgate.sharedlog.group_membership_policy import GroupMembershipPolicy
 from passgate.sharedlog.instrumented_log import InstrumentedLog
 from passgate.sharedlog.log import SharedLog
 from passgate.sharedlog.member_names import member_name
-from passgate.sharedlog.tail import Freshness, KeyedTail, TailSettings
+from passgate.sharedlog.tail import KeyedTail, TailSettings
 from passgate.statecharts import Machine
 from passgate.versions.loader import Loader, ReplicaControl, TargetVersions, read_incarnation
 
--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -17,7 +17,7 @@
 from passgate.discovery.unusable_entries import UnusableEntries
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.gateway.replica_table import ReplicaState, ReplicaTable
-from passgate.sharedlog.tail import BEHIND_AFTER_S, Freshness
+from passgate.sharedlog.freshness import BEHIND_AFTER_S, Freshness
 
 GONE_RETENTION_S = 120.0
 """Time for which the offset and the start time of a replica that is gone are remembered."""
--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -10,33 +10,25 @@
 from __future__ import annotations
 
 import asyncio
-import enum
-import logging
 import random
 from collections.abc import Awaitable, Callable
 
-import msgspec
-
 from passgate.clock import monotonic_s
 from passgate.decisions import (
     DecisionLog,
     ItemResultRecorded,
     JobOwnershipClaimed,
     JobOwnershipReleased,
-    JobRunStarted,
-    JobRunStopped,
 )
-from passgate.decisions.job_events import MAX_LOGGED_AGE_S
+from passgate.jobs.job_runs import JobRuns, MakeJobRunner, StopReason, log_task_failure
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import WriterStatus
 from passgate.jobs.partition_owners import PartitionOwners, UnappendedEntries
 from passgate.jobs.projection import JobProjection, JobState
 from passgate.jobs.records import ItemProgressed, ItemsDone, JobClaimed, Result, ResultState, daemon_of
-from passgate.jobs.runner import EXPIRY_MARGIN_S, JobRunner
+from passgate.jobs.runner import EXPIRY_MARGIN_S
 from passgate.jobs.send_permission import SendPermission
-from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, Freshness
-
-logger = logging.getLogger("passgate.jobs")
+from passgate.sharedlog.freshness import MAX_CURRENT_AGE_S, Freshness
 
 TAKEOVER_AFTER_S = 1.5
 """Silence of an owner after which the watcher takes over its jobs whatever a probe says; jitter is added."""
@@ -61,33 +53,6 @@
 """Owner of a job that has none; any watcher may claim the job at once."""
 
 
-class StopReason(enum.StrEnum):
-    """Why a job is not run by this daemon any more."""
-
-    ENDED = "ended"
-    """The job was cancelled, or all its items have results."""
-    TAKEN_OVER = "taken_over"
-    """Another writer owns the job, or none."""
-    NOT_ALLOWED = "not_allowed"
-    """The active configuration excludes this daemon's region."""
-    UNKNOWN_JOB = "unknown_job"
-    """The job is not known any more."""
-    RELEASED = "released"
-    """Another daemon was asked to claim the job, or this one closes the partition."""
-
-
-class _Run(msgspec.Struct):
-    """The run of a job by this daemon."""
-
-    runner: JobRunner
-    task: asyncio.Task[None]
-    started_s: float
-
-
-MakeJobRunner = Callable[[JobState], JobRunner | None]
-"""Makes a job's runner; returns None while the job matches no route."""
-
-
 class Ownership:
     """Keeps this daemon's runners in line with the state of one partition, and claims jobs there."""
 
@@ -127,11 +92,10 @@
         self._journal = journal
         self._freshness = freshness
         self._send_permission = send_permission
-        self._make_runner = make_runner
         self._owners = owners
         self._decisions = decisions
         self._confirm_view = confirm_view
-        self._run_by_job: dict[str, _Run] = {}
+        self._runs = JobRuns(make_runner, freshness, decisions)
         self._status_by_owner: dict[str, WriterStatus] = {}
         """Outcome of the latest finished probe, by owner, until a claim takes it into account."""
         self._jobs_being_claimed: set[str] = set()
@@ -151,7 +115,7 @@
     @property
     def running_jobs(self) -> int:
         """Number of this partition's jobs that this daemon runs."""
-        return len(self._run_by_job)
+        return len(self._runs)
 
     def owns_open_job(self) -> bool:
         """Whether this daemon owns an open job of the partition."""
@@ -159,8 +123,7 @@
 
     def record_all_progress(self) -> None:
         """Queue the events of all running items for the log, so that other daemons can resume the items."""
-        for run in self._run_by_job.values():
-            run.runner.record_progress()
+        self._runs.record_progress()
 
     def release_jobs(self) -> UnappendedEntries:
         """Stop all runs of the partition, so that another daemon can claim the jobs.
@@ -170,7 +133,7 @@
         """
         now_s = monotonic_s()
         self.record_all_progress()
-        for job_id in self._run_by_job:
+        for job_id in self._runs.job_ids():
             self._released_since_s_by_job[job_id] = now_s
         self.cancel_runners()
         return [
@@ -186,8 +149,8 @@
 
     def cancel_runners(self) -> None:
         """Cancel all runners; progress that was not recorded is lost."""
-        for job_id in list(self._run_by_job):
-            self._stop_run(job_id, StopReason.RELEASED)
+        for job_id in self._runs.job_ids():
+            self._runs.stop(job_id, self._known_epoch(job_id), StopReason.RELEASED)
 
     def update(self, *, is_watcher: bool) -> None:
         """Start and stop runners; claim, release or expire jobs; renew the leases while any job runs here.
@@ -207,12 +170,12 @@
                 self._start_claim(job, now_s)
         self.stop_lost_runs()
         self._expired_jobs.intersection_update(self._projection.jobs)
-        if not self._run_by_job and not self.owns_open_job():
+        if not self._runs and not self.owns_open_job():
             self._send_permission.end_pause()
             return
         self._send_permission.update()
         # Without the permission the jobs make no progress here, so others should claim them.
-        if self._run_by_job and self._send_permission.is_granted():
+        if self._runs and self._send_permission.is_granted():
             self._journal.renew_lease()
 
     def start_runners(self) -> None:
@@ -226,7 +189,7 @@
             job for job in self._projection.jobs.values() if job.is_open and job.owner == self.writer
         ]:
             if not self._is_released(job.job_id) and self._may_run(job):
-                self._ensure_runner(job)
+                self._runs.ensure(job)
 
     def _may_run(self, job: JobState) -> bool:
         """Whether this daemon may own a job and has its bodies."""
@@ -324,7 +287,7 @@
         self._jobs_being_claimed.add(job.job_id)
         silent_s = self._owner_silence_s(job, now_s)
         task = asyncio.get_running_loop().create_task(self._append_claim(job, silent_s))
-        task.add_done_callback(_log_task_failure)
+        task.add_done_callback(log_task_failure)
 
     async def _append_claim(self, job: JobState, silent_s: float) -> None:
         """Claim a job; if its owner is cut off from the log, append the owner's released progress first.
@@ -364,41 +327,23 @@
         appended.add_done_callback(lambda _: self._jobs_being_claimed.discard(job.job_id))
         self._decisions.write(JobOwnershipReleased(job_id=job.job_id, epoch=job.epoch + 1))
 
-    def _ensure_runner(self, job: JobState) -> None:
-        if job.job_id in self._run_by_job:
-            return
-        runner = self._make_runner(job)
-        if runner is None:
-            return
-        task = asyncio.get_running_loop().create_task(runner.run())
-        task.add_done_callback(_log_task_failure)
-        now_s = monotonic_s()
-        self._run_by_job[job.job_id] = _Run(runner, task, now_s)
-        self._decisions.write(
-            JobRunStarted(
-                job_id=job.job_id,
-                epoch=job.epoch,
-                open_items=job.item_count - len(job.results),
-                view_age_s=self._logged_view_age_s(now_s),
-            )
-        )
-
-    def _logged_view_age_s(self, now_s: float) -> float:
-        return round(min(self._freshness.age_s(now_s), MAX_LOGGED_AGE_S), 3)
-
     def stop_lost_runs(self) -> None:
         """Stop the runs of jobs that ended or that this daemon does not own any more, and forget failed runs.
 
         Called for each page of the log, whether or not it reaches the end: a record that ends a run is true
         at any age.
         """
-        for job_id, run in list(self._run_by_job.items()):
+        for job_id in self._runs.job_ids():
             reason = self._reason_to_stop(job_id)
             if reason is not None:
-                run.runner.record_progress()
-                self._stop_run(job_id, reason)
-            elif run.task.done() and run.task.exception() is not None:
-                del self._run_by_job[job_id]
+                self._runs.record_progress_of(job_id)
+                self._runs.stop(job_id, self._known_epoch(job_id), reason)
+        self._runs.forget_failed()
+
+    def _known_epoch(self, job_id: str) -> int:
+        """Return the number of a job's present ownership, 0 for an unknown job."""
+        job = self._projection.jobs.get(job_id)
+        return job.epoch if job is not None else 0
 
     def _reason_to_stop(self, job_id: str) -> StopReason | None:
         """Return why a job must not be run here any more; None if it may be."""
@@ -410,23 +355,3 @@
         if job.owner != self.writer:
             return StopReason.TAKEN_OVER
         return None if self._may_own(job) else StopReason.NOT_ALLOWED
-
-    def _stop_run(self, job_id: str, reason: StopReason) -> None:
-        run = self._run_by_job.pop(job_id)
-        run.task.cancel()
-        now_s = monotonic_s()
-        job = self._projection.jobs.get(job_id)
-        self._decisions.write(
-            JobRunStopped(
-                job_id=job_id,
-                epoch=job.epoch if job is not None else 0,
-                reason=reason.value,
-                running_s=round(now_s - run.started_s, 3),
-                view_age_s=self._logged_view_age_s(now_s),
-            )
-        )
-
-
-def _log_task_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.error("job_runner_failed", exc_info=task.exception())
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -28,8 +28,9 @@
 from passgate.jobs.restricted_bodies import BodiesReader, RestrictedBodies
 from passgate.jobs.runner import JobRunner
 from passgate.jobs.send_permission import SendPermission
+from passgate.sharedlog.freshness import MAX_CURRENT_AGE_S
 from passgate.sharedlog.log import LogPage, SharedLog
-from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, POLL_WAIT_S, OnDemandTail, RecordTail, TailSettings
+from passgate.sharedlog.tail import POLL_WAIT_S, OnDemandTail, RecordTail, TailSettings
 
 UPDATE_INTERVAL_S = 0.1
 """Time between updates of the ownership; short compared with the silences after which jobs are taken over."""
--- a/passgate/jobs/send_permission.py
+++ b/passgate/jobs/send_permission.py
@@ -17,7 +17,8 @@
 from passgate.decisions import DecisionLog, JobSendsPaused, JobSendsResumed
 from passgate.decisions.job_events import MAX_LOGGED_AGE_S
 from passgate.jobs.log_access import LogAccess
-from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, RecordTail
+from passgate.sharedlog.freshness import MAX_CURRENT_AGE_S
+from passgate.sharedlog.tail import RecordTail
 
 logger = logging.getLogger("passgate.jobs")
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -53,7 +53,8 @@
 )
 from passgate.jobs.reader import ResultPage, find_job, read_body, read_page, require_followed
 from passgate.jobs.records import JobCancelled, JobSpec, WeightDemand, decode_spec, job_pieces
-from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, POLL_WAIT_S
+from passgate.sharedlog.freshness import MAX_CURRENT_AGE_S
+from passgate.sharedlog.tail import POLL_WAIT_S
 
 PEER_APPEND_DELAY_S = 0.3
 """Time for the log to acknowledge a new job before another daemon is called to append it as well; not used
--- a/passgate/quarantine/crash_report_log.py
+++ b/passgate/quarantine/crash_report_log.py
@@ -32,7 +32,7 @@
 """Longest delay of a retry; short, so that pending records are appended soon after an outage of the log."""
 TOMBSTONE = b""
 """Value of a record that deletes its key."""
-MAX_CURRENT_AGE_S = 2.5
+MAX_TOPIC_AGE_S = 2.5
 """Age below which the view of the topic counts as current; longer than POLL_WAIT_S, as an empty long poll
 confirms the view."""
 MAX_EXCHANGED_REPORTS = 256
@@ -93,8 +93,8 @@
         self._enqueue(_key_of(record), TOMBSTONE)
 
     def is_current(self) -> bool:
-        """Whether the topic was read to its end less than MAX_CURRENT_AGE_S ago."""
-        return self._tail.freshness.age_s(monotonic_s()) < MAX_CURRENT_AGE_S
+        """Whether the topic was read to its end less than MAX_TOPIC_AGE_S ago."""
+        return self._tail.freshness.age_s(monotonic_s()) < MAX_TOPIC_AGE_S
 
     def newest_reports(self) -> tuple[CrashReport, ...]:
         """Return the newest stored reports, at most MAX_EXCHANGED_REPORTS."""
--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -2,11 +2,6 @@
 
 Both use long polls, which wait for new records, retry without limit after a LogError, and record how fresh
 their view of the log is.
-
->>> freshness = Freshness()
->>> freshness.confirm_current(10.0)
->>> freshness.age_s(12.5)
-2.5
 """
 
 from __future__ import annotations
@@ -19,6 +14,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import LogError, MalformedRecord
+from passgate.sharedlog.freshness import Freshness
 from passgate.sharedlog.hedge import call_hedged
 from passgate.sharedlog.log import (
     MAX_PAGE_BYTES,
@@ -50,17 +46,11 @@
 """Pause after a throttled read of an urgent topic."""
 CATCH_UP_POLL_S = 0.01
 """Interval of checks whether the end of the partition was reached."""
-NEVER_S = float("-inf")
-"""Loop time before any other."""
 EMPTY_PAGE_MAX_AGE_S = 0.1
 """Assumed upper bound of an empty page's age when it arrives."""
 MAX_RESPONSE_DELAY_S = 1.2
 """Longest time from the end of a long poll's wait to its response, as calls then time out; a page that is
 processed later was delayed by this machine."""
-MAX_CURRENT_AGE_S = 1.6
-"""Age below which a view of the log counts as current; longer than a long poll of POLL_WAIT_S."""
-BEHIND_AFTER_S = 2.5
-"""Time without a read to the end of the partition after which a reader counts as behind."""
 
 
 class TailSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -109,49 +99,6 @@
         self.gap_s = max(self._min_gap_s, self.gap_s * GAP_DECAY_FACTOR)
 
 
-class Freshness:
-    """Records up to which time a reader has read all records of its partition, as far as its reads show."""
-
-    def __init__(self) -> None:
-        self._confirmed_at_s = NEVER_S
-        self._proven_at_s = NEVER_S
-        self.recovered_at_s = NEVER_S
-        """Loop time at which the reader first reached the end, or last did so after it was behind."""
-
-    def confirm_current(
-        self, as_of_s: float, applied_at_s: float | None = None, proven_as_of_s: float | None = None
-    ) -> None:
-        """Record that everything appended before ``as_of_s`` was read and applied.
-
-        Args:
-            as_of_s: loop time, estimated if the response may have been late.
-            applied_at_s: loop time of the application; defaults to ``as_of_s``.
-            proven_as_of_s: loop time up to which this holds however late the response was; defaults to
-                ``as_of_s``.
-        """
-        proven_as_of_s = as_of_s if proven_as_of_s is None else proven_as_of_s
-        self._proven_at_s = max(self._proven_at_s, proven_as_of_s)
-        if as_of_s - self._confirmed_at_s > BEHIND_AFTER_S:
-            self.recovered_at_s = as_of_s if applied_at_s is None else applied_at_s
-        self._confirmed_at_s = max(self._confirmed_at_s, as_of_s)
-
-    def age_s(self, now_s: float) -> float:
-        """Return for how long records may have been appended without having been read; infinite at first."""
-        return now_s - self._confirmed_at_s
-
-    def proven_age_s(self, now_s: float) -> float:
-        """Return the age as :meth:`age_s`, without the estimate that a response was not late."""
-        return now_s - self._proven_at_s
-
-    def silence_s(self, last_contact_s: float | None, now_s: float) -> float:
-        """Return for how long no record of a writer was read; time before ``recovered_at_s`` does not count.
-
-        ``last_contact_s`` is the loop time at which the writer's last record was read, None without one.
-        Callers have to check :meth:`age_s`, as the writer may have appended records that are not read yet.
-        """
-        return now_s - max(self.recovered_at_s, last_contact_s if last_contact_s is not None else NEVER_S)
-
-
 class _Follower:
     """Base class of readers: reads repeatedly, backs off after failures and throttling, tracks freshness."""
 
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -23,7 +23,7 @@
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import WriterStatus
 from passgate.jobs.records import Batch, LeaderClaimed, daemon_of
-from passgate.sharedlog.tail import MAX_CURRENT_AGE_S, Freshness
+from passgate.sharedlog.freshness import MAX_CURRENT_AGE_S, Freshness
 from passgate.versions.leadership_projection import LeadershipProjection
 
 TAKEOVER_MARGIN_S = 0.5
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -20,7 +20,7 @@
 from passgate.peers.memory_transport import MemoryNetwork
 from passgate.quarantine import crash_reports as report_module
 from passgate.quarantine.crash_report_exchange import EXCHANGE_INTERVAL_S, CrashReportExchange
-from passgate.quarantine.crash_report_log import MAX_CURRENT_AGE_S, POLL_WAIT_S, CrashReportLog
+from passgate.quarantine.crash_report_log import MAX_TOPIC_AGE_S, POLL_WAIT_S, CrashReportLog
 from passgate.quarantine.crash_reports import REPORT_LIFETIME_S, CrashReport, CrashReportStore
 from passgate.quarantine.guard import (
     MAX_DISCOVERY_DELAY_S,
@@ -310,7 +310,7 @@
         msgspec.structs.replace(replica_endpoint, has_newer_incarnation=True), attempt_started_s=monotonic_s()
     )
     fleet.log.faults = SharedLogFaults(refusing=True)
-    await asyncio.sleep(MAX_CURRENT_AGE_S + POLL_WAIT_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + POLL_WAIT_S)
     daemon.guard.record_response(replica_endpoint, attempt_started_s=monotonic_s())
     await asyncio.sleep(1.5)
     assert daemon.reports.count_crashes(request().fingerprint(), 0.0) == 1
@@ -393,7 +393,7 @@
     await asyncio.sleep(1.0)
     fleet.log.faults = SharedLogFaults(refusing=True)
     await daemons[0].crash("r1", "r2")
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 4 * EXCHANGE_INTERVAL_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 4 * EXCHANGE_INTERVAL_S)
     assert all(daemon.guard.is_quarantined(request()) for daemon in daemons)
     daemons[1].guard.record_success(request(), SERVICE)
     await asyncio.sleep(4 * EXCHANGE_INTERVAL_S)
@@ -409,7 +409,7 @@
     await asyncio.sleep(1.0)
     fleet.log.cut_off_clients.add("d0")
     await daemons[0].crash("r1", "r2")
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 2 * EXCHANGE_INTERVAL_S + 0.2)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 2 * EXCHANGE_INTERVAL_S + 0.2)
     assert all(daemon.guard.is_quarantined(request()) for daemon in daemons)
     assert len(fleet.log.newest_values(TOPIC)) == 2
 
@@ -455,7 +455,7 @@
     await asyncio.sleep(0.5)
     fleet.log.cut_off_clients.add("d3")
     daemons[0].guard.record_success(request(), SERVICE)
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 8 * EXCHANGE_INTERVAL_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 8 * EXCHANGE_INTERVAL_S)
     assert not any(daemon.guard.is_suspect(request()) for daemon in daemons[:3])
     assert not fleet.log.newest_values(TOPIC)
 
@@ -470,7 +470,7 @@
     daemons[0].guard.record_success(request(), SERVICE)
     await asyncio.sleep(0.5)
     daemons.append(fleet.daemon())
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 8 * EXCHANGE_INTERVAL_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 8 * EXCHANGE_INTERVAL_S)
     assert not daemons[2].guard.is_suspect(request())
     assert not fleet.log.newest_values(TOPIC)
 
@@ -486,7 +486,7 @@
     daemons[0].guard.record_success(request(), SERVICE)
     await asyncio.sleep(0.5)
     fleet.log.cut_off_clients.add("d2")
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 8 * EXCHANGE_INTERVAL_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 8 * EXCHANGE_INTERVAL_S)
     assert not daemons[2].guard.is_suspect(request())
 
 
@@ -497,7 +497,7 @@
     await asyncio.sleep(1.0)
     fleet.log.cut_off_clients.add("d0")
     await daemons[0].crash("r1")
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 2 * EXCHANGE_INTERVAL_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 2 * EXCHANGE_INTERVAL_S)
     assert daemons[1].guard.is_suspect(request())
     daemons[1].guard.record_success(request(), SERVICE)
     await asyncio.sleep(2 * EXCHANGE_INTERVAL_S)
@@ -518,7 +518,7 @@
     await asyncio.sleep(0.5)
     fleet.log.cut_off_clients.add("d0")
     await daemons[0].crash("r1")
-    await asyncio.sleep(MAX_CURRENT_AGE_S + 4 * EXCHANGE_INTERVAL_S)
+    await asyncio.sleep(MAX_TOPIC_AGE_S + 4 * EXCHANGE_INTERVAL_S)
     assert all(daemon.guard.is_suspect(request()) for daemon in daemons)
 
 
