jobs: each claim to a cut-off owner's jobs first reads the partition

Cause: the outcome of the probe was dropped with the first claim, so a second job of the same owner was claimed without the read and without the release of its progress.

Found by reading; test_an_outage_of_one_partition_leaves_its_jobs_with_their_owners now has two jobs of one owner, but did not fail before.

--- a/passgate/jobs/ownership.py
+++ b/passgate/jobs/ownership.py
@@ -97,7 +97,7 @@
         self._confirm_view = confirm_view
         self._runs = JobRuns(make_runner, freshness, decisions)
         self._status_by_owner: dict[str, WriterStatus] = {}
-        """Outcome of the latest finished probe, by owner, until a claim takes it into account."""
+        """Outcome of the latest finished probe, by owner of an open job."""
         self._jobs_being_claimed: set[str] = set()
         """Jobs for which this daemon has queued a claim or a release that it may not have read yet."""
         self._released_since_s_by_job: dict[str, float] = {}
@@ -160,7 +160,12 @@
         """
         now_s = monotonic_s()
         self.start_runners()
-        for job in [job for job in self._projection.jobs.values() if job.is_open]:
+        open_jobs = [job for job in self._projection.jobs.values() if job.is_open]
+        owners = {job.owner for job in open_jobs}
+        self._status_by_owner = {
+            owner: status for owner, status in self._status_by_owner.items() if owner in owners
+        }
+        for job in open_jobs:
             if job.owner == self.writer:
                 if self._must_expire(job, now_s):
                     self._expire_items(job, now_s)
@@ -296,7 +301,7 @@
         """
         previous, epoch = job.owner, job.epoch
         try:
-            if self._status_by_owner.pop(previous, None) is WriterStatus.CUT_OFF:
+            if self._status_by_owner.get(previous) is WriterStatus.CUT_OFF:
                 if not await self._confirm_view():
                     return
                 for entry in await self._owners.release_jobs(previous):
--- a/tests/test_jobs_takeover.py
+++ b/tests/test_jobs_takeover.py
@@ -146,12 +146,13 @@
     async def main():
         log = MemorySharedLog()
         daemons = await start_daemons(log, 3, zones=3)
-        await daemons[0].service.submit(job_spec("j", 40), monotonic_s() + 2)
+        for job_id in ("j", "k"):
+            await daemons[0].service.submit(job_spec(job_id, 40), monotonic_s() + 2)
         await asyncio.sleep(1.0)
         log.silent_partitions.add(("jobs", partition_number(daemons[0], HOST)))
         owner = daemon_of_writer(daemons, await daemons[0].read_owner("j"))
         await asyncio.sleep(4.0)
-        assert owner.job_partitions.running_jobs == 1
+        assert owner.job_partitions.running_jobs == 2
         for daemon in daemons:
             await daemon.kill()
 
