soak: judge a request by its arrival at the replica

Cause: an unresponsive replica holds what arrives for 30 s and then begins it, and the checks of evacuations, leaving replicas and crashes took the beginning of a run for its arrival.

These checks now take the arrival; a request that arrives late is reported as before.

--- a/tests/soak/result_checker.py
+++ b/tests/soak/result_checker.py
@@ -157,10 +157,10 @@
             leaving_s = self.world.leaving_s_by_replica.get(replica.replica_id)
             for run in replica.runs:
                 daemon = self.callers.daemon_by_request.get(run.request_id)
-                if leaving_s is None or daemon is None or run.started_s < leaving_s + LEAVING_GRACE_S:
+                if leaving_s is None or daemon is None or run.received_s < leaving_s + LEAVING_GRACE_S:
                     continue
-                if self.world.disturbances.was_undisturbed(daemon, leaving_s, run.started_s):
-                    late_s = run.started_s - leaving_s
+                if self.world.disturbances.was_undisturbed(daemon, leaving_s, run.received_s):
+                    late_s = run.received_s - leaving_s
                     self.report_violation(
                         f"{daemon} sent {run.request_id} to a replica that left {late_s:.1f} s before"
                     )
@@ -173,14 +173,14 @@
         for evacuation in self.world.evacuations:
             known_s = evacuation.started_s + EVACUATION_GRACE_S
             replicas = [r for r in self.world.all_replicas() if r.zone == evacuation.zone]
-            late = [run for r in replicas for run in r.runs if known_s < run.started_s < evacuation.ended_s]
+            late = [run for r in replicas for run in r.runs if known_s < run.received_s < evacuation.ended_s]
             for run in late:
                 sender = self.callers.daemon_by_request.get(run.request_id)
                 senders = [sender] if sender else [daemon.name for daemon in self.world.daemons]
                 if all(
-                    self.world.disturbances.was_undisturbed(name, known_s, run.started_s) for name in senders
+                    self.world.disturbances.was_undisturbed(name, known_s, run.received_s) for name in senders
                 ):
-                    late_s = run.started_s - evacuation.started_s
+                    late_s = run.received_s - evacuation.started_s
                     self.report_violation(f"{run.request_id} reached a zone evacuated {late_s:.1f} s before")
 
     def _check_crashes(self):
@@ -189,21 +189,21 @@
             replicas = self.world.all_replicas()
             runs = sorted(
                 (run for replica in replicas for run in replica.runs if run.body == body),
-                key=lambda run: run.started_s,
+                key=lambda run: run.received_s,
             )
             ended_s = sorted(run.ended_s for run in runs if run.crashed_replica)
             self.world.count(f"replicas ended by {body.decode()}: {len(ended_s)}")
             if len(ended_s) < KNOWN_CRASHES:
                 continue
             known_s = ended_s[KNOWN_CRASHES - 1] + RECOVERY_S
-            late = [run for run in runs if run.started_s > known_s and self._is_from_undisturbed_daemon(run)]
+            late = [run for run in runs if run.received_s > known_s and self._is_from_undisturbed_daemon(run)]
             if len(late) > MAX_LATE_SENDS:
                 self.report_violation(
                     f"{body.decode()} had ended {KNOWN_CRASHES} replicas and reached {len(late)} more"
                 )
 
     def _is_from_undisturbed_daemon(self, run):
-        return self._was_undisturbed_at(self.callers.daemon_by_request[run.request_id], run.started_s)
+        return self._was_undisturbed_at(self.callers.daemon_by_request[run.request_id], run.received_s)
 
     def _was_undisturbed_at(self, daemon, time_s):
         """Return whether a daemon had no disturbance in the ``RECOVERY_S`` before a time."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from tests.soak.faults import Faults
 from tests.soak.processes import PORT_BLOCK_SIZE, PortAllocator
 from tests.soak.result_checker import ENDED_JOB_GRACE_S, ResultChecker
-from tests.soak.world import World
+from tests.soak.world import Evacuation, World
 
 
 class WorldStub:
@@ -257,3 +257,21 @@
     monitor.cancel()
     assert not world.disturbances.was_undisturbed("d0", before_s, time.monotonic())
     assert world.count_by_kind["stall of the soak"] >= 1
+
+
+@pytest.mark.parametrize(("received_s", "is_reported"), [(40.0, False), (66.0, True)])
+async def test_a_request_counts_as_sent_when_it_arrives(received_s, is_reported):
+    """An unresponsive replica that began a request after 30 s made its daemon break the time limits."""
+    world = WorldStub()
+    world.daemons = [types.SimpleNamespace(name="d0")]
+    callers = Callers(world)
+    callers.daemon_by_request["r1"] = "d0"
+    run = types.SimpleNamespace(request_id="r1", received_s=received_s, started_s=70.0)
+    replica = types.SimpleNamespace(replica_id="i-1", zone="b", runs=[run])
+    world.evacuations = [Evacuation("b", started_s=57.0, ended_s=80.0)]
+    world.removed_replicas, world.leaving_s_by_replica = [replica], {"i-1": 57.0}
+    world.all_replicas = lambda: [replica]
+    checker = ResultChecker(world, callers)
+    checker._check_evacuations()
+    checker._check_leaving_replicas()
+    assert len(world.violations) == 2 * is_reported
