--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -17,6 +17,7 @@
     NoRegionAllowed,
     NoReplicaAvailable,
     NoReplicaInRegions,
+    NotReady,
     ReplicaReplaced,
     Unauthorized,
 )
@@ -24,7 +25,8 @@
 from passgate.gateway.access import Caller
 from passgate.gateway.header_names import HeaderNames
 from passgate.gateway.messages import IncomingRequest
-from passgate.gateway.replica_client import ReplicaClient, ReplicaRequest
+from passgate.gateway.replica_client import ReplicaClient
+from passgate.gateway.replica_request import ReplicaRequest
 from passgate.gateway.replica_table import ReplicaQuery, ReplicaState, ReplicaTable
 from passgate.gateway.routes import ConfigHolder, Route, RouteKind, WeightedServicePicker
 from passgate.quarantine.identity import RequestIdentity
@@ -147,14 +149,22 @@
         )
 
     def _recheck_api_key(self, forwarding: ForwardedRequest) -> None:
-        """Authenticate the caller again if the configuration has changed; raises Unauthorized.
+        """Check the caller's API key and the age of the configuration; called before each attempt.
 
-        Called before each attempt, so that no run starts with a key that was revoked meanwhile.
+        So no run starts with a key that was revoked meanwhile, or that may have been.
+
+        Raises:
+            Unauthorized: the key is no longer valid.
+            NotReady: the configuration has expired, or the key belongs to another tenant by now.
         """
+        if self._config_holder.is_expired():
+            raise NotReady("the configuration is too old to be used", execution=ExecutionStatus.NOT_RUN)
         table = self._config_holder.table
         if table is None or table.config.version == forwarding.configuration_version:
             return
-        table.api_key_index.authenticate(forwarding.request.headers, public=forwarding.route.public)
+        caller = table.api_key_index.authenticate(forwarding.request.headers, public=forwarding.route.public)
+        if caller.tenant != forwarding.caller.tenant:
+            raise NotReady("the API key belongs to another tenant now", execution=ExecutionStatus.NOT_RUN)
         forwarding.configuration_version = table.config.version
 
     async def _passes_quarantine(self, forwarding: ForwardedRequest) -> bool:
@@ -174,13 +184,13 @@
         return True
 
     def _is_still_authorized(self, forwarding: ForwardedRequest) -> bool:
-        """Whether the caller's API key is still valid.
+        """Whether :meth:`_recheck_api_key` finds nothing.
 
-        Used for a request that may have run, for which Unauthorized would falsely claim "not run".
+        Used for a request that may have run, for which its errors would falsely claim "not run".
         """
         try:
             self._recheck_api_key(forwarding)
-        except Unauthorized:
+        except (NotReady, Unauthorized):
             return False
         return True
 
@@ -195,13 +205,15 @@
         if self._send_context(forwarding).allowed_regions == frozenset() and not forwarding.may_have_run:
             raise NoRegionAllowed("route and tenant allow no region in common")
 
-    def _choose_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
-        query = ReplicaQuery(
+    def _replica_query(self, forwarding: ForwardedRequest) -> ReplicaQuery:
+        return ReplicaQuery(
             services=frozenset({forwarding.service}),
             excluded=frozenset(forwarding.tried_replicas),
             send_context=self._send_context(forwarding),
         )
-        return self._replicas.choose(query, monotonic_s())
+
+    def _choose_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
+        return self._replicas.choose(self._replica_query(forwarding), monotonic_s())
 
     def _replica_request(self, forwarding: ForwardedRequest) -> ReplicaRequest:
         request = forwarding.request
