soak: let its servers queue as many connections as many daemons open

Cause: at most 128 connections wait to be accepted. When the log was slow for a moment, further ones were dropped and tried again seconds later, while their daemons gave up and opened new ones. The test failed before with E TimeoutError: timed out

The log, the replicas and the proxies now let 2048 connections wait.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -18,6 +18,7 @@
 from tornado.web import Application, RequestHandler
 
 from passgate.emulator.log_groups import LogGroups
+from tests.fault_proxy import CONNECTION_BACKLOG
 
 RECORD_LENGTH = struct.Struct(">I")
 """Length of the record that follows, in bodies of the log service."""
@@ -149,7 +150,7 @@
 
 def listen_on_loopback(server, port=0):
     """Let an HTTP server listen on a loopback port, with 0 on a free one, and return its address."""
-    server.listen(port, "127.0.0.1")
+    server.listen(port, "127.0.0.1", backlog=CONNECTION_BACKLOG)
     (sock,) = server._sockets.values()
     return f"127.0.0.1:{sock.getsockname()[1]}"
 
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -5,6 +5,9 @@
 import random
 import socket
 
+CONNECTION_BACKLOG = 2048
+"""Connections that may wait to be accepted, enough for many daemons that connect again at the same time."""
+
 
 class FaultProxy:
     """Forwards TCP connections to a target; a test injects faults by changing fields while it runs.
@@ -31,7 +34,9 @@
 
     async def start(self):
         """Listen on a free port and return the proxy."""
-        self._server = await asyncio.start_server(self._handle_connection, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._handle_connection, "127.0.0.1", 0, backlog=CONNECTION_BACKLOG
+        )
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import socket
 import time
 import types
 
@@ -275,3 +276,17 @@
     checker._check_evacuations()
     checker._check_leaving_replicas()
     assert len(world.violations) == 2 * is_reported
+
+
+async def test_the_soaks_servers_take_a_burst_of_connections_while_its_loop_is_busy():
+    """With 60 daemons, connections that the log had not accepted piled up until files ran out."""
+    log = fake_platform.FakeLogService().start()
+    proxy = await FaultProxy(log.address).start()
+    connections = []
+    for address in (log.address, proxy.address):
+        host, _, port = address.rpartition(":")
+        connections += [socket.create_connection((host, int(port)), timeout=0.5) for _ in range(300)]
+    for connection in connections:
+        connection.close()
+    await proxy.stop()
+    await log.stop()
