--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -409,6 +409,7 @@
         self.metrics.evacuation_age_seconds.set(self._configuration_poller.evacuations_age_s())
         self.metrics.in_flight.set(self._ingress.in_flight)
         self.metrics.jobs_owned.set(self.job_partitions.running_jobs)
+        self.metrics.job_view_age_seconds.set(self.job_partitions.oldest_running_view_age_s())
         self.metrics.is_leader.set(self._control_topic.leadership.leads)
         self.metrics.late_usage_requests.set(self._duty_projections.usage.late_requests)
         return self.metrics.exposition()
--- a/passgate/gateway/metrics.py
+++ b/passgate/gateway/metrics.py
@@ -109,6 +109,11 @@
         self.jobs_owned = Gauge(
             "passgate_jobs_owned", "Jobs whose items this daemon runs.", registry=self.registry
         )
+        self.job_view_age_seconds = Gauge(
+            "passgate_job_view_age_seconds",
+            "Age of the oldest view of a partition by which this daemon runs jobs; 0 if it runs none.",
+            registry=self.registry,
+        )
         self.late_usage_requests = Gauge(
             "passgate_usage_late_requests",
             "Requests counted after their window was committed, so that no report names them.",
--- a/passgate/jobs/partitions.py
+++ b/passgate/jobs/partitions.py
@@ -310,6 +310,17 @@
         """Number of jobs that this daemon runs, over all partitions."""
         return sum(partition.ownership.running_jobs for partition in self._partition_by_number.values())
 
+    def oldest_running_view_age_s(self) -> float:
+        """Return the age of the oldest view of a partition whose jobs run here; 0 if none does."""
+        return max(
+            (
+                partition.send_permission.view_age_s()
+                for partition in self._partition_by_number.values()
+                if partition.ownership.running_jobs
+            ),
+            default=0.0,
+        )
+
     @property
     def writer(self) -> str:
         """Writer name of this daemon's present incarnation."""
