--- a/passgate/daemon/job_partitions.py
+++ b/passgate/daemon/job_partitions.py
@@ -7,7 +7,8 @@
 from passgate.decisions import DecisionLog
 from passgate.gateway.routes import ConfigHolder
 from passgate.gateway.settings import GatewaySettings
-from passgate.jobs.partitions import JobPartitions, JobPartitionSettings
+from passgate.jobs.partition import JobPartitionSettings
+from passgate.jobs.partitions import JobPartitions
 from passgate.jobs.peers import JobPeerClient
 from passgate.jobs.restricted_bodies import RestrictedBodies
 from passgate.sharedlog.group import GroupMember
--- a/passgate/jobs/reader.py
+++ b/passgate/jobs/reader.py
@@ -8,7 +8,7 @@
 
 from passgate.clock import monotonic_s
 from passgate.errors import BodiesElsewhere, ExecutionStatus, NotFound, NotReady
-from passgate.jobs.partitions import JobPartition
+from passgate.jobs.partition import JobPartition
 from passgate.jobs.projection import JobState
 from passgate.jobs.records import Result
 
--- a/passgate/jobs/service.py
+++ b/passgate/jobs/service.py
@@ -30,7 +30,8 @@
 from passgate.gateway.messages import error_status
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import CUT_OFF_AFTER_S, AliveResponse
-from passgate.jobs.partitions import JobPartition, JobPartitions
+from passgate.jobs.partition import JobPartition
+from passgate.jobs.partitions import JobPartitions
 from passgate.jobs.peers import (
     MAX_VIEW_AGE_FOR_PEERS_S,
     METHOD_ALIVE,
--- a/tests/job_daemons.py
+++ b/tests/job_daemons.py
@@ -11,10 +11,8 @@
 from passgate.gateway.zone_distances import ZoneDistances
 from passgate.jobs.journal import Journal
 from passgate.jobs.liveness import LivenessProber
-from passgate.jobs.partitions import (
-    JobPartitions,
-    JobPartitionSettings,
-)
+from passgate.jobs.partition import JobPartitionSettings
+from passgate.jobs.partitions import JobPartitions
 from passgate.jobs.peers import JobPeerClient
 from passgate.jobs.reader import find_job
 from passgate.jobs.records import (
--- a/tests/test_jobs_daemons.py
+++ b/tests/test_jobs_daemons.py
@@ -14,10 +14,8 @@
 from passgate.decisions import JobEndUnconfirmed
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
 from passgate.errors import DurabilityUnknown, LogUnavailable, NotFound, NotReady
-from passgate.jobs.partitions import (
-    FOLLOW_AFTER_USE_S,
-    partition_of,
-)
+from passgate.jobs.partition import FOLLOW_AFTER_USE_S
+from passgate.jobs.partitions import partition_of
 from passgate.jobs.reader import find_job
 from passgate.jobs.records import (
     Batch,
--- a/tests/test_jobs_review.py
+++ b/tests/test_jobs_review.py
@@ -10,7 +10,7 @@
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import LogUnavailable
 from passgate.jobs.log_access import LogAccess
-from passgate.jobs.partitions import MAX_AGE_WITH_OPEN_JOBS_S, READ_PAUSE_S
+from passgate.jobs.partition import MAX_AGE_WITH_OPEN_JOBS_S, READ_PAUSE_S
 from passgate.jobs.send_permission import MAX_VIEW_AGE_S
 from passgate.sharedlog.log import LogThrottled
 from passgate.sharedlog.tail import RecordTail, TailSettings
