--- a/tests/test_jobs_old_views.py
+++ b/tests/test_jobs_old_views.py
@@ -5,6 +5,7 @@
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
+from passgate.decisions import JobRunStarted
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.jobs.ownership import TAKEOVER_AFTER_S, TAKEOVER_JITTER_S
 from passgate.jobs.records import JobClaimed, daemon_of, job_pieces
@@ -60,6 +61,10 @@
     return daemon_of(daemon.name)
 
 
+def started_runs(daemon):
+    return [event for event in daemon.events if isinstance(event, JobRunStarted)]
+
+
 def sends_after(daemon, since_s):
     return [sent_s for sent_s, _ in daemon.sends if sent_s > since_s]
 
@@ -81,6 +86,31 @@
         log.cut_off_clients.clear()
         await asyncio.sleep(OBSERVED_S)
         assert cut_off.sends == []
+        assert not started_runs(cut_off)
+        await close_all(daemons)
+
+    run_virtual(main())
+
+
+def test_a_job_is_not_run_on_a_page_that_ends_before_a_claim_to_it():
+    """Guards against runs that start on a fresh view although further records are known to be unread."""
+
+    async def main():
+        log = MemorySharedLog()
+        daemons = await start_daemons(log, 3, zones=3)
+        named, appender, _ = daemons
+        await asyncio.sleep(1.0)  # until a long poll of the idle partition has begun just before
+        assert named.job_partitions.of_host(HOST).send_permission.view_age_s() < MAX_VIEW_AGE_S / 2
+        log.faults.records_per_page = 1
+        spec = job_spec("j")
+        journal = appender.job_partitions.of_host(HOST).journal
+        claim = JobClaimed(job_id="j", owner=appender.name, epoch=2)
+        pieces = list(job_pieces(spec, "nonce", journal.max_piece_bytes, named.name))
+        await journal.append_job([*pieces, claim], monotonic_s() + 1.0)
+        log.faults.slow_s = 0.2  # several updates of the ownership fall between two pages
+        await asyncio.sleep(OBSERVED_S)
+        assert not started_runs(named)
+        assert started_runs(appender)
         await close_all(daemons)
 
     run_virtual(main())
