peers: a cancelled call stays cancelled when its answer arrives at the same time

Cause, shown by the test: asyncio.wait_for of Python 3.11 returns the result, and loses the cancellation, when both come in the same turn of the loop. A task that goes on with such an answer in its next round is never cancelled again.

The test failed before with AssertionError: assert False + where False = <built-in method cancelled of _asyncio.Task object at 0x7fe649e25180>()

asyncio.timeout ends the wait instead; it leaves the cancellation to the task.

--- a/passgate/peers/calls.py
+++ b/passgate/peers/calls.py
@@ -66,7 +66,9 @@
         Raises PeerTimeout, or the PeerError with which the call was completed.
         """
         try:
-            return await asyncio.wait_for(call.answer, timeout_s)
+            # wait_for loses a cancellation that comes together with the answer.
+            async with asyncio.timeout(timeout_s):
+                return await call.answer
         except TimeoutError as error:
             raise PeerTimeout(f"no answer within {timeout_s} s") from error
         finally:
--- a/tests/test_peer_transport.py
+++ b/tests/test_peer_transport.py
@@ -14,9 +14,11 @@
     PeerTimeout,
     PeerUnreachable,
 )
+from passgate.peers.calls import CallTable
 from passgate.peers.frames import (
     MAXIMUM_FRAME_BYTES,
     PROTOCOL_VERSION,
+    CallReply,
     Hello,
     Proof,
     encode_frame,
@@ -244,3 +246,15 @@
         server.close()
 
     run_over_tcp(scenario)
+
+
+async def test_a_call_stays_cancelled_when_its_answer_arrives_at_the_same_time():
+    """The cancelled task went on with the answer; a daemon that stopped waited for it until it was killed."""
+    calls = CallTable()
+    call = calls.open()
+    waiting = asyncio.create_task(calls.wait(call, TIMEOUT_S))
+    await asyncio.sleep(0)
+    calls.resolve(CallReply(call.call_id, b"answer"))
+    waiting.cancel()
+    await asyncio.wait([waiting])
+    assert waiting.cancelled()
