sharedlog: a cancelled wait for a record stays cancelled when the record arrives

Cause: asyncio.wait_for of Python 3.11 loses a cancellation that comes together with the result, as in the calls between daemons.

Evidence: test_a_wait_for_a_record_stays_cancelled_when_the_record_arrives_at_the_same_time failed before and passes.

--- a/passgate/sharedlog/tail.py
+++ b/passgate/sharedlog/tail.py
@@ -264,7 +264,9 @@
             if remaining_s <= 0.0:
                 return False
             try:
-                await asyncio.wait_for(self._advanced.wait(), remaining_s)
+                # wait_for loses a cancellation that comes together with the event.
+                async with asyncio.timeout(remaining_s):
+                    await self._advanced.wait()
             except TimeoutError:
                 return self.next_offset > offset
         return True
