--- a/passgate/gateway/replica_request.py
+++ b/passgate/gateway/replica_request.py
@@ -65,7 +65,7 @@
 
     @property
     def latest_send_s(self) -> float:
-        """Loop time from which on nobody waits for the answer, so that the request must not be sent."""
+        """Loop time from which on the request must not be sent."""
         return min(self.deadline_s, self.send_before_s)
 
     @property
