--- a/tests/test_jobs_review.py
+++ b/tests/test_jobs_review.py
@@ -1,4 +1,4 @@
-"""Faults in when owners of jobs send, renew and read, found by review, in virtual time."""
+"""When owners of jobs send, renew their leases and read, in cuts, outages and upgrades, in virtual time."""
 
 import asyncio
 
