quarantine, soak: lines that tell which crash interrupted which requests

Now: one crash_reported line for all reports of a crash that were read together, with the number of reports and at most 16 fingerprints; replica_crashed, crash_reported and last_chance_begun name the start time of the replica's process; `passgate explain FINGERPRINT` finds lines that list it; and the soak writes, for each crash, the request that caused it and all that ran there (event replica_crashed_by), with the fingerprints that daemons use.

The test of the volume fails on the former code: 40 reports of one crash made 40 lines. No decision changes.

--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -74,7 +74,7 @@
 from passgate.decisions.request_events import (
     AttemptFailed,
     CrashReportCleared,
-    CrashReportReceived,
+    CrashReportsReceived,
     ForwardEnded,
     ForwardSent,
     IsolatedRunStarted,
@@ -89,8 +89,8 @@
     "ConfigurationApplied",
     "ConfigurationReceivedFromPeer",
     "ConfigurationRejected",
-    "CrashReportReceived",
     "CrashReportCleared",
+    "CrashReportsReceived",
     "DaemonStarted",
     "DaemonStopped",
     "DaemonStopping",
--- a/passgate/decisions/request_events.py
+++ b/passgate/decisions/request_events.py
@@ -5,6 +5,9 @@
 from passgate.decisions.base import Event
 from passgate.errors import ExecutionStatus
 
+MAX_LOGGED_FINGERPRINTS = 16
+"""Maximum number of fingerprints in one event; a replica runs about as many requests at a time."""
+
 
 class ForwardSent(Event, tag="forward_sent"):
     """An attempt of a request is about to be sent to a replica; the send may still fail or be refused."""
@@ -80,24 +83,33 @@
     """A replica has exited after this daemon sent it a request or a load order; it counts as crashed."""
 
     replica_id: str
+    started_unix_ms: int
+    """Start time of the replica's process in Unix milliseconds; 0 if not reported."""
     fingerprint: str
     """Digest of the request's content."""
     crashes: int
     """Number of crash reports in effect for the fingerprint at this daemon, one per replica incarnation."""
 
 
-class CrashReportReceived(Event, tag="crash_reported"):
-    """This daemon received a crash report that it did not know: a replica crashed while it ran a request."""
+class CrashReportsReceived(Event, tag="crash_reported"):
+    """This daemon received crash reports of one replica incarnation that it did not know.
+
+    One line tells of all the reports that were read together, as a crash may interrupt many requests.
+    """
 
     replica_id: str
-    fingerprint: str
-    """Digest of the request's content."""
+    started_unix_ms: int
+    """Start time of the replica's process in Unix milliseconds; 0 if not reported."""
+    fingerprints: tuple[str, ...]
+    """Digests of the contents of the reported requests, at most MAX_LOGGED_FINGERPRINTS of them."""
+    reports: int
+    """Number of new reports."""
     source: str
-    """``log``, or ``peer`` when another daemon sent the report directly."""
+    """``log``, or ``peer`` when another daemon sent the reports directly."""
     crashes: int
-    """Number of crash reports in effect for the fingerprint at this daemon, one per replica incarnation."""
+    """Largest number of crash reports in effect for one of the requests, one per replica incarnation."""
     age_ms: float
-    """Age of the report by the wall clocks of both daemons, so clock skew makes it wrong."""
+    """Age of the oldest report by the wall clocks of both daemons, so clock skew makes it wrong."""
 
 
 class CrashReportCleared(Event, tag="crash_reports_cleared"):
@@ -117,6 +129,8 @@
     """
 
     replica_id: str
+    started_unix_ms: int
+    """Start time of the replica's process in Unix milliseconds; 0 if not reported."""
     fingerprint: str
     """Digest of the request's content."""
     announced: bool
--- a/passgate/explain.py
+++ b/passgate/explain.py
@@ -28,8 +28,8 @@
 LogLine = dict[str, Any]
 """A decoded decision line: an event of :mod:`passgate.decisions`, with the fields that all lines have."""
 
-ID_FIELDS = ("request_id", "job_id", "item_id", "replica_id", "fingerprint")
-"""Fields whose value may be the identifier to explain."""
+ID_FIELDS = ("request_id", "job_id", "item_id", "replica_id", "fingerprint", "fingerprints")
+"""Fields whose value, or one of whose values, may be the identifier to explain."""
 COMMON_FIELDS = frozenset({"time", "up", "daemon", "event"})
 """Fields that all lines have; they are not printed among an event's own fields."""
 FIRST_ERROR_STATUS = 400
@@ -116,8 +116,10 @@
 
 
 def _has_identifier(line: LogLine, field: str, identifier: str) -> bool:
-    """Whether a line's field is the identifier; in ``job_id``, the tenant's name may precede it."""
+    """Whether a line's field is or lists the identifier; in ``job_id``, the tenant's name may precede it."""
     value = line.get(field)
+    if isinstance(value, list):
+        return identifier in value
     return value == identifier or (
         field == "job_id" and str(value).endswith(f"{TENANT_SEPARATOR}{identifier}")
     )
--- a/passgate/quarantine/crash_report_log.py
+++ b/passgate/quarantine/crash_report_log.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from passgate.clock import monotonic_s, unix_s
-from passgate.decisions import CrashReportReceived, DecisionLog, RecordUnreadable
+from passgate.decisions import CrashReportsReceived, DecisionLog, RecordUnreadable
+from passgate.decisions.request_events import MAX_LOGGED_FINGERPRINTS
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.errors import LogError
 from passgate.quarantine.crash_reports import CrashReport, CrashReportStore
@@ -115,14 +116,17 @@
             reports: the reports, each with whether it is or was on the topic according to the other daemon.
         """
         is_current = self.is_current()
+        added: list[CrashReport] = []
         for report, on_log in reports:
             if self._is_removed(report) or self._reports.contains(report.fingerprint, report.incarnation):
                 continue
             if on_log and is_current:
                 continue
-            self._add_report(report, "peer", on_log=on_log)
+            if self._add_report(report, on_log=on_log):
+                added.append(report)
             if is_current:
                 self.publish(report)
+        self._log_received(added, "peer")
 
     def _is_removed(self, report: CrashReport) -> bool:
         """Whether this daemon knows that a report was withdrawn or has expired."""
@@ -199,30 +203,33 @@
         self._reports.isolated_runs.retain(
             _parse_key(key) for key in keys_in_effect if key.startswith(ISOLATED_RUN_PREFIX)
         )
-        for record in records:
-            self._apply_record(record, UNKNOWN_OFFSET)
+        added = [self._apply_record(record, UNKNOWN_OFFSET) for record in records]
+        self._log_received(filter(None, added), "log")
 
     def _apply_records(self, records: tuple[KeyedRecord, ...], start: int) -> None:
-        for index, record in enumerate(records):
-            self._apply_record(record, start + index)
+        added = [self._apply_record(record, offset) for offset, record in enumerate(records, start)]
+        self._log_received(filter(None, added), "log")
 
-    def _apply_record(self, record: KeyedRecord, offset: int) -> None:
+    def _apply_record(self, record: KeyedRecord, offset: int) -> CrashReport | None:
+        """Apply a record, and return its crash report if that is new."""
         is_announcement = record.key.startswith(ISOLATED_RUN_PREFIX)
         if not record.value and not is_announcement:
             self._pending_by_key.pop(record.key, None)  # withdrawn after another daemon had published it
         if self._pending_by_key.get(record.key, record.value) != record.value:
-            return  # a different value of this daemon is still to be appended
+            return None  # a different value of this daemon is still to be appended
         if not record.value:
             self._remove(record.key)
-            return
+            return None
         try:
             if is_announcement:
                 run = msgspec.json.decode(record.value, type=IsolatedRun)
                 self._reports.isolated_runs.record_announcement(run, offset, monotonic_s())
-            else:
-                self._add_report(msgspec.json.decode(record.value, type=CrashReport), "log", on_log=True)
+                return None
+            report = msgspec.json.decode(record.value, type=CrashReport)
         except msgspec.DecodeError as error:
             self._decisions.write(RecordUnreadable(offset=offset, reason=str(error)))
+            return None
+        return report if self._add_report(report, on_log=True) else None
 
     def _remove(self, key: str) -> None:
         if key.startswith(ISOLATED_RUN_PREFIX):
@@ -230,16 +237,31 @@
         elif not self._reports.remove(*_parse_key(key)):
             self._reports.removed.record(*_parse_key(key), before_unix_s=unix_s())
 
-    def _add_report(self, report: CrashReport, source: str, *, on_log: bool) -> None:
-        if self._reports.add(report, monotonic_s(), on_log=on_log):
+    def _add_report(self, report: CrashReport, *, on_log: bool) -> bool:
+        """Add a report, and eject its incarnation; return whether the report is new."""
+        is_new = self._reports.add(report, monotonic_s(), on_log=on_log)
+        if is_new:
             self._eject(report.incarnation, monotonic_s())
+        return is_new
+
+    def _log_received(self, reports: Iterable[CrashReport], source: str) -> None:
+        """Write one decision line for the new reports of each incarnation."""
+        reports_by_incarnation: dict[ReplicaIncarnation, list[CrashReport]] = {}
+        for report in reports:
+            reports_by_incarnation.setdefault(report.incarnation, []).append(report)
+        now_unix_s = unix_s()
+        for incarnation, received in reports_by_incarnation.items():
+            fingerprints = tuple(report.fingerprint for report in received)
+            oldest_s = min(report.reported_unix_s for report in received)
             self._decisions.write(
-                CrashReportReceived(
-                    replica_id=report.replica_id,
-                    fingerprint=report.fingerprint,
+                CrashReportsReceived(
+                    replica_id=incarnation.replica_id,
+                    started_unix_ms=incarnation.started_unix_ms,
+                    fingerprints=fingerprints[:MAX_LOGGED_FINGERPRINTS],
+                    reports=len(received),
                     source=source,
-                    crashes=self._reports.count_crashes(report.fingerprint, unix_s()),
-                    age_ms=round((unix_s() - report.reported_unix_s) * 1000, 1),
+                    crashes=max(self._reports.count_crashes(each, now_unix_s) for each in fingerprints),
+                    age_ms=round((now_unix_s - oldest_s) * 1000, 1),
                 )
             )
 
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -204,6 +204,7 @@
         self._decisions.write(
             IsolatedRunStarted(
                 replica_id=run.replica_id,
+                started_unix_ms=run.started_unix_ms,
                 fingerprint=run.fingerprint,
                 announced=self._isolated_runs.is_announced(run.fingerprint, run.incarnation),
                 is_first=is_first,
@@ -313,6 +314,7 @@
         self._decisions.write(
             ReplicaCrashed(
                 replica_id=endpoint.incarnation.replica_id,
+                started_unix_ms=endpoint.incarnation.started_unix_ms,
                 fingerprint=fingerprint,
                 crashes=self._reports.count_crashes(fingerprint, unix_s()),
             )
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -377,6 +377,8 @@
         self.highest_fence = -1
         self.is_loading = False
         self.running_count = 0
+        self.running = []
+        """Runs that have begun and not ended."""
         self.draining = False
         self.cold_ms = cold_ms
         self.server = None
@@ -522,7 +524,7 @@
             replica.running_count -= 1
 
     async def run_request(self):
-        """Record the run and respond as the replica's faults say."""
+        """Record the run, from its beginning to its end, and respond."""
         replica, headers = self.replica, self.request.headers
         request_id = headers.get("X-Attempt-Id", "")
         run = ReplicaRun(
@@ -539,6 +541,15 @@
             started_s=time.monotonic(),
         )
         replica.runs.append(run)
+        replica.running.append(run)
+        try:
+            await self.respond(run)
+        finally:
+            replica.running.remove(run)
+
+    async def respond(self, run):
+        """Respond to a request as the replica's faults say."""
+        replica, request_id = self.replica, run.request_id
         self.set_header("X-Attempt-Id", "0" if replica.faults.wrong_attempt_id else request_id)
         self.set_header("X-Replica-Stamp", f"{replica.replica_id}.{request_id}")
         if replica.faults.failure_status:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 from tests.soak.world import (
     CRASHING_BODIES,
     CRASHING_ITEM_PREFIX,
+    HOST,
     KEYS,
     MODEL,
     OTHER_KEY,
@@ -134,7 +135,7 @@
 
     def headers(self, request_id, key=KEYS[-1]):
         return {
-            "Host": "h.example",
+            "Host": HOST,
             "X-Attempt-Id": request_id,
             "X-Deadline-Ms": str(DEADLINE_MS),
             "Authorization": f"Bearer {key}",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from passgate.daemon.http_client import make_http_client
+from passgate.quarantine.identity import RequestIdentity
 from tests import fake_platform
 from tests.duty_stand_in import DutyEndpoint
 from tests.soak.builds import PRESENT_BUILD
@@ -16,6 +17,7 @@
 from tests.soak.processes import DaemonProcess, PortAllocator
 from tests.soak.senders import find_client
 
+HOST = "h.example"
 TENANT, OTHER_TENANT = "orchard", "mill"
 KEYS = ("key-o1", "key-o2", "key-o3")
 """Keys of the tenant that calls; all but the last may be revoked."""
@@ -54,6 +56,12 @@
     )
 
 
+def fingerprint_of(run):
+    """Return the fingerprint by which daemons know the request of a run."""
+    identity = RequestIdentity(host=HOST, method="POST", path=run.path, tenant=TENANT, body=run.body)
+    return identity.fingerprint()
+
+
 @dataclass
 class Evacuation:
     """Time span in which nothing should be sent to a zone."""
@@ -195,10 +203,29 @@
 
     def _on_replica_crash(self, replica):
         self.count("replica ended")
+        self._log_crash(replica)
         task = asyncio.get_running_loop().create_task(self._restart(replica))
         self.restarts.add(task)
         task.add_done_callback(self._end_restart)
 
+    def _log_crash(self, replica):
+        """Write what ran at a replica that has crashed, with the fingerprints of the daemons' lines."""
+        if self.log_file is None:
+            return
+        running = {run.request_id: fingerprint_of(run) for run in replica.running}
+        causes = [run.request_id for run in replica.running if run.crashed_replica]
+        line = {
+            "time": round(time.time(), 3),
+            "daemon": "soak",
+            "event": "replica_crashed_by",
+            "replica_id": replica.replica_id,
+            "started_unix_ms": replica.started_unix_ms,
+            "causes": causes,
+            "running": running,
+        }
+        self.log_file.write(json.dumps(line).encode() + b"\n")
+        self.log_file.flush()
+
     def _end_restart(self, task):
         self.restarts.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -7,7 +7,8 @@
 import pytest
 
 from passgate.clock import monotonic_s, run_virtual
-from passgate.decisions import DecisionLog
+from passgate.decisions import CrashReportsReceived, DecisionLog
+from passgate.decisions.request_events import MAX_LOGGED_FINGERPRINTS
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.emulator.shared_log import MemorySharedLog, SharedLogFaults
 from passgate.errors import (
@@ -57,7 +58,8 @@
         self.incarnation_by_address = {}
         """Address to the incarnation that a query there returns."""
         self.reports = CrashReportStore()
-        decisions = DecisionLog(name, write=len)
+        self.events = []
+        decisions = DecisionLog(name, write=len, observe=self.events.append)
         self.report_log = CrashReportLog(
             log.client(name), TOPIC, self.reports, self.record_ejection, decisions
         )
@@ -150,6 +152,21 @@
     daemon.guard.raise_if_quarantined(request())
 
 
+@in_virtual_time
+async def test_reports_that_are_read_together_make_one_decision_line_for_each_crash(fleet):
+    """Guards against a crash under many requests that exhausts the budget of the decision log."""
+    first, second = fleet.daemon(), fleet.daemon()
+    await asyncio.sleep(1.0)
+    fleet.exited_addresses.add("r1:1")
+    for number in range(40):
+        first.record_failed_attempt("r1", request(body=b"%d" % number))
+    await asyncio.sleep(1.0)
+    received = [event for event in second.events if isinstance(event, CrashReportsReceived)]
+    assert len(received) <= 2
+    assert sum(event.reports for event in received) == 40
+    assert all(len(event.fingerprints) <= MAX_LOGGED_FINGERPRINTS for event in received)
+
+
 @in_virtual_time
 async def test_request_with_other_content_or_tenant_is_not_quarantined(fleet):
     daemon = fleet.daemon()
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -72,6 +72,11 @@
     assert "accepted 1 times" in explain("job1", lines).verdict
 
 
+def test_a_line_that_lists_a_fingerprint_among_others_belongs_to_it():
+    line = '{"event":"crash_reported","replica_id":"i-1","fingerprints":["f1","f2"]}'
+    assert len(explain("f2", [line]).lines) == 1
+
+
 def test_unknown_identifier_raises_invalid_request():
     with pytest.raises(InvalidRequest):
         explain("unknown", ["no json", '{"event":"x"}'])
