loader: a crash counts against a load only if its order may have reached the replica

What callers saw: nothing directly; trainers would wait, as loads of a new version are suspended for up to ten minutes (`load_held`) though the version crashes nothing.

Cause: Loader._load checked for a crash after any error, also when reading the report of a replica that had exited before any order was sent there. After a burst of crashes the leader reported the new version for each dead replica; three make it suspended unless a replica holds the version.

Now the leader asks whether an order whose outcome is unknown may run at that incarnation; orders that were accepted are watched as before. The new test fails on the former code (no replica gets the version).

--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -254,7 +254,8 @@
             else:
                 self._retry_at_s_by_replica[incarnation] = monotonic_s() + ORDER_RETRY_PAUSE_S
         except PassgateError:
-            self._crash_guard.check_for_crash(state, model, self._targets.version_by_model[model])
+            if self._unconfirmed_orders.may_run_at(incarnation, monotonic_s()):
+                self._crash_guard.check_for_crash(state, model, self._targets.version_by_model[model])
             self._retry_at_s_by_replica[incarnation] = monotonic_s() + ORDER_RETRY_PAUSE_S
 
     def _is_order_due(self, state: ReplicaState, model: str, report: ReplicaReport) -> bool:
--- a/passgate/versions/unconfirmed_orders.py
+++ b/passgate/versions/unconfirmed_orders.py
@@ -10,6 +10,8 @@
 >>> restarted = ReplicaIncarnation("r", 2)
 >>> [unconfirmed.allows_next_order(restarted, orders_taken, now_s=1.0) for orders_taken in (0, 1, 2)]
 [True, False, True]
+>>> unconfirmed.may_run_at(ReplicaIncarnation("r", 1), now_s=1.0), unconfirmed.may_run_at(restarted, now_s=1.0)
+(True, False)
 """
 
 from __future__ import annotations
@@ -60,6 +62,11 @@
             for order in orders
         )
 
+    def may_run_at(self, incarnation: ReplicaIncarnation, now_s: float) -> bool:
+        """Return whether an order that was sent to an incarnation may be executed there, or was."""
+        orders = self._orders_by_replica_id.get(incarnation.replica_id, ())
+        return any(order.incarnation == incarnation and now_s < order.expires_at_s for order in orders)
+
     def _drop_expired(self, now_s: float) -> None:
         unexpired = {
             replica_id: [order for order in orders if now_s < order.expires_at_s]
--- a/tests/test_crashing_loads.py
+++ b/tests/test_crashing_loads.py
@@ -55,3 +55,21 @@
     await world.until(
         lambda: all(replica.version_by_model["m"] == 2 for replica in running_replicas(world)), 8.0
     )
+
+
+@in_crashing_world
+async def test_replicas_that_crashed_before_they_got_an_order_do_not_suspend_a_version(world):
+    """Guards against counting a crash against a load that was never sent to the replica."""
+    await start_replicas_and_daemons(world)
+    crashed = running_replicas(world)
+    for replica in crashed:
+        replica.on_crash = lambda exited: None
+        replica.crash()
+    publish_version(world, 2)
+    await asyncio.sleep(1.5)  # the leader tries to read the report of each replica
+    for replica in crashed:
+        world.log.put("keyed.servers", replica.replica_id, None)
+        world.add_replica("llm", models={"m": 1}.items())
+    await world.until(
+        lambda: all(replica.version_by_model["m"] == 2 for replica in running_replicas(world)), 6.0
+    )
