cold replicas: the age of the list of replicas counts, too

What callers could see: a replica that has become cold falls over, as a daemon that reads the operator's topic, but not the entries of the replicas, goes on sending there without permits.

Cause: a daemon asked the leader for the cold replicas by the age of its view of the operator's topic. That topic says nothing about replicas; a log that is down in part, or slow reads of one topic, leave it fresh while the list of replicas ages.

Now the age of the list counts as well: of the direct reading of discovery, or of the last record of a relay. The limit is 2.5 s, since a relayed list is confirmed less often than the operator's topic.

--- a/passgate/daemon/cold_permits.py
+++ b/passgate/daemon/cold_permits.py
@@ -31,6 +31,11 @@
 """Minimum time between two decision lines about permits, and between two about cold replicas."""
 MAX_REQUESTS_PER_S = 1_000_000.0
 """Upper bound of a limit, so that an infinite configured rate becomes a whole number."""
+STALE_LOG_AGE_S = 1.3
+"""Age from which this daemon's view of the operator's topic counts as stale; while the log responds, a long
+poll confirms the view about once a second even without new records."""
+STALE_LIST_AGE_S = 2.5
+"""Age from which this daemon's list of replicas counts as stale; a relayed list is confirmed within 2 s."""
 MAX_LISTED_REPLICAS = 8
 """Maximum number of replicas that one decision line names; the line also gives the total."""
 
@@ -114,6 +119,7 @@
         transport: PeerTransport,
         directory: GroupDirectory,
         log_age_s: Callable[[], float],
+        list_age_s: Callable[[], float],
         decisions: DecisionLog,
     ) -> None:
         """Set the limits of ``replicas``, and create the permit issuer and the client that requests permits.
@@ -125,11 +131,13 @@
             control: the control topic, whose leader issues permits.
             transport: sends permit requests to other daemons.
             directory: the group members of this daemon's zone.
-            log_age_s: returns the age of this daemon's view of the log.
+            log_age_s: returns the age of this daemon's view of the operator's topic.
+            list_age_s: returns the age of this daemon's list of replicas.
             decisions: the decision log.
         """
         self._replicas = replicas
         self._log_age_s = log_age_s
+        self._list_age_s = list_age_s
         self._decisions = decisions
         self._limits = ColdRateLimits(
             config_holder, lambda: (settings().cold_overshoot, settings().cold_slack)
@@ -150,7 +158,7 @@
             cold_replicas=replicas.cold_replicas,
             find_watcher=lambda: directory.holder_of(CONTROL_PARTITION),
             list_other_members=lambda: directory.other_members(""),
-            log_age_s=lambda: log_age_s() if self._limits.has_limits else 0.0,
+            is_view_stale=self._is_view_stale,
         )
         self._last_reported_cold: list[str] = []
         """Cold replicas when they were last reported."""
@@ -165,6 +173,12 @@
         Raises msgspec.DecodeError for a payload that is no permit request.
         """
 
+    def _is_view_stale(self) -> bool:
+        """Whether replicas with a limit may be cold of which this daemon has not read it."""
+        if not self._limits.has_limits:
+            return False
+        return self._log_age_s() >= STALE_LOG_AGE_S or self._list_age_s() >= STALE_LIST_AGE_S
+
     def _remaining_cold_ms(self) -> dict[str, int]:
         """Return the milliseconds until each cold replica counts as warm, by replica ID."""
         now_s = monotonic_s()
--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -211,6 +211,7 @@
             transport=peer_transport,
             directory=self._group_directory,
             log_age_s=self._log_age_s,
+            list_age_s=self._discovery.view_age_s,
             decisions=self.decisions,
         )
         self._crash_report_exchange = CrashReportExchange(
--- a/passgate/discovery/relayed_list.py
+++ b/passgate/discovery/relayed_list.py
@@ -112,6 +112,11 @@
             return 0.0
         return freshness.silence_s(self._last_contact_s, monotonic_s())
 
+    def view_age_s(self) -> float:
+        """Return the age of the list, which grows while no relay appends records."""
+        age_s = self._tail.tail.freshness.age_s(monotonic_s())
+        return max(age_s, monotonic_s() - self._last_contact_s)
+
     async def follow(self) -> None:
         """Follow the changes, and read the list if that is due; must be called repeatedly."""
         now_s = monotonic_s()
--- a/passgate/discovery/service.py
+++ b/passgate/discovery/service.py
@@ -140,6 +140,12 @@
         """Whether this daemon reads discovery itself."""
         return self._direct_tail is not None
 
+    def view_age_s(self) -> float:
+        """Return the age of the list of replicas: all that was written longer ago has been read."""
+        if self._direct_tail is not None and self._direct_tail[0].loaded:
+            return self._direct_tail[0].freshness.age_s(monotonic_s())
+        return self._relayed_list.view_age_s()
+
     async def _update(self) -> None:
         try:
             await self._choose_source()
--- a/passgate/eligibility/permit_client.py
+++ b/passgate/eligibility/permit_client.py
@@ -3,7 +3,7 @@
 A permit request goes to the daemon that responded as leader to the previous one.  Without such a daemon it
 goes to this daemon, then to the watcher of the control partition, which normally knows the leader, and then
 to other daemons.  A daemon that does not lead may name the leader, which is tried next.  While this daemon's
-view of the log is stale, its requests also ask for the list of cold replicas.
+view of the replicas or of the log is stale, its requests also ask for the list of cold replicas.
 """
 
 from __future__ import annotations
@@ -40,11 +40,8 @@
 REQUESTED_PER_USED_PERMIT = 2
 """Number of permits to request for each one used since the previous request; one more is added."""
 CHECK_INTERVAL_S = 0.1
-"""Interval of the checks whether the view of the log is stale, while no permits are needed; also the pause
-between the daemon's updates of its permit issuer."""
-STALE_LOG_AGE_S = 1.3
-"""Age from which this daemon's view of the log counts as stale; while the log responds, a long poll confirms
-the view about once a second even without new records."""
+"""Interval of the checks whether the view of the replicas is stale, while no permits are needed; also the
+pause between the daemon's updates of its permit issuer."""
 COLD_REQUEST_INTERVAL_S = 0.5
 """Shortest time between two requests for the list of cold replicas if no permits are needed."""
 MAX_REQUESTS_PER_ROUND = 4
@@ -62,7 +59,7 @@
         cold_replicas: ColdReplicas,
         find_watcher: Callable[[], Awaitable[str | None]],
         list_other_members: Callable[[], list[str]],
-        log_age_s: Callable[[], float],
+        is_view_stale: Callable[[], bool],
     ) -> None:
         """Create the client; it has at most one request in flight.
 
@@ -73,7 +70,7 @@
             cold_replicas: the cold replicas as this daemon knows them; reported cold periods are added.
             find_watcher: returns the name of the daemon that watches the control partition, None if unknown.
             list_other_members: returns the names of other daemons that may know the leader, in any order.
-            log_age_s: returns the age of this daemon's view of the log.
+            is_view_stale: returns whether this daemon may not have read which replicas are cold.
         """
         self._transport = transport
         self._issuer = issuer
@@ -81,7 +78,7 @@
         self._cold_replicas = cold_replicas
         self._find_watcher = find_watcher
         self._list_other_members = list_other_members
-        self._log_age_s = log_age_s
+        self._is_view_stale = is_view_stale
         self.leader_address = ""
         """Address of the daemon that responded as leader to the last request; empty if none did."""
         self._used_at_last_request = 0
@@ -101,10 +98,7 @@
                 await asyncio.sleep(self._request_interval_s)
 
     def _must_request_cold(self) -> bool:
-        return (
-            self._log_age_s() >= STALE_LOG_AGE_S
-            and monotonic_s() - self._cold_requested_s >= COLD_REQUEST_INTERVAL_S
-        )
+        return self._is_view_stale() and monotonic_s() - self._cold_requested_s >= COLD_REQUEST_INTERVAL_S
 
     async def _request_once(self) -> None:
         request = self._make_request()
@@ -121,7 +115,7 @@
         )
 
     def _make_request(self) -> PermitRequest:
-        include_cold = self._log_age_s() >= STALE_LOG_AGE_S
+        include_cold = self._is_view_stale()
         if include_cold:
             self._cold_requested_s = monotonic_s()
         service_by_replica_id = self._permit_pool.take_requested()
--- a/tests/cold_world.py
+++ b/tests/cold_world.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
+from passgate.daemon.cold_permits import STALE_LOG_AGE_S
 from passgate.decisions import DecisionLog
 from passgate.eligibility.cold_replicas import ColdLimit
 from passgate.eligibility.permit_client import CHECK_INTERVAL_S, PERMITS_METHOD, PermitClient
@@ -67,7 +68,7 @@
             self.table.cold_replicas,
             self._watcher,
             self._others,
-            lambda: self.log_age_s(),
+            lambda: self.log_age_s() >= STALE_LOG_AGE_S,
         )
         self.tasks = []
         self.send_times_s_by_id = {}
