tests: the table of characters is built before texts are drawn

What was seen: a health check of test_discovery_other_writers.py failed once beside load ("input generation is slow"), not traced until now.

Cause: the first text that is drawn builds Hypothesis's table of characters, and which of them UTF-8 can encode. Where the table is not cached on disk, as in a fresh clone, this takes some 3 s on a busy machine and counts as generation of the first input. It is neither the test's fault nor the product's.

Evidence: with an empty HYPOTHESIS_STORAGE_DIRECTORY, beside three soaks (load 4.6 on 5 cores), the test failed 3 of 3 times ("only generated 1 valid inputs after 2.60 to 3.27 seconds"); validating a strategy of texts alone took 2.8 to 3.3 s, with the table on disk 0.02 s. No check is changed: the table is built when pytest starts.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+from hypothesis import strategies as st
 
 from passgate import clock
 from passgate.clients.curl import HttpClient
@@ -24,6 +25,15 @@
 
 pytest_plugins = ["pytester", "tests.known_red"]
 
+
+def pytest_configure():
+    """Build Hypothesis's table of characters, which takes seconds where it is not cached on disk.
+
+    The first test that draws a text would build it, and fail as its generation of inputs is slow.
+    """
+    st.text().validate()
+
+
 ENGINE = MachineInfo(
     machine_id="e1", role=MachineRole.ENGINE, address="127.0.0.1:1", zone="z", labels={"kind": "engine"}
 )
