--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -88,6 +88,8 @@
     lost_append_delay_s: float = 0.0
     slow_s: float = 0.0
     """Delay before each call is handled."""
+    silent_topics: tuple = ()
+    """Topics of which all calls wait 30 s before they are handled."""
 
 
 class FakeLogService:
@@ -166,7 +168,7 @@
         faults = self.service.faults
         if faults.slow_s:
             await asyncio.sleep(faults.slow_s)
-        if faults.silent:
+        if faults.silent or self.get_query_argument("topic", "") in faults.silent_topics:
             await asyncio.sleep(30)
         if faults.refusing or faults.throttling:
             self.set_status(503 if faults.refusing else 429)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -239,3 +239,27 @@
     assert answer.status == 202
     rows = await world.all_results("job1", timeout_s=30.0)
     assert {row["id"] for row in rows if row["state"] == "succeeded"} == set(items) - causes
+
+
+@in_crashing_world
+async def test_a_restarted_daemon_runs_no_item_before_it_has_read_the_crash_reports(world):
+    """Guards against one more crash by a quarantined item at each restart of its owner beside a slow log."""
+    for _ in range(4):
+        world.add_replica("llm", models={"m": 1}.items())
+    world.configure(1, fake_platform.batch_route(queueTtlS=30.0))
+    await world.start_daemons(1)
+    world.crashing_bodies = {fake_platform.item_body("item0")}
+    answer = await world.send_request(
+        world.daemons[0], fake_platform.job_body(["item0"]), "job1", path="/stream/j"
+    )
+    assert answer.status == 202
+    await world.until(lambda: len(world.ended) == 3)
+    await asyncio.sleep(1.0)
+    await world.kill_daemons()
+    world.log.faults.silent_topics = ("keyed.passgate-crashes",)
+    await world.start_named_daemon("d2")
+    await asyncio.sleep(4.0)
+    world.log.faults.silent_topics = ()
+    await world.until(lambda: world.daemons[0].ready())
+    await asyncio.sleep(1.0)
+    assert len(world.ended) == 3
