--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -29,6 +29,7 @@
     ExecutionStatus,
     IncompleteAnswer,
     PassgateError,
+    SendInterrupted,
     SendTooLate,
 )
 
@@ -336,4 +337,5 @@
         return IncompleteAnswer(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
     if errno == pycurl.E_OPERATION_TIMEDOUT and not in_time:
         return DeadlineExceeded(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
-    return BackendUnreachable(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
+    error_type = SendInterrupted if errno == pycurl.E_SEND_ERROR else BackendUnreachable
+    return error_type(message, execution=ExecutionStatus.UNKNOWN, curl_errno=errno)
--- a/passgate/decisions/request_events.py
+++ b/passgate/decisions/request_events.py
@@ -137,6 +137,8 @@
     """Whether the run's announcement was read back from the log in time; if not, the run begins anyway."""
     is_first: bool
     """Whether the run may begin; if not, another isolated run was announced earlier at the replica."""
+    is_idle: bool
+    """Whether this daemon has no other request at the replica."""
 
 
 class ItemQuarantined(Event, tag="item_held"):
@@ -146,3 +148,5 @@
     item_id: str
     fingerprint: str
     """Digest of the request's content."""
+    decided: bool
+    """Whether the item is quarantined; if not, it waits for the outcome of other requests' runs."""
--- a/passgate/discovery/view.py
+++ b/passgate/discovery/view.py
@@ -16,7 +16,8 @@
 from passgate.decisions import DecisionLog, ReplicaChanged
 from passgate.discovery.unusable_entries import UnusableEntries
 from passgate.eligibility.replica_info import ReplicaInfo
-from passgate.gateway.replica_table import ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.sharedlog.freshness import BEHIND_AFTER_S, Freshness
 
 GONE_RETENTION_S = 120.0
--- a/passgate/duties/scaler.py
+++ b/passgate/duties/scaler.py
@@ -19,7 +19,8 @@
 from passgate.duties.calls import CallRateLimiter, DutyClient, DutyOutcome, ReplicaOrder
 from passgate.duties.scaling_policy import ZoneReplicas, replicas_needed, spread_replicas
 from passgate.duties.scaling_projection import ReplicaPool, ScalingDecision, ScalingProjection
-from passgate.gateway.replica_table import ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, ScalingRule, Service
 from passgate.jobs.journal import Journal
 from passgate.jobs.records import ReplicasDecided, ReplicasOrdered, WeightDemand
--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -194,6 +194,10 @@
     code = "backend_unreachable"
 
 
+class SendInterrupted(BackendUnreachable):
+    """The connection broke before the request was sent whole; the back end may have read it all the same."""
+
+
 class SendForbidden(BackendUnreachable):
     """A rule excluded the replica just before the send; nothing was sent."""
 
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -26,7 +26,7 @@
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, error_status
 from passgate.gateway.replica_client import cancel_and_wait
 from passgate.gateway.replica_request import ReplicaAnswer, end_to_end_headers
-from passgate.gateway.replica_table import ReplicaState
+from passgate.gateway.replica_state import ReplicaState
 from passgate.gateway.routes import Route
 
 HEDGE_DELAY_SHARE = 0.4
@@ -114,7 +114,7 @@
         if not forwarding.may_be_sent_again or not await self._passes_quarantine(forwarding):
             return False
         state = await self._wait_for_replica(forwarding)
-        if state is None:
+        if state is None or not await self._confirm_isolated_run(forwarding, state):
             return False
         if forwarding.may_have_run and not self._is_still_authorized(forwarding):
             return False
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -27,7 +27,8 @@
 from passgate.gateway.messages import IncomingRequest
 from passgate.gateway.replica_client import ReplicaClient
 from passgate.gateway.replica_request import ReplicaRequest
-from passgate.gateway.replica_table import ReplicaQuery, ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaQuery, ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, Route, RouteKind, WeightedServicePicker
 from passgate.quarantine.identity import RequestIdentity
 
@@ -168,7 +169,7 @@
         forwarding.configuration_version = table.config.version
 
     async def _passes_quarantine(self, forwarding: ForwardedRequest) -> bool:
-        """Wait for probes that may quarantine the request; return whether the request is not quarantined.
+        """Wait for what may quarantine the request; return whether the request is not quarantined.
 
         The wait ends at the latest when the answer has to end.  A quarantined request has crashed replicas
         and is not sent for a while.  If this request has not run yet, RequestQuarantined is raised instead of
@@ -178,6 +179,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(forwarding.answer_by_s):
                 await crash_guard.wait_for_probes(forwarding.identity)
+                await crash_guard.wait_until_decided(forwarding.identity)
         if forwarding.may_have_run:
             return not crash_guard.is_quarantined(forwarding.identity)
         crash_guard.raise_if_quarantined(forwarding.identity)
@@ -209,12 +211,30 @@
         return ReplicaQuery(
             services=frozenset({forwarding.service}),
             excluded=frozenset(forwarding.tried_replicas),
+            isolation=self._replica_client.crash_guard.isolation_of(forwarding.identity),
             send_context=self._send_context(forwarding),
         )
 
     def _choose_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
         return self._replicas.choose(self._replica_query(forwarding), monotonic_s())
 
+    async def _confirm_isolated_run(self, forwarding: ForwardedRequest, state: ReplicaState) -> bool:
+        """Announce an isolated run if the request needs one; return whether it may be sent to the replica."""
+        crash_guard = self._replica_client.crash_guard
+        crash_guard.announce_run(forwarding.identity, state.incarnation)
+        state.in_flight += 1  # reserves a slot until the attempt counts itself
+        is_confirmed = False
+        try:
+            async with asyncio.timeout_at(forwarding.answer_by_s):
+                is_confirmed = await crash_guard.confirm_run(forwarding.identity, state.is_idle)
+        except TimeoutError:
+            pass
+        finally:
+            state.in_flight -= 1
+            if not is_confirmed:
+                crash_guard.withdraw_run(forwarding.identity)
+        return is_confirmed
+
     def _replica_request(self, forwarding: ForwardedRequest) -> ReplicaRequest:
         request = forwarding.request
         last_event_id = self._header_names.last_event_id.lower()
--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -30,7 +30,8 @@
 from passgate.gateway.header_names import HeaderNames
 from passgate.gateway.messages import GUARANTEED_NOT_RUN_STATUSES
 from passgate.gateway.replica_request import ReplicaAnswer, ReplicaRequest, end_to_end_headers
-from passgate.gateway.replica_table import ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.quarantine.guard import CrashGuard, ReplicaEndpoint
 
 CONNECT_TIMEOUT_S = 0.6
@@ -61,6 +62,8 @@
     def start_attempt(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAttempt:
         """Send a request to a replica; the caller must close the returned attempt.
 
+        The announcement of an isolated run, if any, is withdrawn when the attempt is closed or not started.
+
         Raises:
             SendTooLate: the time in which the request may be sent is over; nothing was sent.
             Cancelled: nobody waits for the answer any more; nothing was sent.
@@ -68,7 +71,27 @@
             SendForbidden: a send rule excludes the replica now, or it is no longer listed; nothing was sent.
             BackendUnreachable: the HTTP client can not start the transfer; nothing was sent.
         """
-        # Checked here, and not only before the choice of a replica, so that no attempt bypasses the checks.
+        try:
+            not_sent_after_s = self._check_send(state, request)
+            return ReplicaAttempt(
+                self._http,
+                self._replicas,
+                self._header_names,
+                self.crash_guard,
+                state,
+                request,
+                not_sent_after_s,
+            )
+        except PassgateError:
+            self.crash_guard.withdraw_run(request.identity)
+            raise
+
+    def _check_send(self, state: ReplicaState, request: ReplicaRequest) -> float:
+        """Return the loop time until which the request may be sent to the replica.
+
+        Checked here, and not only before the choice of a replica, so that no attempt bypasses the checks.
+        Raises the errors of :meth:`start_attempt`.
+        """
         now_s = monotonic_s()
         if now_s >= request.latest_send_s:
             raise SendTooLate("the request's time is over", execution=ExecutionStatus.NOT_RUN)
@@ -78,14 +101,9 @@
         if self._replicas.find_incarnation(state.incarnation) is not state:
             raise SendForbidden("the replica is no longer listed", execution=ExecutionStatus.NOT_RUN)
         admitted_until_s = self._replicas.send_rules.admit(state.info, request.send_context, now_s)
-        not_sent_after_s = (
-            request.latest_send_s
-            if admitted_until_s is None
-            else min(admitted_until_s, request.latest_send_s)
-        )
-        return ReplicaAttempt(
-            self._http, self._replicas, self._header_names, self.crash_guard, state, request, not_sent_after_s
-        )
+        if admitted_until_s is None:
+            return request.latest_send_s
+        return min(admitted_until_s, request.latest_send_s)
 
     async def fetch(self, state: ReplicaState, request: ReplicaRequest) -> ReplicaAnswer:
         """Send a request and return the complete answer, which may have an error status.
@@ -143,12 +161,14 @@
         headers[self._header_names.expected_replica] = self.incarnation.replica_id
         if request.priority is not None:
             headers[self._header_names.priority] = str(request.priority)
+        # On a new connection, a failure shows that the replica ran when the request was sent.
+        may_reuse_connection = request.repeatable and not self._crash_guard.is_suspect(request.identity)
         return HttpCall(
             method=request.method,
             url=f"http://{self._state.info.address}{request.path}",
             body=request.body if request.body or request.method in ("POST", "PUT", "PATCH") else None,
             headers=headers,
-            send=SendPolicy.ONCE if request.repeatable else SendPolicy.ONCE_ON_FRESH_CONNECTION,
+            send=SendPolicy.ONCE if may_reuse_connection else SendPolicy.ONCE_ON_FRESH_CONNECTION,
             timeout_s=left_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             length_required=False,
@@ -293,7 +313,9 @@
         """
         if self._state.info.draining or self._replicas.find_latest_incarnation(self.incarnation) is None:
             return
-        self._crash_guard.record_failed_attempt(self._request.identity, self._replica_endpoint(), error)
+        self._crash_guard.record_failed_attempt(
+            self._request.identity, self._replica_endpoint(), error, self.started_s
+        )
 
     def _replica_endpoint(self) -> ReplicaEndpoint:
         latest = self._replicas.find_latest_incarnation(self.incarnation)
@@ -370,6 +392,7 @@
         self._active = False
         self._state.in_flight -= 1
         self._transfer.abort()
+        self._crash_guard.withdraw_run(self._request.identity)
 
 
 async def cancel_and_wait(tasks: Iterable[asyncio.Task]) -> None:
--- a/passgate/gateway/replica_table.py
+++ b/passgate/gateway/replica_table.py
@@ -1,4 +1,4 @@
-"""The replicas that discovery lists, their state as this daemon observed it, and the choice of one.
+"""The replicas that discovery lists, and the choice of one for each request.
 
 The best replica has the lowest score of load, latency and network cost; between regions, the expected time
 of an answer counts as well.
@@ -20,20 +20,18 @@
 
 from passgate.eligibility.cold_replicas import ColdReplicas
 from passgate.eligibility.cold_rule import ColdRule
+from passgate.eligibility.isolation import NO_ISOLATION
 from passgate.eligibility.permits import PermitPool
 from passgate.eligibility.replica_info import ReplicaIncarnation, ReplicaInfo
-from passgate.eligibility.rules import ANY_REGION_REQUEST, DrainingRule, SendContext, SendRules
+from passgate.eligibility.rules import DrainingRule, SendRules
 from passgate.eligibility.topology import Topology
+from passgate.gateway.replica_state import DEFAULT_LATENCY_S, FULL_LOAD, ReplicaQuery, ReplicaState
 from passgate.gateway.spillover import LocalCapacityWaits, spillover_share
 from passgate.gateway.zone_distances import ZoneDistances
 from passgate.routing.replica_health import ReplicaHealth
 
 LATENCY_SMOOTHING = 0.2
 """Weight of a new observation in a replica's smoothed latency."""
-DEFAULT_LATENCY_S = 0.05
-"""Latency assumed without observations, for a plain request as well as for one event of a stream."""
-LOAD_REPORT_MAX_AGE_S = 1.5
-"""Age after which a replica's load report is ignored."""
 MAX_REMOTE_CANDIDATES = 2
 """Maximum number of replicas in other regions that a choice compares; they are picked at random, so that
 daemons don't all choose the same replica."""
@@ -41,91 +39,10 @@
 """An observation is capped at this many times the current smoothed latency."""
 FASTER_LATENCY_SHARE = 0.5
 """A replica is much faster than another one if its latency is below this share of the other's."""
-LATENCY_HALF_LIFE_S = 4.0
-"""Time without an observation after which the latency has moved halfway back to DEFAULT_LATENCY_S."""
-ASSUMED_LOADING_S = 1.0
-"""Time for which a replica that refused despite free slots is assumed to be loading weights; ends early
-when an answer of the replica arrives."""
 LOADING_SCORE_PENALTY = 3.0
 """Added to the score of a replica that is probably loading weights."""
-FULL_LOAD = 1.0
-"""Load of a replica whose slots are all occupied."""
-
-
-class ReplicaQuery(msgspec.Struct, frozen=True, kw_only=True):
-    """Criteria by which a replica is chosen."""
-
-    services: frozenset[str]
-    """The replica must belong to one of these services."""
-    excluded: frozenset[ReplicaIncarnation] = frozenset()
-    """Replicas that must not be chosen, such as those that were tried already."""
-    model: str = ""
-    """The replica must hold weights of this model, of ``min_version`` or newer; empty: no condition."""
-    min_version: int = 0
-    preferred: ReplicaIncarnation | None = None
-    """Replica with a small bonus in the score, such as one that has the prompt's prefix cached."""
-    load_below: float = math.inf
-    """The replica's load, in requests per slot, must be below this limit."""
-    send_context: SendContext = ANY_REGION_REQUEST
-    """What the send rules need to know of the request."""
-
-
-class ReplicaState:
-    """State of one incarnation of a replica: its discovery entry and this daemon's observations."""
-
-    def __init__(self, info: ReplicaInfo) -> None:
-        self.info = info
-        self.incarnation = info.incarnation
-        self.in_flight = 0
-        """Number of this daemon's requests at the replica."""
-        self.latency_s = DEFAULT_LATENCY_S
-        self.latency_recorded_at_s = 0.0
-        self.other_requests = 0
-        """Number of requests at the replica that are not this daemon's, by the last load report."""
-        self.load_reported_at_s = float("-inf")
-        self.reported_versions: dict[str, int] = {}
-        """Weight version that the replica itself last reported, by model."""
-        self._refused_with_free_slots_at_s = float("-inf")
-
-    def record_refusal(self, now_s: float) -> None:
-        """Record that the replica refused as busy; if it has free slots, it is probably loading weights."""
-        if self.load(now_s) < FULL_LOAD:
-            self._refused_with_free_slots_at_s = now_s
-
-    def record_answer_start(self) -> None:
-        """Record that the replica sent the head of an answer, and so is not loading weights."""
-        self._refused_with_free_slots_at_s = float("-inf")
-
-    def is_probably_loading(self, now_s: float) -> bool:
-        """Whether the replica is probably loading weights, during which it refuses requests."""
-        return now_s - self._refused_with_free_slots_at_s < ASSUMED_LOADING_S
-
-    def load(self, now_s: float) -> float:
-        """Return the number of requests at the replica divided by its slots.
-
-        Other daemons' requests count only if the replica's load report is not older than
-        LOAD_REPORT_MAX_AGE_S.
-        """
-        other_requests = self.other_requests if now_s - self.load_reported_at_s < LOAD_REPORT_MAX_AGE_S else 0
-        return (self.in_flight + other_requests) / max(self.info.slots, 1)
-
-    def expected_latency_s(self, now_s: float) -> float:
-        """Return the smoothed latency, which moves towards DEFAULT_LATENCY_S while nothing is observed."""
-        half_lives = (now_s - self.latency_recorded_at_s) / LATENCY_HALF_LIFE_S
-        return DEFAULT_LATENCY_S + (self.latency_s - DEFAULT_LATENCY_S) * 0.5 ** max(half_lives, 0.0)
-
-    def expected_answer_time_s(self, now_s: float) -> float:
-        """Return the expected time until the answer to a request sent now.
-
-        Time in the replica's queue and the rest of a probable load of weights are included.
-        """
-        overload = max(self.load(now_s) + 1.0 / max(self.info.slots, 1) - FULL_LOAD, 0.0)
-        loading_s = ASSUMED_LOADING_S if self.is_probably_loading(now_s) else 0.0
-        return (1.0 + overload) * self.expected_latency_s(now_s) + loading_s
-
-    def weight_version(self, model: str) -> int:
-        """Return the newest weight version that discovery or the replica itself reported; 0 if none."""
-        return max(self.info.model_versions.get(model, 0), self.reported_versions.get(model, 0))
+MAX_ISOLATED_SHARE = 0.5
+"""Share of the usable replicas, rounded up, that isolated runs may have for themselves at a time."""
 
 
 class ReplicaTable:
@@ -233,6 +150,7 @@
         A cold replica is usable only with an unclaimed permit; choosing the replica claims the permit.  If no
         replica or only one without a free slot is found, permits for matching cold replicas are requested.
         """
+        query = self._apply_isolation(query, now_s)
         best = self._choose_best(query, now_s)
         if not self.cold_replicas.any_may_be_cold:
             return best
@@ -255,6 +173,34 @@
         ]
         return bool(self.health.filter_usable(candidates, until_s))
 
+    def _apply_isolation(self, query: ReplicaQuery, now_s: float) -> ReplicaQuery:
+        """Return a query that excludes those replicas which isolated runs keep from the request now.
+
+        An isolated run gets no replica if the share of replicas with isolated runs would become too large.
+        Other requests may use the avoided replicas if they have no other usable one.
+        """
+        isolation = query.isolation
+        if isolation is NO_ISOLATION:
+            return query
+        excluded = query.excluded | isolation.avoided
+        if isolation.is_isolated:
+            excluded |= isolation.crashed
+        usable = self._usable_at_any_load(query, now_s)
+        if isolation.is_isolated:
+            isolated_count = len(usable & isolation.avoided) + 1
+            if isolated_count > math.ceil(MAX_ISOLATED_SHARE * len(usable)):
+                excluded |= usable
+        elif usable <= isolation.avoided:
+            return query
+        return msgspec.structs.replace(query, excluded=excluded)
+
+    def _usable_at_any_load(self, query: ReplicaQuery, now_s: float) -> frozenset[ReplicaIncarnation]:
+        """Return the usable replicas that match a query but for its limit of the load."""
+        any_load_query = msgspec.structs.replace(query, load_below=math.inf)
+        states = self._state_by_incarnation.values()
+        eligible = [state.incarnation for state in states if self._is_eligible(state, any_load_query, now_s)]
+        return frozenset(self.health.filter_usable(eligible, now_s))
+
     def _request_permits(self, query: ReplicaQuery, now_s: float) -> None:
         """Request permits for the cold replicas that match a query and are not ejected."""
         states = self._state_by_incarnation.values()
@@ -373,6 +319,8 @@
         False if there is no usable replica for the query or the incarnation is not listed.
         """
         state = self._state_by_incarnation.get(incarnation)
+        if query.isolation.avoided:
+            query = msgspec.structs.replace(query, excluded=query.excluded | query.isolation.avoided)
         best = self._choose_best(query, now_s)
         if state is None or best is None:
             return False
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -10,6 +10,8 @@
 import asyncio
 from collections.abc import AsyncGenerator
 
+import msgspec
+
 from passgate.clock import monotonic_s
 from passgate.errors import (
     BackendUnreachable,
@@ -27,7 +29,7 @@
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_status
 from passgate.gateway.replica_client import ReplicaAttempt
 from passgate.gateway.replica_request import ReplicaAnswer, end_to_end_headers
-from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery
+from passgate.gateway.replica_state import FULL_LOAD
 from passgate.gateway.routes import Route
 from passgate.gateway.timeouts import wait_until
 
@@ -125,7 +127,7 @@
         if stream.is_time_over:
             raise self._end_with_error(stream, "the time limit has passed")
         state = self._choose_replica(stream)
-        if state is None:
+        if state is None or not await self._confirm_isolated_run(stream, state):
             raise self._end_with_error(stream, "no replica is available")
         if not stream.may_have_run:
             self._recheck_api_key(stream)
@@ -209,12 +211,7 @@
         """Whether another usable replica is so much faster that a resumable stream should continue there."""
         if not stream.route.resumable or not stream.may_be_sent_again:
             return False
-        query = ReplicaQuery(
-            services=frozenset({stream.service}),
-            excluded=frozenset(stream.tried_replicas),
-            load_below=FULL_LOAD,
-            send_context=self._send_context(stream),
-        )
+        query = msgspec.structs.replace(self._replica_query(stream), load_below=FULL_LOAD)
         return self._replicas.has_faster(attempt.incarnation, query, monotonic_s())
 
     def _read_by_s(self, stream: ForwardedRequest) -> float:
--- a/passgate/jobs/group_affinity.py
+++ b/passgate/jobs/group_affinity.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from passgate.eligibility.replica_info import ReplicaIncarnation
-from passgate.gateway.replica_table import ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 
 
 class GroupAffinity:
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -26,7 +26,8 @@
 )
 from passgate.gateway.header_names import HeaderNames
 from passgate.gateway.replica_client import ReplicaAttempt, ReplicaClient, ReplicaRequest
-from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery, ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import FULL_LOAD, ReplicaQuery, ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import Route
 from passgate.jobs.durations import OutputDurations
 from passgate.jobs.event_stream import EventStream, RecordedEvents
@@ -38,6 +39,7 @@
 from passgate.jobs.send_permission import SendPermission
 from passgate.jobs.stall_detector import FIRST_BYTES_LIMIT_S, StallDetector, silence_limit_s
 from passgate.jobs.wait_queues import QueueKey, Rank, WaitQueues
+from passgate.quarantine.crash_attribution import Verdict
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 SLOT_POLL_INTERVAL_S = 0.01
@@ -184,17 +186,11 @@
             self._reserved_replica = None
             self._crash_guard.withdraw_run(self._identity)
 
-    def _replica_query(
-        self,
-        avoided_replica: ReplicaIncarnation | None,
-        replicas_to_avoid: frozenset[ReplicaIncarnation] = frozenset(),
-    ) -> ReplicaQuery:
-        avoided_replicas = frozenset() if avoided_replica is None else frozenset({avoided_replica})
+    def _replica_query(self, excluded_replica: ReplicaIncarnation | None) -> ReplicaQuery:
         query = ReplicaQuery(
             services=self._context.route.services,
-            excluded=self._crash_guard.excluded_replicas(self._identity)
-            | replicas_to_avoid
-            | avoided_replicas,
+            excluded=frozenset() if excluded_replica is None else frozenset({excluded_replica}),
+            isolation=self._crash_guard.isolation_of(self._identity),
             model=self._spec.model,
             min_version=self._spec.min_version,
             load_below=FULL_LOAD,
@@ -204,12 +200,7 @@
         return msgspec.structs.replace(query, preferred=preferred)
 
     def _choose_replica(self) -> ReplicaState | None:
-        replicas, now_s = self._context.replicas, monotonic_s()
-        if replicas_to_avoid := self._crash_guard.replicas_to_avoid():
-            state = replicas.choose(self._replica_query(self._avoided_replica, replicas_to_avoid), now_s)
-            if state is not None:
-                return state
-        state = replicas.choose(self._replica_query(self._avoided_replica), now_s)
+        state = self._context.replicas.choose(self._replica_query(self._avoided_replica), monotonic_s())
         if state is None:
             self._avoided_replica = None  # the replica of the last failure may be used if no other can
         return state
@@ -238,17 +229,14 @@
         while True:
             if self._reserved_replica is None:
                 await self._wait_for_next_attempt()
-            if not await self._crash_guard.confirm_run(self._identity) or not self._may_send:
-                self.release_slot()
-                continue
             state = self._reserved_replica
             assert state is not None
+            if not await self._crash_guard.confirm_run(self._identity, state.is_idle) or not self._may_send:
+                self.release_slot()
+                continue
             self._reserved_replica = None
             state.in_flight -= 1  # the attempt counts itself as in flight from here on
-            try:
-                result = await self._run_attempt(state)
-            finally:
-                self._crash_guard.withdraw_run(self._identity)
+            result = await self._run_attempt(state)
             if result is not None:
                 return result
 
@@ -269,13 +257,17 @@
         The job's runner cancels the wait when the item expires.
         """
         await self._crash_guard.delay_isolated_run(self._identity)
-        if not self.is_quarantined:
-            return
-        fingerprint = self._identity.fingerprint()
+        await self._crash_guard.wait_until_released(self._identity, self._write_quarantined)
+
+    def _write_quarantined(self, verdict: Verdict) -> None:
         self._context.decisions.write(
-            ItemQuarantined(job_id=self._spec.job_id, item_id=self.item.id, fingerprint=fingerprint)
+            ItemQuarantined(
+                job_id=self._spec.job_id,
+                item_id=self.item.id,
+                fingerprint=self._identity.fingerprint(),
+                decided=verdict is Verdict.QUARANTINED,
+            )
         )
-        await self._crash_guard.wait_until_released(self._identity)
 
     async def _run_attempt(self, state: ReplicaState) -> Result | None:
         try:
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -22,7 +22,8 @@
 from passgate.errors import AnswerMismatch, ExecutionStatus, IncompleteAnswer, PassgateError
 from passgate.gateway.header_names import HeaderNames
 from passgate.gateway.replica_client import ReplicaAnswer, ReplicaClient, ReplicaRequest
-from passgate.gateway.replica_table import ReplicaQuery, ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaQuery, ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import Route, WeightedServicePicker
 from passgate.jobs.records import RewardSpec, Score
 from passgate.jobs.send_permission import SendPermission
@@ -111,8 +112,6 @@
                     return Score(call_id=self._spec.id, stamp=stamp)
                 if self._error_answers >= max(route.max_attempts, item_max_attempts):
                     return None
-            finally:
-                self._crash_guard.withdraw_run(self._identity)
             await asyncio.sleep(self._retry_pause_s)
             self._retry_pause_s = min(self._retry_pause_s * 2.0, MAX_RETRY_PAUSE_S)
 
@@ -135,7 +134,7 @@
         """Return whether the call may run in its reserved slot; release the slot if not."""
         may_run = False
         try:
-            is_confirmed = await self._crash_guard.confirm_run(self._identity)
+            is_confirmed = await self._crash_guard.confirm_run(self._identity, state.is_idle)
             may_run = is_confirmed and self._send_permission.is_granted()
         finally:
             if not may_run:
@@ -167,23 +166,14 @@
     def _choose_replica(self, service: str) -> ReplicaState | None:
         excluded = frozenset() if self._avoided_replica is None else frozenset({self._avoided_replica})
         self._avoided_replica = None  # exclude it once only: the service may have no other replica
-        excluded |= self._crash_guard.excluded_replicas(self._identity)
-        if replicas_to_avoid := self._crash_guard.replicas_to_avoid():
-            state = self._choose_replica_excluding(service, excluded | replicas_to_avoid)
-            if state is not None:
-                return state
-        return self._choose_replica_excluding(service, excluded)
-
-    def _choose_replica_excluding(
-        self, service: str, excluded: frozenset[ReplicaIncarnation]
-    ) -> ReplicaState | None:
-        request = ReplicaQuery(
+        query = ReplicaQuery(
             services=frozenset({service}),
             excluded=excluded,
+            isolation=self._crash_guard.isolation_of(self._identity),
             load_below=MAX_LOAD,
             send_context=self._find_send_context(),
         )
-        return self._context.replicas.choose(request, monotonic_s())
+        return self._context.replicas.choose(query, monotonic_s())
 
     async def _run_attempt(self, state: ReplicaState) -> str:
         """Send the call once; return the stamp of a success, or an empty string after a status of 500.
--- a/passgate/quarantine/crash_reports.py
+++ b/passgate/quarantine/crash_reports.py
@@ -1,9 +1,8 @@
-"""Stores crash reports and decides from them which requests are quarantined.
+"""Stores crash reports; :mod:`passgate.quarantine.crash_attribution` decides from them.
 
 A crash report states that an incarnation, that is one run of a replica's process, ended while it ran a
 request.  If several requests were running there, each may get a report.  A complete answer, other than a
-server error, clears the request's reports for the service that answered.  A request with as many unexpired
-reports as its crash limit is quarantined, unless other requests explain its crashes.
+server error, clears the request's reports for the service that answered.
 
 >>> store = CrashReportStore()
 >>> for replica_id in ("r1", "r2"):
@@ -11,23 +10,23 @@
 ...         fingerprint="f", replica_id=replica_id, service="s", crash_limit=2, reported_unix_s=100.0
 ...     )
 ...     _ = store.add(report, now_s=5.0)
->>> store.quarantined_for_s("f", unix_s=160.0)
-540.0
+>>> store.count_crashes("f", unix_s=160.0)
+2
 >>> [report.replica_id for report in store.clear_request("f", "s")]
 ['r1', 'r2']
->>> store.quarantined_for_s("f", unix_s=160.0)
-0.0
+>>> store.count_crashes("f", unix_s=160.0)
+0
 """
 
 from __future__ import annotations
 
 import heapq
+from collections.abc import Collection, Mapping
 from typing import TypeVar
 
 import msgspec
 
 from passgate.eligibility.replica_info import ReplicaIncarnation
-from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 from passgate.quarantine.isolated_runs import IsolatedRuns
 from passgate.quarantine.removed_reports import RemovedReports
 
@@ -53,6 +52,8 @@
     """Unix time in seconds at which the reporting daemon detected the crash."""
     started_unix_ms: int = msgspec.field(name="born_unix_ms", default=0)
     """Start time of the replica's process in Unix milliseconds; 0 if unknown."""
+    ran_s: float | None = None
+    """Time from the start of the attempt to its failure; None if unknown, as in reports of earlier builds."""
 
     @property
     def incarnation(self) -> ReplicaIncarnation:
@@ -60,21 +61,27 @@
         return ReplicaIncarnation(self.replica_id, self.started_unix_ms)
 
 
-class _KnownReport(msgspec.Struct, frozen=True):
+class KnownReport(msgspec.Struct, frozen=True):
+    """A report, and what this daemon knows about it."""
+
     report: CrashReport
     since_s: float
     """Loop time at which this daemon learned of the report."""
     on_log: bool
     """Whether the report is or was on the log, so that only the log tells whether it is still in effect."""
 
+    def remaining_s(self, unix_s: float) -> float:
+        """Return the seconds until the report expires; 0 or less if it has."""
+        return self.report.reported_unix_s + REPORT_LIFETIME_S - unix_s
+
 
 class CrashReportStore:
     """Crash reports that were not cleared, at most one for each pair of request and incarnation."""
 
     def __init__(self) -> None:
-        self._reports_by_fingerprint: dict[str, dict[ReplicaIncarnation, _KnownReport]] = {}
+        self._reports_by_fingerprint: dict[str, dict[ReplicaIncarnation, KnownReport]] = {}
         """Reports by fingerprint, then by incarnation."""
-        self._reports_by_incarnation: dict[ReplicaIncarnation, dict[str, _KnownReport]] = {}
+        self._reports_by_incarnation: dict[ReplicaIncarnation, dict[str, KnownReport]] = {}
         """The same reports by incarnation, then by fingerprint."""
         self._count = 0
         self.isolated_runs = IsolatedRuns()
@@ -103,11 +110,11 @@
             return False
         if self._count >= MAX_REPORTS:
             self._remove_oldest()
-        self._set(_KnownReport(report, now_s, on_log))
+        self._set(KnownReport(report, now_s, on_log))
         self._count += 1
         return True
 
-    def _set(self, known: _KnownReport) -> None:
+    def _set(self, known: KnownReport) -> None:
         report = known.report
         self._reports_by_fingerprint.setdefault(report.fingerprint, {})[report.incarnation] = known
         self._reports_by_incarnation.setdefault(report.incarnation, {})[report.fingerprint] = known
@@ -159,70 +166,24 @@
     def clear_expired(self, unix_s: float) -> list[CrashReport]:
         """Remove and return the expired reports."""
         known = [each for reports in self._reports_by_fingerprint.values() for each in reports.values()]
-        return self._remove_all([each for each in known if _is_expired(each.report, unix_s)])
+        return self._remove_all([each for each in known if each.remaining_s(unix_s) <= 0.0])
 
     def count_crashes(self, fingerprint: str, unix_s: float) -> int:
         """Return the number of unexpired reports of a request."""
         known = self._reports_by_fingerprint.get(fingerprint, {}).values()
-        return sum(not _is_expired(each.report, unix_s) for each in known)
+        return sum(each.remaining_s(unix_s) > 0.0 for each in known)
 
-    def quarantined_for_s(self, fingerprint: str, unix_s: float) -> float:
-        """Return the seconds until too few of a request's reports are unexpired to quarantine it.
-
-        0 if the request is not quarantined.  It may be released earlier, if reports are cleared or other
-        requests explain its crashes.
-        """
-        known = list(self._reports_by_fingerprint.get(fingerprint, {}).values())
-        if not known or len(known) < (limit := known[0].report.crash_limit):
-            return 0.0
-        remaining_s = sorted((_remaining_s(each.report, unix_s) for each in known), reverse=True)
-        if remaining_s[limit - 1] <= 0.0 or self._is_explained_by_others(fingerprint):
-            return 0.0
-        return remaining_s[limit - 1]
-
-    def _is_explained_by_others(self, fingerprint: str) -> bool:
-        """Whether other requests explain all crashes of a request, so that it is not quarantined.
-
-        A request is "at its limit" here if it has as many reports as its crash limit, expired ones included.
-        A crash is explained if another request at its limit has a report of the same incarnation, and that
-        request is the only one at its limit in the reports of some incarnation.
-
-        A request with a limit of at least ITEM_CRASH_LIMIT, and with exactly as many reports, is also let
-        through if each of its incarnations has a report of another request at its limit.  It then needs an
-        isolated run; one more report ends this exception.
-        """
-        incarnations = self._reports_by_fingerprint[fingerprint]
-        if all(self._is_crash_explained(fingerprint, incarnation) for incarnation in incarnations):
-            return True
-        limit = next(iter(incarnations.values())).report.crash_limit
-        may_run_isolated = limit >= ITEM_CRASH_LIMIT and len(incarnations) == limit
-        return may_run_isolated and all(
-            len(self._fingerprints_at_limit(incarnation)) > 1 for incarnation in incarnations
-        )
+    def reports_of(self, fingerprint: str) -> Mapping[ReplicaIncarnation, KnownReport]:
+        """Return a request's reports by incarnation, expired ones included."""
+        return self._reports_by_fingerprint.get(fingerprint, {})
 
-    def _is_crash_explained(self, fingerprint: str, incarnation: ReplicaIncarnation) -> bool:
-        """Whether an incarnation has a report of another request that has crashed a replica alone."""
-        others = (other for other in self._fingerprints_at_limit(incarnation) if other != fingerprint)
-        return any(self._has_crashed_alone(other) for other in others)
+    def fingerprints_of(self, incarnation: ReplicaIncarnation) -> Collection[str]:
+        """Return the requests that have a report of an incarnation."""
+        return self._reports_by_incarnation.get(incarnation, {}).keys()
 
-    def _has_crashed_alone(self, fingerprint: str) -> bool:
-        """Whether a request is the only one at its limit in the reports of some incarnation."""
-        return any(
-            self._fingerprints_at_limit(incarnation) == [fingerprint]
-            for incarnation in self._reports_by_fingerprint[fingerprint]
-        )
-
-    def _fingerprints_at_limit(self, incarnation: ReplicaIncarnation) -> list[str]:
-        """Return the fingerprints in the reports of an incarnation whose requests are at their limit.
-
-        See :meth:`_is_explained_by_others` for the meaning of "at its limit".
-        """
-        known = self._reports_by_incarnation[incarnation].values()
-        return [
-            each.report.fingerprint
-            for each in known
-            if len(self._reports_by_fingerprint[each.report.fingerprint]) >= each.report.crash_limit
-        ]
+    def crashed_incarnations(self) -> frozenset[ReplicaIncarnation]:
+        """Return the incarnations of all reports."""
+        return frozenset(self._reports_by_incarnation)
 
     def report_keys(self) -> set[tuple[str, ReplicaIncarnation]]:
         """Return the fingerprint and incarnation of each report."""
@@ -237,7 +198,7 @@
         reports = (each.report for known in self._reports_by_fingerprint.values() for each in known.values())
         return tuple(heapq.nlargest(max_count, reports, key=lambda report: report.reported_unix_s))
 
-    def _remove_all(self, known: list[_KnownReport]) -> list[CrashReport]:
+    def _remove_all(self, known: list[KnownReport]) -> list[CrashReport]:
         reports = [each.report for each in known]
         for report in reports:
             self.remove(report.fingerprint, report.incarnation)
@@ -251,15 +212,7 @@
         self.remove(oldest.fingerprint, oldest.incarnation)
 
 
-def _remaining_s(report: CrashReport, unix_s: float) -> float:
-    return report.reported_unix_s + REPORT_LIFETIME_S - unix_s
-
-
-def _is_expired(report: CrashReport, unix_s: float) -> bool:
-    return _remaining_s(report, unix_s) <= 0.0
-
-
-def _remove_from_index(index: dict[Outer, dict[Inner, _KnownReport]], outer: Outer, inner: Inner) -> None:
+def _remove_from_index(index: dict[Outer, dict[Inner, KnownReport]], outer: Outer, inner: Inner) -> None:
     del index[outer][inner]
     if not index[outer]:
         del index[outer]
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -1,13 +1,13 @@
 """Quarantines requests that crash replicas; every attempt is checked here before it is sent.
 
 After a failed attempt that may be due to a crash, the replica is probed.  If its process has exited, a crash
-report of the request is published to all daemons.  A request with as many unexpired reports as its crash
-limit is quarantined, that is, sent to no replica, unless other requests explain its crashes.  A complete
-answer, other than a server error, clears the request's reports for that service.  A response clears the
-earlier reports of its replica, unless the replica may have restarted since.
+report of the request is published to all daemons.  From the reports,
+:mod:`passgate.quarantine.crash_attribution` decides which requests are quarantined, that is, sent to no
+replica.  A complete answer, other than a server error, clears the request's reports for that service.  A
+response clears the earlier reports of its replica, unless the replica may have restarted since.
 
-An isolated run is an attempt of a job's item, or of a reward call, whose next crash would quarantine it.
-Isolated runs are kept at different replicas if possible; other requests may run beside them.
+An isolated run is an attempt of a request that has crashed replicas or only ran beside the cause.  It has its
+replica for itself: all daemons send other requests elsewhere while they have another usable replica.
 """
 
 from __future__ import annotations
@@ -19,7 +19,8 @@
 import msgspec
 
 from passgate.clock import monotonic_s, unix_s
-from passgate.decisions import CrashReportCleared, DecisionLog, IsolatedRunStarted, ReplicaCrashed
+from passgate.decisions import CrashReportCleared, DecisionLog, ReplicaCrashed
+from passgate.eligibility.isolation import NO_ISOLATION, Isolation
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.errors import (
     BackendUnreachable,
@@ -27,10 +28,13 @@
     IncompleteAnswer,
     PassgateError,
     RequestQuarantined,
+    SendInterrupted,
 )
+from passgate.quarantine.crash_attribution import ISOLATION_CRASHES, Judgement, Verdict, judge
 from passgate.quarantine.crash_reports import CrashReport, CrashReportStore
-from passgate.quarantine.identity import RequestIdentity
+from passgate.quarantine.identity import ITEM_CRASH_LIMIT, RequestIdentity
 from passgate.quarantine.isolated_runs import IsolatedRun
+from passgate.quarantine.run_isolation import MAX_DRAIN_S, MIN_DRAIN_S, RunIsolation
 
 QUERY_INTERVAL_S = 1.0
 """Shortest time between two queries of the same replica for its incarnation."""
@@ -39,12 +43,8 @@
 a new incarnation or is gone."""
 RELEASE_CHECK_INTERVAL_S = 0.5
 """Interval of the checks whether a request is still quarantined."""
-ISOLATED_RUN_DELAY_RANGE_S = (0.5, 1.5)
+ISOLATED_RUN_DELAY_RANGE_S = (0.2, 0.6)
 """Bounds of the random delay before an isolated run, which spreads the runs that follow the same crash."""
-ANNOUNCEMENT_TIMEOUT_S = 0.3
-"""Longest wait until an announcement is read back from the log; the run then starts without it."""
-ANNOUNCEMENT_CHECK_INTERVAL_S = 0.005
-"""Interval of the checks whether an announcement was read back."""
 
 
 class ReplicaEndpoint(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,32 +86,45 @@
         self._decisions = decisions
         self._probes_by_fingerprint: dict[str, set[asyncio.Task[None]]] = {}
         """Probes in progress, by the fingerprint of the request whose attempts failed."""
-        self._isolated_runs = reports.isolated_runs
+        self._isolation = RunIsolation(reports.isolated_runs, hooks.publish, hooks.withdraw, decisions)
+        self._withdrawn_after_probes: set[str] = set()
+        """Requests whose isolated run is over, but not yet the probes of its replica."""
         self._queried_s_by_incarnation: dict[ReplicaIncarnation, float] = {}
         """Loop time of the last query, by incarnation; only recent queries are kept."""
         self._queries: set[asyncio.Task[None]] = set()
 
     def raise_if_quarantined(self, identity: RequestIdentity) -> None:
-        """Raise an error if a request is quarantined; otherwise do nothing.
+        """Raise an error if a request must not be sent now; otherwise do nothing.
 
         Raises:
-            RequestQuarantined: the request is quarantined, so this attempt must not be sent.
+            RequestQuarantined: replicas crashed while they ran the request, so this attempt must not be sent.
         """
-        quarantined_for_s = self._quarantined_for_s(identity)
-        if quarantined_for_s > 0.0:
+        judgement = self.judge(identity)
+        if judgement.forbids_sending:
             raise RequestQuarantined(
                 "the request has crashed replicas",
                 execution=ExecutionStatus.NOT_RUN,
-                retry_after_s=quarantined_for_s,
+                retry_after_s=judgement.for_s,
             )
 
     def is_quarantined(self, identity: RequestIdentity) -> bool:
-        """Whether a request is quarantined, so that it must not be sent now."""
-        return self._quarantined_for_s(identity) > 0.0
+        """Whether a request must not be sent now, as it is quarantined or that is still to be decided."""
+        return self.judge(identity).forbids_sending
 
-    async def wait_until_released(self, identity: RequestIdentity) -> None:
-        """Wait while a request is quarantined."""
-        while self.is_quarantined(identity):
+    async def wait_until_decided(self, identity: RequestIdentity) -> None:
+        """Wait while reports or answers on their way may decide whether a request is quarantined."""
+        while (judgement := self.judge(identity)).verdict is Verdict.UNDECIDED:
+            await asyncio.sleep(judgement.for_s)
+
+    async def wait_until_released(
+        self, identity: RequestIdentity, on_verdict: Callable[[Verdict], None] = lambda verdict: None
+    ) -> None:
+        """Wait while a request must not be sent; pass each new verdict that forbids it to ``on_verdict``."""
+        last_verdict = None
+        while (judgement := self.judge(identity)).forbids_sending:
+            if judgement.verdict is not last_verdict:
+                on_verdict(judgement.verdict)
+                last_verdict = judgement.verdict
             await asyncio.sleep(RELEASE_CHECK_INTERVAL_S)
 
     def is_suspect(self, identity: RequestIdentity) -> bool:
@@ -128,25 +141,20 @@
         )
 
     async def wait_for_probes(self, identity: RequestIdentity) -> None:
-        """Wait for the probes in progress for a request, if their results may quarantine it.
+        """Wait for the probes in progress for a request, if their results may restrict its next run.
 
-        If the request would stay below its crash limit even if all probes found crashes, returns at once.
+        If the request had fewer than ISOLATION_CRASHES even if all probes found crashes, returns at once.
         """
         if not self._probes_by_fingerprint:
             return
         fingerprint = identity.fingerprint()
         probes = self._probes_by_fingerprint.get(fingerprint, set())
-        if (
-            probes
-            and len(probes) + self._reports.count_crashes(fingerprint, unix_s()) >= identity.crash_limit
-        ):
+        if probes and len(probes) + self._reports.count_crashes(fingerprint, unix_s()) >= ISOLATION_CRASHES:
             await asyncio.wait(list(probes))
 
     def needs_isolated_run(self, identity: RequestIdentity) -> bool:
-        """Whether one more crash, or none, would quarantine a request, so that its next run is isolated."""
-        if not len(self._reports):
-            return False
-        return self._reports.count_crashes(identity.fingerprint(), unix_s()) >= identity.crash_limit - 1
+        """Whether a request may be sent, but only to a replica that runs nothing else."""
+        return self.judge(identity).verdict is Verdict.ISOLATED
 
     async def delay_isolated_run(self, identity: RequestIdentity) -> None:
         """Wait for probes that may quarantine a request, then for a random time before an isolated run.
@@ -157,80 +165,75 @@
         if self.needs_isolated_run(identity):
             await asyncio.sleep(random.uniform(*ISOLATED_RUN_DELAY_RANGE_S))
 
-    def excluded_replicas(self, identity: RequestIdentity) -> frozenset[ReplicaIncarnation]:
-        """Return the replicas with isolated runs of other requests, if this request needs an isolated run.
-
-        The request must not use them.  Requests interrupted by the same crash are retried at about the same
-        time; if they ran together again, the next crash would count against all of them again.
-        """
-        if not self.needs_isolated_run(identity):
-            return frozenset()
-        return self._isolated_runs.replicas(monotonic_s(), excluding=identity.fingerprint())
-
-    def replicas_to_avoid(self) -> frozenset[ReplicaIncarnation]:
-        """Return the replicas with isolated runs, which any item or reward call should avoid if it can.
-
-        A crash there is likely; it would interrupt all concurrent requests and be reported for each of them.
-        """
-        return self._isolated_runs.replicas(monotonic_s()) if len(self._reports) else frozenset()
+    def isolation_of(self, identity: RequestIdentity) -> Isolation:
+        """Return how isolated runs restrict the choice of a replica for a request."""
+        if not len(self._reports):
+            return NO_ISOLATION
+        avoided = self._isolation.replicas_of_others(identity.fingerprint())
+        if self.needs_isolated_run(identity):
+            return Isolation(avoided=avoided, is_isolated=True, crashed=self._reports.crashed_incarnations())
+        return Isolation(avoided=avoided) if avoided else NO_ISOLATION
 
     def announce_run(self, identity: RequestIdentity, incarnation: ReplicaIncarnation) -> None:
         """Announce to all daemons at which replica a request is about to run, if it needs an isolated run."""
-        if not self.needs_isolated_run(identity):
-            return
-        run = IsolatedRun(
-            fingerprint=identity.fingerprint(),
-            replica_id=incarnation.replica_id,
-            started_unix_ms=incarnation.started_unix_ms,
-        )
-        self._isolated_runs.add_local(run)
-        self._hooks.publish(run)
+        if self.needs_isolated_run(identity):
+            fingerprint = identity.fingerprint()
+            self._withdrawn_after_probes.discard(fingerprint)
+            self._isolation.announce(fingerprint, incarnation)
 
-    async def confirm_run(self, identity: RequestIdentity) -> bool:
-        """Wait until the announcement of a request's run is read back; return whether the run may start.
+    async def confirm_run(self, identity: RequestIdentity, is_idle: Callable[[], bool]) -> bool:
+        """Wait until a request may start at the replica of its announced run; return whether it may.
 
-        The run may not start if an earlier announcement of another isolated run at its replica is in effect.
-        After ANNOUNCEMENT_TIMEOUT_S it may start unannounced.  A request without an announcement may start at
-        once.
+        A request without an announcement may start at once; see :meth:`RunIsolation.confirm` for the others.
+
+        Args:
+            identity: the request.
+            is_idle: returns whether this daemon has no other request at the replica.
         """
-        if not len(self._reports) or (run := self._isolated_runs.local_run(identity.fingerprint())) is None:
+        if not len(self._reports) or not self._isolation.has_runs:
             return True
-        deadline_s = monotonic_s() + ANNOUNCEMENT_TIMEOUT_S
-        while not self._isolated_runs.is_announced(run.fingerprint, run.incarnation):
-            if monotonic_s() >= deadline_s:
-                break
-            await asyncio.sleep(ANNOUNCEMENT_CHECK_INTERVAL_S)
-        is_first = self._isolated_runs.is_first(run.fingerprint, run.incarnation, monotonic_s())
-        self._decisions.write(
-            IsolatedRunStarted(
-                replica_id=run.replica_id,
-                started_unix_ms=run.started_unix_ms,
-                fingerprint=run.fingerprint,
-                announced=self._isolated_runs.is_announced(run.fingerprint, run.incarnation),
-                is_first=is_first,
-            )
+        is_item = identity.crash_limit >= ITEM_CRASH_LIMIT
+        return await self._isolation.confirm(
+            identity.fingerprint(), is_idle, MAX_DRAIN_S if is_item else MIN_DRAIN_S
         )
-        return is_first
 
     def withdraw_run(self, identity: RequestIdentity) -> None:
-        """Withdraw the announcement, if any, of a request's run, which is over or was not started."""
-        if not self._isolated_runs.has_local:
+        """Withdraw the announcement, if any, of a request's run, which is over or was not started.
+
+        While the replica is probed, the announcement stays: other requests sent to a replica that may have
+        crashed would count as possible causes.
+        """
+        if not self._isolation.has_runs:
             return
-        run = self._isolated_runs.remove_local(identity.fingerprint())
-        if run is not None:
-            self._hooks.withdraw(run)
+        fingerprint = identity.fingerprint()
+        if fingerprint in self._probes_by_fingerprint:
+            self._withdrawn_after_probes.add(fingerprint)
+        else:
+            self._isolation.withdraw(fingerprint)
 
     def record_failed_attempt(
-        self, identity: RequestIdentity, endpoint: ReplicaEndpoint, error: PassgateError
+        self,
+        identity: RequestIdentity,
+        endpoint: ReplicaEndpoint,
+        error: PassgateError,
+        attempt_started_s: float,
     ) -> None:
         """Probe the replica of a failed attempt, if the error may be due to a crash."""
         if _may_be_crash(error):
-            self.start_probe(identity, endpoint)
+            self.start_probe(identity, endpoint, monotonic_s() - attempt_started_s)
 
-    def start_probe(self, identity: RequestIdentity, endpoint: ReplicaEndpoint) -> None:
-        """Start a task that probes a replica, and reports a crash under a request if it has exited."""
+    def start_probe(
+        self, identity: RequestIdentity, endpoint: ReplicaEndpoint, ran_s: float | None = None
+    ) -> None:
+        """Start a task that probes a replica, and reports a crash under a request if it has exited.
+
+        Args:
+            identity: the request.
+            endpoint: the replica.
+            ran_s: time for which the request's attempt ran; None if unknown.
+        """
         fingerprint = identity.fingerprint()
-        probe = asyncio.get_running_loop().create_task(self._probe(identity, endpoint))
+        probe = asyncio.get_running_loop().create_task(self._probe(identity, endpoint, ran_s))
         probes = self._probes_by_fingerprint.setdefault(fingerprint, set())
         probes.add(probe)
         probe.add_done_callback(lambda done: self._remove_probe(fingerprint, done))
@@ -287,16 +290,19 @@
     def _clear_incarnation(self, incarnation: ReplicaIncarnation, attempt_started_s: float) -> None:
         self._withdraw(self._reports.clear_incarnation(incarnation, attempt_started_s), "the replica lives")
 
-    def _quarantined_for_s(self, identity: RequestIdentity) -> float:
+    def judge(self, identity: RequestIdentity) -> Judgement:
+        """Return what may be done with a request now."""
         if not len(self._reports):
-            return 0.0
-        return self._reports.quarantined_for_s(identity.fingerprint(), unix_s())
+            return Judgement(Verdict.UNRESTRICTED)
+        return judge(self._reports, identity.fingerprint(), unix_s(), monotonic_s())
 
-    async def _probe(self, identity: RequestIdentity, endpoint: ReplicaEndpoint) -> None:
+    async def _probe(self, identity: RequestIdentity, endpoint: ReplicaEndpoint, ran_s: float | None) -> None:
         if endpoint.has_newer_incarnation or await self._hooks.has_exited(endpoint.address):
-            self.record_crash(identity, endpoint)
+            self.record_crash(identity, endpoint, ran_s)
 
-    def record_crash(self, identity: RequestIdentity, endpoint: ReplicaEndpoint) -> None:
+    def record_crash(
+        self, identity: RequestIdentity, endpoint: ReplicaEndpoint, ran_s: float | None = None
+    ) -> None:
         """Eject a replica that has exited while it ran a request, and report it unless already reported."""
         fingerprint = identity.fingerprint()
         self._hooks.eject(endpoint.incarnation, monotonic_s())
@@ -307,6 +313,7 @@
             service=endpoint.service,
             crash_limit=identity.crash_limit,
             reported_unix_s=unix_s(),
+            ran_s=None if ran_s is None else round(ran_s, 3),
         )
         if not self._reports.add(report, monotonic_s()):
             return
@@ -325,6 +332,9 @@
         probes.discard(probe)
         if not probes:
             del self._probes_by_fingerprint[fingerprint]
+            if fingerprint in self._withdrawn_after_probes:
+                self._withdrawn_after_probes.discard(fingerprint)
+                self._isolation.withdraw(fingerprint)
 
     def _withdraw(self, reports: list[CrashReport], reason: str) -> None:
         for report in reports:
@@ -337,6 +347,10 @@
 
 
 def _may_be_crash(error: PassgateError) -> bool:
-    """Whether an error may be due to a crash: there is no complete answer, and the request may have run."""
-    connection_broken = isinstance(error, (BackendUnreachable, IncompleteAnswer))
-    return connection_broken and error.execution is ExecutionStatus.UNKNOWN
+    """Whether an error may be due to a crash: there is no complete answer, and the request may have run.
+
+    A replica that runs a request has read it whole, so one that could not be sent whole did not crash it.
+    """
+    if isinstance(error, SendInterrupted) or error.execution is not ExecutionStatus.UNKNOWN:
+        return False
+    return isinstance(error, (BackendUnreachable, IncompleteAnswer))
--- a/passgate/quarantine/isolated_runs.py
+++ b/passgate/quarantine/isolated_runs.py
@@ -1,8 +1,8 @@
-"""Isolated runs: attempts of requests that one more crash would quarantine, kept at different replicas.
+"""Isolated runs: attempts of requests that may crash their replica, each of which has a replica for itself.
 
 A daemon announces an isolated run on the log, and starts it if the announcement is the first unexpired one
 for the replica or is not read back in time.  All daemons read the announcements in the same order, so they
-normally agree on the first one.
+normally agree on the first one.  They send no other request there meanwhile if they have another replica.
 
 >>> runs = IsolatedRuns()
 >>> first = IsolatedRun(fingerprint="f1", replica_id="r")
@@ -23,7 +23,7 @@
 
 from passgate.eligibility.replica_info import ReplicaIncarnation
 
-ANNOUNCEMENT_LIFETIME_S = 10.0
+ANNOUNCEMENT_LIFETIME_S = 6.0
 """Age at which an announcement expires, also that of a run in progress, as its daemon may have crashed."""
 UNKNOWN_OFFSET = -1
 """Used as the offset of a record from a snapshot, which is older than all records read after the snapshot."""
--- a/passgate/versions/load_crashes.py
+++ b/passgate/versions/load_crashes.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from passgate.decisions import DecisionLog, VersionLoadsSuspended
-from passgate.gateway.replica_table import ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.quarantine.guard import CrashGuard, ReplicaEndpoint
 from passgate.quarantine.identity import RequestIdentity
 
--- a/passgate/versions/load_plan.py
+++ b/passgate/versions/load_plan.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from passgate.eligibility.replica_info import ReplicaIncarnation
-from passgate.gateway.replica_table import ReplicaState
+from passgate.gateway.replica_state import ReplicaState
 
 MAX_LOADING_SHARE = 0.4
 """Largest share of a service's replicas that may load at the same time."""
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -19,7 +19,8 @@
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.eligibility.rules import CONTROL_MESSAGE
 from passgate.errors import ExecutionStatus, PassgateError
-from passgate.gateway.replica_table import ReplicaState, ReplicaTable
+from passgate.gateway.replica_state import ReplicaState
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.jobs.records import WeightDemand
 from passgate.quarantine.guard import CrashGuard
 from passgate.versions.leadership import Leadership
--- a/passgate/versions/unconfirmed_orders.py
+++ b/passgate/versions/unconfirmed_orders.py
@@ -10,8 +10,8 @@
 >>> restarted = ReplicaIncarnation("r", 2)
 >>> [unconfirmed.allows_next_order(restarted, orders_taken, now_s=1.0) for orders_taken in (0, 1, 2)]
 [True, False, True]
->>> unconfirmed.may_run_at(ReplicaIncarnation("r", 1), now_s=1.0), unconfirmed.may_run_at(restarted, now_s=1.0)
-(True, False)
+>>> [unconfirmed.may_run_at(ReplicaIncarnation("r", started), now_s=1.0) for started in (1, 2)]
+[True, False]
 """
 
 from __future__ import annotations
--- a/tests/cold_world.py
+++ b/tests/cold_world.py
@@ -16,7 +16,8 @@
 from passgate.eligibility.rules import ANY_REGION_REQUEST
 from passgate.eligibility.topology import Topology
 from passgate.errors import SendForbidden
-from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import FULL_LOAD, ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.peers.memory_transport import MemoryNetwork
 
 LIMIT = ColdLimit(max_duration_s=3.0, max_requests_per_s=29)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,8 +8,12 @@
 import pytest
 
 from passgate.discovery.view import RETURN_GRACE_S
+from passgate.eligibility.replica_info import ReplicaIncarnation
+from passgate.quarantine.guard import ReplicaEndpoint
+from passgate.quarantine.identity import ITEM_CRASH_LIMIT, RequestIdentity
 from tests import fake_platform
 from tests.crashing_world import in_crashing_world
+from tests.test_platform_daemon import HOST
 
 MAX_CRASHED = 3
 """Replicas that one request may crash: its crash limit, and one by an attempt already in progress."""
@@ -241,6 +245,52 @@
     assert {row["id"] for row in rows if row["state"] == "succeeded"} == set(items) - causes
 
 
+@in_crashing_world
+async def test_a_plain_request_that_ran_beside_two_causes_is_served(world):
+    """Guards against refusing a request for crashes that two others caused, each at its first run."""
+    world.add_replica(work_s=0.2)
+    causes = [b"first cause", b"second cause"]
+    world.crashing_bodies = set(causes)
+    world.configure(1, fake_platform.safe_route(maxAttempts=1))
+    await world.start_daemons(1)
+    (daemon,) = world.daemons
+    for cause in causes:
+        crash = asyncio.create_task(world.send_request(daemon, cause, cause.decode().replace(" ", "-")))
+        await asyncio.sleep(0.05)
+        assert (await world.send_request(daemon, b"ordinary", f"beside-{cause[:1].decode()}")).status == 502
+        await crash
+        await world.until(lambda: not list(world.replicas.values())[-1].has_crashed)
+        await world.until(lambda: daemon.replicas.get(list(world.replicas)[-1]))
+    assert (await world.send_request(daemon, b"ordinary", "alone")).status == 200
+
+
+@in_crashing_world
+async def test_no_request_is_sent_beside_an_isolated_run_of_another_daemon(world):
+    """Guards against a crash that interrupts callers, or that can't be attributed to the isolated run."""
+    isolated, other = world.add_replica(), world.add_replica()
+    world.configure(1, fake_platform.safe_route())
+    await world.start_daemons(2)
+    first, second = world.daemons
+    guard = first.forwarder._replica_client.crash_guard
+    identity = RequestIdentity(
+        host=HOST, method="POST", path="/p", tenant=None, body=b"", crash_limit=ITEM_CRASH_LIMIT
+    )
+    for name in ("former-1", "former-2"):
+        guard.record_crash(
+            identity,
+            ReplicaEndpoint(incarnation=ReplicaIncarnation(name), service="app", address="127.0.0.1:1"),
+        )
+    guard.announce_run(identity, ReplicaIncarnation(isolated.replica_id))
+    await asyncio.sleep(0.5)
+    requests = [world.send_request(second, b"x", f"r{number}") for number in range(8)]
+    assert {answer.status for answer in await asyncio.gather(*requests)} == {200}
+    assert len(other.runs) == 8
+    guard.withdraw_run(identity)
+    await asyncio.sleep(0.5)
+    await asyncio.gather(*(world.send_request(second, b"x", f"later-{number}") for number in range(20)))
+    assert isolated.runs
+
+
 @in_crashing_world
 async def test_a_restarted_daemon_runs_no_item_before_it_has_read_the_crash_reports(world):
     """Guards against one more crash by a quarantined item at each restart of its owner beside a slow log."""
--- a/tests/test_discovery_other_writers.py
+++ b/tests/test_discovery_other_writers.py
@@ -30,7 +30,8 @@
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import ExecutionStatus, MalformedRecord, NotReady
 from passgate.gateway.metrics import GatewayMetrics
-from passgate.gateway.replica_table import ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.platform.http_api import PlatformReplicaControl
 from passgate.platform.log_client import PlatformLog
 from passgate.platform.topic_records import PlatformReplicaDecoder
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -17,7 +17,8 @@
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import InvalidConfiguration
 from passgate.gateway.peer_configuration import POLL_AFTER_S, ConfigurationSnapshot
-from passgate.gateway.replica_table import ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.jobs.group_affinity import GroupAffinity
 from passgate.jobs.records import WeightDemand
 from passgate.platform.documents import zone_of_evacuation_key
--- a/tests/test_gateway_replicas.py
+++ b/tests/test_gateway_replicas.py
@@ -2,7 +2,8 @@
 
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
-from passgate.gateway.replica_table import ASSUMED_LOADING_S, FULL_LOAD, ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import ASSUMED_LOADING_S, FULL_LOAD, ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 
 QUERY = ReplicaQuery(services=frozenset({"s"}), load_below=FULL_LOAD)
 
--- a/tests/test_gateway_zone_distances.py
+++ b/tests/test_gateway_zone_distances.py
@@ -6,7 +6,8 @@
 from passgate.clock import monotonic_s, run_virtual
 from passgate.eligibility.replica_info import ReplicaInfo
 from passgate.eligibility.topology import Topology
-from passgate.gateway.replica_table import FULL_LOAD, ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import FULL_LOAD, ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.zone_distances import RESPONSE_MARGIN_S, RTT_WINDOW_S, ZoneDistances
 
 REGIONS = {f"{region}{number}": region for region in "abc" for number in (1, 2)}
--- a/tests/test_replica_incarnations.py
+++ b/tests/test_replica_incarnations.py
@@ -14,7 +14,8 @@
 from passgate.eligibility.topology import Topology
 from passgate.emulator.shared_log import MemorySharedLog
 from passgate.errors import BackendUnreachable, ExecutionStatus
-from passgate.gateway.replica_table import DEFAULT_LATENCY_S, ReplicaQuery, ReplicaTable
+from passgate.gateway.replica_state import DEFAULT_LATENCY_S, ReplicaQuery
+from passgate.gateway.replica_table import ReplicaTable
 from passgate.jobs.stall_detector import StallDetector
 from passgate.platform.documents import decode_replica, decode_report
 from passgate.quarantine.crash_quarantine import CrashQuarantine
--- a/tests/test_versions_load_plan.py
+++ b/tests/test_versions_load_plan.py
@@ -1,7 +1,7 @@
 """The share of replicas that loads each version, the turns of models, and the limit of concurrent loads."""
 
 from passgate.eligibility.replica_info import ReplicaIncarnation, ReplicaInfo
-from passgate.gateway.replica_table import ReplicaState
+from passgate.gateway.replica_state import ReplicaState
 from passgate.versions.load_plan import LoadLimit, ModelDemand, plan_loads
 
 LOAD_S = 0.9
