quarantine: a crashed incarnation gets no request until discovery knows its successor

What callers saw: bystanders of a crash that look like its cause, so that an item is held or runs alone for nothing.

Cause: the first ejection of a crashed replica ends after 1 s. A replica that starts again under its identifier and address is found there before a daemon's discovery lists it; the request runs in the new process, and when that crashes the daemon reports the old incarnation. The bystanders of one crash are then split over two.

The new test fails on the former code: two of 15 requests run in the new process.

--- a/passgate/gateway/replica_table.py
+++ b/passgate/gateway/replica_table.py
@@ -41,6 +41,8 @@
 """A replica is much faster than another one if its latency is below this share of the other's."""
 LOADING_SCORE_PENALTY = 3.0
 """Added to the score of a replica that is probably loading weights."""
+NEVER_S = float("-inf")
+"""Loop time before any other."""
 MAX_ISOLATED_SHARE = 0.5
 """Share of the usable replicas, rounded up, that isolated runs may have for themselves at a time."""
 
@@ -102,10 +104,14 @@
         }
         self.health.retain(self._state_by_incarnation)
 
-    def eject(self, incarnation: ReplicaIncarnation, now_s: float) -> None:
-        """Record an incarnation that has exited as unreachable; ignored if the incarnation is not listed."""
+    def eject(self, incarnation: ReplicaIncarnation, now_s: float, until_s: float = NEVER_S) -> None:
+        """Record an incarnation that has exited as unreachable, and exclude it at least until a loop time.
+
+        Ignored if the incarnation is not listed.
+        """
         if incarnation in self._state_by_incarnation:
             self.record_unreachable(incarnation, now_s)
+            self.health.hold_off(incarnation, until_s)
 
     def record_unreachable(self, incarnation: ReplicaIncarnation, now_s: float) -> None:
         """Record that a replica could not be reached: it is ejected unless it is excluded already.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -313,3 +313,29 @@
     await world.until(lambda: world.daemons[0].ready())
     await asyncio.sleep(1.0)
     assert len(world.ended) == 3
+
+
+@in_crashing_world
+async def test_no_request_for_a_crashed_incarnation_reaches_its_successor(world):
+    """Guards against a crash of the new process that is attributed to the old one, away from its cause."""
+    world.keep_replica_ids = True
+    crashed, other = world.add_replica(), world.add_replica(work_s=0.2)
+    world.configure(1, fake_platform.safe_route())
+    await world.start_daemons(1)
+    (daemon,) = world.daemons
+    _, reading = daemon._discovery._direct_tail
+    reading.cancel()  # discovery tells of the new process late
+    endpoint = ReplicaEndpoint(
+        incarnation=ReplicaIncarnation(crashed.replica_id, crashed.started_unix_ms),
+        service="app",
+        address=crashed.address,
+    )
+    crashed.crash()
+    identity = RequestIdentity(host=HOST, method="POST", path="/p", tenant=None, body=b"")
+    daemon.forwarder._replica_client.crash_guard.record_crash(identity, endpoint)
+    await world.until(lambda: world.replicas[crashed.replica_id] is not crashed)
+    successor = world.replicas[crashed.replica_id]
+    for number in range(15):
+        await world.send_request(daemon, b"x", f"r{number}")
+    assert len(other.runs) == 15
+    assert not successor.runs
