--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -529,6 +529,7 @@
 def run_case(case_file, case):
     """Run a case, a coroutine function of the world that returns whether the rule held; then exit."""
     folder = pathlib.Path(case_file).resolve().parent
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # so that all processes are ended
     logging.getLogger("tornado").setLevel(logging.CRITICAL)  # handlers of the store that end with the case
 
     async def play():
