--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,30 +4,35 @@
 
 from review.standins.harness import DEADLINE_MS, MODEL, TROUBLE, Trainer, new_id, rollout_route, run_case
 
-SERVICE = "modelos"
-ITEMS, EVENTS, EVENT_MS = 8, 20, 40
+SERVICE = "draft-llm"
+REPLICAS, SLOTS = 6, 12
+ITEMS, EVENTS, EVENT_MS = 24, 20, 40
 LOAD_MS = 900
-NAMED_AFTER_S, CRASH_AFTER_S = 0.25, 0.15
+LOADED_AT_FIRST = 2
+"""Replicas that have loaded the new version when the job is submitted."""
+CRASH_AFTER_S = 0.3
 
 
 async def case(world):
     """Return whether each result was made by one version."""
-    for zone in range(2):
-        world.start_replica(SERVICE, zone, slots=16, event_ms=EVENT_MS, load_ms=LOAD_MS, models={MODEL: 1})
+    for zone in range(REPLICAS):
+        world.start_replica(SERVICE, zone, slots=SLOTS, event_ms=EVENT_MS, load_ms=LOAD_MS, models={MODEL: 1})
     await world.wait_for_entries(world.replicas)
     world.publish_config([rollout_route(SERVICE, singleVersion=True)], [SERVICE])
     await world.start()
     items = [(item_id, f"/grau/{EVENTS}/{item_id}") for item_id in (new_id() for _ in range(ITEMS))]
-    trainer = Trainer(world, items, path="/grau/7c41e0", min_version=1, desired=2)
+    trainer = Trainer(world, items, path="/grau/7c41e0", min_version=1, desired=6)
+    world.name_version(2)
+    await world.wait_for_lines("loaded", LOADED_AT_FIRST)
     await trainer.submit()
     reading = asyncio.create_task(trainer.read_until(trainer.sent_s + DEADLINE_MS / 1000))
-    await world.wait_for_lines("run", ITEMS)
-    await asyncio.sleep(NAMED_AFTER_S)
-    world.name_version(2)
-    loading = (await world.wait_for_lines("order", 1))[0]["by"]
+    await world.wait_for_lines("run", ITEMS // 2)
     await asyncio.sleep(CRASH_AFTER_S)
     if TROUBLE:
-        world.crash_replica(next(replica_id for replica_id in world.replicas if replica_id != loading))
+        lines = world.replica_lines()
+        ordered = {line["by"] for line in lines if line["event"] == "order"}
+        running = [line["by"] for line in lines if line["event"] == "run" and line["by"] not in ordered]
+        world.crash_replica(max(running, key=running.count))
     await reading
     mixed = [result for result in trainer.results.values() if len(result["versions"]) > 1]
     world.record.write(f"{len(trainer.results)} of {ITEMS} items are listed; several versions: {len(mixed)}")
