Leadership: a daemon that led before the last leader waits a lease

Cause: a claim asked only whether the last leader may still order. That its process had exited, or that it had released the lead, let a daemon claim at once that had itself ordered before it, less than a lease ago.

Change: the projection of the control topic keeps when each daemon was seen to be replaced as leader by another one, also for daemons whose process is new, as the log tells of their predecessors. Claims wait a lease from then. No wait for a daemon that succeeds itself or has never led. Where older records were removed, a new process waits from its first read.

No record or message changed.

--- a/passgate/check/specification/leadership.py
+++ b/passgate/check/specification/leadership.py
@@ -74,9 +74,9 @@
 class _ProjectionIgnoringRenewals(LeadershipProjection):
     """Mutant: a claim is accepted although the leader has renewed its lease since."""
 
-    def _claim(self, offset: int, entry: LeaderClaimed) -> None:
+    def _claim(self, offset: int, entry: LeaderClaimed, now_s: float) -> None:
         self.last_leader_offset = entry.seen
-        super()._claim(offset, entry)
+        super()._claim(offset, entry, now_s)
 
 
 class _Model:
--- a/passgate/versions/control_topic.py
+++ b/passgate/versions/control_topic.py
@@ -96,6 +96,7 @@
     def _update_leadership(self) -> None:
         self._tail.set_following(self._may_lead() or self.leadership.leads)
         if self._tail.current:
+            self._begin(self._tail.tail.next_offset)
             self.leadership.renew_or_claim()
 
     def release_leadership(self) -> asyncio.Future[int]:
@@ -110,12 +111,18 @@
         await self.leadership.stop()
         return await self.journal.put(WriterStopped())
 
+    def _begin(self, first_offset: int) -> None:
+        """Tell the projections at which offset reading has begun; does nothing when called again."""
+        if self._has_started:
+            return
+        self._has_started = True
+        self.leadership_projection.begin(first_offset, monotonic_s())
+        for projection in self._projections:
+            projection.set_first_offset(first_offset)
+
     def _apply_page(self, page: LogPage) -> None:
         now_s = monotonic_s()
-        if not self._has_started:
-            self._has_started = True
-            for projection in self._projections:
-                projection.set_first_offset(page.start)
+        self._begin(page.start)
         for index, record in enumerate(page.records):
             offset = page.start + index
             try:
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -6,8 +6,9 @@
 which is checked once its connection is ready.
 
 Other daemons claim if the leadership was released, after a longer silence, or once the leader's process is
-known to have been replaced.  A leader that has not been able to read the log for a whole lease falls silent,
-so that its lease expires.
+known to have been replaced.  A daemon that led before the last leader waits for a whole lease since then,
+also in a new process: two holders must not alternate in sending orders within a lease.  A leader that has not
+been able to read the log for a whole lease falls silent, so that its lease expires.
 """
 
 from __future__ import annotations
@@ -190,7 +191,7 @@
             self._journal.put(claim)
 
     def _may_claim(self, now_s: float) -> bool:
-        if self._freshness.age_s(now_s) >= MAX_CURRENT_AGE_S:
+        if self._freshness.age_s(now_s) >= MAX_CURRENT_AGE_S or self._would_alternate(now_s):
             return False
         leader = self._projection.leader
         if not leader or daemon_of(leader) == daemon_of(self._journal.writer):
@@ -200,6 +201,14 @@
             return True
         return silent_s > PROBE_AFTER_S and self._was_replaced(leader)
 
+    def _would_alternate(self, now_s: float) -> bool:
+        """Whether this daemon may have sent orders within the last lease, before those of another daemon.
+
+        That the last leader has stopped or exited does not tell how long ago this daemon led before it.
+        """
+        replaced_s = self._projection.replaced_s(daemon_of(self._journal.writer))
+        return now_s - replaced_s <= self.lease_s
+
     def _was_replaced(self, leader: str) -> bool:
         """Whether another incarnation of the leader's daemon answers, so the leader's process has exited.
 
--- a/tests/leader_daemons.py
+++ b/tests/leader_daemons.py
@@ -10,7 +10,8 @@
 from passgate.emulator.shared_log import ANSWER_TIMEOUT_S, MemorySharedLog
 from passgate.errors import LogAppendUnknown, LogUnavailable
 from passgate.jobs.journal import Journal
-from passgate.jobs.records import writer_name
+from passgate.jobs.liveness import WriterStatus
+from passgate.jobs.records import daemon_of, writer_name
 from passgate.sharedlog.log import MAX_PAGE_BYTES
 from passgate.versions.control_topic import ControlTopic
 from passgate.versions.leadership import OrderTerms
@@ -79,10 +80,13 @@
 class LeaderDaemon:
     """The control topic of one daemon."""
 
-    def __init__(self, log, name, projections=()):
+    def __init__(
+        self, log, name, projections=(), *, incarnation=0, status_of=lambda writer, last_contact_s: None
+    ):
         self.name = name
+        self.incarnation = incarnation
         self.log = log.client(name)
-        writer = writer_name(name, "0", f"{name}:7720")
+        writer = writer_name(name, str(incarnation), f"{name}:7720")
         self.journal = Journal(self.log, CONTROL_TOPIC, 0, writer, **JOURNAL_LIMITS)
         self.events = []
         """Decision events of the daemon."""
@@ -96,6 +100,7 @@
             self.decisions,
             lease_s=LEASE_S,
             projections=projections,
+            status_of=status_of,
         )
         self.task = asyncio.get_running_loop().create_task(self.control.run())
 
@@ -108,22 +113,51 @@
 
 
 class LeaderFleet:
-    """Daemons on one log, and a record of the moments at which two of them could have sent orders."""
+    """Daemons on one log, and a record of when each of them could have sent orders."""
 
     def __init__(self, count=3, seed=0):
         self.log = FaultyLog(seed)
-        self.daemons = [LeaderDaemon(self.log, f"d{number}") for number in range(count)]
+        self.daemons = [
+            LeaderDaemon(self.log, f"d{number}", status_of=self._status_of) for number in range(count)
+        ]
         self.rivals = []
         """Loop times at which more than one daemon could send orders, with the daemons' names."""
+        self.alternations = []
+        """Daemons that could order within a lease of their last time, although another could in between."""
+        self._last_order_s_by_name = {}
+        self._last_to_order = ""
         self._observer = asyncio.get_running_loop().create_task(self._observe())
 
+    def _status_of(self, writer, last_contact_s):
+        """Return that a writer was replaced, if its daemon has been started again since."""
+        (daemon,) = (daemon for daemon in self.daemons if daemon.name == daemon_of(writer))
+        return WriterStatus.ALIVE if daemon.journal.writer == writer else WriterStatus.REPLACED
+
+    def restart(self, daemon):
+        """End a daemon's process without a release and start a new one; return the new one."""
+        daemon.task.cancel()
+        successor = LeaderDaemon(
+            self.log, daemon.name, incarnation=daemon.incarnation + 1, status_of=self._status_of
+        )
+        self.daemons[self.daemons.index(daemon)] = successor
+        return successor
+
     async def _observe(self):
         while True:
             ordering = {daemon.name for daemon in self.daemons if daemon.leadership.may_order()}
             if len(ordering) > 1:
                 self.rivals.append((monotonic_s(), sorted(ordering)))
+            for name in ordering:
+                self._record_order(name, monotonic_s())
             await asyncio.sleep(OBSERVATION_STEP_S)
 
+    def _record_order(self, name, now_s):
+        last_s = self._last_order_s_by_name.get(name, float("-inf"))
+        if name != self._last_to_order and now_s - last_s < LEASE_S:
+            self.alternations.append((name, last_s, now_s))
+        self._last_order_s_by_name[name] = now_s
+        self._last_to_order = name
+
     async def leader(self, timeout_s=8.0):
         """Return the daemon that may send orders, once there is one; None if there is none in time."""
         deadline_s = monotonic_s() + timeout_s
--- a/tests/test_versions_leadership.py
+++ b/tests/test_versions_leadership.py
@@ -17,7 +17,7 @@
 from passgate.quarantine.crash_quarantine import CrashQuarantine
 from passgate.versions.leadership import ORDER_LEASE_SHARE, TAKEOVER_MARGIN_S
 from passgate.versions.loader import Loader, ReplicaReport, TargetVersions
-from tests.leader_daemons import LEASE_S, LeaderFleet
+from tests.leader_daemons import CONTROL_TOPIC, LEASE_S, LeaderFleet
 
 CUT_S = 6.0
 CONNECT_S = 1.0
@@ -36,6 +36,7 @@
             await fleet.leader()
             await test(fleet)
             assert fleet.rivals == []
+            assert fleet.alternations == []
 
         run_virtual(main())
 
@@ -174,6 +175,57 @@
     assert monotonic_s() - returned_s < 1.5
 
 
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("trimmed", [False, True])
+def test_leaders_that_are_killed_in_series_do_not_alternate_within_a_lease(seed, trimmed):
+    """Guards against orders of A, B and A within a lease, as the exit of B's process is known at once.
+
+    The new process of a daemon learns from the log only when its predecessor led, if it is still there.
+    """
+
+    async def main():
+        rng = random.Random(seed)
+        fleet = LeaderFleet(count=2, seed=seed)
+        terms = 0
+        while terms < 12:
+            leader = await fleet.leader()
+            assert leader is not None
+            terms += 1
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            if trimmed:
+                fleet.log.drop_history(CONTROL_TOPIC)
+            for daemon in fleet.daemons:
+                daemon.may_lead = True
+            fleet.restart(leader).may_lead = rng.random() < 0.5  # the other one may be faster
+        assert fleet.alternations == []
+        assert fleet.rivals == []
+
+    run_virtual(main())
+
+
+@in_fleet
+async def test_a_leader_that_is_killed_and_started_again_leads_again_at_once(fleet):
+    """Guards against a wait for the lease of a daemon's own former process, which nobody has succeeded."""
+    former = await fleet.leader()
+    other = next(daemon for daemon in fleet.daemons if daemon is not former)
+    other.may_lead = False
+    killed_s = monotonic_s()
+    successor = fleet.restart(former)
+    assert await fleet.leader() is successor
+    assert monotonic_s() - killed_s < LEASE_S / 2
+
+
+@in_fleet
+async def test_a_daemon_that_never_led_takes_over_at_once(fleet):
+    """Guards against a wait for the lease by a daemon that has sent no orders before."""
+    former = await fleet.leader()
+    released_s = monotonic_s()
+    await former.control.release_leadership()
+    successor = await fleet.leader()
+    assert successor not in (None, former)
+    assert monotonic_s() - released_s < LEASE_S / 2
+
+
 def disturb(fleet, rng):
     """Change the faults of one daemon, or of the log for all."""
     daemon = rng.choice(fleet.daemons)
@@ -214,5 +266,6 @@
                 while not daemon.journal.has_no_pending_entries:
                     await asyncio.sleep(0.01)
         assert fleet.rivals == []
+        assert fleet.alternations == []
 
     run_virtual(main())
