Jobs follow their route, and the weights of its split, for each send

Cause: the runner of a job copied the route at its start, and items asked for any service of that copy. The wait queue named model and regions only.

A removed route keeps its last form for accepted jobs. Also: further attempts of streams and plain requests leave a service that their route has left; reward calls of different services no longer share a lock.

No message or record changed.

--- a/passgate/daemon/job_runner_factory.py
+++ b/passgate/daemon/job_runner_factory.py
@@ -14,6 +14,7 @@
 from passgate.jobs.durations import OutputDurations
 from passgate.jobs.group_affinity import GroupAffinity
 from passgate.jobs.item_run import ItemRunContext
+from passgate.jobs.job_route import JobRoute
 from passgate.jobs.journal import Journal
 from passgate.jobs.projection import JobProjection, JobState
 from passgate.jobs.reward_call import RewardCallContext
@@ -51,6 +52,7 @@
         self._config_holder = config_holder
         self._decisions = decisions
         self._evacuated_zones = evacuated_zones
+        self._service_picker = WeightedServicePicker()
         self._wait_queues = WaitQueues()
         self._output_durations = OutputDurations()
         self._stall_detector = StallDetector()
@@ -62,13 +64,13 @@
             header_names=header_names,
             decisions=decisions,
             service_picker=WeightedServicePicker(),
-            slot_lock_by_regions=defaultdict(asyncio.Lock),
+            slot_lock_by_queue=defaultdict(asyncio.Lock),
         )
 
     def make(
         self, projection: JobProjection, journal: Journal, job: JobState, send_permission: SendPermission
     ) -> JobRunner | None:
-        """Return a runner of a job, not started; None if no active route matches the job's host and path.
+        """Return a runner of a job, not started; None if no batch route for the job is or was active here.
 
         Args:
             projection: state of the job's partition.
@@ -77,11 +79,11 @@
             send_permission: permission of the partition's runs to send.
         """
         spec = job.spec()
-        route = self._config_holder.find_route(spec.host, spec.path)
-        if route is None:
+        if self._config_holder.find_job_route(spec.host, spec.path) is None:
             return None
         context = ItemRunContext(
-            route=route,
+            job_route=JobRoute(spec.host, spec.path, self._config_holder),
+            service_picker=self._service_picker,
             replica_client=self._replica_client,
             replicas=self._replicas,
             header_names=self._header_names,
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -49,7 +49,8 @@
     """Version of the configuration with which the caller's API key was last checked."""
     route: Route
     service: str
-    """Service of the route that was picked for the request; all attempts go to its replicas."""
+    """Service of the route that was picked for the request.  Another one is picked only once a newer
+    configuration's route has no requests for it."""
     request_id: str
     answer_by_s: float
     """Loop time by which the answer has to end: the route's timeout or, if earlier, the caller's deadline."""
@@ -215,7 +216,23 @@
             send_context=self._send_context(forwarding),
         )
 
+    def _update_service(self, forwarding: ForwardedRequest) -> None:
+        """Pick another service if the active configuration has moved the request's route away from its own.
+
+        Otherwise a request or a stream that still needs a replica would find none once the former service's
+        replicas have left.
+        """
+        request = forwarding.request
+        route = self._config_holder.find_route(request.host, request.path)
+        if (
+            route is not None
+            and route.kind is forwarding.route.kind
+            and forwarding.service not in route.active_services
+        ):
+            forwarding.service = self._service_picker.pick(route)
+
     def _choose_replica(self, forwarding: ForwardedRequest) -> ReplicaState | None:
+        self._update_service(forwarding)
         return self._replicas.choose(self._replica_query(forwarding), monotonic_s())
 
     async def _confirm_isolated_run(self, forwarding: ForwardedRequest, state: ReplicaState) -> bool:
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -27,6 +27,8 @@
 """Timeout of a request whose route sets none."""
 NO_VERSION = -1
 """Version of the configuration before the first one is applied."""
+MAX_DROPPED_ROUTES = 256
+"""Maximum number of dropped batch routes that are remembered for their jobs; the latest ones are kept."""
 GOLDEN_RATIO_FRACTION = 0.6180339887498949
 """Fractional part of the golden ratio; its multiples modulo 1 are spread evenly over 0 to 1."""
 
@@ -89,6 +91,13 @@
         """Names of the services among which the route splits its requests."""
         return frozenset(part.service for part in self.parts)
 
+    @property
+    def active_services(self) -> frozenset[str]:
+        """Names of the services that get requests: those with a weight, or the last one if none has any."""
+        return frozenset(part.service for part in self.parts if part.weight > 0) or frozenset(
+            part.service for part in self.parts[-1:]
+        )
+
 
 class ScalingRule(msgspec.Struct, frozen=True, kw_only=True):
     """Limits and prices for the autoscaling of a service."""
@@ -213,6 +222,8 @@
         self.is_expired: Callable[[], bool] = never_expires
         """Returns whether the configuration is too old to be used for a send; the daemon sets it."""
         self._topology = topology
+        self._dropped_batch_routes: dict[tuple[str, str], Route] = {}
+        """Batch routes of earlier configurations that the active one does not have, by host and prefix."""
 
     @property
     def version(self) -> int:
@@ -223,6 +234,22 @@
         """Return the active configuration's route for a host and path, or None."""
         return self.table.match(host, path) if self.table is not None else None
 
+    def find_job_route(self, host: str, path: str) -> Route | None:
+        """Return the batch route for a job; None if no configuration that was active here has one.
+
+        If the active configuration has none, the last one that had it counts: an accepted job is still owed
+        when the operator removes its route or changes the route's kind.
+        """
+        route = self.find_route(host, path)
+        if route is not None and route.kind is RouteKind.BATCH:
+            return route
+        dropped = [
+            route
+            for route in self._dropped_batch_routes.values()
+            if route.host == host and path.startswith(route.path_prefix)
+        ]
+        return max(dropped, key=lambda route: len(route.path_prefix), default=None)
+
     def item_time_to_live_s(self, host: str, path: str) -> float:
         """Return the time to live of job items by the route for a host and path; the default without one."""
         route = self.find_route(host, path)
@@ -259,9 +286,22 @@
         """
         if self.table is not None and config.version <= self.table.config.version:
             return False
-        self.table = RouteTable(config, self._topology)
+        table = RouteTable(config, self._topology)
+        self._remember_dropped_routes(config)
+        self.table = table
         return True
 
+    def _remember_dropped_routes(self, config: GatewayConfig) -> None:
+        """Remember the batch routes that a new configuration drops, for the jobs accepted on them."""
+        dropped = dict(self._dropped_batch_routes)
+        for route in self.table.config.routes if self.table is not None else ():
+            if route.kind is RouteKind.BATCH:
+                dropped[route.host, route.path_prefix] = route
+        for route in config.routes:
+            if route.kind is RouteKind.BATCH:
+                dropped.pop((route.host, route.path_prefix), None)
+        self._dropped_batch_routes = dict(list(dropped.items())[-MAX_DROPPED_ROUTES:])
+
 
 class WeightedServicePicker:
     """Splits the requests of each route among its services in proportion to their weights.
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -28,11 +28,12 @@
 from passgate.gateway.replica_client import ReplicaAttempt, ReplicaClient, ReplicaRequest
 from passgate.gateway.replica_state import FULL_LOAD, ReplicaQuery, ReplicaState
 from passgate.gateway.replica_table import ReplicaTable
-from passgate.gateway.routes import Route
+from passgate.gateway.routes import Route, WeightedServicePicker
 from passgate.jobs.durations import OutputDurations
 from passgate.jobs.event_stream import EventStream, RecordedEvents
 from passgate.jobs.group_affinity import GroupAffinity
 from passgate.jobs.item_checkpointer import ItemCheckpointer
+from passgate.jobs.job_route import JobRoute, ServiceChoice
 from passgate.jobs.job_timing import JobTiming
 from passgate.jobs.records import ItemSpec, JobSpec, Result, ResultState
 from passgate.jobs.reward_call import RewardCallContext
@@ -61,7 +62,9 @@
 class ItemRunContext(msgspec.Struct, frozen=True, kw_only=True):
     """Dependencies that all item runs of a job share."""
 
-    route: Route
+    job_route: JobRoute
+    service_picker: WeightedServicePicker
+    """Picks one of the route's services by their weights."""
     replica_client: ReplicaClient
     replicas: ReplicaTable
     header_names: HeaderNames
@@ -77,14 +80,19 @@
     its route no longer exists."""
     group_affinity: GroupAffinity
 
+    @property
+    def route(self) -> Route:
+        """The job's route by the active configuration, or the last known one; not to be kept."""
+        return self.job_route.current
+
+    def choose_service(self, waiting_since_s: float) -> ServiceChoice:
+        """Return the choice of services for an item that has waited since a loop time."""
+        return ServiceChoice(self.job_route, self.service_picker, waiting_since_s)
+
     def send_context_of(self, spec: JobSpec) -> SendContext:
         """Return the restrictions on a job's items by the active configuration."""
         return self.find_send_context(spec.host, spec.path, spec.tenant, self.route.allowed_regions)
 
-    def queue_key(self, spec: JobSpec) -> QueueKey:
-        """Return the key of the queue for a job's items, which depends on the active configuration."""
-        return QueueKey(model=spec.model, regions=self.send_context_of(spec).allowed_regions)
-
     def expected_tokens(self, item: ItemSpec) -> float:
         """Return the caller's estimate of the output's length in tokens; 0 if it is missing or no number."""
         length_hint = item.headers.get(self.header_names.length_hint, "")
@@ -105,12 +113,14 @@
         recorded_events: RecordedEvents | None,
         rank: Rank,
         timing: JobTiming,
+        service_choice: ServiceChoice,
     ) -> None:
         """Create the run; it resumes after ``recorded_events`` if the job accepts their weight versions."""
         self.item = item
         self._job_timing = timing
         self._item_times = timing.item_times(item.id)
         self._rank = rank
+        self._service_choice = service_choice
         self.started_s = monotonic_s()
         self.attempts = 0
         self._spec = spec
@@ -147,7 +157,7 @@
         state = None
         while state is None:
             await self._context.send_permission.wait_until_granted()
-            state = await self._wait_in_queue(self._context.queue_key(self._spec))
+            state = await self._wait_in_queue(self._queue_key())
         self._reserve_slot(state)
 
     async def _wait_outside_queue(self) -> None:
@@ -164,13 +174,21 @@
         state.in_flight += 1
         self._crash_guard.announce_run(self._identity, state.incarnation)
 
+    def _queue_key(self) -> QueueKey:
+        """Return the key of the item's queue by the active configuration and the time that it has waited."""
+        return QueueKey(
+            model=self._spec.model,
+            regions=self._context.send_context_of(self._spec).allowed_regions,
+            services=self._service_choice.services(monotonic_s()),
+        )
+
     async def _wait_in_queue(self, queue_key: QueueKey) -> ReplicaState | None:
         """Wait in a queue for a replica with a free slot.
 
-        Returns None if the item gets another queue by a new configuration, or may not be sent any more.
+        Returns None if the item belongs in another queue by now, or may not be sent any more.
         """
         with self._context.wait_queues.queued(queue_key, self._rank):
-            while self._may_send and self._context.queue_key(self._spec) == queue_key:
+            while self._may_send and self._queue_key() == queue_key:
                 if (
                     self._context.wait_queues.is_first(queue_key, self._rank)
                     and (state := self._choose_replica()) is not None
@@ -188,7 +206,7 @@
 
     def _replica_query(self, excluded_replica: ReplicaIncarnation | None) -> ReplicaQuery:
         query = ReplicaQuery(
-            services=self._context.route.services,
+            services=self._service_choice.services(monotonic_s()),
             excluded=frozenset() if excluded_replica is None else frozenset({excluded_replica}),
             isolation=self._crash_guard.isolation_of(self._identity),
             model=self._spec.model,
@@ -282,7 +300,9 @@
     def _record_failure(self, incarnation: ReplicaIncarnation, error: PassgateError) -> None:
         self._avoided_replica = incarnation
         self._job_timing.failure_count_by_code[error.code] += 1
-        if isinstance(error, BackendRefused):
+        if not isinstance(error, BackendRefused):
+            self._service_choice.restart_wait(monotonic_s())
+        else:
             self._context.group_affinity.record_refusal(self.item.group, incarnation)
         self._context.decisions.write(
             ItemFailed(
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -3,8 +3,8 @@
 A reward call is safe to repeat, so a failed attempt leads to another; only the number of answers with
 status 500 is limited.  The attempts of one call are made one after the other.
 
-Calls queue for a slot, with a queue for each set of allowed regions, so that calls whose regions
-have no replica left do not block the others.
+Calls queue for a slot, with a queue for each set of services and allowed regions, so that calls that have no
+replica left do not block the others.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 from passgate.gateway.routes import Route, WeightedServicePicker
 from passgate.jobs.records import RewardSpec, Score
 from passgate.jobs.send_permission import SendPermission
+from passgate.jobs.wait_queues import QueueKey
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 MAX_LOAD = 0.7
@@ -58,9 +59,8 @@
     decisions: DecisionLog
     service_picker: WeightedServicePicker
     """Picks one of a route's services by their weights."""
-    slot_lock_by_regions: defaultdict[frozenset[str] | None, asyncio.Lock]
-    """Lock that a call holds while it looks for a slot, by allowed regions; calls get it in order of
-    arrival."""
+    slot_lock_by_queue: defaultdict[QueueKey, asyncio.Lock]
+    """Lock that a call holds while it looks for a slot; calls get it in order of arrival."""
 
 
 class RewardCall:
@@ -125,7 +125,7 @@
                 # Outside the queue, because calls there may use replicas that this call may not use.
                 state = await self._poll_for_slot(route)
             else:
-                async with self._context.slot_lock_by_regions[self._find_send_context().allowed_regions]:
+                async with self._context.slot_lock_by_queue[self._queue_key(route)]:
                     state = await self._poll_for_slot(route)
             if state is not None:
                 return route, state
@@ -159,6 +159,10 @@
     def _find_route(self) -> Route | None:
         return self._context.find_route(self._spec.host, self._spec.path)
 
+    def _queue_key(self, route: Route) -> QueueKey:
+        regions = self._find_send_context().allowed_regions
+        return QueueKey(model="", regions=regions, services=route.services)
+
     def _find_send_context(self) -> SendContext:
         """Return the call's restrictions by the active configuration: its own route and its job's tenant."""
         return self._context.find_send_context(self._spec.host, self._spec.path, self._tenant)
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -16,6 +16,7 @@
 from passgate.decisions import ItemResultRecorded
 from passgate.gateway.access import tenant_scoped_id
 from passgate.jobs.item_run import ItemRun, ItemRunContext
+from passgate.jobs.job_route import ServiceChoice
 from passgate.jobs.job_timing import JobTiming
 from passgate.jobs.journal import Journal
 from passgate.jobs.projection import JobProjection, JobState
@@ -33,6 +34,14 @@
 """Age of an item's run below which its events are not recorded periodically."""
 
 
+class _PendingItem(msgspec.Struct, frozen=True, kw_only=True):
+    """An item that has not been started yet."""
+
+    spec: ItemSpec
+    rank: Rank
+    service_choice: ServiceChoice
+
+
 class JobRunner:
     """Runs one job; its task must be cancelled when this daemon no longer owns the job."""
 
@@ -53,8 +62,8 @@
         Items without a result EXPIRY_MARGIN_S after the end of their time to live get the result DEAD.
         """
         try:
-            async with asyncio.timeout(self._time_left_s()):
-                await self._run_items()
+            async with asyncio.timeout(self._time_left_s()) as expiry:
+                await self._run_items(expiry)
         except TimeoutError:
             self._expire_items()
 
@@ -62,14 +71,18 @@
         age_s = monotonic_s() - self._job.known_since_s
         return max(self._context.route.item_time_to_live_s + EXPIRY_MARGIN_S - age_s, 0.0)
 
-    async def _run_items(self) -> None:
+    async def _run_items(self, expiry: asyncio.Timeout) -> None:
         async with asyncio.TaskGroup() as tasks:
-            checkpoints = tasks.create_task(self._record_progress_periodically())
+            checkpoints = tasks.create_task(self._record_progress_periodically(expiry))
             async with asyncio.TaskGroup() as items:
-                for rank, item in self._ranked_items():
-                    await self._start_item(item, rank, items)
+                for pending in self._pending_items_by_service().values():
+                    items.create_task(self._start_in_order(pending, items))
             checkpoints.cancel()
 
+    async def _start_in_order(self, pending: list[_PendingItem], task_group: asyncio.TaskGroup) -> None:
+        for item in pending:
+            await self._start_item(item, task_group)
+
     def _expire_items(self) -> None:
         """Queue the result DEAD for all items that have no result on the log."""
         for item in self._spec.items:
@@ -90,6 +103,18 @@
         longest_s = max((self._expected_s(item) for item in unfinished), default=0.0)
         return [(self._rank(item, longest_s), item) for item in sorted(unfinished, key=self._sort_key)]
 
+    def _pending_items_by_service(self) -> dict[str, list[_PendingItem]]:
+        """Return the items without a result, in their order, by the service that is picked for each.
+
+        So a service without a free slot does not delay the items of the others.
+        """
+        pending_by_service: dict[str, list[_PendingItem]] = {}
+        for rank, item in self._ranked_items():
+            choice = self._context.choose_service(waiting_since_s=monotonic_s())
+            pending = _PendingItem(spec=item, rank=rank, service_choice=choice)
+            pending_by_service.setdefault(choice.picked, []).append(pending)
+        return pending_by_service
+
     def _sort_key(self, item: ItemSpec) -> tuple[bool, float]:
         return (not self._has_earlier_progress(item), -self._context.expected_tokens(item))
 
@@ -111,12 +136,13 @@
         slack_s = 0.0 if self._has_earlier_progress(item) else longest_s - self._expected_s(item)
         return Rank(latest_start_s=self._job.known_since_s + slack_s, unsent=True, tie_breaker=id(item))
 
-    async def _start_item(self, item: ItemSpec, rank: Rank, task_group: asyncio.TaskGroup) -> None:
+    async def _start_item(self, pending: _PendingItem, task_group: asyncio.TaskGroup) -> None:
         """Start a task that runs an item, or only scores it if an earlier complete text is usable.
 
         Waits first until a slot is reserved for the run, so that items start in order; not for items that
         bypass the queue.
         """
+        item = pending.spec
         earlier_result = self._earlier_result(item.id)
         if earlier_result is not None:
             task_group.create_task(
@@ -124,7 +150,15 @@
             )
             return
         recorded_events = self._projection.recorded_events_by_item.get(self._item_key(item.id))
-        run = ItemRun(self._spec, item, self._context, recorded_events, rank, self._timing)
+        run = ItemRun(
+            self._spec,
+            item,
+            self._context,
+            recorded_events,
+            pending.rank,
+            self._timing,
+            pending.service_choice,
+        )
         if not run.bypasses_queue:
             await run.wait_for_replica()
         task = task_group.create_task(self._run_item(run))
@@ -197,9 +231,12 @@
             return Result(item_id=item.id, state=ResultState.DEAD)
         return msgspec.structs.replace(result, score=score)
 
-    async def _record_progress_periodically(self) -> None:
+    async def _record_progress_periodically(self, expiry: asyncio.Timeout) -> None:
+        """Record progress, and adjust the expiry of the items to the active configuration."""
         while True:
             await asyncio.sleep(CHECKPOINT_INTERVAL_S)
+            if not expiry.expired():
+                expiry.reschedule(monotonic_s() + self._time_left_s())
             # A record would renew the lease, although no further item may be sent.
             if self._context.send_permission.is_granted():
                 self.record_progress(MIN_CHECKPOINT_AGE_S)
--- a/passgate/jobs/wait_queues.py
+++ b/passgate/jobs/wait_queues.py
@@ -1,8 +1,8 @@
 """Queues of items that wait for a free slot at a replica, ordered by latest start time.
 
 A job is complete when its longest item is, so a shorter item may start later by the difference of
-the expected durations.  Each model has a queue for each set of allowed regions, so that items whose
-regions have no replica left do not block the others.
+the expected durations.  Each model has a queue for each set of services and allowed regions, so that items
+that have no replica left do not block the others.
 
 >>> queues = WaitQueues()
 >>> older, newer = Rank(latest_start_s=1.0, unsent=True), Rank(latest_start_s=2.0, unsent=False)
@@ -35,11 +35,13 @@
 
 
 class QueueKey(msgspec.Struct, frozen=True, kw_only=True):
-    """Identifies the queue of items with the same model and allowed regions."""
+    """Identifies a queue of items or reward calls with the same model, services and allowed regions."""
 
     model: str
     regions: frozenset[str] | None
     """Regions that may serve the items; None for any region."""
+    services: frozenset[str] = frozenset()
+    """Services at which the items may run."""
 
 
 class WaitQueues:
