Planned stop: refuse at once what may outlast the daemon

Cause: acceptance did not compare a request's time limit with the time that the process had left. Answers to requests read before the stop did not carry Connection: close.

Change: from 3 s after SIGTERM on, each attempt of a request that has not run is checked; one whose limit lies after the end is refused as not run, with Connection: close and a short Retry-After. Those that must end in time are served. Calls about jobs end by the same time.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -44,6 +44,7 @@
 from passgate.gateway.replica_client import ReplicaClient
 from passgate.gateway.routes import ConfigHolder, GatewayConfig
 from passgate.gateway.settings import GatewaySettings
+from passgate.gateway.shutdown_deadline import ShutdownDeadline
 from passgate.gateway.stream_forwarder import StreamForwarder
 from passgate.jobs.peers import JobPeerClient
 from passgate.jobs.records import writer_name
@@ -221,12 +222,18 @@
         )
         reports_usage = settings.duties is not None and settings.duties.usage
         usage_meter = self._duties.meter if self._duties is not None and reports_usage else None
-        self.forwarder = Forwarder(
-            replica_client, self.replicas, header_names, self.decisions, self.config_holder, usage_meter
-        )
-        self.stream_forwarder = StreamForwarder(
-            replica_client, self.replicas, header_names, self.decisions, self.config_holder, usage_meter
+        self.shutdown_deadline = ShutdownDeadline()
+        forwarder_parts = (
+            replica_client,
+            self.replicas,
+            header_names,
+            self.decisions,
+            self.config_holder,
+            usage_meter,
+            self.shutdown_deadline,
         )
+        self.forwarder = Forwarder(*forwarder_parts)
+        self.stream_forwarder = StreamForwarder(*forwarder_parts)
         self.job_partitions = make_job_partitions(
             log,
             settings,
@@ -388,6 +395,7 @@
                     self._flush_usage,
                     self.decisions,
                     grace_s=self.settings.stop_grace_s,
+                    deadline=self.shutdown_deadline,
                 ).run()
                 for task in tasks:
                     task.cancel()
--- a/passgate/daemon/graceful_shutdown.py
+++ b/passgate/daemon/graceful_shutdown.py
@@ -1,8 +1,9 @@
 """Graceful shutdown of a daemon after SIGTERM or SIGINT.
 
 The readiness probe fails from the start of the shutdown.  The daemon releases its jobs and leadership while
-it goes on serving.  Once it has released them and no request is in flight, or while there is still time to
-answer those that are, it refuses new requests as not run.  At last it closes all connections.
+it goes on serving.  Once callers can know that it shuts down, it refuses requests, as not run, that may last
+longer than itself.  Once it has released jobs and leadership and no request is in flight, or while there is
+still time to answer those that are, it refuses all new requests.  At last it closes all connections.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from passgate.clock import monotonic_s
 from passgate.decisions import DaemonStopped, DaemonStopping, DecisionLog
 from passgate.gateway.ingress import Ingress
+from passgate.gateway.shutdown_deadline import ShutdownDeadline
 from passgate.statecharts import Machine
 
 MIN_SERVING_S = 3.0
@@ -44,6 +46,7 @@
         decisions: DecisionLog,
         *,
         grace_s: float,
+        deadline: ShutdownDeadline,
     ) -> None:
         """Create the shutdown; nothing happens until :meth:`run`.
 
@@ -55,6 +58,7 @@
                 are refused.
             decisions: decision log.
             grace_s: time from SIGTERM to SIGKILL.
+            deadline: rejects requests that may last longer than the daemon.
         """
         self._ingress = ingress
         self._lifecycle = lifecycle
@@ -62,6 +66,7 @@
         self._flush_usage = flush_usage
         self._decisions = decisions
         self._grace_s = grace_s
+        self._deadline = deadline
 
     async def run(self) -> None:
         """Run all steps of the shutdown; each ends at its time limit even if it is not complete."""
@@ -72,6 +77,8 @@
         release = asyncio.ensure_future(self._release_ownership())
         drained_by_s = started_s + self._grace_s - SHUTDOWN_RESERVE_S
         await asyncio.sleep(max(min(MIN_SERVING_S, drained_by_s - started_s), 0.0))
+        # Before, the platform may still open connections here, so a refusal would cost most callers a retry.
+        self._deadline.begin(drained_by_s)
         await self._wait_until_done(release, started_s, drained_by_s - DRAIN_TIMEOUT_S)
         # A request that started from here on could be cut off by the close, so it is refused as not run.
         self._ingress.refuse_new_requests()
--- a/passgate/gateway/forwarder.py
+++ b/passgate/gateway/forwarder.py
@@ -108,9 +108,10 @@
         """Start the first or a further attempt, after a short wait if no replica is usable.
 
         Returns False if no attempt is permitted any more, the time is over or no replica became usable.
-        Raises NoRegionAllowed, RequestQuarantined or Unauthorized only for a request that has not run.
+        Raises NoRegionAllowed, Draining, RequestQuarantined or Unauthorized only for a request that has not
+        run.
         """
-        self._check_regions(forwarding)
+        self._check_servable(forwarding)
         if not forwarding.may_be_sent_again or not await self._passes_quarantine(forwarding):
             return False
         state = await self._wait_for_replica(forwarding)
--- a/passgate/gateway/forwarder_base.py
+++ b/passgate/gateway/forwarder_base.py
@@ -30,6 +30,7 @@
 from passgate.gateway.replica_state import ReplicaQuery, ReplicaState
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.gateway.routes import ConfigHolder, Route, RouteKind, WeightedServicePicker
+from passgate.gateway.shutdown_deadline import ShutdownDeadline
 from passgate.quarantine.identity import RequestIdentity
 
 RETRY_AFTER_S = 0.15
@@ -127,8 +128,10 @@
         decisions: DecisionLog,
         config_holder: ConfigHolder,
         usage: UsageRecorder | None = None,
+        shutdown_deadline: ShutdownDeadline | None = None,
     ) -> None:
         self._usage = usage
+        self._shutdown_deadline = shutdown_deadline or ShutdownDeadline()
         self._config_holder = config_holder
         self._replica_client = replica_client
         self._replicas = replicas
@@ -203,9 +206,17 @@
         accepted_regions = forwarding.route.allowed_regions
         return self._config_holder.send_context_for(request.host, request.path, tenant, accepted_regions)
 
-    def _check_regions(self, forwarding: ForwardedRequest) -> None:
-        """Raise NoRegionAllowed if the request has not run and no region may serve it."""
-        if self._send_context(forwarding).allowed_regions == frozenset() and not forwarding.may_have_run:
+    def _check_servable(self, forwarding: ForwardedRequest) -> None:
+        """Check whether a request that has not run yet can be served by this daemon at all.
+
+        Raises:
+            NoRegionAllowed: no region may serve the request.
+            Draining: the daemon may shut down before the request ends.
+        """
+        if forwarding.may_have_run:
+            return
+        self._shutdown_deadline.check(forwarding.answer_by_s)
+        if self._send_context(forwarding).allowed_regions == frozenset():
             raise NoRegionAllowed("route and tenant allow no region in common")
 
     def _replica_query(self, forwarding: ForwardedRequest) -> ReplicaQuery:
--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -27,8 +27,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from passgate.clock import monotonic_s
-from passgate.errors import Draining, ExecutionStatus, NotReady, PassgateError
+from passgate.errors import ExecutionStatus, NotReady, PassgateError
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, error_answer
+from passgate.gateway.shutdown_deadline import draining
 
 logger = logging.getLogger("passgate.gateway")
 
@@ -79,9 +80,21 @@
         return len(self._tasks)
 
     def disable_keep_alive(self) -> None:
-        """Disable keep-alive: each connection is closed after the answer to the next request it receives."""
+        """Disable keep-alive: answers ask the callers to close, and further requests are the last ones."""
         self._server.conn_params.no_keep_alive = True
 
+    def _answer_headers(self, headers: tuple[tuple[str, str], ...]) -> HTTPHeaders:
+        """Return an answer's headers, with ``Connection: close`` once keep-alive is disabled.
+
+        tornado adds it by itself, but not for requests that it had read before.
+        """
+        answer_headers = HTTPHeaders()
+        for name, value in headers:
+            answer_headers.add(name, value)
+        if self._server.conn_params.no_keep_alive:
+            answer_headers["Connection"] = "close"
+        return answer_headers
+
     def refuse_new_requests(self) -> None:
         """Refuse every further request with Draining, so that the shutdown interrupts no request."""
         self._refusing_new_requests = True
@@ -108,7 +121,7 @@
     async def _handle(self, request: IncomingRequest, connection: HTTPConnection) -> None:
         try:
             if self._refusing_new_requests:
-                raise Draining("the daemon is shutting down", execution=ExecutionStatus.NOT_RUN)
+                raise draining("the daemon is shutting down")
             answer = await self._handler(request)
         except PassgateError as error:
             answer = error_answer(error)
@@ -123,9 +136,7 @@
             self._write_answer(answer, request.method, connection)
 
     async def _write_stream(self, answer: StreamAnswer, connection: HTTPConnection) -> None:
-        headers = HTTPHeaders()
-        for name, value in answer.headers:
-            headers.add(name, value)
+        headers = self._answer_headers(answer.headers)
         line = ResponseStartLine("HTTP/1.1", answer.status, responses.get(answer.status, "Unknown"))
         try:
             await connection.write_headers(line, headers)
@@ -140,9 +151,7 @@
             connection.close()
 
     def _write_answer(self, answer: GatewayAnswer, method: str, connection: HTTPConnection) -> None:
-        headers = HTTPHeaders()
-        for name, value in answer.headers:
-            headers.add(name, value)
+        headers = self._answer_headers(answer.headers)
         bodiless = answer.status in BODILESS_STATUSES or method == "HEAD"
         if not bodiless:
             headers["Content-Length"] = str(len(answer.body))
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -16,6 +16,7 @@
 from passgate.errors import (
     BackendUnreachable,
     DeadlineExceeded,
+    Draining,
     ExecutionStatus,
     IncompleteAnswer,
     MovedElsewhere,
@@ -118,10 +119,10 @@
         Raises PassgateError if nothing was sent by this attempt.
         """
         try:
-            self._check_regions(stream)
+            self._check_servable(stream)
             if not await self._passes_quarantine(stream):
                 raise self._end_with_error(stream, "the request is quarantined, as it has crashed replicas")
-        except (NoRegionAllowed, RequestQuarantined) as error:
+        except (Draining, NoRegionAllowed, RequestQuarantined) as error:
             self._record_end(stream, error_status(error), error.code)
             raise
         if stream.is_time_over:
--- a/passgate/platform/http_api.py
+++ b/passgate/platform/http_api.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
+from collections.abc import Awaitable
+from typing import TypeVar
 from urllib.parse import parse_qs
 
 import msgspec
@@ -21,6 +25,7 @@
 from passgate.gateway.access import Caller, tenant_scoped_id
 from passgate.gateway.messages import GatewayAnswer, IncomingRequest, StreamAnswer, json_answer
 from passgate.gateway.routes import RouteKind, RouteTable
+from passgate.gateway.shutdown_deadline import draining
 from passgate.platform import documents, names
 from passgate.versions.loader import LoadOrder, ReplicaReport
 
@@ -38,6 +43,7 @@
 NO_ROUTE = "no_route"
 LOGGED_PATH_CHARACTERS = 80
 BINARY_HEADERS = (("Content-Type", "application/octet-stream"),)
+Read = TypeVar("Read")
 
 
 class FrontRequestHandler:
@@ -73,6 +79,20 @@
             return await self._daemon.stream_forwarder.forward(request, route, caller)
         return await self._daemon.forwarder.forward(request, route, caller)
 
+    async def _end_in_time(self, reading: Awaitable[Read]) -> Read:
+        """Return what is read of a job, or raise Draining when the daemon's shutdown is about to end."""
+        ends_by_s = self._daemon.shutdown_deadline.ends_by_s
+        try:
+            async with asyncio.timeout_at(None if math.isinf(ends_by_s) else ends_by_s):
+                return await reading
+        except TimeoutError as error:
+            raise draining("the daemon shuts down") from error
+
+    def _deadline_s(self, request: IncomingRequest) -> float:
+        """Return the loop time by which the work for a request has to end, so that its answer arrives."""
+        caller_deadline_s = request.deadline_s(names.HEADERS.deadline_ms, DEFAULT_DEADLINE_S)
+        return min(caller_deadline_s - ANSWER_MARGIN_S, self._daemon.shutdown_deadline.ends_by_s)
+
     def _usable_routes(self) -> RouteTable:
         """Return the routes; raises NotReady if there is no configuration or the configuration is too old."""
         table = self._daemon.config_holder.table
@@ -120,7 +140,7 @@
             )
         # decode_job scopes job_id to the caller's tenant, as _tenant_job_id does for later requests.
         spec = documents.decode_job(job_id, request.host, request.path, request.body, caller)
-        await self._daemon.jobs.submit(spec, _deadline_s(request))
+        await self._daemon.jobs.submit(spec, self._deadline_s(request))
         return GatewayAnswer(status=202)
 
     def _tenant_job_id(self, request: IncomingRequest, job_id: str) -> str:
@@ -139,13 +159,14 @@
         """Cancel a job (DELETE), or return its results from the position ``afterRev`` on (other methods)."""
         job_id = self._tenant_job_id(request, caller_job_id)
         if request.method == "DELETE":
-            await self._daemon.jobs.cancel(request.host, job_id, _deadline_s(request))
+            await self._daemon.jobs.cancel(request.host, job_id, self._deadline_s(request))
             return GatewayAnswer(status=200)
         after = parse_qs(query).get("afterRev", ["0"])[0]
         wait_ms = request.header(names.HEADERS.wait_ms)
         wait_s = min(int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0, MAX_WAIT_S)
         position = int(after) if after.isdigit() else 0
-        page = await self._daemon.jobs.read_results(request.host, job_id, position, wait_s)
+        reading = self._daemon.jobs.read_results(request.host, job_id, position, wait_s)
+        page = await self._end_in_time(reading)
         return json_answer(200, documents.results_document(page))
 
     async def _handle_item_request(
@@ -154,15 +175,10 @@
         """Return the request body of one item of a job."""
         job_id = self._tenant_job_id(request, caller_job_id)
         item_id = parse_qs(query).get("id", [""])[0]
-        body = await self._daemon.jobs.read_body(request.host, job_id, item_id)
+        body = await self._end_in_time(self._daemon.jobs.read_body(request.host, job_id, item_id))
         return GatewayAnswer(status=200, headers=BINARY_HEADERS, body=body)
 
 
-def _deadline_s(request: IncomingRequest) -> float:
-    """Return the loop time by which the work for a request has to end, so that the answer arrives in time."""
-    return request.deadline_s(names.HEADERS.deadline_ms, DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
-
-
 class PlatformReplicaControl:
     """Reads replicas' reports and sends them load orders over HTTP, each call at most once."""
 
