Items: check the versions of a text wherever events are added to it

Cause: the requirement was asked for recorded events and earlier results only. A next attempt, a move to a faster replica and a load during a run added events of another version.

Change: one rule for the oldest and the single version, asked before and during each attempt and by the function that lists results, which no path goes around. Texts go on at replicas of their version if there are any, and start over otherwise. Loads of services with such routes wait for runs, as long items could never end else. Without such a route nothing changes, but that events of too old weights are noticed when they arrive.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -263,6 +263,7 @@
             self._control_topic.leadership_projection.newest_demand_by_model,
             self._crash_quarantine.guard,
             self.decisions,
+            self.config_holder.requires_single_version,
         )
         self._keyed_tails: list[KeyedTail] = []
         self._last_flush_s = 0.0
--- a/passgate/errors/__init__.py
+++ b/passgate/errors/__init__.py
@@ -79,6 +79,7 @@
     SendTooLate,
     Unauthorized,
     UnknownKey,
+    VersionChanged,
     VersionNotReported,
     VersionTooOld,
 )
@@ -157,6 +158,7 @@
     "UnknownRecord",
     "VerificationFailed",
     "VersionNotReported",
+    "VersionChanged",
     "VersionTooOld",
 ]
 
--- a/passgate/errors/requests.py
+++ b/passgate/errors/requests.py
@@ -240,6 +240,12 @@
     code = "version_too_old"
 
 
+class VersionChanged(ExecutionFailed):
+    """Several versions of the weights made parts of an output that must come from one."""
+
+    code = "version_changed"
+
+
 class DeadlineExceeded(ExecutionFailed):
     """The deadline of a request or of a wait passed; ``execution`` tells whether the request may have run."""
 
--- a/passgate/gateway/replica_state.py
+++ b/passgate/gateway/replica_state.py
@@ -42,6 +42,8 @@
     model: str = ""
     """The replica must hold weights of this model, of ``min_version`` or newer; empty: no condition."""
     min_version: int = 0
+    exact_version: int | None = None
+    """The replica must hold weights of exactly this version of ``model``; None: no condition."""
     preferred: ReplicaIncarnation | None = None
     """Replica with a small bonus in the score, such as one that has the prompt's prefix cached."""
     load_below: float = math.inf
--- a/passgate/gateway/replica_table.py
+++ b/passgate/gateway/replica_table.py
@@ -299,7 +299,10 @@
             return False
         if state.load(now_s) >= query.load_below:
             return False
-        return not query.model or state.weight_version(query.model) >= query.min_version
+        if not query.model:
+            return True
+        version = state.weight_version(query.model)
+        return version >= query.min_version and query.exact_version in (None, version)
 
     def _score(self, state: ReplicaState, query: ReplicaQuery, now_s: float) -> float:
         """Return a score, which is lower for a better replica; 1 stands for a time of DEFAULT_LATENCY_S."""
--- a/passgate/gateway/routes.py
+++ b/passgate/gateway/routes.py
@@ -275,6 +275,11 @@
         regions = intersect_regions(route_regions, tenant_regions)
         return ANY_REGION_REQUEST if regions is None else SendContext(allowed_regions=regions)
 
+    def requires_single_version(self, service: str) -> bool:
+        """Whether the active configuration sends a service items whose output one version must make."""
+        routes = self.table.config.routes if self.table is not None else ()
+        return any(route.single_version and service in route.active_services for route in routes)
+
     def has_service(self, service: str) -> bool:
         """Whether the active configuration lists a service, or a route uses it."""
         return self.table is not None and service in self.table.services
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -1,8 +1,9 @@
 """Runs one item of a job at replicas until its output is complete or the item has failed.
 
-An interrupted output resumes at any replica after the last event received.  It starts over if an event turns
-out to be made by weights older than the job accepts.  An item that one more crash of a replica would
-quarantine needs an isolated run, that is, an attempt that avoids replicas with other isolated runs.
+An interrupted output resumes after the last event received, if possible at a replica of the same weights.  It
+starts over if its events turn out to be made by versions of the weights that its job and route don't accept.
+An item that one more crash of a replica would quarantine needs an isolated run, that is, an attempt that
+avoids replicas with other isolated runs.
 """
 
 from __future__ import annotations
@@ -39,6 +40,7 @@
 from passgate.jobs.reward_call import RewardCallContext
 from passgate.jobs.send_permission import SendPermission
 from passgate.jobs.stall_detector import FIRST_BYTES_LIMIT_S, StallDetector, silence_limit_s
+from passgate.jobs.version_rule import VersionRule
 from passgate.jobs.wait_queues import QueueKey, Rank, WaitQueues
 from passgate.quarantine.crash_attribution import Verdict
 from passgate.quarantine.identity import ITEM_CRASH_LIMIT
@@ -85,6 +87,10 @@
         """The job's route by the active configuration, or the last known one; not to be kept."""
         return self.job_route.current
 
+    def version_rule(self, spec: JobSpec) -> VersionRule:
+        """Return what the job and its route require, by the active configuration, of a text's versions."""
+        return VersionRule(min_version=spec.min_version, single=self.route.single_version)
+
     def choose_service(self, waiting_since_s: float) -> ServiceChoice:
         """Return the choice of services for an item that has waited since a loop time."""
         return ServiceChoice(self.job_route, self.service_picker, waiting_since_s)
@@ -146,11 +152,29 @@
         self._identity = self._build_request().identity
         self._crash_guard = context.replica_client.crash_guard
 
+    @property
+    def _version_rule(self) -> VersionRule:
+        return self._context.version_rule(self._spec)
+
     def _is_usable(self, recorded_events: RecordedEvents) -> bool:
-        """Whether the run may resume after recorded events; never if the route requires a single version."""
-        if not recorded_events.data or self._context.route.single_version:
-            return False
-        return min(recorded_events.versions) >= self._spec.min_version
+        """Whether the run may resume after recorded events."""
+        return bool(recorded_events.data) and self._version_rule.allows(recorded_events.versions)
+
+    def start_over(self) -> None:
+        """Discard all events, so that the next attempt starts from the beginning."""
+        self._stream.discard_events()
+        self.checkpointer.start_new_run()
+
+    def _require_allowed_versions(self, *further: int) -> None:
+        """Raise VersionTooOld or VersionChanged, and start over, if the text must not have its versions.
+
+        Args:
+            further: versions that are about to make further events.
+        """
+        violation = self._version_rule.violation((*self._stream.versions, *further))
+        if violation is not None:
+            self.start_over()
+            raise violation
 
     async def wait_for_replica(self) -> None:
         """Wait in the queue until a replica has a free slot for the item, and reserve it."""
@@ -218,11 +242,26 @@
         return msgspec.structs.replace(query, preferred=preferred)
 
     def _choose_replica(self) -> ReplicaState | None:
-        state = self._context.replicas.choose(self._replica_query(self._avoided_replica), monotonic_s())
+        query = self._replica_query(self._avoided_replica)
+        state = self._choose_for_version(query)
         if state is None:
             self._avoided_replica = None  # the replica of the last failure may be used if no other can
         return state
 
+    def _choose_for_version(self, query: ReplicaQuery) -> ReplicaState | None:
+        """Return a replica, if possible one whose version may continue the text."""
+        same_version_query = self._require_same_version(query)
+        state = self._context.replicas.choose(same_version_query, monotonic_s())
+        if state is None and same_version_query is not query:
+            state = self._context.replicas.choose(query, monotonic_s())
+        return state
+
+    def _require_same_version(self, query: ReplicaQuery) -> ReplicaQuery:
+        """Return a query for replicas that may continue the text, if that takes the version of its events."""
+        if not self._version_rule.single or not self._stream.event_count:
+            return query
+        return msgspec.structs.replace(query, exact_version=self._stream.versions[-1])
+
     @property
     def _may_send(self) -> bool:
         """Whether the job's runs may send now."""
@@ -315,7 +354,13 @@
         )
 
     def _start_attempt(self, state: ReplicaState) -> ReplicaAttempt:
-        """Send the item and record the attempt; a refused send raises PassgateError and is not recorded."""
+        """Send the item and record the attempt; a refused send raises PassgateError and is not recorded.
+
+        The item starts over if the replica is known to hold a version that may not continue the text.
+        """
+        held_version = state.weight_version(self._spec.model)
+        if held_version and not self._version_rule.allows((*self._stream.versions, held_version)):
+            self.start_over()
         attempt = self._context.replica_client.start_attempt(state, self._build_request())
         self.attempts += 1
         self.last_attempt_sent_s = attempt.started_s
@@ -361,7 +406,7 @@
         """
         if attempt_events < PACE_CHECK_EVENTS or attempt_events % PACE_CHECK_EVENTS or not self._may_send:
             return
-        query = self._replica_query(attempt.incarnation)
+        query = self._require_same_version(self._replica_query(attempt.incarnation))
         if self._context.replicas.has_faster(attempt.incarnation, query, now_s):
             raise MovedElsewhere("another replica is much faster")
         is_long = self._stream.event_count >= LONG_OUTPUT_EVENTS and not self._moved_for_length
@@ -412,6 +457,7 @@
             attempt.record_weight_version(self._spec.model, version)
             if version < self._spec.min_version:
                 raise VersionTooOld("replica holds an older version", version=version)
+            self._require_allowed_versions(version)
         self._stream.begin_attempt(version)
 
     async def _read_events(self, attempt: ReplicaAttempt) -> None:
@@ -426,6 +472,7 @@
             limit_s = silence_limit_s(attempt.expected_event_interval_s)
             count_before = self._stream.event_count
             self._stream.feed(data)
+            self._require_allowed_versions()
             now_s = monotonic_s()
             stall_detector.record_data(incarnation, now_s)
             if self._stream.event_count > count_before:
@@ -438,7 +485,3 @@
             self._move_if_slow(attempt, self._stream.event_count - events_before_attempt, now_s)
         if self._stream.has_partial_event or not attempt.is_complete:
             raise IncompleteAnswer("the stream broke off")
-        if any(version < self._spec.min_version for version in self._stream.versions):
-            self._stream.discard_events()
-            self.checkpointer.start_new_run()
-            raise VersionTooOld("an event was made by an older version")
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -145,24 +145,34 @@
         item = pending.spec
         earlier_result = self._earlier_result(item.id)
         if earlier_result is not None:
-            task_group.create_task(
-                self._score_and_append(item, earlier_result, attempts=0, started_s=monotonic_s())
-            )
+            task_group.create_task(self._list_earlier_result(pending, earlier_result))
             return
-        recorded_events = self._projection.recorded_events_by_item.get(self._item_key(item.id))
-        run = ItemRun(
+        run = self._make_run(pending)
+        if not run.bypasses_queue:
+            await run.wait_for_replica()
+        task = task_group.create_task(self._run_item(run))
+        task.add_done_callback(lambda _: run.release_slot())
+
+    def _make_run(self, pending: _PendingItem) -> ItemRun:
+        item = pending.spec
+        return ItemRun(
             self._spec,
             item,
             self._context,
-            recorded_events,
+            self._projection.recorded_events_by_item.get(self._item_key(item.id)),
             pending.rank,
             self._timing,
             pending.service_choice,
         )
-        if not run.bypasses_queue:
-            await run.wait_for_replica()
-        task = task_group.create_task(self._run_item(run))
-        task.add_done_callback(lambda _: run.release_slot())
+
+    async def _list_earlier_result(self, pending: _PendingItem, result: Result) -> None:
+        """Score and list an earlier result, or run the item if the result is not allowed any more."""
+        if not await self._score_and_append(pending.spec, result, attempts=0, started_s=monotonic_s()):
+            run = self._make_run(pending)
+            try:
+                await self._run_item(run)
+            finally:
+                run.release_slot()
 
     def _earlier_result(self, item_id: str) -> Result | None:
         """Return an item's complete output from an earlier job or owner, if its versions satisfy the job."""
@@ -184,20 +194,23 @@
         """Whether the job accepts the weight versions of a successful result."""
         if result.state is not ResultState.SUCCEEDED or not result.versions:
             return False
-        if self._context.route.single_version and len(result.versions) > 1:
-            return False
-        return min(result.versions) >= self._spec.min_version
+        return self._context.version_rule(self._spec).allows(result.versions)
 
     async def _run_item(self, run: ItemRun) -> None:
-        self._run_by_item[run.item.id] = run
-        try:
-            result = await run.run()
-        finally:
-            del self._run_by_item[run.item.id]
-        self._record_duration(run, result)
-        if run.item.reward is not None and result.state is ResultState.SUCCEEDED:
-            self._journal.put(run.checkpointer.take_final_entry())
-        await self._score_and_append(run.item, result, run.attempts, run.started_s)
+        """Run an item until a result of it is queued for the log."""
+        is_listed = False
+        while not is_listed:
+            self._run_by_item[run.item.id] = run
+            try:
+                result = await run.run()
+            finally:
+                del self._run_by_item[run.item.id]
+            self._record_duration(run, result)
+            if run.item.reward is not None and result.state is ResultState.SUCCEEDED:
+                self._journal.put(run.checkpointer.take_final_entry())
+            is_listed = await self._score_and_append(run.item, result, run.attempts, run.started_s)
+            if not is_listed:
+                run.start_over()
 
     def _record_duration(self, run: ItemRun, result: Result) -> None:
         """Record the duration of an output if a single attempt completed it."""
@@ -209,11 +222,14 @@
 
     async def _score_and_append(
         self, item: ItemSpec, result: Result, attempts: int, started_s: float
-    ) -> None:
-        """Send the reward call of a succeeded item, if it has one, and queue the result for the log."""
+    ) -> bool:
+        """Send the reward call of a succeeded item, if it has one, and queue the result for the log.
+
+        Returns whether the result was queued; see :meth:`_append_result`.
+        """
         if item.reward is not None and result.state is ResultState.SUCCEEDED:
             result = await self._score_result(item, item.reward, result)
-        self._append_result(item, result, attempts, started_s)
+        return self._append_result(item, result, attempts, started_s)
 
     async def _score_result(self, item: ItemSpec, reward: RewardSpec, result: Result) -> Result:
         if result.score is not None and result.score.call_id == reward.id:
@@ -241,7 +257,15 @@
             if self._context.send_permission.is_granted():
                 self.record_progress(MIN_CHECKPOINT_AGE_S)
 
-    def _append_result(self, item: ItemSpec, result: Result, attempts: int, started_s: float) -> None:
+    def _append_result(self, item: ItemSpec, result: Result, attempts: int, started_s: float) -> bool:
+        """Queue a result for the log; return False, and do nothing, if its versions are not allowed.
+
+        All results of runs pass this check.  The configuration may have changed since the last event.
+        """
+        violation = self._context.version_rule(self._spec).violation(result.versions)
+        if result.state is ResultState.SUCCEEDED and violation is not None:
+            logger.warning("result_discarded", extra={"item": item.id, "error": str(violation)})
+            return False
         self._journal.put(ItemsDone(job_id=self._spec.job_id, results=(result,)))
         self._context.decisions.write(
             ItemResultRecorded(
@@ -257,3 +281,4 @@
         timing_report = self._timing.record_result(item, monotonic_s(), self._job.position_by_item.keys())
         if timing_report is not None:
             self._context.decisions.write(timing_report)
+        return True
--- a/passgate/platform/http_api.py
+++ b/passgate/platform/http_api.py
@@ -219,7 +219,7 @@
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "mode": "keep",
+            "mode": "wait" if order.waits_for_runs else "keep",
             "holder": order.holder,
             "fence": order.fence,
             "expected": order.expected,
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -80,6 +80,8 @@
     """Number of orders that the replica has accepted before; it rejects the order if the number differs."""
     not_sent_after_s: float
     """Loop time after which the order must not leave this daemon, as another may lead."""
+    waits_for_runs: bool = False
+    """Whether the replica ends its runs under the present version first, rather than under the new one."""
 
 
 class ReplicaControl(Protocol):
@@ -153,7 +155,24 @@
         newest_demand_by_model: Mapping[str, WeightDemand],
         crash_guard: CrashGuard,
         decisions: DecisionLog,
+        requires_single_version: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        """Create the loader; nothing is sent until :meth:`run`.
+
+        Args:
+            targets: the versions to be loaded.
+            replicas: the replicas that discovery lists.
+            leadership: states whether this daemon may send orders.
+            control: client for the control endpoints of replicas.
+            daemon_id: this daemon's name in orders.
+            newest_demand_by_model: what the newest job of each model requires, by model.
+            crash_guard: suspends versions whose loads crash replicas.
+            decisions: decision log.
+            requires_single_version: returns whether one version must make the whole output of some items of a
+                service.  Its replicas end their runs before a load: otherwise each load would discard the
+                output of all running items, and a long one might never end.
+        """
+        self._requires_single_version = requires_single_version
         self._targets = targets
         self._replicas = replicas
         self._leadership = leadership
@@ -162,7 +181,6 @@
         self._decisions = decisions
         self._crash_guard = LoadCrashGuard(crash_guard, replicas, decisions)
         self._newest_demand_by_model = newest_demand_by_model
-        """What the newest job of each model requires, by model."""
         self._load_by_replica: dict[ReplicaIncarnation, RunningLoad] = {}
         """Loads in progress by replica."""
         self._limit_by_service: dict[str, LoadLimit] = {}
@@ -297,6 +315,7 @@
                 fence=terms.fence,
                 expected=report.orders_taken,
                 not_sent_after_s=terms.not_sent_after_s,
+                waits_for_runs=self._requires_single_version(state.info.service),
             )
             return await self._send(order, state)
 
