Items are owed: crashes neither hold nor isolate them; loads are paced

Cause: items and reward calls were taken for possible causes of crashes: isolated from the second crash on, held from the third.

Loads go on one at a time with pauses of 1 s to 4 s. A plain request that crashed replicas beside items is found sooner. The code for isolated items is gone.

The line of the removed event item_held leaves the list of encoded messages.

--- a/passgate/daemon/gateway_daemon.py
+++ b/passgate/daemon/gateway_daemon.py
@@ -429,7 +429,9 @@
         while self.config_holder.table is None:
             await asyncio.sleep(CONFIGURATION_POLL_S)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._run_when_crash_reports_are_read())
+            group.create_task(self._group_member.run())
+            group.create_task(self.job_partitions.run())
+            group.create_task(self._load_when_crash_reports_are_read())
             group.create_task(self._control_topic.run())
             group.create_task(self._group_directory.keep_fresh())
             group.create_task(self._other_zones.keep_fresh())
@@ -439,17 +441,14 @@
             if self._duties is not None:
                 group.create_task(self._duties.run())
 
-    async def _run_when_crash_reports_are_read(self) -> None:
-        """Wait for the crash reports, then run all that sends without a caller's request, until cancelled.
+    async def _load_when_crash_reports_are_read(self) -> None:
+        """Wait for the crash reports, then order loads, until cancelled.
 
-        Otherwise items and loads that are quarantined at all other daemons would crash replicas again.
+        Otherwise a daemon that was restarted would not pause between loads that crash replicas.
         """
         while not self._crash_quarantine.loaded:
             await asyncio.sleep(CONFIGURATION_POLL_S)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._group_member.run())
-            group.create_task(self.job_partitions.run())
-            group.create_task(self._version_loader.run())
+        await self._version_loader.run()
 
     async def _handle_peer_request(self, sender: str, method: str, payload: bytes) -> bytes:
         """Return the answer to a call of another daemon; any other method goes to :attr:`jobs`."""
--- a/passgate/decisions/__init__.py
+++ b/passgate/decisions/__init__.py
@@ -68,7 +68,7 @@
     TargetVersionChanged,
     UsageReportSent,
     UsageWindowCommitted,
-    VersionLoadsSuspended,
+    VersionLoadsPaused,
 )
 from passgate.decisions.log import DecisionLog
 from passgate.decisions.request_events import (
@@ -78,7 +78,6 @@
     ForwardEnded,
     ForwardSent,
     IsolatedRunStarted,
-    ItemQuarantined,
     ReplicaCrashed,
     RequestRefused,
 )
@@ -104,7 +103,6 @@
     "ForwardEnded",
     "ForwardSent",
     "ItemFailed",
-    "ItemQuarantined",
     "IsolatedRunStarted",
     "ItemResultRecorded",
     "ItemSent",
@@ -124,7 +122,7 @@
     "JobGroupsCompleted",
     "LeadershipLost",
     "LeadershipTaken",
-    "VersionLoadsSuspended",
+    "VersionLoadsPaused",
     "LinesDropped",
     "LoadOrderSent",
     "PartitionsAssigned",
--- a/passgate/decisions/leader_events.py
+++ b/passgate/decisions/leader_events.py
@@ -43,13 +43,13 @@
     """HTTP status of the answer, ``unanswered``, or ``not_sent`` if the order certainly did not arrive."""
 
 
-class VersionLoadsSuspended(Event, tag="load_held"):
-    """Load orders for a version were suspended, as replicas crashed while they loaded it, or resumed."""
+class VersionLoadsPaused(Event, tag="load_held"):
+    """Load orders for a version were paused, as replicas crashed while they loaded it, or resumed."""
 
     model: str
     version: int
     held: bool
-    """Whether load orders for the version are suspended."""
+    """Whether load orders for the version wait now."""
 
 
 class UsageWindowCommitted(Event, tag="usage_window_committed"):
--- a/passgate/decisions/request_events.py
+++ b/passgate/decisions/request_events.py
@@ -139,14 +139,3 @@
     """Whether the run may begin; if not, another isolated run was announced earlier at the replica."""
     is_idle: bool
     """Whether this daemon has no other request at the replica."""
-
-
-class ItemQuarantined(Event, tag="item_held"):
-    """An item is sent to no replica for a while, because too many replicas crashed while they ran it."""
-
-    job_id: str
-    item_id: str
-    fingerprint: str
-    """Digest of the request's content."""
-    decided: bool
-    """Whether the item is quarantined; if not, it waits for the outcome of other requests' runs."""
--- a/passgate/gateway/replica_request.py
+++ b/passgate/gateway/replica_request.py
@@ -14,7 +14,7 @@
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.eligibility.rules import ANY_REGION_REQUEST, SendContext
 from passgate.gateway.messages import always_wanted
-from passgate.quarantine.identity import CRASH_LIMIT, RequestIdentity
+from passgate.quarantine.identity import RequestIdentity
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -58,8 +58,8 @@
     """Whether the request may run more than once; if not, it is sent on a new connection of its own."""
     tenant: str | None = None
     """Tenant sent to the replica; see :func:`passgate.gateway.access.replica_headers`."""
-    crash_limit: int = CRASH_LIMIT
-    """Number of crash reports from which on the request is quarantined, that is, not sent for a while."""
+    is_owed: bool = False
+    """Whether the request belongs to an accepted job, so that it is sent whatever crashes it has met."""
     send_context: SendContext = ANY_REGION_REQUEST
     """What the send rules need to know of the request."""
 
@@ -77,7 +77,7 @@
             path=self.path,
             tenant=self.tenant,
             body=self.body,
-            crash_limit=self.crash_limit,
+            is_owed=self.is_owed,
         )
 
 
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -2,8 +2,8 @@
 
 An interrupted output resumes after the last event received, if possible at a replica of the same weights.  It
 starts over if its events turn out to be made by versions of the weights that its job and route don't accept.
-An item that one more crash of a replica would quarantine needs an isolated run, that is, an attempt that
-avoids replicas with other isolated runs.
+An item is owed: it is sent again however many replicas crashed while they ran it, but avoids replicas at
+which a caller's request that may crash them runs alone.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.decisions import DecisionLog, ItemFailed, ItemQuarantined, ItemSent
+from passgate.decisions import DecisionLog, ItemFailed, ItemSent
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.eligibility.rules import SendContext
 from passgate.errors import (
@@ -42,8 +42,6 @@
 from passgate.jobs.stall_detector import FIRST_BYTES_LIMIT_S, StallDetector, silence_limit_s
 from passgate.jobs.version_rule import VersionRule
 from passgate.jobs.wait_queues import QueueKey, Rank, WaitQueues
-from passgate.quarantine.crash_attribution import Verdict
-from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 SLOT_POLL_INTERVAL_S = 0.01
 """Time between checks for a replica with a free slot."""
@@ -182,21 +180,8 @@
         while state is None:
             await self._context.send_permission.wait_until_granted()
             state = await self._wait_in_queue(self._queue_key())
-        self._reserve_slot(state)
-
-    async def _wait_outside_queue(self) -> None:
-        """Wait for a replica that has a free slot and no other isolated run, and reserve the slot.
-
-        Waiting in the queue would block its other items, which may use more replicas.
-        """
-        while not self._may_send or (state := self._choose_replica()) is None:
-            await asyncio.sleep(SLOT_POLL_INTERVAL_S)
-        self._reserve_slot(state)
-
-    def _reserve_slot(self, state: ReplicaState) -> None:
         self._reserved_replica = state
         state.in_flight += 1
-        self._crash_guard.announce_run(self._identity, state.incarnation)
 
     def _queue_key(self) -> QueueKey:
         """Return the key of the item's queue by the active configuration and the time that it has waited."""
@@ -226,7 +211,6 @@
         if self._reserved_replica is not None:
             self._reserved_replica.in_flight -= 1
             self._reserved_replica = None
-            self._crash_guard.withdraw_run(self._identity)
 
     def _replica_query(self, excluded_replica: ReplicaIncarnation | None) -> ReplicaQuery:
         query = ReplicaQuery(
@@ -267,16 +251,6 @@
         """Whether the job's runs may send now."""
         return self._context.send_permission.is_granted()
 
-    @property
-    def is_quarantined(self) -> bool:
-        """Whether the item must not be sent now, because replicas crashed while running it."""
-        return self._crash_guard.is_quarantined(self._identity)
-
-    @property
-    def bypasses_queue(self) -> bool:
-        """Whether the item is quarantined or needs an isolated run, so that it does not wait in the queue."""
-        return self.is_quarantined or self._crash_guard.needs_isolated_run(self._identity)
-
     async def run(self) -> Result:
         """Run the item, over as many attempts as it takes, and return its result.
 
@@ -288,7 +262,7 @@
                 await self._wait_for_next_attempt()
             state = self._reserved_replica
             assert state is not None
-            if not await self._crash_guard.confirm_run(self._identity, state.is_idle) or not self._may_send:
+            if not self._may_send:
                 self.release_slot()
                 continue
             self._reserved_replica = None
@@ -298,34 +272,13 @@
                 return result
 
     async def _wait_for_next_attempt(self) -> None:
-        """Wait until the item may be sent and a slot is reserved for it."""
-        await self._wait_out_quarantine()
-        if self._crash_guard.needs_isolated_run(self._identity):
-            await self._wait_outside_queue()
-            return
+        """Wait for the pause after crashes, if any, and until a slot is reserved for the item."""
+        await self._crash_guard.wait_out_pause(self._identity)
         self._rank = Rank(
             latest_start_s=self._rank.latest_start_s, unsent=not self.attempts, tie_breaker=id(self)
         )
         await self.wait_for_replica()
 
-    async def _wait_out_quarantine(self) -> None:
-        """Wait for the delay before an isolated run, if one is needed, and while the item is quarantined.
-
-        The job's runner cancels the wait when the item expires.
-        """
-        await self._crash_guard.delay_isolated_run(self._identity)
-        await self._crash_guard.wait_until_released(self._identity, self._write_quarantined)
-
-    def _write_quarantined(self, verdict: Verdict) -> None:
-        self._context.decisions.write(
-            ItemQuarantined(
-                job_id=self._spec.job_id,
-                item_id=self.item.id,
-                fingerprint=self._identity.fingerprint(),
-                decided=verdict is Verdict.QUARANTINED,
-            )
-        )
-
     async def _run_attempt(self, state: ReplicaState) -> Result | None:
         try:
             return await self._receive_output(self._start_attempt(state))
@@ -431,7 +384,7 @@
             send_before_s=self._context.send_permission.granted_until_s(),
             priority=self._priority,
             tenant=self._spec.tenant,
-            crash_limit=ITEM_CRASH_LIMIT,
+            is_owed=True,
             send_context=self._context.send_context_of(self._spec),
         )
 
--- a/passgate/jobs/reward_call.py
+++ b/passgate/jobs/reward_call.py
@@ -28,7 +28,6 @@
 from passgate.jobs.records import RewardSpec, Score
 from passgate.jobs.send_permission import SendPermission
 from passgate.jobs.wait_queues import QueueKey
-from passgate.quarantine.identity import ITEM_CRASH_LIMIT
 
 MAX_LOAD = 0.7
 """Load from which on a replica gets no further reward calls, so that other requests find free slots."""
@@ -98,11 +97,8 @@
                 number that the call's route allows, whichever is larger.
         """
         while True:
-            await self._crash_guard.delay_isolated_run(self._identity)
-            await self._crash_guard.wait_until_released(self._identity)
+            await self._crash_guard.wait_out_pause(self._identity)
             route, state = await self._wait_for_slot()
-            if not await self._confirm_slot(state):
-                continue
             try:
                 stamp = await self._run_attempt(state)
             except PassgateError as error:
@@ -121,27 +117,11 @@
             await self._send_permission.wait_until_granted()
             while (route := self._find_route()) is None:
                 await asyncio.sleep(POLL_INTERVAL_S)
-            if self._crash_guard.needs_isolated_run(self._identity):
-                # Outside the queue, because calls there may use replicas that this call may not use.
+            async with self._context.slot_lock_by_queue[self._queue_key(route)]:
                 state = await self._poll_for_slot(route)
-            else:
-                async with self._context.slot_lock_by_queue[self._queue_key(route)]:
-                    state = await self._poll_for_slot(route)
             if state is not None:
                 return route, state
 
-    async def _confirm_slot(self, state: ReplicaState) -> bool:
-        """Return whether the call may run in its reserved slot; release the slot if not."""
-        may_run = False
-        try:
-            is_confirmed = await self._crash_guard.confirm_run(self._identity, state.is_idle)
-            may_run = is_confirmed and self._send_permission.is_granted()
-        finally:
-            if not may_run:
-                state.in_flight -= 1
-                self._crash_guard.withdraw_run(self._identity)
-        return may_run
-
     async def _poll_for_slot(self, route: Route) -> ReplicaState | None:
         """Wait for a free slot and reserve it.
 
@@ -151,7 +131,6 @@
             state = self._choose_replica(self._context.service_picker.pick(route))
             if state is not None:
                 state.in_flight += 1
-                self._crash_guard.announce_run(self._identity, state.incarnation)
                 return state
             await asyncio.sleep(POLL_INTERVAL_S)
         return None
@@ -224,7 +203,7 @@
             deadline_s=monotonic_s() + timeout_s,
             send_before_s=self._send_permission.granted_until_s(),
             tenant=self._tenant,
-            crash_limit=ITEM_CRASH_LIMIT,
+            is_owed=True,
             send_context=self._find_send_context(),
         )
 
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -139,8 +139,7 @@
     async def _start_item(self, pending: _PendingItem, task_group: asyncio.TaskGroup) -> None:
         """Start a task that runs an item, or only scores it if an earlier complete text is usable.
 
-        Waits first until a slot is reserved for the run, so that items start in order; not for items that
-        bypass the queue.
+        Waits first until a slot is reserved for the run, so that items start in order.
         """
         item = pending.spec
         earlier_result = self._earlier_result(item.id)
@@ -148,8 +147,7 @@
             task_group.create_task(self._list_earlier_result(pending, earlier_result))
             return
         run = self._make_run(pending)
-        if not run.bypasses_queue:
-            await run.wait_for_replica()
+        await run.wait_for_replica()
         task = task_group.create_task(self._run_item(run))
         task.add_done_callback(lambda _: run.release_slot())
 
--- a/passgate/quarantine/crash_attribution.py
+++ b/passgate/quarantine/crash_attribution.py
@@ -1,9 +1,12 @@
 """Decides from crash reports which requests crash replicas, and what may be done with a reported request.
 
-A crash interrupts all requests that a replica runs, and each of them gets a report.  One is the cause.  A
-request that a replica answers loses its reports, so those that still have one are the candidates.  A request
-is convicted if it has as many reports as its crash limit and is the only candidate for its last crash.  A
-crash with a convicted candidate is explained, and counts against no other request.
+A crash interrupts all requests that a replica runs, and each caller's request gets a report.  One may be
+the cause.  A request that a replica answers loses its reports, so those that still have one are the
+candidates.  A request is convicted if it has as many reports as its crash limit and is the only candidate for
+its last crash.  A crash with a convicted candidate is explained, and counts against no other request.
+
+Items of jobs, reward calls and loads of weights are no candidates.  The log may hold reports of items that
+earlier builds made; their crash limit is above that of callers' requests.
 
 >>> from passgate.quarantine.crash_reports import CrashReport, CrashReportStore
 >>> store = CrashReportStore()
@@ -30,16 +33,13 @@
 import msgspec
 
 from passgate.quarantine.crash_reports import CrashReportStore, KnownReport
-from passgate.quarantine.identity import ITEM_CRASH_LIMIT
+from passgate.quarantine.identity import CRASH_LIMIT
 
 ISOLATION_CRASHES = 2
 """Number of crashes from which on a request runs in isolation only, unless all are explained; a single crash
 may well have another cause."""
 REPORT_DELAY_S = 0.3
 """Assumed upper bound of the time from a crash until all daemons have read the reports of all others."""
-ELIMINATION_WAIT_S = 3.0
-"""Longest wait, from the last crash of a job's item or a reward call, for the answers that clear the other
-candidates; only the candidate that began last waits, as it is the most likely cause."""
 
 
 class Verdict(enum.Enum):
@@ -50,7 +50,7 @@
     ISOLATED = "isolated"
     """It may be sent, but only to a replica that runs nothing else, as it may crash it."""
     UNDECIDED = "undecided"
-    """It is not sent now; reports or answers that are on their way may decide."""
+    """It is not sent now; reports that are on their way may decide."""
     QUARANTINED = "quarantined"
     """It is not sent until its reports expire, or others explain its crashes."""
 
@@ -88,8 +88,7 @@
     if len(crashes) < limit:
         return Judgement(Verdict.ISOLATED)
     is_convicted = _is_only_candidate(store, crashes[-1])
-    waits_for_answers = not is_convicted and _began_last(store, crashes[-1])
-    undecided_for_s = _undecided_for_s(crashes, waits_for_answers, now_s)
+    undecided_for_s = max(each.since_s for each in crashes) + REPORT_DELAY_S - now_s
     if undecided_for_s > 0.0:
         return Judgement(Verdict.UNDECIDED, undecided_for_s)
     if not is_convicted and (len(crashes) == limit or unexplained_count < limit):
@@ -103,29 +102,11 @@
     return sorted(store.reports_of(fingerprint).values(), key=lambda each: each.report.reported_unix_s)
 
 
-def _undecided_for_s(crashes: list[KnownReport], waits_for_answers: bool, now_s: float) -> float:
-    """Return the seconds for which a request at its limit waits for further reports and answers."""
-    is_item = crashes[-1].report.crash_limit >= ITEM_CRASH_LIMIT
-    wait_s = ELIMINATION_WAIT_S if is_item and waits_for_answers else REPORT_DELAY_S
-    return max(each.since_s for each in crashes) + wait_s - now_s
-
-
-def _began_last(store: CrashReportStore, crash: KnownReport) -> bool:
-    """Whether no other candidate for a crash is known to have begun later than the request of this report.
-
-    Most causes crash a replica as soon as they begin there, so another candidate is then more likely.
-    """
-    ran_s = crash.report.ran_s
-    incarnation = crash.report.incarnation
-    others = (store.reports_of(other)[incarnation].report for other in store.fingerprints_of(incarnation))
-    return ran_s is None or all(other.ran_s is None or ran_s <= other.ran_s for other in others)
-
-
 def _is_explained_by_others(store: CrashReportStore, crash: KnownReport) -> bool:
     """Whether a crash that a request has a report of has another candidate that is convicted."""
     return any(
         other != crash.report.fingerprint and _is_convicted(store, other)
-        for other in store.fingerprints_of(crash.report.incarnation)
+        for other in _candidates(store, crash)
     )
 
 
@@ -136,4 +117,14 @@
 
 def _is_only_candidate(store: CrashReportStore, crash: KnownReport) -> bool:
     """Whether a request is the only candidate for a crash; the report is the request's."""
-    return len(store.fingerprints_of(crash.report.incarnation)) == 1
+    return _candidates(store, crash) == [crash.report.fingerprint]
+
+
+def _candidates(store: CrashReportStore, crash: KnownReport) -> list[str]:
+    """Return the callers' requests that may be the cause of the crash that a report is about."""
+    incarnation = crash.report.incarnation
+    return [
+        fingerprint
+        for fingerprint in store.fingerprints_of(incarnation)
+        if store.reports_of(fingerprint)[incarnation].report.crash_limit <= CRASH_LIMIT
+    ]
--- a/passgate/quarantine/guard.py
+++ b/passgate/quarantine/guard.py
@@ -8,12 +8,14 @@
 
 An isolated run is an attempt of a request that has crashed replicas or only ran beside the cause.  It has its
 replica for itself: all daemons send other requests elsewhere while they have another usable replica.
+
+Items of jobs and their reward calls are owed: they are never taken for the cause, get no reports, and are
+sent again after any number of crashes, with growing pauses.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -31,20 +33,17 @@
     SendInterrupted,
 )
 from passgate.quarantine.crash_attribution import ISOLATION_CRASHES, Judgement, Verdict, judge
+from passgate.quarantine.crash_pauses import CrashPauses
 from passgate.quarantine.crash_reports import CrashReport, CrashReportStore
-from passgate.quarantine.identity import ITEM_CRASH_LIMIT, RequestIdentity
+from passgate.quarantine.identity import RequestIdentity
 from passgate.quarantine.isolated_runs import IsolatedRun
-from passgate.quarantine.run_isolation import MAX_DRAIN_S, MIN_DRAIN_S, RunIsolation
+from passgate.quarantine.run_isolation import RunIsolation
 
 QUERY_INTERVAL_S = 1.0
 """Shortest time between two queries of the same replica for its incarnation."""
 MAX_DISCOVERY_DELAY_S = 5.0
 """Assumed upper bound of the time from a crash until this daemon learns from discovery that the replica has
 a new incarnation or is gone."""
-RELEASE_CHECK_INTERVAL_S = 0.5
-"""Interval of the checks whether a request is still quarantined."""
-ISOLATED_RUN_DELAY_RANGE_S = (0.2, 0.6)
-"""Bounds of the random delay before an isolated run, which spreads the runs that follow the same crash."""
 
 
 class ReplicaEndpoint(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,6 +91,7 @@
         self._queried_s_by_incarnation: dict[ReplicaIncarnation, float] = {}
         """Loop time of the last query, by incarnation; only recent queries are kept."""
         self._queries: set[asyncio.Task[None]] = set()
+        self._pauses = CrashPauses()
 
     def raise_if_quarantined(self, identity: RequestIdentity) -> None:
         """Raise an error if a request must not be sent now; otherwise do nothing.
@@ -112,26 +112,25 @@
         return self.judge(identity).forbids_sending
 
     async def wait_until_decided(self, identity: RequestIdentity) -> None:
-        """Wait while reports or answers on their way may decide whether a request is quarantined."""
+        """Wait while reports on their way may decide whether a request is quarantined."""
         while (judgement := self.judge(identity)).verdict is Verdict.UNDECIDED:
             await asyncio.sleep(judgement.for_s)
 
-    async def wait_until_released(
-        self, identity: RequestIdentity, on_verdict: Callable[[Verdict], None] = lambda verdict: None
-    ) -> None:
-        """Wait while a request must not be sent; pass each new verdict that forbids it to ``on_verdict``."""
-        last_verdict = None
-        while (judgement := self.judge(identity)).forbids_sending:
-            if judgement.verdict is not last_verdict:
-                on_verdict(judgement.verdict)
-                last_verdict = judgement.verdict
-            await asyncio.sleep(RELEASE_CHECK_INTERVAL_S)
+    async def wait_out_pause(self, identity: RequestIdentity) -> None:
+        """Wait for the pause of owed work after crashes; returns at once for other requests."""
+        if not len(self._pauses):
+            return
+        fingerprint = identity.fingerprint()
+        while (remaining_s := self._pauses.remaining_s(fingerprint, monotonic_s())) > 0.0:
+            await asyncio.sleep(remaining_s)
 
     def is_suspect(self, identity: RequestIdentity) -> bool:
         """Whether a request has an unexpired crash report or a probe in progress.
 
         Callers must send such a request to only one replica at a time.
         """
+        if identity.is_owed:
+            return False
         if not len(self._reports) and not self._probes_by_fingerprint:
             return False
         fingerprint = identity.fingerprint()
@@ -156,15 +155,6 @@
         """Whether a request may be sent, but only to a replica that runs nothing else."""
         return self.judge(identity).verdict is Verdict.ISOLATED
 
-    async def delay_isolated_run(self, identity: RequestIdentity) -> None:
-        """Wait for probes that may quarantine a request, then for a random time before an isolated run.
-
-        The random time is left out for a request that needs no isolated run.
-        """
-        await self.wait_for_probes(identity)
-        if self.needs_isolated_run(identity):
-            await asyncio.sleep(random.uniform(*ISOLATED_RUN_DELAY_RANGE_S))
-
     def isolation_of(self, identity: RequestIdentity) -> Isolation:
         """Return how isolated runs restrict the choice of a replica for a request."""
         if not len(self._reports):
@@ -192,10 +182,7 @@
         """
         if not len(self._reports) or not self._isolation.has_runs:
             return True
-        is_item = identity.crash_limit >= ITEM_CRASH_LIMIT
-        return await self._isolation.confirm(
-            identity.fingerprint(), is_idle, MAX_DRAIN_S if is_item else MIN_DRAIN_S
-        )
+        return await self._isolation.confirm(identity.fingerprint(), is_idle)
 
     def withdraw_run(self, identity: RequestIdentity) -> None:
         """Withdraw the announcement, if any, of a request's run, which is over or was not started.
@@ -264,6 +251,8 @@
 
     def record_success(self, identity: RequestIdentity, service: str) -> None:
         """Clear a request's reports for a service whose replica has answered the request completely."""
+        if identity.is_owed and len(self._pauses):
+            self._pauses.clear(identity.fingerprint())
         if len(self._reports):
             cleared = self._reports.clear_request(identity.fingerprint(), service)
             self._withdraw(cleared, "the request was answered")
@@ -292,7 +281,7 @@
 
     def judge(self, identity: RequestIdentity) -> Judgement:
         """Return what may be done with a request now."""
-        if not len(self._reports):
+        if identity.is_owed or not len(self._reports):
             return Judgement(Verdict.UNRESTRICTED)
         return judge(self._reports, identity.fingerprint(), unix_s(), monotonic_s())
 
@@ -303,9 +292,15 @@
     def record_crash(
         self, identity: RequestIdentity, endpoint: ReplicaEndpoint, ran_s: float | None = None
     ) -> None:
-        """Eject a replica that has exited while it ran a request, and report it unless already reported."""
+        """Eject a replica that has exited while it ran a request, and report it unless already reported.
+
+        For owed work, which is not to blame, only its pause grows.
+        """
         fingerprint = identity.fingerprint()
         self._hooks.eject(endpoint.incarnation, monotonic_s())
+        if identity.is_owed:
+            self._pauses.record(fingerprint, monotonic_s())
+            return
         report = CrashReport(
             fingerprint=fingerprint,
             replica_id=endpoint.incarnation.replica_id,
@@ -336,6 +331,11 @@
                 self._withdrawn_after_probes.discard(fingerprint)
                 self._isolation.withdraw(fingerprint)
 
+    def crash_times_s(self, identity: RequestIdentity) -> list[float]:
+        """Return the loop times at which this daemon learned of a request's crashes, the earliest first."""
+        known = self._reports.reports_of(identity.fingerprint()).values()
+        return sorted(each.since_s for each in known if each.remaining_s(unix_s()) > 0.0)
+
     def _withdraw(self, reports: list[CrashReport], reason: str) -> None:
         for report in reports:
             self._hooks.withdraw(report)
--- a/passgate/quarantine/identity.py
+++ b/passgate/quarantine/identity.py
@@ -22,9 +22,6 @@
 CRASH_LIMIT = 2
 """Number of replica crashes that quarantines a request: a single crash may well have another cause, and after
 two a service of three replicas still serves."""
-ITEM_CRASH_LIMIT = 3
-"""Crash limit of job items and reward calls; higher, as many run concurrently at a replica and a wrong
-quarantine may cost a whole training step."""
 LENGTH_PREFIX_BYTES = 8
 """Size of the length that is hashed before each part, which keeps the parts of a request apart."""
 
@@ -41,6 +38,9 @@
     body: bytes
     crash_limit: int = CRASH_LIMIT
     """Number of replica crashes that quarantines the request; not part of the fingerprint."""
+    is_owed: bool = False
+    """Whether the request must be run in any case, as it belongs to an accepted job.  It is never taken for
+    the cause of a crash, whatever its ``crash_limit``; not part of the fingerprint."""
 
     def fingerprint(self) -> str:
         """Return a hexadecimal digest of the content."""
--- a/passgate/quarantine/run_isolation.py
+++ b/passgate/quarantine/run_isolation.py
@@ -17,13 +17,10 @@
 ANNOUNCEMENT_TIMEOUT_S = 0.3
 """Longest wait until an announcement is read back from the log; the run then starts without it."""
 CHECK_INTERVAL_S = 0.005
-"""Interval of the checks whether an announcement was read back, or a replica has drained."""
-MIN_DRAIN_S = 0.3
-"""Shortest time between the announcement of an isolated run and its start, in which most requests of other
-daemons end."""
-MAX_DRAIN_S = 2.5
-"""Longest time between announcement and start of an isolated run of a job's item or of a reward call; for
-other requests it is MIN_DRAIN_S, as their callers do not wait that long."""
+"""Interval of the checks whether an announcement was read back."""
+DRAIN_S = 0.3
+"""Time between the announcement of an isolated run and its start, in which most other requests end; the
+caller waits meanwhile."""
 
 
 class RunIsolation:
@@ -68,17 +65,16 @@
         self._isolated_runs.add_local(run)
         self._publish(run)
 
-    async def confirm(self, fingerprint: str, is_idle: Callable[[], bool], max_drain_s: float) -> bool:
+    async def confirm(self, fingerprint: str, is_idle: Callable[[], bool]) -> bool:
         """Wait until an announced run may start; return whether it may.  True if none is announced.
 
-        Waits until the announcement is read back, at most ANNOUNCEMENT_TIMEOUT_S, and then for requests that
-        were sent to the replica before.  The run may not start if an earlier announcement of another isolated
-        run at its replica is in effect.
+        Waits until the announcement is read back, at most ANNOUNCEMENT_TIMEOUT_S, and then DRAIN_S for
+        requests that were sent to the replica before.  The run may not start if an earlier announcement of
+        another isolated run at its replica is in effect.
 
         Args:
             fingerprint: fingerprint of the request.
-            is_idle: returns whether this daemon has no other request at the replica.
-            max_drain_s: longest wait for other requests of this daemon; at least MIN_DRAIN_S.
+            is_idle: returns whether this daemon has no other request at the replica; for the decision line.
         """
         run = self._isolated_runs.local_run(fingerprint)
         if run is None:
@@ -86,7 +82,7 @@
         await self._wait_until_announced(run)
         is_first = self._isolated_runs.is_first(run.fingerprint, run.incarnation, monotonic_s())
         if is_first:
-            await _wait_until_drained(is_idle, max_drain_s)
+            await asyncio.sleep(DRAIN_S)
         self._decisions.write(
             IsolatedRunStarted(
                 replica_id=run.replica_id,
@@ -112,11 +108,3 @@
             if monotonic_s() >= deadline_s:
                 break
             await asyncio.sleep(CHECK_INTERVAL_S)
-
-
-async def _wait_until_drained(is_idle: Callable[[], bool], max_drain_s: float) -> None:
-    """Wait for the requests that run at a replica, to which no others are sent meanwhile."""
-    started_s = monotonic_s()
-    await asyncio.sleep(MIN_DRAIN_S)
-    while not is_idle() and monotonic_s() < started_s + max_drain_s:
-        await asyncio.sleep(CHECK_INTERVAL_S)
--- a/passgate/versions/load_crashes.py
+++ b/passgate/versions/load_crashes.py
@@ -1,44 +1,57 @@
-"""Suspends the loading of weight versions that crash the replicas that load them.
+"""Limits the loads of weight versions under which replicas crash.
 
-The crash guard, which quarantines requests that crash replicas, treats all orders to load the same version as
-the same request.  While any listed replica holds the version, or a newer one, loads are not suspended, as
-crashes are then taken to have another cause.
+A published version is owed to its trainer, so its loads go on however many replicas crashed under them.
+After a crash, one replica at a time loads the version, and pauses between the orders grow with each further
+crash, so that loads which do crash replicas do not end a whole service.  While any listed replica holds the
+version, or a newer one, loads are not limited, as crashes are then taken to have another cause.
+
+The crash guard treats all orders to load the same version as the same request; all daemons share its reports.
 """
 
 from __future__ import annotations
 
-from passgate.decisions import DecisionLog, VersionLoadsSuspended
+from passgate.decisions import DecisionLog, VersionLoadsPaused
 from passgate.gateway.replica_state import ReplicaState
 from passgate.gateway.replica_table import ReplicaTable
 from passgate.quarantine.guard import CrashGuard, ReplicaEndpoint
 from passgate.quarantine.identity import RequestIdentity
 
 LOAD_CRASH_LIMIT = 3
-"""Number of crashes that suspends the loads of a version; two may be a coincidence, and a suspension may
-delay a whole training step."""
+"""Crash limit in the reports of loads, by which daemons of earlier builds suspend a version."""
+SECOND_CRASH_PAUSE_S = 1.0
+"""Pause of a version's orders after its second crash; doubles with each further one."""
+MAX_PAUSE_S = 4.0
+"""Longest pause; a training step waits for the version meanwhile."""
 LOAD_REQUEST_METHOD = "load-weights"
 """Method in the identity of a load order; it keeps the order distinct from callers' requests."""
 
 
 class LoadCrashGuard:
-    """Applies the crash guard to load orders; all daemons share its crash reports."""
+    """Decides when replicas may be ordered to load a version under which others have crashed."""
 
     def __init__(self, crash_guard: CrashGuard, replicas: ReplicaTable, decisions: DecisionLog) -> None:
         self._crash_guard = crash_guard
         self._replicas = replicas
         self._decisions = decisions
-        self._logged_suspensions: set[tuple[str, int]] = set()
-        """Models and versions that are suspended according to the last lines in the decision log."""
-
-    def update_suspension(self, model: str, version: int) -> bool:
-        """Return whether loads of a version are suspended; write a decision line if this has changed."""
-        is_suspended = self._crash_guard.is_quarantined(
-            _load_identity(model, version)
-        ) and not self._is_loaded_anywhere(model, version)
-        if is_suspended != ((model, version) in self._logged_suspensions):
-            self._logged_suspensions ^= {(model, version)}
-            self._decisions.write(VersionLoadsSuspended(model=model, version=version, held=is_suspended))
-        return is_suspended
+        self._logged_pauses: set[tuple[str, int]] = set()
+        """Models and versions whose orders wait according to the last lines in the decision log."""
+
+    def update_pause(self, model: str, version: int, now_s: float) -> bool:
+        """Return whether orders for a version must wait now; write a decision line if this has changed."""
+        is_paused = now_s < self._paused_until_s(model, version) and not self._is_loaded_anywhere(
+            model, version
+        )
+        if is_paused != ((model, version) in self._logged_pauses):
+            self._logged_pauses ^= {(model, version)}
+            self._decisions.write(VersionLoadsPaused(model=model, version=version, held=is_paused))
+        return is_paused
+
+    def _paused_until_s(self, model: str, version: int) -> float:
+        """Return the loop time until which orders for a version must wait; past if they need not."""
+        crash_times_s = self._crash_guard.crash_times_s(_load_identity(model, version))
+        if len(crash_times_s) < 2:
+            return float("-inf")
+        return crash_times_s[-1] + min(SECOND_CRASH_PAUSE_S * 2.0 ** (len(crash_times_s) - 2), MAX_PAUSE_S)
 
     def must_load_alone(self, model: str, version: int) -> bool:
         """Return whether only one replica at a time may load a version, as loading it may crash replicas."""
--- a/passgate/versions/loader.py
+++ b/passgate/versions/loader.py
@@ -166,7 +166,7 @@
             control: client for the control endpoints of replicas.
             daemon_id: this daemon's name in orders.
             newest_demand_by_model: what the newest job of each model requires, by model.
-            crash_guard: suspends versions whose loads crash replicas.
+            crash_guard: knows the crashes of replicas that loaded a version.
             decisions: decision log.
             requires_single_version: returns whether one version must make the whole output of some items of a
                 service.  Its replicas end their runs before a load: otherwise each load would discard the
@@ -229,14 +229,14 @@
     def _plan(self, now_s: float) -> list[PlannedLoad]:
         """Return the loads that should be started now, the most urgent first.
 
-        Suspended versions and replicas that the send rules exclude are left out.
+        Versions whose orders are paused and replicas that the send rules exclude are left out.
         """
         rules = self._replicas.send_rules
         return plan_loads(
             [
                 self._demand(model, version)
                 for model, version in self._targets.version_by_model.items()
-                if not self._crash_guard.update_suspension(model, version)
+                if not self._crash_guard.update_pause(model, version, now_s)
             ],
             [state for state in self._replicas.all() if rules.allows(state.info, CONTROL_MESSAGE, now_s)],
             model_by_loading_replica={
