tests: end the permission after the choice of an item's replica

The test hooked into the wait before an isolated run, which items no longer have. The last moment before the send in which the permission can end is now the choice of the replica, so the test ends it there. It fails when the check before the send is taken out, as before.

--- a/tests/test_jobs_send_permission.py
+++ b/tests/test_jobs_send_permission.py
@@ -221,27 +221,30 @@
 
 
 async def end_permission_before_the_send(world, request_id):
-    """Let the permission end while the last check before a send waits; return the runs of a pause."""
+    """Let the permission end once a replica is chosen for an item; return the runs of a pause."""
     permission = permission_of(world)
-    crash_guard = world.daemon.forwarder._replica_client.crash_guard
-    confirm_run = crash_guard.confirm_run
+    replicas = world.daemon.replicas
+    choose = replicas.choose
 
-    async def confirm_and_end_permission(identity, is_idle):
-        permission.is_granted = lambda: False
-        return await confirm_run(identity, is_idle)
+    def choose_and_end_permission(query, now_s):
+        state = choose(query, now_s)
+        if state is not None:
+            permission.is_granted = lambda: False
+        return state
 
-    crash_guard.confirm_run = confirm_and_end_permission
+    replicas.choose = choose_and_end_permission
     await world.submit(["aa1"], scored=True)
     await asyncio.sleep(PAUSE_S)
-    crash_guard.confirm_run = confirm_run
+    assert "is_granted" in vars(permission)
+    replicas.choose = choose
     seen = runs_of(world, request_id)
     del permission.is_granted
     return seen
 
 
 @in_world
-async def test_an_item_is_not_sent_if_the_permission_ends_while_it_is_checked(world):
-    """Guards against a send after the last wait before it, in which the view may have become old."""
+async def test_an_item_is_not_sent_if_the_permission_ends_after_its_replica_was_chosen(world):
+    """Guards against a send after the choice of its replica, since when the view may have become old."""
     await start_world(world)
     assert await end_permission_before_the_send(world, "aa1") == []
     (row,) = await world.all_results("job1")
