HTTP client: a status line that is none of HTTP/1 is no answer

Reported: a replica in trouble sent status 000, and the client got it as an answer. Here 999, 600 and HTTP/2.0 200 were handed on, and 999 reached callers on routes whose requests must not be repeated. Trailers replaced headers.

Cause: the status was taken as libcurl passed it on, which refuses 000 and 099 only, in the version of this machine's wheel.

Change: a status line must be HTTP/1.0 or 1.1 with 100 to 599, not 101; else the transfer fails as no answer. Trailers are ignored.

--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import re
 from typing import Protocol
 
 import pycurl
@@ -48,6 +49,10 @@
 REJECT_DATA = -1
 """Result of a data callback that makes libcurl fail the transfer."""
 STATUS_LINE_PREFIX = b"HTTP/"
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: |\r|\n|$)")
+FIRST_STATUS, LAST_STATUS = 100, 599
+SWITCHING_PROTOCOLS = 101
+MAX_LOGGED_BYTES = 40
 TRUNCATED_ERRNOS = frozenset({pycurl.E_PARTIAL_FILE, pycurl.E_BAD_CONTENT_ENCODING})
 """libcurl's errors for a body that ends before its declared length or is badly encoded."""
 
@@ -273,11 +278,16 @@
         except (HTTPInputError, ValueError) as error:
             self._error = IncompleteAnswer(f"answer's header can not be parsed: {error}")
             return REJECT_DATA
+        except IncompleteAnswer as error:
+            self._error = error
+            return REJECT_DATA
         return len(line)
 
     def _add_header(self, line: bytes) -> None:
+        if self._head_complete:
+            return  # a trailer, which changes neither the status nor the headers
         if line.startswith(STATUS_LINE_PREFIX):
-            self.status = int(line.split(None, 2)[1])
+            self.status = parse_status(line)
             self.headers.clear()
             return
         text = line.decode("latin1").rstrip("\r\n")
@@ -319,6 +329,26 @@
         return BackendUnreachable(message, execution=ExecutionStatus.NOT_RUN)
 
 
+def parse_status(line: bytes) -> int:
+    """Return the status of a status line.
+
+    Raises IncompleteAnswer if the line can't begin an HTTP/1 answer: libcurl accepts other versions and any
+    three digits from 100 on, and a protocol switch that was not requested.
+
+    >>> parse_status(b"HTTP/1.1 200 OK")
+    200
+    >>> parse_status(b"HTTP/1.1 999 Strange")
+    Traceback (most recent call last):
+    ...
+    passgate.errors.IncompleteAnswer: status line is no HTTP/1 answer
+    """
+    match = STATUS_LINE.match(line)
+    status = int(match[1]) if match is not None else 0
+    if not FIRST_STATUS <= status <= LAST_STATUS or status == SWITCHING_PROTOCOLS:
+        raise IncompleteAnswer("status line is no HTTP/1 answer", line=line[:MAX_LOGGED_BYTES])
+    return status
+
+
 def classify_failure(errno: int, sent: bool, in_time: bool, message: str) -> PassgateError:
     """Return the error of a failed transfer.
 
