HTTP client: bound bytes without end that are no answer

An endless chunk extension was read at full speed until the deadline, endless bodies could exceed the memory of a small machine together, and an endless event was buffered without limit.

Cause: limits applied to each answer, and to bytes that libcurl hands on.

Change: the bytes that the kernel received are compared with those that became an answer; all collected bodies share one limit; events have a limit, by one splitter for streams and items.

--- a/passgate/clients/connection_sockets.py
+++ b/passgate/clients/connection_sockets.py
@@ -1,4 +1,4 @@
-"""Detects, before a request is sent, that the server has closed a reused connection.
+"""Looks at libcurl's sockets: whether the server has closed one, and how many bytes have arrived.
 
 libcurl checks idle connections at most once a second.  A request sent meanwhile on a closed connection would
 fail with an unknown outcome, although the server can not have read the request.
@@ -8,10 +8,17 @@
 
 import collections
 import socket
+import sys
+from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 
 MAX_RECORDED_SOCKETS = 8192
+BYTES_RECEIVED_OFFSET = 128
+"""Offset of the 8 bytes of ``tcpi_bytes_received`` in Linux's ``struct tcp_info``."""
+
+Value = TypeVar("Value")
 
 
 def set_unacknowledged_timeout(descriptor: int, timeout_s: float) -> None:
@@ -36,7 +43,7 @@
     """Descriptors of libcurl's sockets by the endpoints of their connections.
 
     libcurl owns the descriptors and may close and reuse them at any time.  So a descriptor is used only while
-    libcurl is about to send on the connection and after the ports were compared; it is never closed here.
+    a transfer uses the connection and after the ports were compared; it is never closed here.
     """
 
     def __init__(self) -> None:
@@ -56,17 +63,27 @@
 
         The server has closed or reset the connection, or has sent bytes that belong to no answer.
         """
+        return bool(self._read_socket(endpoints, _is_readable))
+
+    def received_bytes(self, endpoints: ConnectionEndpoints) -> int | None:
+        """Return the bytes that the kernel has received on a connection; None if it does not tell."""
+        return self._read_socket(endpoints, _count_received)
+
+    def _read_socket(
+        self, endpoints: ConnectionEndpoints, read: Callable[[socket.socket], Value]
+    ) -> Value | None:
+        """Return what a function reads of a connection's socket; None if the socket is not known."""
         descriptor = self._descriptor_by_endpoints.get(endpoints)
         if descriptor is None:
-            return False
+            return None
         try:
             borrowed = socket.socket(
                 socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, fileno=descriptor
             )
         except OSError:
-            return False
+            return None
         try:
-            return _has_ports(borrowed, endpoints) and _is_readable(borrowed)
+            return read(borrowed) if _has_ports(borrowed, endpoints) else None
         finally:
             borrowed.detach()
 
@@ -81,6 +98,17 @@
         return False
 
 
+def _count_received(borrowed: socket.socket) -> int | None:
+    """Return the field ``tcpi_bytes_received`` of the kernel's TCP_INFO; None if the kernel has none."""
+    try:
+        info = borrowed.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, BYTES_RECEIVED_OFFSET + 8)
+    except OSError:
+        return None
+    if len(info) < BYTES_RECEIVED_OFFSET + 8:
+        return None
+    return int.from_bytes(info[BYTES_RECEIVED_OFFSET : BYTES_RECEIVED_OFFSET + 8], sys.byteorder)
+
+
 def _is_readable(borrowed: socket.socket) -> bool:
     # An idle connection has nothing to read unless it was closed, was reset or got unexpected bytes.
     try:
--- a/passgate/clients/curl.py
+++ b/passgate/clients/curl.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import functools
 import ipaddress
@@ -20,6 +21,7 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from passgate.clients.body_budget import BodyBudget
 from passgate.clients.connection_sockets import ConnectionSockets
 from passgate.clients.http_call import HttpAnswer, HttpCall, HttpLimits
 from passgate.clients.transfer import Transfer
@@ -31,6 +33,8 @@
 """Shortest total timeout; libcurl would round a shorter one to 0, which means "no limit"."""
 MAX_TIMEOUT_S = 24 * 3600.0
 """Longest total timeout; keeps the milliseconds within the range of libcurl's option."""
+FRAMING_CHECK_INTERVAL_S = 0.5
+"""Interval of the checks for bytes that belong neither to a head nor to a body."""
 LOCALHOST = "localhost"
 MAX_CACHED_HOSTS = 4096
 USER_AGENT = "passgate"
@@ -87,6 +91,8 @@
         self._connections = ConnectionSockets()
         self._request_transfers: set[Transfer] = set()
         self._control_transfers: set[Transfer] = set()
+        self._body_budget = BodyBudget(self.limits.max_total_body_bytes)
+        self._framing_check: asyncio.TimerHandle | None = None
 
     @property
     def transfer_count(self) -> int:
@@ -104,8 +110,10 @@
                 "host is not an IP address", execution=ExecutionStatus.NOT_RUN, url=call.url
             )
         transfers = self._transfers_below_limit(call)
-        transfer = Transfer(self._client, self._connections, self.limits, call)
+        transfer = Transfer(self._client, self._connections, self.limits, call, self._body_budget)
         transfers.add(transfer)
+        if self._framing_check is None:
+            self._schedule_framing_check()
         self._client.set_max_connections(self.transfer_count + self.limits.max_idle_connections)
 
         def handle_end(response: HTTPResponse) -> None:
@@ -118,6 +126,18 @@
         self._client.fetch_impl(self._build_request(call, transfer), handle_end)
         return transfer
 
+    def _schedule_framing_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._framing_check = loop.call_later(FRAMING_CHECK_INTERVAL_S, self._check_framing)
+
+    def _check_framing(self) -> None:
+        """Abort transfers with endless bytes that are no answer; called periodically while any is running."""
+        self._framing_check = None
+        for transfer in [*self._request_transfers, *self._control_transfers]:
+            transfer.check_framing()
+        if self.transfer_count:
+            self._schedule_framing_check()
+
     async def fetch(self, call: HttpCall) -> HttpAnswer:
         """Send a request and return the complete answer, of any status; raises PassgateError."""
         transfer = self.start(call)
@@ -128,6 +148,8 @@
 
     def close(self) -> None:
         """Abort all transfers and free the handles."""
+        if self._framing_check is not None:
+            self._framing_check.cancel()
         for transfer in [*self._request_transfers, *self._control_transfers]:
             transfer.abort()
         self._client.close()
--- a/passgate/clients/http_call.py
+++ b/passgate/clients/http_call.py
@@ -33,6 +33,8 @@
     """Time without acknowledgement of sent bytes after which a connection fails; None: kernel's default."""
     max_body_bytes: int = 64 * 1024 * 1024
     """Largest body that :meth:`Transfer.read_all` buffers."""
+    max_total_body_bytes: int = 256 * 1024 * 1024
+    """Limit of the bodies that all :meth:`Transfer.read_all` buffer together; the largest one is rejected."""
     max_buffered_bytes: int = 64 * 1024
     """Number of unread bytes of one answer from which on the transfer is paused."""
     max_idle_connections: int = 256
--- a/passgate/clients/transfer.py
+++ b/passgate/clients/transfer.py
@@ -17,6 +17,7 @@
 from tornado.httpclient import HTTPError, HTTPResponse
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
+from passgate.clients.body_budget import BodyBudget
 from passgate.clients.connection_sockets import (
     ConnectionEndpoints,
     ConnectionSockets,
@@ -53,6 +54,8 @@
 FIRST_STATUS, LAST_STATUS = 100, 599
 SWITCHING_PROTOCOLS = 101
 MAX_LOGGED_BYTES = 40
+MAX_UNFRAMED_BYTES = 8 * 1024 * 1024
+"""Bytes that are no part of an answer after which a transfer fails; more than a receive buffer holds."""
 TRUNCATED_ERRNOS = frozenset({pycurl.E_PARTIAL_FILE, pycurl.E_BAD_CONTENT_ENCODING})
 """libcurl's errors for a body that ends before its declared length or is badly encoded."""
 
@@ -78,9 +81,19 @@
     """
 
     def __init__(
-        self, client: HandleControl, connections: ConnectionSockets, limits: HttpLimits, call: HttpCall
+        self,
+        client: HandleControl,
+        connections: ConnectionSockets,
+        limits: HttpLimits,
+        call: HttpCall,
+        body_budget: BodyBudget,
     ) -> None:
         self.call = call
+        self._body_budget = body_budget
+        self._endpoints: ConnectionEndpoints | None = None
+        self._header_bytes = 0
+        self._unframed_base_bytes: int | None = None
+        """Bytes on the connection at the first check that were no part of this answer."""
         self.send_count = 0
         """Number of times that libcurl has started to send the request."""
         self.status = 0
@@ -137,16 +150,46 @@
         await self.wait_for_head()
         parts = []
         size = 0
-        while part := await self.read():
-            parts.append(part)
-            size += len(part)
-            if size > self._limits.max_body_bytes:
-                self.abort()
-                raise IncompleteAnswer(
-                    "answer is larger than the limit", limit_bytes=self._limits.max_body_bytes
-                )
-        self._check_length(size)
-        return HttpAnswer(status=self.status, headers=self.headers, body=b"".join(parts))
+        try:
+            while part := await self.read():
+                parts.append(part)
+                size += len(part)
+                if size > self._limits.max_body_bytes:
+                    self.abort()
+                    raise IncompleteAnswer(
+                        "answer is larger than the limit", limit_bytes=self._limits.max_body_bytes
+                    )
+                self._body_budget.add(self, len(part))
+            self._check_length(size)
+            return HttpAnswer(status=self.status, headers=self.headers, body=b"".join(parts))
+        finally:
+            self._body_budget.remove(self)
+
+    def reject_body(self) -> None:
+        """Fail the transfer, as the bodies of all transfers together take too much memory."""
+        self._fail(IncompleteAnswer("answers of all transfers are larger than the limit"))
+
+    def check_framing(self) -> None:
+        """Fail the transfer if endless bytes arrive that belong neither to a head nor to a body.
+
+        libcurl reads some of them, such as the extension of a chunk, without telling.  Must be called
+        periodically; the first call only notes how many other bytes the connection has received before.
+        """
+        if self._endpoints is None or self._ended or self._paused:
+            return
+        received_bytes = self._connections.received_bytes(self._endpoints)
+        if received_bytes is None:
+            return
+        unframed_bytes = received_bytes - self.received_bytes - self._header_bytes
+        if self._unframed_base_bytes is None:
+            self._unframed_base_bytes = unframed_bytes
+        elif unframed_bytes - self._unframed_base_bytes > MAX_UNFRAMED_BYTES:
+            self._fail(IncompleteAnswer("bytes arrive without end that are no part of an answer"))
+
+    def _fail(self, error: PassgateError) -> None:
+        if self._handle is not None and not self._ended:
+            self._error = error
+            self.abort()
 
     def abort(self) -> None:
         """Stop the transfer and close its connection; does nothing after the transfer's end."""
@@ -255,6 +298,7 @@
         elif self._connections.is_closed_by_server(endpoints):
             self._reused_connection_closed = True
             return pycurl.PREREQFUNC_ABORT
+        self._endpoints = endpoints
         self.send_count += 1
         return pycurl.PREREQFUNC_OK
 
@@ -281,6 +325,7 @@
         except IncompleteAnswer as error:
             self._error = error
             return REJECT_DATA
+        self._header_bytes += len(line)
         return len(line)
 
     def _add_header(self, line: bytes) -> None:
--- a/passgate/gateway/stream_forwarder.py
+++ b/passgate/gateway/stream_forwarder.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from passgate.clients.event_splitter import SEPARATOR, EventSplitter
 from passgate.clock import monotonic_s
 from passgate.errors import (
     BackendUnreachable,
@@ -43,7 +44,6 @@
 permitted."""
 MIN_EVENTS_BEFORE_MOVE = 4
 """Events that an attempt delivers before the stream may move to a faster replica."""
-EVENT_SEPARATOR = b"\n\n"
 
 
 class StreamForwarder(ForwarderBase):
@@ -178,14 +178,14 @@
 
         Raises IncompleteAnswer, MovedElsewhere, the attempt's errors, or TimeoutError if no data arrives.
         """
-        pending = b""
+        splitter = EventSplitter()
         count = 0
         last_event_s = 0.0
         while True:
             data = await wait_until(self._read_by_s(stream), attempt.read)
             if not data:
                 break
-            *complete, pending = (pending + data.replace(b"\r\n", b"\n")).split(EVENT_SEPARATOR)
+            complete = splitter.feed(data)
             for event in complete:
                 stream.last_event_id = event_id(event) or stream.last_event_id
             if complete:
@@ -194,11 +194,11 @@
                 if last_event_s:
                     attempt.record_event_interval((now_s - last_event_s) / len(complete))
                 last_event_s = now_s
-                yield EVENT_SEPARATOR.join(complete) + EVENT_SEPARATOR
+                yield SEPARATOR.join(complete) + SEPARATOR
                 count += len(complete)
                 if count >= MIN_EVENTS_BEFORE_MOVE and self._should_move(stream, attempt):
                     raise MovedElsewhere("another replica is much faster")
-        if pending.strip() or not attempt.is_complete:
+        if splitter.has_partial_event or not attempt.is_complete:
             raise IncompleteAnswer("the stream ended without its end mark or within an event")
         attempt.record_stream_success()
 
--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from passgate.clients.event_splitter import EventSplitter
 from passgate.errors import IncompleteAnswer
 
 
@@ -41,7 +42,7 @@
     def __init__(self, version_field: str) -> None:
         """Create an empty stream; ``version_field`` is the event field that names the weight version."""
         self._version_field = version_field.lower()
-        self._unparsed = b""
+        self._splitter = EventSplitter()
         self._current_version: int | None = None
         self._data: list[str] = []
         self._versions: list[int] = []
@@ -61,7 +62,7 @@
     @property
     def has_partial_event(self) -> bool:
         """Whether the attempt's last event has not been completely received."""
-        return bool(self._unparsed.strip())
+        return self._splitter.has_partial_event
 
     def text(self) -> str:
         """Return the data of all events, separated by line feeds."""
@@ -79,12 +80,12 @@
 
     def begin_attempt(self, version: int | None) -> None:
         """Start to parse an attempt's stream; ``version`` is the weight version in its headers, if any."""
-        self._unparsed = b""
+        self._splitter = EventSplitter()
         self._current_version = version
 
     def discard_events(self) -> None:
         """Discard all events, so that the item starts over."""
-        self._unparsed = b""
+        self._splitter = EventSplitter()
         self._data.clear()
         self._versions.clear()
         self.last_event_id = ""
@@ -92,19 +93,17 @@
     def feed(self, chunk: bytes) -> None:
         """Parse bytes of the stream and add the events that they complete.
 
-        Raises IncompleteAnswer for an event without a number, out of order, or without a weight version, and
-        ValueError for bytes that are not UTF-8 or numbers that can't be parsed.
+        Raises IncompleteAnswer for an event that is too large, without a number, out of order, or without a
+        weight version, and ValueError for bytes that are not UTF-8 or numbers that can't be parsed.
         """
-        self._unparsed += chunk.replace(b"\r\n", b"\n")
-        *blocks, self._unparsed = self._unparsed.split(b"\n\n")
-        for block in blocks:
-            if block.strip():
-                self._add_event(block)
+        for event in self._splitter.feed(chunk):
+            if event.strip():
+                self._add_event(event)
 
-    def _add_event(self, block: bytes) -> None:
+    def _add_event(self, event: bytes) -> None:
         event_id = ""
         lines: list[str] = []
-        for line in block.decode("utf-8").split("\n"):
+        for line in event.decode("utf-8").split("\n"):
             field, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if field == "id":
