Items: an event that can not be read fails its attempt only

Seen in a test of the review's reading: bytes that are not UTF-8, or a number that is none, in one item's stream ended the runner of its whole job, and all its items were sent again.

Cause: the parser raised ValueError, which is no PassgateError.

Change: it raises IncompleteAnswer; numbers are ASCII and of 18 digits at most.

--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -13,6 +13,9 @@
 from passgate.clients.event_splitter import EventSplitter
 from passgate.errors import IncompleteAnswer
 
+MAX_DIGITS = 18
+"""Longest number that is parsed; numbers of events and versions fit into 64 bits."""
+
 
 class RecordedEvents(msgspec.Struct, kw_only=True):
     """Events of an unfinished item that are on the log."""
@@ -93,8 +96,8 @@
     def feed(self, chunk: bytes) -> None:
         """Parse bytes of the stream and add the events that they complete.
 
-        Raises IncompleteAnswer for an event that is too large, without a number, out of order, or without a
-        weight version, and ValueError for bytes that are not UTF-8 or numbers that can't be parsed.
+        Raises IncompleteAnswer for bytes that are no event: too large or not UTF-8, without a number, out of
+        order, or without a weight version.
         """
         for event in self._splitter.feed(chunk):
             if event.strip():
@@ -103,7 +106,7 @@
     def _add_event(self, event: bytes) -> None:
         event_id = ""
         lines: list[str] = []
-        for line in event.decode("utf-8").split("\n"):
+        for line in _decode(event).split("\n"):
             field, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if field == "id":
@@ -111,7 +114,7 @@
             elif field == "data":
                 lines.append(value)
             elif field.lower() == self._version_field:
-                self._current_version = int(value)
+                self._current_version = _parse_number(value)
         self._check_order(event_id)
         if self._current_version is None:
             raise IncompleteAnswer("event without a version of the weights")
@@ -120,7 +123,21 @@
         self._versions.append(self._current_version)
 
     def _check_order(self, event_id: str) -> None:
-        if not event_id.isdigit():
-            raise IncompleteAnswer("event without a number")
-        if self.last_event_id and int(event_id) != int(self.last_event_id) + 1:
+        number = _parse_number(event_id)
+        if self.last_event_id and number != int(self.last_event_id) + 1:
             raise IncompleteAnswer("event out of order", got=event_id, after=self.last_event_id)
+
+
+def _decode(event: bytes) -> str:
+    """Return an event's text; raises IncompleteAnswer for bytes that are not UTF-8."""
+    try:
+        return event.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise IncompleteAnswer("an event is not UTF-8") from error
+
+
+def _parse_number(text: str) -> int:
+    """Return a decimal number; raises IncompleteAnswer for any other text."""
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+        raise IncompleteAnswer("an event has no number where one is due")
+    return int(text)
