--- a/passgate/errors/__init__.py
+++ b/passgate/errors/__init__.py
@@ -36,6 +36,7 @@
     MalformedRecord,
     OrderRefused,
     PlatformError,
+    RecordTooLarge,
     SupersededEpoch,
     UnknownRecord,
 )
@@ -141,6 +142,7 @@
     "PeerUnreachable",
     "PlatformError",
     "Refused",
+    "RecordTooLarge",
     "ReplicaReplaced",
     "RequestInProgress",
     "RequestQuarantined",
--- a/passgate/errors/platform.py
+++ b/passgate/errors/platform.py
@@ -19,6 +19,12 @@
     execution = ExecutionStatus.NOT_RUN
 
 
+class RecordTooLarge(LogUnavailable):
+    """The log refused an append, as a record is larger than it allows; the same append never succeeds."""
+
+    code = "record_too_large"
+
+
 class LogAppendUnknown(LogError):
     """The outcome of an append is unknown: the record may be on the log, now or later."""
 
--- a/passgate/jobs/journal.py
+++ b/passgate/jobs/journal.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
-from passgate.errors import DurabilityUnknown, LogAppendUnknown, LogUnavailable
+from passgate.errors import DurabilityUnknown, LogAppendUnknown, LogUnavailable, RecordTooLarge
 from passgate.jobs.records import AnyEntry, Batch, ItemProgressed, ItemsDone, WriterAlive, encode_batch
 from passgate.sharedlog.hedge import call_hedged
 from passgate.sharedlog.log import SharedLog
@@ -47,6 +47,7 @@
         self._topic = topic
         self._partition = partition
         self.writer = writer
+        self._max_record_bytes = record_bytes
         self._max_raw_bytes = int(record_bytes * MAX_RAW_RECORD_SHARE)
         self._max_append_bytes = append_bytes
         self._queue: list[tuple[AnyEntry, asyncio.Future[int]]] = []
@@ -104,10 +105,42 @@
             await self._wakeup.wait()
             await asyncio.sleep(BATCH_DELAY_S)
             self._wakeup.clear()
+            max_count: int | None = None
             while self._queue:
-                count = self._count_that_fits()
-                await self._append_until_done(self._queue[:count])
+                count, record = self._encode_queued(max_count)
+                try:
+                    await self._append_until_done(record, self._queue[:count])
+                except RecordTooLarge as error:
+                    if count > 1:
+                        max_count = count // 2
+                        continue
+                    self._reject_entry(error)
                 del self._queue[:count]
+                max_count = None
+
+    def _encode_queued(self, max_count: int | None) -> tuple[int, bytes]:
+        """Return a record of the first queued entries and their number, at most ``max_count``.
+
+        As many as fit in a record, but at least one.
+        """
+        count = self._count_that_fits()
+        if max_count is not None:
+            count = min(count, max_count)
+        record = self._encode(tuple(entry for entry, _ in self._queue[:count]))
+        while len(record) > self._max_record_bytes and count > 1:
+            count //= 2
+            self._sequence -= 1
+            record = self._encode(tuple(entry for entry, _ in self._queue[:count]))
+        return count, record
+
+    def _reject_entry(self, error: RecordTooLarge) -> None:
+        """Fail the first queued entry, which alone is too large for the log, so that others can follow."""
+        entry, future = self._queue[0]
+        logger.error("entry_dropped", extra={"entry": type(entry).__name__, "error": str(error)})
+        self._unacknowledged_since_s = None
+        if not future.done():
+            future.set_exception(error)
+            future.exception()  # marks it as retrieved: most callers do not wait for their entries
 
     def _encode(self, entries: tuple[AnyEntry, ...]) -> bytes:
         self._sequence += 1
@@ -132,14 +165,18 @@
                 return count
         return len(self._queue)
 
-    async def _append_until_done(self, queued: Sequence[tuple[AnyEntry, asyncio.Future[int]]]) -> None:
-        record = self._encode(tuple(entry for entry, _ in queued))
+    async def _append_until_done(
+        self, record: bytes, queued: Sequence[tuple[AnyEntry, asyncio.Future[int]]]
+    ) -> None:
+        """Append a record of queued entries; raises RecordTooLarge if the log refuses it for its size."""
         pause_s = FIRST_RETRY_PAUSE_S
         self._unacknowledged_since_s = monotonic_s()
         while True:
             sent_s = monotonic_s()
             try:
                 offset = await call_hedged(lambda: self._log.append(self._topic, self._partition, [record]))
+            except RecordTooLarge:
+                raise
             except (LogUnavailable, LogAppendUnknown) as error:
                 logger.info("append_failed", extra={"error": str(error), "code": error.code})
                 await asyncio.sleep(pause_s)
@@ -194,9 +231,9 @@
 def entry_size(entry: AnyEntry) -> int:
     """Return an estimate of an entry's size in bytes before compression."""
     if isinstance(entry, ItemsDone):
-        return sum(len(result.text) + 100 for result in entry.results)
+        return sum(len(result.text.encode()) + 100 for result in entry.results)
     if isinstance(entry, ItemProgressed):
-        return sum(len(text) + 10 for text in entry.data) + 200
+        return sum(len(text.encode()) + 10 for text in entry.data) + 200
     return len(msgspec.json.encode(entry))
 
 
--- a/passgate/platform/log_client.py
+++ b/passgate/platform/log_client.py
@@ -18,7 +18,14 @@
 
 from passgate.clients.curl import HttpClient
 from passgate.clients.http_call import HttpAnswer, HttpCall, SendPolicy
-from passgate.errors import ExecutionStatus, LogAppendUnknown, LogUnavailable, MalformedRecord, PassgateError
+from passgate.errors import (
+    ExecutionStatus,
+    LogAppendUnknown,
+    LogUnavailable,
+    MalformedRecord,
+    PassgateError,
+    RecordTooLarge,
+)
 from passgate.platform import names
 from passgate.sharedlog.log import (
     MAX_PAGE_BYTES,
@@ -36,7 +43,7 @@
 """Timeout of a call, in addition to the time that a read waits for records."""
 CONNECT_TIMEOUT_S = 0.7
 """Timeout of a new connection; below the 1 s after which TCP repeats a lost SYN, so a new call is faster."""
-OK, GONE, PRECONDITION_FAILED, THROTTLED = 200, 410, 412, 429
+OK, GONE, PRECONDITION_FAILED, CONTENT_TOO_LARGE, THROTTLED = 200, 410, 412, 413, 429
 RECORD_LENGTH = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
 FIRST_RETRY_PAUSE_S = 0.1
@@ -139,7 +146,7 @@
         """Append all records or none; see :meth:`SharedLog.append`.
 
         An error status counts as the log's assurance that nothing was appended: 412 raises AppendConflict,
-        any other LogUnavailable.
+        413 RecordTooLarge, any other LogUnavailable.
         """
         query = f"?topic={quote(topic)}&part={part}" + (f"&at={at}" if at is not None else "")
         try:
@@ -152,6 +159,8 @@
             raise LogAppendUnknown(str(error)) from error
         if answer.status == PRECONDITION_FAILED:
             raise AppendConflict(msgspec.json.decode(answer.body, type=_PartitionBounds).end)
+        if answer.status == CONTENT_TOO_LARGE:
+            raise RecordTooLarge("append refused for its size", status=answer.status)
         if answer.status != OK:
             raise LogUnavailable(f"append refused with status {answer.status}", status=answer.status)
         return msgspec.json.decode(answer.body, type=_Appended).offset
