Answers: a number that can not be read in a head disturbs no job

Found on the way from the unreadable events: a replica whose head names its weight version or load by a superscript or by 5,000 digits ended the runner of a whole job with a ValueError; a caller's deadline of that kind got a 502.

Cause: str.isdigit accepts what int rejects.

Change: one function parses decimal numbers of other programs: at most 18 ASCII digits, anything else is none.

--- a/passgate/gateway/messages.py
+++ b/passgate/gateway/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from passgate.decimal_numbers import parse_decimal
 from passgate.errors import ExecutionStatus, PassgateError
 
 JSON_CONTENT_TYPE = "application/json"
@@ -54,10 +55,10 @@
         """Return the loop time until which the caller waits.
 
         The header holds the caller's timeout in milliseconds, counted from the request's arrival.  The
-        timeout is ``default_s`` if the header is missing or ``str.isdigit`` is false for its value.
+        timeout is ``default_s`` if the header is missing or is no number.
         """
-        timeout_ms = self.header(header_name)
-        return self.received_s + (int(timeout_ms) / 1000 if timeout_ms.isdigit() else default_s)
+        timeout_ms = parse_decimal(self.header(header_name))
+        return self.received_s + (default_s if timeout_ms is None else timeout_ms / 1000)
 
 
 class GatewayAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/passgate/gateway/replica_client.py
+++ b/passgate/gateway/replica_client.py
@@ -15,6 +15,7 @@
 from passgate.clients.http_call import HttpCall, SendPolicy
 from passgate.clients.transfer import Transfer
 from passgate.clock import monotonic_s
+from passgate.decimal_numbers import parse_decimal
 from passgate.errors import (
     AnswerMismatch,
     BackendRefused,
@@ -355,9 +356,10 @@
         report = answer.get(self._header_names.replica_load)
         if report is None:
             return
-        numbers = report.split(",")
-        if len(numbers) >= 2 and all(number.strip().isdigit() for number in numbers):
-            self._replicas.record_load(self.incarnation, int(numbers[0]) + int(numbers[1]), monotonic_s())
+        numbers = [parse_decimal(text.strip()) for text in report.split(",")]
+        match numbers:
+            case [int(running), int(waiting), *_] if None not in numbers:
+                self._replicas.record_load(self.incarnation, running + waiting, monotonic_s())
 
     def record_stream_success(self) -> None:
         """Record a complete stream like :meth:`record_success`, but not its duration as latency.
--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -11,11 +11,9 @@
 import msgspec
 
 from passgate.clients.event_splitter import EventSplitter
+from passgate.decimal_numbers import parse_decimal
 from passgate.errors import IncompleteAnswer
 
-MAX_DIGITS = 18
-"""Longest number that is parsed; numbers of events and versions fit into 64 bits."""
-
 
 class RecordedEvents(msgspec.Struct, kw_only=True):
     """Events of an unfinished item that are on the log."""
@@ -138,6 +136,7 @@
 
 def _parse_number(text: str) -> int:
     """Return a decimal number; raises IncompleteAnswer for any other text."""
-    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+    number = parse_decimal(text)
+    if number is None:
         raise IncompleteAnswer("an event has no number where one is due")
-    return int(text)
+    return number
--- a/passgate/jobs/item_run.py
+++ b/passgate/jobs/item_run.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from passgate.clock import monotonic_s
+from passgate.decimal_numbers import parse_decimal
 from passgate.decisions import DecisionLog, ItemFailed, ItemSent
 from passgate.eligibility.replica_info import ReplicaIncarnation
 from passgate.eligibility.rules import SendContext
@@ -405,7 +406,7 @@
 
     def _begin_stream(self, attempt: ReplicaAttempt) -> None:
         version_header = attempt.headers.get(self._context.header_names.weight_versions, "")
-        version = int(version_header) if version_header.isdigit() else None
+        version = parse_decimal(version_header)
         if version is not None:
             attempt.record_weight_version(self._spec.model, version)
             if version < self._spec.min_version:
--- a/passgate/platform/http_api.py
+++ b/passgate/platform/http_api.py
@@ -13,6 +13,7 @@
 from passgate.clients.curl import HttpClient
 from passgate.clients.http_call import HttpCall, SendPolicy
 from passgate.daemon.gateway_daemon import GatewayDaemon
+from passgate.decimal_numbers import parse_decimal
 from passgate.decisions import RequestRefused
 from passgate.errors import (
     ExecutionStatus,
@@ -163,8 +164,8 @@
             return GatewayAnswer(status=200)
         after = parse_qs(query).get("afterRev", ["0"])[0]
         wait_ms = request.header(names.HEADERS.wait_ms)
-        wait_s = min(int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0, MAX_WAIT_S)
-        position = int(after) if after.isdigit() else 0
+        wait_s = min((parse_decimal(wait_ms) or 0) / 1000, MAX_WAIT_S)
+        position = parse_decimal(after) or 0
         reading = self._daemon.jobs.read_results(request.host, job_id, position, wait_s)
         page = await self._end_in_time(reading)
         return json_answer(200, documents.results_document(page))
--- a/passgate/routing/load_tracker.py
+++ b/passgate/routing/load_tracker.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from passgate.decimal_numbers import parse_decimal
 from passgate.routing.call_latency import CallLatencyEstimator
 from passgate.routing.output_length import OVERRUN_GROWTH_FACTOR
 from passgate.schema import LoadReport
@@ -342,4 +343,5 @@
 
 
 def _numeric_version_by_model(report: LoadReport) -> dict[str, int]:
-    return {model: int(text) for model, text in report.versions.items() if text.isdigit()}
+    versions = {model: parse_decimal(text) for model, text in report.versions.items()}
+    return {model: version for model, version in versions.items() if version is not None}
