Items: keep the distinct versions of a text instead of collecting them anew

The check of a text's versions after each piece of its stream went over all of its events, so the work for a long text grew with the square of its events. The stream keeps the distinct versions as events are added. No other change.

--- a/passgate/jobs/event_stream.py
+++ b/passgate/jobs/event_stream.py
@@ -47,6 +47,8 @@
         self._current_version: int | None = None
         self._data: list[str] = []
         self._versions: list[int] = []
+        self._distinct_versions: dict[int, None] = {}
+        """Versions of the events, each once, in order of first use."""
         self.last_event_id = ""
         """Identifier of the last complete event, after which the next attempt resumes; empty when none."""
 
@@ -58,7 +60,7 @@
     @property
     def versions(self) -> tuple[int, ...]:
         """Versions of the weights that made the events, each once, in order of first use."""
-        return tuple(dict.fromkeys(self._versions))
+        return tuple(self._distinct_versions)
 
     @property
     def has_partial_event(self) -> bool:
@@ -73,6 +75,7 @@
         """Start with the recorded events of an earlier run; the next event must have the next number."""
         self._data = list(recorded_events.data)
         self._versions = list(recorded_events.versions)
+        self._distinct_versions = dict.fromkeys(self._versions)
         self.last_event_id = recorded_events.last_event_id
 
     def events_after(self, count: int) -> tuple[tuple[str, ...], tuple[int, ...]]:
@@ -89,6 +92,7 @@
         self._splitter = EventSplitter()
         self._data.clear()
         self._versions.clear()
+        self._distinct_versions.clear()
         self.last_event_id = ""
 
     def feed(self, chunk: bytes) -> None:
@@ -119,6 +123,7 @@
         self.last_event_id = event_id
         self._data.append("\n".join(lines))
         self._versions.append(self._current_version)
+        self._distinct_versions[self._current_version] = None
 
     def _check_order(self, event_id: str) -> None:
         number = _parse_number(event_id)
