--- a/passgate/gateway/ingress.py
+++ b/passgate/gateway/ingress.py
@@ -80,7 +80,10 @@
         return len(self._tasks)
 
     def disable_keep_alive(self) -> None:
-        """Disable keep-alive: answers ask the callers to close, and further requests are the last ones."""
+        """Disable keep-alive: answers carry ``Connection: close``.
+
+        A connection is closed after the answer to the next request that it receives.
+        """
         self._server.conn_params.no_keep_alive = True
 
     def _answer_headers(self, headers: tuple[tuple[str, str], ...]) -> HTTPHeaders:
--- a/passgate/jobs/runner.py
+++ b/passgate/jobs/runner.py
@@ -80,6 +80,7 @@
             checkpoints.cancel()
 
     async def _start_in_order(self, pending: list[_PendingItem], task_group: asyncio.TaskGroup) -> None:
+        """Start items one after the other, each once a slot is reserved for it."""
         for item in pending:
             await self._start_item(item, task_group)
 
--- a/passgate/versions/leadership.py
+++ b/passgate/versions/leadership.py
@@ -202,7 +202,7 @@
         return silent_s > PROBE_AFTER_S and self._was_replaced(leader)
 
     def _would_alternate(self, now_s: float) -> bool:
-        """Whether this daemon may have sent orders within the last lease, before those of another daemon.
+        """Whether an order of this daemon could come within a lease of its last, with another's in between.
 
         That the last leader has stopped or exited does not tell how long ago this daemon led before it.
         """
