--- a/passgate/quarantine/crash_pauses.py
+++ b/passgate/quarantine/crash_pauses.py
@@ -4,10 +4,16 @@
 crash replicas all the same, growing pauses keep it from ending them faster than they restart.
 
 >>> pauses = CrashPauses()
->>> [pauses.record("f", now_s=10.0 + crash) or pauses.remaining_s("f", 10.0 + crash) for crash in range(5)]
-[0.0, 0.2, 0.4, 0.8, 1.0]
+>>> for _ in range(5):
+...     pauses.record("f", now_s=0.0)
+...     print(pauses.remaining_s("f", now_s=0.0))
+0.0
+0.2
+0.4
+0.8
+1.0
 >>> pauses.clear("f")
->>> pauses.remaining_s("f", now_s=14.0)
+>>> pauses.remaining_s("f", now_s=0.0)
 0.0
 """
 
