--- a/tests/test_jobs_large_records.py
+++ b/tests/test_jobs_large_records.py
@@ -16,7 +16,7 @@
 
 
 class SizedLog(MemorySharedLog):
-    """A log that refuses larger records than ``limit_bytes``, and answers nothing for a while at first."""
+    """A log that refuses records larger than ``limit_bytes``."""
 
     def __init__(self, limit_bytes):
         super().__init__()
